--- /dev/null
+++ b/src/connection/caller_client.cpp
@@ -0,0 +1,72 @@
+/** @file caller_client.cpp Calls to the daemons with retries. */
+#include "connection/caller_client.h"
+
+#include "connection/caller_codec.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace bulrushloft {
+
+namespace {
+
+    constexpr Duration answerMargin { 2'000 };
+
+    bool asksForAnotherTry(const CallerAnswer& answer)
+    {
+        const auto* const error = std::get_if<ErrorAnswer>(&answer);
+        return error && error->m_retryAfter.m_ms > 0 && error->m_error.m_kind == ErrorKind::Unavailable;
+    }
+
+    void markRetry(CallerCall& call, Duration age)
+    {
+        auto* const run = std::get_if<RunCall>(&call);
+        if (!run)
+            return;
+        ++run->m_attempt;
+        run->m_age = age;
+    }
+
+    Duration longestAnswer(const CallerCall& call, Duration timeout)
+    {
+        if (const auto* run = std::get_if<RunCall>(&call))
+            return run->m_deadline + answerMargin;
+        if (const auto* status = std::get_if<StatusCall>(&call))
+            return timeout + status->m_waitFor;
+        return timeout;
+    }
+
+} // namespace
+
+CallerClient::CallerClient(EventLoop& loop, CallerClientOptions options)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_client(m_loop, { .m_connectionsPerAddress = 1024 })
+{
+}
+
+Expected<CallerAnswer> CallerClient::call(const CallerCall& call, std::size_t first)
+{
+    CallerCall attempt = call;
+    const TimePoint startedAt = steadyNow();
+    Expected<CallerAnswer> last = fail(ErrorKind::Unavailable, "no entry VM answers", "check the addresses and whether the daemons run");
+    for (std::uint32_t count = 0; count < m_options.m_attempts && steadyNow() - startedAt < m_options.m_timeout; ++count) {
+        if (count > 0)
+            std::this_thread::sleep_for(std::chrono::milliseconds(m_options.m_retryDelay.m_ms));
+        HttpCall http { .m_address = m_options.m_entries[(first + count) % m_options.m_entries.size()], .m_request = encodeCallerCall(attempt), .m_timeout = longestAnswer(attempt, m_options.m_timeout) };
+        const HttpResult result = sendAndWait(m_client, std::move(http));
+        if (!result) {
+            if (result.error().m_progress == CallProgress::MaybeDelivered)
+                markRetry(attempt, steadyNow() - startedAt);
+            continue;
+        }
+        last = decodeCallerAnswer(attempt, *result);
+        if (last && !asksForAnotherTry(*last))
+            return last;
+        if (!last)
+            markRetry(attempt, steadyNow() - startedAt);
+    }
+    return last;
+}
+
+} // namespace bulrushloft
--- /dev/null
+++ b/src/connection/http_client.cpp
@@ -0,0 +1,273 @@
+/** @file http_client.cpp HTTP client by Boost.Beast. */
+#include "connection/http_client.h"
+
+#include "core/event_loop_impl.h"
+
+#include <atomic>
+#include <deque>
+#include <future>
+#include <strings.h>
+#include <unordered_map>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace bulrushloft {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+std::string_view findHeader(const std::vector<HttpHeader>& headers, std::string_view name)
+{
+    for (const HttpHeader& header : headers) {
+        if (header.m_name.size() == name.size() && strncasecmp(header.m_name.data(), name.data(), name.size()) == 0)
+            return header.m_value;
+    }
+    return {};
+}
+
+namespace {
+
+    struct PendingCall {
+        HttpCall m_call;
+        std::function<void(HttpResult)> m_onResult;
+        TimePoint m_deadline; ///< Monotonic time at which the call fails.
+    };
+
+    class Connection;
+
+    /** Connections to one address and the calls that wait for one. */
+    struct Destination {
+        std::vector<std::shared_ptr<Connection>> m_idle; ///< Kept-alive connections, the newest last.
+        std::size_t m_openCount = 0; ///< Idle and busy connections.
+        std::deque<PendingCall> m_waiting; ///< Calls without a connection.
+    };
+
+} // namespace
+
+struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl> {
+    Impl(EventLoop& loop, const HttpClientOptions& options)
+        : m_context(loop.impl().m_context)
+        , m_options(options)
+    {
+    }
+
+    void start(PendingCall call);
+    void startNext(const Address& address);
+    void failExpired(Destination& destination);
+
+    asio::io_context& m_context;
+    HttpClientOptions m_options;
+    std::unordered_map<Address, Destination> m_destinations;
+    std::atomic<std::uint64_t> m_bytesSent { 0 };
+};
+
+namespace {
+
+    /** One connection, which carries one call at a time, so that a response can only belong to that call. */
+    class Connection : public std::enable_shared_from_this<Connection> {
+    public:
+        Connection(std::shared_ptr<HttpClient::Impl> client, Address address)
+            : m_client(std::move(client))
+            , m_address(std::move(address))
+            , m_stream(m_client->m_context)
+        {
+        }
+
+        bool isUsable() const
+        {
+            return steadyNow() - m_idleSince < m_client->m_options.m_idleTimeout && !isClosedByPeer();
+        }
+
+        void connectAndRun(PendingCall call)
+        {
+            m_current = std::move(call);
+            const Duration left = m_current->m_deadline - steadyNow();
+            m_stream.expires_after(std::chrono::milliseconds(std::min(left, m_client->m_options.m_connectTimeout).m_ms));
+            beast::error_code error;
+            const auto host = asio::ip::make_address(m_address.m_host, error);
+            if (error)
+                return finish(tl::unexpected(HttpFailure { CallProgress::NotSent, error.message() }));
+            m_stream.async_connect(Tcp::endpoint(host, m_address.m_port),
+                [self = shared_from_this()](beast::error_code connectError) { self->onConnected(connectError); });
+        }
+
+        void run(PendingCall call)
+        {
+            m_current = std::move(call);
+            writeRequest();
+        }
+
+    private:
+        /** A readable idle connection was closed by the other side (or broke the protocol). */
+        bool isClosedByPeer() const
+        {
+            auto& socket = const_cast<beast::tcp_stream&>(m_stream).socket();
+            beast::error_code error;
+            socket.non_blocking(true, error);
+            char byte = 0;
+            const std::size_t count = socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+            return error != asio::error::would_block || count > 0;
+        }
+
+        void onConnected(beast::error_code error)
+        {
+            if (error) {
+                const CallProgress progress = error == asio::error::connection_refused ? CallProgress::Refused : CallProgress::NotSent;
+                return finish(tl::unexpected(HttpFailure { progress, error.message() }));
+            }
+            beast::error_code ignored;
+            m_stream.socket().set_option(Tcp::no_delay(true), ignored);
+            writeRequest();
+        }
+
+        void writeRequest()
+        {
+            const HttpRequest& request = m_current->m_call.m_request;
+            m_message = {};
+            m_message.version(11);
+            m_message.method_string(request.m_method);
+            m_message.target(request.m_target);
+            m_message.set(http::field::host, m_address.m_host);
+            for (const HttpHeader& header : request.m_headers)
+                m_message.set(header.m_name, header.m_value);
+            const std::string_view body = viewOf(request.m_body);
+            m_message.body() = beast::span<const char>(body.data(), body.size());
+            m_message.keep_alive(true);
+            m_message.prepare_payload();
+            const Duration left = m_current->m_deadline - steadyNow();
+            m_stream.expires_after(std::chrono::milliseconds(std::max<std::int64_t>(left.m_ms, 1)));
+            http::async_write(m_stream, m_message, [self = shared_from_this()](beast::error_code error, std::size_t count) {
+                self->m_client->m_bytesSent += count;
+                self->onWritten(error);
+            });
+        }
+
+        void onWritten(beast::error_code error)
+        {
+            if (error)
+                return finish(tl::unexpected(HttpFailure { CallProgress::MaybeDelivered, error.message() }));
+            m_parser.emplace();
+            m_parser->body_limit(m_current->m_call.m_bodyLimitBytes);
+            http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code readError, std::size_t) {
+                self->onRead(readError);
+            });
+        }
+
+        void onRead(beast::error_code error)
+        {
+            if (error)
+                return finish(tl::unexpected(HttpFailure { CallProgress::MaybeDelivered, error.message() }));
+            auto message = m_parser->release();
+            HttpResponse response;
+            response.m_status = message.result_int();
+            for (const auto& field : message)
+                response.m_headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+            response.m_body = makeBody(std::move(message.body()));
+            m_keepAlive = message.keep_alive() && m_buffer.size() == 0;
+            finish(std::move(response));
+        }
+
+        void finish(HttpResult result)
+        {
+            auto onResult = std::move(m_current->m_onResult);
+            m_current.reset();
+            Destination& destination = m_client->m_destinations[m_address];
+            if (result && m_keepAlive) {
+                m_stream.expires_never();
+                m_idleSince = steadyNow();
+                destination.m_idle.push_back(shared_from_this());
+            } else {
+                m_stream.close();
+                --destination.m_openCount;
+            }
+            m_client->startNext(m_address);
+            onResult(std::move(result));
+        }
+
+        std::shared_ptr<HttpClient::Impl> m_client;
+        Address m_address;
+        beast::tcp_stream m_stream;
+        beast::flat_buffer m_buffer;
+        std::optional<PendingCall> m_current;
+        http::request<http::span_body<const char>> m_message;
+        std::optional<http::response_parser<http::string_body>> m_parser;
+        bool m_keepAlive = false;
+        TimePoint m_idleSince;
+    };
+
+} // namespace
+
+void HttpClient::Impl::start(PendingCall call)
+{
+    Destination& destination = m_destinations[call.m_call.m_address];
+    while (!destination.m_idle.empty()) {
+        auto connection = destination.m_idle.back();
+        destination.m_idle.pop_back();
+        if (connection->isUsable())
+            return connection->run(std::move(call));
+        --destination.m_openCount;
+    }
+    if (destination.m_openCount >= m_options.m_connectionsPerAddress) {
+        destination.m_waiting.push_back(std::move(call));
+        return;
+    }
+    ++destination.m_openCount;
+    auto connection = std::make_shared<Connection>(shared_from_this(), call.m_call.m_address);
+    connection->connectAndRun(std::move(call));
+}
+
+void HttpClient::Impl::failExpired(Destination& destination)
+{
+    const TimePoint now = steadyNow();
+    while (!destination.m_waiting.empty() && destination.m_waiting.front().m_deadline <= now) {
+        auto onResult = std::move(destination.m_waiting.front().m_onResult);
+        destination.m_waiting.pop_front();
+        onResult(tl::unexpected(HttpFailure { CallProgress::NotSent, "no free connection in time" }));
+    }
+}
+
+void HttpClient::Impl::startNext(const Address& address)
+{
+    Destination& destination = m_destinations[address];
+    failExpired(destination);
+    if (destination.m_waiting.empty())
+        return;
+    PendingCall call = std::move(destination.m_waiting.front());
+    destination.m_waiting.pop_front();
+    start(std::move(call));
+}
+
+HttpClient::HttpClient(EventLoop& loop, const HttpClientOptions& options)
+    : m_impl(std::make_shared<Impl>(loop, options))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::send(HttpCall call, std::function<void(HttpResult)> onResult)
+{
+    PendingCall pending { .m_call = std::move(call), .m_onResult = std::move(onResult), .m_deadline = {} };
+    pending.m_deadline = steadyNow() + pending.m_call.m_timeout;
+    asio::post(m_impl->m_context, [impl = m_impl, pending = std::move(pending)]() mutable { impl->start(std::move(pending)); });
+}
+
+std::uint64_t HttpClient::countBytesSent() const
+{
+    return m_impl->m_bytesSent;
+}
+
+HttpResult sendAndWait(HttpClient& client, HttpCall call)
+{
+    auto promise = std::make_shared<std::promise<HttpResult>>();
+    auto future = promise->get_future();
+    client.send(std::move(call), [promise](HttpResult result) { promise->set_value(std::move(result)); });
+    return future.get();
+}
+
+} // namespace bulrushloft
--- /dev/null
+++ b/src/core/clock.cpp
@@ -0,0 +1,26 @@
+/** @file clock.cpp Readings of the machine's clocks. */
+#include "core/clock_type.h"
+
+#include <chrono>
+
+namespace bulrushloft {
+
+TimePoint steadyNow()
+{
+    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
+    return { std::chrono::duration_cast<std::chrono::milliseconds>(sinceStart).count() };
+}
+
+TimePoint wallNow()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return { std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count() };
+}
+
+std::int64_t steadyMicroseconds()
+{
+    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(sinceStart).count();
+}
+
+} // namespace bulrushloft
--- /dev/null
+++ b/src/core/invariant.cpp
@@ -0,0 +1,36 @@
+/** @file invariant.cpp Reporting of broken invariants. */
+#include "core/invariant.h"
+
+#include "core/log_func.h"
+
+#include <atomic>
+#include <cstdlib>
+
+namespace bulrushloft {
+
+namespace {
+
+    std::atomic<InvariantAction> activeAction { InvariantAction::Abort };
+    std::atomic<std::uint64_t> brokenCount { 0 };
+
+} // namespace
+
+void setInvariantAction(InvariantAction action)
+{
+    activeAction = action;
+}
+
+std::uint64_t countBrokenInvariants()
+{
+    return brokenCount;
+}
+
+void reportBrokenInvariant(std::string_view what, std::string_view where)
+{
+    ++brokenCount;
+    logEvent(LogLevel::Error, "invariant-broken", { { "what", what }, { "where", where } });
+    if (activeAction == InvariantAction::Abort)
+        std::abort();
+}
+
+} // namespace bulrushloft
--- /dev/null
+++ b/src/core/log.cpp
@@ -0,0 +1,104 @@
+/** @file log.cpp Structured logs by the spdlog library. */
+#include "core/log_func.h"
+
+#include "table/log_table.h"
+
+#include <atomic>
+
+#include <nlohmann/json.hpp>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace bulrushloft {
+
+namespace {
+
+    std::atomic<LogFormat> activeFormat { LogFormat::KeyValue };
+
+    spdlog::level::level_enum toSpdlog(LogLevel level)
+    {
+        switch (level) {
+        case LogLevel::Trace:
+            return spdlog::level::trace;
+        case LogLevel::Debug:
+            return spdlog::level::debug;
+        case LogLevel::Info:
+            return spdlog::level::info;
+        case LogLevel::Warning:
+            return spdlog::level::warn;
+        case LogLevel::Error:
+            return spdlog::level::err;
+        case LogLevel::Off:
+            return spdlog::level::off;
+        }
+        return spdlog::level::info;
+    }
+
+    bool needsQuotes(const std::string& value)
+    {
+        return value.empty() || value.find_first_of(" =\"\n\r\t") != std::string::npos;
+    }
+
+    std::string formatKeyValue(std::string_view event, std::initializer_list<LogField> fields)
+    {
+        std::string line(event);
+        for (const LogField& field : fields) {
+            line += ' ' + field.m_key + '=';
+            if (needsQuotes(field.m_value))
+                line += nlohmann::json(field.m_value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+            else
+                line += field.m_value;
+        }
+        return line;
+    }
+
+    std::string formatJson(std::string_view event, std::initializer_list<LogField> fields)
+    {
+        nlohmann::ordered_json line;
+        line["event"] = event;
+        for (const LogField& field : fields)
+            line[field.m_key] = field.m_value;
+        return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    }
+
+} // namespace
+
+void openLog(const LogOptions& options)
+{
+    auto logger = std::make_shared<spdlog::logger>(options.m_process, std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %n %v");
+    logger->set_level(toSpdlog(options.m_level));
+    logger->flush_on(spdlog::level::info);
+    activeFormat = options.m_format;
+    spdlog::set_default_logger(std::move(logger));
+}
+
+void setLogLevel(LogLevel level)
+{
+    spdlog::default_logger_raw()->set_level(toSpdlog(level));
+}
+
+Expected<LogLevel> parseLogLevel(std::string_view name)
+{
+    if (const auto level = findValue(logLevelNames, name))
+        return *level;
+    return fail(ErrorKind::InvalidInput, "\"" + std::string(name) + "\" is not a log level", "write one of: " + listNames(logLevelNames));
+}
+
+Expected<LogFormat> parseLogFormat(std::string_view name)
+{
+    if (const auto format = findValue(logFormatNames, name))
+        return *format;
+    return fail(ErrorKind::InvalidInput, "\"" + std::string(name) + "\" is not a log format", "write one of: " + listNames(logFormatNames));
+}
+
+void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    spdlog::logger* const logger = spdlog::default_logger_raw();
+    if (!logger->should_log(toSpdlog(level)))
+        return;
+    const bool asJson = activeFormat == LogFormat::Json;
+    logger->log(toSpdlog(level), spdlog::string_view_t(asJson ? formatJson(event, fields) : formatKeyValue(event, fields)));
+}
+
+} // namespace bulrushloft
--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,465 @@
+/** @file main.cpp bulrushctl: the command line of callers and operators. */
+#include "connection/caller_client.h"
+#include "connection/json_rpc_client.h"
+#include "connection/json_rpc_server.h"
+#include "core/event_loop.h"
+#include "ctl/output.h"
+#include "request/job_func.h"
+#include "table/caller_table.h"
+#include "table/job_table.h"
+#include "version/settings_func.h"
+
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+#include <gflags/gflags.h>
+
+DEFINE_string(entries, "127.0.0.1:7400", "Entry VMs, IP:PORT separated by commas; the first that answers is used");
+DEFINE_bool(json, false, "Print JSON instead of tables");
+DEFINE_string(team, "", "Team that is charged, or whose jobs are meant");
+DEFINE_string(pool, "", "Pool of workers or runners");
+DEFINE_string(work_class, "standard", "Class of work");
+DEFINE_string(name, "", "Name of the program");
+DEFINE_string(kind, "batch", "service, batch or gang");
+DEFINE_string(state, "", "Only jobs in this state");
+DEFINE_string(key, "", "Idempotency key; a new one is made when it is empty");
+DEFINE_int32(tasks, 1, "Number of tasks");
+DEFINE_int64(cpu_milli, 1000, "Size of a task: thousandths of a core");
+DEFINE_int64(memory_mb, 256, "Size of a task: MiB of memory");
+DEFINE_int64(gpus, 0, "Size of a task: GPUs");
+DEFINE_int64(run_time_ms, 0, "Declared run time of a task in ms, 0 when unknown");
+DEFINE_bool(idempotent, false, "The work may run again after it may have run");
+DEFINE_string(payload, "", "Passed to the worker unread");
+DEFINE_string(target, "", "What the runner is asked to do");
+DEFINE_string(body, "", "Body of the request; @FILE reads a file");
+DEFINE_int32(attempt, 1, "Number of the attempt; more than 1 for a retry of an earlier run of this program");
+DEFINE_int64(deadline_ms, 30000, "Longest time for the answer of a run, in ms");
+DEFINE_int64(wait_ms, 30000, "Longest wait in ms");
+DEFINE_string(until, "ended", "What wait waits for: started or ended");
+DEFINE_string(operator_name, "", "Who makes the change of settings");
+DEFINE_string(file, "", "File with the YAML of a subtree, or of the whole tree for load");
+DEFINE_int64(base, -1, "Revision that the change was made from; -1 takes the one in force now");
+DEFINE_int32(limit, 50, "The newest so many rows");
+
+namespace bulrushloft {
+
+namespace {
+
+    constexpr const char* usage = R"(bulrushctl COMMAND [ARGUMENTS] [--flags]
+
+work
+  run SERVICE --team T --target X [--body B|@FILE] [--idempotent] [--key K --attempt N]
+                            run a request on a runner and print its answer
+  submit --team T --pool P --name N [--kind service|batch|gang] [--tasks N] [--cpu_milli ...]
+                            submit a job and print its id
+  status JOB                where a job stands
+  wait JOB [--until started|ended] [--wait_ms N]
+                            wait for a job
+  why JOB                   why a job waits, or how it ended
+  cancel JOB                cancel one job
+  cancel-all --team T [--pool P] [--name N] [--state S]
+                            cancel all jobs that are selected
+  list [--team T] [--pool P] [--name N] [--state S] [--limit N]
+
+settings
+  settings get [PATH]       subtrees in force, with their revisions
+  settings check PATH --file F
+                            check a file against the schema, without a daemon
+  settings set PATH --file F --operator_name NAME [--base REVISION]
+                            publish a change; a lost race prints the difference
+  settings load --file F --operator_name NAME
+                            publish every subtree of a whole tree
+  settings diff PATH --file F
+                            from what is in force to a file
+  settings history [PATH] [--limit N]
+
+cell
+  cell                      daemons, and who owns which shard
+  workers [--pool P]        workers as their owners see them
+  runners [--pool P]        runners as their owners see them
+  drain VM --operator_name NAME
+                            give a worker or runner no new work
+  undrain VM --operator_name NAME
+  log-level LEVEL           change the log level of the first entry VM
+
+exit codes: 0 done, 1 failed, 2 bad input, 3 no answer, 4 not run, 5 unknown, 6 conflict
+
+examples
+  bulrushctl run proof --team salto --target "work_ms=40" --body "In memory of" --idempotent
+  bulrushctl submit --team salto --pool proof --name layout --tasks 500 --cpu_milli 2000 --idempotent
+  bulrushctl settings get teams/salto > salto.yaml; edit; bulrushctl settings set teams/salto --file salto.yaml --operator_name ana --base 17
+)";
+
+    std::string newId()
+    {
+        std::random_device device;
+        std::ostringstream text;
+        text << std::hex << device() << device() << device();
+        return text.str();
+    }
+
+    Expected<std::string> readFile(const std::string& path)
+    {
+        std::ifstream file(path);
+        if (path.empty() || !file)
+            return fail(ErrorKind::InvalidInput, "the file \"" + path + "\" can't be opened", "name a file that exists with --file");
+        std::stringstream text;
+        text << file.rdbuf();
+        return text.str();
+    }
+
+    Expected<std::vector<Address>> parseEntries()
+    {
+        std::vector<Address> entries;
+        std::istringstream list(FLAGS_entries);
+        for (std::string item; std::getline(list, item, ',');) {
+            const auto address = parseAddress(item);
+            if (!address)
+                return tl::unexpected(address.error());
+            entries.push_back(*address);
+        }
+        if (entries.empty())
+            return fail(ErrorKind::InvalidInput, "no entry VM is given", "name at least one with --entries IP:PORT");
+        return entries;
+    }
+
+    /** What the commands work with; lives for one run of the program. */
+    struct Session {
+        CallerClient& m_client; ///< The way to the daemons.
+        std::vector<std::string> m_arguments; ///< Words after the command.
+    };
+
+    ExitCode callAndPrint(Session& session, const CallerCall& call)
+    {
+        const auto answer = session.m_client.call(call);
+        return answer ? printAnswer(*answer, FLAGS_json) : printError(answer.error(), FLAGS_json);
+    }
+
+    Expected<std::string> argument(const Session& session, std::size_t index, const std::string& what)
+    {
+        if (index < session.m_arguments.size())
+            return session.m_arguments[index];
+        return fail(ErrorKind::InvalidInput, what + " is missing", "see bulrushctl help");
+    }
+
+    ExitCode run(Session& session)
+    {
+        const auto service = argument(session, 0, "the service");
+        if (!service)
+            return printError(service.error(), FLAGS_json);
+        RunCall call { .m_service = *service, .m_target = FLAGS_target, .m_team = FLAGS_team, .m_workClass = FLAGS_work_class };
+        call.m_key = FLAGS_key.empty() ? newId() : FLAGS_key;
+        call.m_isIdempotent = FLAGS_idempotent;
+        call.m_attempt = static_cast<std::uint32_t>(FLAGS_attempt);
+        call.m_deadline.m_ms = FLAGS_deadline_ms;
+        std::string body = FLAGS_body;
+        if (!body.empty() && body.front() == '@') {
+            const auto text = readFile(body.substr(1));
+            if (!text)
+                return printError(text.error(), FLAGS_json);
+            body = *text;
+        }
+        call.m_body = makeBody(body);
+        return callAndPrint(session, call);
+    }
+
+    ExitCode submit(Session& session)
+    {
+        JobSpec spec { .m_key = FLAGS_key.empty() ? newId() : FLAGS_key, .m_name = FLAGS_name, .m_team = FLAGS_team, .m_workClass = FLAGS_work_class, .m_pool = FLAGS_pool };
+        const auto kind = findValue(jobKindNames, FLAGS_kind);
+        if (!kind)
+            return printError({ ErrorKind::InvalidInput, "--kind is \"" + FLAGS_kind + "\"", "write one of: " + listNames(jobKindNames) }, FLAGS_json);
+        spec.m_kind = *kind;
+        spec.m_taskCount = static_cast<std::uint32_t>(FLAGS_tasks);
+        spec.m_declared = { .m_cpuMilli = FLAGS_cpu_milli, .m_memoryMb = FLAGS_memory_mb, .m_gpus = FLAGS_gpus };
+        spec.m_declaredRunTime.m_ms = FLAGS_run_time_ms;
+        spec.m_isIdempotent = FLAGS_idempotent || spec.m_kind == JobKind::Service;
+        spec.m_payload = FLAGS_payload;
+        if (auto checked = checkJobSpec(spec); !checked)
+            return printError(checked.error(), FLAGS_json);
+        return callAndPrint(session, SubmitCall { spec });
+    }
+
+    ExitCode withJob(Session& session, const std::function<ExitCode(const JobId&)>& action)
+    {
+        const auto text = argument(session, 0, "the job id");
+        const auto id = text ? parseJobId(*text) : tl::unexpected(text.error());
+        return id ? action(*id) : printError(id.error(), FLAGS_json);
+    }
+
+    ExitCode status(Session& session)
+    {
+        return withJob(session, [&](const JobId& id) { return callAndPrint(session, StatusCall { .m_job = id }); });
+    }
+
+    ExitCode wait(Session& session)
+    {
+        const auto until = findValue(waitUntilNames, FLAGS_until);
+        if (!until)
+            return printError({ ErrorKind::InvalidInput, "--until is \"" + FLAGS_until + "\"", "write started or ended" }, FLAGS_json);
+        return withJob(session, [&](const JobId& id) { return callAndPrint(session, StatusCall { .m_job = id, .m_until = *until, .m_waitFor = { FLAGS_wait_ms } }); });
+    }
+
+    ExitCode cancel(Session& session)
+    {
+        return withJob(session, [&](const JobId& id) {
+            const ExitCode code = callAndPrint(session, CancelCall { id });
+            return code == ExitCode::NotRun ? ExitCode::Ok : code;
+        });
+    }
+
+    /** Asks the owners of all shards, or of those of one pool, and hands each answer on. */
+    ExitCode forEachShard(Session& session, const std::function<CallerCall(const std::string&)>& makeCall, const std::function<void(CallerAnswer&)>& take)
+    {
+        const auto cell = session.m_client.call(CellCall {});
+        if (!cell)
+            return printError(cell.error(), FLAGS_json);
+        const auto* const view = std::get_if<CellAnswer>(&*cell);
+        if (!view)
+            return printAnswer(*cell, FLAGS_json);
+        for (const ShardView& shard : view->m_shards) {
+            if (!FLAGS_pool.empty() && shard.m_name.substr(0, shard.m_name.rfind('-')) != FLAGS_pool)
+                continue;
+            auto answer = session.m_client.call(makeCall(shard.m_name));
+            if (!answer)
+                return printError(answer.error(), FLAGS_json);
+            if (std::holds_alternative<ErrorAnswer>(*answer))
+                return printAnswer(*answer, FLAGS_json);
+            take(*answer);
+        }
+        return ExitCode::Ok;
+    }
+
+    JobSelector selector()
+    {
+        return { .m_pool = FLAGS_pool, .m_team = FLAGS_team, .m_name = FLAGS_name, .m_state = FLAGS_state };
+    }
+
+    ExitCode list(Session& session)
+    {
+        JobListAnswer all;
+        const auto makeCall = [](const std::string& shard) -> CallerCall { return ListCall { .m_shard = shard, .m_selector = selector(), .m_limit = static_cast<std::uint32_t>(FLAGS_limit) }; };
+        const ExitCode code = forEachShard(session, makeCall, [&all](CallerAnswer& answer) {
+            auto& jobs = std::get<JobListAnswer>(answer).m_jobs;
+            all.m_jobs.insert(all.m_jobs.end(), jobs.begin(), jobs.end());
+        });
+        return code == ExitCode::Ok ? printAnswer(all, FLAGS_json) : code;
+    }
+
+    ExitCode cancelAll(Session& session)
+    {
+        CancelSelectedAnswer all;
+        const auto makeCall = [](const std::string& shard) -> CallerCall { return CancelSelectedCall { .m_shard = shard, .m_selector = selector() }; };
+        const ExitCode code = forEachShard(session, makeCall, [&all](CallerAnswer& answer) { all.m_count += std::get<CancelSelectedAnswer>(answer).m_count; });
+        return code == ExitCode::Ok ? printAnswer(all, FLAGS_json) : code;
+    }
+
+    ExitCode endpoints(Session& session, const std::string& kind)
+    {
+        EndpointsAnswer all;
+        const auto makeCall = [](const std::string& shard) -> CallerCall { return EndpointsCall { shard }; };
+        const ExitCode code = forEachShard(session, makeCall, [&](CallerAnswer& answer) {
+            for (const EndpointView& view : std::get<EndpointsAnswer>(answer).m_endpoints) {
+                if (view.m_kind == kind)
+                    all.m_endpoints.push_back(view);
+            }
+        });
+        return code == ExitCode::Ok ? printAnswer(all, FLAGS_json) : code;
+    }
+
+    Expected<SettingsAnswer> getSettings(Session& session, const std::string& path)
+    {
+        const auto answer = session.m_client.call(SettingsGetCall { path });
+        if (!answer)
+            return tl::unexpected(answer.error());
+        if (const auto* error = std::get_if<ErrorAnswer>(&*answer))
+            return tl::unexpected(error->m_error);
+        return std::get<SettingsAnswer>(*answer);
+    }
+
+    Expected<Subtree> getSubtree(Session& session, const std::string& path)
+    {
+        const auto settings = getSettings(session, path);
+        if (!settings)
+            return tl::unexpected(settings.error());
+        return settings->m_subtrees.empty() ? Subtree {} : settings->m_subtrees.front().m_subtree;
+    }
+
+    ExitCode publish(Session& session, SettingsChange change)
+    {
+        if (FLAGS_operator_name.empty())
+            return printError({ ErrorKind::InvalidInput, "--operator_name is missing", "say who makes the change" }, FLAGS_json);
+        if (change.m_base.m_value == 0 && FLAGS_base < 0) {
+            const auto inForce = getSubtree(session, change.m_path);
+            if (!inForce)
+                return printError(inForce.error(), FLAGS_json);
+            change.m_base = inForce->m_revision;
+        } else if (FLAGS_base >= 0) {
+            change.m_base.m_value = static_cast<std::uint64_t>(FLAGS_base);
+        }
+        change.m_id = newId();
+        change.m_operator = FLAGS_operator_name;
+        return callAndPrint(session, SettingsChangeCall { change });
+    }
+
+    ExitCode settingsLoad(Session& session, const std::string& yaml)
+    {
+        const auto changes = splitTree(yaml);
+        if (!changes)
+            return printError(changes.error(), FLAGS_json);
+        for (const SettingsChange& change : *changes) {
+            const auto inForce = getSubtree(session, change.m_path);
+            if (inForce && inForce->m_yaml == change.m_yaml)
+                continue;
+            const ExitCode code = publish(session, change);
+            if (code != ExitCode::Ok)
+                return code;
+        }
+        return ExitCode::Ok;
+    }
+
+    ExitCode settingsWithFile(Session& session, const std::string& action)
+    {
+        const auto yaml = readFile(FLAGS_file);
+        if (!yaml)
+            return printError(yaml.error(), FLAGS_json);
+        if (action == "load")
+            return settingsLoad(session, *yaml);
+        const auto path = argument(session, 1, "the path of the subtree");
+        if (!path)
+            return printError(path.error(), FLAGS_json);
+        if (auto checked = checkSubtree(*path, *yaml); !checked)
+            return printError(checked.error(), FLAGS_json);
+        if (action == "check") {
+            std::cout << FLAGS_file << " is well formed for " << *path << "\n";
+            return ExitCode::Ok;
+        }
+        if (action == "set")
+            return publish(session, { .m_path = *path, .m_yaml = *yaml });
+        const auto inForce = getSubtree(session, *path);
+        if (!inForce)
+            return printError(inForce.error(), FLAGS_json);
+        std::cout << diffLines(inForce->m_yaml, *yaml);
+        return ExitCode::Ok;
+    }
+
+    ExitCode settings(Session& session)
+    {
+        const auto action = argument(session, 0, "get, set, load, check, diff or history");
+        if (!action)
+            return printError(action.error(), FLAGS_json);
+        const std::string path = session.m_arguments.size() > 1 ? session.m_arguments[1] : std::string();
+        if (*action == "get")
+            return callAndPrint(session, SettingsGetCall { path });
+        if (*action == "history")
+            return callAndPrint(session, SettingsHistoryCall { path, static_cast<std::uint32_t>(FLAGS_limit) });
+        if (*action == "set" || *action == "load" || *action == "check" || *action == "diff")
+            return settingsWithFile(session, *action);
+        return printError({ ErrorKind::InvalidInput, "\"settings " + *action + "\" is no command", "write get, set, load, check, diff or history" }, FLAGS_json);
+    }
+
+    /** Adds a VM to the drained ones, or takes it out. */
+    ExitCode drain(Session& session, bool isDrained)
+    {
+        const auto vm = argument(session, 0, "the name of the VM");
+        if (!vm)
+            return printError(vm.error(), FLAGS_json);
+        const auto inForce = getSubtree(session, "cell/drained");
+        if (!inForce)
+            return printError(inForce.error(), FLAGS_json);
+        SettingsState state;
+        if (!inForce->m_yaml.empty())
+            state.m_subtrees["cell/drained"] = *inForce;
+        std::set<std::string> names = buildPolicy(state)->m_drained;
+        if (isDrained)
+            names.insert(*vm);
+        else
+            names.erase(*vm);
+        std::string yaml = "vms: [";
+        for (const std::string& name : names)
+            yaml += (yaml.back() == '[' ? "" : ", ") + name;
+        return publish(session, { .m_path = "cell/drained", .m_base = inForce->m_revision, .m_yaml = yaml + "]\n" });
+    }
+
+    ExitCode setLogLevel(Session& session, EventLoop& loop, const Address& entry)
+    {
+        const auto level = argument(session, 0, "the log level");
+        if (!level)
+            return printError(level.error(), FLAGS_json);
+        HttpClient client(loop, {});
+        const JsonRpcSender send = [&](const std::string& request, std::string& response) {
+            HttpCall call { .m_address = entry };
+            call.m_request = { .m_method = "POST", .m_target = jsonRpcPath, .m_headers = {}, .m_body = makeBody(request) };
+            const HttpResult result = sendAndWait(client, std::move(call));
+            response = result ? std::string(viewOf(result->m_body)) : std::string();
+            return result.has_value();
+        };
+        const JsonRpcResult result = callJsonRpc(send, "setLogLevel", "{\"level\":\"" + *level + "\"}");
+        if (!result.m_isAnswered)
+            return printError({ ErrorKind::Unavailable, result.m_error, "check that the daemon runs" }, FLAGS_json);
+        if (result.m_resultJson != "true")
+            return printError({ ErrorKind::InvalidInput, "\"" + *level + "\" is no log level", "write trace, debug, info, warning, error or off" }, FLAGS_json);
+        return ExitCode::Ok;
+    }
+
+    ExitCode dispatch(const std::string& command, Session& session, EventLoop& loop, const Address& entry)
+    {
+        if (command == "run")
+            return run(session);
+        if (command == "submit")
+            return submit(session);
+        if (command == "status" || command == "why")
+            return status(session);
+        if (command == "wait")
+            return wait(session);
+        if (command == "cancel")
+            return cancel(session);
+        if (command == "cancel-all")
+            return cancelAll(session);
+        if (command == "list")
+            return list(session);
+        if (command == "settings")
+            return settings(session);
+        if (command == "cell")
+            return callAndPrint(session, CellCall {});
+        if (command == "workers")
+            return endpoints(session, "worker");
+        if (command == "runners")
+            return endpoints(session, "runner");
+        if (command == "drain" || command == "undrain")
+            return drain(session, command == "drain");
+        if (command == "log-level")
+            return setLogLevel(session, loop, entry);
+        return printError({ ErrorKind::InvalidInput, "\"" + command + "\" is no command", "see bulrushctl help" }, FLAGS_json);
+    }
+
+    ExitCode runMain(int argc, char** argv)
+    {
+        if (argc < 2 || std::string(argv[1]) == "help") {
+            std::cout << usage;
+            return argc < 2 ? ExitCode::BadInput : ExitCode::Ok;
+        }
+        const auto entries = parseEntries();
+        if (!entries)
+            return printError(entries.error(), FLAGS_json);
+        EventLoop loop("client");
+        CallerClient client(loop, { .m_entries = *entries });
+        Session session { .m_client = client, .m_arguments = std::vector<std::string>(argv + 2, argv + argc) };
+        const ExitCode code = dispatch(argv[1], session, loop, entries->front());
+        loop.stop();
+        return code;
+    }
+
+} // namespace
+
+} // namespace bulrushloft
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage(bulrushloft::usage);
+    gflags::SetVersionString("0.1.0");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    return static_cast<int>(bulrushloft::runMain(argc, argv));
+}
--- /dev/null
+++ b/src/load/load_jobs.cpp
@@ -0,0 +1,168 @@
+/** @file load_jobs.cpp Jobs and operators' races of the load tool. */
+#include "load/load_func.h"
+
+#include "connection/caller_codec.h"
+
+#include <algorithm>
+#include <atomic>
+#include <functional>
+#include <thread>
+
+namespace bulrushloft {
+
+namespace {
+
+    constexpr Duration longestPoll { 5'000 };
+    constexpr Duration urgentInterval { 1'000 };
+    constexpr Duration raceInterval { 4'000 };
+    constexpr Duration inForceLimit { 10'000 };
+
+    JobSpec makeSpec(const LoadOptions& options, const std::string& name, const std::string& pool, JobKind kind)
+    {
+        JobSpec spec;
+        spec.m_key = "load-" + std::to_string(options.m_seed) + "-" + name;
+        spec.m_name = name.substr(0, name.find('#'));
+        spec.m_team = options.m_teams.front();
+        spec.m_workClass = kind == JobKind::Service ? "service" : "standard";
+        spec.m_pool = pool;
+        spec.m_kind = kind;
+        spec.m_declared = { .m_cpuMilli = 2'000, .m_memoryMb = 1'024, .m_gpus = 0 };
+        spec.m_payload = "run_ms=400;cpu=1500;mem=700";
+        return spec;
+    }
+
+    std::optional<JobView> submit(CallerClient& client, const JobSpec& spec, JobNote& note)
+    {
+        const auto answer = client.call(SubmitCall { spec });
+        const auto* const view = answer ? std::get_if<JobView>(&*answer) : nullptr;
+        if (view) {
+            note.m_id = format(view->m_id);
+            return *view;
+        }
+        const auto* const error = answer ? std::get_if<ErrorAnswer>(&*answer) : nullptr;
+        note.m_state = error ? describe(error->m_error) : "no answer";
+        return std::nullopt;
+    }
+
+    /** Submits a job and polls until it is as wanted or the time is over. */
+    void follow(const LoadOptions& options, CallerClient& client, const JobSpec& spec, WaitUntil until, JobState wanted, LoadNotes& notes)
+    {
+        JobNote note { .m_what = std::string(nameOf(spec.m_kind)) + " " + spec.m_name + " of " + std::to_string(spec.m_taskCount) };
+        const TimePoint startedAt = steadyNow();
+        auto view = submit(client, spec, note);
+        while (view && steadyNow() - startedAt < options.m_jobWait) {
+            const auto answer = client.call(StatusCall { .m_job = view->m_id, .m_until = until, .m_waitFor = longestPoll });
+            const auto* const latest = answer ? std::get_if<JobView>(&*answer) : nullptr;
+            if (!latest)
+                continue;
+            note.m_state = nameOf(latest->m_state);
+            const bool isStarted = latest->m_runningCount == spec.m_taskCount;
+            note.m_isAsExpected = latest->m_state == wanted && (until != WaitUntil::Started || isStarted);
+            if (note.m_isAsExpected || isFinal(latest->m_state))
+                break;
+        }
+        note.m_took = steadyNow() - startedAt;
+        const std::lock_guard lock(notes.m_mutex);
+        notes.m_jobs.push_back(std::move(note));
+    }
+
+    void sendUrgent(const LoadOptions& options, CallerClient& client, LoadNotes& notes)
+    {
+        const TimePoint end = steadyNow() + options.m_length;
+        for (std::uint32_t number = 0; steadyNow() < end; ++number) {
+            JobSpec spec = makeSpec(options, "urgent-proof#" + std::to_string(number), options.m_services.front(), JobKind::Batch);
+            spec.m_workClass = "urgent";
+            spec.m_team = options.m_teams[number % options.m_teams.size()];
+            spec.m_taskCount = 2;
+            follow(options, client, spec, WaitUntil::Ended, JobState::Done, notes);
+            std::this_thread::sleep_for(std::chrono::milliseconds(urgentInterval.m_ms));
+        }
+    }
+
+    /** @return Whether every entry VM that answers has at least this version in force. */
+    bool isInForce(const LoadOptions& options, HttpClient& client, std::uint64_t version)
+    {
+        return std::all_of(options.m_entries.begin(), options.m_entries.end(), [&](const Address& entry) {
+            const SettingsGetCall call { "cell/limits" };
+            const HttpResult result = sendAndWait(client, { .m_address = entry, .m_request = encodeCallerCall(call), .m_timeout = { 1'000 } });
+            const auto answer = result ? decodeCallerAnswer(call, *result) : Expected<CallerAnswer>(fail(ErrorKind::Unavailable, "", ""));
+            const auto* const settings = answer ? std::get_if<SettingsAnswer>(&*answer) : nullptr;
+            return !settings || settings->m_version == 0 || settings->m_version >= version;
+        });
+    }
+
+    void raceOnce(const LoadOptions& options, CallerClient& client, HttpClient& http, std::uint32_t round, LoadNotes& notes)
+    {
+        const std::string path = "teams/" + options.m_teams.back();
+        const auto answer = client.call(SettingsGetCall { path });
+        const auto* const settings = answer ? std::get_if<SettingsAnswer>(&*answer) : nullptr;
+        if (!settings || settings->m_subtrees.empty())
+            return;
+        const Subtree subtree = settings->m_subtrees.front().m_subtree;
+        std::atomic<std::uint32_t> accepted { 0 };
+        std::atomic<std::uint32_t> conflicts { 0 };
+        std::atomic<std::uint64_t> revision { 0 };
+        std::vector<std::thread> operators;
+        for (std::uint32_t who = 0; who < 2; ++who) {
+            operators.emplace_back([&, who] {
+                SettingsChange change { .m_id = "race-" + std::to_string(options.m_seed) + "-" + std::to_string(round) + "-" + std::to_string(who), .m_operator = who == 0 ? "morning" : "afternoon", .m_path = path, .m_base = subtree.m_revision, .m_yaml = "weight: " + std::to_string(round % 5 + 1 + who) + "\n" };
+                const auto result = client.call(SettingsChangeCall { change }, who);
+                const auto* const told = result ? std::get_if<ChangeAnswer>(&*result) : nullptr;
+                if (told && told->m_record.m_verdict == ChangeVerdict::Accepted) {
+                    ++accepted;
+                    revision = told->m_record.m_revision.m_value;
+                } else if (told && told->m_record.m_verdict == ChangeVerdict::Conflict) {
+                    ++conflicts;
+                }
+            });
+        }
+        for (std::thread& each : operators)
+            each.join();
+        RaceNote note { .m_accepted = accepted, .m_conflicts = conflicts };
+        const TimePoint acceptedAt = steadyNow();
+        while (!note.m_isInForce && steadyNow() - acceptedAt < inForceLimit) {
+            note.m_isInForce = isInForce(options, http, revision);
+            if (!note.m_isInForce)
+                std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        note.m_inForceAfter = steadyNow() - acceptedAt;
+        const std::lock_guard lock(notes.m_mutex);
+        notes.m_races.push_back(note);
+    }
+
+} // namespace
+
+void sendJobs(const LoadOptions& options, CallerClient& client, LoadNotes& notes)
+{
+    const std::string& first = options.m_services.front();
+    const std::string& last = options.m_services.back();
+    JobSpec service = makeSpec(options, "archive-watcher", first, JobKind::Service);
+    service.m_taskCount = 6;
+    service.m_payload = "run_ms=0";
+    JobSpec batch = makeSpec(options, "nightly-layout", first, JobKind::Batch);
+    batch.m_workClass = "nightly";
+    batch.m_taskCount = options.m_batchTasks;
+    JobSpec gang = makeSpec(options, "plate-render", last, JobKind::Gang);
+    gang.m_taskCount = options.m_gangTasks;
+    gang.m_declared = { .m_cpuMilli = 4'000, .m_memoryMb = 8'192, .m_gpus = 1 };
+    gang.m_payload = "run_ms=1500;cpu=3000;mem=6000";
+    std::vector<std::thread> followers;
+    followers.emplace_back([&] { follow(options, client, service, WaitUntil::Started, JobState::Running, notes); });
+    followers.emplace_back([&] { follow(options, client, batch, WaitUntil::Ended, JobState::Done, notes); });
+    followers.emplace_back([&] { follow(options, client, gang, WaitUntil::Ended, JobState::Done, notes); });
+    followers.emplace_back([&] { sendUrgent(options, client, notes); });
+    for (std::thread& follower : followers)
+        follower.join();
+}
+
+void raceOperators(const LoadOptions& options, CallerClient& client, EventLoop& loop, LoadNotes& notes)
+{
+    HttpClient http(loop, {});
+    const TimePoint end = steadyNow() + options.m_length;
+    for (std::uint32_t round = 0; steadyNow() < end; ++round) {
+        raceOnce(options, client, http, round, notes);
+        std::this_thread::sleep_for(std::chrono::milliseconds(raceInterval.m_ms));
+    }
+}
+
+} // namespace bulrushloft
--- /dev/null
+++ b/src/process/codec_func.h
@@ -0,0 +1,20 @@
+/** @file codec_func.h Pieces that journal and snapshot encode alike. */
+#pragma once
+
+#include "process/journal_type.h"
+#include "request/estimate_type.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace bulrushloft {
+
+nlohmann::json encodeResources(const Resources& resources);
+Resources decodeResources(const nlohmann::json& row);
+
+nlohmann::json encodeSpec(const JobSpec& spec);
+JobSpec decodeSpec(const nlohmann::json& row);
+
+nlohmann::json encodeUsage(const TaskUsage& usage);
+TaskUsage decodeUsage(const nlohmann::json& row);
+
+} // namespace bulrushloft
--- /dev/null
+++ b/src/process/member.cpp
@@ -0,0 +1,100 @@
+/** @file member.cpp Membership by heartbeats. */
+#include "process/member_func.h"
+
+#include "process/codec_enum.h"
+#include "table/member_table.h"
+
+#include <algorithm>
+
+namespace bulrushloft {
+
+using Json = nlohmann::json;
+
+namespace {
+
+    constexpr unsigned memberStateCount = 3;
+
+    const OwnedShard* findShard(const Heartbeat& heartbeat, const std::string& shard)
+    {
+        const auto found = std::find_if(heartbeat.m_shards.begin(), heartbeat.m_shards.end(), [&shard](const OwnedShard& owned) { return owned.m_shard == shard; });
+        return found == heartbeat.m_shards.end() ? nullptr : &*found;
+    }
+
+} // namespace
+
+std::string_view nameOf(MemberState state)
+{
+    return findName(memberStateNames, state);
+}
+
+HeartbeatNews noteHeartbeat(MemberTable& members, const Heartbeat& heartbeat, TimePoint now)
+{
+    Member& member = members[heartbeat.m_member];
+    const bool isSameProcess = member.m_latest.m_instance == heartbeat.m_instance;
+    if (isSameProcess && heartbeat.m_sequence <= member.m_latest.m_sequence)
+        return HeartbeatNews::None;
+    // Instance ids begin with the calendar time of the start, so that a late datagram of an older process is known.
+    const bool isOlderProcess = heartbeat.m_instance < member.m_latest.m_instance;
+    if (isOlderProcess)
+        return HeartbeatNews::None;
+    const bool isReplaced = !isSameProcess && member.m_latest.m_instance.m_value != 0;
+    member.m_latest = heartbeat;
+    member.m_heardAt = now;
+    member.m_isRefused = false;
+    return isReplaced ? HeartbeatNews::Replaced : HeartbeatNews::Seen;
+}
+
+bool isAlive(const Member& member, TimePoint now)
+{
+    return !member.m_isRefused && now - member.m_heardAt < memberTimeout;
+}
+
+const Member* findOwner(const MemberTable& members, const std::string& shard, TimePoint now)
+{
+    const Member* best = nullptr;
+    Epoch bestEpoch;
+    for (const auto& [name, member] : members) {
+        const OwnedShard* const owned = findShard(member.m_latest, shard);
+        if (!owned || !isAlive(member, now) || owned->m_epoch <= bestEpoch)
+            continue;
+        best = &member;
+        bestEpoch = owned->m_epoch;
+    }
+    return best;
+}
+
+std::string encodeHeartbeat(const Heartbeat& heartbeat)
+{
+    Json shards = Json::array();
+    for (const OwnedShard& owned : heartbeat.m_shards)
+        shards.push_back(Json::array({ owned.m_shard, owned.m_epoch.m_value }));
+    const Json whole = Json::array({ heartbeat.m_cell, heartbeat.m_member, heartbeat.m_instance.m_value, heartbeat.m_sequence, heartbeat.m_address.m_host,
+        heartbeat.m_address.m_port, heartbeat.m_zone, static_cast<unsigned>(heartbeat.m_state), heartbeat.m_settingsVersion, std::move(shards) });
+    std::string bytes;
+    Json::to_cbor(whole, bytes);
+    return bytes;
+}
+
+Expected<Heartbeat> decodeHeartbeat(std::string_view bytes)
+{
+    try {
+        const Json whole = Json::from_cbor(bytes);
+        Heartbeat heartbeat;
+        heartbeat.m_cell = whole.at(0);
+        heartbeat.m_member = whole.at(1);
+        heartbeat.m_instance.m_value = whole.at(2);
+        heartbeat.m_sequence = whole.at(3);
+        heartbeat.m_address.m_host = whole.at(4);
+        heartbeat.m_address.m_port = whole.at(5);
+        heartbeat.m_zone = whole.at(6);
+        heartbeat.m_state = decodeEnum<MemberState>(whole.at(7), memberStateCount);
+        heartbeat.m_settingsVersion = whole.at(8);
+        for (const Json& row : whole.at(9))
+            heartbeat.m_shards.push_back({ .m_shard = row.at(0), .m_epoch = { row.at(1).get<std::uint64_t>() } });
+        return heartbeat;
+    } catch (const std::exception& error) {
+        return fail(ErrorKind::InvalidInput, std::string("the datagram is no heartbeat: ") + error.what(), "it is dropped");
+    }
+}
+
+} // namespace bulrushloft
--- /dev/null
+++ b/src/process/node.cpp
@@ -0,0 +1,310 @@
+/** @file node.cpp The daemon's step, membership and events. */
+#include "process/node_detail.h"
+
+#include "core/log_func.h"
+#include "process/member_func.h"
+#include "process/owner_func.h"
+#include "process/ownership_func.h"
+#include "version/settings_func.h"
+
+#include <algorithm>
+#include <set>
+
+namespace bulrushloft {
+
+namespace {
+
+    constexpr Duration timerInterval { 50 };
+    constexpr Duration probeInterval { 500 };
+    constexpr std::size_t snapshotRetryMs = 1'000;
+
+    Heartbeat makeHeartbeat(Node& node)
+    {
+        Heartbeat heartbeat;
+        heartbeat.m_cell = node.m_options.m_cell;
+        heartbeat.m_member = node.m_options.m_member;
+        heartbeat.m_instance = node.m_options.m_instance;
+        heartbeat.m_sequence = ++node.m_heartbeatSequence;
+        heartbeat.m_address = node.m_options.m_address;
+        heartbeat.m_zone = node.m_options.m_zone;
+        heartbeat.m_state = node.m_memberState;
+        heartbeat.m_settingsVersion = node.m_settings.m_version;
+        for (const auto& [name, slot] : node.m_shards) {
+            if (slot.m_owner && !slot.m_owner->m_isDeposed)
+                heartbeat.m_shards.push_back({ .m_shard = name, .m_epoch = slot.m_owner->m_state.m_epoch });
+        }
+        return heartbeat;
+    }
+
+    std::vector<Address> listPeers(const Node& node, TimePoint now)
+    {
+        std::set<Address> peers(node.m_options.m_seeds.begin(), node.m_options.m_seeds.end());
+        for (const VmInfo& vm : node.m_vms.m_vms) {
+            if (vm.m_role == VmRole::Entry && vm.m_state != VmState::Gone)
+                peers.insert(vm.m_address);
+        }
+        for (const auto& [name, member] : node.m_members) {
+            if (isAlive(member, now))
+                peers.insert(member.m_latest.m_address);
+        }
+        peers.erase(node.m_options.m_address);
+        return { peers.begin(), peers.end() };
+    }
+
+    void stepHeartbeats(Node& node, TimePoint now, Effects& effects)
+    {
+        if (now < node.m_nextHeartbeatAt)
+            return;
+        node.m_nextHeartbeatAt = now + node.m_options.m_heartbeatInterval;
+        effects.m_heartbeats.push_back({ .m_to = listPeers(node, now), .m_bytes = encodeHeartbeat(makeHeartbeat(node)) });
+    }
+
+    /** @return Whether some shard here waits for a proof that this daemon has stopped. */
+    bool isFormerOwner(const Node& node, const std::string& member)
+    {
+        return std::any_of(node.m_shards.begin(), node.m_shards.end(), [&member](const auto& slot) {
+            const ShardOwner* const owner = slot.second.m_owner.get();
+            return owner && owner->m_former.m_member == member && !owner->m_isFormerStopped;
+        });
+    }
+
+    /** Asks whether silent daemons still have a process at their address. */
+    void stepProbes(Node& node, TimePoint now, Effects& effects)
+    {
+        if (now < node.m_nextProbeAt)
+            return;
+        node.m_nextProbeAt = now + probeInterval;
+        for (const auto& [name, member] : node.m_members) {
+            const bool isSilent = now - member.m_heardAt > node.m_options.m_heartbeatInterval * 3 / 2;
+            if (isSilent && (!member.m_isRefused || isFormerOwner(node, name)) && (isAlive(member, now) || isFormerOwner(node, name)))
+                effects.m_peerProbes.push_back({ .m_member = name, .m_instance = member.m_latest.m_instance, .m_address = member.m_latest.m_address });
+        }
+    }
+
+    void stepReadiness(Node& node, TimePoint now)
+    {
+        if (node.m_memberState != MemberState::Starting)
+            return;
+        const bool isSettled = now - node.m_startedAt >= node.m_options.m_settleTime;
+        if (!isSettled || !node.m_hasVmList || !node.m_settingsReader.m_hasReachedEnd)
+            return;
+        const bool isBehind = std::any_of(node.m_members.begin(), node.m_members.end(), [&](const auto& member) {
+            return isAlive(member.second, now) && member.second.m_latest.m_settingsVersion > node.m_settings.m_version;
+        });
+        if (isBehind)
+            return;
+        node.m_memberState = MemberState::Ready;
+        node.m_nextHeartbeatAt = now;
+        logEvent(LogLevel::Info, "ready", { { "member", node.m_options.m_member }, { "settings_version", node.m_settings.m_version } });
+    }
+
+    /** An owner whose former owner is proved to have stopped may rely on leases to lapse. */
+    void noteStopped(Node& node, const std::string& member, InstanceId upTo, TimePoint now)
+    {
+        for (auto& [name, slot] : node.m_shards) {
+            ShardOwner* const owner = slot.m_owner.get();
+            if (owner && owner->m_former.m_member == member && owner->m_former.m_instance <= upTo)
+                noteFormerStopped(*owner, now);
+        }
+    }
+
+    template <typename Handle>
+    void withOwner(Node& node, const std::string& shard, Handle handle)
+    {
+        const auto slot = node.m_shards.find(shard);
+        if (slot != node.m_shards.end() && slot->second.m_owner)
+            handle(*slot->second.m_owner);
+    }
+
+} // namespace
+
+Node makeNode(const NodeOptions& options, TimePoint now)
+{
+    Node node;
+    node.m_options = options;
+    node.m_options.m_owner.m_instance = options.m_instance;
+    node.m_options.m_owner.m_member = options.m_member;
+    node.m_startedAt = now;
+    node.m_policy = std::make_shared<Policy>();
+    return node;
+}
+
+void step(Node& node, TimePoint now, Effects& effects)
+{
+    for (auto& [name, slot] : node.m_shards) {
+        if (slot.m_owner)
+            step(*slot.m_owner, now, effects);
+    }
+    if (now >= node.m_nextTimersAt) {
+        node.m_nextTimersAt = now + timerInterval;
+        stepReadiness(node, now);
+        detail::stepSettings(node, now, effects);
+        detail::stepShards(node, now, effects);
+        stepHeartbeats(node, now, effects);
+        stepProbes(node, now, effects);
+    }
+    detail::stepCalls(node, now, effects);
+    detail::settleAnswers(node, now, effects);
+}
+
+TimePoint nextDeadline(const Node& node, TimePoint now)
+{
+    TimePoint next = node.m_nextTimersAt;
+    if (!node.m_callTimers.empty())
+        next = std::min(next, node.m_callTimers.begin()->first);
+    for (const auto& [name, slot] : node.m_shards) {
+        if (slot.m_owner)
+            next = std::min(next, nextDeadline(*slot.m_owner, now));
+    }
+    return std::max(next, now);
+}
+
+void onAppendResult(Node& node, const AppendEffect& sent, const AppendResult& result, TimePoint now, Effects& effects)
+{
+    if (!detail::onSettingsAppend(node, sent, result, now))
+        detail::onShardAppend(node, sent, result, now, effects);
+    detail::settleAnswers(node, now, effects);
+}
+
+void onReadResult(Node& node, const ReadEffect& sent, const ReadResult& result, TimePoint now, Effects& effects)
+{
+    if (!detail::onSettingsRead(node, sent, result, now, effects))
+        detail::onShardRead(node, sent, result, now, effects);
+    detail::settleAnswers(node, now, effects);
+}
+
+void onVmList(Node& node, VmList list, TimePoint now)
+{
+    node.m_hasVmList = true;
+    if (list.m_version < node.m_vms.m_version)
+        return;
+    node.m_vms = std::move(list);
+    for (auto& [name, slot] : node.m_shards) {
+        if (slot.m_owner)
+            setVmList(*slot.m_owner, node.m_vms, now);
+    }
+}
+
+void onHeartbeat(Node& node, const Heartbeat& heartbeat, TimePoint now)
+{
+    if (heartbeat.m_cell != node.m_options.m_cell || heartbeat.m_member == node.m_options.m_member)
+        return;
+    const HeartbeatNews news = noteHeartbeat(node.m_members, heartbeat, now);
+    if (news == HeartbeatNews::None)
+        return;
+    if (news == HeartbeatNews::Replaced)
+        noteStopped(node, heartbeat.m_member, InstanceId { heartbeat.m_instance.m_value - 1 }, now);
+    for (auto& [name, slot] : node.m_shards) {
+        ShardOwner* const owner = slot.m_owner.get();
+        if (!owner)
+            continue;
+        const auto claimed = std::find_if(heartbeat.m_shards.begin(), heartbeat.m_shards.end(), [&name = name](const OwnedShard& owned) { return owned.m_shard == name; });
+        const bool isClaimed = claimed != heartbeat.m_shards.end();
+        if (isClaimed && claimed->m_epoch > owner->m_state.m_epoch)
+            owner->m_reader.m_isNeeded = true;
+        if (!isClaimed && heartbeat.m_instance == owner->m_former.m_instance)
+            noteFormerStopped(*owner, now);
+    }
+}
+
+void onPeerRefused(Node& node, const ProbePeerEffect& sent, TimePoint now)
+{
+    const auto found = node.m_members.find(sent.m_member);
+    if (found != node.m_members.end() && found->second.m_latest.m_instance == sent.m_instance) {
+        if (!found->second.m_isRefused)
+            logEvent(LogLevel::Warning, "member-refuses-connections", { { "member", sent.m_member } });
+        found->second.m_isRefused = true;
+    }
+    noteStopped(node, sent.m_member, sent.m_instance, now);
+}
+
+void onWorkerAdopted(Node& node, const AdoptWorkerEffect& sent, const EndpointResult<AdoptWorkerAnswer>& result, TimePoint now, TimePoint sentAt)
+{
+    withOwner(node, sent.m_link.m_shard, [&](ShardOwner& owner) { onWorkerAdopted(owner, sent, result, now, sentAt); });
+}
+
+void onWorkerSynced(Node& node, const SyncWorkerEffect& sent, const EndpointResult<SyncWorkerAnswer>& result, TimePoint now)
+{
+    withOwner(node, sent.m_link.m_shard, [&](ShardOwner& owner) { onWorkerSynced(owner, sent, result, now); });
+}
+
+void onRunnerAdopted(Node& node, const AdoptRunnerEffect& sent, const EndpointResult<RunnerReport>& result, TimePoint now, TimePoint sentAt, Effects& effects)
+{
+    withOwner(node, sent.m_link.m_shard, [&](ShardOwner& owner) { onRunnerAdopted(owner, sent, result, now, sentAt, effects); });
+    detail::settleAnswers(node, now, effects);
+}
+
+void onRunnerProbed(Node& node, const ProbeRunnerEffect& sent, const EndpointResult<RunnerReport>& result, TimePoint now, TimePoint sentAt, Effects& effects)
+{
+    withOwner(node, sent.m_link.m_shard, [&](ShardOwner& owner) { onRunnerProbed(owner, sent, result, now, sentAt, effects); });
+    detail::settleAnswers(node, now, effects);
+}
+
+void onDispatchAnswered(Node& node, const std::string& shard, const std::string& dispatch, const EndpointResult<DispatchAnswer>& result, TimePoint now, Effects& effects)
+{
+    withOwner(node, shard, [&](ShardOwner& owner) { onDispatchAnswered(owner, dispatch, result, now, effects); });
+    for (const auto& retired : node.m_retired) {
+        if (retired->m_state.m_shard == shard)
+            onDispatchAnswered(*retired, dispatch, result, now, effects);
+    }
+    detail::settleAnswers(node, now, effects);
+}
+
+void beginShutdown(Node& node)
+{
+    node.m_memberState = MemberState::Leaving;
+    node.m_nextHeartbeatAt = {};
+}
+
+bool isShutdownComplete(const Node& node)
+{
+    const bool ownsNothing = std::all_of(node.m_shards.begin(), node.m_shards.end(), [](const auto& slot) { return !slot.second.m_owner; });
+    return ownsNothing && node.m_retired.empty() && node.m_calls.empty();
+}
+
+Expected<void> checkNode(const Node& node)
+{
+    for (const auto& [name, slot] : node.m_shards) {
+        if (!slot.m_owner)
+            continue;
+        if (auto checked = checkOwner(*slot.m_owner); !checked)
+            return checked;
+    }
+    return {};
+}
+
+namespace detail {
+
+    bool isFirstMember(const Node& node, TimePoint now)
+    {
+        return std::none_of(node.m_members.begin(), node.m_members.end(), [&](const auto& member) {
+            return member.first < node.m_options.m_member && isAlive(member.second, now) && member.second.m_latest.m_state == MemberState::Ready;
+        });
+    }
+
+    void stepWriter(SnapshotWriter& writer, const std::string& stream, std::uint64_t& lastTicket, TimePoint now, Effects& effects)
+    {
+        if (writer.m_isOut || writer.m_nextEntry >= writer.m_entries.size() || now < writer.m_nextAt)
+            return;
+        writer.m_isOut = true;
+        writer.m_ticket = ++lastTicket;
+        effects.m_appends.push_back({ .m_stream = stream, .m_bytes = writer.m_entries[writer.m_nextEntry], .m_ticket = writer.m_ticket });
+    }
+
+    void onWriterResult(SnapshotWriter& writer, std::uint64_t ticket, bool isConfirmed, TimePoint now)
+    {
+        if (!writer.m_isOut || writer.m_ticket != ticket)
+            return;
+        writer.m_isOut = false;
+        if (!isConfirmed) {
+            // A part whose append is unanswered may stand there twice; the snapshot begins anew so that readers see it whole.
+            writer.m_nextEntry = 0;
+            writer.m_nextAt = now + Duration { static_cast<std::int64_t>(snapshotRetryMs) };
+            return;
+        }
+        ++writer.m_nextEntry;
+    }
+
+} // namespace detail
+
+} // namespace bulrushloft
--- /dev/null
+++ b/src/process/node_calls.cpp
@@ -0,0 +1,220 @@
+/** @file node_calls.cpp How callers' calls find the owner of their shard and what becomes of them when it changes. */
+#include "process/node_detail.h"
+
+#include "core/log_func.h"
+#include "process/member_func.h"
+#include "process/owner_detail.h"
+#include "process/owner_func.h"
+#include "process/ownership_func.h"
+
+#include <algorithm>
+
+namespace bulrushloft {
+
+namespace detail {
+
+    namespace {
+
+        constexpr Duration rerouteDelay { 30 };
+        constexpr Duration failureDelay { 100 };
+        constexpr Duration forwardMargin { 200 };
+        constexpr Duration retryHint { 1'000 };
+
+        void setTimer(Node& node, CallerToken caller, PendingCall& call, TimePoint at)
+        {
+            call.m_retryAt = at;
+            node.m_callTimers.emplace(at, caller);
+        }
+
+        /** A call that some owner may have acted on is sent again as a retry, so that the next owner looks for the first. */
+        CallerCall asRetry(const PendingCall& pending, TimePoint now)
+        {
+            CallerCall call = pending.m_call;
+            auto* const run = std::get_if<RunCall>(&call);
+            if (!run)
+                return call;
+            run->m_deadline = pending.m_deadline - now;
+            if (!pending.m_mayHaveReached)
+                return call;
+            run->m_attempt = std::max<std::uint32_t>(run->m_attempt, 2);
+            const Duration waited = now - pending.m_arrivedAt;
+            run->m_age = run->m_age ? *run->m_age + waited : waited;
+            return call;
+        }
+
+        Error noOwner(const std::string& shard)
+        {
+            return { ErrorKind::Unavailable, "shard " + shard + " has no owner at the moment", "send it again" };
+        }
+
+        void answerTimedOut(PendingCall& pending, CallerToken caller, Effects& effects)
+        {
+            const std::string shard = shardOf(pending.m_call, 1);
+            if (!pending.m_mayHaveReached)
+                return answerError(effects, caller, noOwner(shard), RunCertainty::NotRun, retryHint);
+            const Error error { ErrorKind::TimedOut, "the owner of the shard did not answer in time", "send it again with the same key to learn what became of it" };
+            answerError(effects, caller, error, RunCertainty::Unknown, retryHint);
+        }
+
+        std::optional<std::string> findShard(const Node& node, const CallerCall& call)
+        {
+            const auto pool = poolOf(call);
+            if (!pool)
+                return std::nullopt;
+            const auto policy = node.m_policy->m_pools.find(*pool);
+            if (policy == node.m_policy->m_pools.end())
+                return std::nullopt;
+            const std::string shard = shardOf(call, policy->second.m_shards);
+            return node.m_shards.contains(shard) ? std::optional(shard) : std::nullopt;
+        }
+
+        std::string listPools(const Node& node)
+        {
+            std::string names;
+            for (const auto& [name, pool] : node.m_policy->m_pools)
+                names += (names.empty() ? "" : ", ") + name;
+            return names.empty() ? "none are set" : names;
+        }
+
+        void onCell(const Node& node, CallerToken caller, TimePoint now, Effects& effects)
+        {
+            CellAnswer answer { .m_member = node.m_options.m_member };
+            answer.m_members.push_back({ .m_name = node.m_options.m_member, .m_address = format(node.m_options.m_address), .m_zone = node.m_options.m_zone, .m_state = std::string(nameOf(node.m_memberState)), .m_instance = node.m_options.m_instance.m_value, .m_settingsVersion = node.m_settings.m_version });
+            for (const auto& [name, member] : node.m_members) {
+                const Heartbeat& latest = member.m_latest;
+                const std::string state = isAlive(member, now) ? std::string(nameOf(latest.m_state)) : "dead";
+                answer.m_members.push_back({ .m_name = name, .m_address = format(latest.m_address), .m_zone = latest.m_zone, .m_state = state, .m_instance = latest.m_instance.m_value, .m_settingsVersion = latest.m_settingsVersion, .m_silentMs = (now - member.m_heardAt).m_ms });
+            }
+            for (const auto& [name, slot] : node.m_shards) {
+                ShardView view { .m_name = name };
+                if (slot.m_owner) {
+                    view.m_owner = node.m_options.m_member;
+                    view.m_address = format(node.m_options.m_address);
+                    view.m_epoch = slot.m_owner->m_state.m_epoch.m_value;
+                } else if (const Member* const owner = findOwner(node.m_members, name, now)) {
+                    view.m_owner = owner->m_latest.m_member;
+                    view.m_address = format(owner->m_latest.m_address);
+                    for (const OwnedShard& owned : owner->m_latest.m_shards)
+                        view.m_epoch = owned.m_shard == name ? owned.m_epoch.m_value : view.m_epoch;
+                }
+                answer.m_shards.push_back(std::move(view));
+            }
+            effects.m_answers.push_back({ .m_caller = caller, .m_answer = std::move(answer) });
+        }
+
+        void forward(Node& node, CallerToken caller, PendingCall& pending, const Member& owner, TimePoint now, Effects& effects)
+        {
+            pending.m_isOut = true;
+            effects.m_forwards.push_back({ .m_owner = owner.m_latest.m_address, .m_caller = caller, .m_call = asRetry(pending, now), .m_timeout = pending.m_deadline - now + forwardMargin });
+            setTimer(node, caller, pending, pending.m_deadline + forwardMargin);
+        }
+
+        /** An answer on the way from an owner: calls that have moved stay here and are routed again. */
+        bool isSettled(Node& node, const AnswerEffect& answer, TimePoint now)
+        {
+            const auto found = node.m_calls.find(answer.m_caller);
+            if (found == node.m_calls.end())
+                return true;
+            PendingCall& pending = found->second;
+            const auto* const moved = std::get_if<MovedAnswer>(&answer.m_answer);
+            if (!moved || pending.m_isForwardedHere) {
+                node.m_calls.erase(found);
+                return true;
+            }
+            pending.m_isOut = false;
+            pending.m_mayHaveReached = pending.m_mayHaveReached || moved->m_mayHaveRun;
+            setTimer(node, answer.m_caller, pending, now + rerouteDelay);
+            return false;
+        }
+
+    } // namespace
+
+    void routeCall(Node& node, CallerToken caller, TimePoint now, Effects& effects)
+    {
+        PendingCall& pending = node.m_calls.at(caller);
+        if (now >= pending.m_deadline)
+            return answerTimedOut(pending, caller, effects);
+        const auto shard = findShard(node, pending.m_call);
+        if (!shard)
+            return answerError(effects, caller, { ErrorKind::UnknownName, "there is no pool or shard \"" + poolOf(pending.m_call).value_or("") + "\"", "the pools are: " + listPools(node) }, RunCertainty::NotRun);
+        ShardSlot& slot = node.m_shards.at(*shard);
+        const bool isOwner = slot.m_owner && !slot.m_owner->m_isDeposed;
+        if (isOwner) {
+            pending.m_isOut = true;
+            setTimer(node, caller, pending, pending.m_deadline + forwardMargin);
+            return onCall(*slot.m_owner, asRetry(pending, now), caller, now, effects);
+        }
+        if (pending.m_isForwardedHere) {
+            effects.m_answers.push_back({ .m_caller = caller, .m_answer = MovedAnswer {} });
+            return;
+        }
+        if (const Member* const owner = findOwner(node.m_members, *shard, now))
+            return forward(node, caller, pending, *owner, now, effects);
+        setTimer(node, caller, pending, now + failureDelay);
+    }
+
+    void stepCalls(Node& node, TimePoint now, Effects& effects)
+    {
+        while (!node.m_callTimers.empty() && node.m_callTimers.begin()->first <= now) {
+            const CallerToken caller = node.m_callTimers.begin()->second;
+            const TimePoint at = node.m_callTimers.begin()->first;
+            node.m_callTimers.erase(node.m_callTimers.begin());
+            const auto found = node.m_calls.find(caller);
+            if (found == node.m_calls.end() || found->second.m_retryAt != at)
+                continue;
+            if (found->second.m_isOut) {
+                found->second.m_mayHaveReached = true;
+                answerTimedOut(found->second, caller, effects);
+            } else {
+                routeCall(node, caller, now, effects);
+            }
+        }
+    }
+
+    void settleAnswers(Node& node, TimePoint now, Effects& effects)
+    {
+        std::erase_if(effects.m_answers, [&](const AnswerEffect& answer) { return !isSettled(node, answer, now); });
+    }
+
+} // namespace detail
+
+void onCallerCall(Node& node, CallerToken caller, CallerCall call, bool isForwarded, Duration timeout, TimePoint now, Effects& effects)
+{
+    const bool isOwnersBusiness = poolOf(call).has_value();
+    if (!isOwnersBusiness) {
+        if (std::holds_alternative<CellCall>(call))
+            detail::onCell(node, caller, now, effects);
+        else
+            detail::onSettingsCall(node, call, caller, now, effects);
+        return;
+    }
+    if (node.m_memberState == MemberState::Starting) {
+        const Error error { ErrorKind::Unavailable, "this daemon is starting and has not caught up with the settings", "send it again or to another entry VM" };
+        return detail::answerError(effects, caller, error, RunCertainty::NotRun, { 1'000 });
+    }
+    PendingCall& pending = node.m_calls[caller];
+    pending.m_call = std::move(call);
+    pending.m_isForwardedHere = isForwarded;
+    pending.m_arrivedAt = now;
+    pending.m_deadline = now + timeout;
+    detail::routeCall(node, caller, now, effects);
+    detail::settleAnswers(node, now, effects);
+}
+
+void onForwardResult(Node& node, CallerToken caller, const EndpointResult<CallerAnswer>& result, TimePoint now, Effects& effects)
+{
+    const auto found = node.m_calls.find(caller);
+    if (found == node.m_calls.end() || !found->second.m_isOut)
+        return;
+    PendingCall& pending = found->second;
+    if (result) {
+        effects.m_answers.push_back({ .m_caller = caller, .m_answer = *result });
+        detail::settleAnswers(node, now, effects);
+        return;
+    }
+    pending.m_isOut = false;
+    pending.m_mayHaveReached = pending.m_mayHaveReached || result.error().m_progress == CallProgress::MaybeDelivered;
+    detail::setTimer(node, caller, pending, now + detail::failureDelay);
+}
+
+} // namespace bulrushloft
--- /dev/null
+++ b/src/process/node_shards.cpp
@@ -0,0 +1,365 @@
+/** @file node_shards.cpp How a daemon comes to own a shard, keeps it and hands it over. */
+#include "process/node_detail.h"
+
+#include "core/hash_func.h"
+#include "core/log_func.h"
+#include "process/journal_func.h"
+#include "process/member_func.h"
+#include "process/owner_func.h"
+#include "process/ownership_func.h"
+
+#include <algorithm>
+
+namespace bulrushloft::detail {
+
+namespace {
+
+    constexpr Duration claimDelay { 300 };
+    constexpr Duration takeOverLimit { 20'000 };
+    constexpr Duration retryDelay { 200 };
+    constexpr Duration releaseWait { 1'000 };
+    constexpr Duration takeAskInterval { 3'000 };
+    constexpr std::uint64_t ownerTicketBase = 1ULL << 40;
+
+    std::string journalStream(const std::string& shard) { return "journal." + shard; }
+    std::string snapshotStream(const std::string& shard) { return "snapshot." + shard; }
+
+    std::uint32_t countOwned(const Heartbeat& heartbeat)
+    {
+        return static_cast<std::uint32_t>(heartbeat.m_shards.size());
+    }
+
+    std::uint32_t countOwnedHere(const Node& node)
+    {
+        return static_cast<std::uint32_t>(std::count_if(node.m_shards.begin(), node.m_shards.end(), [](const auto& slot) { return slot.second.m_role != ShardRole::Idle; }));
+    }
+
+    std::vector<OwnerCandidate> listCandidates(const Node& node, bool includesSelf, TimePoint now)
+    {
+        std::vector<OwnerCandidate> candidates;
+        for (const auto& [name, member] : node.m_members) {
+            if (isAlive(member, now) && member.m_latest.m_state == MemberState::Ready)
+                candidates.push_back({ .m_member = name, .m_ownedCount = countOwned(member.m_latest) });
+        }
+        if (includesSelf)
+            candidates.push_back({ .m_member = node.m_options.m_member, .m_ownedCount = countOwnedHere(node) });
+        return candidates;
+    }
+
+    std::size_t rankOf(const Node& node, const std::string& shard, TimePoint now)
+    {
+        const std::vector<std::string> ranked = rankCandidates(shard, listCandidates(node, true, now));
+        const auto found = std::find(ranked.begin(), ranked.end(), node.m_options.m_member);
+        return static_cast<std::size_t>(found - ranked.begin());
+    }
+
+    void beginLoading(ShardSlot& slot, TimePoint now)
+    {
+        slot.m_role = ShardRole::LoadingSnapshot;
+        slot.m_assembler = {};
+        slot.m_snapshotNext = {};
+        slot.m_state = {};
+        slot.m_state.m_shard = slot.m_name;
+        slot.m_isReadOut = false;
+        slot.m_isAppendOut = false;
+        slot.m_claimBytes.clear();
+        slot.m_retryAt = now;
+        slot.m_giveUpAt = now + takeOverLimit;
+        logEvent(LogLevel::Info, "shard-loading", { { "shard", slot.m_name } });
+    }
+
+    void giveUp(ShardSlot& slot, std::string_view why)
+    {
+        logEvent(LogLevel::Info, "shard-not-taken", { { "shard", slot.m_name }, { "why", why } });
+        slot.m_role = ShardRole::Idle;
+        slot.m_isAskedToTake = false;
+        slot.m_ownerlessSince = {};
+        slot.m_state = {};
+        slot.m_assembler = {};
+    }
+
+    void read(ShardSlot& slot, const std::string& stream, Offset from, Duration waitFor, std::uint64_t& lastTicket, Effects& effects)
+    {
+        slot.m_isReadOut = true;
+        slot.m_ticket = ++lastTicket;
+        effects.m_reads.push_back({ .m_stream = stream, .m_from = from, .m_waitFor = waitFor, .m_ticket = slot.m_ticket });
+    }
+
+    void stepIdle(Node& node, ShardSlot& slot, TimePoint now)
+    {
+        if (slot.m_isAskedToTake)
+            return beginLoading(slot, now);
+        if (findOwner(node.m_members, slot.m_name, now)) {
+            slot.m_ownerlessSince = {};
+            return;
+        }
+        if (slot.m_ownerlessSince.m_ms == 0)
+            slot.m_ownerlessSince = now;
+        const Duration delay = claimDelay * static_cast<std::int64_t>(rankOf(node, slot.m_name, now) * 4 + 1);
+        if (now - slot.m_ownerlessSince >= delay)
+            beginLoading(slot, now);
+    }
+
+    bool isOwnerLive(const Node& node, const ShardState& state, TimePoint now)
+    {
+        const auto member = node.m_members.find(state.m_ownerMember);
+        return member != node.m_members.end() && isAlive(member->second, now) && member->second.m_latest.m_instance == state.m_owner;
+    }
+
+    void beginClaim(Node& node, ShardSlot& slot, TimePoint now)
+    {
+        const ShardState& state = slot.m_state;
+        slot.m_former = { .m_instance = state.m_owner, .m_member = state.m_ownerMember, .m_address = state.m_ownerAddress, .m_hasReleased = state.m_isReleased, .m_lastEntryLogTime = state.m_lastEntryLogTime };
+        JournalEntry entry { .m_epoch = {}, .m_writer = node.m_options.m_instance, .m_sequence = 1, .m_wall = wallNow() };
+        entry.m_records.emplace_back(ClaimRecord { .m_member = node.m_options.m_member, .m_address = node.m_options.m_address, .m_supersedes = state.m_epoch });
+        slot.m_claimBytes = encodeEntry(entry);
+        slot.m_role = ShardRole::Claiming;
+        slot.m_retryAt = now;
+    }
+
+    /** The journal has been replayed to its end: claims the shard unless its owner lives. */
+    void decideClaim(Node& node, ShardSlot& slot, TimePoint now, Effects& effects)
+    {
+        const bool isFree = slot.m_state.m_epoch.m_value == 0 || slot.m_state.m_isReleased || !isOwnerLive(node, slot.m_state, now);
+        if (isFree)
+            return beginClaim(node, slot, now);
+        if (!slot.m_isAskedToTake)
+            return giveUp(slot, "it has a live owner");
+        read(slot, journalStream(slot.m_name), slot.m_state.m_next, releaseWait, node.m_lastTicket, effects);
+    }
+
+    void sendClaim(Node& node, ShardSlot& slot, Effects& effects)
+    {
+        slot.m_isAppendOut = true;
+        slot.m_ticket = ++node.m_lastTicket;
+        effects.m_appends.push_back({ .m_stream = journalStream(slot.m_name), .m_bytes = slot.m_claimBytes, .m_ticket = slot.m_ticket });
+    }
+
+    void becomeOwner(Node& node, ShardSlot& slot, TimePoint now)
+    {
+        slot.m_role = ShardRole::Owning;
+        slot.m_isAskedToTake = false;
+        slot.m_ownerlessSince = {};
+        OwnerOptions options = node.m_options.m_owner;
+        slot.m_owner = std::make_unique<ShardOwner>(makeOwner(options, std::move(slot.m_state), slot.m_former, node.m_policy, now));
+        slot.m_state = {};
+        slot.m_owner->m_lastTicket = ownerTicketBase;
+        setVmList(*slot.m_owner, node.m_vms, now);
+        if (slot.m_former.m_hasReleased || slot.m_former.m_member == node.m_options.m_member)
+            noteFormerStopped(*slot.m_owner, now);
+        slot.m_writer = {};
+        slot.m_writer.m_nextAt = now + node.m_policy->m_limits.m_snapshotInterval;
+        node.m_nextHeartbeatAt = now;
+        logEvent(LogLevel::Info, "shard-owned", { { "shard", slot.m_name }, { "epoch", slot.m_owner->m_state.m_epoch.m_value }, { "former", slot.m_former.m_member }, { "jobs", slot.m_owner->m_state.m_jobs.size() } });
+    }
+
+    void retire(Node& node, ShardSlot& slot)
+    {
+        logEvent(LogLevel::Info, "shard-given-up", { { "shard", slot.m_name }, { "epoch", slot.m_owner->m_state.m_epoch.m_value }, { "released", slot.m_owner->m_isReleasing ? 1 : 0 } });
+        node.m_retired.push_back(std::move(slot.m_owner));
+        slot.m_role = ShardRole::Idle;
+        slot.m_ownerlessSince = {};
+        slot.m_writer = {};
+        node.m_nextHeartbeatAt = {};
+    }
+
+    /** Asks a successor to load the shard; gives it up once the successor says nothing against it. */
+    void stepHandOver(Node& node, ShardSlot& slot, TimePoint now, Effects& effects)
+    {
+        if (slot.m_takeAskedOf.empty() || (now - slot.m_takeAskedAt > takeAskInterval && !slot.m_owner->m_isReleasing)) {
+            const std::vector<std::string> ranked = rankCandidates(slot.m_name, listCandidates(node, false, now));
+            slot.m_takeAskedAt = now;
+            if (ranked.empty()) {
+                beginRelease(*slot.m_owner, effects);
+                slot.m_takeAskedOf = "nobody";
+                return;
+            }
+            slot.m_takeAskedOf = ranked.front();
+            effects.m_shardTakes.push_back({ .m_to = node.m_members.at(slot.m_takeAskedOf).m_latest.m_address, .m_shard = slot.m_name });
+            return;
+        }
+        if (now - slot.m_takeAskedAt >= releaseWait)
+            beginRelease(*slot.m_owner, effects);
+    }
+
+    void stepSnapshot(Node& node, ShardSlot& slot, TimePoint now, Effects& effects)
+    {
+        SnapshotWriter& writer = slot.m_writer;
+        const bool isIdle = writer.m_nextEntry >= writer.m_entries.size() && !writer.m_isOut;
+        if (isIdle && now >= writer.m_nextAt && !slot.m_owner->m_isReleasing) {
+            const std::uint64_t id = stableHash(slot.m_name, node.m_options.m_instance.m_value) ^ slot.m_owner->m_state.m_next.m_value;
+            writer.m_entries = splitSnapshot(id, encodeShardState(slot.m_owner->m_state));
+            writer.m_covered = slot.m_owner->m_state.m_next;
+            writer.m_nextEntry = 0;
+        }
+        stepWriter(writer, snapshotStream(slot.m_name), node.m_lastTicket, now, effects);
+    }
+
+    void stepOwning(Node& node, ShardSlot& slot, TimePoint now, Effects& effects)
+    {
+        if (slot.m_owner->m_isDeposed)
+            return retire(node, slot);
+        if (node.m_memberState == MemberState::Leaving)
+            stepHandOver(node, slot, now, effects);
+        stepSnapshot(node, slot, now, effects);
+    }
+
+    void stepSlot(Node& node, ShardSlot& slot, TimePoint now, Effects& effects)
+    {
+        const bool isTrying = slot.m_role != ShardRole::Idle && slot.m_role != ShardRole::Owning;
+        const bool mayTry = node.m_memberState == MemberState::Ready;
+        if (isTrying && slot.m_role != ShardRole::Claiming && (!mayTry || now >= slot.m_giveUpAt))
+            return giveUp(slot, "it took too long");
+        switch (slot.m_role) {
+        case ShardRole::Idle:
+            if (mayTry)
+                stepIdle(node, slot, now);
+            return;
+        case ShardRole::LoadingSnapshot:
+            if (!slot.m_isReadOut && now >= slot.m_retryAt)
+                read(slot, snapshotStream(slot.m_name), slot.m_snapshotNext, {}, node.m_lastTicket, effects);
+            return;
+        case ShardRole::Replaying:
+            if (!slot.m_isReadOut && now >= slot.m_retryAt)
+                read(slot, journalStream(slot.m_name), slot.m_state.m_next, {}, node.m_lastTicket, effects);
+            return;
+        case ShardRole::Claiming:
+            if (!slot.m_isAppendOut && !slot.m_isReadOut && now >= slot.m_retryAt)
+                sendClaim(node, slot, effects);
+            return;
+        case ShardRole::Owning:
+            return stepOwning(node, slot, now, effects);
+        }
+    }
+
+    void onSnapshotRead(ShardSlot& slot, const ReadAnswer& answer, TimePoint now)
+    {
+        for (const LogEntry& entry : answer.m_entries) {
+            addSnapshotEntry(slot.m_assembler, entry.m_bytes);
+            slot.m_snapshotNext = Offset { entry.m_offset.m_value + 1 };
+        }
+        slot.m_snapshotNext = std::max(slot.m_snapshotNext, answer.m_oldest);
+        slot.m_retryAt = now;
+        if (slot.m_snapshotNext < answer.m_end)
+            return;
+        if (!slot.m_assembler.m_complete.empty()) {
+            auto state = decodeShardState(slot.m_assembler.m_complete);
+            if (state && state->m_shard == slot.m_name)
+                slot.m_state = std::move(*state);
+            else
+                logEvent(LogLevel::Error, "snapshot-unusable", { { "shard", slot.m_name }, { "error", state ? "other shard" : describe(state.error()) } });
+        }
+        slot.m_assembler = {};
+        slot.m_role = ShardRole::Replaying;
+    }
+
+    void replay(ShardSlot& slot, const ReadAnswer& answer)
+    {
+        for (const LogEntry& read : answer.m_entries) {
+            if (read.m_offset != slot.m_state.m_next)
+                continue;
+            const auto entry = decodeEntry(read.m_bytes);
+            if (entry)
+                applyEntry(slot.m_state, *entry, read.m_offset, read.m_time);
+            else
+                skipMalformedEntry(slot.m_state, read.m_offset);
+        }
+    }
+
+    void onJournalRead(Node& node, ShardSlot& slot, const ReadAnswer& answer, TimePoint now, Effects& effects)
+    {
+        if (answer.m_oldest > slot.m_state.m_next) {
+            logEvent(LogLevel::Error, "journal-gap", { { "shard", slot.m_name }, { "oldest", answer.m_oldest.m_value }, { "wanted", slot.m_state.m_next.m_value }, { "remedy", "the log has dropped entries that no snapshot covers; see docs/OPERATING.md" } });
+            return giveUp(slot, "the log has dropped entries that no snapshot covers");
+        }
+        const Epoch before = slot.m_state.m_epoch;
+        replay(slot, answer);
+        slot.m_retryAt = now;
+        if (slot.m_role == ShardRole::Claiming) {
+            const bool isOwn = slot.m_state.m_owner == node.m_options.m_instance && slot.m_state.m_epoch != before;
+            if (isOwn)
+                return becomeOwner(node, slot, now);
+            if (slot.m_state.m_epoch != before)
+                return giveUp(slot, "another claim came first");
+            slot.m_retryAt = now + retryDelay;
+            return;
+        }
+        if (slot.m_state.m_next >= answer.m_end)
+            decideClaim(node, slot, now, effects);
+    }
+
+} // namespace
+
+void stepShards(Node& node, TimePoint now, Effects& effects)
+{
+    for (const std::string& name : listShards(*node.m_policy))
+        node.m_shards[name].m_name = name;
+    for (auto& [name, slot] : node.m_shards)
+        stepSlot(node, slot, now, effects);
+    std::erase_if(node.m_retired, [](const auto& retired) { return !hasCallersInFlight(*retired); });
+}
+
+bool onShardAppend(Node& node, const AppendEffect& sent, const AppendResult& result, TimePoint now, Effects& effects)
+{
+    for (auto& [name, slot] : node.m_shards) {
+        if (sent.m_stream == snapshotStream(name)) {
+            onWriterResult(slot.m_writer, sent.m_ticket, result.has_value(), now);
+            if (slot.m_owner && slot.m_writer.m_nextEntry >= slot.m_writer.m_entries.size() && !slot.m_writer.m_entries.empty()) {
+                slot.m_writer.m_entries.clear();
+                slot.m_writer.m_nextEntry = 0;
+                slot.m_writer.m_nextAt = now + node.m_policy->m_limits.m_snapshotInterval;
+            }
+            return true;
+        }
+        if (sent.m_stream != journalStream(name))
+            continue;
+        if (slot.m_owner) {
+            onAppendResult(*slot.m_owner, sent.m_ticket, result, now, effects);
+        } else if (slot.m_role == ShardRole::Claiming && slot.m_ticket == sent.m_ticket) {
+            slot.m_isAppendOut = false;
+            read(slot, sent.m_stream, slot.m_state.m_next, {}, node.m_lastTicket, effects);
+        }
+        return true;
+    }
+    return false;
+}
+
+bool onShardRead(Node& node, const ReadEffect& sent, const ReadResult& result, TimePoint now, Effects& effects)
+{
+    for (auto& [name, slot] : node.m_shards) {
+        const bool isJournal = sent.m_stream == journalStream(name);
+        if (!isJournal && sent.m_stream != snapshotStream(name))
+            continue;
+        if (slot.m_owner) {
+            if (isJournal)
+                onReadResult(*slot.m_owner, sent.m_ticket, result, now, effects);
+            return true;
+        }
+        if (!slot.m_isReadOut || slot.m_ticket != sent.m_ticket)
+            return true;
+        slot.m_isReadOut = false;
+        if (!result)
+            slot.m_retryAt = now + retryDelay;
+        else if (slot.m_role == ShardRole::LoadingSnapshot)
+            onSnapshotRead(slot, *result, now);
+        else if (slot.m_role != ShardRole::Idle)
+            onJournalRead(node, slot, *result, now, effects);
+        return true;
+    }
+    return false;
+}
+
+} // namespace bulrushloft::detail
+
+namespace bulrushloft {
+
+void onTakeShard(Node& node, const std::string& shard, TimePoint now)
+{
+    const auto slot = node.m_shards.find(shard);
+    if (slot == node.m_shards.end() || node.m_memberState != MemberState::Ready)
+        return;
+    slot->second.m_isAskedToTake = true;
+    slot->second.m_giveUpAt = now + detail::takeOverLimit;
+}
+
+} // namespace bulrushloft
--- /dev/null
+++ b/src/process/owner.cpp
@@ -0,0 +1,233 @@
+/** @file owner.cpp The owner of a shard: beginning, end and step of a term. */
+#include "process/owner_detail.h"
+
+#include "core/hash_func.h"
+#include "core/invariant.h"
+#include "core/log_func.h"
+#include "process/ownership_func.h"
+#include "request/job_func.h"
+
+#include <algorithm>
+
+namespace bulrushloft {
+
+namespace {
+
+    constexpr Duration timerInterval { 50 };
+    constexpr Duration idleScheduleInterval { 250 };
+    constexpr Duration requestTimeLimit { 60'000 };
+    constexpr Duration forgetInterval { 60'000 };
+
+    /** Books what the journal says is on workers; what is really there the workers will tell. */
+    void inheritTasks(ShardOwner& owner, TimePoint now)
+    {
+        for (const auto& [number, job] : owner.m_state.m_jobs) {
+            for (std::uint32_t index = 0; index < job.m_tasks.size(); ++index) {
+                const TaskRecord& task = job.m_tasks[index];
+                if (task.m_state != TaskState::Placed)
+                    continue;
+                const std::string& placed = owner.m_state.m_workerNames[task.m_worker];
+                const std::size_t slash = placed.rfind('/');
+                TaskRun run { .m_ref = { .m_job = number, .m_task = index, .m_attempt = task.m_attempt } };
+                run.m_worker = detail::findOrAddWorker(owner, placed.substr(0, slash));
+                run.m_grant = task.m_grant;
+                run.m_phase = RunPhase::Unresolved;
+                run.m_isHeldStart = job.m_spec.m_kind == JobKind::Gang;
+                run.m_isStopWanted = job.m_isCancelRequested;
+                run.m_boot = std::strtoull(placed.c_str() + slash + 1, nullptr, 10);
+                run.m_decidedAt = now;
+                detail::addRun(owner, run);
+            }
+        }
+    }
+
+    void inheritQueue(ShardOwner& owner, TimePoint now)
+    {
+        for (const auto& [number, job] : owner.m_state.m_jobs) {
+            if (isFinal(stateOf(job)))
+                continue;
+            if (job.m_spec.m_kind != JobKind::Gang)
+                detail::queueJob(owner, job, now);
+            else if (countTasks(job, TaskState::Placed) == 0)
+                detail::queueJob(owner, job, now);
+        }
+    }
+
+    bool isOfShard(const ShardOwner& owner, const VmInfo& vm)
+    {
+        return vm.m_pool == owner.m_pool && shardName(vm.m_pool, shardIndexOf(vm.m_rack, owner.m_poolShards)) == owner.m_state.m_shard;
+    }
+
+    void queueRelease(ShardOwner& owner)
+    {
+        const bool isQuiet = owner.m_outbox.empty() && !owner.m_append;
+        if (owner.m_isReleasing && isQuiet && !owner.m_state.m_isReleased)
+            detail::queueRecord(owner, ReleaseRecord {});
+    }
+
+    void queueForget(ShardOwner& owner, TimePoint now)
+    {
+        if (now < owner.m_nextForgetAt)
+            return;
+        owner.m_nextForgetAt = now + forgetInterval;
+        const LimitPolicy& limits = owner.m_policy->m_limits;
+        const TimePoint wall = wallNow();
+        const ForgetRecord record { .m_jobsEndedBefore = wall - limits.m_jobMemory, .m_requestsBefore = wall - limits.m_requestMemory };
+        const bool hasOldJob = std::any_of(owner.m_state.m_jobs.begin(), owner.m_state.m_jobs.end(), [&record](const auto& job) {
+            return job.second.m_endedWall.m_ms != 0 && job.second.m_endedWall < record.m_jobsEndedBefore;
+        });
+        const bool hasOldRequest = std::any_of(owner.m_state.m_requests.begin(), owner.m_state.m_requests.end(), [&record](const auto& request) {
+            return request.second.m_state != RequestState::Intended && request.second.m_wall < record.m_requestsBefore;
+        });
+        if (hasOldJob || hasOldRequest)
+            detail::queueRecord(owner, record);
+    }
+
+} // namespace
+
+ShardOwner makeOwner(const OwnerOptions& options, ShardState state, const FormerOwner& former, SharedPolicy policy, TimePoint now)
+{
+    ShardOwner owner;
+    owner.m_options = options;
+    owner.m_state = std::move(state);
+    owner.m_former = former;
+    owner.m_pool = poolOfShard(owner.m_state.m_shard);
+    owner.m_random.seed(options.m_seed ^ owner.m_state.m_epoch.m_value);
+    owner.m_lastSequence = owner.m_state.m_lastSequence;
+    owner.m_ownedSince = now;
+    owner.m_lastConfirmedAt = now;
+    owner.m_mayHaveUnjournaled = former.m_instance.m_value != 0 && !former.m_hasReleased;
+    setPolicy(owner, std::move(policy));
+    inheritTasks(owner, now);
+    inheritQueue(owner, now);
+    detail::inheritIntents(owner);
+    owner.m_isScheduleDue = true;
+    return owner;
+}
+
+void setPolicy(ShardOwner& owner, SharedPolicy policy)
+{
+    owner.m_policy = std::move(policy);
+    const auto pool = owner.m_policy->m_pools.find(owner.m_pool);
+    owner.m_poolShards = pool == owner.m_policy->m_pools.end() ? 1 : pool->second.m_shards;
+    owner.m_isScheduleDue = true;
+}
+
+void setVmList(ShardOwner& owner, const VmList& list, TimePoint now)
+{
+    for (const VmInfo& vm : list.m_vms) {
+        if (vm.m_role == VmRole::Entry || !isOfShard(owner, vm))
+            continue;
+        if (vm.m_role == VmRole::Worker) {
+            Worker& worker = owner.m_workers[detail::findOrAddWorker(owner, vm.m_name)];
+            worker.m_vm = vm;
+            worker.m_isListed = true;
+        } else {
+            Runner& runner = owner.m_runners[detail::findOrAddRunner(owner, vm.m_name)];
+            runner.m_vm = vm;
+            runner.m_isListed = true;
+        }
+    }
+    const bool isFormerGone = std::any_of(list.m_vms.begin(), list.m_vms.end(), [&owner](const VmInfo& vm) {
+        return vm.m_role == VmRole::Entry && vm.m_name == owner.m_former.m_member && vm.m_state == VmState::Gone;
+    });
+    if (isFormerGone)
+        noteFormerStopped(owner, now);
+    owner.m_isScheduleDue = true;
+}
+
+void noteFormerStopped(ShardOwner& owner, TimePoint now)
+{
+    if (owner.m_isFormerStopped)
+        return;
+    owner.m_isFormerStopped = true;
+    owner.m_formerStoppedAt = now;
+    owner.m_inheritedUntil = now + requestTimeLimit;
+    const TimePoint lapsed = now + owner.m_policy->m_limits.m_lease + owner.m_options.m_callTimeout;
+    for (Worker& worker : owner.m_workers)
+        worker.m_leaseEnd = std::min(worker.m_leaseEnd, lapsed);
+    logEvent(LogLevel::Info, "former-owner-stopped", { { "shard", owner.m_state.m_shard }, { "former", owner.m_former.m_member } });
+}
+
+void step(ShardOwner& owner, TimePoint now, Effects& effects)
+{
+    if (owner.m_isDeposed)
+        return;
+    if (now >= owner.m_nextTimersAt) {
+        owner.m_nextTimersAt = now + timerInterval;
+        detail::stepRunners(owner, now, effects);
+        detail::stepRequests(owner, now, effects);
+        detail::stepWaiters(owner, now, effects);
+        queueForget(owner, now);
+    }
+    if (now >= owner.m_nextScheduleAt + idleScheduleInterval)
+        owner.m_isScheduleDue = true;
+    detail::schedule(owner, now);
+    detail::serveRequests(owner, now, effects);
+    detail::stepWorkers(owner, now, effects);
+    queueRelease(owner);
+    detail::flushJournal(owner, now, effects);
+}
+
+TimePoint nextDeadline(const ShardOwner& owner, TimePoint now)
+{
+    if (owner.m_isDeposed)
+        return farFuture;
+    TimePoint next = owner.m_nextTimersAt;
+    if (!owner.m_outbox.empty() && !owner.m_append)
+        next = std::min(next, owner.m_nextAppendAt);
+    if (owner.m_isScheduleDue && !owner.m_queue.empty())
+        next = std::min(next, owner.m_nextScheduleAt);
+    return std::max(next, now);
+}
+
+void beginRelease(ShardOwner& owner, Effects& effects)
+{
+    if (owner.m_isReleasing)
+        return;
+    owner.m_isReleasing = true;
+    detail::moveCallers(owner, effects);
+}
+
+bool hasCallersInFlight(const ShardOwner& owner)
+{
+    return std::any_of(owner.m_requests.begin(), owner.m_requests.end(), [](const auto& request) { return !request.second.m_callers.empty(); });
+}
+
+Expected<void> checkOwner(const ShardOwner& owner)
+{
+    const auto differs = [&owner](const std::string& what) {
+        return fail(ErrorKind::Internal, "owner of " + owner.m_state.m_shard + ": " + what, "report it with the journal of the shard");
+    };
+    std::vector<Resources> granted(owner.m_workers.size());
+    std::map<std::string, Resources> byTeam;
+    for (const auto& [ref, run] : owner.m_runs) {
+        if (run.m_phase == RunPhase::Ended)
+            continue;
+        granted[run.m_worker] = granted[run.m_worker] + run.m_grant;
+        const Job* const job = findJob(owner.m_state, ref.m_job);
+        const std::string team = job ? job->m_spec.m_team : std::string();
+        byTeam[team] = byTeam[team] + run.m_grant;
+    }
+    for (std::size_t index = 0; index < owner.m_workers.size(); ++index) {
+        const Worker& worker = owner.m_workers[index];
+        if (!(granted[index] == worker.m_granted))
+            return differs("the grants on " + worker.m_name + " differ from its attempts");
+        if (worker.m_link == LinkState::Adopted && !fitsInto(worker.m_granted, worker.m_capacity))
+            return differs(worker.m_name + " is granted more than it has");
+    }
+    for (const auto& [team, use] : owner.m_teams) {
+        if (!(byTeam[team] == use.m_granted))
+            return differs("the grants of team " + team + " differ from its attempts");
+    }
+    std::vector<std::uint32_t> reserved(owner.m_runners.size());
+    for (const auto& [id, dispatch] : owner.m_dispatches)
+        reserved[dispatch.m_runner] += dispatch.m_holdsSlot ? 1 : 0;
+    for (std::size_t index = 0; index < owner.m_runners.size(); ++index) {
+        if (reserved[index] != owner.m_runners[index].m_reserved)
+            return differs("the slots of " + owner.m_runners[index].m_name + " differ from its dispatches");
+    }
+    return {};
+}
+
+} // namespace bulrushloft
--- /dev/null
+++ b/src/process/owner_jobs.cpp
@@ -0,0 +1,376 @@
+/** @file owner_jobs.cpp Callers' calls on jobs: admission, status, waiting, cancellation. */
+#include "process/owner_detail.h"
+
+#include "process/health_func.h"
+#include "process/journal_func.h"
+#include "request/job_func.h"
+
+#include <algorithm>
+
+namespace bulrushloft {
+
+namespace detail {
+
+    namespace {
+
+        constexpr std::size_t taskViewLimit = 100;
+        constexpr Duration acceptDeadline { 10'000 };
+        constexpr Duration retrySoon { 1'000 };
+
+        bool isSameWork(const JobSpec& one, const JobSpec& other)
+        {
+            return one.m_name == other.m_name && one.m_team == other.m_team && one.m_kind == other.m_kind && one.m_taskCount == other.m_taskCount
+                && one.m_declared == other.m_declared && one.m_isIdempotent == other.m_isIdempotent && one.m_payload == other.m_payload;
+        }
+
+        std::string describeSize(const Resources& size)
+        {
+            return std::to_string(size.m_cpuMilli) + " thousandths of a core, " + std::to_string(size.m_memoryMb) + " MiB and " + std::to_string(size.m_gpus) + " GPUs";
+        }
+
+        /** @return How many tasks of this size the workers hold when they are empty. */
+        std::int64_t countRoom(const ShardOwner& owner, const Resources& size)
+        {
+            std::int64_t room = 0;
+            for (const Worker& worker : owner.m_workers) {
+                if (!worker.m_isListed || worker.m_vm.m_state == VmState::Gone)
+                    continue;
+                const Resources capacity = worker.m_boot != 0 ? worker.m_capacity : worker.m_vm.m_capacity;
+                if (!fitsInto(size, capacity))
+                    continue;
+                std::int64_t fits = std::min(capacity.m_cpuMilli / size.m_cpuMilli, capacity.m_memoryMb / size.m_memoryMb);
+                if (size.m_gpus > 0)
+                    fits = std::min(fits, capacity.m_gpus / size.m_gpus);
+                room += fits;
+            }
+            return room;
+        }
+
+        Resources largestWorker(const ShardOwner& owner)
+        {
+            Resources largest;
+            for (const Worker& worker : owner.m_workers) {
+                const Resources& capacity = worker.m_boot != 0 ? worker.m_capacity : worker.m_vm.m_capacity;
+                largest = { std::max(largest.m_cpuMilli, capacity.m_cpuMilli), std::max(largest.m_memoryMb, capacity.m_memoryMb), std::max(largest.m_gpus, capacity.m_gpus) };
+            }
+            return largest;
+        }
+
+        Expected<void> checkFits(const ShardOwner& owner, const JobSpec& spec)
+        {
+            const std::int64_t room = countRoom(owner, spec.m_declared);
+            if (room == 0)
+                return fail(ErrorKind::TooLarge, "a task of " + describeSize(spec.m_declared) + " fits on no worker of pool " + owner.m_pool, "declare at most " + describeSize(largestWorker(owner)));
+            if (spec.m_kind == JobKind::Gang && room < spec.m_taskCount)
+                return fail(ErrorKind::TooLarge, "the " + std::to_string(spec.m_taskCount) + " tasks of the gang can't run at once: shard " + owner.m_state.m_shard + " has room for " + std::to_string(room) + " of them when it is empty", "submit a smaller gang or a batch");
+            return {};
+        }
+
+        Expected<void> checkTeam(ShardOwner& owner, const JobSpec& spec)
+        {
+            const auto team = owner.m_policy->m_teams.find(spec.m_team);
+            if (team == owner.m_policy->m_teams.end())
+                return fail(ErrorKind::UnknownName, "there is no team \"" + spec.m_team + "\"", "name a team of the settings, or add one with: bulrushctl settings set teams/" + spec.m_team);
+            if (!owner.m_policy->m_classes.contains(spec.m_workClass))
+                return fail(ErrorKind::UnknownName, "there is no class \"" + spec.m_workClass + "\"", "name a class of the settings; see: bulrushctl settings get cell/classes");
+            const auto quota = team->second.m_quota.find(owner.m_pool);
+            const std::int64_t together = spec.m_kind == JobKind::Gang ? spec.m_taskCount : 1;
+            if (quota != team->second.m_quota.end() && !fitsInto(spec.m_declared * (together * owner.m_poolShards), quota->second))
+                return fail(ErrorKind::QuotaExceeded, "the job needs more at once than the quota of team " + spec.m_team + " in pool " + owner.m_pool + ", which is " + describeSize(quota->second), "ask for a smaller size or have the quota raised");
+            const std::int64_t waiting = owner.m_teams[spec.m_team].m_waitingTasks;
+            if (waiting + spec.m_taskCount > team->second.m_waitingTaskLimit)
+                return fail(ErrorKind::Overloaded, "team " + spec.m_team + " has " + std::to_string(waiting) + " tasks waiting; its limit is " + std::to_string(team->second.m_waitingTaskLimit), "submit again when some have started");
+            return {};
+        }
+
+        void onSubmit(ShardOwner& owner, const SubmitCall& call, CallerToken caller, TimePoint now, Effects& effects)
+        {
+            const JobSpec& spec = call.m_spec;
+            if (const auto known = owner.m_state.m_jobByKey.find(spec.m_key); known != owner.m_state.m_jobByKey.end()) {
+                const Job& job = owner.m_state.m_jobs.at(known->second);
+                if (isSameWork(job.m_spec, spec)) {
+                    effects.m_answers.push_back({ .m_caller = caller, .m_answer = viewJob(owner, job, false) });
+                    return;
+                }
+            }
+            if (const auto pending = owner.m_accepts.find(spec.m_key); pending != owner.m_accepts.end()) {
+                if (isSameWork(pending->second.m_spec, spec)) {
+                    pending->second.m_callers.push_back(caller);
+                    pending->second.m_deadline = now + acceptDeadline;
+                } else
+                    answerError(effects, caller, { ErrorKind::Conflict, "the key \"" + spec.m_key + "\" is being used for other work", "use a new key for new work" }, RunCertainty::NotRun);
+                return;
+            }
+            AcceptJobRecord record { spec };
+            auto checked = testRecord(owner.m_state, record);
+            if (checked)
+                checked = checkTeam(owner, spec);
+            if (checked)
+                checked = checkFits(owner, spec);
+            if (!checked)
+                return answerError(effects, caller, checked.error(), RunCertainty::NotRun);
+            if (isLogSlow(owner, now)) {
+                ++owner.m_counters.m_shed;
+                return answerError(effects, caller, { ErrorKind::Unavailable, "the log does not answer, so that no work can be accepted", "submit again with the same key" }, RunCertainty::NotRun, retrySoon);
+            }
+            owner.m_accepts[spec.m_key] = { .m_spec = spec, .m_callers = { caller }, .m_deadline = now + acceptDeadline };
+            queueRecord(owner, std::move(record));
+        }
+
+        bool isWaitOver(const ShardOwner& owner, const Job& job, WaitUntil until)
+        {
+            if (until == WaitUntil::Now || isFinal(stateOf(job)))
+                return true;
+            if (until == WaitUntil::Ended)
+                return false;
+            const JobView view = viewJob(owner, job, false);
+            return view.m_counts[static_cast<std::size_t>(TaskState::Waiting)] == 0 && view.m_runningCount >= view.m_counts[static_cast<std::size_t>(TaskState::Placed)];
+        }
+
+        Error noSuchJob(const JobId& id)
+        {
+            return { ErrorKind::UnknownName, "there is no job " + format(id), "list the jobs of the team; ended jobs are forgotten after a time" };
+        }
+
+        void onStatus(ShardOwner& owner, const StatusCall& call, CallerToken caller, TimePoint now, Effects& effects)
+        {
+            const Job* const job = findJob(owner.m_state, call.m_job.m_number);
+            if (!job)
+                return answerError(effects, caller, noSuchJob(call.m_job), RunCertainty::NotRun);
+            if (call.m_waitFor.m_ms <= 0 || isWaitOver(owner, *job, call.m_until)) {
+                effects.m_answers.push_back({ .m_caller = caller, .m_answer = viewJob(owner, *job, true) });
+                return;
+            }
+            owner.m_waiters.push_back({ .m_caller = caller, .m_job = job->m_number, .m_until = call.m_until, .m_deadline = now + call.m_waitFor });
+        }
+
+        void onCancel(ShardOwner& owner, const CancelCall& call, CallerToken caller, TimePoint now, Effects& effects)
+        {
+            const Job* const job = findJob(owner.m_state, call.m_job.m_number);
+            if (!job)
+                return answerError(effects, caller, noSuchJob(call.m_job), RunCertainty::NotRun);
+            if (isFinal(stateOf(*job)) || job->m_isCancelRequested) {
+                effects.m_answers.push_back({ .m_caller = caller, .m_answer = viewJob(owner, *job, false) });
+                return;
+            }
+            if (isLogSlow(owner, now))
+                return answerError(effects, caller, { ErrorKind::Unavailable, "the log does not answer, so that the cancellation can't be recorded", "cancel again" }, RunCertainty::Unknown, retrySoon);
+            queueRecord(owner, CancelJobRecord { job->m_number });
+            owner.m_waiters.push_back({ .m_caller = caller, .m_job = job->m_number, .m_until = WaitUntil::Now, .m_deadline = now + acceptDeadline });
+        }
+
+        bool isSelected(const Job& job, const JobSelector& selector)
+        {
+            const JobSpec& spec = job.m_spec;
+            return (selector.m_pool.empty() || spec.m_pool == selector.m_pool) && (selector.m_team.empty() || spec.m_team == selector.m_team)
+                && (selector.m_name.empty() || spec.m_name == selector.m_name) && (selector.m_state.empty() || nameOf(stateOf(job)) == selector.m_state);
+        }
+
+        void onList(const ShardOwner& owner, const ListCall& call, CallerToken caller, Effects& effects)
+        {
+            JobListAnswer answer;
+            for (auto job = owner.m_state.m_jobs.rbegin(); job != owner.m_state.m_jobs.rend() && answer.m_jobs.size() < call.m_limit; ++job) {
+                if (isSelected(job->second, call.m_selector))
+                    answer.m_jobs.push_back(viewJob(owner, job->second, false));
+            }
+            effects.m_answers.push_back({ .m_caller = caller, .m_answer = std::move(answer) });
+        }
+
+        void onCancelSelected(ShardOwner& owner, const CancelSelectedCall& call, CallerToken caller, TimePoint now, Effects& effects)
+        {
+            if (call.m_selector.m_team.empty())
+                return answerError(effects, caller, { ErrorKind::InvalidInput, "the selector names no team", "name the team whose jobs are to be cancelled" }, RunCertainty::NotRun);
+            if (isLogSlow(owner, now))
+                return answerError(effects, caller, { ErrorKind::Unavailable, "the log does not answer, so that no cancellation can be recorded", "cancel again" }, RunCertainty::NotRun, retrySoon);
+            CancelSelectedAnswer answer;
+            for (const auto& [number, job] : owner.m_state.m_jobs) {
+                if (job.m_isCancelRequested || isFinal(stateOf(job)) || !isSelected(job, call.m_selector))
+                    continue;
+                queueRecord(owner, CancelJobRecord { number });
+                ++answer.m_count;
+            }
+            effects.m_answers.push_back({ .m_caller = caller, .m_answer = answer });
+        }
+
+        std::string_view linkName(LinkState link)
+        {
+            switch (link) {
+            case LinkState::Down:
+                return "down";
+            case LinkState::Adopting:
+                return "adopting";
+            case LinkState::Adopted:
+                return "adopted";
+            }
+            return "?";
+        }
+
+        std::string healthName(const ShardOwner& owner, const VmInfo& vm, bool saysLeaving, bool isHealthyNow)
+        {
+            if (vm.m_state != VmState::Live)
+                return std::string(nameOf(vm.m_state));
+            if (saysLeaving)
+                return "leaving";
+            if (owner.m_policy->m_drained.contains(vm.m_name))
+                return "drained";
+            return isHealthyNow ? "live" : "held-out";
+        }
+
+        void onEndpoints(const ShardOwner& owner, CallerToken caller, TimePoint now, Effects& effects)
+        {
+            EndpointsAnswer answer;
+            for (const Worker& worker : owner.m_workers) {
+                EndpointView view { .m_name = worker.m_name, .m_kind = "worker", .m_shard = owner.m_state.m_shard, .m_zone = worker.m_vm.m_zone, .m_rack = worker.m_vm.m_rack };
+                view.m_link = linkName(worker.m_link);
+                view.m_health = healthName(owner, worker.m_vm, worker.m_saysLeaving, now >= worker.m_heldOutUntil);
+                view.m_capacity = worker.m_capacity;
+                view.m_granted = worker.m_granted;
+                view.m_inFlight = static_cast<std::uint32_t>(worker.m_tasks.size());
+                answer.m_endpoints.push_back(std::move(view));
+            }
+            for (const Runner& runner : owner.m_runners) {
+                EndpointView view { .m_name = runner.m_name, .m_kind = "runner", .m_shard = owner.m_state.m_shard, .m_zone = runner.m_vm.m_zone, .m_rack = runner.m_vm.m_rack };
+                view.m_link = linkName(runner.m_link);
+                view.m_health = healthName(owner, runner.m_vm, runner.m_saysLeaving, isHealthy(runner, now));
+                view.m_slots = runner.m_slots;
+                view.m_inFlight = runner.m_reserved + static_cast<std::uint32_t>(runner.m_foreign.size());
+                view.m_serviceMs = static_cast<std::int64_t>(runner.m_serviceMs);
+                answer.m_endpoints.push_back(std::move(view));
+            }
+            effects.m_answers.push_back({ .m_caller = caller, .m_answer = std::move(answer) });
+        }
+
+        std::string explain(const ShardOwner& owner, const Job& job)
+        {
+            if (job.m_isAbandoned)
+                return "failed on " + std::to_string(failedWorkerLimit) + " different workers before any task was done";
+            if (job.m_isCancelRequested)
+                return "cancelled";
+            if (countTasks(job, TaskState::Waiting) == 0)
+                return {};
+            if (owner.m_append && isLogSlow(owner, owner.m_append->m_firstSentAt + owner.m_options.m_unjournaledAfter))
+                return "an append to the log is unanswered";
+            const auto team = owner.m_policy->m_teams.find(job.m_spec.m_team);
+            const auto use = owner.m_teams.find(job.m_spec.m_team);
+            if (team != owner.m_policy->m_teams.end() && use != owner.m_teams.end()) {
+                const auto quota = team->second.m_quota.find(owner.m_pool);
+                if (quota != team->second.m_quota.end() && !fitsInto((use->second.m_granted + job.m_spec.m_declared) * owner.m_poolShards, quota->second))
+                    return "the quota of team " + job.m_spec.m_team + " is used up";
+            }
+            return "waits for a worker with room for " + describeSize(job.m_spec.m_declared) + " a task";
+        }
+
+        void addTaskViews(const ShardOwner& owner, const Job& job, bool wantsFinal, JobView& view)
+        {
+            for (std::uint32_t index = 0; index < job.m_tasks.size() && view.m_tasks.size() < taskViewLimit; ++index) {
+                const TaskRecord& task = job.m_tasks[index];
+                if (isFinal(task.m_state) != wantsFinal)
+                    continue;
+                TaskView taskView { .m_task = index, .m_state = task.m_state, .m_attempt = task.m_attempt, .m_failures = task.m_failures };
+                if (task.m_worker != noWorker)
+                    taskView.m_worker = owner.m_state.m_workerNames[task.m_worker].substr(0, owner.m_state.m_workerNames[task.m_worker].rfind('/'));
+                const auto run = owner.m_runs.find({ .m_job = job.m_number, .m_task = index, .m_attempt = task.m_attempt });
+                taskView.m_isRunning = run != owner.m_runs.end() && run->second.m_phase == RunPhase::Running;
+                view.m_tasks.push_back(std::move(taskView));
+            }
+        }
+
+        std::uint32_t countRunning(const ShardOwner& owner, const Job& job)
+        {
+            std::uint32_t count = 0;
+            for (std::uint32_t index = 0; index < job.m_tasks.size(); ++index) {
+                const auto run = owner.m_runs.find({ .m_job = job.m_number, .m_task = index, .m_attempt = job.m_tasks[index].m_attempt });
+                if (run != owner.m_runs.end() && (run->second.m_phase == RunPhase::Running || run->second.m_phase == RunPhase::Ended))
+                    ++count;
+            }
+            return count;
+        }
+
+    } // namespace
+
+    void answerError(Effects& effects, CallerToken caller, const Error& error, RunCertainty certainty, Duration retryAfter)
+    {
+        effects.m_answers.push_back({ .m_caller = caller, .m_answer = ErrorAnswer { .m_error = error, .m_certainty = certainty, .m_retryAfter = retryAfter } });
+    }
+
+    JobView viewJob(const ShardOwner& owner, const Job& job, bool withTasks)
+    {
+        JobView view;
+        view.m_id = { .m_shard = owner.m_state.m_shard, .m_number = job.m_number };
+        view.m_spec = job.m_spec;
+        view.m_state = stateOf(job);
+        view.m_counts = job.m_counts;
+        view.m_isCancelRequested = job.m_isCancelRequested;
+        view.m_acceptedWall = job.m_acceptedWall;
+        view.m_endedWall = job.m_endedWall;
+        view.m_runningCount = countRunning(owner, job);
+        view.m_reason = explain(owner, job);
+        if (withTasks) {
+            addTaskViews(owner, job, false, view);
+            addTaskViews(owner, job, true, view);
+        }
+        return view;
+    }
+
+    void answerWaiters(ShardOwner& owner, JobNumber number, TimePoint now, Effects& effects)
+    {
+        const Job* const job = findJob(owner.m_state, number);
+        std::erase_if(owner.m_waiters, [&](const JobWaiter& waiter) {
+            const bool isOver = waiter.m_job == number && job && (now >= waiter.m_deadline || isWaitOver(owner, *job, waiter.m_until));
+            if (isOver)
+                effects.m_answers.push_back({ .m_caller = waiter.m_caller, .m_answer = viewJob(owner, *job, true) });
+            return isOver;
+        });
+    }
+
+    void stepWaiters(ShardOwner& owner, TimePoint now, Effects& effects)
+    {
+        std::erase_if(owner.m_waiters, [&](const JobWaiter& waiter) {
+            const Job* const job = findJob(owner.m_state, waiter.m_job);
+            if (!job) {
+                answerError(effects, waiter.m_caller, noSuchJob({ owner.m_state.m_shard, waiter.m_job }), RunCertainty::Unknown);
+                return true;
+            }
+            const bool isCancelUnrecorded = waiter.m_until == WaitUntil::Now && !job->m_isCancelRequested;
+            if (now < waiter.m_deadline && (isCancelUnrecorded || !isWaitOver(owner, *job, waiter.m_until)))
+                return false;
+            if (isCancelUnrecorded)
+                answerError(effects, waiter.m_caller, { ErrorKind::TimedOut, "the log has not confirmed the cancellation yet", "ask for the job's status; the cancellation may still take effect" }, RunCertainty::Unknown);
+            else
+                effects.m_answers.push_back({ .m_caller = waiter.m_caller, .m_answer = viewJob(owner, *job, true) });
+            return true;
+        });
+        for (auto& [key, accept] : owner.m_accepts) {
+            if (now < accept.m_deadline)
+                continue;
+            for (const CallerToken caller : accept.m_callers)
+                answerError(effects, caller, { ErrorKind::TimedOut, "the log has not confirmed the job yet", "submit again with the same key to learn what became of it" }, RunCertainty::Unknown, retrySoon);
+            accept.m_callers.clear();
+        }
+    }
+
+} // namespace detail
+
+void onCall(ShardOwner& owner, const CallerCall& call, CallerToken caller, TimePoint now, Effects& effects)
+{
+    if (owner.m_isDeposed || owner.m_isReleasing) {
+        effects.m_answers.push_back({ .m_caller = caller, .m_answer = MovedAnswer {} });
+        return;
+    }
+    if (const auto* run = std::get_if<RunCall>(&call))
+        detail::onRunCall(owner, *run, caller, now, effects);
+    else if (const auto* submit = std::get_if<SubmitCall>(&call))
+        detail::onSubmit(owner, *submit, caller, now, effects);
+    else if (const auto* status = std::get_if<StatusCall>(&call))
+        detail::onStatus(owner, *status, caller, now, effects);
+    else if (const auto* cancel = std::get_if<CancelCall>(&call))
+        detail::onCancel(owner, *cancel, caller, now, effects);
+    else if (const auto* list = std::get_if<ListCall>(&call))
+        detail::onList(owner, *list, caller, effects);
+    else if (const auto* cancelSelected = std::get_if<CancelSelectedCall>(&call))
+        detail::onCancelSelected(owner, *cancelSelected, caller, now, effects);
+    else
+        detail::onEndpoints(owner, caller, now, effects);
+}
+
+} // namespace bulrushloft
--- /dev/null
+++ b/src/process/owner_journal.cpp
@@ -0,0 +1,181 @@
+/** @file owner_journal.cpp The owner's side of the journal: group commit, confirmation, loss of the term. */
+#include "process/owner_detail.h"
+
+#include "core/log_func.h"
+#include "process/journal_func.h"
+
+#include <algorithm>
+
+namespace bulrushloft {
+
+namespace detail {
+
+    namespace {
+
+        constexpr std::size_t entryRecordLimit = 2'000;
+        constexpr Duration appendRetryFirst { 100 };
+        constexpr Duration appendRetryLongest { 2'000 };
+        constexpr Duration idleReadInterval { 5'000 };
+
+        void send(ShardOwner& owner, TimePoint now, Effects& effects)
+        {
+            PendingAppend& append = *owner.m_append;
+            append.m_isOut = true;
+            append.m_ticket = ++owner.m_lastTicket;
+            const Duration waited = now - append.m_firstSentAt;
+            append.m_retryAt = now + std::clamp(waited, appendRetryFirst, appendRetryLongest);
+            effects.m_appends.push_back({ .m_stream = "journal." + owner.m_state.m_shard, .m_bytes = append.m_bytes, .m_ticket = append.m_ticket });
+            ++owner.m_counters.m_appends;
+        }
+
+        void startAppend(ShardOwner& owner, TimePoint now, Effects& effects)
+        {
+            JournalEntry entry { .m_epoch = owner.m_state.m_epoch, .m_writer = owner.m_options.m_instance, .m_sequence = ++owner.m_lastSequence, .m_wall = wallNow(), .m_records = {} };
+            const std::size_t count = std::min(owner.m_outbox.size(), entryRecordLimit);
+            const auto end = owner.m_outbox.begin() + static_cast<std::ptrdiff_t>(count);
+            entry.m_records.assign(std::make_move_iterator(owner.m_outbox.begin()), std::make_move_iterator(end));
+            owner.m_outbox.erase(owner.m_outbox.begin(), end);
+            owner.m_append.emplace();
+            owner.m_append->m_bytes = encodeEntry(entry);
+            owner.m_append->m_entry = std::move(entry);
+            owner.m_append->m_firstSentAt = now;
+            owner.m_nextAppendAt = now + owner.m_policy->m_limits.m_commitInterval;
+            send(owner, now, effects);
+        }
+
+        void confirmRecord(ShardOwner& owner, const Record& record, const Expected<void>& result, TimePoint now, Effects& effects)
+        {
+            if (const auto* accept = std::get_if<AcceptJobRecord>(&record))
+                onAcceptConfirmed(owner, *accept, result, now, effects);
+            else if (const auto* place = std::get_if<PlaceRecord>(&record))
+                onPlaceConfirmed(owner, *place, result, now);
+            else if (const auto* outcome = std::get_if<OutcomeRecord>(&record))
+                onOutcomeConfirmed(owner, *outcome, now, effects);
+            else if (const auto* cancel = std::get_if<CancelJobRecord>(&record))
+                onCancelConfirmed(owner, *cancel, now, effects);
+            else if (const auto* intent = std::get_if<IntendRequestRecord>(&record))
+                onIntentConfirmed(owner, *intent, result.has_value(), now, effects);
+        }
+
+        /** Executes an own entry at its place on the log and acts on it. */
+        void confirmOwn(ShardOwner& owner, Offset offset, TimePoint logTime, TimePoint now, Effects& effects)
+        {
+            const JournalEntry entry = std::move(owner.m_append->m_entry);
+            owner.m_append.reset();
+            owner.m_lastConfirmedAt = now;
+            const AppliedEntry applied = applyEntry(owner.m_state, entry, offset, logTime);
+            for (std::size_t i = 0; i < applied.m_results.size(); ++i)
+                confirmRecord(owner, entry.m_records[i], applied.m_results[i], now, effects);
+            if (owner.m_state.m_isReleased)
+                owner.m_isDeposed = true;
+        }
+
+        bool isOwnPending(const ShardOwner& owner, const JournalEntry& entry)
+        {
+            return owner.m_append && entry.m_writer == owner.m_options.m_instance && entry.m_epoch == owner.m_state.m_epoch
+                && entry.m_sequence == owner.m_append->m_entry.m_sequence;
+        }
+
+        void applyRead(ShardOwner& owner, const LogEntry& read, TimePoint now, Effects& effects)
+        {
+            const auto entry = decodeEntry(read.m_bytes);
+            if (!entry) {
+                logEvent(LogLevel::Warning, "journal-entry-malformed", { { "shard", owner.m_state.m_shard }, { "offset", read.m_offset.m_value }, { "error", describe(entry.error()) } });
+                skipMalformedEntry(owner.m_state, read.m_offset);
+                return;
+            }
+            if (isOwnPending(owner, *entry))
+                return confirmOwn(owner, read.m_offset, read.m_time, now, effects);
+            applyEntry(owner.m_state, *entry, read.m_offset, read.m_time);
+            if (owner.m_state.m_owner != owner.m_options.m_instance)
+                owner.m_isDeposed = true;
+        }
+
+        void stepReader(ShardOwner& owner, TimePoint now, Effects& effects)
+        {
+            StreamReader& reader = owner.m_reader;
+            if (reader.m_isOut || (!reader.m_isNeeded && now < reader.m_nextAt))
+                return;
+            reader.m_isOut = true;
+            reader.m_isNeeded = false;
+            reader.m_ticket = ++owner.m_lastTicket;
+            reader.m_nextAt = now + idleReadInterval;
+            effects.m_reads.push_back({ .m_stream = "journal." + owner.m_state.m_shard, .m_from = owner.m_state.m_next, .m_waitFor = {}, .m_ticket = reader.m_ticket });
+        }
+
+    } // namespace
+
+    void queueRecord(ShardOwner& owner, Record record)
+    {
+        owner.m_outbox.push_back(std::move(record));
+    }
+
+    void flushJournal(ShardOwner& owner, TimePoint now, Effects& effects)
+    {
+        if (owner.m_isDeposed)
+            return;
+        if (owner.m_append) {
+            if (!owner.m_append->m_isOut && now >= owner.m_append->m_retryAt)
+                send(owner, now, effects);
+        } else if (!owner.m_outbox.empty() && now >= owner.m_nextAppendAt) {
+            startAppend(owner, now, effects);
+        }
+        stepReader(owner, now, effects);
+    }
+
+    bool isLogSlow(const ShardOwner& owner, TimePoint now)
+    {
+        return owner.m_append && now - owner.m_append->m_firstSentAt > owner.m_options.m_logSlowAfter;
+    }
+
+    bool mayStartUnjournaled(const ShardOwner& owner, TimePoint now)
+    {
+        return owner.m_append && now - owner.m_append->m_firstSentAt > owner.m_options.m_unjournaledAfter
+            && now - owner.m_lastConfirmedAt > owner.m_options.m_unjournaledAfter;
+    }
+
+} // namespace detail
+
+void onAppendResult(ShardOwner& owner, std::uint64_t ticket, const AppendResult& result, TimePoint now, Effects& effects)
+{
+    if (owner.m_isDeposed || !owner.m_append || owner.m_append->m_ticket != ticket)
+        return;
+    owner.m_append->m_isOut = false;
+    if (result && result->m_offset == owner.m_state.m_next) {
+        detail::confirmOwn(owner, result->m_offset, result->m_time, now, effects);
+    } else {
+        owner.m_reader.m_isNeeded = true;
+        if (!result)
+            logEvent(LogLevel::Debug, "append-unanswered", { { "shard", owner.m_state.m_shard }, { "sequence", owner.m_append->m_entry.m_sequence }, { "error", describe(result.error()) } });
+    }
+    if (owner.m_isDeposed)
+        detail::moveCallers(owner, effects);
+}
+
+void onReadResult(ShardOwner& owner, std::uint64_t ticket, const ReadResult& result, TimePoint now, Effects& effects)
+{
+    if (owner.m_reader.m_ticket != ticket)
+        return;
+    owner.m_reader.m_isOut = false;
+    if (owner.m_isDeposed)
+        return;
+    if (!result) {
+        owner.m_reader.m_nextAt = std::min(owner.m_reader.m_nextAt, now + detail::appendRetryFirst * 5);
+        return;
+    }
+    if (result->m_oldest > owner.m_state.m_next) {
+        logEvent(LogLevel::Error, "journal-truncated", { { "shard", owner.m_state.m_shard }, { "oldest", result->m_oldest.m_value }, { "wanted", owner.m_state.m_next.m_value } });
+        owner.m_isDeposed = true;
+    }
+    for (const LogEntry& entry : result->m_entries) {
+        if (entry.m_offset == owner.m_state.m_next && !owner.m_isDeposed)
+            detail::applyRead(owner, entry, now, effects);
+    }
+    const bool isBehind = owner.m_state.m_next < result->m_end;
+    if (isBehind)
+        owner.m_reader.m_isNeeded = true;
+    if (owner.m_isDeposed)
+        detail::moveCallers(owner, effects);
+}
+
+} // namespace bulrushloft
--- /dev/null
+++ b/src/process/owner_requests.cpp
@@ -0,0 +1,645 @@
+/** @file owner_requests.cpp Requests to runners: admission, intent, dispatch, retries, answers. */
+#include "process/owner_detail.h"
+
+#include "core/hash_func.h"
+#include "core/invariant.h"
+#include "core/log_func.h"
+#include "process/health_func.h"
+#include "request/runner_choice_func.h"
+
+#include <algorithm>
+
+namespace bulrushloft {
+
+namespace detail {
+
+    namespace {
+
+        constexpr Duration dispatchWindow { 3'000 };
+        constexpr Duration clockMargin { 60'000 };
+        constexpr Duration retrySoon { 500 };
+        constexpr double retryShare = 0.1;
+        constexpr double retryBurst = 10;
+        constexpr unsigned firstFailureStatus = 400;
+
+        const ClassPolicy& classOf(const ShardOwner& owner, const RunCall& call)
+        {
+            static const ClassPolicy fallback;
+            const auto found = owner.m_policy->m_classes.find(call.m_workClass);
+            return found == owner.m_policy->m_classes.end() ? fallback : found->second;
+        }
+
+        RunAnswer certain(RunCertainty certainty, ErrorKind kind, std::string message, std::string remedy)
+        {
+            RunAnswer answer;
+            answer.m_certainty = certainty;
+            answer.m_error = { .m_kind = kind, .m_message = std::move(message), .m_remedy = std::move(remedy) };
+            return answer;
+        }
+
+        void answerCallers(RequestRun& request, const RunAnswer& answer, Effects& effects)
+        {
+            for (const CallerToken caller : request.m_callers)
+                effects.m_answers.push_back({ .m_caller = caller, .m_answer = answer });
+            request.m_callers.clear();
+        }
+
+        void trimAnswers(ShardOwner& owner, TimePoint now)
+        {
+            while (!owner.m_answered.empty()) {
+                const auto oldest = owner.m_requests.find(owner.m_answered.front());
+                const bool isKept = oldest != owner.m_requests.end() && oldest->second.m_phase == RequestPhase::Answered;
+                const bool isYoung = isKept && now - oldest->second.m_answeredAt < owner.m_options.m_answerMemory;
+                if (isYoung && owner.m_answeredBytes <= owner.m_options.m_answerMemoryBytes)
+                    return;
+                if (isKept) {
+                    owner.m_answeredBytes -= viewOf(oldest->second.m_answer.m_body).size();
+                    owner.m_requests.erase(oldest);
+                }
+                owner.m_answered.pop_front();
+            }
+        }
+
+        /** Ends a request; the answer is kept for retries of its key. */
+        void finish(ShardOwner& owner, const std::string& key, RunAnswer answer, TimePoint now, Effects& effects)
+        {
+            RequestRun& request = owner.m_requests.at(key);
+            answerCallers(request, answer, effects);
+            --owner.m_teams[request.m_call.m_team].m_requests;
+            request.m_phase = RequestPhase::Answered;
+            request.m_call.m_body.reset();
+            request.m_answer = std::move(answer);
+            request.m_answeredAt = now;
+            owner.m_answeredBytes += viewOf(request.m_answer.m_body).size();
+            owner.m_answered.push_back(key);
+            trimAnswers(owner, now);
+        }
+
+        void recordEnd(ShardOwner& owner, const RequestRun& request, RequestState state)
+        {
+            if (!request.m_call.m_isIdempotent)
+                queueRecord(owner, FinishRequestRecord { .m_key = request.m_call.m_key, .m_state = state });
+        }
+
+        void enqueue(ShardOwner& owner, RequestRun& request)
+        {
+            request.m_phase = RequestPhase::Queued;
+            RequestLane& lane = owner.m_requestLanes[classOf(owner, request.m_call).m_priority];
+            lane.m_byTeam[request.m_call.m_team].push_back(request.m_call.m_key);
+            ++owner.m_queuedRequests;
+        }
+
+        void dropFromLane(ShardOwner& owner, const RequestRun& request)
+        {
+            const auto lane = owner.m_requestLanes.find(classOf(owner, request.m_call).m_priority);
+            if (request.m_phase != RequestPhase::Queued || lane == owner.m_requestLanes.end())
+                return;
+            const auto team = lane->second.m_byTeam.find(request.m_call.m_team);
+            if (team == lane->second.m_byTeam.end())
+                return;
+            owner.m_queuedRequests -= std::erase(team->second, request.m_call.m_key);
+            if (team->second.empty())
+                lane->second.m_byTeam.erase(team);
+        }
+
+        bool isTokenOfKey(const std::string& dispatch, const std::string& key)
+        {
+            const std::size_t end = dispatch.rfind('#');
+            return end == key.size() && dispatch.compare(0, end, key) == 0;
+        }
+
+        /** @return Whether an attempt of an earlier term may be running, as far as the runners have told. */
+        bool mayBeRunning(const ShardOwner& owner, const std::string& key, TimePoint now)
+        {
+            return std::any_of(owner.m_runners.begin(), owner.m_runners.end(), [&](const Runner& runner) {
+                const bool isGone = runner.m_isListed && runner.m_vm.m_state == VmState::Gone;
+                const bool isUntold = runner.m_boot == 0 && !isGone && now < owner.m_inheritedUntil;
+                return isUntold || std::any_of(runner.m_foreign.begin(), runner.m_foreign.end(), [&key](const std::string& id) { return isTokenOfKey(id, key); });
+            });
+        }
+
+        bool isBlocked(const ShardOwner& owner, const RequestRun& request, TimePoint now)
+        {
+            const RunCall& call = request.m_call;
+            if (!call.m_isIdempotent) {
+                const auto known = owner.m_state.m_requests.find(call.m_key);
+                return known != owner.m_state.m_requests.end() && known->second.m_state == RequestState::Intended;
+            }
+            return call.m_attempt > 1 && owner.m_former.m_instance.m_value != 0 && mayBeRunning(owner, call.m_key, now);
+        }
+
+        std::optional<RunAnswer> answerFromRecord(const RequestRecord& record)
+        {
+            switch (record.m_state) {
+            case RequestState::Intended:
+            case RequestState::NotRun:
+                return std::nullopt;
+            case RequestState::Done:
+                return certain(RunCertainty::AnswerLost, ErrorKind::BrokenAnswer, "the request ran to its end; its answer is not kept any more", "look for its result at the service; it will not run again under this key");
+            case RequestState::Failed:
+                return certain(RunCertainty::Failed, ErrorKind::BrokenAnswer, "the request ran and failed; its answer is not kept any more", "send it under a new key if it is to run again");
+            case RequestState::Unknown:
+                return certain(RunCertainty::Unknown, ErrorKind::Unavailable, "the runner was lost while it had the request", "find out at the service whether it ran; it will not run again under this key");
+            }
+            return std::nullopt;
+        }
+
+        /** Keys are remembered for a limited time, so that an old retry may meet a key that is unknown though it ran. */
+        bool mayBeForgotten(const ShardOwner& owner, const RunCall& call)
+        {
+            if (call.m_isIdempotent || call.m_attempt <= 1 || owner.m_state.m_requestHorizon.m_ms == 0)
+                return false;
+            return !call.m_age || wallNow() - *call.m_age - clockMargin < owner.m_state.m_requestHorizon;
+        }
+
+        std::uint32_t countSlots(const ShardOwner& owner)
+        {
+            std::uint32_t slots = 0;
+            for (const Runner& runner : owner.m_runners)
+                slots += runner.m_link == LinkState::Adopted ? runner.m_slots : 0;
+            return slots;
+        }
+
+        double meanServiceMs(const ShardOwner& owner)
+        {
+            double sum = 0;
+            double count = 0;
+            for (const Runner& runner : owner.m_runners) {
+                sum += runner.m_serviceMs;
+                count += runner.m_serviceMs > 0 ? 1 : 0;
+            }
+            return count > 0 ? sum / count : 0;
+        }
+
+        Expected<void> admit(ShardOwner& owner, const RunCall& call, TimePoint now)
+        {
+            const auto team = owner.m_policy->m_teams.find(call.m_team);
+            if (team == owner.m_policy->m_teams.end())
+                return fail(ErrorKind::UnknownName, "there is no team \"" + call.m_team + "\"", "name a team of the settings");
+            const auto workClass = owner.m_policy->m_classes.find(call.m_workClass);
+            if (workClass == owner.m_policy->m_classes.end())
+                return fail(ErrorKind::UnknownName, "there is no class \"" + call.m_workClass + "\"", "name a class of the settings");
+            if (owner.m_teams[call.m_team].m_requests >= team->second.m_requestLimit)
+                return fail(ErrorKind::QuotaExceeded, "team " + call.m_team + " has " + std::to_string(team->second.m_requestLimit) + " requests under way, which is its limit", "send it again later");
+            if (static_cast<std::int64_t>(owner.m_queuedRequests) >= owner.m_policy->m_limits.m_requestQueueLimit)
+                return fail(ErrorKind::Overloaded, "the queue of shard " + owner.m_state.m_shard + " is full", "send it again later");
+            if (!call.m_isIdempotent && isLogSlow(owner, now))
+                return fail(ErrorKind::Unavailable, "the log does not answer, so that no non-idempotent request can be begun", "send it again with the same key");
+            const double waitMs = meanServiceMs(owner) * static_cast<double>(owner.m_queuedRequests) / std::max<double>(countSlots(owner), 1);
+            const Duration limit = std::min(workClass->second.m_queueLimit, call.m_deadline);
+            if (waitMs > static_cast<double>(limit.m_ms))
+                return fail(ErrorKind::Overloaded, "the request would wait about " + std::to_string(static_cast<std::int64_t>(waitMs)) + " ms, more than the " + std::to_string(limit.m_ms) + " ms of its class and deadline", "send it again later");
+            return {};
+        }
+
+        /** Handles a call under a key that is being worked on or was answered lately. */
+        bool joinKnown(ShardOwner& owner, const RunCall& call, std::uint64_t digest, CallerToken caller, TimePoint now, Effects& effects)
+        {
+            const auto known = owner.m_requests.find(call.m_key);
+            if (known == owner.m_requests.end())
+                return false;
+            RequestRun& request = known->second;
+            if (request.m_digest != digest) {
+                answerError(effects, caller, { ErrorKind::Conflict, "the key \"" + call.m_key + "\" was used for another request", "use a new key for a new request" }, RunCertainty::NotRun);
+                return true;
+            }
+            if (request.m_phase != RequestPhase::Answered) {
+                const TimePoint deadline = now + call.m_deadline;
+                request.m_deadline = request.m_callers.empty() ? deadline : std::max(request.m_deadline, deadline);
+                request.m_callers.push_back(caller);
+                owner.m_requestDeadlines.emplace(request.m_deadline, call.m_key);
+                return true;
+            }
+            const RunCertainty certainty = request.m_answer.m_certainty;
+            const bool mayRunAgain = certainty == RunCertainty::NotRun || (certainty == RunCertainty::Unknown && call.m_isIdempotent && now >= request.m_stopsBy);
+            if (mayRunAgain) {
+                std::erase(owner.m_answered, call.m_key);
+                owner.m_answeredBytes -= viewOf(request.m_answer.m_body).size();
+                owner.m_requests.erase(known);
+                return false;
+            }
+            effects.m_answers.push_back({ .m_caller = caller, .m_answer = request.m_answer });
+            return true;
+        }
+
+        bool mayTakeRequests(const ShardOwner& owner, const Runner& runner, TimePoint now)
+        {
+            return runner.m_link == LinkState::Adopted && runner.m_isListed && runner.m_vm.m_state == VmState::Live && !runner.m_saysLeaving
+                && !owner.m_policy->m_drained.contains(runner.m_name) && isHealthy(runner, now);
+        }
+
+        std::vector<RunnerOffer> listOffers(const ShardOwner& owner, TimePoint now)
+        {
+            std::vector<RunnerOffer> offers;
+            for (std::size_t index = 0; index < owner.m_runners.size(); ++index) {
+                const Runner& runner = owner.m_runners[index];
+                const auto inFlight = runner.m_reserved + static_cast<std::uint32_t>(runner.m_foreign.size());
+                if (mayTakeRequests(owner, runner, now) && inFlight < runner.m_slots)
+                    offers.push_back({ .m_runner = index, .m_slots = runner.m_slots, .m_inFlight = inFlight, .m_serviceMs = runner.m_serviceMs });
+            }
+            return offers;
+        }
+
+        void openDispatch(ShardOwner& owner, RequestRun& request, std::size_t index)
+        {
+            Runner& runner = owner.m_runners[index];
+            request.m_runner = index;
+            request.m_dispatch = request.m_call.m_key + "#" + std::to_string(owner.m_state.m_epoch.m_value) + "." + std::to_string(++owner.m_lastDispatch);
+            ++runner.m_reserved;
+            BULRUSH_INVARIANT(runner.m_reserved <= runner.m_slots, "a runner gets no more requests than it has slots");
+            owner.m_dispatches[request.m_dispatch] = { .m_key = request.m_call.m_key, .m_runner = index, .m_boot = runner.m_boot, .m_isOut = true, .m_holdsSlot = true };
+        }
+
+        void closeDispatch(ShardOwner& owner, const std::string& id)
+        {
+            const auto open = owner.m_dispatches.find(id);
+            if (open == owner.m_dispatches.end())
+                return;
+            if (open->second.m_holdsSlot)
+                --owner.m_runners[open->second.m_runner].m_reserved;
+            owner.m_dispatches.erase(open);
+        }
+
+        void dispatch(ShardOwner& owner, RequestRun& request, TimePoint now, Effects& effects)
+        {
+            Runner& runner = owner.m_runners[request.m_runner];
+            DispatchCall call;
+            call.m_token = { .m_epoch = owner.m_state.m_epoch, .m_generation = runner.m_generation };
+            call.m_boot = runner.m_boot;
+            call.m_dispatch = request.m_dispatch;
+            call.m_timeLimit = request.m_deadline - now;
+            call.m_validUntil = runner.m_lastClock + (now - runner.m_lastSent) + dispatchWindow;
+            call.m_target = request.m_call.m_target;
+            call.m_body = request.m_call.m_body;
+            request.m_phase = RequestPhase::Dispatched;
+            request.m_dispatchedAt = now;
+            request.m_stopsBy = now + dispatchWindow + call.m_timeLimit;
+            request.m_mayHaveRun = true;
+            ++request.m_dispatches;
+            ++owner.m_counters.m_dispatches;
+            if (request.m_dispatches == 1) {
+                owner.m_retryBudget = std::min(owner.m_retryBudget + retryShare, retryBurst);
+                owner.m_observations.push_back({ .m_metric = ObservedSpan::RequestWait, .m_team = request.m_call.m_team, .m_workClass = request.m_call.m_workClass, .m_seconds = static_cast<double>((now - request.m_arrivedAt).m_ms) / 1000.0 });
+            }
+            effects.m_dispatches.push_back({ .m_link = runnerLink(owner, runner), .m_call = std::move(call), .m_sentAt = now });
+        }
+
+        void begin(ShardOwner& owner, RequestRun& request, std::size_t runner, TimePoint now, Effects& effects)
+        {
+            openDispatch(owner, request, runner);
+            if (request.m_call.m_isIdempotent)
+                return dispatch(owner, request, now, effects);
+            request.m_phase = RequestPhase::Journaling;
+            const Runner& chosen = owner.m_runners[runner];
+            queueRecord(owner, IntendRequestRecord { .m_key = request.m_call.m_key, .m_digest = request.m_digest, .m_runner = chosen.m_name + "/" + std::to_string(chosen.m_boot), .m_dispatch = request.m_dispatch });
+        }
+
+        /** Takes the next queued key of the lane: of the team with the fewest requests under way for its weight. */
+        std::string takeNext(ShardOwner& owner, RequestLane& lane)
+        {
+            auto best = lane.m_byTeam.begin();
+            double bestShare = 0;
+            for (auto team = lane.m_byTeam.begin(); team != lane.m_byTeam.end(); ++team) {
+                const auto policy = owner.m_policy->m_teams.find(team->first);
+                const std::int64_t weight = policy == owner.m_policy->m_teams.end() ? 1 : std::max<std::int64_t>(policy->second.m_weight, 1);
+                const auto waiting = static_cast<std::int64_t>(team->second.size());
+                const double share = static_cast<double>(owner.m_teams[team->first].m_requests - waiting) / static_cast<double>(weight);
+                if (team == lane.m_byTeam.begin() || share < bestShare) {
+                    best = team;
+                    bestShare = share;
+                }
+            }
+            std::string key = std::move(best->second.front());
+            best->second.pop_front();
+            if (best->second.empty())
+                lane.m_byTeam.erase(best);
+            --owner.m_queuedRequests;
+            return key;
+        }
+
+        /** Prefers runners that have not failed the request yet. */
+        std::size_t pickRunner(ShardOwner& owner, const RequestRun& request, const std::vector<RunnerOffer>& offers)
+        {
+            std::vector<RunnerOffer> untried;
+            for (const RunnerOffer& offer : offers) {
+                if (std::find(request.m_triedRunners.begin(), request.m_triedRunners.end(), offer.m_runner) == request.m_triedRunners.end())
+                    untried.push_back(offer);
+            }
+            const std::vector<RunnerOffer>& from = untried.empty() ? offers : untried;
+            const std::size_t chosen = chooseRunner(from, RunnerPolicy::ExpectedWait, owner.m_lastDispatch, owner.m_random);
+            return chosen == noRunner ? noRunner : from[chosen].m_runner;
+        }
+
+        void serveQueue(ShardOwner& owner, TimePoint now, Effects& effects)
+        {
+            if (owner.m_queuedRequests == 0 || owner.m_isReleasing)
+                return;
+            std::vector<RunnerOffer> offers = listOffers(owner, now);
+            while (!offers.empty() && !owner.m_requestLanes.empty()) {
+                const auto lane = owner.m_requestLanes.begin();
+                if (lane->second.m_byTeam.empty()) {
+                    owner.m_requestLanes.erase(lane);
+                    continue;
+                }
+                const std::string key = takeNext(owner, lane->second);
+                const auto found = owner.m_requests.find(key);
+                if (found == owner.m_requests.end() || found->second.m_phase != RequestPhase::Queued)
+                    continue;
+                begin(owner, found->second, pickRunner(owner, found->second, offers), now, effects);
+                offers = listOffers(owner, now);
+            }
+        }
+
+        /** Tries a request again that has not run, or may run again, if time and budget are left. */
+        void retry(ShardOwner& owner, const std::string& key, RunAnswer otherwise, TimePoint now, Effects& effects)
+        {
+            RequestRun& request = owner.m_requests.at(key);
+            request.m_triedRunners.push_back(request.m_runner);
+            if (owner.m_isDeposed || owner.m_isReleasing) {
+                for (const CallerToken caller : request.m_callers)
+                    effects.m_answers.push_back({ .m_caller = caller, .m_answer = MovedAnswer { .m_mayHaveRun = request.m_mayHaveRun } });
+                request.m_callers.clear();
+                return finish(owner, key, std::move(otherwise), now, effects);
+            }
+            const bool isWorthwhile = now < request.m_deadline && !request.m_callers.empty();
+            if (!isWorthwhile || owner.m_retryBudget < 1)
+                return finish(owner, key, std::move(otherwise), now, effects);
+            owner.m_retryBudget -= 1;
+            enqueue(owner, request);
+        }
+
+        RunAnswer notRun(ErrorKind kind, std::string message)
+        {
+            return certain(RunCertainty::NotRun, kind, std::move(message), "send it again with the same key");
+        }
+
+        void onNeverRun(ShardOwner& owner, const std::string& key, const std::string& reason, TimePoint now, Effects& effects)
+        {
+            RequestRun& request = owner.m_requests.at(key);
+            request.m_mayHaveRun = false;
+            recordEnd(owner, request, RequestState::NotRun);
+            retry(owner, key, notRun(ErrorKind::Unavailable, reason), now, effects);
+        }
+
+        /** The runner took the request on, but its answer is lost. */
+        void onAnswerLost(ShardOwner& owner, const std::string& key, std::optional<DispatchState> state, TimePoint now, Effects& effects)
+        {
+            RequestRun& request = owner.m_requests.at(key);
+            if (request.m_call.m_isIdempotent) {
+                RunAnswer otherwise = certain(RunCertainty::Unknown, ErrorKind::Unavailable, "the runner's answer was lost", "send it again with the same key");
+                return retry(owner, key, std::move(otherwise), now, effects);
+            }
+            const RequestState end = !state ? RequestState::Unknown : (*state == DispatchState::Done ? RequestState::Done : RequestState::Failed);
+            recordEnd(owner, request, end);
+            finish(owner, key, *answerFromRecord({ .m_state = end }), now, effects);
+        }
+
+        RunAnswer toAnswer(const DispatchAnswer& answer, const std::string& runner)
+        {
+            RunAnswer told;
+            told.m_certainty = answer.m_status < firstFailureStatus ? RunCertainty::Done : RunCertainty::Failed;
+            told.m_serviceStatus = answer.m_status;
+            told.m_body = answer.m_body;
+            told.m_runner = runner;
+            return told;
+        }
+
+        void onWholeAnswer(ShardOwner& owner, const std::string& key, const DispatchAnswer& answer, TimePoint now, Effects& effects)
+        {
+            RequestRun& request = owner.m_requests.at(key);
+            Runner& runner = owner.m_runners[request.m_runner];
+            const auto took = static_cast<double>((now - request.m_dispatchedAt).m_ms);
+            runner.m_serviceMs = smoothServiceTime(runner.m_serviceMs, std::max(took, 1.0));
+            runner.m_saysLeaving = runner.m_saysLeaving || answer.m_isLeaving;
+            noteDispatchEnd(runner, false, now);
+            owner.m_observations.push_back({ .m_metric = ObservedSpan::RequestRun, .m_team = request.m_call.m_team, .m_workClass = request.m_call.m_workClass, .m_seconds = took / 1000.0 });
+            RunAnswer told = toAnswer(answer, runner.m_name);
+            recordEnd(owner, request, told.m_certainty == RunCertainty::Done ? RequestState::Done : RequestState::Failed);
+            finish(owner, key, std::move(told), now, effects);
+        }
+
+        /** At the deadline the callers learn what is known; what is with a runner goes on. */
+        void onDeadline(ShardOwner& owner, const std::string& key, TimePoint now, Effects& effects)
+        {
+            RequestRun& request = owner.m_requests.at(key);
+            switch (request.m_phase) {
+            case RequestPhase::Queued:
+            case RequestPhase::Journaling:
+                dropFromLane(owner, request);
+                if (request.m_mayHaveRun)
+                    return finish(owner, key, certain(RunCertainty::Unknown, ErrorKind::TimedOut, "the deadline passed after an attempt whose answer was lost", "send it again with the same key"), now, effects);
+                return finish(owner, key, notRun(ErrorKind::TimedOut, "the deadline passed before a runner was free"), now, effects);
+            case RequestPhase::Blocked:
+                return finish(owner, key, certain(RunCertainty::Unknown, ErrorKind::TimedOut, "an earlier attempt may still be running", "send it again with the same key"), now, effects);
+            case RequestPhase::Dispatched:
+            case RequestPhase::Resolving:
+                answerCallers(request, certain(RunCertainty::Unknown, ErrorKind::TimedOut, "the deadline passed while a runner had the request", "send it again with the same key to learn what became of it"), effects);
+                request.m_deadline = farFuture;
+                return;
+            case RequestPhase::Answered:
+                return;
+            }
+        }
+
+        /** Lets a request go on once its earlier attempt is known to have ended. */
+        void unblock(ShardOwner& owner, const std::string& key, TimePoint now, Effects& effects)
+        {
+            const auto found = owner.m_requests.find(key);
+            if (found == owner.m_requests.end() || found->second.m_phase != RequestPhase::Blocked) {
+                owner.m_blockedRequests.erase(key);
+                return;
+            }
+            if (isBlocked(owner, found->second, now))
+                return;
+            owner.m_blockedRequests.erase(key);
+            const auto recorded = owner.m_state.m_requests.find(key);
+            auto told = recorded == owner.m_state.m_requests.end() ? std::nullopt : answerFromRecord(recorded->second);
+            if (told)
+                finish(owner, key, std::move(*told), now, effects);
+            else
+                enqueue(owner, found->second);
+        }
+
+        /** An idempotent request whose runner can't be asked has ended once its time limit there is over. */
+        void endStopped(ShardOwner& owner, const std::string& key, TimePoint now, Effects& effects)
+        {
+            const auto found = owner.m_requests.find(key);
+            if (found == owner.m_requests.end() || found->second.m_phase != RequestPhase::Resolving || !found->second.m_call.m_isIdempotent)
+                return;
+            if (now < found->second.m_stopsBy + owner.m_options.m_leaseMargin)
+                owner.m_requestDeadlines.emplace(found->second.m_stopsBy + owner.m_options.m_leaseMargin, key);
+            else
+                resolveDispatch(owner, found->second.m_dispatch, std::nullopt, now, effects);
+        }
+
+    } // namespace
+
+    void onRunCall(ShardOwner& owner, const RunCall& call, CallerToken caller, TimePoint now, Effects& effects)
+    {
+        const std::uint64_t digest = stableHash(viewOf(call.m_body), stableHash(call.m_target));
+        if (joinKnown(owner, call, digest, caller, now, effects))
+            return;
+        const auto recorded = owner.m_state.m_requests.find(call.m_key);
+        if (recorded != owner.m_state.m_requests.end()) {
+            if (recorded->second.m_digest != digest)
+                return answerError(effects, caller, { ErrorKind::Conflict, "the key \"" + call.m_key + "\" was used for another request", "use a new key for a new request" }, RunCertainty::NotRun);
+            if (auto told = answerFromRecord(recorded->second)) {
+                effects.m_answers.push_back({ .m_caller = caller, .m_answer = std::move(*told) });
+                return;
+            }
+        }
+        if (mayBeForgotten(owner, call)) {
+            effects.m_answers.push_back({ .m_caller = caller, .m_answer = certain(RunCertainty::Unknown, ErrorKind::UnknownName, "the key \"" + call.m_key + "\" may be older than what is remembered", "find out at the service whether it ran; send new work under a new key as attempt 1") });
+            return;
+        }
+        if (const auto admitted = admit(owner, call, now); !admitted) {
+            ++owner.m_counters.m_shed;
+            return answerError(effects, caller, admitted.error(), RunCertainty::NotRun, retrySoon);
+        }
+        RequestRun& request = owner.m_requests[call.m_key];
+        request.m_call = call;
+        request.m_digest = digest;
+        request.m_callers = { caller };
+        request.m_arrivedAt = now;
+        request.m_deadline = now + call.m_deadline;
+        ++owner.m_teams[call.m_team].m_requests;
+        owner.m_requestDeadlines.emplace(request.m_deadline, call.m_key);
+        if (isBlocked(owner, request, now)) {
+            request.m_phase = RequestPhase::Blocked;
+            owner.m_blockedRequests.insert(call.m_key);
+        } else {
+            enqueue(owner, request);
+        }
+    }
+
+    void onIntentConfirmed(ShardOwner& owner, const IntendRequestRecord& record, bool isRecorded, TimePoint now, Effects& effects)
+    {
+        const auto found = owner.m_requests.find(record.m_key);
+        const bool isWanted = found != owner.m_requests.end() && found->second.m_phase == RequestPhase::Journaling && found->second.m_dispatch == record.m_dispatch;
+        if (!isWanted || !isRecorded) {
+            closeDispatch(owner, record.m_dispatch);
+            if (isRecorded)
+                queueRecord(owner, FinishRequestRecord { .m_key = record.m_key, .m_state = RequestState::NotRun });
+            else if (isWanted)
+                finish(owner, record.m_key, notRun(ErrorKind::Conflict, "the key was taken by another request"), now, effects);
+            return;
+        }
+        RequestRun& request = found->second;
+        const Runner& runner = owner.m_runners[request.m_runner];
+        const bool isReady = mayTakeRequests(owner, runner, now) && runner.m_boot == owner.m_dispatches.at(record.m_dispatch).m_boot;
+        if (isReady)
+            return dispatch(owner, request, now, effects);
+        closeDispatch(owner, record.m_dispatch);
+        queueRecord(owner, FinishRequestRecord { .m_key = record.m_key, .m_state = RequestState::NotRun });
+        enqueue(owner, request);
+    }
+
+    void resolveDispatch(ShardOwner& owner, const std::string& id, std::optional<DispatchState> state, TimePoint now, Effects& effects)
+    {
+        const OpenDispatch open = owner.m_dispatches.at(id);
+        closeDispatch(owner, id);
+        if (open.m_isInherited) {
+            RequestState end = RequestState::Unknown;
+            if (state)
+                end = *state == DispatchState::Never ? RequestState::NotRun : (*state == DispatchState::Done ? RequestState::Done : RequestState::Failed);
+            queueRecord(owner, FinishRequestRecord { .m_key = open.m_key, .m_state = end });
+            return;
+        }
+        const auto found = owner.m_requests.find(open.m_key);
+        if (found == owner.m_requests.end() || found->second.m_dispatch != id)
+            return;
+        if (state && *state == DispatchState::Never)
+            onNeverRun(owner, open.m_key, "the runner did not take it", now, effects);
+        else
+            onAnswerLost(owner, open.m_key, state, now, effects);
+    }
+
+    void inheritIntents(ShardOwner& owner)
+    {
+        for (const auto& [key, record] : owner.m_state.m_requests) {
+            if (record.m_state != RequestState::Intended)
+                continue;
+            const std::size_t slash = record.m_runner.rfind('/');
+            const std::size_t runner = findOrAddRunner(owner, record.m_runner.substr(0, slash));
+            const std::uint64_t boot = std::strtoull(record.m_runner.c_str() + slash + 1, nullptr, 10);
+            owner.m_dispatches[record.m_dispatch] = { .m_key = key, .m_runner = runner, .m_boot = boot, .m_isOut = false, .m_isInherited = true };
+        }
+    }
+
+    void stepRequests(ShardOwner& owner, TimePoint now, Effects& effects)
+    {
+        while (!owner.m_requestDeadlines.empty() && owner.m_requestDeadlines.begin()->first <= now) {
+            const std::string key = owner.m_requestDeadlines.begin()->second;
+            owner.m_requestDeadlines.erase(owner.m_requestDeadlines.begin());
+            const auto found = owner.m_requests.find(key);
+            if (found == owner.m_requests.end())
+                continue;
+            if (now >= found->second.m_deadline)
+                onDeadline(owner, key, now, effects);
+            endStopped(owner, key, now, effects);
+        }
+        const std::set<std::string> blocked = owner.m_blockedRequests;
+        for (const std::string& key : blocked)
+            unblock(owner, key, now, effects);
+        trimAnswers(owner, now);
+    }
+
+    void serveRequests(ShardOwner& owner, TimePoint now, Effects& effects)
+    {
+        serveQueue(owner, now, effects);
+    }
+
+    void moveCallers(ShardOwner& owner, Effects& effects)
+    {
+        const auto move = [&effects](std::vector<CallerToken>& callers, bool mayHaveRun) {
+            for (const CallerToken caller : callers)
+                effects.m_answers.push_back({ .m_caller = caller, .m_answer = MovedAnswer { .m_mayHaveRun = mayHaveRun } });
+            callers.clear();
+        };
+        for (auto& [key, accept] : owner.m_accepts)
+            move(accept.m_callers, false);
+        owner.m_accepts.clear();
+        for (const JobWaiter& waiter : owner.m_waiters)
+            effects.m_answers.push_back({ .m_caller = waiter.m_caller, .m_answer = MovedAnswer {} });
+        owner.m_waiters.clear();
+        for (auto& [key, request] : owner.m_requests) {
+            if (request.m_phase != RequestPhase::Dispatched)
+                move(request.m_callers, request.m_mayHaveRun);
+        }
+    }
+
+} // namespace detail
+
+void onDispatchAnswered(ShardOwner& owner, const std::string& dispatch, const EndpointResult<DispatchAnswer>& result, TimePoint now, Effects& effects)
+{
+    const auto open = owner.m_dispatches.find(dispatch);
+    if (open == owner.m_dispatches.end())
+        return;
+    const std::string key = open->second.m_key;
+    const auto found = owner.m_requests.find(key);
+    const bool isCurrent = found != owner.m_requests.end() && found->second.m_dispatch == dispatch && found->second.m_phase == RequestPhase::Dispatched;
+    if (!isCurrent)
+        return detail::closeDispatch(owner, dispatch);
+    if (result) {
+        detail::closeDispatch(owner, dispatch);
+        return detail::onWholeAnswer(owner, key, *result, now, effects);
+    }
+    Runner& runner = owner.m_runners[found->second.m_runner];
+    const EndpointFailure& failure = result.error();
+    noteDispatchEnd(runner, !failure.m_stale, now);
+    if (failure.m_stale && failure.m_stale->m_highest.m_epoch > owner.m_state.m_epoch)
+        owner.m_reader.m_isNeeded = true;
+    detail::dropRunnerLink(runner, now);
+    const bool neverBegan = failure.m_stale || failure.m_isRefused || failure.m_progress != CallProgress::MaybeDelivered;
+    if (neverBegan) {
+        detail::closeDispatch(owner, dispatch);
+        return detail::onNeverRun(owner, key, failure.m_reason, now, effects);
+    }
+    open->second.m_isOut = false;
+    found->second.m_phase = RequestPhase::Resolving;
+    owner.m_requestDeadlines.emplace(found->second.m_stopsBy + owner.m_options.m_leaseMargin, key);
+    if (owner.m_isDeposed)
+        detail::moveCallers(owner, effects);
+}
+
+} // namespace bulrushloft
--- /dev/null
+++ b/src/process/owner_schedule.cpp
@@ -0,0 +1,300 @@
+/** @file owner_schedule.cpp The scheduling pass: which waiting tasks go where, and in which order. */
+#include "process/owner_detail.h"
+
+#include "core/hash_func.h"
+#include "process/health_func.h"
+#include "request/estimate_func.h"
+#include "request/job_func.h"
+#include "request/placement_func.h"
+
+#include <algorithm>
+#include <queue>
+
+namespace bulrushloft::detail {
+
+namespace {
+
+    constexpr std::uint32_t tasksPerTurn = 8;
+    constexpr std::size_t placementsPerPass = 2'000;
+    constexpr Duration passInterval { 2 };
+    constexpr double leastCapacity = 1.0;
+
+    /** A waiting job in the order of the pass. */
+    struct Turn {
+        std::int64_t m_priority = 0; ///< Of its class, raised by its wait.
+        double m_share = 0; ///< Dominant share of its team over the team's weight.
+        JobNumber m_job; ///< The job; the older first among equals.
+
+        bool operator<(const Turn& other) const
+        {
+            if (m_priority != other.m_priority)
+                return m_priority < other.m_priority;
+            if (m_share != other.m_share)
+                return m_share > other.m_share;
+            return m_job > other.m_job;
+        }
+    };
+
+    /** What one pass works with. */
+    struct Pass {
+        std::vector<WorkerOffer> m_offers; ///< Workers that may take tasks.
+        Resources m_total; ///< Sum of their capacities.
+        std::vector<Resources> m_misfits; ///< Sizes that fit nowhere any more.
+        std::size_t m_placed = 0; ///< Tasks placed.
+        TimePoint m_now; ///< Monotonic time.
+        bool m_isUnjournaled = false; ///< Idempotent tasks start before they are recorded.
+    };
+
+    std::uint32_t numberOf(const std::string& name)
+    {
+        return static_cast<std::uint32_t>(stableHash(name));
+    }
+
+    bool mayTakeTasks(const ShardOwner& owner, const Worker& worker, TimePoint now)
+    {
+        return worker.m_link == LinkState::Adopted && worker.m_isListed && worker.m_vm.m_state == VmState::Live && !worker.m_saysLeaving
+            && !owner.m_policy->m_drained.contains(worker.m_name) && isHealthy(worker, now);
+    }
+
+    Pass beginPass(const ShardOwner& owner, TimePoint now)
+    {
+        Pass pass;
+        pass.m_now = now;
+        pass.m_isUnjournaled = mayStartUnjournaled(owner, now);
+        for (std::size_t index = 0; index < owner.m_workers.size(); ++index) {
+            const Worker& worker = owner.m_workers[index];
+            if (!mayTakeTasks(owner, worker, now))
+                continue;
+            pass.m_offers.push_back({ .m_free = worker.m_capacity - worker.m_granted, .m_capacity = worker.m_capacity, .m_zone = numberOf(worker.m_vm.m_zone), .m_rack = numberOf(worker.m_vm.m_rack), .m_worker = index });
+            pass.m_total = pass.m_total + worker.m_capacity;
+        }
+        return pass;
+    }
+
+    double shareOf(const Resources& granted, const Resources& total)
+    {
+        const auto part = [](std::int64_t amount, std::int64_t whole) {
+            return static_cast<double>(amount) / std::max(static_cast<double>(whole), leastCapacity);
+        };
+        return std::max({ part(granted.m_cpuMilli, total.m_cpuMilli), part(granted.m_memoryMb, total.m_memoryMb), part(granted.m_gpus, total.m_gpus) });
+    }
+
+    const ClassPolicy& classOf(const ShardOwner& owner, const JobSpec& spec)
+    {
+        static const ClassPolicy fallback;
+        const auto found = owner.m_policy->m_classes.find(spec.m_workClass);
+        return found == owner.m_policy->m_classes.end() ? fallback : found->second;
+    }
+
+    Turn turnOf(ShardOwner& owner, const Pass& pass, const Job& job, const QueuedJob& queued)
+    {
+        const ClassPolicy& workClass = classOf(owner, job.m_spec);
+        const auto team = owner.m_policy->m_teams.find(job.m_spec.m_team);
+        const std::int64_t weight = team == owner.m_policy->m_teams.end() ? 1 : team->second.m_weight;
+        const std::int64_t aging = (pass.m_now - queued.m_since).m_ms / std::max<std::int64_t>(workClass.m_agingInterval.m_ms, 1);
+        return { .m_priority = workClass.m_priority + aging,
+            .m_share = shareOf(owner.m_teams[job.m_spec.m_team].m_granted, pass.m_total) / static_cast<double>(std::max<std::int64_t>(weight, 1)),
+            .m_job = job.m_number };
+    }
+
+    bool isWithinQuota(ShardOwner& owner, const JobSpec& spec, const Resources& more)
+    {
+        const auto team = owner.m_policy->m_teams.find(spec.m_team);
+        if (team == owner.m_policy->m_teams.end())
+            return true;
+        const auto quota = team->second.m_quota.find(owner.m_pool);
+        if (quota == team->second.m_quota.end())
+            return true;
+        const Resources wanted = owner.m_teams[spec.m_team].m_granted + more;
+        return fitsInto(wanted * static_cast<std::int64_t>(owner.m_poolShards), quota->second);
+    }
+
+    bool isKnownMisfit(const Pass& pass, const Resources& size)
+    {
+        return std::any_of(pass.m_misfits.begin(), pass.m_misfits.end(), [&size](const Resources& misfit) { return fitsInto(misfit, size); });
+    }
+
+    Resources sizeOf(const ShardOwner& owner, const JobSpec& spec)
+    {
+        const auto usage = owner.m_state.m_usage.find(usageKey(spec));
+        return estimateSize(usage == owner.m_state.m_usage.end() ? nullptr : &usage->second, spec.m_declared);
+    }
+
+    SpreadCounts countPlaced(const ShardOwner& owner, const Job& job)
+    {
+        SpreadCounts counts;
+        for (std::uint32_t task = 0; task < job.m_tasks.size(); ++task) {
+            for (const std::uint32_t attempt : { job.m_tasks[task].m_attempt, job.m_tasks[task].m_attempt + 1 }) {
+                const auto run = owner.m_runs.find({ .m_job = job.m_number, .m_task = task, .m_attempt = attempt });
+                if (run == owner.m_runs.end())
+                    continue;
+                const VmInfo& vm = owner.m_workers[run->second.m_worker].m_vm;
+                countSpread(counts, { .m_zone = numberOf(vm.m_zone), .m_rack = numberOf(vm.m_rack), .m_worker = run->second.m_worker });
+            }
+        }
+        return counts;
+    }
+
+    /** Workers on which tasks of the job have failed are avoided while the job has not succeeded anywhere. */
+    std::vector<std::size_t> workersToAvoid(const ShardOwner& owner, const Job& job)
+    {
+        std::vector<std::size_t> avoid;
+        for (const WorkerIndex failed : job.m_failedOn) {
+            const std::string& placeName = owner.m_state.m_workerNames[failed];
+            const auto found = owner.m_workerIndex.find(placeName.substr(0, placeName.rfind('/')));
+            if (found != owner.m_workerIndex.end())
+                avoid.push_back(found->second);
+        }
+        return avoid;
+    }
+
+    /** Books a decision and returns its record. */
+    TaskPlacement place(ShardOwner& owner, Pass& pass, const Job& job, std::uint32_t task, std::size_t offer, const Resources& size)
+    {
+        WorkerOffer& taken = pass.m_offers[offer];
+        taken.m_free = taken.m_free - size;
+        Worker& worker = owner.m_workers[taken.m_worker];
+        TaskRun run { .m_ref = { .m_job = job.m_number, .m_task = task, .m_attempt = job.m_tasks[task].m_attempt + 1 }, .m_worker = taken.m_worker, .m_grant = size };
+        run.m_boot = worker.m_boot;
+        run.m_isHeldStart = job.m_spec.m_kind == JobKind::Gang;
+        run.m_queuedAt = owner.m_queue.at(job.m_number).m_since;
+        run.m_decidedAt = pass.m_now;
+        const bool startsNow = pass.m_isUnjournaled && job.m_spec.m_isIdempotent && !run.m_isHeldStart;
+        if (startsNow) {
+            run.m_phase = RunPhase::Ready;
+            run.m_isUnjournaled = true;
+            worker.m_starts.push_back(run.m_ref);
+            sendSoon(owner, taken.m_worker);
+        }
+        addRun(owner, run);
+        ++pass.m_placed;
+        ++owner.m_counters.m_placements;
+        return { .m_ref = run.m_ref, .m_worker = placeName(worker), .m_grant = size };
+    }
+
+    void finishTurn(ShardOwner& owner, const Job& job, std::vector<TaskPlacement> placements)
+    {
+        const auto queued = owner.m_queue.find(job.m_number);
+        owner.m_teams[job.m_spec.m_team].m_waitingTasks -= static_cast<std::int64_t>(placements.size());
+        if (queued->second.m_tasks.empty())
+            owner.m_queue.erase(queued);
+        if (!placements.empty())
+            queueRecord(owner, PlaceRecord { std::move(placements) });
+    }
+
+    /** @return Whether the job may get another turn in this pass. */
+    bool placeTurn(ShardOwner& owner, Pass& pass, const Job& job)
+    {
+        QueuedJob& queued = owner.m_queue.at(job.m_number);
+        const Resources size = sizeOf(owner, job.m_spec);
+        const std::vector<std::size_t> avoid = workersToAvoid(owner, job);
+        PlacementQuery query { .m_size = size, .m_policy = classOf(owner, job.m_spec).m_placement };
+        SpreadCounts spread;
+        if (query.m_policy == PlacementPolicy::Spread) {
+            spread = countPlaced(owner, job);
+            query.m_spread = &spread;
+        }
+        if (!avoid.empty())
+            query.m_avoid = &avoid;
+        std::vector<TaskPlacement> placements;
+        bool mayGoOn = true;
+        while (placements.size() < tasksPerTurn && !queued.m_tasks.empty()) {
+            mayGoOn = isWithinQuota(owner, job.m_spec, size) && !isKnownMisfit(pass, size);
+            const std::size_t offer = mayGoOn ? chooseWorker(pass.m_offers, query, owner.m_random) : noOffer;
+            if (offer == noOffer) {
+                if (mayGoOn && avoid.empty())
+                    pass.m_misfits.push_back(size);
+                mayGoOn = false;
+                break;
+            }
+            countSpread(spread, pass.m_offers[offer]);
+            const std::uint32_t task = queued.m_tasks.front();
+            queued.m_tasks.pop_front();
+            placements.push_back(place(owner, pass, job, task, offer, size));
+        }
+        mayGoOn = mayGoOn && !queued.m_tasks.empty();
+        finishTurn(owner, job, std::move(placements));
+        return mayGoOn;
+    }
+
+    /** Places every task of a gang or none. */
+    void placeGang(ShardOwner& owner, Pass& pass, const Job& job)
+    {
+        QueuedJob& queued = owner.m_queue.at(job.m_number);
+        const Resources size = sizeOf(owner, job.m_spec);
+        if (!isWithinQuota(owner, job.m_spec, size * static_cast<std::int64_t>(queued.m_tasks.size())))
+            return;
+        const PlacementQuery query { .m_size = size, .m_policy = classOf(owner, job.m_spec).m_placement };
+        std::vector<WorkerOffer> trial = pass.m_offers;
+        std::vector<std::size_t> chosen;
+        while (chosen.size() < queued.m_tasks.size()) {
+            const std::size_t offer = chooseWorker(trial, query, owner.m_random);
+            if (offer == noOffer)
+                return;
+            trial[offer].m_free = trial[offer].m_free - size;
+            chosen.push_back(offer);
+        }
+        std::vector<TaskPlacement> placements;
+        for (const std::size_t offer : chosen) {
+            const std::uint32_t task = queued.m_tasks.front();
+            queued.m_tasks.pop_front();
+            placements.push_back(place(owner, pass, job, task, offer, size));
+        }
+        finishTurn(owner, job, std::move(placements));
+    }
+
+    /** @return Whether a worker of an earlier term might still be running a task without a record. */
+    bool hasUnresolvedWorker(const ShardOwner& owner, TimePoint now)
+    {
+        return std::any_of(owner.m_workers.begin(), owner.m_workers.end(), [now](const Worker& worker) {
+            return worker.m_boot == 0 && now < worker.m_leaseEnd;
+        });
+    }
+
+    bool mayPlace(const ShardOwner& owner, const Job& job, bool isHeldBack, TimePoint now)
+    {
+        const bool isFromBefore = job.m_acceptedIn != owner.m_state.m_epoch;
+        if (isHeldBack && isFromBefore && job.m_spec.m_isIdempotent)
+            return false;
+        if (!isLogSlow(owner, now))
+            return true;
+        return mayStartUnjournaled(owner, now) && job.m_spec.m_isIdempotent && job.m_spec.m_kind != JobKind::Gang;
+    }
+
+} // namespace
+
+void schedule(ShardOwner& owner, TimePoint now)
+{
+    if (owner.m_isDeposed || owner.m_isReleasing || now < owner.m_nextScheduleAt || owner.m_queue.empty())
+        return;
+    if (!owner.m_isScheduleDue)
+        return;
+    owner.m_isScheduleDue = false;
+    owner.m_nextScheduleAt = now + passInterval;
+    const std::int64_t startedAt = steadyMicroseconds();
+    Pass pass = beginPass(owner, now);
+    const bool isHeldBack = owner.m_mayHaveUnjournaled && hasUnresolvedWorker(owner, now);
+    std::priority_queue<Turn> turns;
+    for (const auto& [number, queued] : owner.m_queue) {
+        const Job* const job = findJob(owner.m_state, number);
+        if (job && mayPlace(owner, *job, isHeldBack, now))
+            turns.push(turnOf(owner, pass, *job, queued));
+    }
+    while (!turns.empty() && pass.m_placed < placementsPerPass && !pass.m_offers.empty()) {
+        const JobNumber number = turns.top().m_job;
+        turns.pop();
+        const Job& job = owner.m_state.m_jobs.at(number);
+        if (job.m_spec.m_kind == JobKind::Gang)
+            placeGang(owner, pass, job);
+        else if (placeTurn(owner, pass, job))
+            turns.push(turnOf(owner, pass, job, owner.m_queue.at(number)));
+    }
+    if (pass.m_placed >= placementsPerPass)
+        owner.m_isScheduleDue = true;
+    if (pass.m_placed == 0)
+        return;
+    const double seconds = static_cast<double>(steadyMicroseconds() - startedAt) / 1e6 / static_cast<double>(pass.m_placed);
+    owner.m_observations.push_back({ .m_metric = ObservedSpan::Decision, .m_team = {}, .m_workClass = {}, .m_seconds = seconds });
+}
+
+} // namespace bulrushloft::detail
