--- /dev/null
+++ b/src/process/owner_workers.cpp
@@ -0,0 +1,386 @@
+/** @file owner_workers.cpp The owner's links to its workers: adoption, commands, leases, and what they reveal. */
+#include "process/owner_detail.h"
+
+#include "core/invariant.h"
+#include "core/log_func.h"
+#include "request/job_func.h"
+
+#include <algorithm>
+
+namespace bulrushloft {
+
+namespace detail {
+
+    namespace {
+
+        constexpr Duration adoptionRetryFirst { 200 };
+        constexpr Duration adoptionRetryLongest { 5'000 };
+        constexpr Duration workerScanInterval { 50 };
+
+        FencingToken tokenOf(const ShardOwner& owner, const Worker& worker)
+        {
+            return { .m_epoch = owner.m_state.m_epoch, .m_generation = worker.m_generation };
+        }
+
+        EndpointLink linkOf(const ShardOwner& owner, const Worker& worker)
+        {
+            return { .m_shard = owner.m_state.m_shard, .m_name = worker.m_name, .m_address = worker.m_vm.m_address, .m_token = tokenOf(owner, worker) };
+        }
+
+        void markDue(ShardOwner& owner, std::size_t index)
+        {
+            owner.m_dueWorkers.push_back(index);
+        }
+
+        void adopt(ShardOwner& owner, Worker& worker, Effects& effects)
+        {
+            worker.m_link = LinkState::Adopting;
+            ++worker.m_generation;
+            worker.m_isPolling = false;
+            worker.m_isCommanding = false;
+            effects.m_workerAdoptions.push_back({ .m_link = linkOf(owner, worker), .m_call = { .m_token = tokenOf(owner, worker) } });
+        }
+
+        void dropLink(Worker& worker, TimePoint now)
+        {
+            const Duration longest = std::min(adoptionRetryFirst * (1LL << std::min<std::uint32_t>(worker.m_failedAdoptions, 6)), adoptionRetryLongest);
+            worker.m_link = LinkState::Down;
+            worker.m_retryAt = now + longest;
+            ++worker.m_failedAdoptions;
+        }
+
+        /** Notes the worker's clock, from which leases are counted. */
+        void noteClock(Worker& worker, TimePoint clock, TimePoint sentAt, TimePoint now)
+        {
+            worker.m_lastClock = clock;
+            worker.m_lastSent = sentAt;
+            worker.m_lastReceived = now;
+        }
+
+        /**
+         * Chooses the end of the lease on the worker's clock. The worker read its clock between the sending and the
+         * arrival of its latest answer, so that the lease has surely lapsed once it is over by the later of the two.
+         */
+        TimePoint extendLease(const ShardOwner& owner, Worker& worker, TimePoint now)
+        {
+            const Duration lease = owner.m_policy->m_limits.m_lease;
+            const Duration uncertainty = worker.m_lastReceived - worker.m_lastSent;
+            worker.m_leaseEnd = std::max(worker.m_leaseEnd, now + lease + uncertainty);
+            return worker.m_lastClock + (now - worker.m_lastSent) + lease;
+        }
+
+        SyncWorkerCall makeSync(const ShardOwner& owner, Worker& worker, TimePoint now)
+        {
+            SyncWorkerCall call;
+            call.m_token = tokenOf(owner, worker);
+            call.m_boot = worker.m_boot;
+            call.m_leaseUntil = extendLease(owner, worker, now);
+            call.m_acks = std::move(worker.m_acks);
+            worker.m_acks.clear();
+            return call;
+        }
+
+        void poll(ShardOwner& owner, Worker& worker, TimePoint now, Effects& effects)
+        {
+            SyncWorkerEffect effect { .m_link = linkOf(owner, worker), .m_call = makeSync(owner, worker, now), .m_isPoll = true, .m_sentAt = now };
+            effect.m_call.m_waitFor = owner.m_policy->m_limits.m_pollInterval;
+            worker.m_isPolling = true;
+            effects.m_workerSyncs.push_back(std::move(effect));
+        }
+
+        void addStarts(ShardOwner& owner, Worker& worker, SyncWorkerCall& call)
+        {
+            for (const TaskRef& ref : worker.m_starts) {
+                const auto found = owner.m_runs.find(ref);
+                if (found == owner.m_runs.end() || found->second.m_phase != RunPhase::Ready)
+                    continue;
+                TaskRun& run = found->second;
+                const Job* const job = findJob(owner.m_state, ref.m_job);
+                run.m_phase = RunPhase::Starting;
+                call.m_starts.push_back({ .m_ref = ref, .m_grant = run.m_grant, .m_isHeld = run.m_isHeldStart, .m_payload = job ? job->m_spec.m_payload : std::string() });
+            }
+            worker.m_starts.clear();
+        }
+
+        void addStops(ShardOwner& owner, Worker& worker, SyncWorkerCall& call)
+        {
+            for (const TaskRef& ref : worker.m_stops) {
+                const auto found = owner.m_runs.find(ref);
+                const bool isOnWorker = found != owner.m_runs.end() && (found->second.m_phase == RunPhase::Running || found->second.m_phase == RunPhase::Held);
+                if (!isOnWorker || found->second.m_isStopSent)
+                    continue;
+                found->second.m_isStopSent = true;
+                call.m_stops.push_back({ .m_ref = ref, .m_wantsCheckpoint = found->second.m_wantsCheckpoint });
+            }
+            worker.m_stops.clear();
+        }
+
+        void addReleases(ShardOwner& owner, Worker& worker, SyncWorkerCall& call)
+        {
+            for (const TaskRef& ref : worker.m_releases) {
+                const auto found = owner.m_runs.find(ref);
+                if (found != owner.m_runs.end() && found->second.m_phase == RunPhase::Held && !found->second.m_isStopWanted)
+                    call.m_releases.push_back(ref);
+            }
+            worker.m_releases.clear();
+        }
+
+        bool hasCommands(const Worker& worker)
+        {
+            return !worker.m_starts.empty() || !worker.m_stops.empty() || !worker.m_releases.empty();
+        }
+
+        void command(ShardOwner& owner, Worker& worker, TimePoint now, Effects& effects)
+        {
+            SyncWorkerEffect effect { .m_link = linkOf(owner, worker), .m_call = makeSync(owner, worker, now), .m_isPoll = false, .m_sentAt = now };
+            addStarts(owner, worker, effect.m_call);
+            addReleases(owner, worker, effect.m_call);
+            addStops(owner, worker, effect.m_call);
+            worker.m_isCommanding = true;
+            effects.m_workerSyncs.push_back(std::move(effect));
+        }
+
+        /** Ends every attempt on a worker that may still be running somewhere only on the worker itself. */
+        void lapse(ShardOwner& owner, std::size_t index, TimePoint now)
+        {
+            const std::vector<TaskRef> refs(owner.m_workers[index].m_tasks.begin(), owner.m_workers[index].m_tasks.end());
+            for (const TaskRef& ref : refs) {
+                TaskRun& run = owner.m_runs.at(ref);
+                if (run.m_phase == RunPhase::Journaling || run.m_phase == RunPhase::Ended)
+                    continue;
+                const TaskResult result = run.m_phase == RunPhase::Ready ? TaskResult::NeverStarted : TaskResult::Lapsed;
+                endRun(owner, run, result, {}, now);
+            }
+        }
+
+        void stepLink(ShardOwner& owner, std::size_t index, TimePoint now, Effects& effects)
+        {
+            Worker& worker = owner.m_workers[index];
+            const bool isGone = worker.m_isListed && worker.m_vm.m_state == VmState::Gone;
+            if (isGone || (worker.m_link != LinkState::Adopted && now > worker.m_leaseEnd + owner.m_options.m_leaseMargin)) {
+                lapse(owner, index, now);
+                worker.m_leaseEnd = std::min(worker.m_leaseEnd, now);
+            }
+            if (isGone || !worker.m_isListed || owner.m_isReleasing)
+                return;
+            if (worker.m_link == LinkState::Down && now >= worker.m_retryAt)
+                adopt(owner, worker, effects);
+            if (worker.m_link != LinkState::Adopted)
+                return;
+            if (hasCommands(worker) && !worker.m_isCommanding)
+                command(owner, worker, now, effects);
+            if (!worker.m_isPolling)
+                poll(owner, worker, now, effects);
+        }
+
+        void noteRunning(ShardOwner& owner, TaskRun& run, bool isHeld, TimePoint now)
+        {
+            const Job* const job = findJob(owner.m_state, run.m_ref.m_job);
+            const bool wasRunning = run.m_phase == RunPhase::Running;
+            run.m_phase = isHeld ? RunPhase::Held : RunPhase::Running;
+            run.m_isStopSent = false;
+            if (!isHeld && !wasRunning && job)
+                noteStarted(owner, run, *job, now);
+            if (run.m_isStopWanted)
+                stopRun(owner, run, run.m_wantsCheckpoint);
+        }
+
+        /** An attempt that the journal does not know: wanted if it was started while the log was down. */
+        void adoptUnknown(ShardOwner& owner, std::size_t index, const RunningTask& found, TimePoint now)
+        {
+            const Job* const job = findJob(owner.m_state, found.m_ref.m_job);
+            const TaskRecord* const task = job && found.m_ref.m_task < job->m_tasks.size() ? &job->m_tasks[found.m_ref.m_task] : nullptr;
+            const bool isFree = task && task->m_state == TaskState::Waiting && !isTaskPlaced(owner, *job, found.m_ref.m_task);
+            const bool isWanted = isFree && found.m_ref.m_attempt == task->m_attempt + 1 && !job->m_isCancelRequested && job->m_spec.m_kind != JobKind::Gang;
+            TaskRun run { .m_ref = found.m_ref, .m_worker = index, .m_grant = found.m_grant };
+            run.m_phase = found.m_isHeld ? RunPhase::Held : RunPhase::Running;
+            run.m_boot = owner.m_workers[index].m_boot;
+            run.m_decidedAt = now;
+            run.m_startedAt = now;
+            run.m_isOrphan = !isWanted;
+            TaskRun& added = addRun(owner, run);
+            if (isWanted) {
+                unqueueTask(owner, found.m_ref);
+                queueRecord(owner, PlaceRecord { { { .m_ref = found.m_ref, .m_worker = placeName(owner.m_workers[index]), .m_grant = found.m_grant } } });
+                return;
+            }
+            ++owner.m_counters.m_orphans;
+            logEvent(LogLevel::Warning, "orphan-task-stopped", { { "shard", owner.m_state.m_shard }, { "worker", owner.m_workers[index].m_name }, { "task", format(found.m_ref) } });
+            stopRun(owner, added, false);
+        }
+
+        void noteFinished(ShardOwner& owner, std::size_t index, const FinishedTask& finished, TimePoint now)
+        {
+            const auto found = owner.m_runs.find(finished.m_ref);
+            const bool isHere = found != owner.m_runs.end() && found->second.m_worker == index;
+            if (!isHere) {
+                if (!claimUnknownEnd(owner, index, finished, now))
+                    owner.m_workers[index].m_acks.push_back(finished.m_ref);
+                return;
+            }
+            if (found->second.m_phase != RunPhase::Ended)
+                endRun(owner, found->second, finished.m_result, finished.m_usage, now);
+        }
+
+        /** Decides what became of an attempt that the adopted worker did not name. */
+        void resolveAbsent(ShardOwner& owner, TaskRun& run, std::uint64_t boot, TimePoint now)
+        {
+            const bool isSameRun = run.m_boot == boot && boot != 0;
+            switch (run.m_phase) {
+            case RunPhase::Starting:
+            case RunPhase::Unresolved:
+            case RunPhase::Held:
+                return endRun(owner, run, isSameRun ? TaskResult::NeverStarted : TaskResult::Lapsed, {}, now);
+            case RunPhase::Running:
+                return endRun(owner, run, TaskResult::Lapsed, {}, now);
+            case RunPhase::Ready:
+                if (!isSameRun)
+                    endRun(owner, run, TaskResult::NeverStarted, {}, now);
+                return;
+            case RunPhase::Journaling:
+            case RunPhase::Ended:
+                return;
+            }
+        }
+
+        void takeInventory(ShardOwner& owner, std::size_t index, const AdoptWorkerAnswer& answer, TimePoint now)
+        {
+            std::set<TaskRef> named;
+            for (const FinishedTask& finished : answer.m_finished) {
+                named.insert(finished.m_ref);
+                noteFinished(owner, index, finished, now);
+            }
+            for (const RunningTask& running : answer.m_running) {
+                named.insert(running.m_ref);
+                const auto found = owner.m_runs.find(running.m_ref);
+                if (found == owner.m_runs.end())
+                    adoptUnknown(owner, index, running, now);
+                else if (found->second.m_worker != index)
+                    reportBrokenInvariant("no task runs in two places", format(running.m_ref) + " on " + owner.m_workers[index].m_name);
+                else if (found->second.m_phase != RunPhase::Ended)
+                    noteRunning(owner, found->second, running.m_isHeld, now);
+            }
+            const std::vector<TaskRef> refs(owner.m_workers[index].m_tasks.begin(), owner.m_workers[index].m_tasks.end());
+            for (const TaskRef& ref : refs) {
+                if (!named.contains(ref))
+                    resolveAbsent(owner, owner.m_runs.at(ref), answer.m_boot, now);
+            }
+            for (const TaskRef& ref : refs)
+                reviewGangOf(owner, ref, now);
+        }
+
+        void onStarted(ShardOwner& owner, const SyncWorkerEffect& sent, const SyncWorkerAnswer& answer, TimePoint now)
+        {
+            for (const RefusedStart& refused : answer.m_refused) {
+                const auto found = owner.m_runs.find(refused.m_ref);
+                logEvent(LogLevel::Warning, "start-refused", { { "worker", sent.m_link.m_name }, { "task", format(refused.m_ref) }, { "reason", refused.m_reason } });
+                if (found != owner.m_runs.end() && found->second.m_phase == RunPhase::Starting)
+                    endRun(owner, found->second, TaskResult::NeverStarted, {}, now);
+            }
+            for (const StartTask& start : sent.m_call.m_starts) {
+                const auto found = owner.m_runs.find(start.m_ref);
+                if (found != owner.m_runs.end() && found->second.m_phase == RunPhase::Starting)
+                    noteRunning(owner, found->second, start.m_isHeld, now);
+            }
+            for (const TaskRef& ref : sent.m_call.m_releases) {
+                const auto found = owner.m_runs.find(ref);
+                if (found != owner.m_runs.end() && found->second.m_phase == RunPhase::Held)
+                    noteRunning(owner, found->second, false, now);
+            }
+        }
+
+        void onLinkFailure(ShardOwner& owner, Worker& worker, const EndpointFailure& failure, TimePoint now)
+        {
+            logEvent(LogLevel::Debug, "worker-link-down", { { "shard", owner.m_state.m_shard }, { "worker", worker.m_name }, { "reason", failure.m_reason } });
+            const bool isSuperseded = failure.m_stale && failure.m_stale->m_highest.m_epoch > owner.m_state.m_epoch;
+            if (isSuperseded)
+                owner.m_reader.m_isNeeded = true;
+            dropLink(worker, now);
+        }
+
+    } // namespace
+
+    std::string placeName(const Worker& worker)
+    {
+        return worker.m_name + "/" + std::to_string(worker.m_boot);
+    }
+
+    std::size_t findOrAddWorker(ShardOwner& owner, const std::string& name)
+    {
+        const auto [found, isNew] = owner.m_workerIndex.try_emplace(name, owner.m_workers.size());
+        if (isNew) {
+            owner.m_workers.emplace_back();
+            owner.m_workers.back().m_name = name;
+            if (owner.m_former.m_instance.m_value != 0)
+                owner.m_workers.back().m_leaseEnd = farFuture;
+        }
+        return found->second;
+    }
+
+    void stepWorkers(ShardOwner& owner, TimePoint now, Effects& effects)
+    {
+        std::vector<std::size_t> due;
+        due.swap(owner.m_dueWorkers);
+        for (const std::size_t index : due)
+            stepLink(owner, index, now, effects);
+        if (now < owner.m_nextWorkerScanAt)
+            return;
+        owner.m_nextWorkerScanAt = now + workerScanInterval;
+        for (std::size_t index = 0; index < owner.m_workers.size(); ++index)
+            stepLink(owner, index, now, effects);
+    }
+
+    void sendSoon(ShardOwner& owner, std::size_t index)
+    {
+        markDue(owner, index);
+    }
+
+} // namespace detail
+
+void onWorkerAdopted(ShardOwner& owner, const AdoptWorkerEffect& sent, const EndpointResult<AdoptWorkerAnswer>& result, TimePoint now, TimePoint sentAt)
+{
+    const auto found = owner.m_workerIndex.find(sent.m_link.m_name);
+    if (owner.m_isDeposed || found == owner.m_workerIndex.end())
+        return;
+    Worker& worker = owner.m_workers[found->second];
+    const bool isCurrent = worker.m_link == LinkState::Adopting && sent.m_link.m_token == detail::tokenOf(owner, worker);
+    if (!isCurrent)
+        return;
+    if (!result)
+        return detail::onLinkFailure(owner, worker, result.error(), now);
+    worker.m_link = LinkState::Adopted;
+    worker.m_failedAdoptions = 0;
+    worker.m_boot = result->m_boot;
+    worker.m_capacity = result->m_capacity;
+    worker.m_saysLeaving = result->m_isLeaving;
+    detail::noteClock(worker, result->m_clock, sentAt, now);
+    worker.m_leaseEnd = std::max(worker.m_leaseEnd == farFuture ? now : worker.m_leaseEnd, now + adoptionGrace);
+    detail::takeInventory(owner, found->second, *result, now);
+    owner.m_isScheduleDue = true;
+    detail::sendSoon(owner, found->second);
+}
+
+void onWorkerSynced(ShardOwner& owner, const SyncWorkerEffect& sent, const EndpointResult<SyncWorkerAnswer>& result, TimePoint now)
+{
+    const auto found = owner.m_workerIndex.find(sent.m_link.m_name);
+    if (owner.m_isDeposed || found == owner.m_workerIndex.end())
+        return;
+    Worker& worker = owner.m_workers[found->second];
+    const bool isCurrent = worker.m_link == LinkState::Adopted && sent.m_link.m_token == detail::tokenOf(owner, worker);
+    if (!isCurrent)
+        return;
+    (sent.m_isPoll ? worker.m_isPolling : worker.m_isCommanding) = false;
+    if (!result)
+        return detail::onLinkFailure(owner, worker, result.error(), now);
+    detail::noteClock(worker, result->m_clock, sent.m_sentAt + result->m_waited, now);
+    worker.m_saysLeaving = result->m_isLeaving;
+    detail::onStarted(owner, sent, *result, now);
+    for (const FinishedTask& finished : result->m_finished)
+        detail::noteFinished(owner, found->second, finished, now);
+    for (const StartTask& start : sent.m_call.m_starts)
+        detail::reviewGangOf(owner, start.m_ref, now);
+    owner.m_isScheduleDue = true;
+    detail::sendSoon(owner, found->second);
+}
+
+} // namespace bulrushloft
--- /dev/null
+++ b/src/process/snapshot.cpp
@@ -0,0 +1,202 @@
+/** @file snapshot.cpp Snapshots as CBOR. */
+#include "process/snapshot_func.h"
+
+#include "process/codec_enum.h"
+#include "process/codec_func.h"
+#include "process/journal_func.h"
+
+namespace bulrushloft {
+
+using Json = nlohmann::json;
+
+namespace {
+
+    constexpr unsigned formatVersion = 1;
+    constexpr std::size_t partLimitBytes = 128 * 1024;
+    constexpr unsigned requestStateCount = 5;
+
+    Json encodeTask(const TaskRecord& task)
+    {
+        return Json::array({ static_cast<unsigned>(task.m_state), task.m_mayHaveRun, task.m_failures, task.m_attempt, task.m_worker, encodeResources(task.m_grant) });
+    }
+
+    TaskRecord decodeTask(const Json& row)
+    {
+        TaskRecord task;
+        task.m_state = decodeEnum<TaskState>(row.at(0), taskStateCount);
+        task.m_mayHaveRun = row.at(1);
+        task.m_failures = row.at(2);
+        task.m_attempt = row.at(3);
+        task.m_worker = row.at(4);
+        task.m_grant = decodeResources(row.at(5));
+        return task;
+    }
+
+    Json encodeJob(const Job& job)
+    {
+        Json tasks = Json::array();
+        for (const TaskRecord& task : job.m_tasks)
+            tasks.push_back(encodeTask(task));
+        return Json::array({ job.m_number.m_value, encodeSpec(job.m_spec), job.m_acceptedWall.m_ms, job.m_endedWall.m_ms, job.m_acceptedIn.m_value,
+            job.m_isCancelRequested, job.m_isAbandoned, std::move(tasks), job.m_failedOn, job.m_counts });
+    }
+
+    Job decodeJob(const Json& row)
+    {
+        Job job;
+        job.m_number.m_value = row.at(0);
+        job.m_spec = decodeSpec(row.at(1));
+        job.m_acceptedWall.m_ms = row.at(2);
+        job.m_endedWall.m_ms = row.at(3);
+        job.m_acceptedIn.m_value = row.at(4);
+        job.m_isCancelRequested = row.at(5);
+        job.m_isAbandoned = row.at(6);
+        for (const Json& task : row.at(7))
+            job.m_tasks.push_back(decodeTask(task));
+        job.m_failedOn = row.at(8).get<std::vector<WorkerIndex>>();
+        job.m_counts = row.at(9);
+        return job;
+    }
+
+    Json encodeJobs(const ShardState& state)
+    {
+        Json jobs = Json::array();
+        for (const auto& [number, job] : state.m_jobs)
+            jobs.push_back(encodeJob(job));
+        return jobs;
+    }
+
+    Json encodeRequests(const ShardState& state)
+    {
+        Json requests = Json::array();
+        for (const auto& [key, request] : state.m_requests)
+            requests.push_back(Json::array({ key, static_cast<unsigned>(request.m_state), request.m_digest, request.m_runner, request.m_dispatch, request.m_wall.m_ms }));
+        return requests;
+    }
+
+    Json encodeHistories(const ShardState& state)
+    {
+        Json histories = Json::array();
+        for (const auto& [key, history] : state.m_usage) {
+            Json samples = Json::array();
+            for (const TaskUsage& sample : history.m_samples)
+                samples.push_back(encodeUsage(sample));
+            histories.push_back(Json::array({ key, std::move(samples), history.m_count, history.m_largestOutOfMemoryMb }));
+        }
+        return histories;
+    }
+
+    void decodeHistories(const Json& rows, ShardState& state)
+    {
+        for (const Json& row : rows) {
+            UsageHistory& history = state.m_usage[row.at(0)];
+            for (std::size_t i = 0; i < estimateSampleCount; ++i)
+                history.m_samples.at(i) = decodeUsage(row.at(1).at(i));
+            history.m_count = row.at(2);
+            history.m_largestOutOfMemoryMb = row.at(3);
+        }
+    }
+
+    void decodeRequests(const Json& rows, ShardState& state)
+    {
+        for (const Json& row : rows) {
+            state.m_requests[row.at(0)] = { .m_state = decodeEnum<RequestState>(row.at(1), requestStateCount), .m_digest = row.at(2), .m_runner = row.at(3), .m_dispatch = row.at(4), .m_wall = { row.at(5) } };
+        }
+    }
+
+    ShardState decodeState(const Json& whole)
+    {
+        ShardState state;
+        state.m_shard = whole.at(1);
+        state.m_next.m_value = whole.at(2);
+        state.m_epoch.m_value = whole.at(3);
+        state.m_owner.m_value = whole.at(4);
+        state.m_ownerMember = whole.at(5);
+        state.m_ownerAddress.m_host = whole.at(6);
+        state.m_ownerAddress.m_port = whole.at(7);
+        state.m_isReleased = whole.at(8);
+        state.m_lastSequence = whole.at(9);
+        state.m_lastEntryLogTime.m_ms = whole.at(10);
+        state.m_nextJob.m_value = whole.at(11);
+        state.m_requestHorizon.m_ms = whole.at(12);
+        state.m_workerNames = whole.at(13).get<std::vector<std::string>>();
+        for (const Json& row : whole.at(14)) {
+            Job job = decodeJob(row);
+            state.m_jobByKey[job.m_spec.m_key] = job.m_number;
+            state.m_jobs.emplace(job.m_number, std::move(job));
+        }
+        decodeRequests(whole.at(15), state);
+        decodeHistories(whole.at(16), state);
+        for (WorkerIndex index = 0; index < state.m_workerNames.size(); ++index)
+            state.m_workerByName[state.m_workerNames[index]] = index;
+        return state;
+    }
+
+} // namespace
+
+std::string encodeShardState(const ShardState& state)
+{
+    const Json whole = Json::array({ formatVersion, state.m_shard, state.m_next.m_value, state.m_epoch.m_value, state.m_owner.m_value,
+        state.m_ownerMember, state.m_ownerAddress.m_host, state.m_ownerAddress.m_port, state.m_isReleased, state.m_lastSequence,
+        state.m_lastEntryLogTime.m_ms, state.m_nextJob.m_value, state.m_requestHorizon.m_ms, state.m_workerNames, encodeJobs(state),
+        encodeRequests(state), encodeHistories(state) });
+    std::string bytes;
+    Json::to_cbor(whole, bytes);
+    return bytes;
+}
+
+Expected<ShardState> decodeShardState(std::string_view bytes)
+{
+    try {
+        const Json whole = Json::from_cbor(bytes);
+        if (whole.at(0).get<unsigned>() != formatVersion)
+            return fail(ErrorKind::InvalidInput, "the snapshot has format " + whole.at(0).dump(), "run the release that wrote it");
+        ShardState state = decodeState(whole);
+        if (auto checked = checkConsistency(state); !checked)
+            return tl::unexpected(checked.error());
+        return state;
+    } catch (const std::exception& error) {
+        return fail(ErrorKind::InvalidInput, std::string("the snapshot is damaged: ") + error.what(), "an older one is used");
+    }
+}
+
+std::vector<std::string> splitSnapshot(std::uint64_t id, const std::string& bytes)
+{
+    const std::size_t count = bytes.size() / partLimitBytes + 1;
+    std::vector<std::string> entries;
+    for (std::size_t index = 0; index < count; ++index) {
+        const std::string part = bytes.substr(index * partLimitBytes, partLimitBytes);
+        std::string entry;
+        Json::to_cbor(Json::array({ id, index, count, Json::binary(std::vector<std::uint8_t>(part.begin(), part.end())) }), entry);
+        entries.push_back(std::move(entry));
+    }
+    return entries;
+}
+
+void addSnapshotEntry(SnapshotAssembler& assembler, std::string_view bytes)
+{
+    try {
+        const Json whole = Json::from_cbor(bytes);
+        const auto id = whole.at(0).get<std::uint64_t>();
+        const auto index = whole.at(1).get<std::size_t>();
+        const auto count = whole.at(2).get<std::size_t>();
+        const Json::binary_t& part = whole.at(3).get_binary();
+        if (index == 0) {
+            assembler.m_id = id;
+            assembler.m_parts.clear();
+        }
+        if (id != assembler.m_id || index != assembler.m_parts.size())
+            return;
+        assembler.m_parts.emplace_back(part.begin(), part.end());
+        if (assembler.m_parts.size() < count)
+            return;
+        assembler.m_complete.clear();
+        for (const std::string& piece : assembler.m_parts)
+            assembler.m_complete += piece;
+        assembler.m_parts.clear();
+    } catch (const std::exception&) {
+        return;
+    }
+}
+
+} // namespace bulrushloft
--- /dev/null
+++ b/src/request/job_cmd.cpp
@@ -0,0 +1,234 @@
+/** @file job_cmd.cpp Commands on jobs. */
+#include "request/job_cmd.h"
+
+#include "core/invariant.h"
+#include "request/estimate_func.h"
+#include "request/job_func.h"
+
+#include <algorithm>
+
+namespace bulrushloft {
+
+namespace {
+
+    void moveTask(Job& job, TaskRecord& task, TaskState to)
+    {
+        auto& from = job.m_counts[static_cast<std::size_t>(task.m_state)];
+        BULRUSH_INVARIANT(from > 0, "a task's state is counted");
+        --from;
+        ++job.m_counts[static_cast<std::size_t>(to)];
+        task.m_state = to;
+    }
+
+    /** Ended jobs drop the tasks whose fate the counts alone tell. */
+    void closeIfEnded(Job& job, TimePoint wall)
+    {
+        const JobState state = stateOf(job);
+        if (!isFinal(state) || job.m_endedWall.m_ms != 0)
+            return;
+        job.m_endedWall = wall;
+        if (state != JobState::Done)
+            return;
+        job.m_tasks.clear();
+        job.m_tasks.shrink_to_fit();
+        job.m_failedOn.clear();
+    }
+
+    WorkerIndex internWorker(ShardState& state, const std::string& name)
+    {
+        const auto [found, isNew] = state.m_workerByName.try_emplace(name, static_cast<WorkerIndex>(state.m_workerNames.size()));
+        if (isNew)
+            state.m_workerNames.push_back(name);
+        return found->second;
+    }
+
+    /** @return The job and task that may take this placement, or nullptr. */
+    const TaskRecord* findPlaceable(const ShardState& state, const TaskRef& ref)
+    {
+        const Job* const job = findJob(state, ref.m_job);
+        if (!job || job->m_isCancelRequested || job->m_isAbandoned || ref.m_task >= job->m_tasks.size())
+            return nullptr;
+        const TaskRecord& task = job->m_tasks[ref.m_task];
+        const bool isPlaceable = task.m_state == TaskState::Waiting && ref.m_attempt == task.m_attempt + 1;
+        return isPlaceable ? &task : nullptr;
+    }
+
+    /** @return The task that this outcome belongs to, or nullptr when it no longer applies. */
+    TaskRecord* findPlaced(ShardState& state, const TaskRef& ref)
+    {
+        const auto job = state.m_jobs.find(ref.m_job);
+        if (job == state.m_jobs.end() || ref.m_task >= job->second.m_tasks.size())
+            return nullptr;
+        TaskRecord& task = job->second.m_tasks[ref.m_task];
+        const bool isCurrent = task.m_state == TaskState::Placed && task.m_attempt == ref.m_attempt;
+        return isCurrent ? &task : nullptr;
+    }
+
+    TaskState endWithoutRerun(const TaskRecord& task)
+    {
+        if (task.m_failures > 0)
+            return TaskState::Failed;
+        return task.m_mayHaveRun ? TaskState::Stopped : TaskState::NotRun;
+    }
+
+    /** Ends the tasks that wait, because of a cancellation or of failures everywhere. */
+    void endWaitingTasks(Job& job)
+    {
+        for (TaskRecord& task : job.m_tasks) {
+            if (task.m_state == TaskState::Waiting)
+                moveTask(job, task, endWithoutRerun(task));
+        }
+    }
+
+    void noteFailure(Job& job, TaskRecord& task)
+    {
+        ++task.m_failures;
+        if (countTasks(job, TaskState::Done) > 0)
+            return;
+        if (std::find(job.m_failedOn.begin(), job.m_failedOn.end(), task.m_worker) == job.m_failedOn.end())
+            job.m_failedOn.push_back(task.m_worker);
+        if (job.m_failedOn.size() >= failedWorkerLimit && job.m_spec.m_kind != JobKind::Service)
+            job.m_isAbandoned = true;
+    }
+
+    /** @return The state of a task whose attempt ended without being done. */
+    TaskState stateAfterLoss(const Job& job, const TaskRecord& task, TaskResult result)
+    {
+        const bool hasFailed = result == TaskResult::Failed || result == TaskResult::OutOfMemory;
+        if (job.m_isCancelRequested)
+            return hasFailed ? TaskState::Failed : endWithoutRerun(task);
+        if (result == TaskResult::NeverStarted)
+            return job.m_isAbandoned ? endWithoutRerun(task) : TaskState::Waiting;
+        if (!job.m_spec.m_isIdempotent) {
+            if (hasFailed)
+                return TaskState::Failed;
+            return result == TaskResult::Stopped ? TaskState::Stopped : TaskState::Unknown;
+        }
+        if (job.m_isAbandoned)
+            return endWithoutRerun(task);
+        const bool isExhausted = hasFailed && job.m_spec.m_kind != JobKind::Service && task.m_failures >= job.m_spec.m_failureLimit;
+        return isExhausted ? TaskState::Failed : TaskState::Waiting;
+    }
+
+    void learnFrom(ShardState& state, const Job& job, const TaskRecord& task, const TaskOutcome& outcome)
+    {
+        const bool isKnown = outcome.m_usage.m_runTime.m_ms > 0 || outcome.m_usage.m_peakMemoryMb > 0;
+        if (outcome.m_result == TaskResult::Done && isKnown)
+            addUsage(state.m_usage[usageKey(job.m_spec)], outcome.m_usage);
+        if (outcome.m_result == TaskResult::OutOfMemory)
+            addOutOfMemory(state.m_usage[usageKey(job.m_spec)], task.m_grant.m_memoryMb);
+    }
+
+    void recordOutcome(ShardState& state, const TaskOutcome& outcome, TimePoint wall)
+    {
+        TaskRecord* const task = findPlaced(state, outcome.m_ref);
+        if (!task)
+            return;
+        Job& job = state.m_jobs.at(outcome.m_ref.m_job);
+        learnFrom(state, job, *task, outcome);
+        const bool neverStarted = outcome.m_result == TaskResult::NeverStarted;
+        task->m_mayHaveRun = task->m_mayHaveRun || !neverStarted;
+        if (outcome.m_result == TaskResult::Failed || outcome.m_result == TaskResult::OutOfMemory)
+            noteFailure(job, *task);
+        if (outcome.m_result == TaskResult::Done && job.m_spec.m_kind != JobKind::Service)
+            moveTask(job, *task, TaskState::Done);
+        else
+            moveTask(job, *task, stateAfterLoss(job, *task, outcome.m_result));
+        if (job.m_isAbandoned)
+            endWaitingTasks(job);
+        closeIfEnded(job, wall);
+    }
+
+} // namespace
+
+Expected<void> acceptJob(ShardState& state, const AcceptJobRecord& record, TimePoint wall, CommandMode mode)
+{
+    if (auto checked = checkJobSpec(record.m_spec); !checked)
+        return checked;
+    if (const auto known = state.m_jobByKey.find(record.m_spec.m_key); known != state.m_jobByKey.end())
+        return fail(ErrorKind::Conflict, "the key \"" + record.m_spec.m_key + "\" already names job " + format(JobId { state.m_shard, known->second }), "ask for that job's status or use a new key for new work");
+    if (mode == CommandMode::Test)
+        return {};
+
+    Job job;
+    job.m_number = state.m_nextJob;
+    job.m_spec = record.m_spec;
+    job.m_acceptedWall = wall;
+    job.m_acceptedIn = state.m_epoch;
+    job.m_tasks.resize(record.m_spec.m_taskCount);
+    job.m_counts[static_cast<std::size_t>(TaskState::Waiting)] = record.m_spec.m_taskCount;
+    state.m_jobByKey.emplace(job.m_spec.m_key, job.m_number);
+    ++state.m_nextJob.m_value;
+    state.m_jobs.emplace(job.m_number, std::move(job));
+    return {};
+}
+
+Expected<void> placeTasks(ShardState& state, const PlaceRecord& record, CommandMode mode)
+{
+    for (const TaskPlacement& placement : record.m_placements) {
+        if (!findPlaceable(state, placement.m_ref))
+            return fail(ErrorKind::Stale, "task " + format(placement.m_ref) + " is not waiting for this attempt", "read the job again before placing its tasks");
+    }
+    if (mode == CommandMode::Test)
+        return {};
+
+    for (const TaskPlacement& placement : record.m_placements) {
+        Job& job = state.m_jobs.at(placement.m_ref.m_job);
+        TaskRecord& task = job.m_tasks[placement.m_ref.m_task];
+        task.m_attempt = placement.m_ref.m_attempt;
+        task.m_worker = internWorker(state, placement.m_worker);
+        task.m_grant = placement.m_grant;
+        moveTask(job, task, TaskState::Placed);
+    }
+    return {};
+}
+
+Expected<void> recordOutcomes(ShardState& state, const OutcomeRecord& record, TimePoint wall, CommandMode mode)
+{
+    const bool applies = std::any_of(record.m_outcomes.begin(), record.m_outcomes.end(),
+        [&state](const TaskOutcome& outcome) { return findPlaced(state, outcome.m_ref) != nullptr; });
+    if (!applies)
+        return fail(ErrorKind::UnknownName, "none of the outcomes belongs to a current attempt", "drop them");
+    if (mode == CommandMode::Test)
+        return {};
+
+    for (const TaskOutcome& outcome : record.m_outcomes)
+        recordOutcome(state, outcome, wall);
+    return {};
+}
+
+Expected<void> cancelJob(ShardState& state, const CancelJobRecord& record, TimePoint wall, CommandMode mode)
+{
+    const auto found = state.m_jobs.find(record.m_job);
+    if (found == state.m_jobs.end())
+        return fail(ErrorKind::UnknownName, "there is no job " + format(JobId { state.m_shard, record.m_job }), "list the jobs of the team; ended jobs are forgotten after a time");
+    Job& job = found->second;
+    if (isFinal(stateOf(job)))
+        return fail(ErrorKind::Conflict, "job " + format(JobId { state.m_shard, record.m_job }) + " has ended as " + std::string(nameOf(stateOf(job))), "nothing is left to cancel");
+    if (mode == CommandMode::Test)
+        return {};
+
+    job.m_isCancelRequested = true;
+    endWaitingTasks(job);
+    closeIfEnded(job, wall);
+    return {};
+}
+
+Expected<void> forgetEnded(ShardState& state, const ForgetRecord& record, CommandMode mode)
+{
+    if (mode == CommandMode::Test)
+        return {};
+    for (auto job = state.m_jobs.begin(); job != state.m_jobs.end();) {
+        const bool isOld = job->second.m_endedWall.m_ms != 0 && job->second.m_endedWall < record.m_jobsEndedBefore;
+        if (isOld)
+            state.m_jobByKey.erase(job->second.m_spec.m_key);
+        job = isOld ? state.m_jobs.erase(job) : std::next(job);
+    }
+    std::erase_if(state.m_requests, [&record](const auto& request) {
+        return request.second.m_state != RequestState::Intended && request.second.m_wall < record.m_requestsBefore;
+    });
+    state.m_requestHorizon = std::max(state.m_requestHorizon, record.m_requestsBefore);
+    return {};
+}
+
+} // namespace bulrushloft
--- /dev/null
+++ b/src/table/member_table.h
@@ -0,0 +1,15 @@
+/** @file member_table.h Names of the states of daemons. */
+#pragma once
+
+#include "core/enum_table.h"
+#include "process/member_type.h"
+
+namespace bulrushloft {
+
+constexpr std::array<EnumName<MemberState>, 3> memberStateNames { {
+    { MemberState::Starting, "starting" },
+    { MemberState::Ready, "ready" },
+    { MemberState::Leaving, "leaving" },
+} };
+
+} // namespace bulrushloft
--- /dev/null
+++ b/src/table/request_table.h
@@ -0,0 +1,17 @@
+/** @file request_table.h Names of the states of requests. */
+#pragma once
+
+#include "core/enum_table.h"
+#include "request/request_type.h"
+
+namespace bulrushloft {
+
+constexpr std::array<EnumName<RequestState>, 5> requestStateNames { {
+    { RequestState::Intended, "intended" },
+    { RequestState::Done, "done" },
+    { RequestState::Failed, "failed" },
+    { RequestState::NotRun, "not-run" },
+    { RequestState::Unknown, "unknown" },
+} };
+
+} // namespace bulrushloft
--- /dev/null
+++ b/tests/fakes/fake_worker.h
@@ -0,0 +1,190 @@
+/** @file fake_worker.h A stand-in for a worker: capacity, leases on its own clock, lagging usage, faults. */
+#pragma once
+
+#include "connection/worker_type.h"
+#include "history.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace bulrushloft {
+
+/** A task on the worker. */
+struct FakeTask {
+    StartTask m_start; ///< As it was asked for.
+    bool m_isHeld = false; ///< Not begun.
+    TimePoint m_endsAt = farFuture; ///< When it will end by itself.
+    TimePoint m_startedAt; ///< When it began.
+    TaskResult m_result = TaskResult::Done; ///< How it will end by itself.
+    std::size_t m_run = 0; ///< Index in the history.
+};
+
+/** The worker. */
+struct FakeWorker {
+    std::string m_name; ///< Name of the VM.
+    std::string m_shard; ///< Prefix of things in the history.
+    Resources m_capacity; ///< What it has.
+    std::uint64_t m_boot = 1; ///< This run of the worker.
+    FencingToken m_token; ///< Highest token seen.
+    bool m_hasLapsed = true; ///< The lease of the token is over, or none was given.
+    TimePoint m_leaseUntil; ///< On the shared clock plus the skew.
+    Duration m_skew; ///< Its clock is ahead of the shared one by this.
+    std::map<TaskRef, FakeTask> m_tasks; ///< On it.
+    std::map<TaskRef, FinishedTask> m_finished; ///< Ended and not acknowledged.
+    bool m_isLeaving = false; ///< Says so in its answers.
+    bool m_failsEverything = false; ///< Every task fails soon.
+    bool m_ignoresTokens = false; ///< The guard is out: obeys any token; for showing that a test can fail.
+    bool m_ignoresLease = false; ///< The guard is out: goes on past its lease.
+    History* m_history = nullptr; ///< Where runs are noted.
+};
+
+/** Reads "name=value;..." of a payload. */
+inline std::int64_t payloadNumber(const std::string& payload, const std::string& name, std::int64_t fallback)
+{
+    const std::size_t at = (";" + payload).find(";" + name + "=");
+    return at == std::string::npos ? fallback : std::atoll(payload.c_str() + at + name.size() + 1);
+}
+
+inline std::string thingOf(const FakeWorker& worker, const TaskRef& ref)
+{
+    return worker.m_shard + ":" + std::to_string(ref.m_job.m_value) + "/" + std::to_string(ref.m_task);
+}
+
+inline Resources grantedOn(const FakeWorker& worker)
+{
+    Resources sum;
+    for (const auto& [ref, task] : worker.m_tasks)
+        sum = sum + task.m_start.m_grant;
+    return sum;
+}
+
+inline void finishTask(FakeWorker& worker, const TaskRef& ref, TaskResult result, TimePoint now)
+{
+    const auto found = worker.m_tasks.find(ref);
+    const FakeTask& task = found->second;
+    FinishedTask finished { .m_ref = ref, .m_result = task.m_isHeld ? TaskResult::NeverStarted : result };
+    if (!task.m_isHeld) {
+        const std::string& payload = task.m_start.m_payload;
+        finished.m_usage = { .m_peakCpuMilli = payloadNumber(payload, "cpu", task.m_start.m_grant.m_cpuMilli), .m_peakMemoryMb = payloadNumber(payload, "mem", task.m_start.m_grant.m_memoryMb), .m_runTime = now - task.m_startedAt };
+        worker.m_history->end(task.m_run, now, nameOf(result));
+    }
+    worker.m_finished[ref] = finished;
+    worker.m_tasks.erase(found);
+}
+
+inline void beginTask(FakeWorker& worker, FakeTask& task, TimePoint now)
+{
+    const std::string& payload = task.m_start.m_payload;
+    const Duration runTime { payloadNumber(payload, "run_ms", 1'000) };
+    task.m_isHeld = false;
+    task.m_startedAt = now;
+    task.m_run = worker.m_history->begin(thingOf(worker, task.m_start.m_ref), worker.m_name, now);
+    const bool isTooLarge = payloadNumber(payload, "mem", 0) > task.m_start.m_grant.m_memoryMb;
+    const bool fails = worker.m_failsEverything || payloadNumber(payload, "fail", 0) != 0;
+    task.m_result = isTooLarge ? TaskResult::OutOfMemory : (fails ? TaskResult::Failed : TaskResult::Done);
+    const bool isForever = payloadNumber(payload, "run_ms", 1'000) == 0;
+    task.m_endsAt = isForever && task.m_result == TaskResult::Done ? farFuture : now + (task.m_result == TaskResult::Done ? runTime : runTime / 5 + Duration { 5 });
+}
+
+/** Lets time pass: tasks end, the lease lapses. */
+inline void passTime(FakeWorker& worker, TimePoint now)
+{
+    std::vector<TaskRef> ended;
+    for (const auto& [ref, task] : worker.m_tasks) {
+        if (!task.m_isHeld && task.m_endsAt <= now)
+            ended.push_back(ref);
+    }
+    for (const TaskRef& ref : ended)
+        finishTask(worker, ref, worker.m_tasks.at(ref).m_result, now);
+    if (worker.m_hasLapsed || worker.m_ignoresLease || now + worker.m_skew <= worker.m_leaseUntil)
+        return;
+    worker.m_hasLapsed = true;
+    while (!worker.m_tasks.empty())
+        finishTask(worker, worker.m_tasks.begin()->first, TaskResult::Lapsed, now);
+}
+
+/** The VM is replaced by an empty one. */
+inline void reboot(FakeWorker& worker, TimePoint now)
+{
+    while (!worker.m_tasks.empty())
+        finishTask(worker, worker.m_tasks.begin()->first, TaskResult::Lapsed, now);
+    worker.m_finished.clear();
+    worker.m_token = {};
+    worker.m_hasLapsed = true;
+    ++worker.m_boot;
+}
+
+inline tl::expected<AdoptWorkerAnswer, StaleToken> adopt(FakeWorker& worker, const AdoptWorkerCall& call, TimePoint now)
+{
+    passTime(worker, now);
+    if (call.m_token <= worker.m_token && !worker.m_ignoresTokens)
+        return tl::unexpected(StaleToken { worker.m_token });
+    worker.m_token = call.m_token;
+    // Tasks stay under the lease they have; the new token has to renew it before it is over.
+    if (worker.m_hasLapsed) {
+        worker.m_hasLapsed = false;
+        worker.m_leaseUntil = now + worker.m_skew + adoptionGrace;
+    }
+    AdoptWorkerAnswer answer { .m_boot = worker.m_boot, .m_clock = now + worker.m_skew, .m_capacity = worker.m_capacity, .m_isLeaving = worker.m_isLeaving };
+    for (const auto& [ref, task] : worker.m_tasks)
+        answer.m_running.push_back({ .m_ref = ref, .m_isHeld = task.m_isHeld, .m_grant = task.m_start.m_grant });
+    for (const auto& [ref, finished] : worker.m_finished)
+        answer.m_finished.push_back(finished);
+    return answer;
+}
+
+inline std::optional<std::string> refuseStart(FakeWorker& worker, const StartTask& start, TimePoint now)
+{
+    if (now + worker.m_skew > worker.m_leaseUntil)
+        return "the command is past its time";
+    if (worker.m_tasks.contains(start.m_ref) || worker.m_finished.contains(start.m_ref))
+        return std::nullopt;
+    if (!fitsInto(grantedOn(worker) + start.m_grant, worker.m_capacity)) {
+        worker.m_history->m_breaches.push_back(worker.m_name + " was given more than it has");
+        return "no room";
+    }
+    FakeTask task { .m_start = start, .m_isHeld = start.m_isHeld };
+    if (!task.m_isHeld)
+        beginTask(worker, task, now);
+    worker.m_tasks[start.m_ref] = task;
+    return std::nullopt;
+}
+
+inline SyncWorkerAnswer report(FakeWorker& worker, TimePoint now)
+{
+    SyncWorkerAnswer answer { .m_clock = now + worker.m_skew, .m_isLeaving = worker.m_isLeaving };
+    for (const auto& [ref, finished] : worker.m_finished)
+        answer.m_finished.push_back(finished);
+    return answer;
+}
+
+inline tl::expected<SyncWorkerAnswer, StaleToken> sync(FakeWorker& worker, const SyncWorkerCall& call, TimePoint now)
+{
+    passTime(worker, now);
+    const bool isStale = call.m_token != worker.m_token || call.m_boot != worker.m_boot || worker.m_hasLapsed;
+    if (isStale && !worker.m_ignoresTokens)
+        return tl::unexpected(StaleToken { worker.m_token });
+    worker.m_leaseUntil = std::max(worker.m_leaseUntil, call.m_leaseUntil);
+    for (const TaskRef& ref : call.m_acks)
+        worker.m_finished.erase(ref);
+    std::vector<RefusedStart> refused;
+    for (const StartTask& start : call.m_starts) {
+        if (const auto reason = refuseStart(worker, start, now))
+            refused.push_back({ .m_ref = start.m_ref, .m_reason = *reason });
+    }
+    for (const TaskRef& ref : call.m_releases) {
+        const auto found = worker.m_tasks.find(ref);
+        if (found != worker.m_tasks.end() && found->second.m_isHeld)
+            beginTask(worker, found->second, now);
+    }
+    for (const StopTask& stop : call.m_stops) {
+        if (worker.m_tasks.contains(stop.m_ref))
+            finishTask(worker, stop.m_ref, TaskResult::Stopped, now);
+    }
+    SyncWorkerAnswer answer = report(worker, now);
+    answer.m_refused = std::move(refused);
+    return answer;
+}
+
+} // namespace bulrushloft
