--- a/src/core/clock_type.h
+++ b/src/core/clock_type.h
@@ -45,6 +45,13 @@
  */
 TimePoint wallNow();
 
+/**
+ * Turns a monotonic time of this process into calendar time.
+ * @param now Monotonic time.
+ * @param offset What the calendar clock was ahead of the monotonic one when the process started.
+ */
+constexpr TimePoint toWall(TimePoint now, Duration offset) { return now + offset; }
+
 /**
  * Reads the monotonic clock with a finer unit, for measurements only.
  * @return Microseconds since the machine started.
--- a/src/core/invariant.cpp
+++ b/src/core/invariant.cpp
@@ -5,6 +5,8 @@
 
 #include <atomic>
 #include <cstdlib>
+#include <stdexcept>
+#include <string>
 
 namespace bulrushloft {
 
@@ -31,6 +33,8 @@
     logEvent(LogLevel::Error, "invariant-broken", { { "what", what }, { "where", where } });
     if (activeAction == InvariantAction::Abort)
         std::abort();
+    if (activeAction == InvariantAction::Throw)
+        throw std::logic_error("broken invariant: " + std::string(what) + " at " + std::string(where));
 }
 
 } // namespace bulrushloft
--- a/src/core/invariant.h
+++ b/src/core/invariant.h
@@ -9,6 +9,7 @@
 /** What a broken invariant does to the process. */
 enum class InvariantAction : std::uint8_t {
     Abort, ///< Ends the process; in all builds that tests use.
+    Throw, ///< Throws std::logic_error; where a test reports its seed.
     Count, ///< Logs and counts; in production.
 };
 
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -243,6 +243,7 @@
     options.m_seeds = m_settings.m_seeds;
     options.m_heartbeatInterval = m_settings.m_heartbeatInterval;
     options.m_owner.m_seed = options.m_instance.m_value;
+    options.m_owner.m_wallOffset = wallNow() - steadyNow();
     return options;
 }
 
--- a/src/process/journal.cpp
+++ b/src/process/journal.cpp
@@ -38,6 +38,10 @@
             return intendRequest(state, *intent, wall, place.m_mode);
         if (const auto* finish = std::get_if<FinishRequestRecord>(&record))
             return finishRequest(state, *finish, wall, place.m_mode);
+        if (std::holds_alternative<FencedRecord>(record))
+            return fenceFormers(state, place.m_mode);
+        if (std::holds_alternative<KeepaliveRecord>(record))
+            return {};
         return forgetEnded(state, std::get<ForgetRecord>(record), place.m_mode);
     }
 
--- a/src/process/journal_codec.cpp
+++ b/src/process/journal_codec.cpp
@@ -86,6 +86,16 @@
         return Json::array({ record.m_jobsEndedBefore.m_ms, record.m_requestsBefore.m_ms });
     }
 
+    Json encodeBody(const KeepaliveRecord&)
+    {
+        return Json::array();
+    }
+
+    Json encodeBody(const FencedRecord&)
+    {
+        return Json::array();
+    }
+
     ClaimRecord decodeClaim(const Json& body)
     {
         ClaimRecord record;
@@ -141,6 +151,10 @@
             return FinishRequestRecord { .m_key = body.at(0), .m_state = decodeEnum<RequestState>(body.at(1), requestStateCount) };
         case 8:
             return ForgetRecord { .m_jobsEndedBefore = { body.at(0) }, .m_requestsBefore = { body.at(1) } };
+        case 9:
+            return FencedRecord {};
+        case 10:
+            return KeepaliveRecord {};
         default:
             throw std::out_of_range("unknown kind of record");
         }
--- a/src/process/journal_type.h
+++ b/src/process/journal_type.h
@@ -75,8 +75,14 @@
     TimePoint m_requestsBefore; ///< Calendar time; ended requests older than this go.
 };
 
+/** Every endpoint obeys the current term, so that no former owner matters any more. */
+struct FencedRecord { };
+
+/** The owner lives and has nothing else to record. */
+struct KeepaliveRecord { };
+
 using Record = std::variant<ClaimRecord, ReleaseRecord, AcceptJobRecord, PlaceRecord, OutcomeRecord, CancelJobRecord,
-    IntendRequestRecord, FinishRequestRecord, ForgetRecord>;
+    IntendRequestRecord, FinishRequestRecord, ForgetRecord, FencedRecord, KeepaliveRecord>;
 
 /** What is appended to the log at once. */
 struct JournalEntry {
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -16,6 +16,8 @@
 
     constexpr Duration timerInterval { 50 };
     constexpr Duration probeInterval { 500 };
+    constexpr Duration silenceLimit { 2'300 };
+    constexpr Duration memberMemory { 60'000 };
     constexpr std::size_t snapshotRetryMs = 1'000;
 
     Heartbeat makeHeartbeat(Node& node)
@@ -64,7 +66,7 @@
     {
         return std::any_of(node.m_shards.begin(), node.m_shards.end(), [&member](const auto& slot) {
             const ShardOwner* const owner = slot.second.m_owner.get();
-            return owner && owner->m_former.m_member == member && !owner->m_isFormerStopped;
+            return owner && std::any_of(owner->m_formers.begin(), owner->m_formers.end(), [&member](const FormerWatch& watch) { return watch.m_former.m_member == member && !watch.m_isStopped; });
         });
     }
 
@@ -81,6 +83,24 @@
         }
     }
 
+    /** Tells the owners whether a daemon is silent that might have claimed their shards, and whether most are heard. */
+    void stepContact(Node& node, TimePoint now)
+    {
+        std::size_t known = 1;
+        std::size_t heard = 1;
+        for (const auto& [name, member] : node.m_members) {
+            const bool isForgotten = member.m_isRefused || now - member.m_heardAt > memberMemory;
+            if (isForgotten)
+                continue;
+            ++known;
+            heard += now - member.m_heardAt < silenceLimit ? 1 : 0;
+        }
+        for (auto& [name, slot] : node.m_shards) {
+            if (slot.m_owner)
+                noteContact(*slot.m_owner, heard < known, heard * 2 > known);
+        }
+    }
+
     void stepReadiness(Node& node, TimePoint now)
     {
         if (node.m_memberState != MemberState::Starting)
@@ -103,8 +123,12 @@
     {
         for (auto& [name, slot] : node.m_shards) {
             ShardOwner* const owner = slot.m_owner.get();
-            if (owner && owner->m_former.m_member == member && owner->m_former.m_instance <= upTo)
-                noteFormerStopped(*owner, now);
+            if (!owner)
+                continue;
+            for (const FormerWatch& watch : std::vector<FormerWatch>(owner->m_formers)) {
+                if (watch.m_former.m_member == member && watch.m_former.m_instance <= upTo)
+                    noteFormerStopped(*owner, watch.m_former.m_instance, now);
+            }
         }
     }
 
@@ -142,6 +166,7 @@
         detail::stepShards(node, now, effects);
         stepHeartbeats(node, now, effects);
         stepProbes(node, now, effects);
+        stepContact(node, now);
     }
     detail::stepCalls(node, now, effects);
     detail::settleAnswers(node, now, effects);
@@ -202,8 +227,8 @@
         const bool isClaimed = claimed != heartbeat.m_shards.end();
         if (isClaimed && claimed->m_epoch > owner->m_state.m_epoch)
             owner->m_reader.m_isNeeded = true;
-        if (!isClaimed && heartbeat.m_instance == owner->m_former.m_instance)
-            noteFormerStopped(*owner, now);
+        if (!isClaimed)
+            noteFormerStopped(*owner, heartbeat.m_instance, now);
     }
 }
 
--- a/src/process/node_base.h
+++ b/src/process/node_base.h
@@ -47,12 +47,13 @@
     std::string m_name; ///< The shard.
     ShardRole m_role = ShardRole::Idle; ///< How far this daemon is with it.
     TimePoint m_ownerlessSince; ///< Monotonic time since which nobody is known to own it; 0 when somebody does.
+    TimePoint m_isolatedSince; ///< While owning: monotonic time since which few of the others are heard; 0 otherwise.
+    TimePoint m_yieldedAt; ///< Monotonic time at which the shard was last left to others for that; 0 when never.
     bool m_isAskedToTake = false; ///< The owner has asked this daemon to take over.
     TimePoint m_giveUpAt; ///< Monotonic time at which an attempt to take over ends.
     SnapshotAssembler m_assembler; ///< While loading.
     Offset m_snapshotNext; ///< While loading: the next entry of the snapshot stream.
     ShardState m_state; ///< While replaying and claiming.
-    FormerOwner m_former; ///< While claiming.
     bool m_isReadOut = false; ///< A read is out.
     bool m_isAppendOut = false; ///< The append of the claim is out.
     std::uint64_t m_ticket = 0; ///< Ticket of the latest read or append.
--- a/src/process/node_shards.cpp
+++ b/src/process/node_shards.cpp
@@ -17,6 +17,10 @@
     constexpr Duration claimDelay { 300 };
     constexpr Duration takeOverLimit { 20'000 };
     constexpr Duration retryDelay { 200 };
+    constexpr Duration ownerSilence { 4'000 };
+    constexpr Duration isolationLimit { 3'000 };
+    constexpr Duration yieldInterval { 60'000 };
+    constexpr Duration yieldDelay { 3'000 };
     constexpr Duration releaseWait { 1'000 };
     constexpr Duration takeAskInterval { 3'000 };
     constexpr std::uint64_t ownerTicketBase = 1ULL << 40;
@@ -95,7 +99,8 @@
         }
         if (slot.m_ownerlessSince.m_ms == 0)
             slot.m_ownerlessSince = now;
-        const Duration delay = claimDelay * static_cast<std::int64_t>(rankOf(node, slot.m_name, now) * 4 + 1);
+        const bool hasYieldedLately = slot.m_yieldedAt.m_ms != 0 && now - slot.m_yieldedAt < yieldInterval;
+        const Duration delay = claimDelay * static_cast<std::int64_t>(rankOf(node, slot.m_name, now) * 4 + 1) + (hasYieldedLately ? yieldDelay : Duration {});
         if (now - slot.m_ownerlessSince >= delay)
             beginLoading(slot, now);
     }
@@ -109,22 +114,38 @@
     void beginClaim(Node& node, ShardSlot& slot, TimePoint now)
     {
         const ShardState& state = slot.m_state;
-        slot.m_former = { .m_instance = state.m_owner, .m_member = state.m_ownerMember, .m_address = state.m_ownerAddress, .m_hasReleased = state.m_isReleased, .m_lastEntryLogTime = state.m_lastEntryLogTime };
-        JournalEntry entry { .m_epoch = {}, .m_writer = node.m_options.m_instance, .m_sequence = 1, .m_wall = wallNow() };
+        JournalEntry entry { .m_epoch = {}, .m_writer = node.m_options.m_instance, .m_sequence = 1, .m_wall = toWall(now, node.m_options.m_owner.m_wallOffset) };
         entry.m_records.emplace_back(ClaimRecord { .m_member = node.m_options.m_member, .m_address = node.m_options.m_address, .m_supersedes = state.m_epoch });
         slot.m_claimBytes = encodeEntry(entry);
         slot.m_role = ShardRole::Claiming;
         slot.m_retryAt = now;
     }
 
-    /** The journal has been replayed to its end: claims the shard unless its owner lives. */
-    void decideClaim(Node& node, ShardSlot& slot, TimePoint now, Effects& effects)
+    /** @return Whether the owner's process is known to have ended. */
+    bool isOwnerEnded(const Node& node, const ShardState& state)
     {
-        const bool isFree = slot.m_state.m_epoch.m_value == 0 || slot.m_state.m_isReleased || !isOwnerLive(node, slot.m_state, now);
-        if (isFree)
+        if (state.m_ownerMember == node.m_options.m_member)
+            return true;
+        const bool isListedAsGone = std::any_of(node.m_vms.m_vms.begin(), node.m_vms.m_vms.end(), [&state](const VmInfo& vm) { return vm.m_name == state.m_ownerMember && vm.m_state == VmState::Gone; });
+        const auto member = node.m_members.find(state.m_ownerMember);
+        if (isListedAsGone || member == node.m_members.end())
+            return isListedAsGone;
+        return member->second.m_latest.m_instance > state.m_owner || (member->second.m_isRefused && member->second.m_latest.m_instance == state.m_owner);
+    }
+
+    /** The journal has been replayed to its end: claims the shard unless its owner lives, by heartbeats or by its entries. */
+    void decideClaim(Node& node, ShardSlot& slot, TimePoint logNow, TimePoint now, Effects& effects)
+    {
+        const ShardState& state = slot.m_state;
+        const bool isOver = state.m_epoch.m_value == 0 || state.m_isReleased || isOwnerEnded(node, state);
+        const bool isSilent = !isOwnerLive(node, state, now) && logNow - state.m_lastEntryLogTime >= ownerSilence;
+        if (isOver || isSilent)
             return beginClaim(node, slot, now);
-        if (!slot.m_isAskedToTake)
+        const bool mayStillFallSilent = !isOwnerLive(node, state, now);
+        if (!slot.m_isAskedToTake && !mayStillFallSilent)
             return giveUp(slot, "it has a live owner");
+        if (!slot.m_isAskedToTake && findOwner(node.m_members, slot.m_name, now))
+            return giveUp(slot, "another daemon owns it");
         read(slot, journalStream(slot.m_name), slot.m_state.m_next, releaseWait, node.m_lastTicket, effects);
     }
 
@@ -135,22 +156,34 @@
         effects.m_appends.push_back({ .m_stream = journalStream(slot.m_name), .m_bytes = slot.m_claimBytes, .m_ticket = slot.m_ticket });
     }
 
+    /** Of a former owner it may be known already that its process has ended. */
+    void noteKnownStops(const Node& node, ShardOwner& owner, TimePoint now)
+    {
+        for (const FormerWatch& watch : std::vector<FormerWatch>(owner.m_formers)) {
+            const FormerOwner& former = watch.m_former;
+            const auto member = node.m_members.find(former.m_member);
+            const bool isReplaced = member != node.m_members.end() && member->second.m_latest.m_instance > former.m_instance;
+            const bool isRefused = member != node.m_members.end() && member->second.m_isRefused && member->second.m_latest.m_instance == former.m_instance;
+            if (former.m_member == node.m_options.m_member || isReplaced || isRefused)
+                noteFormerStopped(owner, former.m_instance, now);
+        }
+    }
+
     void becomeOwner(Node& node, ShardSlot& slot, TimePoint now)
     {
         slot.m_role = ShardRole::Owning;
         slot.m_isAskedToTake = false;
         slot.m_ownerlessSince = {};
         OwnerOptions options = node.m_options.m_owner;
-        slot.m_owner = std::make_unique<ShardOwner>(makeOwner(options, std::move(slot.m_state), slot.m_former, node.m_policy, now));
+        slot.m_owner = std::make_unique<ShardOwner>(makeOwner(options, std::move(slot.m_state), node.m_policy, now));
         slot.m_state = {};
         slot.m_owner->m_lastTicket = ownerTicketBase;
         setVmList(*slot.m_owner, node.m_vms, now);
-        if (slot.m_former.m_hasReleased || slot.m_former.m_member == node.m_options.m_member)
-            noteFormerStopped(*slot.m_owner, now);
+        noteKnownStops(node, *slot.m_owner, now);
         slot.m_writer = {};
         slot.m_writer.m_nextAt = now + node.m_policy->m_limits.m_snapshotInterval;
         node.m_nextHeartbeatAt = now;
-        logEvent(LogLevel::Info, "shard-owned", { { "shard", slot.m_name }, { "epoch", slot.m_owner->m_state.m_epoch.m_value }, { "former", slot.m_former.m_member }, { "jobs", slot.m_owner->m_state.m_jobs.size() } });
+        logEvent(LogLevel::Info, "shard-owned", { { "shard", slot.m_name }, { "epoch", slot.m_owner->m_state.m_epoch.m_value }, { "formers", slot.m_owner->m_formers.size() }, { "jobs", slot.m_owner->m_state.m_jobs.size() } });
     }
 
     void retire(Node& node, ShardSlot& slot)
@@ -195,10 +228,28 @@
         stepWriter(writer, snapshotStream(slot.m_name), node.m_lastTicket, now, effects);
     }
 
+    /** An owner that hears few of the others, but the log, leaves the shard to those who hear each other. */
+    void stepIsolation(ShardSlot& slot, TimePoint now, Effects& effects)
+    {
+        const ShardOwner& owner = *slot.m_owner;
+        const bool isIsolated = owner.m_isSuspect && !owner.m_hasMajority && now - owner.m_readAt < isolationLimit;
+        if (!isIsolated)
+            slot.m_isolatedSince = {};
+        else if (slot.m_isolatedSince.m_ms == 0)
+            slot.m_isolatedSince = now;
+        const bool hasYieldedLately = slot.m_yieldedAt.m_ms != 0 && now - slot.m_yieldedAt < yieldInterval;
+        if (!isIsolated || now - slot.m_isolatedSince < isolationLimit || hasYieldedLately)
+            return;
+        slot.m_yieldedAt = now;
+        logEvent(LogLevel::Warning, "shard-yielded", { { "shard", slot.m_name }, { "why", "most of the other daemons are silent" } });
+        beginRelease(*slot.m_owner, effects);
+    }
+
     void stepOwning(Node& node, ShardSlot& slot, TimePoint now, Effects& effects)
     {
         if (slot.m_owner->m_isDeposed)
             return retire(node, slot);
+        stepIsolation(slot, now, effects);
         if (node.m_memberState == MemberState::Leaving)
             stepHandOver(node, slot, now, effects);
         stepSnapshot(node, slot, now, effects);
@@ -285,7 +336,7 @@
             return;
         }
         if (slot.m_state.m_next >= answer.m_end)
-            decideClaim(node, slot, now, effects);
+            decideClaim(node, slot, answer.m_now, now, effects);
     }
 
 } // namespace
--- a/src/process/owner.cpp
+++ b/src/process/owner.cpp
@@ -17,6 +17,7 @@
     constexpr Duration idleScheduleInterval { 250 };
     constexpr Duration requestTimeLimit { 60'000 };
     constexpr Duration forgetInterval { 60'000 };
+    constexpr Duration keepaliveInterval { 2'000 };
 
     /** Books what the journal says is on workers; what is really there the workers will tell. */
     void inheritTasks(ShardOwner& owner, TimePoint now)
@@ -65,13 +66,38 @@
             detail::queueRecord(owner, ReleaseRecord {});
     }
 
+    /** Once every endpoint has been adopted or is gone, no former owner can reach any of them. */
+    void queueFence(ShardOwner& owner)
+    {
+        if (owner.m_formers.empty() || owner.m_isFenceQueued || owner.m_isReleasing)
+            return;
+        const auto isSettled = [](const auto& endpoint) {
+            return endpoint.m_boot != 0 || (endpoint.m_isListed && endpoint.m_vm.m_state == VmState::Gone);
+        };
+        const bool areAllSettled = std::all_of(owner.m_workers.begin(), owner.m_workers.end(), isSettled) && std::all_of(owner.m_runners.begin(), owner.m_runners.end(), isSettled);
+        if (!areAllSettled)
+            return;
+        owner.m_isFenceQueued = true;
+        detail::queueRecord(owner, FencedRecord {});
+    }
+
+    /** While another daemon is silent, entries on the log tell it that this term goes on. */
+    void queueKeepalive(ShardOwner& owner, TimePoint now)
+    {
+        const bool isDue = owner.m_isSuspect && owner.m_hasMajority && now >= owner.m_nextKeepaliveAt && now - owner.m_lastConfirmedAt >= keepaliveInterval;
+        if (!isDue || owner.m_append || !owner.m_outbox.empty() || owner.m_isReleasing)
+            return;
+        owner.m_nextKeepaliveAt = now + keepaliveInterval;
+        detail::queueRecord(owner, KeepaliveRecord {});
+    }
+
     void queueForget(ShardOwner& owner, TimePoint now)
     {
         if (now < owner.m_nextForgetAt)
             return;
         owner.m_nextForgetAt = now + forgetInterval;
         const LimitPolicy& limits = owner.m_policy->m_limits;
-        const TimePoint wall = wallNow();
+        const TimePoint wall = toWall(now, owner.m_options.m_wallOffset);
         const ForgetRecord record { .m_jobsEndedBefore = wall - limits.m_jobMemory, .m_requestsBefore = wall - limits.m_requestMemory };
         const bool hasOldJob = std::any_of(owner.m_state.m_jobs.begin(), owner.m_state.m_jobs.end(), [&record](const auto& job) {
             return job.second.m_endedWall.m_ms != 0 && job.second.m_endedWall < record.m_jobsEndedBefore;
@@ -85,22 +111,29 @@
 
 } // namespace
 
-ShardOwner makeOwner(const OwnerOptions& options, ShardState state, const FormerOwner& former, SharedPolicy policy, TimePoint now)
+ShardOwner makeOwner(const OwnerOptions& options, ShardState state, SharedPolicy policy, TimePoint now)
 {
     ShardOwner owner;
     owner.m_options = options;
     owner.m_state = std::move(state);
-    owner.m_former = former;
+    for (const FormerOwner& former : owner.m_state.m_formers)
+        owner.m_formers.push_back({ .m_former = former });
     owner.m_pool = poolOfShard(owner.m_state.m_shard);
     owner.m_random.seed(options.m_seed ^ owner.m_state.m_epoch.m_value);
     owner.m_lastSequence = owner.m_state.m_lastSequence;
     owner.m_ownedSince = now;
+    owner.m_claimLogTime = owner.m_state.m_lastEntryLogTime;
     owner.m_lastConfirmedAt = now;
-    owner.m_mayHaveUnjournaled = former.m_instance.m_value != 0 && !former.m_hasReleased;
+    owner.m_readAt = now;
+    owner.m_mayHaveUnjournaled = !owner.m_formers.empty();
     setPolicy(owner, std::move(policy));
     inheritTasks(owner, now);
     inheritQueue(owner, now);
     detail::inheritIntents(owner);
+    for (const FormerOwner& former : owner.m_state.m_formers) {
+        if (former.m_hasReleased)
+            noteFormerStopped(owner, former.m_instance, now);
+    }
     owner.m_isScheduleDue = true;
     return owner;
 }
@@ -128,25 +161,39 @@
             runner.m_isListed = true;
         }
     }
-    const bool isFormerGone = std::any_of(list.m_vms.begin(), list.m_vms.end(), [&owner](const VmInfo& vm) {
-        return vm.m_role == VmRole::Entry && vm.m_name == owner.m_former.m_member && vm.m_state == VmState::Gone;
-    });
-    if (isFormerGone)
-        noteFormerStopped(owner, now);
+    for (const VmInfo& vm : list.m_vms) {
+        for (const FormerWatch& watch : std::vector<FormerWatch>(owner.m_formers)) {
+            if (vm.m_role == VmRole::Entry && vm.m_state == VmState::Gone && vm.m_name == watch.m_former.m_member)
+                noteFormerStopped(owner, watch.m_former.m_instance, now);
+        }
+    }
     owner.m_isScheduleDue = true;
 }
 
-void noteFormerStopped(ShardOwner& owner, TimePoint now)
+void noteFormerStopped(ShardOwner& owner, InstanceId former, TimePoint now)
 {
-    if (owner.m_isFormerStopped)
+    const auto found = std::find_if(owner.m_formers.begin(), owner.m_formers.end(), [former](const FormerWatch& watch) { return watch.m_former.m_instance == former; });
+    if (found == owner.m_formers.end() || found->m_isStopped)
         return;
-    owner.m_isFormerStopped = true;
-    owner.m_formerStoppedAt = now;
+    found->m_isStopped = true;
+    logEvent(LogLevel::Info, "former-owner-stopped", { { "shard", owner.m_state.m_shard }, { "former", found->m_former.m_member } });
+    const TimePoint logNow = owner.m_claimLogTime + (now - owner.m_ownedSince);
+    const bool hadNoTime = found->m_former.m_hasReleased || logNow - found->m_former.m_lastEntryLogTime < owner.m_options.m_unjournaledAfter;
+    owner.m_hasUnjournaledWindow = owner.m_hasUnjournaledWindow || !hadNoTime;
+    const bool areAllStopped = std::all_of(owner.m_formers.begin(), owner.m_formers.end(), [](const FormerWatch& watch) { return watch.m_isStopped; });
+    if (!areAllStopped)
+        return;
+    owner.m_mayHaveUnjournaled = owner.m_hasUnjournaledWindow;
     owner.m_inheritedUntil = now + requestTimeLimit;
     const TimePoint lapsed = now + owner.m_policy->m_limits.m_lease + owner.m_options.m_callTimeout;
     for (Worker& worker : owner.m_workers)
         worker.m_leaseEnd = std::min(worker.m_leaseEnd, lapsed);
-    logEvent(LogLevel::Info, "former-owner-stopped", { { "shard", owner.m_state.m_shard }, { "former", owner.m_former.m_member } });
+}
+
+void noteContact(ShardOwner& owner, bool isSuspect, bool hasMajority)
+{
+    owner.m_isSuspect = isSuspect;
+    owner.m_hasMajority = hasMajority;
 }
 
 void step(ShardOwner& owner, TimePoint now, Effects& effects)
@@ -159,6 +206,8 @@
         detail::stepRequests(owner, now, effects);
         detail::stepWaiters(owner, now, effects);
         queueForget(owner, now);
+        queueFence(owner);
+        queueKeepalive(owner, now);
     }
     if (now >= owner.m_nextScheduleAt + idleScheduleInterval)
         owner.m_isScheduleDue = true;
--- a/src/process/owner_base.h
+++ b/src/process/owner_base.h
@@ -27,18 +27,18 @@
     Duration m_leaseMargin { 1'000 }; ///< Allows for clocks that run at slightly different speeds.
     Duration m_logSlowAfter { 1'500 }; ///< An append out for longer makes new acceptances be refused at once.
     Duration m_unjournaledAfter { 10'000 }; ///< An append out for longer allows idempotent tasks to start unjournaled.
+    Duration m_readFreshness { 1'000 }; ///< While suspect, dispatches need a read of the stream not older than this.
+    Duration m_dispatchWindow { 1'500 }; ///< A dispatch that arrives later than this is refused by the runner.
     Duration m_answerMemory { 60'000 }; ///< How long whole answers are kept for retries.
     std::size_t m_answerMemoryBytes = 16 * 1024 * 1024; ///< How many bytes of whole answers are kept.
     std::uint64_t m_seed = 1; ///< Seed of random choices.
+    Duration m_wallOffset; ///< What the calendar clock is ahead of the monotonic one.
 };
 
-/** Who owned the term before. */
-struct FormerOwner {
-    InstanceId m_instance; ///< The process, 0 when there was none.
-    std::string m_member; ///< Name of its VM.
-    Address m_address; ///< Where it listened.
-    bool m_hasReleased = false; ///< It gave the term up itself.
-    TimePoint m_lastEntryLogTime; ///< When the log took its latest entry, on the log's clock.
+/** A former owner that may not know yet that its term is over. */
+struct FormerWatch {
+    FormerOwner m_former; ///< Who it is.
+    bool m_isStopped = false; ///< Proved to have stopped renewing leases and dispatching.
 };
 
 /** A caller's wait for a change of a job. */
@@ -141,12 +141,20 @@
     bool m_isDeposed = false; ///< Another term has begun; nothing may be sent any more.
     bool m_isReleasing = false; ///< No new decision; the release is being appended.
     TimePoint m_ownedSince; ///< Monotonic time at which the term was confirmed.
-
-    // The former owner.
-    FormerOwner m_former; ///< Who it was.
-    bool m_isFormerStopped = false; ///< Proved to have stopped renewing leases.
-    TimePoint m_formerStoppedAt; ///< Monotonic time of the proof.
-    bool m_mayHaveUnjournaled = false; ///< It may have started idempotent tasks without a record.
+    TimePoint m_claimLogTime; ///< When the log took the claim, on the log's clock.
+
+    // Former owners that some endpoint may still obey.
+    std::vector<FormerWatch> m_formers; ///< Empty once every endpoint obeys this term.
+    bool m_mayHaveUnjournaled = false; ///< One of them may have started idempotent tasks without a record.
+    bool m_hasUnjournaledWindow = false; ///< One of those that have stopped had time to do so.
+    bool m_isFenceQueued = false; ///< The record that they are fenced is on its way.
+
+    // Contact with the other daemons.
+    bool m_isSuspect = false; ///< Another daemon is silent and might have claimed the shard unheard.
+    bool m_hasMajority = true; ///< More than half of the known daemons are heard.
+    TimePoint m_readAt; ///< Monotonic time at which the latest read that reached the end of the stream was sent.
+    TimePoint m_readSentAt; ///< Monotonic time at which the latest read was sent.
+    TimePoint m_nextKeepaliveAt; ///< Monotonic time of the next empty entry while suspect.
 
     TimePoint m_nextForgetAt; ///< Monotonic time of the next look for what may be forgotten.
 
--- a/src/process/owner_detail.h
+++ b/src/process/owner_detail.h
@@ -16,6 +16,12 @@
 /** @return Whether an append has been out so long that new work can't be accepted. */
 bool isLogSlow(const ShardOwner& owner, TimePoint now);
 
+/**
+ * @return Whether work may be begun without a record on the log: not while the shard may have been claimed unheard,
+ * which is when other daemons are silent, most of them are, and the stream was not read to its end just now.
+ */
+bool mayActUnrecorded(const ShardOwner& owner, TimePoint now);
+
 /** @return Whether idempotent tasks may start before their placement is confirmed. */
 bool mayStartUnjournaled(const ShardOwner& owner, TimePoint now);
 
@@ -75,6 +81,9 @@
 /** Releases, stops or queues the tasks of a gang after one of them changed. */
 void reviewGang(ShardOwner& owner, const Job& job, TimePoint now);
 
+/** @return How many tasks of this size the listed workers hold when they are empty. */
+std::int64_t countRoom(const ShardOwner& owner, const Resources& size);
+
 /** Places waiting tasks on workers. */
 void schedule(ShardOwner& owner, TimePoint now);
 
--- a/src/process/owner_func.h
+++ b/src/process/owner_func.h
@@ -9,10 +9,10 @@
  * Makes the owner of a shard whose claim was confirmed.
  * @param options Names and times.
  * @param state The journal's state, replayed to the claim.
- * @param former Who owned the term before.
+ * @param policy Settings in force.
  * @param now Monotonic time.
  */
-ShardOwner makeOwner(const OwnerOptions& options, ShardState state, const FormerOwner& former, SharedPolicy policy, TimePoint now);
+ShardOwner makeOwner(const OwnerOptions& options, ShardState state, SharedPolicy policy, TimePoint now);
 
 /** Takes over a new version of the settings. */
 void setPolicy(ShardOwner& owner, SharedPolicy policy);
@@ -20,8 +20,11 @@
 /** Takes over a new version of the platform's list of VMs. */
 void setVmList(ShardOwner& owner, const VmList& list, TimePoint now);
 
-/** Notes that the former owner is proved to have stopped renewing leases. */
-void noteFormerStopped(ShardOwner& owner, TimePoint now);
+/** Notes that a former owner is proved to have stopped renewing leases and dispatching. */
+void noteFormerStopped(ShardOwner& owner, InstanceId former, TimePoint now);
+
+/** Notes which of the other daemons are heard; an owner that might have been superseded unheard acts with more care. */
+void noteContact(ShardOwner& owner, bool isSuspect, bool hasMajority);
 
 /** Does what is due: appends, placements, adoptions, polls, deadlines. */
 void step(ShardOwner& owner, TimePoint now, Effects& effects);
--- a/src/process/owner_jobs.cpp
+++ b/src/process/owner_jobs.cpp
@@ -28,24 +28,6 @@
             return std::to_string(size.m_cpuMilli) + " thousandths of a core, " + std::to_string(size.m_memoryMb) + " MiB and " + std::to_string(size.m_gpus) + " GPUs";
         }
 
-        /** @return How many tasks of this size the workers hold when they are empty. */
-        std::int64_t countRoom(const ShardOwner& owner, const Resources& size)
-        {
-            std::int64_t room = 0;
-            for (const Worker& worker : owner.m_workers) {
-                if (!worker.m_isListed || worker.m_vm.m_state == VmState::Gone)
-                    continue;
-                const Resources capacity = worker.m_boot != 0 ? worker.m_capacity : worker.m_vm.m_capacity;
-                if (!fitsInto(size, capacity))
-                    continue;
-                std::int64_t fits = std::min(capacity.m_cpuMilli / size.m_cpuMilli, capacity.m_memoryMb / size.m_memoryMb);
-                if (size.m_gpus > 0)
-                    fits = std::min(fits, capacity.m_gpus / size.m_gpus);
-                room += fits;
-            }
-            return room;
-        }
-
         Resources largestWorker(const ShardOwner& owner)
         {
             Resources largest;
@@ -288,6 +270,23 @@
 
     } // namespace
 
+    std::int64_t countRoom(const ShardOwner& owner, const Resources& size)
+    {
+        std::int64_t room = 0;
+        for (const Worker& worker : owner.m_workers) {
+            if (!worker.m_isListed || worker.m_vm.m_state == VmState::Gone)
+                continue;
+            const Resources capacity = worker.m_boot != 0 ? worker.m_capacity : worker.m_vm.m_capacity;
+            if (!fitsInto(size, capacity))
+                continue;
+            std::int64_t fits = std::min(capacity.m_cpuMilli / size.m_cpuMilli, capacity.m_memoryMb / size.m_memoryMb);
+            if (size.m_gpus > 0)
+                fits = std::min(fits, capacity.m_gpus / size.m_gpus);
+            room += fits;
+        }
+        return room;
+    }
+
     void answerError(Effects& effects, CallerToken caller, const Error& error, RunCertainty certainty, Duration retryAfter)
     {
         effects.m_answers.push_back({ .m_caller = caller, .m_answer = ErrorAnswer { .m_error = error, .m_certainty = certainty, .m_retryAfter = retryAfter } });
--- a/src/process/owner_journal.cpp
+++ b/src/process/owner_journal.cpp
@@ -16,6 +16,7 @@
         constexpr Duration appendRetryFirst { 100 };
         constexpr Duration appendRetryLongest { 2'000 };
         constexpr Duration idleReadInterval { 5'000 };
+        constexpr Duration suspectReadInterval { 300 };
 
         void send(ShardOwner& owner, TimePoint now, Effects& effects)
         {
@@ -30,7 +31,7 @@
 
         void startAppend(ShardOwner& owner, TimePoint now, Effects& effects)
         {
-            JournalEntry entry { .m_epoch = owner.m_state.m_epoch, .m_writer = owner.m_options.m_instance, .m_sequence = ++owner.m_lastSequence, .m_wall = wallNow(), .m_records = {} };
+            JournalEntry entry { .m_epoch = owner.m_state.m_epoch, .m_writer = owner.m_options.m_instance, .m_sequence = ++owner.m_lastSequence, .m_wall = toWall(now, owner.m_options.m_wallOffset), .m_records = {} };
             const std::size_t count = std::min(owner.m_outbox.size(), entryRecordLimit);
             const auto end = owner.m_outbox.begin() + static_cast<std::ptrdiff_t>(count);
             entry.m_records.assign(std::make_move_iterator(owner.m_outbox.begin()), std::make_move_iterator(end));
@@ -43,6 +44,12 @@
             send(owner, now, effects);
         }
 
+        void onFenced(ShardOwner& owner)
+        {
+            owner.m_formers.clear();
+            owner.m_mayHaveUnjournaled = false;
+        }
+
         void confirmRecord(ShardOwner& owner, const Record& record, const Expected<void>& result, TimePoint now, Effects& effects)
         {
             if (const auto* accept = std::get_if<AcceptJobRecord>(&record))
@@ -53,6 +60,8 @@
                 onOutcomeConfirmed(owner, *outcome, now, effects);
             else if (const auto* cancel = std::get_if<CancelJobRecord>(&record))
                 onCancelConfirmed(owner, *cancel, now, effects);
+            else if (std::holds_alternative<FencedRecord>(record))
+                onFenced(owner);
             else if (const auto* intent = std::get_if<IntendRequestRecord>(&record))
                 onIntentConfirmed(owner, *intent, result.has_value(), now, effects);
         }
@@ -94,12 +103,15 @@
         void stepReader(ShardOwner& owner, TimePoint now, Effects& effects)
         {
             StreamReader& reader = owner.m_reader;
+            if (owner.m_isSuspect)
+                reader.m_nextAt = std::min(reader.m_nextAt, now + suspectReadInterval);
             if (reader.m_isOut || (!reader.m_isNeeded && now < reader.m_nextAt))
                 return;
             reader.m_isOut = true;
             reader.m_isNeeded = false;
             reader.m_ticket = ++owner.m_lastTicket;
-            reader.m_nextAt = now + idleReadInterval;
+            reader.m_nextAt = now + (owner.m_isSuspect ? suspectReadInterval : idleReadInterval);
+            owner.m_readSentAt = now;
             effects.m_reads.push_back({ .m_stream = "journal." + owner.m_state.m_shard, .m_from = owner.m_state.m_next, .m_waitFor = {}, .m_ticket = reader.m_ticket });
         }
 
@@ -128,9 +140,14 @@
         return owner.m_append && now - owner.m_append->m_firstSentAt > owner.m_options.m_logSlowAfter;
     }
 
+    bool mayActUnrecorded(const ShardOwner& owner, TimePoint now)
+    {
+        return !owner.m_isSuspect || owner.m_hasMajority || now - owner.m_readAt < owner.m_options.m_readFreshness;
+    }
+
     bool mayStartUnjournaled(const ShardOwner& owner, TimePoint now)
     {
-        return owner.m_append && now - owner.m_append->m_firstSentAt > owner.m_options.m_unjournaledAfter
+        return mayActUnrecorded(owner, now) && owner.m_append && now - owner.m_append->m_firstSentAt > owner.m_options.m_unjournaledAfter
             && now - owner.m_lastConfirmedAt > owner.m_options.m_unjournaledAfter;
     }
 
@@ -174,6 +191,8 @@
     const bool isBehind = owner.m_state.m_next < result->m_end;
     if (isBehind)
         owner.m_reader.m_isNeeded = true;
+    else
+        owner.m_readAt = owner.m_readSentAt;
     if (owner.m_isDeposed)
         detail::moveCallers(owner, effects);
 }
--- a/src/process/owner_requests.cpp
+++ b/src/process/owner_requests.cpp
@@ -15,8 +15,7 @@
 
     namespace {
 
-        constexpr Duration dispatchWindow { 3'000 };
-        constexpr Duration clockMargin { 60'000 };
+            constexpr Duration clockMargin { 60'000 };
         constexpr Duration retrySoon { 500 };
         constexpr double retryShare = 0.1;
         constexpr double retryBurst = 10;
@@ -125,7 +124,8 @@
                 const auto known = owner.m_state.m_requests.find(call.m_key);
                 return known != owner.m_state.m_requests.end() && known->second.m_state == RequestState::Intended;
             }
-            return call.m_attempt > 1 && owner.m_former.m_instance.m_value != 0 && mayBeRunning(owner, call.m_key, now);
+            const bool mayHaveTwin = call.m_attempt > 1 || now < owner.m_ownedSince + owner.m_options.m_readFreshness + owner.m_options.m_dispatchWindow * 2;
+            return mayHaveTwin && !owner.m_formers.empty() && mayBeRunning(owner, call.m_key, now);
         }
 
         std::optional<RunAnswer> answerFromRecord(const RequestRecord& record)
@@ -145,11 +145,11 @@
         }
 
         /** Keys are remembered for a limited time, so that an old retry may meet a key that is unknown though it ran. */
-        bool mayBeForgotten(const ShardOwner& owner, const RunCall& call)
+        bool mayBeForgotten(const ShardOwner& owner, const RunCall& call, TimePoint now)
         {
             if (call.m_isIdempotent || call.m_attempt <= 1 || owner.m_state.m_requestHorizon.m_ms == 0)
                 return false;
-            return !call.m_age || wallNow() - *call.m_age - clockMargin < owner.m_state.m_requestHorizon;
+            return !call.m_age || toWall(now, owner.m_options.m_wallOffset) - *call.m_age - clockMargin < owner.m_state.m_requestHorizon;
         }
 
         std::uint32_t countSlots(const ShardOwner& owner)
@@ -268,12 +268,12 @@
             call.m_boot = runner.m_boot;
             call.m_dispatch = request.m_dispatch;
             call.m_timeLimit = request.m_deadline - now;
-            call.m_validUntil = runner.m_lastClock + (now - runner.m_lastSent) + dispatchWindow;
+            call.m_validUntil = runner.m_lastClock + (now - runner.m_lastSent) + owner.m_options.m_dispatchWindow;
             call.m_target = request.m_call.m_target;
             call.m_body = request.m_call.m_body;
             request.m_phase = RequestPhase::Dispatched;
             request.m_dispatchedAt = now;
-            request.m_stopsBy = now + dispatchWindow + call.m_timeLimit;
+            request.m_stopsBy = now + owner.m_options.m_dispatchWindow + call.m_timeLimit;
             request.m_mayHaveRun = true;
             ++request.m_dispatches;
             ++owner.m_counters.m_dispatches;
@@ -281,6 +281,7 @@
                 owner.m_retryBudget = std::min(owner.m_retryBudget + retryShare, retryBurst);
                 owner.m_observations.push_back({ .m_metric = ObservedSpan::RequestWait, .m_team = request.m_call.m_team, .m_workClass = request.m_call.m_workClass, .m_seconds = static_cast<double>((now - request.m_arrivedAt).m_ms) / 1000.0 });
             }
+            logEvent(LogLevel::Debug, "request-dispatched", { { "request", request.m_call.m_key }, { "dispatch", request.m_dispatch }, { "runner", runner.m_name }, { "by", owner.m_options.m_member }, { "attempt", request.m_call.m_attempt } });
             effects.m_dispatches.push_back({ .m_link = runnerLink(owner, runner), .m_call = std::move(call), .m_sentAt = now });
         }
 
@@ -332,7 +333,7 @@
 
         void serveQueue(ShardOwner& owner, TimePoint now, Effects& effects)
         {
-            if (owner.m_queuedRequests == 0 || owner.m_isReleasing)
+            if (owner.m_queuedRequests == 0 || owner.m_isReleasing || !mayActUnrecorded(owner, now))
                 return;
             std::vector<RunnerOffer> offers = listOffers(owner, now);
             while (!offers.empty() && !owner.m_requestLanes.empty()) {
@@ -488,7 +489,7 @@
                 return;
             }
         }
-        if (mayBeForgotten(owner, call)) {
+        if (mayBeForgotten(owner, call, now)) {
             effects.m_answers.push_back({ .m_caller = caller, .m_answer = certain(RunCertainty::Unknown, ErrorKind::UnknownName, "the key \"" + call.m_key + "\" may be older than what is remembered", "find out at the service whether it ran; send new work under a new key as attempt 1") });
             return;
         }
--- a/src/process/owner_runners.cpp
+++ b/src/process/owner_runners.cpp
@@ -89,7 +89,9 @@
                 logEvent(LogLevel::Info, "runner-replaced", { { "runner", runner.m_name } });
             runner.m_foreign.clear();
             for (const std::string& id : report.m_inFlight) {
-                if (!owner.m_dispatches.contains(id))
+                const auto open = owner.m_dispatches.find(id);
+                const bool isCounted = open != owner.m_dispatches.end() && open->second.m_holdsSlot;
+                if (!isCounted)
                     runner.m_foreign.insert(id);
             }
             for (const std::string& id : unansweredAt(owner, index)) {
--- a/src/process/owner_schedule.cpp
+++ b/src/process/owner_schedule.cpp
@@ -114,10 +114,12 @@
         return std::any_of(pass.m_misfits.begin(), pass.m_misfits.end(), [&size](const Resources& misfit) { return fitsInto(misfit, size); });
     }
 
+    /** The learned size, unless no worker is large enough for it; the declared one was checked at submission. */
     Resources sizeOf(const ShardOwner& owner, const JobSpec& spec)
     {
         const auto usage = owner.m_state.m_usage.find(usageKey(spec));
-        return estimateSize(usage == owner.m_state.m_usage.end() ? nullptr : &usage->second, spec.m_declared);
+        const Resources size = estimateSize(usage == owner.m_state.m_usage.end() ? nullptr : &usage->second, spec.m_declared);
+        return countRoom(owner, size) > 0 ? size : spec.m_declared;
     }
 
     SpreadCounts countPlaced(const ShardOwner& owner, const Job& job)
@@ -182,6 +184,16 @@
             queueRecord(owner, PlaceRecord { std::move(placements) });
     }
 
+    /** Takes a worker that is to be avoided only when there is no other. */
+    std::size_t chooseGently(const std::vector<WorkerOffer>& offers, PlacementQuery query, std::mt19937_64& random)
+    {
+        const std::size_t offer = chooseWorker(offers, query, random);
+        if (offer != noOffer || !query.m_avoid)
+            return offer;
+        query.m_avoid = nullptr;
+        return chooseWorker(offers, query, random);
+    }
+
     /** @return Whether the job may get another turn in this pass. */
     bool placeTurn(ShardOwner& owner, Pass& pass, const Job& job)
     {
@@ -200,9 +212,9 @@
         bool mayGoOn = true;
         while (placements.size() < tasksPerTurn && !queued.m_tasks.empty()) {
             mayGoOn = isWithinQuota(owner, job.m_spec, size) && !isKnownMisfit(pass, size);
-            const std::size_t offer = mayGoOn ? chooseWorker(pass.m_offers, query, owner.m_random) : noOffer;
+            const std::size_t offer = mayGoOn ? chooseGently(pass.m_offers, query, owner.m_random) : noOffer;
             if (offer == noOffer) {
-                if (mayGoOn && avoid.empty())
+                if (mayGoOn)
                     pass.m_misfits.push_back(size);
                 mayGoOn = false;
                 break;
@@ -221,7 +233,10 @@
     void placeGang(ShardOwner& owner, Pass& pass, const Job& job)
     {
         QueuedJob& queued = owner.m_queue.at(job.m_number);
-        const Resources size = sizeOf(owner, job.m_spec);
+        Resources size = sizeOf(owner, job.m_spec);
+        const bool isTooLarge = countRoom(owner, size) < static_cast<std::int64_t>(queued.m_tasks.size());
+        if (isTooLarge)
+            size = job.m_spec.m_declared;
         if (!isWithinQuota(owner, job.m_spec, size * static_cast<std::int64_t>(queued.m_tasks.size())))
             return;
         const PlacementQuery query { .m_size = size, .m_policy = classOf(owner, job.m_spec).m_placement };
--- a/src/process/owner_workers.cpp
+++ b/src/process/owner_workers.cpp
@@ -311,7 +311,7 @@
         if (isNew) {
             owner.m_workers.emplace_back();
             owner.m_workers.back().m_name = name;
-            if (owner.m_former.m_instance.m_value != 0)
+            if (!owner.m_formers.empty())
                 owner.m_workers.back().m_leaseEnd = farFuture;
         }
         return found->second;
--- a/src/process/shard_state_base.h
+++ b/src/process/shard_state_base.h
@@ -11,6 +11,15 @@
 
 namespace bulrushloft {
 
+/** An owner whose term was superseded. */
+struct FormerOwner {
+    InstanceId m_instance; ///< The process.
+    std::string m_member; ///< Name of its VM.
+    Address m_address; ///< Where it listened.
+    bool m_hasReleased = false; ///< It gave the term up itself.
+    TimePoint m_lastEntryLogTime; ///< When the log took its latest entry, on the log's clock.
+};
+
 /** State of a shard by replay; depends on nothing but the entries of its stream. */
 struct ShardState {
     std::string m_shard; ///< Name of the shard.
@@ -22,6 +31,7 @@
     bool m_isReleased = false; ///< The owner has given the term up.
     std::uint64_t m_lastSequence = 0; ///< Highest sequence of the current owner that was applied.
     TimePoint m_lastEntryLogTime; ///< When the log took the latest applied entry, on the log's clock.
+    std::vector<FormerOwner> m_formers; ///< Owners that some endpoint may still obey, the latest last.
 
     JobNumber m_nextJob { 1 }; ///< Number of the next accepted job.
     std::map<JobNumber, Job> m_jobs; ///< All jobs that are not forgotten.
--- a/src/process/snapshot.cpp
+++ b/src/process/snapshot.cpp
@@ -79,9 +79,9 @@
         Json histories = Json::array();
         for (const auto& [key, history] : state.m_usage) {
             Json samples = Json::array();
-            for (const TaskUsage& sample : history.m_samples)
-                samples.push_back(encodeUsage(sample));
-            histories.push_back(Json::array({ key, std::move(samples), history.m_count, history.m_largestOutOfMemoryMb }));
+            for (const UsageSample& sample : history.m_samples)
+                samples.push_back(Json::array({ sample.m_cpuPermille, sample.m_memoryPermille, sample.m_runTime.m_ms }));
+            histories.push_back(Json::array({ key, std::move(samples), history.m_count, history.m_outOfMemoryPermille }));
         }
         return histories;
     }
@@ -90,10 +90,12 @@
     {
         for (const Json& row : rows) {
             UsageHistory& history = state.m_usage[row.at(0)];
-            for (std::size_t i = 0; i < estimateSampleCount; ++i)
-                history.m_samples.at(i) = decodeUsage(row.at(1).at(i));
+            for (std::size_t i = 0; i < estimateSampleCount; ++i) {
+                const Json& sample = row.at(1).at(i);
+                history.m_samples.at(i) = { .m_cpuPermille = sample.at(0), .m_memoryPermille = sample.at(1), .m_runTime = { sample.at(2) } };
+            }
             history.m_count = row.at(2);
-            history.m_largestOutOfMemoryMb = row.at(3);
+            history.m_outOfMemoryPermille = row.at(3);
         }
     }
 
@@ -104,6 +106,20 @@
         }
     }
 
+    Json encodeFormers(const ShardState& state)
+    {
+        Json formers = Json::array();
+        for (const FormerOwner& former : state.m_formers)
+            formers.push_back(Json::array({ former.m_instance.m_value, former.m_member, former.m_address.m_host, former.m_address.m_port, former.m_hasReleased, former.m_lastEntryLogTime.m_ms }));
+        return formers;
+    }
+
+    void decodeFormers(const Json& rows, ShardState& state)
+    {
+        for (const Json& row : rows)
+            state.m_formers.push_back({ .m_instance = { row.at(0).get<std::uint64_t>() }, .m_member = row.at(1), .m_address = { row.at(2), row.at(3) }, .m_hasReleased = row.at(4), .m_lastEntryLogTime = { row.at(5) } });
+    }
+
     ShardState decodeState(const Json& whole)
     {
         ShardState state;
@@ -127,6 +143,7 @@
         }
         decodeRequests(whole.at(15), state);
         decodeHistories(whole.at(16), state);
+        decodeFormers(whole.at(17), state);
         for (WorkerIndex index = 0; index < state.m_workerNames.size(); ++index)
             state.m_workerByName[state.m_workerNames[index]] = index;
         return state;
@@ -139,7 +156,7 @@
     const Json whole = Json::array({ formatVersion, state.m_shard, state.m_next.m_value, state.m_epoch.m_value, state.m_owner.m_value,
         state.m_ownerMember, state.m_ownerAddress.m_host, state.m_ownerAddress.m_port, state.m_isReleased, state.m_lastSequence,
         state.m_lastEntryLogTime.m_ms, state.m_nextJob.m_value, state.m_requestHorizon.m_ms, state.m_workerNames, encodeJobs(state),
-        encodeRequests(state), encodeHistories(state) });
+        encodeRequests(state), encodeHistories(state), encodeFormers(state) });
     std::string bytes;
     Json::to_cbor(whole, bytes);
     return bytes;
--- a/src/request/estimate.cpp
+++ b/src/request/estimate.cpp
@@ -13,12 +13,26 @@
     constexpr std::int64_t smallestCpuMilli = 50;
     constexpr std::int64_t smallestMemoryMb = 16;
     constexpr std::int64_t runTimePercentile = 80;
+    constexpr std::int64_t largestFactor = 4;
 
     std::size_t sampleCount(const UsageHistory& history)
     {
         return std::min<std::size_t>(history.m_count, estimateSampleCount);
     }
 
+    constexpr std::int64_t permille = 1'000;
+
+    /** Rounded up, so that an estimate is never below what was used. */
+    std::int64_t toPermille(std::int64_t amount, std::int64_t declared)
+    {
+        return declared > 0 ? (amount * permille + declared - 1) / declared : 0;
+    }
+
+    std::int64_t fromPermille(std::int64_t part, std::int64_t declared)
+    {
+        return (part * declared + permille - 1) / permille;
+    }
+
     template <typename Field>
     std::int64_t largest(const UsageHistory& history, Field field)
     {
@@ -30,15 +44,18 @@
 
 } // namespace
 
-void addUsage(UsageHistory& history, const TaskUsage& usage)
+void addUsage(UsageHistory& history, const Resources& declared, const TaskUsage& usage)
 {
-    history.m_samples[history.m_count % estimateSampleCount] = usage;
+    UsageSample& sample = history.m_samples[history.m_count % estimateSampleCount];
+    sample.m_cpuPermille = toPermille(usage.m_peakCpuMilli, declared.m_cpuMilli);
+    sample.m_memoryPermille = toPermille(usage.m_peakMemoryMb, declared.m_memoryMb);
+    sample.m_runTime = usage.m_runTime;
     ++history.m_count;
 }
 
-void addOutOfMemory(UsageHistory& history, std::int64_t grantedMb)
+void addOutOfMemory(UsageHistory& history, const Resources& declared, std::int64_t grantedMb)
 {
-    history.m_largestOutOfMemoryMb = std::max(history.m_largestOutOfMemoryMb, grantedMb);
+    history.m_outOfMemoryPermille = std::max(history.m_outOfMemoryPermille, toPermille(grantedMb, declared.m_memoryMb));
 }
 
 Resources estimateSize(const UsageHistory* history, const Resources& declared)
@@ -47,13 +64,16 @@
     if (!history)
         return size;
     if (history->m_count >= samplesBeforeTrust) {
-        const std::int64_t cpu = largest(*history, [](const TaskUsage& usage) { return usage.m_peakCpuMilli; });
-        const std::int64_t memory = largest(*history, [](const TaskUsage& usage) { return usage.m_peakMemoryMb; });
-        size.m_cpuMilli = std::max(smallestCpuMilli, cpu * headroomPercent / 100);
-        size.m_memoryMb = std::max(smallestMemoryMb, memory * headroomPercent / 100);
+        const std::int64_t cpu = largest(*history, [](const UsageSample& sample) { return sample.m_cpuPermille; });
+        const std::int64_t memory = largest(*history, [](const UsageSample& sample) { return sample.m_memoryPermille; });
+        size.m_cpuMilli = std::max(smallestCpuMilli, fromPermille(cpu * headroomPercent / 100, declared.m_cpuMilli));
+        size.m_memoryMb = std::max(smallestMemoryMb, fromPermille(memory * headroomPercent / 100, declared.m_memoryMb));
     }
-    if (history->m_largestOutOfMemoryMb > 0)
-        size.m_memoryMb = std::max(size.m_memoryMb, history->m_largestOutOfMemoryMb * 2);
+    if (history->m_outOfMemoryPermille > 0)
+        size.m_memoryMb = std::max(size.m_memoryMb, fromPermille(history->m_outOfMemoryPermille * 2, declared.m_memoryMb));
+    // A task that uses all it gets would otherwise be granted more each time.
+    size.m_cpuMilli = std::min(size.m_cpuMilli, declared.m_cpuMilli * largestFactor);
+    size.m_memoryMb = std::min(size.m_memoryMb, declared.m_memoryMb * largestFactor);
     return size;
 }
 
--- a/src/request/estimate_func.h
+++ b/src/request/estimate_func.h
@@ -8,21 +8,23 @@
 /**
  * Adds the use of one attempt that ran to its end.
  * @param history Uses of the program so far.
+ * @param declared What the attempt's job declared.
  * @param usage What the attempt used.
  */
-void addUsage(UsageHistory& history, const TaskUsage& usage);
+void addUsage(UsageHistory& history, const Resources& declared, const TaskUsage& usage);
 
 /**
  * Notes that a grant was too small.
+ * @param declared What the attempt's job declared.
  * @param grantedMb The grant that was exceeded, in MiB.
  */
-void addOutOfMemory(UsageHistory& history, std::int64_t grantedMb);
+void addOutOfMemory(UsageHistory& history, const Resources& declared, std::int64_t grantedMb);
 
 /**
  * Chooses what to grant to the next task of a program.
  * @param history Uses of the program, or nullptr when it never ran.
  * @param declared The declared size; used until enough uses are known.
- * @return Processors and memory that the task is expected to need; GPUs as declared.
+ * @return Processors and memory that the task is expected to need, at most four times what is declared; GPUs as declared.
  */
 Resources estimateSize(const UsageHistory* history, const Resources& declared);
 
--- a/src/request/job_cmd.cpp
+++ b/src/request/job_cmd.cpp
@@ -91,6 +91,14 @@
             job.m_isAbandoned = true;
     }
 
+    /** A task that was granted less memory than it declared is not to blame for running out of it. */
+    bool isFailureOfJob(const Job& job, const TaskRecord& task, TaskResult result)
+    {
+        if (result == TaskResult::OutOfMemory)
+            return task.m_grant.m_memoryMb >= job.m_spec.m_declared.m_memoryMb;
+        return result == TaskResult::Failed;
+    }
+
     /** @return The state of a task whose attempt ended without being done. */
     TaskState stateAfterLoss(const Job& job, const TaskRecord& task, TaskResult result)
     {
@@ -106,7 +114,7 @@
         }
         if (job.m_isAbandoned)
             return endWithoutRerun(task);
-        const bool isExhausted = hasFailed && job.m_spec.m_kind != JobKind::Service && task.m_failures >= job.m_spec.m_failureLimit;
+        const bool isExhausted = isFailureOfJob(job, task, result) && job.m_spec.m_kind != JobKind::Service && task.m_failures >= job.m_spec.m_failureLimit;
         return isExhausted ? TaskState::Failed : TaskState::Waiting;
     }
 
@@ -114,9 +122,9 @@
     {
         const bool isKnown = outcome.m_usage.m_runTime.m_ms > 0 || outcome.m_usage.m_peakMemoryMb > 0;
         if (outcome.m_result == TaskResult::Done && isKnown)
-            addUsage(state.m_usage[usageKey(job.m_spec)], outcome.m_usage);
+            addUsage(state.m_usage[usageKey(job.m_spec)], job.m_spec.m_declared, outcome.m_usage);
         if (outcome.m_result == TaskResult::OutOfMemory)
-            addOutOfMemory(state.m_usage[usageKey(job.m_spec)], task.m_grant.m_memoryMb);
+            addOutOfMemory(state.m_usage[usageKey(job.m_spec)], job.m_spec.m_declared, task.m_grant.m_memoryMb);
     }
 
     void recordOutcome(ShardState& state, const TaskOutcome& outcome, TimePoint wall)
@@ -128,7 +136,7 @@
         learnFrom(state, job, *task, outcome);
         const bool neverStarted = outcome.m_result == TaskResult::NeverStarted;
         task->m_mayHaveRun = task->m_mayHaveRun || !neverStarted;
-        if (outcome.m_result == TaskResult::Failed || outcome.m_result == TaskResult::OutOfMemory)
+        if (isFailureOfJob(job, *task, outcome.m_result))
             noteFailure(job, *task);
         if (outcome.m_result == TaskResult::Done && job.m_spec.m_kind != JobKind::Service)
             moveTask(job, *task, TaskState::Done);
--- a/tests/fakes/fake_worker.h
+++ b/tests/fakes/fake_worker.h
@@ -66,7 +66,7 @@
     FinishedTask finished { .m_ref = ref, .m_result = task.m_isHeld ? TaskResult::NeverStarted : result };
     if (!task.m_isHeld) {
         const std::string& payload = task.m_start.m_payload;
-        finished.m_usage = { .m_peakCpuMilli = payloadNumber(payload, "cpu", task.m_start.m_grant.m_cpuMilli), .m_peakMemoryMb = payloadNumber(payload, "mem", task.m_start.m_grant.m_memoryMb), .m_runTime = now - task.m_startedAt };
+        finished.m_usage = { .m_peakCpuMilli = std::min(payloadNumber(payload, "cpu", task.m_start.m_grant.m_cpuMilli * 8 / 10), task.m_start.m_grant.m_cpuMilli), .m_peakMemoryMb = payloadNumber(payload, "mem", task.m_start.m_grant.m_memoryMb), .m_runTime = now - task.m_startedAt };
         worker.m_history->end(task.m_run, now, nameOf(result));
     }
     worker.m_finished[ref] = finished;
--- a/tests/fakes/history.h
+++ b/tests/fakes/history.h
@@ -45,7 +45,7 @@
     for (const RunInterval& run : history.m_runs) {
         for (const RunInterval* const other : byThing[run.m_thing]) {
             if (run.m_start < other->m_end && other->m_start < run.m_end)
-                overlaps.push_back(run.m_thing + " ran on " + other->m_endpoint + " and on " + run.m_endpoint + " at once");
+                overlaps.push_back(run.m_thing + " ran on " + other->m_endpoint + " from " + std::to_string(other->m_start.m_ms) + " and on " + run.m_endpoint + " from " + std::to_string(run.m_start.m_ms) + " at once");
         }
         byThing[run.m_thing].push_back(&run);
     }
--- /dev/null
+++ b/tests/random_world_test.cpp
@@ -0,0 +1,58 @@
+/** @file random_world_test.cpp Randomised runs of the whole system under faults; RC_PARAMS="seed=N max_success=M" chooses the runs. */
+#define BOOST_TEST_MODULE random_world
+#include "core/log_func.h"
+#include "world.h"
+
+#include <cstdlib>
+#include <iostream>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace bulrushloft;
+
+namespace {
+
+rc::Gen<Fault> anyFault()
+{
+    return rc::gen::build<Fault>(
+        rc::gen::set(&Fault::m_kind, rc::gen::map(rc::gen::inRange(0U, faultKindCount), [](unsigned kind) { return static_cast<FaultKind>(kind); })),
+        rc::gen::set(&Fault::m_atMs, rc::gen::inRange<std::int64_t>(0, 28'000)),
+        rc::gen::set(&Fault::m_lengthMs, rc::gen::inRange<std::int64_t>(100, 15'000)),
+        rc::gen::set(&Fault::m_target, rc::gen::inRange(0U, 24U)));
+}
+
+struct Setup {
+    Setup()
+    {
+        openLog({ .m_level = std::getenv("WORLD_LOG") ? LogLevel::Debug : LogLevel::Off, .m_process = "world" });
+        setenv("RC_PARAMS", "seed=20261204 max_success=25 noshrink=1", 0);
+        std::cout << "RC_PARAMS=\"" << std::getenv("RC_PARAMS") << "\"\n";
+    }
+};
+
+} // namespace
+
+BOOST_GLOBAL_FIXTURE(Setup);
+
+BOOST_AUTO_TEST_CASE(every_promise_holds_under_random_faults)
+{
+    const bool holds = rc::check("every promise holds under random faults", [] {
+        WorldOptions options;
+        options.m_seed = *rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>());
+        const int count = *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, 9));
+        options.m_faults = *rc::gen::resize(rc::kNominalSize, rc::gen::container<std::vector<Fault>>(static_cast<std::size_t>(count), anyFault()));
+        World world(options);
+        world.run();
+        const std::vector<std::string> faults = world.findFaults();
+        RC_LOG() << "world seed " << options.m_seed << ": " << world.summary() << "\n";
+        for (const Fault& fault : options.m_faults)
+            RC_LOG() << "  " << fault << "\n";
+        for (const std::string& fault : faults)
+            RC_LOG() << "  FAULT " << fault << "\n";
+        if (std::getenv("WORLD_VERBOSE"))
+            std::cout << "world seed " << options.m_seed << ": " << world.summary() << std::endl;
+        RC_ASSERT(faults.empty());
+    });
+    BOOST_TEST(holds);
+}
--- /dev/null
+++ b/tests/world.cpp
@@ -0,0 +1,1043 @@
+/** @file world.cpp The controlled world: clock, messages, faults, callers, checkers. */
+#include "world.h"
+
+#include "core/invariant.h"
+#include "core/log_func.h"
+#include "process/member_func.h"
+#include "request/job_func.h"
+#include "version/settings_func.h"
+
+#include <algorithm>
+#include <iostream>
+#include <sstream>
+
+namespace bulrushloft {
+
+namespace {
+
+    constexpr Duration callTimeout { 3'000 };
+    constexpr Duration pollStep { 40 };
+    constexpr Duration tickStep { 10 };
+    constexpr Duration checkStep { 500 };
+    constexpr Duration callerPatience { 25'000 };
+    constexpr Duration drainBound { 5'000 };
+    constexpr Duration inForceBound { 5'000 };
+
+    const std::vector<std::string> pools { "proof", "engraving" };
+    const std::vector<std::string> teams { "salto", "paysandu" };
+
+    struct TimedWork {
+        TimePoint m_at;
+        std::uint64_t m_order = 0;
+        std::function<void()> m_work;
+
+        bool operator<(const TimedWork& other) const
+        {
+            return m_at != other.m_at ? m_at > other.m_at : m_order > other.m_order;
+        }
+    };
+
+    /** A daemon's place: the process in it changes. */
+    struct NodePlace {
+        std::string m_name;
+        Address m_address;
+        std::unique_ptr<Node> m_node; ///< Null while the process is dead.
+        InstanceId m_instance;
+        TimePoint m_frozenUntil;
+        std::vector<std::function<void()>> m_waiting; ///< What arrived while it was frozen.
+        TimePoint m_nextStep;
+        std::uint64_t m_lastVersion = 0; ///< Highest settings version seen in this process.
+        bool m_isCutFromLog = false;
+        bool m_isCutFromPeers = false;
+        std::set<std::string> m_cutEndpoints;
+    };
+
+} // namespace
+
+std::ostream& operator<<(std::ostream& stream, const Fault& fault)
+{
+    constexpr const char* names[] = { "KillNode", "FreezeNode", "CutNodeFromLog", "CutNodeFromWorkers", "CutNodeFromPeers", "CutWorker", "RebootWorker", "RebootRunner", "LogOutage", "LoseAnswers", "StuckMessages", "WorkerLeaves", "RunnerLeaves", "KillAllNodes", "HandOver", "CancelJobs", "FailingWorker" };
+    return stream << names[static_cast<unsigned>(fault.m_kind)] << "(" << fault.m_target << ")@" << fault.m_atMs << "+" << fault.m_lengthMs;
+}
+
+struct World::Impl {
+    explicit Impl(WorldOptions options)
+        : m_options(std::move(options))
+        , m_random(m_options.m_seed)
+    {
+    }
+
+    // Clock and messages.
+    void at(TimePoint time, std::function<void()> work) { m_queue.push({ time, ++m_order, std::move(work) }); }
+    void after(Duration delay, std::function<void()> work) { at(m_now + delay, std::move(work)); }
+    std::int64_t pick(std::int64_t low, std::int64_t high) { return std::uniform_int_distribution<std::int64_t>(low, high)(m_random); }
+    bool chance(double share) { return std::uniform_real_distribution<double>(0, 1)(m_random) < share; }
+    Duration hop() { return { pick(0, 3) }; }
+    bool isStuck() { return m_areMessagesStuck && chance(0.05); }
+    void runUntil(TimePoint end);
+
+    // Daemons.
+    void startNode(std::size_t index);
+    void killNode(std::size_t index);
+    void deliver(std::size_t index, InstanceId instance, std::function<void(Node&, Effects&)> handle);
+    void stepNode(std::size_t index);
+    void perform(std::size_t index, Effects& effects);
+    void performLog(std::size_t index, Effects& effects);
+    void performWorkers(std::size_t index, Effects& effects);
+    void performRunners(std::size_t index, Effects& effects);
+    void performPeers(std::size_t index, Effects& effects);
+    bool isReachable(std::size_t index, const std::string& endpoint) const;
+    template <typename Answer>
+    void callEndpoint(std::size_t index, const std::string& endpoint, Duration timeout, std::function<void(std::function<void(EndpointResult<Answer>)>)> handle, std::function<void(Node&, const EndpointResult<Answer>&, Effects&)> onResult);
+    void pollWorker(FakeWorker& worker, FencingToken token, TimePoint until, TimePoint since, const std::function<void(EndpointResult<SyncWorkerAnswer>)>& respond);
+
+    // World.
+    void buildCell();
+    void publishList();
+    void setVmState(const std::string& name, VmState state);
+    void tick();
+    void check();
+    void begin(const Fault& fault);
+    void heal();
+    std::size_t nodeOf(const Fault& fault) const { return fault.m_target % m_places.size(); }
+
+    // Callers.
+    void sendWork();
+    void sendRequest();
+    void sendJob();
+    void raceChange();
+    void ask(std::size_t first, CallerCall call, TimePoint giveUpAt, std::function<void(const Expected<CallerAnswer>&)> onAnswer, TimePoint firstSentAt, std::uint32_t attempt);
+    void cancelSomeJobs();
+    bool isQuiet() const;
+    void fail(std::string what) { m_faults.push_back(std::move(what)); }
+
+    // Checkers.
+    void checkRequests();
+    void checkJobs();
+    void checkSettings();
+    void describeOwner(const std::string& shard, JobNumber number) const;
+    const ShardState* findState(const std::string& shard) const;
+
+    WorldOptions m_options;
+    std::mt19937_64 m_random;
+    TimePoint m_now { 1'000'000 };
+    std::uint64_t m_order = 0;
+    std::priority_queue<TimedWork> m_queue;
+    FakeLog m_log;
+    VmList m_list;
+    History m_tasks;
+    History m_requests;
+    std::map<std::string, FakeWorker> m_workers;
+    std::map<std::string, FakeRunner> m_runners;
+    std::vector<NodePlace> m_places;
+    std::set<std::string> m_cutWorkers;
+    std::map<std::string, TimePoint> m_leavingSince; ///< VMs that the list says are leaving, by the time at which it did.
+    bool m_areMessagesStuck = false;
+    std::uint32_t m_servicesSent = 0;
+    bool m_isHealed = false;
+    std::uint64_t m_lastCaller = 0;
+    std::uint64_t m_instanceCount = 0;
+    std::map<CallerToken, std::function<void(const Expected<CallerAnswer>&)>> m_callers;
+    std::map<CallerToken, std::pair<std::size_t, InstanceId>> m_callerNodes;
+    std::vector<std::unique_ptr<WorkNote>> m_notes;
+    std::vector<std::unique_ptr<ChangeNote>> m_changes;
+    std::vector<std::string> m_faults;
+    std::uint64_t m_steps = 0;
+};
+
+void World::Impl::runUntil(TimePoint end)
+{
+    while (!m_queue.empty() && m_queue.top().m_at <= end) {
+        const TimedWork next = m_queue.top();
+        m_queue.pop();
+        m_now = std::max(m_now, next.m_at);
+        next.m_work();
+    }
+    m_now = std::max(m_now, end);
+}
+
+void World::Impl::startNode(std::size_t index)
+{
+    NodePlace& place = m_places[index];
+    NodeOptions options { .m_cell = "test", .m_member = place.m_name, .m_address = place.m_address, .m_zone = "a" };
+    options.m_instance = InstanceId { static_cast<std::uint64_t>(m_now.m_ms) * 1'000 + ++m_instanceCount };
+    options.m_heartbeatInterval = { 500 };
+    options.m_settleTime = { 1'200 };
+    options.m_owner.m_seed = m_random();
+    options.m_owner.m_wallOffset = { 1'700'000'000'000 };
+    options.m_owner.m_unjournaledAfter = { 4'000 };
+    place.m_instance = options.m_instance;
+    place.m_node = std::make_unique<Node>(makeNode(options, m_now));
+    place.m_frozenUntil = {};
+    place.m_waiting.clear();
+    place.m_lastVersion = 0;
+    const InstanceId instance = place.m_instance;
+    after(hop(), [this, index, instance] { deliver(index, instance, [this](Node& node, Effects&) { onVmList(node, m_list, m_now); }); });
+    stepNode(index);
+}
+
+void World::Impl::killNode(std::size_t index)
+{
+    NodePlace& place = m_places[index];
+    place.m_node.reset();
+    const InstanceId instance = place.m_instance;
+    std::vector<CallerToken> cut;
+    for (const auto& [token, at] : m_callerNodes) {
+        if (at.first == index && at.second == instance)
+            cut.push_back(token);
+    }
+    for (const CallerToken token : cut) {
+        const auto onAnswer = std::move(m_callers[token]);
+        m_callers.erase(token);
+        m_callerNodes.erase(token);
+        after(hop(), [onAnswer] { onAnswer(bulrushloft::fail(ErrorKind::Unavailable, "connection closed", "")); });
+    }
+}
+
+void World::Impl::deliver(std::size_t index, InstanceId instance, std::function<void(Node&, Effects&)> handle)
+{
+    NodePlace& place = m_places[index];
+    if (!place.m_node || place.m_instance != instance)
+        return;
+    if (m_now < place.m_frozenUntil) {
+        place.m_waiting.push_back([this, index, instance, handle = std::move(handle)] { deliver(index, instance, handle); });
+        return;
+    }
+    Effects effects;
+    handle(*place.m_node, effects);
+    step(*place.m_node, m_now, effects);
+    perform(index, effects);
+}
+
+void World::Impl::stepNode(std::size_t index)
+{
+    NodePlace& place = m_places[index];
+    const InstanceId instance = place.m_instance;
+    if (!place.m_node)
+        return;
+    if (m_now < place.m_frozenUntil) {
+        at(place.m_frozenUntil, [this, index, instance] { if (m_places[index].m_instance == instance) stepNode(index); });
+        return;
+    }
+    ++m_steps;
+    const auto waiting = std::move(place.m_waiting);
+    place.m_waiting.clear();
+    for (const auto& work : waiting)
+        work();
+    Effects effects;
+    step(*place.m_node, m_now, effects);
+    perform(index, effects);
+    const TimePoint next = std::max(nextDeadline(*place.m_node, m_now), m_now + Duration { 1 });
+    at(std::min(next, m_now + Duration { 50 }), [this, index, instance] { if (m_places[index].m_instance == instance) stepNode(index); });
+}
+
+void World::Impl::perform(std::size_t index, Effects& effects)
+{
+    for (const AnswerEffect& effect : effects.m_answers) {
+        const auto found = m_callers.find(effect.m_caller);
+        if (found == m_callers.end())
+            continue;
+        const auto onAnswer = std::move(found->second);
+        m_callers.erase(found);
+        m_callerNodes.erase(effect.m_caller);
+        after(hop(), [onAnswer, answer = effect.m_answer] { onAnswer(answer); });
+    }
+    performLog(index, effects);
+    performWorkers(index, effects);
+    performRunners(index, effects);
+    performPeers(index, effects);
+}
+
+void World::Impl::performLog(std::size_t index, Effects& effects)
+{
+    const InstanceId instance = m_places[index].m_instance;
+    for (AppendEffect& effect : effects.m_appends) {
+        const auto sent = std::make_shared<AppendEffect>(std::move(effect));
+        const auto answer = [this, index, instance, sent](const AppendResult& result) {
+            after(hop(), [this, index, instance, sent, result] { deliver(index, instance, [this, sent, result](Node& node, Effects& more) { onAppendResult(node, *sent, result, m_now, more); }); });
+        };
+        if (m_places[index].m_isCutFromLog || m_log.m_isDown) {
+            after(m_log.m_isDown ? hop() : callTimeout, [answer] { answer(bulrushloft::fail(ErrorKind::Unavailable, "no answer", "")); });
+            continue;
+        }
+        const bool isLate = isStuck();
+        const bool isLost = isLate || chance(m_log.m_lostAnswerShare);
+        after(isLate ? Duration { pick(3'000, 9'000) } : hop() + Duration { pick(1, 5) }, [this, sent, answer, isLost, isLate] {
+            if (m_log.m_isDown)
+                return answer(bulrushloft::fail(ErrorKind::Unavailable, "down", ""));
+            const AppendAnswer done = append(m_log, sent->m_stream, sent->m_bytes, m_now);
+            if (!isLost)
+                answer(done);
+            else if (!isLate)
+                answer(bulrushloft::fail(ErrorKind::Unavailable, "the answer was lost", ""));
+        });
+        if (isLate)
+            after(callTimeout, [answer] { answer(bulrushloft::fail(ErrorKind::TimedOut, "timed out", "")); });
+    }
+    for (ReadEffect& effect : effects.m_reads) {
+        const auto sent = std::make_shared<ReadEffect>(std::move(effect));
+        const auto answer = [this, index, instance, sent](const ReadResult& result) {
+            after(hop(), [this, index, instance, sent, result] { deliver(index, instance, [this, sent, result](Node& node, Effects& more) { onReadResult(node, *sent, result, m_now, more); }); });
+        };
+        const TimePoint until = m_now + sent->m_waitFor;
+        const auto poll = std::make_shared<std::function<void()>>();
+        *poll = [this, index, sent, answer, until, poll] {
+            if (m_log.m_isDown || m_places[index].m_isCutFromLog) {
+                answer(bulrushloft::fail(ErrorKind::Unavailable, "down", ""));
+                *poll = nullptr;
+                return;
+            }
+            const ReadAnswer found = read(m_log, sent->m_stream, sent->m_from, 4'000, m_now);
+            if (found.m_entries.empty() && m_now < until) {
+                after(std::min(pollStep, until - m_now), [poll] { if (*poll) (*poll)(); });
+                return;
+            }
+            answer(found);
+            *poll = nullptr;
+        };
+        after(hop(), [poll] { (*poll)(); });
+    }
+}
+
+bool World::Impl::isReachable(std::size_t index, const std::string& endpoint) const
+{
+    return !m_places[index].m_cutEndpoints.contains(endpoint) && !m_cutWorkers.contains(endpoint);
+}
+
+template <typename Answer>
+void World::Impl::callEndpoint(std::size_t index, const std::string& endpoint, Duration timeout, std::function<void(std::function<void(EndpointResult<Answer>)>)> handle, std::function<void(Node&, const EndpointResult<Answer>&, Effects&)> onResult)
+{
+    const InstanceId instance = m_places[index].m_instance;
+    const auto isDone = std::make_shared<bool>(false);
+    const auto finish = [this, index, instance, isDone, onResult](EndpointResult<Answer> result) {
+        if (*isDone)
+            return;
+        *isDone = true;
+        deliver(index, instance, [result, onResult](Node& node, Effects& more) { onResult(node, result, more); });
+    };
+    const EndpointFailure unreachable { .m_progress = chance(0.5) ? CallProgress::NotSent : CallProgress::MaybeDelivered, .m_reason = "unreachable" };
+    if (!isReachable(index, endpoint)) {
+        after(callTimeout, [finish, unreachable] { finish(tl::unexpected(unreachable)); });
+        return;
+    }
+    const bool isLate = isStuck();
+    const Duration delay = isLate ? Duration { pick(3'000, 9'000) } : hop();
+    after(delay, [this, index, endpoint, handle, finish] {
+        if (m_cutWorkers.contains(endpoint))
+            return;
+        handle([this, index, endpoint, finish](EndpointResult<Answer> result) {
+            if (isReachable(index, endpoint) && !isStuck())
+                after(hop(), [finish, result = std::move(result)] { finish(result); });
+        });
+    });
+    after(timeout, [finish] { finish(tl::unexpected(EndpointFailure { .m_progress = CallProgress::MaybeDelivered, .m_reason = "timed out" })); });
+}
+
+void World::Impl::pollWorker(FakeWorker& worker, FencingToken token, TimePoint until, TimePoint since, const std::function<void(EndpointResult<SyncWorkerAnswer>)>& respond)
+{
+    if (worker.m_token != token)
+        return respond(tl::unexpected(EndpointFailure { .m_progress = CallProgress::MaybeDelivered, .m_stale = StaleToken { worker.m_token }, .m_reason = "stale" }));
+    if (worker.m_finished.empty() && m_now < until) {
+        after(pollStep, [this, &worker, token, until, since, respond] { pollWorker(worker, token, until, since, respond); });
+        return;
+    }
+    SyncWorkerAnswer answer = report(worker, m_now);
+    answer.m_waited = m_now - since;
+    respond(answer);
+}
+
+void World::Impl::performWorkers(std::size_t index, Effects& effects)
+{
+    const auto stale = [](const StaleToken& token) { return tl::unexpected(EndpointFailure { .m_progress = CallProgress::MaybeDelivered, .m_stale = token, .m_reason = "stale" }); };
+    for (AdoptWorkerEffect& effect : effects.m_workerAdoptions) {
+        FakeWorker& worker = m_workers.at(effect.m_link.m_name);
+        const TimePoint sentAt = m_now;
+        callEndpoint<AdoptWorkerAnswer>(index, worker.m_name, callTimeout, [this, &worker, effect, stale](const auto& respond) {
+            auto answer = adopt(worker, effect.m_call, m_now);
+            respond(answer ? EndpointResult<AdoptWorkerAnswer>(*answer) : EndpointResult<AdoptWorkerAnswer>(stale(answer.error()))); }, [this, effect, sentAt](Node& node, const auto& result, Effects&) { onWorkerAdopted(node, effect, result, m_now, sentAt); });
+    }
+    for (SyncWorkerEffect& effect : effects.m_workerSyncs) {
+        FakeWorker& worker = m_workers.at(effect.m_link.m_name);
+        const Duration timeout = callTimeout + effect.m_call.m_waitFor;
+        callEndpoint<SyncWorkerAnswer>(index, worker.m_name, timeout, [this, &worker, effect, stale](const auto& respond) {
+            auto answer = sync(worker, effect.m_call, m_now);
+            if (!answer)
+                return respond(EndpointResult<SyncWorkerAnswer>(stale(answer.error())));
+            if (!effect.m_isPoll || !answer->m_finished.empty())
+                return respond(EndpointResult<SyncWorkerAnswer>(*answer));
+            pollWorker(worker, effect.m_call.m_token, m_now + effect.m_call.m_waitFor, m_now, respond); }, [this, effect](Node& node, const auto& result, Effects&) { onWorkerSynced(node, effect, result, m_now); });
+    }
+}
+
+void World::Impl::performRunners(std::size_t index, Effects& effects)
+{
+    const auto stale = [](const StaleToken& token) { return tl::unexpected(EndpointFailure { .m_progress = CallProgress::MaybeDelivered, .m_stale = token, .m_reason = "stale" }); };
+    const auto toResult = [stale](const tl::expected<RunnerReport, StaleToken>& answer) { return answer ? EndpointResult<RunnerReport>(*answer) : EndpointResult<RunnerReport>(stale(answer.error())); };
+    for (AdoptRunnerEffect& effect : effects.m_runnerAdoptions) {
+        FakeRunner& runner = m_runners.at(effect.m_link.m_name);
+        const TimePoint sentAt = m_now;
+        callEndpoint<RunnerReport>(
+            index, runner.m_name, callTimeout, [this, &runner, effect, toResult](const auto& respond) { respond(toResult(adopt(runner, effect.m_call, m_now))); }, [this, effect, sentAt](Node& node, const auto& result, Effects& more) { onRunnerAdopted(node, effect, result, m_now, sentAt, more); });
+    }
+    for (ProbeRunnerEffect& effect : effects.m_runnerProbes) {
+        FakeRunner& runner = m_runners.at(effect.m_link.m_name);
+        const TimePoint sentAt = m_now;
+        callEndpoint<RunnerReport>(
+            index, runner.m_name, callTimeout, [this, &runner, effect, toResult](const auto& respond) { respond(toResult(probe(runner, effect.m_call, m_now))); }, [this, effect, sentAt](Node& node, const auto& result, Effects& more) { onRunnerProbed(node, effect, result, m_now, sentAt, more); });
+    }
+    for (DispatchEffect& effect : effects.m_dispatches) {
+        FakeRunner& runner = m_runners.at(effect.m_link.m_name);
+        const std::string id = effect.m_call.m_dispatch;
+        callEndpoint<DispatchAnswer>(index, runner.m_name, effect.m_call.m_timeLimit + Duration { 1'000 }, [this, &runner, effect, id](const auto& respond) {
+            if (const auto reason = beginDispatch(runner, effect.m_call, m_now)) {
+                respond(EndpointResult<DispatchAnswer>(tl::unexpected(EndpointFailure { .m_progress = CallProgress::MaybeDelivered, .m_stale = StaleToken { runner.m_token }, .m_isRefused = true, .m_reason = *reason })));
+                return;
+            }
+            at(runner.m_running.at(id).m_endsAt, [this, &runner, id, respond] {
+                if (!runner.m_running.contains(id))
+                    return;
+                respond(EndpointResult<DispatchAnswer>(endDispatch(runner, id, m_now)));
+            }); }, [this, effect, id](Node& node, const auto& result, Effects& more) { onDispatchAnswered(node, effect.m_link.m_shard, id, result, m_now, more); });
+    }
+}
+
+void World::Impl::performPeers(std::size_t index, Effects& effects)
+{
+    const NodePlace& from = m_places[index];
+    const InstanceId instance = from.m_instance;
+    const auto findPlace = [this](const Address& address) {
+        return static_cast<std::size_t>(std::find_if(m_places.begin(), m_places.end(), [&address](const NodePlace& place) { return place.m_address == address; }) - m_places.begin());
+    };
+    const auto isCut = [this, index](std::size_t to) { return m_places[index].m_isCutFromPeers || m_places[to].m_isCutFromPeers; };
+    for (const HeartbeatEffect& effect : effects.m_heartbeats) {
+        for (const Address& address : effect.m_to) {
+            const std::size_t to = findPlace(address);
+            const InstanceId target = m_places[to].m_instance;
+            if (isCut(to) || chance(0.02))
+                continue;
+            after(isStuck() ? Duration { pick(500, 5'000) } : hop(), [this, to, target, bytes = effect.m_bytes] {
+                deliver(to, target, [this, bytes](Node& node, Effects&) { onHeartbeat(node, *decodeHeartbeat(bytes), m_now); });
+            });
+        }
+    }
+    for (ForwardEffect& effect : effects.m_forwards) {
+        const auto sent = std::make_shared<ForwardEffect>(std::move(effect));
+        const std::size_t to = findPlace(sent->m_owner);
+        const InstanceId target = m_places[to].m_instance;
+        const auto isDone = std::make_shared<bool>(false);
+        const auto finish = [this, index, instance, sent, isDone](EndpointResult<CallerAnswer> result) {
+            if (*isDone)
+                return;
+            *isDone = true;
+            deliver(index, instance, [this, sent, result](Node& node, Effects& more) { onForwardResult(node, sent->m_caller, result, m_now, more); });
+        };
+        const bool isRefused = !m_places[to].m_node;
+        if (isRefused || isCut(to)) {
+            after(isRefused ? hop() : callTimeout, [finish, isRefused] { finish(tl::unexpected(EndpointFailure { .m_progress = isRefused ? CallProgress::Refused : CallProgress::NotSent, .m_reason = "unreachable" })); });
+            continue;
+        }
+        const CallerToken token { ++m_lastCaller };
+        m_callers[token] = [finish](const Expected<CallerAnswer>& answer) {
+            finish(answer ? EndpointResult<CallerAnswer>(*answer) : EndpointResult<CallerAnswer>(tl::unexpected(EndpointFailure { .m_progress = CallProgress::MaybeDelivered, .m_reason = "closed" })));
+        };
+        m_callerNodes[token] = { to, target };
+        after(isStuck() ? Duration { pick(1'000, 6'000) } : hop(), [this, to, target, token, sent] {
+            deliver(to, target, [this, token, sent](Node& node, Effects& more) { onCallerCall(node, token, sent->m_call, true, sent->m_timeout, m_now, more); });
+        });
+        after(sent->m_timeout + Duration { 1'000 }, [finish] { finish(tl::unexpected(EndpointFailure { .m_progress = CallProgress::MaybeDelivered, .m_reason = "timed out" })); });
+    }
+    for (const TakeShardEffect& effect : effects.m_shardTakes) {
+        const std::size_t to = findPlace(effect.m_to);
+        const InstanceId target = m_places[to].m_instance;
+        if (!isCut(to))
+            after(hop(), [this, to, target, shard = effect.m_shard] { deliver(to, target, [this, shard](Node& node, Effects&) { onTakeShard(node, shard, m_now); }); });
+    }
+    for (const FetchSettingsEffect& effect : effects.m_settingsFetches) {
+        const std::size_t to = findPlace(effect.m_from);
+        if (isCut(to) || !m_places[to].m_node || m_now < m_places[to].m_frozenUntil)
+            continue;
+        const auto settings = decodeSettings(encodeSettings(m_places[to].m_node->m_settings));
+        after(hop(), [this, index, instance, settings] { deliver(index, instance, [this, settings](Node& node, Effects& more) { onSettingsFetched(node, *settings, m_now, more); }); });
+    }
+    for (const ProbePeerEffect& effect : effects.m_peerProbes) {
+        const std::size_t to = findPlace(effect.m_address);
+        if (!isCut(to) && !m_places[to].m_node)
+            after(hop(), [this, index, instance, effect] { deliver(index, instance, [this, effect](Node& node, Effects&) { onPeerRefused(node, effect, m_now); }); });
+    }
+}
+
+void World::Impl::buildCell()
+{
+    m_log.m_retention = m_options.m_retention;
+    for (std::uint32_t n = 0; n < m_options.m_nodes; ++n) {
+        NodePlace place { .m_name = "entry-" + std::to_string(n + 1), .m_address = { "127.0.0." + std::to_string(n + 2), 7400 } };
+        m_list.m_vms.push_back({ .m_name = place.m_name, .m_role = VmRole::Entry, .m_zone = "a", .m_address = place.m_address });
+        m_places.push_back(std::move(place));
+    }
+    for (const std::string& pool : pools) {
+        for (int n = 0; n < 4; ++n) {
+            VmInfo vm { .m_name = pool + "-worker-" + std::to_string(n), .m_role = VmRole::Worker, .m_pool = pool, .m_zone = std::string(1, static_cast<char>('a' + n % 3)), .m_rack = pool + std::to_string(n / 2), .m_address = { "127.1.0.1", 1 }, .m_capacity = { 4'000, 8'000, 2 } };
+            FakeWorker worker { .m_name = vm.m_name, .m_shard = pool + "-0", .m_capacity = vm.m_capacity, .m_boot = m_random() >> 20, .m_skew = { pick(-100'000, 100'000) }, .m_history = &m_tasks };
+            worker.m_ignoresTokens = m_options.m_areTokensIgnored;
+            worker.m_ignoresLease = m_options.m_areLeasesIgnored;
+            m_workers[vm.m_name] = worker;
+            m_list.m_vms.push_back(vm);
+        }
+        for (int n = 0; n < 3; ++n) {
+            VmInfo vm { .m_name = pool + "-runner-" + std::to_string(n), .m_role = VmRole::Runner, .m_pool = pool, .m_zone = "a", .m_rack = pool, .m_address = { "127.2.0.1", 1 } };
+            FakeRunner runner { .m_name = vm.m_name, .m_slots = 3, .m_speed = 1.0 + n, .m_boot = m_random() >> 20, .m_skew = { pick(-100'000, 100'000) }, .m_history = &m_requests };
+            runner.m_ignoresTokens = m_options.m_areTokensIgnored;
+            m_runners[vm.m_name] = runner;
+            m_list.m_vms.push_back(vm);
+        }
+    }
+    m_list.m_version = 1;
+    std::uint64_t count = 0;
+    const auto publish = [&](const std::string& path, const std::string& yaml) {
+        append(m_log, "settings", encodeChange({ .m_id = "first-" + std::to_string(++count), .m_operator = "setup", .m_path = path, .m_yaml = yaml }), m_now);
+    };
+    publish("cell/pools", "proof: {shards: 1}\nengraving: {shards: 1}\n");
+    publish("cell/classes", "urgent: {priority: 300, may_preempt: true}\nservice: {priority: 200, placement: spread}\nstandard: {priority: 100, preemptible: true}\n");
+    publish("cell/limits", "lease_ms: 3000\npoll_interval_ms: 1000\ncommit_interval_ms: 5\nsnapshot_interval_ms: 6000\n");
+    for (const std::string& team : teams)
+        publish("teams/" + team, "weight: 1\n");
+}
+
+void World::Impl::publishList()
+{
+    ++m_list.m_version;
+    after(m_options.m_listLag, [this, list = m_list] {
+        for (std::size_t index = 0; index < m_places.size(); ++index) {
+            const InstanceId instance = m_places[index].m_instance;
+            after({ pick(0, 1'000) }, [this, index, instance, list] { deliver(index, instance, [this, list](Node& node, Effects&) { onVmList(node, list, m_now); }); });
+        }
+    });
+}
+
+void World::Impl::setVmState(const std::string& name, VmState state)
+{
+    for (VmInfo& vm : m_list.m_vms) {
+        if (vm.m_name == name)
+            vm.m_state = state;
+    }
+    if (state == VmState::Leaving)
+        m_leavingSince[name] = m_now;
+    else
+        m_leavingSince.erase(name);
+    publishList();
+}
+
+void World::Impl::tick()
+{
+    for (auto& [name, worker] : m_workers) {
+        const std::size_t before = m_tasks.m_runs.size();
+        passTime(worker, m_now);
+        (void)before;
+    }
+    after(tickStep, [this] { tick(); });
+}
+
+void World::Impl::check()
+{
+    for (NodePlace& place : m_places) {
+        if (!place.m_node)
+            continue;
+        if (const auto checked = checkNode(*place.m_node); !checked)
+            fail(checked.error().m_message);
+        if (place.m_node->m_settings.m_version < place.m_lastVersion)
+            fail("settings went back on " + place.m_name);
+        place.m_lastVersion = place.m_node->m_settings.m_version;
+    }
+    for (const auto& [name, since] : m_leavingSince) {
+        const TimePoint bound = since + drainBound;
+        for (const RunInterval& run : m_tasks.m_runs) {
+            if (run.m_endpoint == name && run.m_start > bound)
+                fail(run.m_thing + " was started on " + name + " " + std::to_string((run.m_start - since).m_ms) + " ms after it was leaving");
+        }
+        for (const RunInterval& run : m_requests.m_runs) {
+            if (run.m_endpoint == name && run.m_start > bound)
+                fail(run.m_thing + " was dispatched to " + name + " " + std::to_string((run.m_start - since).m_ms) + " ms after it was leaving");
+        }
+    }
+    after(checkStep, [this] { check(); });
+}
+
+void World::Impl::begin(const Fault& fault)
+{
+    const Duration length { fault.m_lengthMs };
+    const std::size_t index = nodeOf(fault);
+    NodePlace& place = m_places[index];
+    const std::string pool = pools[fault.m_target % pools.size()];
+    const std::string workerName = pool + "-worker-" + std::to_string(fault.m_target / 2 % 4);
+    const std::string runnerName = pool + "-runner-" + std::to_string(fault.m_target / 2 % 3);
+    const auto restart = [this, index] { if (!m_places[index].m_node) startNode(index); };
+    switch (fault.m_kind) {
+    case FaultKind::KillNode:
+        killNode(index);
+        return after(length, restart);
+    case FaultKind::FreezeNode:
+        place.m_frozenUntil = std::max(place.m_frozenUntil, m_now + length);
+        return;
+    case FaultKind::CutNodeFromLog:
+        place.m_isCutFromLog = true;
+        return after(length, [&place] { place.m_isCutFromLog = false; });
+    case FaultKind::CutNodeFromWorkers:
+        for (const VmInfo& vm : m_list.m_vms) {
+            if (vm.m_role != VmRole::Entry && chance(0.5))
+                place.m_cutEndpoints.insert(vm.m_name);
+        }
+        return after(length, [&place] { place.m_cutEndpoints.clear(); });
+    case FaultKind::CutNodeFromPeers:
+        place.m_isCutFromPeers = true;
+        return after(length, [&place] { place.m_isCutFromPeers = false; });
+    case FaultKind::CutWorker:
+        m_cutWorkers.insert(workerName);
+        return after(length, [this, workerName] { m_cutWorkers.erase(workerName); });
+    case FaultKind::RebootWorker:
+        return reboot(m_workers.at(workerName), m_now);
+    case FaultKind::RebootRunner:
+        return reboot(m_runners.at(runnerName), m_now);
+    case FaultKind::LogOutage:
+        m_log.m_isDown = true;
+        return after(length, [this] { m_log.m_isDown = false; });
+    case FaultKind::LoseAnswers:
+        m_log.m_lostAnswerShare = 0.5;
+        return after(length, [this] { m_log.m_lostAnswerShare = 0; });
+    case FaultKind::StuckMessages:
+        m_areMessagesStuck = true;
+        return after(length, [this] { m_areMessagesStuck = false; });
+    case FaultKind::WorkerLeaves:
+        setVmState(workerName, VmState::Leaving);
+        return after(length + Duration { 8'000 }, [this, workerName] { setVmState(workerName, VmState::Live); });
+    case FaultKind::RunnerLeaves:
+        setVmState(runnerName, VmState::Leaving);
+        return after(length + Duration { 8'000 }, [this, runnerName] { setVmState(runnerName, VmState::Live); });
+    case FaultKind::KillAllNodes:
+        for (std::size_t each = 0; each < m_places.size(); ++each)
+            killNode(each);
+        return after(length, [this] { for (std::size_t each = 0; each < m_places.size(); ++each) if (!m_places[each].m_node) startNode(each); });
+    case FaultKind::HandOver:
+        if (place.m_node)
+            beginShutdown(*place.m_node);
+        return after(length + Duration { 5'000 }, [this, index] { killNode(index); startNode(index); });
+    case FaultKind::CancelJobs:
+        return cancelSomeJobs();
+    case FaultKind::FailingWorker:
+        m_workers.at(workerName).m_failsEverything = true;
+        return after(length, [this, workerName] { m_workers.at(workerName).m_failsEverything = false; });
+    }
+}
+
+void World::Impl::heal()
+{
+    m_isHealed = true;
+    m_log.m_isDown = false;
+    m_log.m_lostAnswerShare = 0;
+    m_areMessagesStuck = false;
+    m_cutWorkers.clear();
+    for (auto& [name, worker] : m_workers)
+        worker.m_failsEverything = false;
+    for (const VmInfo& vm : std::vector<VmInfo>(m_list.m_vms)) {
+        if (vm.m_state != VmState::Live)
+            setVmState(vm.m_name, VmState::Live);
+    }
+    for (std::size_t index = 0; index < m_places.size(); ++index) {
+        NodePlace& place = m_places[index];
+        place.m_isCutFromLog = false;
+        place.m_isCutFromPeers = false;
+        place.m_cutEndpoints.clear();
+        place.m_frozenUntil = {};
+        const bool isLeaving = place.m_node && place.m_node->m_memberState == MemberState::Leaving;
+        if (isLeaving)
+            killNode(index);
+        if (!place.m_node)
+            startNode(index);
+    }
+}
+
+void World::Impl::ask(std::size_t first, CallerCall call, TimePoint giveUpAt, std::function<void(const Expected<CallerAnswer>&)> onAnswer, TimePoint firstSentAt, std::uint32_t attempt)
+{
+    const std::size_t index = first % m_places.size();
+    const auto again = [this, first, call, giveUpAt, onAnswer, firstSentAt](std::uint32_t nextAttempt, Duration delay, const Expected<CallerAnswer>& last) {
+        if (m_now + delay >= giveUpAt)
+            return onAnswer(last);
+        after(delay, [this, first, call, giveUpAt, onAnswer, firstSentAt, nextAttempt] { ask(first + 1, call, giveUpAt, onAnswer, firstSentAt, nextAttempt); });
+    };
+    if (!m_places[index].m_node)
+        return again(attempt, { 50 }, bulrushloft::fail(ErrorKind::Unavailable, attempt > 1 ? "unknown" : "refused", ""));
+    Duration timeout { 12'000 };
+    if (auto* run = std::get_if<RunCall>(&call)) {
+        run->m_attempt = attempt;
+        if (attempt > 1)
+            run->m_age = m_now - firstSentAt;
+        run->m_deadline = std::min(Duration { 10'000 }, giveUpAt - m_now);
+        timeout = run->m_deadline;
+    }
+    const CallerToken token { ++m_lastCaller };
+    m_callerNodes[token] = { index, m_places[index].m_instance };
+    m_callers[token] = [again, onAnswer, attempt](const Expected<CallerAnswer>& answer) {
+        if (!answer)
+            return again(attempt + 1, { 100 }, answer);
+        const auto* const error = std::get_if<ErrorAnswer>(&*answer);
+        const auto* const run = std::get_if<RunAnswer>(&*answer);
+        if (error && error->m_error.m_kind != ErrorKind::InvalidInput && error->m_error.m_kind != ErrorKind::TooLarge)
+            return again(error->m_certainty == RunCertainty::Unknown ? attempt + 1 : attempt, { 200 }, answer);
+        if (run && (run->m_certainty == RunCertainty::NotRun || run->m_certainty == RunCertainty::Unknown))
+            return again(run->m_certainty == RunCertainty::Unknown ? attempt + 1 : attempt, { 200 }, answer);
+        onAnswer(answer);
+    };
+    const InstanceId instance = m_places[index].m_instance;
+    after(hop(), [this, index, instance, token, call, timeout] { deliver(index, instance, [this, token, call, timeout](Node& node, Effects& more) { onCallerCall(node, token, call, false, timeout, m_now, more); }); });
+    after(timeout + Duration { 3'000 }, [this, token] {
+        const auto found = m_callers.find(token);
+        if (found == m_callers.end())
+            return;
+        const auto late = std::move(found->second);
+        m_callers.erase(found);
+        m_callerNodes.erase(token);
+        late(bulrushloft::fail(ErrorKind::TimedOut, "unknown", ""));
+    });
+}
+
+void World::Impl::sendRequest()
+{
+    auto note = std::make_unique<WorkNote>();
+    WorkNote* const kept = note.get();
+    kept->m_key = "r" + std::to_string(m_notes.size());
+    kept->m_isRequest = true;
+    kept->m_isIdempotent = chance(0.5);
+    kept->m_sentAt = m_now;
+    m_notes.push_back(std::move(note));
+    RunCall call { .m_service = pools[static_cast<std::size_t>(pick(0, 1))], .m_target = "work_ms=" + std::to_string(pick(1, 400)), .m_team = teams[static_cast<std::size_t>(pick(0, 1))], .m_workClass = "standard", .m_key = kept->m_key, .m_isIdempotent = kept->m_isIdempotent };
+    call.m_body = makeBody("body of " + kept->m_key);
+    const std::string expected = kept->m_key + "|" + digestOf(viewOf(call.m_body)) + "|";
+    const auto onAnswer = [this, kept, expected](const Expected<CallerAnswer>& answer) {
+        kept->m_isAnswered = true;
+        kept->m_answeredAt = m_now;
+        if (!answer) {
+            kept->m_certainty = answer.error().m_message == "refused" ? RunCertainty::NotRun : RunCertainty::Unknown;
+            return;
+        }
+        if (const auto* run = std::get_if<RunAnswer>(&*answer)) {
+            kept->m_certainty = run->m_certainty;
+            kept->m_error = run->m_error.m_message;
+            if (run->m_certainty == RunCertainty::Done && viewOf(run->m_body) != expected)
+                fail("request " + kept->m_key + " was answered with what belongs to another");
+        } else if (const auto* error = std::get_if<ErrorAnswer>(&*answer)) {
+            kept->m_certainty = error->m_certainty;
+            kept->m_error = error->m_error.m_message;
+        } else {
+            fail("request " + kept->m_key + " got an answer of another kind");
+        }
+    };
+    const std::size_t first = static_cast<std::size_t>(pick(0, 100));
+    ask(first, call, m_now + callerPatience, onAnswer, m_now, 1);
+    // Sometimes the caller loses patience and sends the same through another entry VM while the first is out.
+    if (chance(0.1)) {
+        after({ pick(1, 300) }, [this, call, first, kept] {
+            RunCall retry = call;
+            ask(first + 1, retry, kept->m_sentAt + callerPatience, [](const Expected<CallerAnswer>&) {}, kept->m_sentAt, 2);
+        });
+    }
+}
+
+void World::Impl::sendJob()
+{
+    auto note = std::make_unique<WorkNote>();
+    WorkNote* const kept = note.get();
+    JobSpec& spec = kept->m_spec;
+    kept->m_key = "j" + std::to_string(m_notes.size());
+    kept->m_sentAt = m_now;
+    spec.m_key = kept->m_key;
+    spec.m_name = "program-" + std::to_string(pick(0, 5));
+    spec.m_team = teams[static_cast<std::size_t>(pick(0, 1))];
+    spec.m_workClass = chance(0.15) ? "urgent" : "standard";
+    spec.m_pool = pools[static_cast<std::size_t>(pick(0, 1))];
+    // Services stay up; more of them than this would leave no room for the gangs, which then rightly wait.
+    const bool mayAddService = m_servicesSent < 4;
+    spec.m_kind = mayAddService && chance(0.1) ? JobKind::Service : (chance(0.2) ? JobKind::Gang : JobKind::Batch);
+    m_servicesSent += spec.m_kind == JobKind::Service ? 1 : 0;
+    spec.m_isIdempotent = spec.m_kind == JobKind::Service || chance(0.6);
+    spec.m_taskCount = static_cast<std::uint32_t>(spec.m_kind == JobKind::Service ? 1 : pick(1, 5));
+    spec.m_declared = { pick(200, 1'500), pick(200, 2'000), spec.m_kind == JobKind::Service ? 0 : pick(0, 1) };
+    spec.m_payload = "run_ms=" + std::to_string(spec.m_kind == JobKind::Service ? 0 : pick(20, m_options.m_longestTaskMs)) + ";cpu=" + std::to_string(spec.m_declared.m_cpuMilli * pick(3, 10) / 10) + ";mem=" + std::to_string(pick(100, spec.m_declared.m_memoryMb + 200));
+    kept->m_isIdempotent = spec.m_isIdempotent;
+    m_notes.push_back(std::move(note));
+    ask(static_cast<std::size_t>(pick(0, 100)), SubmitCall { spec }, m_now + callerPatience, [this, kept](const Expected<CallerAnswer>& answer) {
+        kept->m_isAnswered = true;
+        kept->m_answeredAt = m_now;
+        if (!answer) {
+            kept->m_certainty = answer.error().m_message == "refused" ? RunCertainty::NotRun : RunCertainty::Unknown;
+        } else if (const auto* view = std::get_if<JobView>(&*answer)) {
+            kept->m_certainty = RunCertainty::Done;
+            kept->m_id = format(view->m_id);
+        } else if (const auto* error = std::get_if<ErrorAnswer>(&*answer)) {
+            kept->m_certainty = error->m_certainty;
+            kept->m_error = error->m_error.m_message;
+        } }, m_now, 1);
+}
+
+void World::Impl::raceChange()
+{
+    const std::string path = "teams/" + teams[static_cast<std::size_t>(pick(0, 1))];
+    const std::size_t first = static_cast<std::size_t>(pick(0, 100));
+    ask(
+        first, SettingsGetCall { path }, m_now + Duration { 3'000 }, [this, path, first](const Expected<CallerAnswer>& answer) {
+            const auto* const settings = answer ? std::get_if<SettingsAnswer>(&*answer) : nullptr;
+            if (!settings || settings->m_subtrees.empty())
+                return;
+            for (std::size_t who = 0; who < 2; ++who) {
+                auto note = std::make_unique<ChangeNote>();
+                ChangeNote* const kept = note.get();
+                kept->m_change = { .m_id = "c" + std::to_string(m_changes.size()), .m_operator = who == 0 ? "morning" : "afternoon", .m_path = path, .m_base = settings->m_subtrees.front().m_subtree.m_revision, .m_yaml = "weight: " + std::to_string(pick(1, 9)) + "\n" };
+                m_changes.push_back(std::move(note));
+                ask(
+                    first + who, SettingsChangeCall { kept->m_change }, m_now + callerPatience, [this, kept](const Expected<CallerAnswer>& told) {
+                        const auto* const change = told ? std::get_if<ChangeAnswer>(&*told) : nullptr;
+                        if (!change)
+                            return;
+                        kept->m_verdict = change->m_record.m_verdict;
+                        kept->m_acceptedAt = m_now;
+                    },
+                    m_now, 1);
+            }
+        },
+        m_now, 1);
+}
+
+void World::Impl::cancelSomeJobs()
+{
+    for (const auto& note : m_notes) {
+        if (note->m_id.empty() || !chance(0.7))
+            continue;
+        ask(
+            static_cast<std::size_t>(pick(0, 100)), CancelCall { *parseJobId(note->m_id) }, m_now + Duration { 10'000 }, [](const Expected<CallerAnswer>&) {}, m_now, 1);
+    }
+}
+
+void World::Impl::sendWork()
+{
+    if (m_isHealed)
+        return;
+    const auto perSecond = [this](std::uint32_t rate) { return chance(static_cast<double>(rate) / 50.0); };
+    if (perSecond(m_options.m_requestsPerSecond))
+        sendRequest();
+    if (perSecond(m_options.m_jobsPerSecond))
+        sendJob();
+    if (perSecond(m_options.m_changesPerSecond))
+        raceChange();
+    after({ 20 }, [this] { sendWork(); });
+}
+
+const ShardState* World::Impl::findState(const std::string& shard) const
+{
+    const ShardState* best = nullptr;
+    for (const NodePlace& place : m_places) {
+        if (!place.m_node)
+            continue;
+        const auto slot = place.m_node->m_shards.find(shard);
+        if (slot == place.m_node->m_shards.end() || !slot->second.m_owner || slot->second.m_owner->m_isDeposed)
+            continue;
+        if (!best || slot->second.m_owner->m_state.m_epoch > best->m_epoch)
+            best = &slot->second.m_owner->m_state;
+    }
+    return best;
+}
+
+bool World::Impl::isQuiet() const
+{
+    const bool areAllAnswered = std::all_of(m_notes.begin(), m_notes.end(), [](const auto& note) { return note->m_isAnswered; });
+    if (!areAllAnswered)
+        return false;
+    for (const std::string& pool : pools) {
+        const ShardState* const state = findState(pool + "-0");
+        if (!state)
+            return false;
+        for (const auto& [number, job] : state->m_jobs) {
+            const bool isUp = job.m_spec.m_kind == JobKind::Service && countTasks(job, TaskState::Placed) == job.m_spec.m_taskCount;
+            if (!isFinal(stateOf(job)) && !isUp)
+                return false;
+        }
+        for (const auto& [key, request] : state->m_requests) {
+            if (request.m_state == RequestState::Intended)
+                return false;
+        }
+    }
+    return true;
+}
+
+void World::Impl::checkRequests()
+{
+    std::map<std::string, std::size_t> runs;
+    for (const RunInterval& run : m_requests.m_runs)
+        ++runs[run.m_thing];
+    for (const auto& note : m_notes) {
+        if (!note->m_isRequest)
+            continue;
+        const std::size_t count = runs[note->m_key];
+        if (!note->m_isAnswered)
+            fail("request " + note->m_key + " was never answered");
+        if (!note->m_isIdempotent && count > 1)
+            fail("non-idempotent request " + note->m_key + " ran " + std::to_string(count) + " times");
+        if (note->m_certainty == RunCertainty::NotRun && count > 0)
+            fail("request " + note->m_key + " was told as not run and ran (" + note->m_error + ")");
+        const bool wasToldToHaveRun = note->m_certainty == RunCertainty::Done || note->m_certainty == RunCertainty::AnswerLost || note->m_certainty == RunCertainty::Failed;
+        if (wasToldToHaveRun && count == 0)
+            fail("request " + note->m_key + " was told as " + std::string(nameOf(note->m_certainty)) + " and did not run");
+    }
+    for (const std::string& overlap : findOverlaps(m_requests))
+        fail(overlap);
+    for (const std::string& breach : m_requests.m_breaches)
+        fail(breach);
+}
+
+void World::Impl::describeOwner(const std::string& shard, JobNumber number) const
+{
+    for (const NodePlace& place : m_places) {
+        const auto slot = place.m_node ? place.m_node->m_shards.find(shard) : decltype(place.m_node->m_shards.end()) {};
+        if (!place.m_node || slot == place.m_node->m_shards.end() || !slot->second.m_owner)
+            continue;
+        const ShardOwner& owner = *slot->second.m_owner;
+        std::cout << place.m_name << " owns " << shard << " in term " << owner.m_state.m_epoch.m_value << ", queued " << owner.m_queue.contains(number) << ", held back " << owner.m_mayHaveUnjournaled << ", append out " << owner.m_append.has_value() << "\n";
+        for (const Worker& worker : owner.m_workers)
+            std::cout << "  " << worker.m_name << " link " << static_cast<int>(worker.m_link) << " granted " << worker.m_granted.m_cpuMilli << "/" << worker.m_granted.m_memoryMb << "/" << worker.m_granted.m_gpus << " tasks " << worker.m_tasks.size() << " held out until " << worker.m_heldOutUntil.m_ms - m_now.m_ms << " state " << nameOf(worker.m_vm.m_state) << " says leaving " << worker.m_saysLeaving << " probation " << worker.m_isOnProbation << "\n";
+    }
+}
+
+void World::Impl::checkJobs()
+{
+    std::map<std::string, std::vector<const RunInterval*>> runs;
+    for (const RunInterval& run : m_tasks.m_runs)
+        runs[run.m_thing].push_back(&run);
+    for (const auto& note : m_notes) {
+        if (note->m_isRequest)
+            continue;
+        const std::string shard = note->m_spec.m_pool + "-0";
+        const ShardState* const state = findState(shard);
+        if (!state) {
+            fail("shard " + shard + " has no owner in the end");
+            return;
+        }
+        const auto byKey = state->m_jobByKey.find(note->m_key);
+        const bool isKnown = byKey != state->m_jobByKey.end();
+        if (note->m_certainty == RunCertainty::Done && !isKnown)
+            fail("job " + note->m_key + " was accepted as " + note->m_id + " and is lost");
+        if (note->m_certainty == RunCertainty::NotRun && isKnown)
+            fail("job " + note->m_key + " was told as not accepted and is known (" + note->m_error + ")");
+        if (!isKnown)
+            continue;
+        const Job& job = state->m_jobs.at(byKey->second);
+        const bool isUp = job.m_spec.m_kind == JobKind::Service && countTasks(job, TaskState::Placed) == job.m_spec.m_taskCount;
+        if (!isFinal(stateOf(job)) && !isUp) {
+            std::ostringstream counts;
+            for (std::size_t each = 0; each < taskStateCount; ++each)
+                counts << " " << nameOf(static_cast<TaskState>(each)) << "=" << job.m_counts[each];
+            counts << " declared " << job.m_spec.m_declared.m_cpuMilli << "/" << job.m_spec.m_declared.m_memoryMb << "/" << job.m_spec.m_declared.m_gpus << " payload " << job.m_spec.m_payload;
+            if (std::getenv("WORLD_VERBOSE"))
+                describeOwner(shard, job.m_number);
+            fail("job " + note->m_key + " of kind " + std::string(nameOf(job.m_spec.m_kind)) + " never ended:" + counts.str());
+        }
+        for (std::uint32_t task = 0; task < job.m_tasks.size(); ++task) {
+            const auto& ran = runs[shard + ":" + std::to_string(job.m_number.m_value) + "/" + std::to_string(task)];
+            const TaskState told = job.m_tasks[task].m_state;
+            if (!job.m_spec.m_isIdempotent && ran.size() > 1)
+                fail("non-idempotent task " + ran.front()->m_thing + " ran " + std::to_string(ran.size()) + " times");
+            if (told == TaskState::NotRun && !ran.empty())
+                fail("task " + ran.front()->m_thing + " was told as not run and ran");
+            if ((told == TaskState::Done || told == TaskState::Failed) && ran.empty())
+                fail("task " + std::to_string(task) + " of job " + note->m_key + " was told as ended and did not run");
+        }
+    }
+    for (const std::string& overlap : findOverlaps(m_tasks))
+        fail(overlap);
+    for (const std::string& breach : m_tasks.m_breaches)
+        fail(breach);
+}
+
+void World::Impl::checkSettings()
+{
+    std::map<std::pair<std::string, std::uint64_t>, std::uint32_t> winners;
+    for (const auto& note : m_changes) {
+        if (note->m_verdict == ChangeVerdict::Accepted)
+            ++winners[{ note->m_change.m_path, note->m_change.m_base.m_value }];
+    }
+    for (const auto& [base, count] : winners) {
+        if (count > 1)
+            fail("two changes of " + base.first + " from revision " + std::to_string(base.second) + " were both told as accepted");
+    }
+    const SettingsState* first = nullptr;
+    for (const NodePlace& place : m_places) {
+        if (!place.m_node)
+            continue;
+        const SettingsState& settings = place.m_node->m_settings;
+        if (first && settings.m_version != first->m_version)
+            fail("the daemons have different settings in the end");
+        first = &settings;
+        for (const auto& note : m_changes) {
+            const ChangeRecord* const record = findChange(settings, note->m_change.m_id);
+            const bool isMissing = note->m_verdict == ChangeVerdict::Accepted && (!record || record->m_verdict != ChangeVerdict::Accepted);
+            if (isMissing)
+                fail("change " + note->m_change.m_id + " was told as accepted and is not in force on " + place.m_name);
+            const bool isContradicted = note->m_verdict == ChangeVerdict::Conflict && record && record->m_verdict == ChangeVerdict::Accepted;
+            if (isContradicted)
+                fail("change " + note->m_change.m_id + " was told as a conflict and is in force");
+        }
+    }
+}
+
+World::World(WorldOptions options)
+    : m_impl(std::make_unique<Impl>(std::move(options)))
+{
+}
+
+World::~World() = default;
+
+void World::run()
+{
+    Impl& world = *m_impl;
+    setInvariantAction(InvariantAction::Throw);
+    world.buildCell();
+    for (std::size_t index = 0; index < world.m_places.size(); ++index)
+        world.startNode(index);
+    world.tick();
+    world.check();
+    world.runUntil(world.m_now + Duration { 4'000 });
+    const TimePoint start = world.m_now;
+    world.sendWork();
+    TimePoint end = start + world.m_options.m_loadTime;
+    for (const Fault& fault : world.m_options.m_faults) {
+        world.at(start + Duration { fault.m_atMs }, [&world, fault] { if (!world.m_isHealed) world.begin(fault); });
+        end = std::max(end, start + Duration { fault.m_atMs + fault.m_lengthMs });
+    }
+    world.runUntil(end);
+    world.heal();
+    const TimePoint limit = world.m_now + world.m_options.m_healTime;
+    while (world.m_now < limit && !world.isQuiet())
+        world.runUntil(world.m_now + Duration { 500 });
+    world.runUntil(world.m_now + Duration { 6'000 });
+}
+
+std::vector<std::string> World::findFaults()
+{
+    m_impl->checkRequests();
+    m_impl->checkJobs();
+    m_impl->checkSettings();
+    std::vector<std::string> faults = m_impl->m_faults;
+    std::sort(faults.begin(), faults.end());
+    faults.erase(std::unique(faults.begin(), faults.end()), faults.end());
+    return faults;
+}
+
+std::string World::summary() const
+{
+    std::map<std::string, std::size_t> counts;
+    for (const auto& note : m_impl->m_notes)
+        ++counts[std::string(note->m_isRequest ? "requests " : "jobs ") + std::string(nameOf(note->m_certainty))];
+    std::ostringstream text;
+    for (const auto& [what, count] : counts)
+        text << what << " " << count << ", ";
+    text << "changes " << m_impl->m_changes.size() << ", task runs " << m_impl->m_tasks.m_runs.size() << ", request runs " << m_impl->m_requests.m_runs.size() << ", faults " << m_impl->m_options.m_faults.size();
+    return text.str();
+}
+
+} // namespace bulrushloft
