Fix: refusals stay true when an older attempt arrives late; no start on a worker that left meanwhile

Cause: a call that a frozen daemon held could reach the owner after its caller had been told 'not run' on a retry; a task whose placement waited out a log outage was started on a worker that had been leaving for long; an unjournaled start raced a cancellation that was on its way; a claimant without a majority could take a shard from an owner that only the log was lost to; retries answered by a daemon that is not the owner were told 'not run'. Ruled out: dropping late calls by their age alone (clocks differ), so the owner remembers refused attempts.

--- a/src/connection/caller_client.cpp
+++ b/src/connection/caller_client.cpp
@@ -20,6 +20,8 @@
 
     void markRetry(CallerCall& call, Duration age)
     {
+        if (auto* const submit = std::get_if<SubmitCall>(&call))
+            ++submit->m_attempt;
         auto* const run = std::get_if<RunCall>(&call);
         if (!run)
             return;
--- a/src/connection/caller_codec.cpp
+++ b/src/connection/caller_codec.cpp
@@ -107,6 +107,11 @@
         return value.empty() ? fallback : parseNumber(value, "the header " + std::string(name), low, high);
     }
 
+    std::uint32_t readAttempt(const HttpRequest& request)
+    {
+        return static_cast<std::uint32_t>(numberHeader(request, "Bulrush-Attempt", 1, 1, 1'000'000));
+    }
+
     RunCall readRun(const HttpRequest& request, const std::string& service)
     {
         RunCall call;
@@ -121,7 +126,7 @@
         if (idempotent != "true" && idempotent != "false")
             throw std::invalid_argument("the header Bulrush-Idempotent is \"" + idempotent + "\"; write true or false");
         call.m_isIdempotent = idempotent == "true";
-        call.m_attempt = static_cast<std::uint32_t>(numberHeader(request, "Bulrush-Attempt", 1, 1, 1'000'000));
+        call.m_attempt = readAttempt(request);
         const std::int64_t age = numberHeader(request, "Bulrush-Age-Ms", -1, 0, INT64_MAX / 4);
         if (age >= 0)
             call.m_age = Duration { age };
@@ -215,7 +220,7 @@
 
     const std::initializer_list<Route> routes = {
         { "POST", { "v1", "services", "*", "run" }, [](const HttpRequest& request, const Target& target) -> CallerCall { return readRun(request, target.m_parts[2]); } },
-        { "POST", { "v1", "jobs" }, [](const HttpRequest& request, const Target&) -> CallerCall { return SubmitCall { specFromJson(parseBody(request)) }; } },
+        { "POST", { "v1", "jobs" }, [](const HttpRequest& request, const Target&) -> CallerCall { return SubmitCall { specFromJson(parseBody(request)), readAttempt(request) }; } },
         { "GET", { "v1", "jobs", "*" }, [](const HttpRequest&, const Target& target) -> CallerCall { return readStatus(target); } },
         { "POST", { "v1", "jobs", "*", "cancel" }, [](const HttpRequest&, const Target& target) -> CallerCall { return CancelCall { requireJobId(target.m_parts[2]) }; } },
         { "GET", { "v1", "shards", "*", "jobs" }, [](const HttpRequest&, const Target& target) -> CallerCall { return readList(target); } },
@@ -350,7 +355,12 @@
         return request;
     }
 
-    HttpRequest encodeCall(const SubmitCall& call) { return post("/v1/jobs", specToJson(call.m_spec)); }
+    HttpRequest encodeCall(const SubmitCall& call)
+    {
+        HttpRequest request = post("/v1/jobs", specToJson(call.m_spec));
+        request.m_headers.push_back({ "Bulrush-Attempt", std::to_string(call.m_attempt) });
+        return request;
+    }
 
     HttpRequest encodeCall(const StatusCall& call)
     {
--- a/src/connection/caller_type.h
+++ b/src/connection/caller_type.h
@@ -34,6 +34,7 @@
 /** Submits a job. */
 struct SubmitCall {
     JobSpec m_spec; ///< What is to be run.
+    std::uint32_t m_attempt = 1; ///< 1 when the caller has never sent this key before.
 };
 
 /** What a status call waits for. */
@@ -244,6 +245,9 @@
 
 std::string_view nameOf(RunCertainty certainty);
 
+/** @return Whether the call says that its key was sent before. */
+bool isRetry(const CallerCall& call);
+
 /** @return The pool that a call is about, or nothing when any daemon may answer it. */
 std::optional<std::string> poolOf(const CallerCall& call);
 
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -500,7 +500,7 @@
         return respond(errorResponse(incoming.error(), RunCertainty::NotRun, {}));
     if (m_events.size() > m_settings.m_ringCapacity * 3 / 4) {
         ++m_ringRefusals;
-        return respond(errorResponse({ ErrorKind::Overloaded, "this daemon has too much to do", "send it again later or to another entry VM" }, RunCertainty::NotRun, retryHint));
+        return respond(errorResponse({ ErrorKind::Overloaded, "this daemon has too much to do", "send it again later or to another entry VM" }, isRetry(incoming->m_call) ? RunCertainty::Unknown : RunCertainty::NotRun, retryHint));
     }
     CallerToken caller;
     {
--- a/src/process/journal_codec.cpp
+++ b/src/process/journal_codec.cpp
@@ -63,12 +63,12 @@
         Json rows = Json::array();
         for (const TaskOutcome& outcome : record.m_outcomes)
             rows.push_back(Json::array({ encodeRef(outcome.m_ref), static_cast<unsigned>(outcome.m_result), encodeUsage(outcome.m_usage) }));
-        return rows;
+        return Json::array({ record.m_mayHaveUnrecorded, std::move(rows) });
     }
 
     Json encodeBody(const CancelJobRecord& record)
     {
-        return record.m_job.m_value;
+        return Json::array({ record.m_job.m_value, record.m_mayHaveUnrecorded });
     }
 
     Json encodeBody(const IntendRequestRecord& record)
@@ -122,8 +122,8 @@
 
     OutcomeRecord decodeOutcomes(const Json& body)
     {
-        OutcomeRecord record;
-        for (const Json& row : body)
+        OutcomeRecord record { .m_mayHaveUnrecorded = body.at(0) };
+        for (const Json& row : body.at(1))
             record.m_outcomes.push_back({ .m_ref = decodeRef(row.at(0)), .m_result = decodeEnum<TaskResult>(row.at(1), taskResultCount), .m_usage = decodeUsage(row.at(2)) });
         return record;
     }
@@ -144,7 +144,7 @@
         case 4:
             return decodeOutcomes(body);
         case 5:
-            return CancelJobRecord { JobNumber { body.get<std::uint64_t>() } };
+            return CancelJobRecord { .m_job = { body.at(0).get<std::uint64_t>() }, .m_mayHaveUnrecorded = body.at(1) };
         case 6:
             return IntendRequestRecord { .m_key = body.at(0), .m_digest = body.at(1), .m_runner = body.at(2), .m_dispatch = body.at(3) };
         case 7:
--- a/src/process/journal_type.h
+++ b/src/process/journal_type.h
@@ -48,11 +48,13 @@
 /** Records the ends of attempts. */
 struct OutcomeRecord {
     std::vector<TaskOutcome> m_outcomes; ///< The ends; those that no longer apply are passed over.
+    bool m_mayHaveUnrecorded = false; ///< Waiting tasks of earlier terms may have begun without a record.
 };
 
 /** Cancels a job. */
 struct CancelJobRecord {
     JobNumber m_job; ///< The job.
+    bool m_mayHaveUnrecorded = false; ///< Waiting tasks of earlier terms may have begun without a record.
 };
 
 /** Allows the dispatch of a non-idempotent request. */
--- a/src/process/member.cpp
+++ b/src/process/member.cpp
@@ -20,6 +20,22 @@
         return found == heartbeat.m_shards.end() ? nullptr : &*found;
     }
 
+    Json encodeShards(const std::vector<OwnedShard>& shards)
+    {
+        Json rows = Json::array();
+        for (const OwnedShard& owned : shards)
+            rows.push_back(Json::array({ owned.m_shard, owned.m_epoch.m_value }));
+        return rows;
+    }
+
+    std::vector<OwnedShard> decodeShards(const Json& rows)
+    {
+        std::vector<OwnedShard> shards;
+        for (const Json& row : rows)
+            shards.push_back({ .m_shard = row.at(0), .m_epoch = { row.at(1).get<std::uint64_t>() } });
+        return shards;
+    }
+
 } // namespace
 
 std::string_view nameOf(MemberState state)
@@ -65,11 +81,8 @@
 
 std::string encodeHeartbeat(const Heartbeat& heartbeat)
 {
-    Json shards = Json::array();
-    for (const OwnedShard& owned : heartbeat.m_shards)
-        shards.push_back(Json::array({ owned.m_shard, owned.m_epoch.m_value }));
     const Json whole = Json::array({ heartbeat.m_cell, heartbeat.m_member, heartbeat.m_instance.m_value, heartbeat.m_sequence, heartbeat.m_address.m_host,
-        heartbeat.m_address.m_port, heartbeat.m_zone, static_cast<unsigned>(heartbeat.m_state), heartbeat.m_settingsVersion, std::move(shards) });
+        heartbeat.m_address.m_port, heartbeat.m_zone, static_cast<unsigned>(heartbeat.m_state), heartbeat.m_settingsVersion, encodeShards(heartbeat.m_shards), encodeShards(heartbeat.m_heardOf) });
     std::string bytes;
     Json::to_cbor(whole, bytes);
     return bytes;
@@ -89,8 +102,8 @@
         heartbeat.m_zone = whole.at(6);
         heartbeat.m_state = decodeEnum<MemberState>(whole.at(7), memberStateCount);
         heartbeat.m_settingsVersion = whole.at(8);
-        for (const Json& row : whole.at(9))
-            heartbeat.m_shards.push_back({ .m_shard = row.at(0), .m_epoch = { row.at(1).get<std::uint64_t>() } });
+        heartbeat.m_shards = decodeShards(whole.at(9));
+        heartbeat.m_heardOf = decodeShards(whole.at(10));
         return heartbeat;
     } catch (const std::exception& error) {
         return fail(ErrorKind::InvalidInput, std::string("the datagram is no heartbeat: ") + error.what(), "it is dropped");
--- a/src/process/member_type.h
+++ b/src/process/member_type.h
@@ -37,6 +37,7 @@
     MemberState m_state = MemberState::Starting; ///< What it is fit for.
     std::uint64_t m_settingsVersion = 0; ///< Version of the settings that it has in force.
     std::vector<OwnedShard> m_shards; ///< Shards that it owns.
+    std::vector<OwnedShard> m_heardOf; ///< Terms of others that began lately.
 };
 
 /** Another daemon. */
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -18,9 +18,10 @@
     constexpr Duration probeInterval { 500 };
     constexpr Duration silenceLimit { 2'300 };
     constexpr Duration memberMemory { 60'000 };
+    constexpr Duration newsAge { 10'000 };
     constexpr std::size_t snapshotRetryMs = 1'000;
 
-    Heartbeat makeHeartbeat(Node& node)
+    Heartbeat makeHeartbeat(Node& node, TimePoint now)
     {
         Heartbeat heartbeat;
         heartbeat.m_cell = node.m_options.m_cell;
@@ -35,9 +36,25 @@
             if (slot.m_owner && !slot.m_owner->m_isDeposed)
                 heartbeat.m_shards.push_back({ .m_shard = name, .m_epoch = slot.m_owner->m_state.m_epoch });
         }
+        for (const auto& [name, news] : node.m_ownershipNews) {
+            if (now - news.m_heardAt < newsAge)
+                heartbeat.m_heardOf.push_back({ .m_shard = name, .m_epoch = news.m_epoch });
+        }
         return heartbeat;
     }
 
+    /** Passes on which terms have begun lately, so that an owner learns of its successor through others too. */
+    void noteOwnership(Node& node, const OwnedShard& heard, TimePoint now)
+    {
+        OwnershipNews& news = node.m_ownershipNews[heard.m_shard];
+        if (heard.m_epoch > news.m_epoch)
+            news = { .m_epoch = heard.m_epoch, .m_heardAt = now };
+        const auto slot = node.m_shards.find(heard.m_shard);
+        ShardOwner* const owner = slot == node.m_shards.end() ? nullptr : slot->second.m_owner.get();
+        if (owner && heard.m_epoch > owner->m_state.m_epoch)
+            noteSuperseded(*owner);
+    }
+
     std::vector<Address> listPeers(const Node& node, TimePoint now)
     {
         std::set<Address> peers(node.m_options.m_seeds.begin(), node.m_options.m_seeds.end());
@@ -58,7 +75,7 @@
         if (now < node.m_nextHeartbeatAt)
             return;
         node.m_nextHeartbeatAt = now + node.m_options.m_heartbeatInterval;
-        effects.m_heartbeats.push_back({ .m_to = listPeers(node, now), .m_bytes = encodeHeartbeat(makeHeartbeat(node)) });
+        effects.m_heartbeats.push_back({ .m_to = listPeers(node, now), .m_bytes = encodeHeartbeat(makeHeartbeat(node, now)) });
     }
 
     /** @return Whether some shard here waits for a proof that this daemon has stopped. */
@@ -95,9 +112,10 @@
             ++known;
             heard += now - member.m_heardAt < silenceLimit ? 1 : 0;
         }
+        node.m_hasMajority = heard * 2 > known;
         for (auto& [name, slot] : node.m_shards) {
             if (slot.m_owner)
-                noteContact(*slot.m_owner, heard < known, heard * 2 > known);
+                noteContact(*slot.m_owner, heard < known, node.m_hasMajority);
         }
     }
 
@@ -219,16 +237,14 @@
         return;
     if (news == HeartbeatNews::Replaced)
         noteStopped(node, heartbeat.m_member, InstanceId { heartbeat.m_instance.m_value - 1 }, now);
+    for (const OwnedShard& owned : heartbeat.m_shards)
+        noteOwnership(node, owned, now);
+    for (const OwnedShard& owned : heartbeat.m_heardOf)
+        noteOwnership(node, owned, now);
     for (auto& [name, slot] : node.m_shards) {
-        ShardOwner* const owner = slot.m_owner.get();
-        if (!owner)
-            continue;
-        const auto claimed = std::find_if(heartbeat.m_shards.begin(), heartbeat.m_shards.end(), [&name = name](const OwnedShard& owned) { return owned.m_shard == name; });
-        const bool isClaimed = claimed != heartbeat.m_shards.end();
-        if (isClaimed && claimed->m_epoch > owner->m_state.m_epoch)
-            owner->m_reader.m_isNeeded = true;
-        if (!isClaimed)
-            noteFormerStopped(*owner, heartbeat.m_instance, now);
+        const bool isClaimed = std::any_of(heartbeat.m_shards.begin(), heartbeat.m_shards.end(), [&name = name](const OwnedShard& owned) { return owned.m_shard == name; });
+        if (slot.m_owner && !isClaimed)
+            noteFormerStopped(*slot.m_owner, heartbeat.m_instance, now);
     }
 }
 
--- a/src/process/node_base.h
+++ b/src/process/node_base.h
@@ -99,12 +99,20 @@
     std::uint32_t m_failures = 0; ///< Reads in a row without an answer.
 };
 
+/** The latest term of a shard that was heard of. */
+struct OwnershipNews {
+    Epoch m_epoch; ///< The term.
+    TimePoint m_heardAt; ///< Monotonic time at which it was first heard of.
+};
+
 /** A daemon. */
 struct Node {
     NodeOptions m_options; ///< What it was told at its start.
     TimePoint m_startedAt; ///< Monotonic time of its start.
     MemberState m_memberState = MemberState::Starting; ///< What it is fit for.
     MemberTable m_members; ///< The other daemons.
+    bool m_hasMajority = true; ///< More than half of the known daemons are heard.
+    std::map<std::string, OwnershipNews> m_ownershipNews; ///< Latest terms, by shard.
     VmList m_vms; ///< The platform's list.
     bool m_hasVmList = false; ///< Whether the list was ever read.
     std::uint64_t m_heartbeatSequence = 0; ///< Counts the heartbeats.
--- a/src/process/node_calls.cpp
+++ b/src/process/node_calls.cpp
@@ -30,6 +30,8 @@
         CallerCall asRetry(const PendingCall& pending, TimePoint now)
         {
             CallerCall call = pending.m_call;
+            if (auto* const submit = std::get_if<SubmitCall>(&call); submit && pending.m_mayHaveReached)
+                submit->m_attempt = std::max<std::uint32_t>(submit->m_attempt, 2);
             auto* const run = std::get_if<RunCall>(&call);
             if (!run)
                 return call;
@@ -42,6 +44,12 @@
             return call;
         }
 
+        /** What a daemon can say of a call that it has not passed on: an earlier attempt may have reached an owner. */
+        RunCertainty certaintyOf(const PendingCall& pending)
+        {
+            return pending.m_mayHaveReached || isRetry(pending.m_call) ? RunCertainty::Unknown : RunCertainty::NotRun;
+        }
+
         Error noOwner(const std::string& shard)
         {
             return { ErrorKind::Unavailable, "shard " + shard + " has no owner at the moment", "send it again" };
@@ -51,7 +59,7 @@
         {
             const std::string shard = shardOf(pending.m_call, 1);
             if (!pending.m_mayHaveReached)
-                return answerError(effects, caller, noOwner(shard), RunCertainty::NotRun, retryHint);
+                return answerError(effects, caller, noOwner(shard), certaintyOf(pending), retryHint);
             const Error error { ErrorKind::TimedOut, "the owner of the shard did not answer in time", "send it again with the same key to learn what became of it" };
             answerError(effects, caller, error, RunCertainty::Unknown, retryHint);
         }
@@ -136,7 +144,7 @@
             return answerTimedOut(pending, caller, effects);
         const auto shard = findShard(node, pending.m_call);
         if (!shard)
-            return answerError(effects, caller, { ErrorKind::UnknownName, "there is no pool or shard \"" + poolOf(pending.m_call).value_or("") + "\"", "the pools are: " + listPools(node) }, RunCertainty::NotRun);
+            return answerError(effects, caller, { ErrorKind::UnknownName, "there is no pool or shard \"" + poolOf(pending.m_call).value_or("") + "\"", "the pools are: " + listPools(node) }, certaintyOf(pending));
         ShardSlot& slot = node.m_shards.at(*shard);
         const bool isOwner = slot.m_owner && !slot.m_owner->m_isDeposed;
         if (isOwner) {
@@ -190,7 +198,7 @@
     }
     if (node.m_memberState == MemberState::Starting) {
         const Error error { ErrorKind::Unavailable, "this daemon is starting and has not caught up with the settings", "send it again or to another entry VM" };
-        return detail::answerError(effects, caller, error, RunCertainty::NotRun, { 1'000 });
+        return detail::answerError(effects, caller, error, isRetry(call) ? RunCertainty::Unknown : RunCertainty::NotRun, { 1'000 });
     }
     PendingCall& pending = node.m_calls[caller];
     pending.m_call = std::move(call);
--- a/src/process/node_shards.cpp
+++ b/src/process/node_shards.cpp
@@ -138,7 +138,7 @@
     {
         const ShardState& state = slot.m_state;
         const bool isOver = state.m_epoch.m_value == 0 || state.m_isReleased || isOwnerEnded(node, state);
-        const bool isSilent = !isOwnerLive(node, state, now) && logNow - state.m_lastEntryLogTime >= ownerSilence;
+        const bool isSilent = node.m_hasMajority && !isOwnerLive(node, state, now) && logNow - state.m_lastEntryLogTime >= ownerSilence;
         if (isOver || isSilent)
             return beginClaim(node, slot, now);
         const bool mayStillFallSilent = !isOwnerLive(node, state, now);
--- a/src/process/owner.cpp
+++ b/src/process/owner.cpp
@@ -196,6 +196,13 @@
     owner.m_hasMajority = hasMajority;
 }
 
+void noteSuperseded(ShardOwner& owner)
+{
+    owner.m_isSuperseded = true;
+    owner.m_isFreshReadNeeded = true;
+    owner.m_reader.m_isNeeded = true;
+}
+
 void step(ShardOwner& owner, TimePoint now, Effects& effects)
 {
     if (owner.m_isDeposed)
--- a/src/process/owner_base.h
+++ b/src/process/owner_base.h
@@ -95,6 +95,12 @@
     bool m_holdsSlot = false; ///< Counted in the runner's reserved slots.
 };
 
+/** An attempt that was told as not run; an older one that arrives late must not run any more. */
+struct RefusedAttempt {
+    std::string m_key; ///< Key of the request.
+    TimePoint m_at; ///< Monotonic time of the refusal.
+};
+
 /** Reading of the own stream. */
 struct StreamReader {
     bool m_isOut = false; ///< A read is out.
@@ -150,6 +156,8 @@
     bool m_isFenceQueued = false; ///< The record that they are fenced is on its way.
 
     // Contact with the other daemons.
+    bool m_isSuperseded = false; ///< A later term has been heard of; the journal is yet to be read.
+    bool m_isFreshReadNeeded = false; ///< The read that tells has yet to be sent.
     bool m_isSuspect = false; ///< Another daemon is silent and might have claimed the shard unheard.
     bool m_hasMajority = true; ///< More than half of the known daemons are heard.
     TimePoint m_readAt; ///< Monotonic time at which the latest read that reached the end of the stream was sent.
@@ -174,6 +182,7 @@
     TimePoint m_nextWorkerScanAt; ///< Monotonic time of the next look at all workers' timers.
     std::unordered_map<TaskRef, TaskRun> m_runs; ///< Attempts on workers or on their way.
     std::map<JobNumber, QueuedJob> m_queue; ///< Jobs with waiting tasks.
+    std::map<JobNumber, std::uint32_t> m_closingRecords; ///< Records on their way that may end waiting tasks, by job.
     std::map<std::string, TeamUse> m_teams; ///< What teams hold; a cache.
     bool m_isScheduleDue = false; ///< Something changed since the last pass.
     TimePoint m_nextScheduleAt; ///< Monotonic time of the next pass.
@@ -186,6 +195,8 @@
     std::unordered_map<std::string, std::size_t> m_runnerIndex; ///< By name.
     std::unordered_map<std::string, RequestRun> m_requests; ///< Requests by key.
     std::map<std::int64_t, RequestLane, std::greater<>> m_requestLanes; ///< Queued requests, by priority, the highest first.
+    std::unordered_map<std::string, std::uint32_t> m_refusedAttempts; ///< Highest attempt that was told as not run, by key.
+    std::deque<RefusedAttempt> m_refusals; ///< The same by age, the oldest first.
     std::multimap<TimePoint, std::string> m_requestDeadlines; ///< Keys by the time at which they are looked at again.
     std::set<std::string> m_blockedRequests; ///< Keys of blocked requests.
     std::size_t m_queuedRequests = 0; ///< Requests in all lanes.
--- a/src/process/owner_detail.h
+++ b/src/process/owner_detail.h
@@ -33,6 +33,18 @@
 /** Books an attempt on its worker. */
 TaskRun& addRun(ShardOwner& owner, const TaskRun& run);
 
+/** @return Whether a worker of an earlier term might still be running a task without a record. */
+bool hasUnresolvedWorker(const ShardOwner& owner, TimePoint now);
+
+/** @return Whether a worker is to get no new work because it leaves or is drained. */
+bool isLeaving(const ShardOwner& owner, const Worker& worker);
+
+/** Adds the end of an attempt to the next append. */
+void queueOutcome(ShardOwner& owner, const TaskOutcome& outcome, TimePoint now);
+
+/** Adds a cancellation to the next append. */
+void queueCancel(ShardOwner& owner, JobNumber number, TimePoint now);
+
 /** Takes an attempt off its worker; its outcome is still to be recorded. */
 void endRun(ShardOwner& owner, TaskRun& run, TaskResult result, const TaskUsage& usage, TimePoint now);
 
--- a/src/process/owner_jobs.cpp
+++ b/src/process/owner_jobs.cpp
@@ -137,7 +137,7 @@
             }
             if (isLogSlow(owner, now))
                 return answerError(effects, caller, { ErrorKind::Unavailable, "the log does not answer, so that the cancellation can't be recorded", "cancel again" }, RunCertainty::Unknown, retrySoon);
-            queueRecord(owner, CancelJobRecord { job->m_number });
+            queueCancel(owner, job->m_number, now);
             owner.m_waiters.push_back({ .m_caller = caller, .m_job = job->m_number, .m_until = WaitUntil::Now, .m_deadline = now + acceptDeadline });
         }
 
@@ -168,7 +168,7 @@
             for (const auto& [number, job] : owner.m_state.m_jobs) {
                 if (job.m_isCancelRequested || isFinal(stateOf(job)) || !isSelected(job, call.m_selector))
                     continue;
-                queueRecord(owner, CancelJobRecord { number });
+                queueCancel(owner, number, now);
                 ++answer.m_count;
             }
             effects.m_answers.push_back({ .m_caller = caller, .m_answer = answer });
--- a/src/process/owner_journal.cpp
+++ b/src/process/owner_journal.cpp
@@ -112,6 +112,7 @@
             reader.m_ticket = ++owner.m_lastTicket;
             reader.m_nextAt = now + (owner.m_isSuspect ? suspectReadInterval : idleReadInterval);
             owner.m_readSentAt = now;
+            owner.m_isFreshReadNeeded = false;
             effects.m_reads.push_back({ .m_stream = "journal." + owner.m_state.m_shard, .m_from = owner.m_state.m_next, .m_waitFor = {}, .m_ticket = reader.m_ticket });
         }
 
@@ -142,6 +143,8 @@
 
     bool mayActUnrecorded(const ShardOwner& owner, TimePoint now)
     {
+        if (owner.m_isSuperseded)
+            return false;
         return !owner.m_isSuspect || owner.m_hasMajority || now - owner.m_readAt < owner.m_options.m_readFreshness;
     }
 
@@ -153,6 +156,18 @@
 
 } // namespace detail
 
+namespace {
+
+    /** The stream has been read to its end, and the term goes on. */
+    void noteReadToEnd(ShardOwner& owner)
+    {
+        owner.m_readAt = owner.m_readSentAt;
+        if (!owner.m_isFreshReadNeeded)
+            owner.m_isSuperseded = false;
+    }
+
+} // namespace
+
 void onAppendResult(ShardOwner& owner, std::uint64_t ticket, const AppendResult& result, TimePoint now, Effects& effects)
 {
     if (owner.m_isDeposed || !owner.m_append || owner.m_append->m_ticket != ticket)
@@ -192,7 +207,7 @@
     if (isBehind)
         owner.m_reader.m_isNeeded = true;
     else
-        owner.m_readAt = owner.m_readSentAt;
+        noteReadToEnd(owner);
     if (owner.m_isDeposed)
         detail::moveCallers(owner, effects);
 }
--- a/src/process/owner_requests.cpp
+++ b/src/process/owner_requests.cpp
@@ -43,6 +43,8 @@
             request.m_callers.clear();
         }
 
+        void noteRefusal(ShardOwner& owner, const RunCall& call, TimePoint now);
+
         void trimAnswers(ShardOwner& owner, TimePoint now)
         {
             while (!owner.m_answered.empty()) {
@@ -65,6 +67,8 @@
             RequestRun& request = owner.m_requests.at(key);
             answerCallers(request, answer, effects);
             --owner.m_teams[request.m_call.m_team].m_requests;
+            if (answer.m_certainty == RunCertainty::NotRun)
+                noteRefusal(owner, request.m_call, now);
             request.m_phase = RequestPhase::Answered;
             request.m_call.m_body.reset();
             request.m_answer = std::move(answer);
@@ -152,6 +156,35 @@
             return !call.m_age || toWall(now, owner.m_options.m_wallOffset) - *call.m_age - clockMargin < owner.m_state.m_requestHorizon;
         }
 
+        /** Idempotent requests leave no record, so that an earlier attempt may have run in an earlier term. */
+        bool mayHaveRunBefore(const RunCall& call)
+        {
+            return call.m_isIdempotent && call.m_attempt > 1;
+        }
+
+        /** Remembers that an attempt was told as not run. */
+        void noteRefusal(ShardOwner& owner, const RunCall& call, TimePoint now)
+        {
+            std::uint32_t& attempt = owner.m_refusedAttempts[call.m_key];
+            attempt = std::max(attempt, call.m_attempt);
+            owner.m_refusals.push_back({ .m_key = call.m_key, .m_at = now });
+        }
+
+        void trimRefusals(ShardOwner& owner, TimePoint now)
+        {
+            while (!owner.m_refusals.empty() && now - owner.m_refusals.front().m_at > owner.m_options.m_answerMemory) {
+                owner.m_refusedAttempts.erase(owner.m_refusals.front().m_key);
+                owner.m_refusals.pop_front();
+            }
+        }
+
+        /** @return Whether a later attempt of the key was told as not run, so that this one comes too late. */
+        bool isOvertaken(const ShardOwner& owner, const RunCall& call)
+        {
+            const auto refused = owner.m_refusedAttempts.find(call.m_key);
+            return refused != owner.m_refusedAttempts.end() && call.m_attempt < refused->second;
+        }
+
         std::uint32_t countSlots(const ShardOwner& owner)
         {
             std::uint32_t slots = 0;
@@ -204,6 +237,7 @@
                 return true;
             }
             if (request.m_phase != RequestPhase::Answered) {
+                request.m_call.m_attempt = std::max(request.m_call.m_attempt, call.m_attempt);
                 const TimePoint deadline = now + call.m_deadline;
                 request.m_deadline = request.m_callers.empty() ? deadline : std::max(request.m_deadline, deadline);
                 request.m_callers.push_back(caller);
@@ -211,6 +245,10 @@
                 return true;
             }
             const RunCertainty certainty = request.m_answer.m_certainty;
+            if (isOvertaken(owner, call)) {
+                effects.m_answers.push_back({ .m_caller = caller, .m_answer = request.m_answer });
+                return true;
+            }
             const bool mayRunAgain = certainty == RunCertainty::NotRun || (certainty == RunCertainty::Unknown && call.m_isIdempotent && now >= request.m_stopsBy);
             if (mayRunAgain) {
                 std::erase(owner.m_answered, call.m_key);
@@ -374,11 +412,18 @@
             return certain(RunCertainty::NotRun, kind, std::move(message), "send it again with the same key");
         }
 
+        RunAnswer answerWasLost()
+        {
+            return certain(RunCertainty::Unknown, ErrorKind::Unavailable, "the runner's answer was lost", "send it again with the same key");
+        }
+
         void onNeverRun(ShardOwner& owner, const std::string& key, const std::string& reason, TimePoint now, Effects& effects)
         {
             RequestRun& request = owner.m_requests.at(key);
-            request.m_mayHaveRun = false;
             recordEnd(owner, request, RequestState::NotRun);
+            if (request.m_call.m_isIdempotent && (request.m_lostAnswers > 0 || mayHaveRunBefore(request.m_call)))
+                return retry(owner, key, answerWasLost(), now, effects);
+            request.m_mayHaveRun = false;
             retry(owner, key, notRun(ErrorKind::Unavailable, reason), now, effects);
         }
 
@@ -387,8 +432,8 @@
         {
             RequestRun& request = owner.m_requests.at(key);
             if (request.m_call.m_isIdempotent) {
-                RunAnswer otherwise = certain(RunCertainty::Unknown, ErrorKind::Unavailable, "the runner's answer was lost", "send it again with the same key");
-                return retry(owner, key, std::move(otherwise), now, effects);
+                ++request.m_lostAnswers;
+                return retry(owner, key, answerWasLost(), now, effects);
             }
             const RequestState end = !state ? RequestState::Unknown : (*state == DispatchState::Done ? RequestState::Done : RequestState::Failed);
             recordEnd(owner, request, end);
@@ -493,9 +538,12 @@
             effects.m_answers.push_back({ .m_caller = caller, .m_answer = certain(RunCertainty::Unknown, ErrorKind::UnknownName, "the key \"" + call.m_key + "\" may be older than what is remembered", "find out at the service whether it ran; send new work under a new key as attempt 1") });
             return;
         }
+        if (isOvertaken(owner, call))
+            return answerError(effects, caller, { ErrorKind::Stale, "a later attempt under the key \"" + call.m_key + "\" was answered as not run", "send it again with a higher attempt" }, RunCertainty::NotRun);
         if (const auto admitted = admit(owner, call, now); !admitted) {
             ++owner.m_counters.m_shed;
-            return answerError(effects, caller, admitted.error(), RunCertainty::NotRun, retrySoon);
+            noteRefusal(owner, call, now);
+            return answerError(effects, caller, admitted.error(), mayHaveRunBefore(call) ? RunCertainty::Unknown : RunCertainty::NotRun, retrySoon);
         }
         RequestRun& request = owner.m_requests[call.m_key];
         request.m_call = call;
@@ -503,6 +551,7 @@
         request.m_callers = { caller };
         request.m_arrivedAt = now;
         request.m_deadline = now + call.m_deadline;
+        request.m_mayHaveRun = mayHaveRunBefore(call);
         ++owner.m_teams[call.m_team].m_requests;
         owner.m_requestDeadlines.emplace(request.m_deadline, call.m_key);
         if (isBlocked(owner, request, now)) {
@@ -583,6 +632,7 @@
         for (const std::string& key : blocked)
             unblock(owner, key, now, effects);
         trimAnswers(owner, now);
+        trimRefusals(owner, now);
     }
 
     void serveRequests(ShardOwner& owner, TimePoint now, Effects& effects)
--- a/src/process/owner_schedule.cpp
+++ b/src/process/owner_schedule.cpp
@@ -52,8 +52,7 @@
 
     bool mayTakeTasks(const ShardOwner& owner, const Worker& worker, TimePoint now)
     {
-        return worker.m_link == LinkState::Adopted && worker.m_isListed && worker.m_vm.m_state == VmState::Live && !worker.m_saysLeaving
-            && !owner.m_policy->m_drained.contains(worker.m_name) && isHealthy(worker, now);
+        return worker.m_link == LinkState::Adopted && worker.m_isListed && !isLeaving(owner, worker) && isHealthy(worker, now);
     }
 
     Pass beginPass(const ShardOwner& owner, TimePoint now)
@@ -258,14 +257,6 @@
         finishTurn(owner, job, std::move(placements));
     }
 
-    /** @return Whether a worker of an earlier term might still be running a task without a record. */
-    bool hasUnresolvedWorker(const ShardOwner& owner, TimePoint now)
-    {
-        return std::any_of(owner.m_workers.begin(), owner.m_workers.end(), [now](const Worker& worker) {
-            return worker.m_boot == 0 && now < worker.m_leaseEnd;
-        });
-    }
-
     bool mayPlace(const ShardOwner& owner, const Job& job, bool isHeldBack, TimePoint now)
     {
         const bool isFromBefore = job.m_acceptedIn != owner.m_state.m_epoch;
@@ -273,7 +264,8 @@
             return false;
         if (!isLogSlow(owner, now))
             return true;
-        return mayStartUnjournaled(owner, now) && job.m_spec.m_isIdempotent && job.m_spec.m_kind != JobKind::Gang;
+        const bool isClosing = owner.m_closingRecords.contains(job.m_number);
+        return mayStartUnjournaled(owner, now) && job.m_spec.m_isIdempotent && job.m_spec.m_kind != JobKind::Gang && !isClosing;
     }
 
 } // namespace
--- a/src/process/owner_tasks.cpp
+++ b/src/process/owner_tasks.cpp
@@ -40,6 +40,13 @@
         return runs;
     }
 
+    void countClosed(ShardOwner& owner, JobNumber number)
+    {
+        const auto found = owner.m_closingRecords.find(number);
+        if (found != owner.m_closingRecords.end() && --found->second == 0)
+            owner.m_closingRecords.erase(found);
+    }
+
     bool isOnWorker(const TaskRun& run)
     {
         return run.m_phase == RunPhase::Held || run.m_phase == RunPhase::Running;
@@ -47,6 +54,33 @@
 
 } // namespace
 
+bool hasUnresolvedWorker(const ShardOwner& owner, TimePoint now)
+{
+    return std::any_of(owner.m_workers.begin(), owner.m_workers.end(), [now](const Worker& worker) {
+        return worker.m_boot == 0 && now < worker.m_leaseEnd;
+    });
+}
+
+void queueOutcome(ShardOwner& owner, const TaskOutcome& outcome, TimePoint now)
+{
+    const bool mayHaveUnrecorded = owner.m_mayHaveUnjournaled && hasUnresolvedWorker(owner, now);
+    if (outcome.m_result != TaskResult::Done)
+        ++owner.m_closingRecords[outcome.m_ref.m_job];
+    queueRecord(owner, OutcomeRecord { .m_outcomes = { outcome }, .m_mayHaveUnrecorded = mayHaveUnrecorded });
+}
+
+void queueCancel(ShardOwner& owner, JobNumber number, TimePoint now)
+{
+    const bool mayHaveUnrecorded = owner.m_mayHaveUnjournaled && hasUnresolvedWorker(owner, now);
+    ++owner.m_closingRecords[number];
+    queueRecord(owner, CancelJobRecord { .m_job = number, .m_mayHaveUnrecorded = mayHaveUnrecorded });
+}
+
+bool isLeaving(const ShardOwner& owner, const Worker& worker)
+{
+    return worker.m_vm.m_state != VmState::Live || worker.m_saysLeaving || owner.m_policy->m_drained.contains(worker.m_name);
+}
+
 TaskRun& addRun(ShardOwner& owner, const TaskRun& run)
 {
     const auto [added, isNew] = owner.m_runs.emplace(run.m_ref, run);
@@ -66,6 +100,7 @@
     TeamUse& use = useOf(owner, run.m_ref);
     use.m_granted = use.m_granted - run.m_grant;
     BULRUSH_INVARIANT(isNonNegative(worker.m_granted), "a worker's grants are not negative");
+    logEvent(LogLevel::Debug, "task-ended", { { "shard", owner.m_state.m_shard }, { "task", format(run.m_ref) }, { "worker", worker.m_name }, { "result", nameOf(result) }, { "phase", static_cast<int>(run.m_phase) }, { "epoch", owner.m_state.m_epoch.m_value } });
     run.m_phase = RunPhase::Ended;
     run.m_isLost = result != TaskResult::Done;
     owner.m_isScheduleDue = true;
@@ -75,7 +110,7 @@
         owner.m_runs.erase(TaskRef(run.m_ref));
         return;
     }
-    queueRecord(owner, OutcomeRecord { { { .m_ref = run.m_ref, .m_result = result, .m_usage = usage } } });
+    queueOutcome(owner, { .m_ref = run.m_ref, .m_result = result, .m_usage = usage }, now);
 }
 
 void eraseRun(ShardOwner& owner, const TaskRef& ref)
@@ -155,7 +190,7 @@
     const TaskRecord& task = job->m_tasks[finished.m_ref.m_task];
     const bool isLateTruth = task.m_state == TaskState::Unknown && task.m_attempt == finished.m_ref.m_attempt;
     if (isLateTruth) {
-        queueRecord(owner, OutcomeRecord { { { .m_ref = finished.m_ref, .m_result = finished.m_result, .m_usage = finished.m_usage } } });
+        queueOutcome(owner, { .m_ref = finished.m_ref, .m_result = finished.m_result, .m_usage = finished.m_usage }, now);
         return false;
     }
     const bool isFree = task.m_state == TaskState::Waiting && !isTaskPlaced(owner, *job, finished.m_ref.m_task) && !job->m_isCancelRequested;
@@ -193,7 +228,7 @@
     const bool hasPlaced = countTasks(job, TaskState::Placed) > 0;
     if (job.m_isCancelRequested || isFinal(stateOf(job)))
         return;
-    if (hasLost && hasPlaced) {
+    if ((hasLost || job.m_isAbandoned) && hasPlaced) {
         for (TaskRun* const run : runs) {
             if (run->m_phase != RunPhase::Ended && !run->m_isStopWanted)
                 stopRun(owner, *run, true);
@@ -205,6 +240,14 @@
             queueJob(owner, job, now);
         return;
     }
+    const bool isLeavingHeld = std::any_of(runs.begin(), runs.end(), [&owner](const TaskRun* run) { return run->m_phase == RunPhase::Held && isLeaving(owner, owner.m_workers[run->m_worker]); });
+    if (isLeavingHeld) {
+        for (TaskRun* const run : runs) {
+            if (run->m_phase != RunPhase::Ended && !run->m_isStopWanted)
+                stopRun(owner, *run, true);
+        }
+        return;
+    }
     const bool isComplete = std::all_of(runs.begin(), runs.end(), [](const TaskRun* run) { return isOnWorker(*run) || run->m_phase == RunPhase::Ended; });
     if (!isComplete)
         return;
@@ -249,14 +292,16 @@
         if (run.m_phase != RunPhase::Journaling)
             continue;
         run.m_phase = RunPhase::Ready;
-        const bool isSameRun = owner.m_workers[run.m_worker].m_boot == run.m_boot;
-        if (!isSameRun || run.m_isStopWanted) {
+        const Worker& worker = owner.m_workers[run.m_worker];
+        if (worker.m_boot != run.m_boot || run.m_isStopWanted || isLeaving(owner, worker)) {
             endRun(owner, run, TaskResult::NeverStarted, {}, now);
             continue;
         }
         owner.m_workers[run.m_worker].m_starts.push_back(run.m_ref);
         sendSoon(owner, run.m_worker);
     }
+    if (!result && !record.m_placements.empty())
+        reviewGangOf(owner, record.m_placements.front().m_ref, now);
 }
 
 void undoRun(ShardOwner& owner, TaskRun& run, TimePoint now)
@@ -283,6 +328,8 @@
 void onOutcomeConfirmed(ShardOwner& owner, const OutcomeRecord& record, TimePoint now, Effects& effects)
 {
     for (const TaskOutcome& outcome : record.m_outcomes) {
+        if (outcome.m_result != TaskResult::Done)
+            countClosed(owner, outcome.m_ref.m_job);
         eraseRun(owner, outcome.m_ref);
         const Job* const job = findJob(owner.m_state, outcome.m_ref.m_job);
         if (!job)
@@ -300,6 +347,7 @@
 
 void onCancelConfirmed(ShardOwner& owner, const CancelJobRecord& record, TimePoint now, Effects& effects)
 {
+    countClosed(owner, record.m_job);
     const Job* const job = findJob(owner.m_state, record.m_job);
     if (!job)
         return;
--- a/src/process/owner_workers.cpp
+++ b/src/process/owner_workers.cpp
@@ -88,15 +88,20 @@
             effects.m_workerSyncs.push_back(std::move(effect));
         }
 
-        void addStarts(ShardOwner& owner, Worker& worker, SyncWorkerCall& call)
+        void addStarts(ShardOwner& owner, Worker& worker, SyncWorkerCall& call, TimePoint now)
         {
             for (const TaskRef& ref : worker.m_starts) {
                 const auto found = owner.m_runs.find(ref);
                 if (found == owner.m_runs.end() || found->second.m_phase != RunPhase::Ready)
                     continue;
                 TaskRun& run = found->second;
+                if (isLeaving(owner, worker)) {
+                    endRun(owner, run, TaskResult::NeverStarted, {}, now);
+                    continue;
+                }
                 const Job* const job = findJob(owner.m_state, ref.m_job);
                 run.m_phase = RunPhase::Starting;
+                logEvent(LogLevel::Debug, "task-start-sent", { { "shard", owner.m_state.m_shard }, { "task", format(ref) }, { "worker", worker.m_name }, { "epoch", owner.m_state.m_epoch.m_value }, { "generation", worker.m_generation } });
                 call.m_starts.push_back({ .m_ref = ref, .m_grant = run.m_grant, .m_isHeld = run.m_isHeldStart, .m_payload = job ? job->m_spec.m_payload : std::string() });
             }
             worker.m_starts.clear();
@@ -133,7 +138,7 @@
         void command(ShardOwner& owner, Worker& worker, TimePoint now, Effects& effects)
         {
             SyncWorkerEffect effect { .m_link = linkOf(owner, worker), .m_call = makeSync(owner, worker, now), .m_isPoll = false, .m_sentAt = now };
-            addStarts(owner, worker, effect.m_call);
+            addStarts(owner, worker, effect.m_call, now);
             addReleases(owner, worker, effect.m_call);
             addStops(owner, worker, effect.m_call);
             worker.m_isCommanding = true;
--- a/src/process/ownership.cpp
+++ b/src/process/ownership.cpp
@@ -76,6 +76,14 @@
 
 } // namespace
 
+bool isRetry(const CallerCall& call)
+{
+    if (const auto* run = std::get_if<RunCall>(&call))
+        return run->m_attempt > 1;
+    const auto* const submit = std::get_if<SubmitCall>(&call);
+    return submit && submit->m_attempt > 1;
+}
+
 std::optional<std::string> poolOf(const CallerCall& call)
 {
     if (const auto* run = std::get_if<RunCall>(&call))
--- a/src/request/estimate.cpp
+++ b/src/request/estimate.cpp
@@ -14,6 +14,7 @@
     constexpr std::int64_t smallestMemoryMb = 16;
     constexpr std::int64_t runTimePercentile = 80;
     constexpr std::int64_t largestFactor = 4;
+    constexpr std::int64_t outOfMemoryPercent = 150;
 
     std::size_t sampleCount(const UsageHistory& history)
     {
@@ -70,7 +71,7 @@
         size.m_memoryMb = std::max(smallestMemoryMb, fromPermille(memory * headroomPercent / 100, declared.m_memoryMb));
     }
     if (history->m_outOfMemoryPermille > 0)
-        size.m_memoryMb = std::max(size.m_memoryMb, fromPermille(history->m_outOfMemoryPermille * 2, declared.m_memoryMb));
+        size.m_memoryMb = std::max(size.m_memoryMb, fromPermille(history->m_outOfMemoryPermille * outOfMemoryPercent / 100, declared.m_memoryMb));
     // A task that uses all it gets would otherwise be granted more each time.
     size.m_cpuMilli = std::min(size.m_cpuMilli, declared.m_cpuMilli * largestFactor);
     size.m_memoryMb = std::min(size.m_memoryMb, declared.m_memoryMb * largestFactor);
--- a/src/request/job_cmd.cpp
+++ b/src/request/job_cmd.cpp
@@ -71,12 +71,18 @@
         return task.m_mayHaveRun ? TaskState::Stopped : TaskState::NotRun;
     }
 
-    /** Ends the tasks that wait, because of a cancellation or of failures everywhere. */
-    void endWaitingTasks(Job& job)
+    /**
+     * Ends the tasks that wait, because of a cancellation or of failures everywhere.
+     * @param mayHaveUnrecorded A former owner may have begun waiting tasks without a record.
+     */
+    void endWaitingTasks(const ShardState& state, Job& job, bool mayHaveUnrecorded)
     {
+        const bool isSuspect = mayHaveUnrecorded && job.m_spec.m_isIdempotent && job.m_acceptedIn != state.m_epoch;
         for (TaskRecord& task : job.m_tasks) {
-            if (task.m_state == TaskState::Waiting)
-                moveTask(job, task, endWithoutRerun(task));
+            if (task.m_state != TaskState::Waiting)
+                continue;
+            task.m_mayHaveRun = task.m_mayHaveRun || isSuspect;
+            moveTask(job, task, endWithoutRerun(task));
         }
     }
 
@@ -127,7 +133,7 @@
             addOutOfMemory(state.m_usage[usageKey(job.m_spec)], job.m_spec.m_declared, task.m_grant.m_memoryMb);
     }
 
-    void recordOutcome(ShardState& state, const TaskOutcome& outcome, TimePoint wall)
+    void recordOutcome(ShardState& state, const TaskOutcome& outcome, bool mayHaveUnrecorded, TimePoint wall)
     {
         TaskRecord* const task = findPlaced(state, outcome.m_ref);
         if (!task)
@@ -142,8 +148,10 @@
             moveTask(job, *task, TaskState::Done);
         else
             moveTask(job, *task, stateAfterLoss(job, *task, outcome.m_result));
+        const bool isGangBroken = job.m_spec.m_kind == JobKind::Gang && (countTasks(job, TaskState::Failed) > 0 || countTasks(job, TaskState::Unknown) > 0);
+        job.m_isAbandoned = job.m_isAbandoned || isGangBroken;
         if (job.m_isAbandoned)
-            endWaitingTasks(job);
+            endWaitingTasks(state, job, mayHaveUnrecorded);
         closeIfEnded(job, wall);
     }
 
@@ -201,7 +209,7 @@
         return {};
 
     for (const TaskOutcome& outcome : record.m_outcomes)
-        recordOutcome(state, outcome, wall);
+        recordOutcome(state, outcome, record.m_mayHaveUnrecorded, wall);
     return {};
 }
 
@@ -217,7 +225,7 @@
         return {};
 
     job.m_isCancelRequested = true;
-    endWaitingTasks(job);
+    endWaitingTasks(state, job, record.m_mayHaveUnrecorded);
     closeIfEnded(job, wall);
     return {};
 }
--- a/src/request/run_base.h
+++ b/src/request/run_base.h
@@ -31,6 +31,7 @@
     TimePoint m_dispatchedAt; ///< Monotonic time of the latest dispatch.
     TimePoint m_stopsBy; ///< Monotonic time by which the runner has surely stopped the latest dispatch.
     std::uint32_t m_dispatches = 0; ///< Dispatches so far.
+    std::uint32_t m_lostAnswers = 0; ///< Dispatches that may have run and whose answer was lost.
     std::vector<std::size_t> m_triedRunners; ///< Runners that have failed it.
     bool m_mayHaveRun = false; ///< Whether a dispatch may have begun to run.
     RunAnswer m_answer; ///< What the callers were told, for retries.
