--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -37,6 +37,7 @@
     constexpr Duration metricsInterval { 1'000 };
     constexpr std::size_t readLimitBytes = 1024 * 1024;
     constexpr unsigned statusOk = 200;
+    constexpr unsigned statusNotModified = 304;
     constexpr unsigned statusConflict = 409;
     constexpr unsigned statusUnavailable = 503;
     constexpr Duration probeTimeout { 1'000 };
@@ -289,6 +290,8 @@
         onForwardResult(node, forwarded->m_sent.m_caller, forwarded->m_result, now, effects);
     else if (auto* list = std::get_if<VmListEvent>(&event))
         onVmList(node, std::move(list->m_list), now);
+    else if (std::holds_alternative<VmListUnchangedEvent>(event))
+        onVmListUnchanged(node, now);
     else if (const auto* heartbeat = std::get_if<HeartbeatEvent>(&event))
         onHeartbeat(node, heartbeat->m_heartbeat, now);
     else if (const auto* take = std::get_if<TakeShardEvent>(&event))
@@ -468,6 +471,8 @@
                 m_vmListVersion = list->m_version;
                 m_events.push(VmListEvent { std::move(*list) });
             }
+        } else if (result && result->m_status == statusNotModified) {
+            m_events.push(VmListUnchangedEvent {});
         } else if (!result) {
             logEvent(LogLevel::Warning, "vm-list-unreachable", { { "address", format(m_settings.m_vmList) }, { "reason", result.error().m_reason }, { "remedy", "look into the platform; the last list stays in use" } });
         }
--- a/src/process/event_type.h
+++ b/src/process/event_type.h
@@ -47,6 +47,8 @@
     VmList m_list; ///< A new version of the list.
 };
 
+struct VmListUnchangedEvent { };
+
 struct HeartbeatEvent {
     Heartbeat m_heartbeat; ///< What another daemon told.
 };
@@ -66,7 +68,7 @@
 struct ShutdownEvent { };
 
 using NodeEvent = std::variant<CallerEvent, AppendResultEvent, ReadResultEvent, WorkerAdoptedEvent, WorkerSyncedEvent, RunnerAdoptedEvent,
-    RunnerProbedEvent, DispatchAnsweredEvent, ForwardResultEvent, VmListEvent, HeartbeatEvent, TakeShardEvent, SettingsFetchedEvent,
+    RunnerProbedEvent, DispatchAnsweredEvent, ForwardResultEvent, VmListEvent, VmListUnchangedEvent, HeartbeatEvent, TakeShardEvent, SettingsFetchedEvent,
     PeerRefusedEvent, ShutdownEvent>;
 
 } // namespace bulrushloft
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -19,6 +19,8 @@
     constexpr Duration silenceLimit { 2'300 };
     constexpr Duration memberMemory { 60'000 };
     constexpr Duration newsAge { 10'000 };
+    constexpr Duration pauseLimit { 1'000 };
+    constexpr Duration listPatience { 2'500 };
     constexpr std::size_t snapshotRetryMs = 1'000;
 
     Heartbeat makeHeartbeat(Node& node, TimePoint now)
@@ -119,6 +121,21 @@
         }
     }
 
+    /** After a pause the list of VMs is old: nothing new is begun until it has been checked, for a limited time. */
+    void notePause(Node& node, TimePoint now)
+    {
+        const bool wasPaused = node.m_lastStepAt.m_ms != 0 && now - node.m_lastStepAt > pauseLimit;
+        node.m_lastStepAt = now;
+        for (auto& [name, slot] : node.m_shards) {
+            if (!slot.m_owner)
+                continue;
+            if (wasPaused)
+                slot.m_owner->m_restsUntil = now + listPatience;
+            else if (node.m_vmsCheckedAt > slot.m_owner->m_restsUntil - listPatience)
+                slot.m_owner->m_restsUntil = {};
+        }
+    }
+
     void stepReadiness(Node& node, TimePoint now)
     {
         if (node.m_memberState != MemberState::Starting)
@@ -173,6 +190,7 @@
 
 void step(Node& node, TimePoint now, Effects& effects)
 {
+    notePause(node, now);
     for (auto& [name, slot] : node.m_shards) {
         if (slot.m_owner)
             step(*slot.m_owner, now, effects);
@@ -216,9 +234,15 @@
     detail::settleAnswers(node, now, effects);
 }
 
+void onVmListUnchanged(Node& node, TimePoint now)
+{
+    node.m_vmsCheckedAt = now;
+}
+
 void onVmList(Node& node, VmList list, TimePoint now)
 {
     node.m_hasVmList = true;
+    node.m_vmsCheckedAt = now;
     if (list.m_version < node.m_vms.m_version)
         return;
     node.m_vms = std::move(list);
--- a/src/process/node_base.h
+++ b/src/process/node_base.h
@@ -114,6 +114,8 @@
     bool m_hasMajority = true; ///< More than half of the known daemons are heard.
     std::map<std::string, OwnershipNews> m_ownershipNews; ///< Latest terms, by shard.
     VmList m_vms; ///< The platform's list.
+    TimePoint m_vmsCheckedAt; ///< Monotonic time at which the list was last told to be current.
+    TimePoint m_lastStepAt; ///< Monotonic time of the latest step.
     bool m_hasVmList = false; ///< Whether the list was ever read.
     std::uint64_t m_heartbeatSequence = 0; ///< Counts the heartbeats.
     TimePoint m_nextHeartbeatAt; ///< Monotonic time of the next heartbeat.
--- a/src/process/node_func.h
+++ b/src/process/node_func.h
@@ -23,6 +23,9 @@
 void onAppendResult(Node& node, const AppendEffect& sent, const AppendResult& result, TimePoint now, Effects& effects);
 void onReadResult(Node& node, const ReadEffect& sent, const ReadResult& result, TimePoint now, Effects& effects);
 void onVmList(Node& node, VmList list, TimePoint now);
+
+/** The platform says that its list has not changed. */
+void onVmListUnchanged(Node& node, TimePoint now);
 void onHeartbeat(Node& node, const Heartbeat& heartbeat, TimePoint now);
 
 /** Another daemon asks this one to take a shard over. */
--- a/src/process/node_shards.cpp
+++ b/src/process/node_shards.cpp
@@ -21,6 +21,7 @@
     constexpr Duration isolationLimit { 3'000 };
     constexpr Duration yieldInterval { 60'000 };
     constexpr Duration yieldDelay { 3'000 };
+    constexpr Duration firstSnapshotDelay { 500 };
     constexpr Duration releaseWait { 1'000 };
     constexpr Duration takeAskInterval { 3'000 };
     constexpr std::uint64_t ownerTicketBase = 1ULL << 40;
@@ -181,7 +182,8 @@
         setVmList(*slot.m_owner, node.m_vms, now);
         noteKnownStops(node, *slot.m_owner, now);
         slot.m_writer = {};
-        slot.m_writer.m_nextAt = now + node.m_policy->m_limits.m_snapshotInterval;
+        // The entries before the takeover may be close to the log's retention.
+        slot.m_writer.m_nextAt = now + firstSnapshotDelay;
         node.m_nextHeartbeatAt = now;
         logEvent(LogLevel::Info, "shard-owned", { { "shard", slot.m_name }, { "epoch", slot.m_owner->m_state.m_epoch.m_value }, { "formers", slot.m_owner->m_formers.size() }, { "jobs", slot.m_owner->m_state.m_jobs.size() } });
     }
--- a/src/process/owner_base.h
+++ b/src/process/owner_base.h
@@ -185,6 +185,7 @@
     std::map<JobNumber, std::uint32_t> m_closingRecords; ///< Records on their way that may end waiting tasks, by job.
     std::map<std::string, TeamUse> m_teams; ///< What teams hold; a cache.
     bool m_isScheduleDue = false; ///< Something changed since the last pass.
+    TimePoint m_restsUntil; ///< Monotonic time until which nothing new is begun, after a pause of the process.
     TimePoint m_nextScheduleAt; ///< Monotonic time of the next pass.
     TimePoint m_nextTimersAt; ///< Monotonic time of the next look at deadlines.
     std::unordered_map<std::string, PendingAccept> m_accepts; ///< Submissions under way, by key.
--- a/src/process/owner_requests.cpp
+++ b/src/process/owner_requests.cpp
@@ -111,12 +111,15 @@
             return end == key.size() && dispatch.compare(0, end, key) == 0;
         }
 
-        /** @return Whether an attempt of an earlier term may be running, as far as the runners have told. */
-        bool mayBeRunning(const ShardOwner& owner, const std::string& key, TimePoint now)
+        /**
+         * @param mayHaveTwin A former owner may have dispatched the key to a runner that has not told yet.
+         * @return Whether an attempt of an earlier term may be running.
+         */
+        bool mayBeRunning(const ShardOwner& owner, const std::string& key, bool mayHaveTwin, TimePoint now)
         {
             return std::any_of(owner.m_runners.begin(), owner.m_runners.end(), [&](const Runner& runner) {
                 const bool isGone = runner.m_isListed && runner.m_vm.m_state == VmState::Gone;
-                const bool isUntold = runner.m_boot == 0 && !isGone && now < owner.m_inheritedUntil;
+                const bool isUntold = mayHaveTwin && !owner.m_formers.empty() && runner.m_boot == 0 && !isGone && now < owner.m_inheritedUntil;
                 return isUntold || std::any_of(runner.m_foreign.begin(), runner.m_foreign.end(), [&key](const std::string& id) { return isTokenOfKey(id, key); });
             });
         }
@@ -129,7 +132,7 @@
                 return known != owner.m_state.m_requests.end() && known->second.m_state == RequestState::Intended;
             }
             const bool mayHaveTwin = call.m_attempt > 1 || now < owner.m_ownedSince + owner.m_options.m_readFreshness + owner.m_options.m_dispatchWindow * 2;
-            return mayHaveTwin && !owner.m_formers.empty() && mayBeRunning(owner, call.m_key, now);
+            return mayBeRunning(owner, call.m_key, mayHaveTwin, now);
         }
 
         std::optional<RunAnswer> answerFromRecord(const RequestRecord& record)
@@ -371,7 +374,7 @@
 
         void serveQueue(ShardOwner& owner, TimePoint now, Effects& effects)
         {
-            if (owner.m_queuedRequests == 0 || owner.m_isReleasing || !mayActUnrecorded(owner, now))
+            if (owner.m_queuedRequests == 0 || owner.m_isReleasing || now < owner.m_restsUntil || !mayActUnrecorded(owner, now))
                 return;
             std::vector<RunnerOffer> offers = listOffers(owner, now);
             while (!offers.empty() && !owner.m_requestLanes.empty()) {
@@ -576,7 +579,7 @@
         }
         RequestRun& request = found->second;
         const Runner& runner = owner.m_runners[request.m_runner];
-        const bool isReady = mayTakeRequests(owner, runner, now) && runner.m_boot == owner.m_dispatches.at(record.m_dispatch).m_boot;
+        const bool isReady = now >= owner.m_restsUntil && mayTakeRequests(owner, runner, now) && runner.m_boot == owner.m_dispatches.at(record.m_dispatch).m_boot;
         if (isReady)
             return dispatch(owner, request, now, effects);
         closeDispatch(owner, record.m_dispatch);
--- a/src/process/owner_schedule.cpp
+++ b/src/process/owner_schedule.cpp
@@ -274,7 +274,7 @@
 {
     if (owner.m_isDeposed || owner.m_isReleasing || now < owner.m_nextScheduleAt || owner.m_queue.empty())
         return;
-    if (!owner.m_isScheduleDue)
+    if (!owner.m_isScheduleDue || now < owner.m_restsUntil)
         return;
     owner.m_isScheduleDue = false;
     owner.m_nextScheduleAt = now + passInterval;
--- a/src/process/owner_workers.cpp
+++ b/src/process/owner_workers.cpp
@@ -16,6 +16,7 @@
         constexpr Duration adoptionRetryFirst { 200 };
         constexpr Duration adoptionRetryLongest { 5'000 };
         constexpr Duration workerScanInterval { 50 };
+        constexpr Duration probationLength { 10'000 };
 
         FencingToken tokenOf(const ShardOwner& owner, const Worker& worker)
         {
@@ -158,6 +159,17 @@
             }
         }
 
+        /** A task that has run for long proves a worker as well as one that is done; services are never done. */
+        void reviewProbation(ShardOwner& owner, Worker& worker, TimePoint now)
+        {
+            if (!worker.m_isOnProbation)
+                return;
+            worker.m_isOnProbation = std::none_of(worker.m_tasks.begin(), worker.m_tasks.end(), [&owner, now](const TaskRef& ref) {
+                const TaskRun& run = owner.m_runs.at(ref);
+                return run.m_phase == RunPhase::Running && now - run.m_startedAt > probationLength;
+            });
+        }
+
         void stepLink(ShardOwner& owner, std::size_t index, TimePoint now, Effects& effects)
         {
             Worker& worker = owner.m_workers[index];
@@ -168,11 +180,12 @@
             }
             if (isGone || !worker.m_isListed || owner.m_isReleasing)
                 return;
+            reviewProbation(owner, worker, now);
             if (worker.m_link == LinkState::Down && now >= worker.m_retryAt)
                 adopt(owner, worker, effects);
             if (worker.m_link != LinkState::Adopted)
                 return;
-            if (hasCommands(worker) && !worker.m_isCommanding)
+            if (hasCommands(worker) && !worker.m_isCommanding && now >= owner.m_restsUntil)
                 command(owner, worker, now, effects);
             if (!worker.m_isPolling)
                 poll(owner, worker, now, effects);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -94,6 +94,7 @@
     // World.
     void buildCell();
     void publishList();
+    void pollList(std::size_t index, InstanceId instance);
     void setVmState(const std::string& name, VmState state);
     void tick();
     void check();
@@ -125,6 +126,7 @@
     std::priority_queue<TimedWork> m_queue;
     FakeLog m_log;
     VmList m_list;
+    VmList m_shownList; ///< The list as the platform shows it, which lags.
     History m_tasks;
     History m_requests;
     std::map<std::string, FakeWorker> m_workers;
@@ -134,6 +136,7 @@
     std::map<std::string, TimePoint> m_leavingSince; ///< VMs that the list says are leaving, by the time at which it did.
     bool m_areMessagesStuck = false;
     std::uint32_t m_servicesSent = 0;
+    std::uint32_t m_openChanges = 0; ///< Changes whose operators wait.
     std::set<std::string> m_sentTwice; ///< Keys of requests that were sent through two entry VMs at once.
     bool m_isHealed = false;
     std::uint64_t m_lastCaller = 0;
@@ -173,7 +176,7 @@
     place.m_waiting.clear();
     place.m_lastVersion = 0;
     const InstanceId instance = place.m_instance;
-    after(hop(), [this, index, instance] { deliver(index, instance, [this](Node& node, Effects&) { onVmList(node, m_list, m_now); }); });
+    pollList(index, instance);
     stepNode(index);
 }
 
@@ -493,6 +496,7 @@
         }
     }
     m_list.m_version = 1;
+    m_shownList = m_list;
     std::uint64_t count = 0;
     const auto publish = [&](const std::string& path, const std::string& yaml) {
         append(m_log, "settings", encodeChange({ .m_id = "first-" + std::to_string(++count), .m_operator = "setup", .m_path = path, .m_yaml = yaml }), m_now);
@@ -507,12 +511,18 @@
 void World::Impl::publishList()
 {
     ++m_list.m_version;
-    after(m_options.m_listLag, [this, list = m_list] {
-        for (std::size_t index = 0; index < m_places.size(); ++index) {
-            const InstanceId instance = m_places[index].m_instance;
-            after({ pick(0, 1'000) }, [this, index, instance, list] { deliver(index, instance, [this, list](Node& node, Effects&) { onVmList(node, list, m_now); }); });
-        }
-    });
+    after(m_options.m_listLag, [this, list = m_list] { m_shownList = list; });
+}
+
+void World::Impl::pollList(std::size_t index, InstanceId instance)
+{
+    NodePlace& place = m_places[index];
+    if (!place.m_node || place.m_instance != instance)
+        return;
+    // A frozen daemon sends its next poll after the thaw.
+    if (m_now >= place.m_frozenUntil)
+        after(hop(), [this, index, instance, list = m_shownList] { deliver(index, instance, [this, list](Node& node, Effects&) { onVmList(node, list, m_now); }); });
+    at(std::max(m_now + Duration { 1'000 }, place.m_frozenUntil), [this, index, instance] { pollList(index, instance); });
 }
 
 void World::Impl::setVmState(const std::string& name, VmState state)
@@ -620,7 +630,12 @@
     case FaultKind::HandOver:
         if (place.m_node)
             beginShutdown(*place.m_node);
-        return after(length + Duration { 5'000 }, [this, index] { killNode(index); startNode(index); });
+        return after(length + Duration { 5'000 }, [this, index] {
+            if (m_isHealed)
+                return;
+            killNode(index);
+            startNode(index);
+        });
     case FaultKind::CancelJobs:
         return cancelSomeJobs();
     case FaultKind::FailingWorker:
@@ -804,8 +819,10 @@
                 ChangeNote* const kept = note.get();
                 kept->m_change = { .m_id = "c" + std::to_string(m_changes.size()), .m_operator = who == 0 ? "morning" : "afternoon", .m_path = path, .m_base = settings->m_subtrees.front().m_subtree.m_revision, .m_yaml = "weight: " + std::to_string(pick(1, 9)) + "\n" };
                 m_changes.push_back(std::move(note));
+                ++m_openChanges;
                 ask(
                     first + who, SettingsChangeCall { kept->m_change }, m_now + callerPatience, [this, kept](const Expected<CallerAnswer>& told) {
+                        --m_openChanges;
                         const auto* const change = told ? std::get_if<ChangeAnswer>(&*told) : nullptr;
                         if (!change)
                             return;
@@ -860,7 +877,7 @@
 bool World::Impl::isQuiet() const
 {
     const bool areAllAnswered = std::all_of(m_notes.begin(), m_notes.end(), [](const auto& note) { return note->m_isAnswered; });
-    if (!areAllAnswered)
+    if (!areAllAnswered || m_openChanges > 0)
         return false;
     for (const std::string& pool : pools) {
         const ShardState* const state = findState(pool + "-0");
