--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -270,6 +270,7 @@
 void Daemon::Impl::handle(Node& node, NodeEvent& event, Effects& effects)
 {
     const TimePoint now = steadyNow();
+    noteTime(node, now);
     if (auto* caller = std::get_if<CallerEvent>(&event))
         onCallerCall(node, caller->m_caller, std::move(caller->m_call), caller->m_isForwarded, caller->m_timeout, now, effects);
     else if (const auto* append = std::get_if<AppendResultEvent>(&event))
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -54,7 +54,7 @@
         const auto slot = node.m_shards.find(heard.m_shard);
         ShardOwner* const owner = slot == node.m_shards.end() ? nullptr : slot->second.m_owner.get();
         if (owner && heard.m_epoch > owner->m_state.m_epoch)
-            noteSuperseded(*owner);
+            requireFreshRead(*owner);
     }
 
     std::vector<Address> listPeers(const Node& node, TimePoint now)
@@ -121,21 +121,6 @@
         }
     }
 
-    /** After a pause the list of VMs is old: nothing new is begun until it has been checked, for a limited time. */
-    void notePause(Node& node, TimePoint now)
-    {
-        const bool wasPaused = node.m_lastStepAt.m_ms != 0 && now - node.m_lastStepAt > pauseLimit;
-        node.m_lastStepAt = now;
-        for (auto& [name, slot] : node.m_shards) {
-            if (!slot.m_owner)
-                continue;
-            if (wasPaused)
-                slot.m_owner->m_restsUntil = now + listPatience;
-            else if (node.m_vmsCheckedAt > slot.m_owner->m_restsUntil - listPatience)
-                slot.m_owner->m_restsUntil = {};
-        }
-    }
-
     void stepReadiness(Node& node, TimePoint now)
     {
         if (node.m_memberState != MemberState::Starting)
@@ -188,9 +173,27 @@
     return node;
 }
 
+void noteTime(Node& node, TimePoint now)
+{
+    // After a pause the list of VMs and the knowledge of the own term are old: nothing new is begun until they have been checked.
+    const bool wasPaused = node.m_lastStepAt.m_ms != 0 && now - node.m_lastStepAt > pauseLimit;
+    node.m_lastStepAt = now;
+    for (auto& [name, slot] : node.m_shards) {
+        ShardOwner* const owner = slot.m_owner.get();
+        if (!owner)
+            continue;
+        if (wasPaused) {
+            owner->m_restsUntil = now + listPatience;
+            requireFreshRead(*owner);
+        } else if (node.m_vmsCheckedAt > owner->m_restsUntil - listPatience) {
+            owner->m_restsUntil = {};
+        }
+    }
+}
+
 void step(Node& node, TimePoint now, Effects& effects)
 {
-    notePause(node, now);
+    noteTime(node, now);
     for (auto& [name, slot] : node.m_shards) {
         if (slot.m_owner)
             step(*slot.m_owner, now, effects);
--- a/src/process/node_func.h
+++ b/src/process/node_func.h
@@ -8,6 +8,9 @@
 /** Makes a daemon that has yet to catch up. */
 Node makeNode(const NodeOptions& options, TimePoint now);
 
+/** Notices a pause of the process; called before each event is handled. */
+void noteTime(Node& node, TimePoint now);
+
 /** Does what is due. */
 void step(Node& node, TimePoint now, Effects& effects);
 
--- a/src/process/owner.cpp
+++ b/src/process/owner.cpp
@@ -196,7 +196,7 @@
     owner.m_hasMajority = hasMajority;
 }
 
-void noteSuperseded(ShardOwner& owner)
+void requireFreshRead(ShardOwner& owner)
 {
     owner.m_isSuperseded = true;
     owner.m_isFreshReadNeeded = true;
--- a/src/process/owner_func.h
+++ b/src/process/owner_func.h
@@ -26,8 +26,8 @@
 /** Notes which of the other daemons are heard; an owner that might have been superseded unheard acts with more care. */
 void noteContact(ShardOwner& owner, bool isSuspect, bool hasMajority);
 
-/** Another daemon tells of a later term: nothing unrecorded is begun until the journal has been read. */
-void noteSuperseded(ShardOwner& owner);
+/** The term may be over, as another daemon tells or after a pause: nothing unrecorded is begun until the journal has been read. */
+void requireFreshRead(ShardOwner& owner);
 
 /** Does what is due: appends, placements, adoptions, polls, deadlines. */
 void step(ShardOwner& owner, TimePoint now, Effects& effects);
--- a/src/process/owner_requests.cpp
+++ b/src/process/owner_requests.cpp
@@ -188,6 +188,13 @@
             return refused != owner.m_refusedAttempts.end() && call.m_attempt < refused->second;
         }
 
+        /** An owner that might have been superseded unheard can't speak for the earlier attempts of a key. */
+        RunCertainty certaintyOfRefusal(const ShardOwner& owner, const RunCall& call, TimePoint now)
+        {
+            const bool isUncertain = mayHaveRunBefore(call) || (call.m_attempt > 1 && !mayActUnrecorded(owner, now));
+            return isUncertain ? RunCertainty::Unknown : RunCertainty::NotRun;
+        }
+
         std::uint32_t countSlots(const ShardOwner& owner)
         {
             std::uint32_t slots = 0;
@@ -475,7 +482,7 @@
             case RequestPhase::Queued:
             case RequestPhase::Journaling:
                 dropFromLane(owner, request);
-                if (request.m_mayHaveRun)
+                if (request.m_mayHaveRun || certaintyOfRefusal(owner, request.m_call, now) == RunCertainty::Unknown)
                     return finish(owner, key, certain(RunCertainty::Unknown, ErrorKind::TimedOut, "the deadline passed after an attempt whose answer was lost", "send it again with the same key"), now, effects);
                 return finish(owner, key, notRun(ErrorKind::TimedOut, "the deadline passed before a runner was free"), now, effects);
             case RequestPhase::Blocked:
@@ -504,9 +511,9 @@
             const auto recorded = owner.m_state.m_requests.find(key);
             auto told = recorded == owner.m_state.m_requests.end() ? std::nullopt : answerFromRecord(recorded->second);
             if (told)
-                finish(owner, key, std::move(*told), now, effects);
-            else
-                enqueue(owner, found->second);
+                return finish(owner, key, std::move(*told), now, effects);
+            found->second.m_mayHaveRun = mayHaveRunBefore(found->second.m_call);
+            enqueue(owner, found->second);
         }
 
         /** An idempotent request whose runner can't be asked has ended once its time limit there is over. */
@@ -542,11 +549,13 @@
             return;
         }
         if (isOvertaken(owner, call))
-            return answerError(effects, caller, { ErrorKind::Stale, "a later attempt under the key \"" + call.m_key + "\" was answered as not run", "send it again with a higher attempt" }, RunCertainty::NotRun);
-        if (const auto admitted = admit(owner, call, now); !admitted) {
+            return answerError(effects, caller, { ErrorKind::Stale, "a later attempt under the key \"" + call.m_key + "\" was answered as not run", "send it again with a higher attempt" }, certaintyOfRefusal(owner, call, now));
+        // What may have run already is not refused: its caller waits for what the runner tells.
+        const bool isIntended = recorded != owner.m_state.m_requests.end() && recorded->second.m_state == RequestState::Intended;
+        if (const auto admitted = isIntended ? Expected<void>() : admit(owner, call, now); !admitted) {
             ++owner.m_counters.m_shed;
             noteRefusal(owner, call, now);
-            return answerError(effects, caller, admitted.error(), mayHaveRunBefore(call) ? RunCertainty::Unknown : RunCertainty::NotRun, retrySoon);
+            return answerError(effects, caller, admitted.error(), certaintyOfRefusal(owner, call, now), retrySoon);
         }
         RequestRun& request = owner.m_requests[call.m_key];
         request.m_call = call;
@@ -554,7 +563,7 @@
         request.m_callers = { caller };
         request.m_arrivedAt = now;
         request.m_deadline = now + call.m_deadline;
-        request.m_mayHaveRun = mayHaveRunBefore(call);
+        request.m_mayHaveRun = isIntended || mayHaveRunBefore(call);
         ++owner.m_teams[call.m_team].m_requests;
         owner.m_requestDeadlines.emplace(request.m_deadline, call.m_key);
         if (isBlocked(owner, request, now)) {
--- a/src/process/owner_schedule.cpp
+++ b/src/process/owner_schedule.cpp
@@ -18,6 +18,7 @@
     constexpr std::size_t placementsPerPass = 2'000;
     constexpr Duration passInterval { 2 };
     constexpr double leastCapacity = 1.0;
+    constexpr Duration learnedSizePatience { 10'000 };
 
     /** A waiting job in the order of the pass. */
     struct Turn {
@@ -113,12 +114,17 @@
         return std::any_of(pass.m_misfits.begin(), pass.m_misfits.end(), [&size](const Resources& misfit) { return fitsInto(misfit, size); });
     }
 
-    /** The learned size, unless no worker is large enough for it; the declared one was checked at submission. */
-    Resources sizeOf(const ShardOwner& owner, const JobSpec& spec)
+    /**
+     * The learned size, unless no worker is large enough for it or the job has waited long for so much room;
+     * the declared one was checked at submission.
+     */
+    Resources sizeOf(const ShardOwner& owner, const JobSpec& spec, Duration waited)
     {
         const auto usage = owner.m_state.m_usage.find(usageKey(spec));
         const Resources size = estimateSize(usage == owner.m_state.m_usage.end() ? nullptr : &usage->second, spec.m_declared);
-        return countRoom(owner, size) > 0 ? size : spec.m_declared;
+        const bool isLarger = !fitsInto(size, spec.m_declared);
+        const bool isTooLarge = isLarger && (waited > learnedSizePatience || countRoom(owner, size) == 0);
+        return isTooLarge ? spec.m_declared : size;
     }
 
     SpreadCounts countPlaced(const ShardOwner& owner, const Job& job)
@@ -197,7 +203,7 @@
     bool placeTurn(ShardOwner& owner, Pass& pass, const Job& job)
     {
         QueuedJob& queued = owner.m_queue.at(job.m_number);
-        const Resources size = sizeOf(owner, job.m_spec);
+        const Resources size = sizeOf(owner, job.m_spec, pass.m_now - queued.m_since);
         const std::vector<std::size_t> avoid = workersToAvoid(owner, job);
         PlacementQuery query { .m_size = size, .m_policy = classOf(owner, job.m_spec).m_placement };
         SpreadCounts spread;
@@ -232,7 +238,7 @@
     void placeGang(ShardOwner& owner, Pass& pass, const Job& job)
     {
         QueuedJob& queued = owner.m_queue.at(job.m_number);
-        Resources size = sizeOf(owner, job.m_spec);
+        Resources size = sizeOf(owner, job.m_spec, pass.m_now - queued.m_since);
         const bool isTooLarge = countRoom(owner, size) < static_cast<std::int64_t>(queued.m_tasks.size());
         if (isTooLarge)
             size = job.m_spec.m_declared;
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -208,6 +208,7 @@
         return;
     }
     Effects effects;
+    noteTime(*place.m_node, m_now);
     handle(*place.m_node, effects);
     step(*place.m_node, m_now, effects);
     perform(index, effects);
@@ -674,6 +675,9 @@
 void World::Impl::ask(std::size_t first, CallerCall call, TimePoint giveUpAt, std::function<void(const Expected<CallerAnswer>&)> onAnswer, TimePoint firstSentAt, std::uint32_t attempt)
 {
     const std::size_t index = first % m_places.size();
+    // A caller that has sent the key through another entry VM too says so from then on.
+    const auto* const asked = std::get_if<RunCall>(&call);
+    attempt = std::max(attempt, asked && m_sentTwice.contains(asked->m_key) ? 2U : 1U);
     const auto again = [this, first, call, giveUpAt, onAnswer, firstSentAt](std::uint32_t nextAttempt, Duration delay, const Expected<CallerAnswer>& last) {
         if (m_now + delay >= giveUpAt)
             return onAnswer(last);
@@ -685,8 +689,6 @@
     if (auto* submit = std::get_if<SubmitCall>(&call))
         submit->m_attempt = attempt;
     if (auto* run = std::get_if<RunCall>(&call)) {
-        // A caller that has sent the key through another entry VM too says so from then on.
-        attempt = std::max(attempt, m_sentTwice.contains(run->m_key) ? 2U : 1U);
         run->m_attempt = attempt;
         if (attempt > 1)
             run->m_age = m_now - firstSentAt;
