Fix: a claim notes when its former owner last wrote, not its own time

Cause: replay set the time of the latest entry before it executed the claim, so that the gap in which a former owner may have started tasks unrecorded always looked like zero; after a log outage such a task could be placed a second time.

--- a/src/process/journal.cpp
+++ b/src/process/journal.cpp
@@ -75,7 +75,6 @@
     if (applied.m_verdict != EntryVerdict::Applied)
         return applied;
     state.m_lastSequence = entry.m_sequence;
-    state.m_lastEntryLogTime = logTime;
     for (const Record& record : entry.m_records) {
         const bool isMisplacedClaim = std::holds_alternative<ClaimRecord>(record) && !isClaim(entry);
         if (isMisplacedClaim)
@@ -83,6 +82,8 @@
         else
             applied.m_results.push_back(execute(state, { entry, offset, CommandMode::Execute }, record));
     }
+    // Only now: a claim notes the time of the entry before it, from which its former owner's silence is counted.
+    state.m_lastEntryLogTime = logTime;
     return applied;
 }
 
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -58,6 +58,15 @@
     BOOST_TEST(state.m_owner.m_value == 3);
 }
 
+BOOST_AUTO_TEST_CASE(a_claim_notes_when_its_former_owner_last_wrote)
+{
+    ShardState state = ownedBy(1);
+    const JournalEntry claim = claimEntry(2, state.m_epoch);
+    applyEntry(state, claim, state.m_next, { 25'000 });
+    BOOST_REQUIRE(state.m_formers.size() == 1);
+    BOOST_TEST(state.m_formers.front().m_lastEntryLogTime.m_ms == 5'000);
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_of_an_old_term_counts_for_nobody)
 {
     ShardState state = ownedBy(1);
