--- a/src/connection/caller_json.cpp
+++ b/src/connection/caller_json.cpp
@@ -31,8 +31,7 @@
 
     TaskView taskFromJson(const Json& row)
     {
-        return { .m_task = row.at("task"), .m_state = enumFrom(taskStateNames, row.at("state"), "state"), .m_attempt = row.at("attempt"),
-            .m_failures = row.at("failures"), .m_worker = row.at("worker"), .m_isRunning = row.at("running") };
+        return { .m_task = row.at("task"), .m_state = enumFrom(taskStateNames, row.at("state"), "state"), .m_attempt = row.at("attempt"), .m_failures = row.at("failures"), .m_worker = row.at("worker"), .m_isRunning = row.at("running") };
     }
 
     Json sizeToJson(const Resources& size)
@@ -178,9 +177,7 @@
 
 EndpointView endpointFromJson(const Json& row)
 {
-    return { .m_name = row.at("name"), .m_kind = row.at("kind"), .m_shard = row.at("shard"), .m_zone = row.at("zone"), .m_rack = row.at("rack"),
-        .m_link = row.at("link"), .m_health = row.at("health"), .m_capacity = sizeFromJson(row.at("capacity")), .m_granted = sizeFromJson(row.at("granted")),
-        .m_slots = row.at("slots"), .m_inFlight = row.at("in_flight"), .m_serviceMs = row.at("service_ms") };
+    return { .m_name = row.at("name"), .m_kind = row.at("kind"), .m_shard = row.at("shard"), .m_zone = row.at("zone"), .m_rack = row.at("rack"), .m_link = row.at("link"), .m_health = row.at("health"), .m_capacity = sizeFromJson(row.at("capacity")), .m_granted = sizeFromJson(row.at("granted")), .m_slots = row.at("slots"), .m_inFlight = row.at("in_flight"), .m_serviceMs = row.at("service_ms") };
 }
 
 Json subtreeToJson(const Subtree& subtree)
--- a/src/connection/caller_json.h
+++ b/src/connection/caller_json.h
@@ -43,16 +43,16 @@
 JobView viewFromJson(const nlohmann::json& object);
 
 nlohmann::json endpointToJson(const EndpointView& view);
-EndpointView endpointFromJson(const nlohmann::json& object);
+EndpointView endpointFromJson(const nlohmann::json& row);
 
 nlohmann::json settingsToJson(const SettingsAnswer& answer);
 SettingsAnswer settingsFromJson(const nlohmann::json& object);
 
 nlohmann::json changeToJson(const ChangeRecord& record);
-ChangeRecord changeFromJson(const nlohmann::json& object);
+ChangeRecord changeFromJson(const nlohmann::json& row);
 
 nlohmann::json subtreeToJson(const Subtree& subtree);
-Subtree subtreeFromJson(const nlohmann::json& object);
+Subtree subtreeFromJson(const nlohmann::json& row);
 
 nlohmann::json cellToJson(const CellAnswer& answer);
 CellAnswer cellFromJson(const nlohmann::json& object);
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -102,8 +102,8 @@
         HttpResponder makeResponder()
         {
             return [self = shared_from_this()](HttpResponse response) {
-                asio::post(self->m_server->m_context, [self, response = std::move(response)]() mutable {
-                    self->write(std::move(response), true);
+                asio::post(self->m_server->m_context, [self, response = std::move(response)] {
+                    self->write(response, true);
                 });
             };
         }
@@ -128,10 +128,10 @@
             m_stream.expires_after(std::chrono::milliseconds(m_server->m_options.m_readTimeout.m_ms));
             HttpResponse response { .m_status = status, .m_headers = { { "Content-Type", "application/json" } }, .m_body = nullptr };
             response.m_body = makeBody("{\"error\":{\"kind\":\"invalid-input\",\"message\":\"" + text + "\"}}\n");
-            write(std::move(response), false);
+            write(response, false);
         }
 
-        void write(HttpResponse response, bool wasCounted)
+        void write(const HttpResponse& response, bool wasCounted)
         {
             m_body = response.m_body ? response.m_body : makeBody({});
             m_message = http::response<http::span_body<const char>> {};
--- a/src/connection/json_rpc_server.cpp
+++ b/src/connection/json_rpc_server.cpp
@@ -38,6 +38,8 @@
         }
 
     private:
+        // The library binds pointers to members that are not const.
+        // NOLINTBEGIN(readability-make-member-function-const)
         void takeShard(const Json::Value& parameters, Json::Value& result)
         {
             m_handlers.m_takeShard(parameters["shard"].asString());
@@ -48,6 +50,8 @@
 
         void setLogLevel(const Json::Value& parameters, Json::Value& result) { result = m_handlers.m_setLogLevel(parameters["level"].asString()); }
 
+        // NOLINTEND(readability-make-member-function-const)
+
         PeerHandlers m_handlers;
     };
 
--- a/src/core/invariant.h
+++ b/src/core/invariant.h
@@ -32,8 +32,8 @@
 #define BULRUSH_STRINGIFY(x) BULRUSH_STRINGIFY_DETAIL(x)
 
 /** Checks an invariant in every build. */
-#define BULRUSH_INVARIANT(condition, what)                                                    \
-    do {                                                                                      \
-        if (!(condition))                                                                     \
+#define BULRUSH_INVARIANT(condition, what)                                                      \
+    do {                                                                                        \
+        if (!(condition))                                                                       \
             bulrushloft::reportBrokenInvariant(what, __FILE__ ":" BULRUSH_STRINGIFY(__LINE__)); \
     } while (false)
--- a/src/core/log_func.h
+++ b/src/core/log_func.h
@@ -44,7 +44,7 @@
     {
     }
     template <typename Integer>
-        requires std::is_integral_v<Integer>
+    requires std::is_integral_v<Integer>
     LogField(std::string_view key, Integer value)
         : m_key(key)
         , m_value(std::to_string(value))
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -144,7 +144,7 @@
     void runRpc();
     void callPeer(const RpcTask& task);
     void pollVmList();
-    void onHttp(HttpRequest request, HttpResponder respond);
+    void onHttp(const HttpRequest& request, HttpResponder respond);
     bool onBuiltIn(const HttpRequest& request, const HttpResponder& respond);
     TrafficCounts countTraffic() const;
 
@@ -200,7 +200,7 @@
             m_events.tryPush(HeartbeatEvent { std::move(*heartbeat) });
     };
     const HttpServerOptions options { .m_address = m_settings.m_address, .m_bodyLimitBytes = m_settings.m_bodyLimitBytes, .m_connectionLimit = m_settings.m_connectionLimit };
-    if (auto opened = m_server.listen(options, [this](HttpRequest request, HttpResponder respond) { onHttp(std::move(request), std::move(respond)); }); !opened)
+    if (auto opened = m_server.listen(options, [this](const HttpRequest& request, HttpResponder respond) { onHttp(request, std::move(respond)); }); !opened)
         return opened;
     if (auto opened = m_datagrams.open(m_settings.m_address, onDatagram); !opened)
         return opened;
@@ -497,7 +497,7 @@
     return true;
 }
 
-void Daemon::Impl::onHttp(HttpRequest request, HttpResponder respond)
+void Daemon::Impl::onHttp(const HttpRequest& request, HttpResponder respond)
 {
     if (onBuiltIn(request, respond))
         return;
@@ -519,8 +519,7 @@
 
 TrafficCounts Daemon::Impl::countTraffic() const
 {
-    return { .m_heartbeatBytes = m_datagrams.countBytesSent(), .m_platformBytes = m_platformClient.countBytesSent(), .m_endpointBytes = m_endpointClient.countBytesSent(),
-        .m_peerBytes = m_peerClient.countBytesSent() + m_rpcClient.countBytesSent(), .m_ringItems = m_events.size(), .m_ringRefusals = m_ringRefusals };
+    return { .m_heartbeatBytes = m_datagrams.countBytesSent(), .m_platformBytes = m_platformClient.countBytesSent(), .m_endpointBytes = m_endpointClient.countBytesSent(), .m_peerBytes = m_peerClient.countBytesSent() + m_rpcClient.countBytesSent(), .m_ringItems = m_events.size(), .m_ringRefusals = m_ringRefusals };
 }
 
 Daemon::Daemon(const StartupSettings& settings)
--- a/src/process/event_type.h
+++ b/src/process/event_type.h
@@ -1,9 +1,9 @@
 /** @file event_type.h What the input/output threads put into the ring of the deciding thread. */
 #pragma once
 
-#include "process/effect_type.h"
 #include "connection/log_type.h"
 #include "connection/vm_list_type.h"
+#include "process/effect_type.h"
 #include "process/member_type.h"
 #include "version/settings_base.h"
 
--- a/src/process/node_settings.cpp
+++ b/src/process/node_settings.cpp
@@ -3,8 +3,8 @@
 
 #include "core/log_func.h"
 #include "process/member_func.h"
-#include "process/owner_func.h"
 #include "process/owner_detail.h"
+#include "process/owner_func.h"
 #include "version/settings_func.h"
 
 #include <algorithm>
--- a/src/process/owner.cpp
+++ b/src/process/owner.cpp
@@ -47,9 +47,8 @@
         for (const auto& [number, job] : owner.m_state.m_jobs) {
             if (isFinal(stateOf(job)))
                 continue;
-            if (job.m_spec.m_kind != JobKind::Gang)
-                detail::queueJob(owner, job, now);
-            else if (countTasks(job, TaskState::Placed) == 0)
+            const bool isGang = job.m_spec.m_kind == JobKind::Gang;
+            if (!isGang || countTasks(job, TaskState::Placed) == 0)
                 detail::queueJob(owner, job, now);
         }
     }
--- a/src/process/owner_detail.h
+++ b/src/process/owner_detail.h
@@ -85,7 +85,7 @@
 std::string placeName(const Worker& worker);
 
 /** Has a worker's commands sent in this step. */
-void sendSoon(ShardOwner& owner, std::size_t worker);
+void sendSoon(ShardOwner& owner, std::size_t index);
 
 /** Calls reviewGang() for the job of an attempt, if it is a gang. */
 void reviewGangOf(ShardOwner& owner, const TaskRef& ref, TimePoint now);
--- a/src/process/owner_requests.cpp
+++ b/src/process/owner_requests.cpp
@@ -15,7 +15,7 @@
 
     namespace {
 
-            constexpr Duration clockMargin { 60'000 };
+        constexpr Duration clockMargin { 60'000 };
         constexpr Duration retrySoon { 500 };
         constexpr double retryShare = 0.1;
         constexpr double retryBurst = 10;
--- a/src/process/owner_runners.cpp
+++ b/src/process/owner_runners.cpp
@@ -41,7 +41,7 @@
             effects.m_runnerAdoptions.push_back({ .m_link = runnerLink(owner, runner), .m_call = { .m_token = tokenOf(owner, runner), .m_ask = unansweredAt(owner, index) } });
         }
 
-        void probe(ShardOwner& owner, std::size_t index, std::vector<std::string> ask, TimePoint now, Effects& effects)
+        void probe(ShardOwner& owner, std::size_t index, const std::vector<std::string>& ask, TimePoint now, Effects& effects)
         {
             Runner& runner = owner.m_runners[index];
             runner.m_isProbing = true;
@@ -68,11 +68,11 @@
                 return adopt(owner, index, effects);
             if (runner.m_link != LinkState::Adopted || runner.m_isProbing)
                 return;
-            std::vector<std::string> ask = unansweredAt(owner, index);
+            const std::vector<std::string> ask = unansweredAt(owner, index);
             const bool isUrgent = !ask.empty() || !runner.m_foreign.empty();
             const TimePoint dueAt = isUrgent ? runner.m_retryAt - probeInterval + resolveInterval : runner.m_retryAt;
             if (now >= dueAt)
-                probe(owner, index, std::move(ask), now, effects);
+                probe(owner, index, ask, now, effects);
         }
 
         void takeReport(ShardOwner& owner, std::size_t index, const RunnerReport& report, TimePoint sentAt, TimePoint now, Effects& effects)
--- a/src/process/owner_tasks.cpp
+++ b/src/process/owner_tasks.cpp
@@ -3,8 +3,8 @@
 
 #include "core/invariant.h"
 #include "core/log_func.h"
-#include "request/estimate_func.h"
 #include "process/health_func.h"
+#include "request/estimate_func.h"
 #include "request/job_func.h"
 
 #include <algorithm>
--- a/src/process/ownership.cpp
+++ b/src/process/ownership.cpp
@@ -56,6 +56,7 @@
         return rendezvousWeight(shard, one.m_member) > rendezvousWeight(shard, other.m_member);
     });
     std::vector<std::string> names;
+    names.reserve(ranked.size());
     for (const OwnerCandidate& candidate : ranked)
         names.push_back(candidate.m_member);
     return names;
--- a/src/process/startup.cpp
+++ b/src/process/startup.cpp
@@ -24,9 +24,9 @@
     /** One map of the file; remembers which keys were read. */
     class Section {
     public:
-        Section(std::string path, YAML::Node node)
+        Section(std::string path, const YAML::Node& node)
             : m_path(std::move(path))
-            , m_node(std::move(node))
+            , m_node(node)
         {
             if (m_node && !m_node.IsNull() && !m_node.IsMap())
                 reject(m_path, "is not a map", "keys and values below it");
--- a/src/version/settings_cmd.cpp
+++ b/src/version/settings_cmd.cpp
@@ -70,7 +70,7 @@
 ChangeRecord changeSettings(SettingsState& state, const SettingsChange& change, Offset offset, CommandMode mode)
 {
     if (const ChangeRecord* const known = findChange(state, change.m_id)) {
-        const ChangeRecord first = *known;
+        ChangeRecord first = *known;
         if (mode == CommandMode::Execute)
             state.m_next = Offset { offset.m_value + 1 };
         return first;
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -107,7 +107,7 @@
     void sendRequest();
     void sendJob();
     void raceChange();
-    void ask(std::size_t first, CallerCall call, TimePoint giveUpAt, std::function<void(const Expected<CallerAnswer>&)> onAnswer, TimePoint firstSentAt, std::uint32_t attempt);
+    void ask(std::size_t first, CallerCall call, TimePoint giveUpAt, const std::function<void(const Expected<CallerAnswer>&)>& onAnswer, TimePoint firstSentAt, std::uint32_t attempt);
     void cancelSomeJobs();
     bool isQuiet() const;
     void fail(std::string what) { m_faults.push_back(std::move(what)); }
@@ -314,7 +314,7 @@
 {
     const InstanceId instance = m_places[index].m_instance;
     const auto isDone = std::make_shared<bool>(false);
-    const auto finish = [this, index, instance, isDone, onResult](EndpointResult<Answer> result) {
+    const auto finish = [this, index, instance, isDone, onResult](const EndpointResult<Answer>& result) {
         if (*isDone)
             return;
         *isDone = true;
@@ -357,14 +357,16 @@
     for (AdoptWorkerEffect& effect : effects.m_workerAdoptions) {
         FakeWorker& worker = m_workers.at(effect.m_link.m_name);
         const TimePoint sentAt = m_now;
-        callEndpoint<AdoptWorkerAnswer>(index, worker.m_name, callTimeout, [this, &worker, effect, stale](const auto& respond) {
+        callEndpoint<AdoptWorkerAnswer>(
+            index, worker.m_name, callTimeout, [this, &worker, effect, stale](const auto& respond) {
             auto answer = adopt(worker, effect.m_call, m_now);
             respond(answer ? EndpointResult<AdoptWorkerAnswer>(*answer) : EndpointResult<AdoptWorkerAnswer>(stale(answer.error()))); }, [this, effect, sentAt](Node& node, const auto& result, Effects&) { onWorkerAdopted(node, effect, result, m_now, sentAt); });
     }
     for (SyncWorkerEffect& effect : effects.m_workerSyncs) {
         FakeWorker& worker = m_workers.at(effect.m_link.m_name);
         const Duration timeout = callTimeout + effect.m_call.m_waitFor;
-        callEndpoint<SyncWorkerAnswer>(index, worker.m_name, timeout, [this, &worker, effect, stale](const auto& respond) {
+        callEndpoint<SyncWorkerAnswer>(
+            index, worker.m_name, timeout, [this, &worker, effect, stale](const auto& respond) {
             auto answer = sync(worker, effect.m_call, m_now);
             if (!answer)
                 return respond(EndpointResult<SyncWorkerAnswer>(stale(answer.error())));
@@ -393,7 +395,8 @@
     for (DispatchEffect& effect : effects.m_dispatches) {
         FakeRunner& runner = m_runners.at(effect.m_link.m_name);
         const std::string id = effect.m_call.m_dispatch;
-        callEndpoint<DispatchAnswer>(index, runner.m_name, effect.m_call.m_timeLimit + Duration { 1'000 }, [this, &runner, effect, id](const auto& respond) {
+        callEndpoint<DispatchAnswer>(
+            index, runner.m_name, effect.m_call.m_timeLimit + Duration { 1'000 }, [this, &runner, effect, id](const auto& respond) {
             if (const auto reason = beginDispatch(runner, effect.m_call, m_now)) {
                 respond(EndpointResult<DispatchAnswer>(tl::unexpected(EndpointFailure { .m_progress = CallProgress::MaybeDelivered, .m_stale = StaleToken { runner.m_token }, .m_isRefused = true, .m_reason = *reason })));
                 return;
@@ -430,7 +433,7 @@
         const std::size_t to = findPlace(sent->m_owner);
         const InstanceId target = m_places[to].m_instance;
         const auto isDone = std::make_shared<bool>(false);
-        const auto finish = [this, index, instance, sent, isDone](EndpointResult<CallerAnswer> result) {
+        const auto finish = [this, index, instance, sent, isDone](const EndpointResult<CallerAnswer>& result) {
             if (*isDone)
                 return;
             *isDone = true;
@@ -672,7 +675,7 @@
     }
 }
 
-void World::Impl::ask(std::size_t first, CallerCall call, TimePoint giveUpAt, std::function<void(const Expected<CallerAnswer>&)> onAnswer, TimePoint firstSentAt, std::uint32_t attempt)
+void World::Impl::ask(std::size_t first, CallerCall call, TimePoint giveUpAt, const std::function<void(const Expected<CallerAnswer>&)>& onAnswer, TimePoint firstSentAt, std::uint32_t attempt)
 {
     const std::size_t index = first % m_places.size();
     // A caller that has sent the key through another entry VM too says so from then on.
@@ -712,10 +715,10 @@
     };
     const InstanceId instance = m_places[index].m_instance;
     after(hop(), [this, index, instance, token, call, timeout] { deliver(index, instance, [this, token, call, timeout](Node& node, Effects& more) {
-        // A daemon that was frozen finds the connection of a caller that has given up closed.
-        if (m_callers.contains(token))
-            onCallerCall(node, token, call, false, timeout, m_now, more);
-    }); });
+                                                                     // A daemon that was frozen finds the connection of a caller that has given up closed.
+                                                                     if (m_callers.contains(token))
+                                                                         onCallerCall(node, token, call, false, timeout, m_now, more);
+                                                                 }); });
     after(timeout + Duration { 3'000 }, [this, token] {
         const auto found = m_callers.find(token);
         if (found == m_callers.end())
@@ -766,7 +769,8 @@
         after({ pick(1, 300) }, [this, call, first, kept] {
             RunCall retry = call;
             m_sentTwice.insert(call.m_key);
-            ask(first + 1, retry, kept->m_sentAt + callerPatience, [](const Expected<CallerAnswer>&) {}, kept->m_sentAt, 2);
+            ask(
+                first + 1, retry, kept->m_sentAt + callerPatience, [](const Expected<CallerAnswer>&) {}, kept->m_sentAt, 2);
         });
     }
 }
@@ -793,7 +797,8 @@
     spec.m_payload = "run_ms=" + std::to_string(spec.m_kind == JobKind::Service ? 0 : pick(20, m_options.m_longestTaskMs)) + ";cpu=" + std::to_string(spec.m_declared.m_cpuMilli * pick(3, 10) / 10) + ";mem=" + std::to_string(pick(100, spec.m_declared.m_memoryMb + 200));
     kept->m_isIdempotent = spec.m_isIdempotent;
     m_notes.push_back(std::move(note));
-    ask(static_cast<std::size_t>(pick(0, 100)), SubmitCall { spec }, m_now + callerPatience, [this, kept](const Expected<CallerAnswer>& answer) {
+    ask(
+        static_cast<std::size_t>(pick(0, 100)), SubmitCall { spec }, m_now + callerPatience, [this, kept](const Expected<CallerAnswer>& answer) {
         kept->m_isAnswered = true;
         kept->m_answeredAt = m_now;
         if (!answer) {
