--- /dev/null
+++ b/src/connection/peer_codec.cpp
@@ -0,0 +1,164 @@
+/** @file peer_codec.cpp Messages between daemons as CBOR arrays; the first item tells the kind. */
+#include "connection/peer_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bulrushloft {
+
+using Json = nlohmann::json;
+
+namespace {
+
+    Json binary(const std::string& bytes)
+    {
+        return Json::binary({ bytes.begin(), bytes.end() });
+    }
+
+    std::string bytesOf(const Json& value)
+    {
+        const auto& bytes = value.get_binary();
+        return { bytes.begin(), bytes.end() };
+    }
+
+    Json memberToJson(const PeerMember& member)
+    {
+        return Json::array({ member.m_name, member.m_address.m_host, member.m_address.m_port, member.m_instance, member.m_cpuPercent });
+    }
+
+    PeerMember memberFromJson(const Json& row)
+    {
+        return { .m_name = row.at(0), .m_address = { .m_host = row.at(1), .m_port = row.at(2) }, .m_instance = row.at(3), .m_cpuPercent = row.at(4) };
+    }
+
+    Json taskToJson(const TaskName& name)
+    {
+        return Json::array({ name.m_job, name.m_occurrence, name.m_step, name.m_index });
+    }
+
+    TaskName taskFromJson(const Json& row)
+    {
+        return { .m_job = row.at(0), .m_occurrence = row.at(1), .m_step = row.at(2), .m_index = row.at(3) };
+    }
+
+    Json encode(const PeerHeartbeat& message)
+    {
+        return Json::array({ memberToJson(message.m_from), message.m_configVersion, binary(message.m_configText), message.m_membersVersion, message.m_isStoreReached });
+    }
+
+    Json encode(const PeerQuery& message) { return Json::array({ message.m_job }); }
+    Json encode(const PeerCount& message) { return Json::array({ message.m_queue }); }
+    Json encode(const PeerTakeOver& message) { return Json::array({ message.m_token }); }
+
+    Json encode(const PeerAppend& message)
+    {
+        Json records = Json::array();
+        for (const KeyedRecord& record : message.m_append.m_records)
+            records.push_back(Json::array({ record.m_key, binary(record.m_value) }));
+        return Json::array({ message.m_append.m_partition.m_topic, message.m_append.m_partition.m_partition, std::move(records) });
+    }
+
+    Json encode(const PeerAsk& message) { return Json::array({ taskToJson(message.m_step), message.m_workers }); }
+
+    Json encode(const PeerHeartbeatAnswer& reply)
+    {
+        Json members = Json::array();
+        for (const PeerMember& member : reply.m_members)
+            members.push_back(memberToJson(member));
+        return Json::array({ memberToJson(reply.m_from), reply.m_leader.m_token, memberToJson(reply.m_leader.m_member), reply.m_isLeading, reply.m_isLeaving, reply.m_isStoreReached,
+            reply.m_configVersion, binary(reply.m_configText), reply.m_membersVersion, std::move(members) });
+    }
+
+    Json encode(const PeerQueryAnswer& reply) { return Json::array({ static_cast<int>(reply.m_status), reply.m_stage, reply.m_count }); }
+
+    Json encode(const PeerAppendAnswer& reply)
+    {
+        return Json::array({ static_cast<int>(reply.m_answer.m_status), reply.m_answer.m_offset, reply.m_answer.m_end, reply.m_answer.m_reason });
+    }
+
+    Json encode(const PeerAskAnswer& reply)
+    {
+        Json rows = Json::array();
+        for (const Approval& approval : reply.m_approvals)
+            rows.push_back(Json::array({ approval.m_worker, approval.m_ticket }));
+        return Json::array({ reply.m_isAnswered, std::move(rows) });
+    }
+
+    Json encode(const PeerDone& reply) { return Json::array({ reply.m_isTaken }); }
+
+    PeerMessage decodeMessage(std::size_t kind, const Json& row)
+    {
+        switch (kind) {
+        case 0:
+            return PeerHeartbeat { .m_from = memberFromJson(row.at(0)), .m_configVersion = row.at(1), .m_configText = bytesOf(row.at(2)), .m_membersVersion = row.at(3), .m_isStoreReached = row.at(4) };
+        case 1:
+            return PeerQuery { .m_job = row.at(0) };
+        case 2:
+            return PeerCount { .m_queue = row.at(0) };
+        case 3: {
+            PeerAppend message { .m_append = { .m_partition = { .m_topic = row.at(0), .m_partition = row.at(1) }, .m_records = {}, .m_writer = {}, .m_expectedEnd = {} } };
+            for (const Json& record : row.at(2))
+                message.m_append.m_records.push_back({ .m_key = record.at(0), .m_value = bytesOf(record.at(1)) });
+            return message;
+        }
+        case 4:
+            return PeerAsk { .m_step = taskFromJson(row.at(0)), .m_workers = row.at(1) };
+        case 5:
+            return PeerTakeOver { .m_token = row.at(0) };
+        default:
+            throw std::out_of_range("unknown kind of message");
+        }
+    }
+
+    PeerReply decodeReply(std::size_t kind, const Json& row)
+    {
+        switch (kind) {
+        case 0: {
+            PeerHeartbeatAnswer reply { .m_from = memberFromJson(row.at(0)), .m_leader = { .m_token = row.at(1), .m_member = memberFromJson(row.at(2)) }, .m_isLeading = row.at(3), .m_isLeaving = row.at(4), .m_isStoreReached = row.at(5), .m_configVersion = row.at(6), .m_configText = bytesOf(row.at(7)), .m_membersVersion = row.at(8), .m_members = {} };
+            for (const Json& member : row.at(9))
+                reply.m_members.push_back(memberFromJson(member));
+            return reply;
+        }
+        case 1:
+            return PeerQueryAnswer { .m_status = static_cast<QueryStatus>(row.at(0).get<int>()), .m_stage = row.at(1), .m_count = row.at(2) };
+        case 2:
+            return PeerAppendAnswer { { .m_status = static_cast<StoreStatus>(row.at(0).get<int>()), .m_offset = row.at(1), .m_end = row.at(2), .m_reason = row.at(3) } };
+        case 3: {
+            PeerAskAnswer reply { .m_isAnswered = row.at(0), .m_approvals = {} };
+            for (const Json& approval : row.at(1))
+                reply.m_approvals.push_back({ .m_worker = approval.at(0), .m_ticket = approval.at(1) });
+            return reply;
+        }
+        case 4:
+            return PeerDone { .m_isTaken = row.at(0) };
+        default:
+            throw std::out_of_range("unknown kind of reply");
+        }
+    }
+
+    template <typename Variant>
+    std::string encodeVariant(const Variant& value)
+    {
+        Json row = std::visit([](const auto& kind) { return encode(kind); }, value);
+        const std::vector<std::uint8_t> bytes = Json::to_cbor(Json::array({ value.index(), std::move(row) }));
+        return { bytes.begin(), bytes.end() };
+    }
+
+    template <typename Decode>
+    auto decodeVariant(std::string_view bytes, Decode decode) -> Expected<decltype(decode(std::size_t {}, std::declval<const Json&>()))>
+    {
+        try {
+            const Json whole = Json::from_cbor(bytes);
+            return decode(whole.at(0).template get<std::size_t>(), whole.at(1));
+        } catch (const std::exception& error) {
+            return fail(ErrorKind::InvalidInput, std::string("a peer's message can't be read: ") + error.what(), "run daemons of one version");
+        }
+    }
+
+} // namespace
+
+std::string encodePeerMessage(const PeerMessage& message) { return encodeVariant(message); }
+Expected<PeerMessage> decodePeerMessage(std::string_view bytes) { return decodeVariant(bytes, decodeMessage); }
+std::string encodePeerReply(const PeerReply& reply) { return encodeVariant(reply); }
+Expected<PeerReply> decodePeerReply(std::string_view bytes) { return decodeVariant(bytes, decodeReply); }
+
+} // namespace bulrushloft
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 
 #include <nlohmann/json.hpp>
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -65,12 +66,22 @@
 
 void openLog(const LogOptions& options)
 {
-    auto logger = std::make_shared<spdlog::logger>(options.m_process, std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    constexpr std::size_t queuedLines = 8'192;
+    constexpr auto flushInterval = std::chrono::seconds(1);
+    spdlog::init_thread_pool(queuedLines, 1);
+    auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+    auto logger = std::make_shared<spdlog::async_logger>(options.m_process, std::move(sink), spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
     logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %n %v");
     logger->set_level(toSpdlog(options.m_level));
-    logger->flush_on(spdlog::level::info);
+    logger->flush_on(spdlog::level::warn);
     activeFormat = options.m_format;
     spdlog::set_default_logger(std::move(logger));
+    spdlog::flush_every(flushInterval);
+}
+
+void closeLog()
+{
+    spdlog::shutdown();
 }
 
 void setLogLevel(LogLevel level)
--- a/src/core/log_func.h
+++ b/src/core/log_func.h
@@ -62,9 +62,12 @@
     std::string m_process; ///< Name of the process, part of each line.
 };
 
-/** Sets up the log of this process, which writes to standard error. */
+/** Sets up the log of this process; a thread of its own writes to standard output, lines beyond the queue's bound are dropped. */
 void openLog(const LogOptions& options);
 
+/** Writes what is queued and ends the log's thread. */
+void closeLog();
+
 /** Changes the lowest level that is written, at any time and from any thread. */
 void setLogLevel(LogLevel level);
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,6 +1,7 @@
 /** @file main.cpp bulrushloftd: reads the start-up file, runs the daemon, ends gracefully on SIGTERM or SIGINT. */
 #include "core/invariant.h"
 #include "core/log_func.h"
+#include "process/cell/cell_daemon.h"
 #include "process/daemon.h"
 
 #include <csignal>
@@ -11,18 +12,22 @@
 #include <gflags/gflags.h>
 
 DEFINE_string(config, "", "The start-up file (YAML); see docs/OPERATING.md");
+DEFINE_bool(cell, false, "Serve a cell on the metadata store of the users' platform");
 DEFINE_bool(check, false, "Check the start-up file and end");
 DEFINE_string(log_level, "", "Overrides log/level of the start-up file");
 
 namespace {
 
+using bulrushloft::ErrorKind;
+
 constexpr int exitOk = 0;
 constexpr int exitBadInput = 2;
 constexpr int exitUnavailable = 3;
 
-bulrushloft::Expected<bulrushloft::StartupSettings> readStartup()
+/** Reads a start-up file with the parser of the mode; the command line overrides its log level. */
+template <typename Settings>
+bulrushloft::Expected<Settings> readStartup(bulrushloft::Expected<Settings> (*parse)(const std::string&))
 {
-    using bulrushloft::ErrorKind;
     if (FLAGS_config.empty())
         return bulrushloft::fail(ErrorKind::InvalidInput, "no start-up file is given", "run bulrushloftd --config FILE");
     std::ifstream file(FLAGS_config);
@@ -30,7 +35,7 @@
         return bulrushloft::fail(ErrorKind::InvalidInput, "the start-up file " + FLAGS_config + " can't be opened", "name a file that exists");
     std::stringstream text;
     text << file.rdbuf();
-    auto settings = bulrushloft::parseStartup(text.str());
+    auto settings = parse(text.str());
     if (!settings || FLAGS_log_level.empty())
         return settings;
     const auto level = bulrushloft::parseLogLevel(FLAGS_log_level);
@@ -47,19 +52,27 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     signal(SIGPIPE, SIG_IGN);
     return signals;
 }
 
-} // namespace
+/** Reads the file again on SIGHUP; a file that can't be used changes nothing. */
+template <typename Daemon, typename Settings>
+void reload(Daemon& daemon, bulrushloft::Expected<Settings> (*parse)(const std::string&))
+{
+    const auto settings = readStartup(parse);
+    if (settings)
+        return daemon.reload(*settings);
+    bulrushloft::logEvent(bulrushloft::LogLevel::Error, "reload-refused", { { "error", bulrushloft::describe(settings.error()) } });
+}
 
-int main(int argc, char** argv)
+/** Runs a daemon until SIGTERM or SIGINT. */
+template <typename Daemon, typename Settings>
+int runDaemon(bulrushloft::Expected<Settings> (*parse)(const std::string&))
 {
-    gflags::SetUsageMessage("runs bulrushloft on an entry VM: bulrushloftd --config FILE [--check]");
-    gflags::SetVersionString("0.1.0");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
-    const auto settings = readStartup();
+    const auto settings = readStartup(parse);
     if (!settings) {
         std::cerr << "bulrushloftd: " << bulrushloft::describe(settings.error()) << "\n";
         return exitBadInput;
@@ -71,15 +84,32 @@
     const sigset_t signals = blockSignals();
     bulrushloft::openLog({ .m_level = settings->m_logLevel, .m_format = settings->m_logFormat, .m_process = settings->m_member });
     bulrushloft::setInvariantAction(settings->m_abortsOnInvariant ? bulrushloft::InvariantAction::Abort : bulrushloft::InvariantAction::Count);
-    bulrushloft::logEvent(bulrushloft::LogLevel::Info, "starting", { { "version", gflags::VersionString() }, { "settings_source", FLAGS_config }, { "cell", settings->m_cell }, { "address", bulrushloft::format(settings->m_address) }, { "zone", settings->m_zone } });
-    bulrushloft::Daemon daemon(*settings);
+    bulrushloft::logEvent(bulrushloft::LogLevel::Info, "starting", { { "version", gflags::VersionString() }, { "settings_source", FLAGS_config }, { "zone", settings->m_zone } });
+    Daemon daemon(*settings);
     if (const auto started = daemon.start(); !started) {
         std::cerr << "bulrushloftd: " << bulrushloft::describe(started.error()) << "\n";
         std::_Exit(exitUnavailable);
     }
-    int received = 0;
-    sigwait(&signals, &received);
+    int received = SIGHUP;
+    while (received == SIGHUP) {
+        sigwait(&signals, &received);
+        if (received == SIGHUP)
+            reload(daemon, parse);
+    }
     bulrushloft::logEvent(bulrushloft::LogLevel::Info, "leaving", { { "signal", received } });
     daemon.shutDown();
-    return exitOk;
+    bulrushloft::closeLog();
+    std::_Exit(exitOk);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("runs bulrushloft on an entry VM: bulrushloftd [--cell] --config FILE [--check]");
+    gflags::SetVersionString("0.2.0");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_cell)
+        return runDaemon<bulrushloft::cell::CellDaemon>(bulrushloft::cell::parseCellStartup);
+    return runDaemon<bulrushloft::Daemon>(bulrushloft::parseStartup);
 }
--- /dev/null
+++ b/src/platform/worker_client.cpp
@@ -0,0 +1,190 @@
+/** @file worker_client.cpp Orders to workers over HTTP. */
+#include "platform/worker_client.h"
+
+#include "core/enum_table.h"
+#include "platform/json_read.h"
+#include "request/plan_func.h"
+
+#include <array>
+#include <charconv>
+
+namespace bulrushloft::platform {
+
+using Json = nlohmann::json;
+
+namespace {
+
+    constexpr std::array<EnumName<OrderStatus>, 5> refusalWords { {
+        { OrderStatus::Fenced, "fence" },
+        { OrderStatus::Superseded, "old" }, // The attempt, or a higher one, has been stopped or has ended there.
+        { OrderStatus::LeaseOver, "late" },
+        { OrderStatus::NoRoom, "room" },
+        { OrderStatus::NoTicket, "ticket" },
+    } };
+
+    constexpr std::array<EnumName<AttemptEnd>, 6> endWords { {
+        { AttemptEnd::Done, "done" },
+        { AttemptEnd::Failed, "failed" },
+        { AttemptEnd::Stopped, "stopped" },
+        { AttemptEnd::Lapsed, "lapsed" },
+        { AttemptEnd::Broken, "broken" },
+        { AttemptEnd::Alone, "alone" },
+    } };
+
+    /** @return How an order ended by its answer. */
+    OrderStatus statusOf(const HttpResult& result)
+    {
+        if (!result)
+            return result.error().m_progress == CallProgress::MaybeDelivered ? OrderStatus::NoAnswer : OrderStatus::NotSent;
+        switch (result->m_status) {
+        case 200:
+            return OrderStatus::Done;
+        case 409:
+            return findValue(refusalWords, readText(parseJson(viewOf(result->m_body)), "reason")).value_or(OrderStatus::Invalid);
+        case 421:
+            return OrderStatus::WrongInstance;
+        case 429:
+        case 503:
+            return OrderStatus::Unhealthy;
+        case 400:
+            return OrderStatus::Invalid;
+        default:
+            return OrderStatus::NoAnswer;
+        }
+    }
+
+    HttpCall makeCall(const OrderTarget& target, const char* path, const Json& body, Duration timeout)
+    {
+        return { .m_address = target.m_address,
+            .m_request = { .m_method = "POST", .m_target = path, .m_headers = { { "Content-Type", "application/json" }, { "Expected-Instance", target.m_worker } }, .m_body = makeBody(body.dump()) },
+            .m_timeout = timeout };
+    }
+
+    template <typename Integer>
+    bool readPart(std::string_view& text, Integer& value)
+    {
+        const std::size_t dot = text.rfind('.');
+        if (dot == std::string_view::npos)
+            return false;
+        const std::string_view part = text.substr(dot + 1);
+        const auto parsed = std::from_chars(part.data(), part.data() + part.size(), value);
+        text = text.substr(0, dot);
+        return parsed.ec == std::errc() && parsed.ptr == part.data() + part.size();
+    }
+
+    RunningAttempt runningFrom(const Json& row)
+    {
+        RunningAttempt running;
+        running.m_task = decodeTaskName(row.at(0).get<std::string>()).value_or(TaskName {});
+        running.m_attempt = row.at(1);
+        running.m_checkpoint = row.at(2);
+        running.m_percent = static_cast<int>(row.at(3).get<double>());
+        running.m_figure = row.size() > 4 ? static_cast<int>(row.at(4).get<double>()) : 0;
+        return running;
+    }
+
+    EndedAttempt endedFrom(const Json& row)
+    {
+        return { .m_number = row.at(0),
+            .m_task = decodeTaskName(row.at(1).get<std::string>()).value_or(TaskName {}),
+            .m_attempt = row.at(2),
+            .m_end = findValue(endWords, row.at(3).get<std::string>()).value_or(AttemptEnd::Lapsed),
+            .m_checkpoint = row.at(4) };
+    }
+
+} // namespace
+
+std::optional<TaskName> decodeTaskName(std::string_view text)
+{
+    TaskName name;
+    if (!readPart(text, name.m_index) || !readPart(text, name.m_step) || !readPart(text, name.m_occurrence))
+        return std::nullopt;
+    name.m_job = text;
+    return name;
+}
+
+std::optional<SyncReport> decodeSyncReport(std::string_view body)
+{
+    try {
+        const Json whole = Json::parse(body);
+        SyncReport report { .m_clockMs = readInt(whole, "clock_ms"), .m_bornMs = readInt(whole, "born"), .m_running = {}, .m_ended = {} };
+        if (const auto running = whole.find("running"); running != whole.end()) {
+            for (const Json& row : *running)
+                report.m_running.push_back(runningFrom(row));
+        }
+        if (const auto ended = whole.find("finished"); ended != whole.end()) {
+            for (const Json& row : *ended)
+                report.m_ended.push_back(endedFrom(row));
+        }
+        return report;
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+WorkerClient::WorkerClient(EventLoop& loop)
+    : m_client(loop, { .m_connectionsPerAddress = 6, .m_connectTimeout = { 400 } })
+    , m_syncClient(loop, { .m_connectionsPerAddress = 2, .m_connectTimeout = { 400 } })
+{
+}
+
+void WorkerClient::start(const scheduler::Sent<StartOrder>& order, Duration timeout, std::function<void(OrderStatus)> onAnswer)
+{
+    Json body { { "task", format(order.m_order.m_task) }, { "attempt", order.m_order.m_attempt }, { "spec", order.m_order.m_payload }, { "deadline_ms", order.m_order.m_leaseUntilMs }, { "fencing_token", order.m_to.m_token } };
+    if (!order.m_order.m_checkpoint.empty())
+        body["checkpoint"] = order.m_order.m_checkpoint;
+    if (!order.m_order.m_ticket.empty())
+        body["ticket"] = order.m_order.m_ticket;
+    m_client.send(makeCall(order.m_to, "/bulrushloft/run-start", body, timeout), [onAnswer = std::move(onAnswer)](const HttpResult& result) { onAnswer(statusOf(result)); });
+}
+
+void WorkerClient::stop(const scheduler::Sent<StopOrder>& order, Duration timeout, std::function<void(OrderStatus)> onAnswer)
+{
+    const Json body { { "task", format(order.m_order.m_task) }, { "attempt", order.m_order.m_attempt }, { "fencing_token", order.m_to.m_token } };
+    m_client.send(makeCall(order.m_to, "/bulrushloft/run-stop", body, timeout), [onAnswer = std::move(onAnswer)](const HttpResult& result) { onAnswer(statusOf(result)); });
+}
+
+void WorkerClient::pace(const scheduler::Sent<PaceOrder>& order, Duration timeout, std::function<void(OrderStatus)> onAnswer)
+{
+    const Json body { { "task", format(order.m_order.m_task) }, { "attempt", order.m_order.m_attempt }, { "percent", order.m_order.m_percent }, { "fencing_token", order.m_to.m_token } };
+    m_client.send(makeCall(order.m_to, "/bulrushloft/pace", body, timeout), [onAnswer = std::move(onAnswer)](const HttpResult& result) { onAnswer(statusOf(result)); });
+}
+
+void WorkerClient::sync(const scheduler::Sent<SyncOrder>& order, Duration timeout, std::function<void(OrderStatus, const SyncReport&)> onAnswer)
+{
+    Json body { { "fencing_token", order.m_to.m_token }, { "ack_seq", order.m_order.m_ackedEnds } };
+    if (order.m_order.m_leaseUntilMs)
+        body["deadline_ms"] = *order.m_order.m_leaseUntilMs;
+    if (order.m_order.m_wait.m_ms > 0)
+        body["wait_ms"] = order.m_order.m_wait.m_ms;
+    m_syncClient.send(makeCall(order.m_to, "/bulrushloft/hold", body, timeout), [onAnswer = std::move(onAnswer)](const HttpResult& result) {
+        const OrderStatus status = statusOf(result);
+        if (status != OrderStatus::Done)
+            return onAnswer(status, {});
+        const auto report = decodeSyncReport(viewOf(result->m_body));
+        onAnswer(report ? OrderStatus::Done : OrderStatus::NoAnswer, report.value_or(SyncReport {}));
+    });
+}
+
+void WorkerClient::askApprovals(const Address& service, const TaskName& step, const std::vector<std::string>& workers, Duration timeout, std::function<void(std::optional<std::vector<Approval>>)> onAnswer)
+{
+    const Json body { { "step", step.m_job + "." + std::to_string(step.m_occurrence) + "." + std::to_string(step.m_step) }, { "workers", workers } };
+    HttpCall call { .m_address = service, .m_request = { .m_method = "POST", .m_target = "/bulrushloft/advise", .m_headers = { { "Content-Type", "application/json" } }, .m_body = makeBody(body.dump()) }, .m_timeout = timeout };
+    m_client.send(std::move(call), [onAnswer = std::move(onAnswer)](const HttpResult& result) {
+        constexpr unsigned statusOk = 200;
+        if (!result || result->m_status != statusOk)
+            return onAnswer(std::nullopt);
+        const Json whole = parseJson(viewOf(result->m_body));
+        const auto rows = whole.is_object() ? whole.find("approved") : whole.end();
+        std::vector<Approval> approvals;
+        if (!whole.is_object() || rows == whole.end() || !rows->is_array())
+            return onAnswer(approvals);
+        for (const Json& row : *rows) {
+            if (row.is_array() && row.size() >= 2 && row[0].is_string() && row[1].is_string())
+                approvals.push_back({ .m_worker = row[0], .m_ticket = row[1] });
+        }
+        onAnswer(std::move(approvals));
+    });
+}
+
+} // namespace bulrushloft::platform
--- /dev/null
+++ b/src/process/cell/cell_clients.cpp
@@ -0,0 +1,310 @@
+/** @file cell_clients.cpp Calls of clients and peers. */
+#include "core/log_func.h"
+#include "process/cell/cell_detail.h"
+#include "process/cell/cell_func.h"
+#include "process/scheduler/scheduler_func.h"
+#include "request/plan_codec.h"
+#include "request/plan_func.h"
+#include "table/scheduler_table.h"
+#include "version/cluster_func.h"
+
+#include <algorithm>
+
+namespace bulrushloft::cell {
+
+namespace {
+
+    using namespace detail;
+
+    constexpr Duration comeBack { 1'000 }; ///< Hint for a call that can't be served now.
+    constexpr Duration replyMargin { 150 }; ///< Time for a reply to reach its client.
+    constexpr Duration queryTimeout { 700 };
+    constexpr Duration queryRetry { 100 };
+
+    /** @return The last part of a path, or an empty text when the path is the queue's prefix itself. */
+    std::string jobOf(const QueueSettings& queue, const std::string& path)
+    {
+        return path.substr(queue.m_pathPrefix.size());
+    }
+
+    PeerQueryAnswer answerQuery(const CellNode& node, const std::string& job)
+    {
+        if (!mayAct(node))
+            return { .m_status = QueryStatus::NotLeading };
+        if (const auto stage = scheduler::findStage(*node.m_scheduler, job))
+            return { .m_status = QueryStatus::Known, .m_stage = static_cast<std::uint8_t>(*stage) };
+        const bool isFresh = node.m_now - node.m_jobsTail.m_currentAt <= node.m_options.m_visibleWithin;
+        return { .m_status = isFresh ? QueryStatus::NoSuchJob : QueryStatus::NotLeading };
+    }
+
+    PeerQueryAnswer answerCount(const CellNode& node, const std::string& queue)
+    {
+        if (!mayAct(node))
+            return { .m_status = QueryStatus::NotLeading };
+        return { .m_status = QueryStatus::Known, .m_stage = 0, .m_count = scheduler::countPending(*node.m_scheduler, queue) };
+    }
+
+    PeerQueryAnswer answerLocally(const CellNode& node, const PeerMessage& message)
+    {
+        if (const auto* const query = std::get_if<PeerQuery>(&message))
+            return answerQuery(node, query->m_job);
+        return answerCount(node, std::get<PeerCount>(message).m_queue);
+    }
+
+    /** Asks the leader, again and again until the deadline; the answer is NotLeading when none came. */
+    void askLeader(CellNode& node, const PeerMessage& message, TimePoint deadline, const std::function<void(const PeerQueryAnswer&)>& onAnswer)
+    {
+        const PeerQueryAnswer local = answerLocally(node, message);
+        if (local.m_status != QueryStatus::NotLeading)
+            return onAnswer(local);
+        const Duration left = deadline - node.m_now - replyMargin;
+        if (left.m_ms <= 0)
+            return onAnswer(local);
+        const auto again = [&node, message, deadline, onAnswer] {
+            node.m_laterCalls.push_back({ node.m_now + queryRetry, [&node, message, deadline, onAnswer] { askLeader(node, message, deadline, onAnswer); } });
+        };
+        const bool hasLeader = node.m_leader.m_token > 0 && node.m_leader.m_member.m_name != node.m_options.m_self.m_name;
+        if (!hasLeader)
+            return again();
+        node.m_ports.m_callPeer(node.m_leader.m_member.m_address, message, std::min(left, queryTimeout), [onAnswer, again](const std::optional<PeerReply>& reply) {
+            const auto* const answer = reply ? std::get_if<PeerQueryAnswer>(&*reply) : nullptr;
+            if (answer && answer->m_status != QueryStatus::NotLeading)
+                return onAnswer(*answer);
+            again();
+        });
+    }
+
+    void replyWrite(CellNode& node, StoreStatus status, ClientStatus whenDone, const std::string& job, TimePoint arrivedAt, const ClientResponder& respond)
+    {
+        ClientReply reply { .m_status = whenDone };
+        if (status == StoreStatus::NotDone)
+            reply = { .m_status = ClientStatus::NotDone, .m_retryAfter = comeBack };
+        else if (status != StoreStatus::Done)
+            reply = { .m_status = ClientStatus::Unknown };
+        node.m_counters.m_submits += status == StoreStatus::Done ? 1 : 0;
+        node.m_counters.m_refusals += status == StoreStatus::NotDone ? 1 : 0;
+        node.m_counters.m_unknowns += reply.m_status == ClientStatus::Unknown ? 1 : 0;
+        logEvent(LogLevel::Info, "client-write", { { "job", job }, { "outcome", status == StoreStatus::Done ? "stored" : status == StoreStatus::NotDone ? "refused"
+                                                                                                                                                      : "unknown" },
+                                                      { "is_cancel", whenDone == ClientStatus::Cancelled }, { "took_ms", (node.m_now - arrivedAt).m_ms }, { "config", node.m_cluster->m_version } });
+        respond(reply);
+    }
+
+    void submit(CellNode& node, const ClientCall& call, const QueueSettings& queue, const ClientResponder& respond)
+    {
+        auto plan = node.m_decoders.m_plan(call.m_body);
+        Expected<void> valid;
+        if (plan) {
+            plan->m_id = jobOf(queue, call.m_path);
+            plan->m_queue = queue.m_name;
+            plan->m_pool = queue.m_pool;
+            plan->m_submittedAt = node.m_now + node.m_wallOffset;
+            valid = validatePlan(*plan);
+        }
+        if (!plan || !valid) {
+            const Error& error = plan ? valid.error() : plan.error();
+            logEvent(LogLevel::Info, "client-invalid", { { "path", call.m_path.substr(0, 100) }, { "error", describe(error) } });
+            return respond({ .m_status = ClientStatus::Invalid, .m_text = describe(error) });
+        }
+        PendingWrite write { .m_records = { { .m_key = plan->m_id, .m_value = encodePlan(*plan) } }, .m_deadline = call.m_deadline - replyMargin };
+        write.m_onEnd = [&node, id = plan->m_id, arrivedAt = call.m_arrivedAt, respond](StoreStatus status) { replyWrite(node, status, ClientStatus::Accepted, id, arrivedAt, respond); };
+        writeJobs(node, std::move(write));
+    }
+
+    void query(CellNode& node, const ClientCall& call, const std::string& job, const ClientResponder& respond)
+    {
+        askLeader(node, PeerQuery { .m_job = job }, call.m_deadline, [&node, respond, job](const PeerQueryAnswer& answer) {
+            if (answer.m_status == QueryStatus::Known)
+                return respond({ .m_status = ClientStatus::Known, .m_stage = answer.m_stage });
+            logEvent(LogLevel::Info, "client-query", { { "job", job }, { "outcome", answer.m_status == QueryStatus::NoSuchJob ? "no-such-job" : "leader-not-reached" }, { "leader", node.m_leader.m_member.m_name }, { "token", node.m_leader.m_token } });
+            if (answer.m_status == QueryStatus::NoSuchJob)
+                return respond({ .m_status = ClientStatus::NoSuchJob });
+            ++node.m_counters.m_refusals;
+            respond({ .m_status = ClientStatus::NotDone, .m_retryAfter = comeBack });
+        });
+    }
+
+    void count(CellNode& node, const ClientCall& call, const QueueSettings& queue, const ClientResponder& respond)
+    {
+        askLeader(node, PeerCount { .m_queue = queue.m_name }, call.m_deadline, [respond](const PeerQueryAnswer& answer) {
+            if (answer.m_status == QueryStatus::Known)
+                return respond({ .m_status = ClientStatus::Counted, .m_count = answer.m_count });
+            respond({ .m_status = ClientStatus::NotDone, .m_retryAfter = comeBack });
+        });
+    }
+
+    /** A cancellation is stored like a submission; the leader is asked first whether the job is known at all. */
+    void cancel(CellNode& node, const ClientCall& call, const std::string& job, const ClientResponder& respond)
+    {
+        constexpr Duration askFor { 600 };
+        const TimePoint askUntil = std::min(call.m_deadline, node.m_now + askFor + replyMargin);
+        askLeader(node, PeerQuery { .m_job = job }, askUntil, [&node, call, job, respond](const PeerQueryAnswer& answer) {
+            if (answer.m_status == QueryStatus::NoSuchJob)
+                return respond({ .m_status = ClientStatus::NoSuchJob });
+            PendingWrite write { .m_records = { { .m_key = "!" + job, .m_value = "cancelled" } }, .m_deadline = call.m_deadline - replyMargin };
+            write.m_onEnd = [&node, job, arrivedAt = call.m_arrivedAt, respond](StoreStatus status) { replyWrite(node, status, ClientStatus::Cancelled, job, arrivedAt, respond); };
+            writeJobs(node, std::move(write));
+        });
+    }
+
+    void relayAppend(CellNode& node, const PeerAppend& message, const std::function<void(PeerReply)>& respond)
+    {
+        constexpr Duration relayTimeout { 500 };
+        const bool isAllowed = message.m_append.m_partition.m_topic == node.m_options.m_topics.m_jobs;
+        if (!isAllowed || !node.m_isStoreReached)
+            return respond(PeerAppendAnswer { { .m_status = StoreStatus::NotDone, .m_reason = "this VM does not reach the store" } });
+        node.m_ports.m_append(message.m_append, relayTimeout, [&node, respond](const AppendAnswer& answer) {
+            noteStore(node, answer.m_status == StoreStatus::Done);
+            respond(PeerAppendAnswer { answer });
+        });
+    }
+
+    void takeOver(CellNode& node, const PeerTakeOver& message, const std::function<void(PeerReply)>& respond)
+    {
+        const bool isWanted = message.m_token == node.m_leader.m_token && node.m_role == Role::Follower && !node.m_isTerminating && node.m_leaderTail.m_isCurrent;
+        respond(PeerDone { .m_isTaken = isWanted });
+        if (isWanted)
+            claimLeadership(node, "the leader hands over");
+    }
+
+} // namespace
+
+namespace detail {
+
+    namespace {
+
+        constexpr Duration ownTryTimeout { 600 };
+        constexpr Duration relayTryTimeout { 700 };
+        constexpr Duration tryPause { 60 };
+
+        void tryWrite(CellNode& node, const std::shared_ptr<PendingWrite>& write);
+
+        void endTry(CellNode& node, const std::shared_ptr<PendingWrite>& write, StoreStatus status)
+        {
+            if (status == StoreStatus::Done)
+                return write->m_onEnd(StoreStatus::Done);
+            write->m_mayBeDone = write->m_mayBeDone || status != StoreStatus::NotDone;
+            node.m_laterCalls.push_back({ node.m_now + tryPause, [&node, write] { tryWrite(node, write); } });
+        }
+
+        void relayWrite(CellNode& node, const std::shared_ptr<PendingWrite>& write, const PeerState& peer)
+        {
+            ++node.m_counters.m_relays;
+            const PeerAppend message { .m_append = { .m_partition = { .m_topic = node.m_options.m_topics.m_jobs }, .m_records = write->m_records, .m_writer = {}, .m_expectedEnd = {} } };
+            const Duration timeout = std::min(relayTryTimeout, write->m_deadline - node.m_now);
+            node.m_ports.m_callPeer(peer.m_member.m_address, message, timeout, [&node, write, name = peer.m_member.m_name](const std::optional<PeerReply>& reply) {
+                const auto* const answer = reply ? std::get_if<PeerAppendAnswer>(&*reply) : nullptr;
+                if (const auto found = node.m_peers.find(name); !answer && found != node.m_peers.end())
+                    found->second.m_failedAt = node.m_now;
+                endTry(node, write, answer ? answer->m_answer.m_status : StoreStatus::Unknown);
+            });
+        }
+
+        /** Tries the store and peers in turn; records of one key may be written more than once. */
+        void tryWrite(CellNode& node, const std::shared_ptr<PendingWrite>& write)
+        {
+            if (node.m_now >= write->m_deadline)
+                return write->m_onEnd(write->m_mayBeDone ? StoreStatus::Unknown : StoreStatus::NotDone);
+            const std::vector<PeerState*> relays = relayOrder(node);
+            const std::uint32_t turn = write->m_tries++;
+            const bool isOwnTurn = node.m_isStoreReached ? turn % 2 == 0 : turn % 4 == 3;
+            if (!isOwnTurn && !relays.empty())
+                return relayWrite(node, write, *relays[(turn / 2) % relays.size()]);
+            ++node.m_counters.m_appends;
+            const StoreAppend append { .m_partition = { .m_topic = node.m_options.m_topics.m_jobs }, .m_records = write->m_records, .m_writer = {}, .m_expectedEnd = {} };
+            node.m_ports.m_append(append, std::min(ownTryTimeout, write->m_deadline - node.m_now), [&node, write](const AppendAnswer& answer) {
+                noteStore(node, answer.m_status == StoreStatus::Done);
+                endTry(node, write, answer.m_status);
+            });
+        }
+
+    } // namespace
+
+    std::vector<PeerState*> relayOrder(CellNode& node)
+    {
+        std::vector<PeerState*> order;
+        for (auto& [name, peer] : node.m_peers)
+            order.push_back(&peer);
+        const auto weight = [&](const PeerState* peer) {
+            return std::tuple { !peer->m_isStoreReached, peer->m_failedAt, peer->m_member.m_name != node.m_leader.m_member.m_name };
+        };
+        std::sort(order.begin(), order.end(), [&](const PeerState* one, const PeerState* other) { return weight(one) < weight(other); });
+        return order;
+    }
+
+    void writeJobs(CellNode& node, PendingWrite write)
+    {
+        tryWrite(node, std::make_shared<PendingWrite>(std::move(write)));
+    }
+
+} // namespace detail
+
+void onClientCall(CellNode& node, const ClientCall& call, ClientResponder respond)
+{
+    if (!node.m_cluster) {
+        ++node.m_counters.m_refusals;
+        return respond({ .m_status = ClientStatus::NotDone, .m_retryAfter = comeBack });
+    }
+    const QueueSettings* const queue = findQueue(*node.m_cluster, call.m_host, call.m_path);
+    if (!queue)
+        return respond({ .m_status = ClientStatus::NoSuchQueue });
+    const std::string job = jobOf(*queue, call.m_path);
+    if (call.m_verb == ClientVerb::Submit)
+        return submit(node, call, *queue, respond);
+    if (call.m_verb == ClientVerb::Query)
+        return job.empty() ? count(node, call, *queue, respond) : query(node, call, job, respond);
+    if (call.m_verb == ClientVerb::Cancel && !job.empty())
+        return cancel(node, call, job, respond);
+    respond({ .m_status = ClientStatus::Invalid, .m_text = "this path takes POST, GET and DELETE of a job's id, and GET of the queue" });
+}
+
+void onPeerMessage(CellNode& node, const PeerMessage& message, std::function<void(PeerReply)> respond)
+{
+    if (const auto* const heartbeat = std::get_if<PeerHeartbeat>(&message))
+        return respond(answerHeartbeat(node, *heartbeat));
+    if (std::holds_alternative<PeerQuery>(message) || std::holds_alternative<PeerCount>(message))
+        return respond(answerLocally(node, message));
+    if (const auto* const append = std::get_if<PeerAppend>(&message))
+        return relayAppend(node, *append, respond);
+    if (const auto* const over = std::get_if<PeerTakeOver>(&message))
+        return takeOver(node, *over, respond);
+    const auto& ask = std::get<PeerAsk>(message);
+    constexpr Duration askTimeout { 2'400 };
+    node.m_ports.m_askApprovals(ask.m_step, ask.m_workers, askTimeout, [respond](const std::optional<std::vector<Approval>>& approvals) {
+        respond(PeerAskAnswer { .m_isAnswered = approvals.has_value(), .m_approvals = approvals.value_or(std::vector<Approval> {}) });
+    });
+}
+
+void beginTermination(CellNode& node)
+{
+    node.m_isTerminating = true;
+    node.m_terminatingSince = node.m_now;
+    logEvent(LogLevel::Info, "terminating", { { "is_leading", node.m_role == Role::Leading }, { "token", node.m_leader.m_token } });
+}
+
+bool isReady(const CellNode& node)
+{
+    return node.m_cluster && !node.m_isTerminating;
+}
+
+std::unique_ptr<CellNode> makeCell(CellOptions options, CellPorts ports, CellDecoders decoders, TimePoint now, Duration wallOffset)
+{
+    auto node = std::make_unique<CellNode>();
+    node->m_options = std::move(options);
+    node->m_ports = std::move(ports);
+    node->m_decoders = std::move(decoders);
+    node->m_now = now;
+    node->m_wallOffset = wallOffset;
+    node->m_storeHeardAt = now;
+    const CellTopics& topics = node->m_options.m_topics;
+    const auto tail = [](const std::string& topic, Duration wait, Duration pause) { return TopicTail { .m_partition = { .m_topic = topic }, .m_wait = wait, .m_pause = pause }; };
+    node->m_operatorTail = tail(topics.m_operator, node->m_options.m_pollWait, {});
+    node->m_leaderTail = tail(topics.m_leader, node->m_options.m_pollWait, {});
+    node->m_jobsTail = tail(topics.m_jobs, node->m_options.m_pollWait, {});
+    node->m_workersTail = tail(topics.m_workers, {}, node->m_options.m_workerPoll);
+    resetTail(node->m_operatorTail, true);
+    resetTail(node->m_leaderTail, true);
+    return node;
+}
+
+} // namespace bulrushloft::cell
--- /dev/null
+++ b/src/process/cell/cell_detail.h
@@ -0,0 +1,52 @@
+/** @file cell_detail.h What the sources of the cell share. */
+#pragma once
+
+#include "process/cell/cell_base.h"
+
+namespace bulrushloft::cell::detail {
+
+/** Follows the topics: reads that are due. */
+void stepTails(CellNode& node);
+
+/** Starts a tail anew from a listing. */
+void resetTail(TopicTail& tail, bool isWanted);
+
+/** Notes that the store has answered, or has not. */
+void noteStore(CellNode& node, bool isReached);
+
+/** Takes a configuration, from the store or from a peer; older ones change nothing. */
+void takeClusterText(CellNode& node, const std::string& text, std::string_view source);
+
+/** Heartbeats, claims, loading, handing over. */
+void stepLeadership(CellNode& node);
+
+/** Takes a claim that the store keeps. */
+void takeClaim(CellNode& node, std::uint64_t token, const PeerMember& member);
+
+/** Writes the claim of this daemon if the topic of claims has not moved. */
+void claimLeadership(CellNode& node, std::string_view cause);
+
+/** Ends the term of this daemon. */
+void stepDown(CellNode& node, std::string_view cause);
+
+/** Reads what earlier terms have recorded. */
+void stepLoading(CellNode& node);
+
+/** Writes the progress of the scheduler. */
+void stepWriter(CellNode& node);
+
+/** One step of the scheduler and its calls. */
+void stepScheduler(CellNode& node);
+
+/** @return Whether this daemon leads and may give orders and answers. */
+bool mayAct(const CellNode& node);
+
+/** Writes records to the topic of jobs, by the store or through peers, until the deadline. */
+void writeJobs(CellNode& node, PendingWrite write);
+
+/** @return Peers in the order in which they are asked to relay. */
+std::vector<PeerState*> relayOrder(CellNode& node);
+
+PeerHeartbeatAnswer answerHeartbeat(CellNode& node, const PeerHeartbeat& heartbeat);
+
+} // namespace bulrushloft::cell::detail
--- /dev/null
+++ b/src/process/cell/cell_startup.cpp
@@ -0,0 +1,78 @@
+/** @file cell_startup.cpp Reading of the start-up file of a daemon of the cell. */
+#include "process/cell/cell_startup.h"
+
+#include "core/yaml_section.h"
+
+namespace bulrushloft::cell {
+
+namespace {
+
+    constexpr std::int64_t dayMs = 86'400'000;
+
+    void readTimes(Section times, CellStartup& settings)
+    {
+        scheduler::SchedulerOptions& options = settings.m_scheduler;
+        options.m_longestLease.m_ms = times.integer("longest_lease_ms", options.m_longestLease.m_ms, 1'000, dayMs, "ms");
+        options.m_lease.m_ms = std::min(times.integer("lease_ms", options.m_lease.m_ms, 1'000, dayMs, "ms"), options.m_longestLease.m_ms);
+        options.m_stopLimit.m_ms = times.integer("stop_limit_ms", options.m_stopLimit.m_ms, 0, dayMs, "ms");
+        options.m_gangTimeout.m_ms = times.integer("gang_timeout_ms", options.m_gangTimeout.m_ms, 1, dayMs, "ms");
+        options.m_memory.m_ms = times.integer("job_memory_s", options.m_memory.m_ms / 1'000, 1, dayMs / 1'000, "s") * 1'000;
+        options.m_remoteFactor = times.number("remote_factor", options.m_remoteFactor, 1, 1'000, "times");
+        settings.m_serveAfterTerm.m_ms = times.integer("serve_after_term_ms", settings.m_serveAfterTerm.m_ms, 0, dayMs, "ms");
+        settings.m_shutdownLimit.m_ms = times.integer("shutdown_limit_ms", settings.m_shutdownLimit.m_ms, 1, dayMs, "ms");
+        times.rejectUnknown();
+    }
+
+    void readListen(Section listen, CellStartup& settings)
+    {
+        settings.m_clients = listen.address("clients");
+        settings.m_readiness = listen.address("readiness");
+        settings.m_peers = listen.address("peers");
+        if (listen.has("metrics"))
+            settings.m_metrics = listen.address("metrics");
+        listen.rejectUnknown();
+    }
+
+    void readPlatform(Section platform, CellStartup& settings)
+    {
+        settings.m_store = platform.address("store");
+        if (platform.has("approvals"))
+            settings.m_approvals = platform.address("approvals");
+        platform.rejectUnknown();
+    }
+
+    CellStartup readAll(const YAML::Node& root)
+    {
+        Section file({}, root);
+        CellStartup settings;
+        settings.m_member = file.text("member");
+        settings.m_zone = file.text("zone");
+        settings.m_cpuShare = file.number("cpu_share", settings.m_cpuShare, 0.001, 1'024, "cores");
+        readListen(file.section("listen"), settings);
+        readPlatform(file.section("platform"), settings);
+        settings.m_seeds = file.addresses("seeds");
+        Section log = file.section("log");
+        settings.m_logLevel = orReject("log/level", parseLogLevel(log.text("level", "info")));
+        settings.m_logFormat = orReject("log/format", parseLogFormat(log.text("format", "key-value")));
+        log.rejectUnknown();
+        readTimes(file.section("times"), settings);
+        settings.m_ringCapacity = static_cast<std::size_t>(file.integer("ring_items", static_cast<std::int64_t>(settings.m_ringCapacity), 16, 1'000'000, "items"));
+        settings.m_abortsOnInvariant = file.boolean("abort_on_invariant", settings.m_abortsOnInvariant);
+        file.rejectUnknown();
+        return settings;
+    }
+
+} // namespace
+
+Expected<CellStartup> parseCellStartup(const std::string& yaml)
+{
+    try {
+        return readAll(YAML::Load(yaml));
+    } catch (const BadValue& bad) {
+        return tl::unexpected(bad.m_error);
+    } catch (const std::exception& error) {
+        return fail(ErrorKind::InvalidInput, std::string("the start-up file is not YAML: ") + error.what(), "mend the line that is named");
+    }
+}
+
+} // namespace bulrushloft::cell
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -534,6 +534,12 @@
     return m_impl->start();
 }
 
+void Daemon::reload(const StartupSettings& settings)
+{
+    setLogLevel(settings.m_logLevel);
+    logEvent(LogLevel::Info, "reloaded");
+}
+
 void Daemon::shutDown()
 {
     m_impl->shutDown();
--- a/src/process/daemon.h
+++ b/src/process/daemon.h
@@ -23,6 +23,9 @@
      */
     Expected<void> start();
 
+    /** Takes a start-up file that has changed; only its log level takes effect without a restart. */
+    static void reload(const StartupSettings& settings);
+
     /** Hands the shards over, answers what is in flight and ends; returns when all is done or the limit has passed. */
     void shutDown();
 
--- /dev/null
+++ b/src/process/scheduler/approvals.cpp
@@ -0,0 +1,134 @@
+/** @file approvals.cpp Approvals of steps: asked through the VMs, kept for as long as their tickets last. */
+#include "process/scheduler/approvals.h"
+
+#include "core/log_func.h"
+#include "process/scheduler/scheduler_detail.h"
+#include "process/scheduler/scheduler_func.h"
+#include "request/plan_func.h"
+
+#include <algorithm>
+
+namespace bulrushloft::scheduler {
+
+namespace detail {
+
+    namespace {
+
+        constexpr std::size_t mostNamed = 30; ///< Workers in one call; objectives allow for as many.
+        constexpr Duration slowCall { 100 }; ///< Calls that take longer keep off the VMs for quick ones.
+        constexpr Duration quickQueue { 60 }; ///< How long a quick call may wait for its VM.
+        constexpr Duration ticketMargin { 200 }; ///< Between the last use of a ticket and its end.
+        constexpr Duration answerMargin { 400 }; ///< A call that takes this much longer than planned has failed.
+
+        /** @return The VM that can ask soonest, or null when none can soon enough. */
+        Advisor* chooseAdvisor(Scheduler& scheduler, Duration length, TimePoint now)
+        {
+            const bool isSlow = length > slowCall;
+            const std::size_t reserved = scheduler.m_advisors.size() > 1 ? (scheduler.m_advisors.size() + 2) / 3 : 0;
+            Advisor* best = nullptr;
+            for (std::size_t i = isSlow ? reserved : 0; i < scheduler.m_advisors.size(); ++i) {
+                Advisor& advisor = scheduler.m_advisors[i];
+                if (!best || advisor.m_busyUntil < best->m_busyUntil)
+                    best = &advisor;
+            }
+            const Duration longestWait = isSlow ? Duration { 0 } : quickQueue;
+            return best && best->m_busyUntil <= now + longestWait ? best : nullptr;
+        }
+
+        Duration callLength(const ApprovalPolicy& policy, std::size_t workers)
+        {
+            return { static_cast<std::int64_t>(policy.m_baseMs + policy.m_perWorkerMs * static_cast<double>(workers)) + 1 };
+        }
+
+        /** Names workers whose approval is not known, and known ones whose ticket has run out. */
+        std::vector<WorkerIndex> chooseNamed(const StepRun& run, bool isSlow, const std::vector<WorkerIndex>& fitting, std::size_t withRoom, TimePoint now)
+        {
+            std::vector<WorkerIndex> known;
+            std::vector<WorkerIndex> unknown;
+            bool hasRoomOnUnknown = false;
+            for (std::size_t i = 0; i < fitting.size(); ++i) {
+                const WorkerIndex worker = fitting[i];
+                if (run.m_approval.m_denied.contains(worker) || hasTicket(run, worker, now))
+                    continue;
+                const bool hasRoom = i < withRoom;
+                if (run.m_approval.m_approved.contains(worker)) {
+                    // A quick call waits until there is room; a slow one has to be made ahead.
+                    if (hasRoom || isSlow)
+                        known.push_back(worker);
+                } else {
+                    unknown.push_back(worker);
+                    hasRoomOnUnknown = hasRoomOnUnknown || hasRoom;
+                }
+            }
+            constexpr std::size_t enoughApproved = 3;
+            const bool needsMore = hasRoomOnUnknown || run.m_approval.m_approved.size() < enoughApproved;
+            if (needsMore)
+                known.insert(known.end(), unknown.begin(), unknown.end());
+            if (known.size() > mostNamed)
+                known.resize(mostNamed);
+            return known;
+        }
+
+    } // namespace
+
+    bool hasTicket(const StepRun& run, WorkerIndex worker, TimePoint now)
+    {
+        const auto found = run.m_approval.m_approved.find(worker);
+        return found != run.m_approval.m_approved.end() && now <= found->second.second;
+    }
+
+    bool askApprovals(Scheduler& scheduler, StepRun& run, const ApprovalPolicy& policy, const std::vector<WorkerIndex>& fitting, std::size_t withRoom, TimePoint now, SchedulerEffects& effects)
+    {
+        if (run.m_approval.m_isAskOut || now < run.m_approval.m_nextAskAt)
+            return false;
+        const bool isSlow = callLength(policy, 1) > slowCall;
+        const std::vector<WorkerIndex> named = chooseNamed(run, isSlow, fitting, withRoom, now);
+        if (named.empty())
+            return false;
+        const Duration length = callLength(policy, named.size());
+        Advisor* const advisor = chooseAdvisor(scheduler, length, now);
+        if (!advisor)
+            return false;
+        advisor->m_busyUntil = std::max(advisor->m_busyUntil, now) + length;
+        run.m_approval.m_isAskOut = true;
+        run.m_approval.m_nextAskAt = advisor->m_busyUntil + answerMargin;
+        ApprovalAsk ask { .m_member = advisor->m_member, .m_step = nameOf({ &run, 0 }), .m_workers = {} };
+        for (const WorkerIndex worker : named)
+            ask.m_workers.push_back(scheduler.m_workers[static_cast<std::size_t>(worker)].m_notice.m_id);
+        ++scheduler.m_counters.m_asks;
+        effects.m_asks.push_back(std::move(ask));
+        return true;
+    }
+
+} // namespace detail
+
+void onApprovals(Scheduler& scheduler, const ApprovalAsk& ask, const std::optional<std::vector<Approval>>& approvals, TimePoint now)
+{
+    const TaskRef ref = detail::findTask(scheduler, ask.m_step);
+    if (!ref.m_run)
+        return;
+    ApprovalState& state = ref.m_run->m_approval;
+    state.m_isAskOut = false;
+    scheduler.m_needsPlacing = true;
+    logEvent(LogLevel::Info, "approvals", { { "step", format(ask.m_step) }, { "asked_by", ask.m_member }, { "named", ask.m_workers.size() }, { "approved", approvals ? static_cast<std::int64_t>(approvals->size()) : -1 } });
+    if (!approvals) {
+        constexpr Duration retryPause { 150 };
+        state.m_nextAskAt = now + retryPause;
+        return;
+    }
+    state.m_nextAskAt = now;
+    const auto& policy = detail::queueOf(scheduler, *ref.m_run->m_job).m_approval;
+    const Duration validity = policy ? policy->m_validity : Duration {};
+    for (const std::string& id : ask.m_workers) {
+        const auto found = scheduler.m_workerById.find(id);
+        if (found == scheduler.m_workerById.end())
+            continue;
+        const auto approval = std::find_if(approvals->begin(), approvals->end(), [&](const Approval& row) { return row.m_worker == id; });
+        if (approval == approvals->end())
+            state.m_denied.insert(found->second);
+        else
+            state.m_approved.insert_or_assign(found->second, std::pair { approval->m_ticket, now + validity - detail::ticketMargin });
+    }
+}
+
+} // namespace bulrushloft::scheduler
--- /dev/null
+++ b/src/process/scheduler/scheduler.cpp
@@ -0,0 +1,91 @@
+/** @file scheduler.cpp One step of the scheduler, and what is forgotten. */
+#include "core/log_func.h"
+#include "process/scheduler/scheduler_detail.h"
+#include "process/scheduler/scheduler_func.h"
+
+#include <algorithm>
+
+namespace bulrushloft::scheduler {
+
+namespace {
+
+    using namespace detail;
+
+    bool canForget(const Job& job)
+    {
+        return !job.m_isDirty && std::all_of(job.m_runs.begin(), job.m_runs.end(), [](const auto& run) { return run->m_openRuns == 0; });
+    }
+
+    /** Forgets jobs that have ended long ago, one at a time so that no step takes long. */
+    void forgetEnded(Scheduler& scheduler, TimePoint now)
+    {
+        if (scheduler.m_endedJobs.empty() || now - scheduler.m_endedJobs.front().first < scheduler.m_options.m_memory)
+            return;
+        const std::string id = scheduler.m_endedJobs.front().second;
+        scheduler.m_endedJobs.pop_front();
+        const auto found = scheduler.m_jobs.find(id);
+        if (found == scheduler.m_jobs.end())
+            return;
+        if (!canForget(*found->second)) {
+            scheduler.m_endedJobs.emplace_back(now, id);
+            return;
+        }
+        Job* const job = found->second.get();
+        std::erase_if(scheduler.m_waiting, [&](const StepRun* run) { return run->m_job == job; });
+        std::erase(scheduler.m_scheduledJobs, job);
+        scheduler.m_cancelledEarly.erase(id);
+        scheduler.m_expiredJobs.push_back(id);
+        scheduler.m_jobs.erase(found);
+    }
+
+    void releaseScheduled(Scheduler& scheduler, TimePoint now)
+    {
+        for (Job* job : scheduler.m_scheduledJobs)
+            releaseDue(scheduler, *job, now);
+        std::erase_if(scheduler.m_scheduledJobs, [](const Job* job) { return job->m_nextOccurrence >= job->m_plan.m_repeats; });
+    }
+
+    /** Changes are taken together: a pass looks at all that waits. */
+    bool isPlacingDue(const Scheduler& scheduler, TimePoint now)
+    {
+        constexpr Duration afterChange { 4 };
+        constexpr Duration withoutChange { 50 };
+        return now - scheduler.m_placedAt >= (scheduler.m_needsPlacing ? afterChange : withoutChange);
+    }
+
+} // namespace
+
+void step(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects)
+{
+    releaseScheduled(scheduler, now);
+    stepCalls(scheduler, now, effects);
+    if (isPlacingDue(scheduler, now))
+        placeWaiting(scheduler, now, effects);
+    stepPacing(scheduler, now, effects);
+    forgetEnded(scheduler, now);
+}
+
+bool isConsistent(const Scheduler& scheduler)
+{
+    for (const Worker& worker : scheduler.m_workers) {
+        Resources sum;
+        for (const TaskRef& ref : worker.m_tasks) {
+            if (ref.task().m_phase == RunPhase::None || scheduler.m_workers[static_cast<std::size_t>(ref.task().m_worker)].m_notice.m_id != worker.m_notice.m_id)
+                return false;
+            sum = sum + grantOf(*ref.m_run);
+        }
+        if (!(sum == worker.m_granted))
+            return false;
+    }
+    for (const auto& [id, job] : scheduler.m_jobs) {
+        for (const auto& run : job->m_runs) {
+            const auto done = std::count_if(run->m_tasks.begin(), run->m_tasks.end(), [](const Task& task) { return task.m_fate == TaskFate::Done; });
+            const auto open = std::count_if(run->m_tasks.begin(), run->m_tasks.end(), [](const Task& task) { return task.m_phase != RunPhase::None; });
+            if (static_cast<std::uint32_t>(done) != run->m_doneCount || static_cast<std::uint32_t>(open) != run->m_openRuns)
+                return false;
+        }
+    }
+    return true;
+}
+
+} // namespace bulrushloft::scheduler
--- /dev/null
+++ b/src/process/scheduler/scheduler_detail.h
@@ -0,0 +1,79 @@
+/** @file scheduler_detail.h What the sources of the scheduler share. */
+#pragma once
+
+#include "process/scheduler/scheduler_base.h"
+
+namespace bulrushloft::scheduler::detail {
+
+/** @return The queue of a job; one with defaults when the operator never named it. */
+const QueueSettings& queueOf(const Scheduler& scheduler, const Job& job);
+
+const StepPlan& planOf(const StepRun& run);
+TaskName nameOf(const TaskRef& ref);
+
+/** @return What a task takes of a worker; fillers reserve no processors. */
+Resources grantOf(const StepRun& run);
+
+/** Has the job's progress written with the next batch. */
+void markDirty(Scheduler& scheduler, Job& job);
+
+/** Adds a step to those that may have tasks to place. */
+void markWaiting(Scheduler& scheduler, StepRun& run);
+
+/** Opens the occurrences that are due and releases the steps whose predecessors are done. */
+void releaseDue(Scheduler& scheduler, Job& job, TimePoint now);
+
+/** Creates the steps of an occurrence. */
+void openOccurrence(Scheduler& scheduler, Job& job, std::uint32_t occurrence, TimePoint now);
+
+/** Moves a job to a final stage and stops what it runs. */
+void endJob(Scheduler& scheduler, Job& job, JobStage stage, TimePoint now);
+
+/** A task has ended done. */
+void finishTask(Scheduler& scheduler, const TaskRef& ref, TimePoint now);
+
+/** A task has ended failed; the job fails at the queue's limit. */
+void failTask(Scheduler& scheduler, const TaskRef& ref, TimePoint now);
+
+/** Gives a task an attempt on a worker. */
+void placeTask(Scheduler& scheduler, const TaskRef& ref, WorkerIndex worker, std::string ticket, TimePoint now);
+
+/** The present attempt is known to be nowhere; its room is free. */
+void detachTask(Scheduler& scheduler, const TaskRef& ref, TimePoint now);
+
+/** Ends an attempt: drops it when it was not sent, else has it stopped. */
+void stopTask(Scheduler& scheduler, const TaskRef& ref, TimePoint now);
+
+/** The process of a worker has ended or its lease has run out: all its attempts are lost. */
+void loseTasks(Scheduler& scheduler, WorkerIndex worker, std::string_view cause, TimePoint now);
+
+/** @return The lease deadline to send, on the worker's clock; 0 when its clock is not known. */
+std::int64_t leaseDeadline(const Scheduler& scheduler, const Worker& worker, TimePoint now);
+
+OrderTarget targetOf(const Scheduler& scheduler, const Worker& worker);
+
+/** Counts an answer or its absence. */
+void noteContact(Scheduler& scheduler, WorkerIndex worker, bool hasAnswered, TimePoint now);
+
+/** Calls that are due: starts, stops, syncs; leases that have run out. */
+void stepCalls(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects);
+
+/** Places what waits. */
+void placeWaiting(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects);
+
+/** Slows fillers down beside serving tasks that are over their target, and speeds them up again. */
+void stepPacing(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects);
+
+/** Counts the end of a run for the worker's health and speed. */
+void noteOutcome(Scheduler& scheduler, const TaskRef& ref, bool isDone, TimePoint now);
+
+/** @return Whether new tasks may be placed on a worker. */
+bool isOpen(const Worker& worker, TimePoint now);
+
+/** @return How many times slower than the mean a worker is. */
+double slownessOf(const Scheduler& scheduler, const Worker& worker);
+
+/** Finds a task by its name, or an empty reference. */
+TaskRef findTask(Scheduler& scheduler, const TaskName& name);
+
+} // namespace bulrushloft::scheduler::detail
--- /dev/null
+++ b/src/process/scheduler/scheduler_jobs.cpp
@@ -0,0 +1,247 @@
+/** @file scheduler_jobs.cpp Jobs from acceptance to their end. */
+#include "core/log_func.h"
+#include "process/scheduler/scheduler_detail.h"
+#include "process/scheduler/scheduler_func.h"
+#include "request/plan_func.h"
+#include "table/scheduler_table.h"
+
+#include <algorithm>
+
+namespace bulrushloft::scheduler {
+
+namespace detail {
+
+    const QueueSettings& queueOf(const Scheduler& scheduler, const Job& job)
+    {
+        static const QueueSettings unknownQueue;
+        const auto found = scheduler.m_queues.find(job.m_plan.m_queue);
+        return found == scheduler.m_queues.end() ? unknownQueue : found->second;
+    }
+
+    const StepPlan& planOf(const StepRun& run)
+    {
+        return run.m_job->m_plan.m_steps[run.m_step];
+    }
+
+    TaskName nameOf(const TaskRef& ref)
+    {
+        return { .m_job = ref.m_run->m_job->m_plan.m_id, .m_occurrence = ref.m_run->m_occurrence, .m_step = ref.m_run->m_step, .m_index = ref.m_index };
+    }
+
+    TaskRef findTask(Scheduler& scheduler, const TaskName& name)
+    {
+        const auto found = scheduler.m_jobs.find(name.m_job);
+        if (found == scheduler.m_jobs.end())
+            return {};
+        for (const auto& run : found->second->m_runs) {
+            if (run->m_occurrence == name.m_occurrence && run->m_step == name.m_step)
+                return name.m_index < run->m_tasks.size() ? TaskRef { run.get(), name.m_index } : TaskRef {};
+        }
+        return {};
+    }
+
+    void markDirty(Scheduler& scheduler, Job& job)
+    {
+        if (job.m_isDirty)
+            return;
+        job.m_isDirty = true;
+        scheduler.m_dirtyJobs.push_back(&job);
+    }
+
+    void markWaiting(Scheduler& scheduler, StepRun& run)
+    {
+        scheduler.m_needsPlacing = true;
+        if (run.m_isWaiting)
+            return;
+        run.m_isWaiting = true;
+        scheduler.m_waiting.push_back(&run);
+    }
+
+    namespace {
+
+        bool isFinal(JobStage stage)
+        {
+            return stage != JobStage::Pending && stage != JobStage::Active;
+        }
+
+        bool arePredecessorsDone(const Job& job, const StepRun& run)
+        {
+            for (const std::uint32_t earlier : planOf(run).m_after) {
+                const auto found = std::find_if(job.m_runs.begin(), job.m_runs.end(), [&](const auto& other) {
+                    return other->m_occurrence == run.m_occurrence && other->m_step == earlier;
+                });
+                if ((*found)->m_doneCount < (*found)->m_tasks.size())
+                    return false;
+            }
+            return true;
+        }
+
+        void releaseSteps(Scheduler& scheduler, Job& job, TimePoint now)
+        {
+            for (const auto& run : job.m_runs) {
+                if (run->m_isReleased || !arePredecessorsDone(job, *run))
+                    continue;
+                run->m_isReleased = true;
+                run->m_releasedAt = now;
+                for (Task& task : run->m_tasks)
+                    task.m_waitingSince = now;
+                markWaiting(scheduler, *run);
+            }
+        }
+
+        bool isWholeJobDone(const Job& job)
+        {
+            return job.m_openTasks == 0 && job.m_nextOccurrence >= std::max<std::uint32_t>(1, job.m_plan.m_repeats);
+        }
+
+    } // namespace
+
+    void openOccurrence(Scheduler& scheduler, Job& job, std::uint32_t occurrence, TimePoint now)
+    {
+        for (std::uint32_t step = 0; step < job.m_plan.m_steps.size(); ++step) {
+            auto run = std::make_unique<StepRun>();
+            run->m_job = &job;
+            run->m_occurrence = occurrence;
+            run->m_step = step;
+            run->m_tasks.resize(job.m_plan.m_steps[step].m_count);
+            job.m_openTasks += job.m_plan.m_steps[step].m_count;
+            job.m_runs.push_back(std::move(run));
+        }
+        job.m_nextOccurrence = std::max(job.m_nextOccurrence, occurrence + 1);
+        releaseSteps(scheduler, job, now);
+    }
+
+    void releaseDue(Scheduler& scheduler, Job& job, TimePoint now)
+    {
+        if (isFinal(job.m_stage))
+            return;
+        const TimePoint wall = now + scheduler.m_wallOffset;
+        while (job.m_nextOccurrence < job.m_plan.m_repeats && job.m_plan.m_firstDue + job.m_plan.m_period * job.m_nextOccurrence <= wall) {
+            openOccurrence(scheduler, job, job.m_nextOccurrence, now);
+            markDirty(scheduler, job);
+        }
+    }
+
+    void endJob(Scheduler& scheduler, Job& job, JobStage stage, TimePoint now)
+    {
+        if (isFinal(job.m_stage))
+            return;
+        if (job.m_stage == JobStage::Pending)
+            --scheduler.m_pendingCounts[job.m_plan.m_queue];
+        job.m_stage = stage;
+        job.m_stageBatch = scheduler.m_nextBatch;
+        job.m_endedAt = now;
+        scheduler.m_endedJobs.emplace_back(now, job.m_plan.m_id);
+        markDirty(scheduler, job);
+        logEvent(LogLevel::Info, "job-ended", { { "job", job.m_plan.m_id }, { "stage", findName(jobStageNames, stage) }, { "queue", job.m_plan.m_queue }, { "age_ms", (now - job.m_acceptedAt).m_ms }, { "chain_ms", job.m_chain.m_ms } });
+        for (const auto& run : job.m_runs) {
+            for (std::uint32_t i = 0; i < run->m_tasks.size(); ++i)
+                stopTask(scheduler, { run.get(), i }, now);
+        }
+    }
+
+    void finishTask(Scheduler& scheduler, const TaskRef& ref, TimePoint now)
+    {
+        StepRun& run = *ref.m_run;
+        Job& job = *run.m_job;
+        if (ref.task().m_fate != TaskFate::Open || isFinal(job.m_stage))
+            return;
+        const bool endsAll = planOf(run).m_isGang;
+        for (std::uint32_t i = 0; i < run.m_tasks.size(); ++i) {
+            Task& task = run.m_tasks[i];
+            if ((!endsAll && i != ref.m_index) || task.m_fate != TaskFate::Open)
+                continue;
+            task.m_fate = TaskFate::Done;
+            ++run.m_doneCount;
+            --job.m_openTasks;
+        }
+        markDirty(scheduler, job);
+        if (isWholeJobDone(job))
+            return endJob(scheduler, job, JobStage::Complete, now);
+        if (run.m_doneCount == run.m_tasks.size())
+            releaseSteps(scheduler, job, now);
+    }
+
+    void failTask(Scheduler& scheduler, const TaskRef& ref, TimePoint now)
+    {
+        StepRun& run = *ref.m_run;
+        Job& job = *run.m_job;
+        Task& task = ref.task();
+        if (isFinal(job.m_stage) || task.m_fate != TaskFate::Open)
+            return;
+        std::uint32_t failures = ++task.m_failures;
+        if (planOf(run).m_isGang) {
+            if (run.m_lastFailedAttempt < task.m_attempt)
+                ++run.m_gangFailures;
+            run.m_lastFailedAttempt = std::max(run.m_lastFailedAttempt, task.m_attempt);
+            failures = run.m_gangFailures;
+        }
+        markDirty(scheduler, job);
+        const std::uint32_t limit = queueOf(scheduler, job).m_attemptLimit;
+        logEvent(LogLevel::Info, "task-failed", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "failures", failures }, { "limit", limit } });
+        if (planOf(run).m_isLasting || failures < limit)
+            return;
+        task.m_fate = TaskFate::Failed;
+        endJob(scheduler, job, JobStage::Failed, now);
+    }
+
+} // namespace detail
+
+void setCluster(Scheduler& scheduler, const ClusterSettings& cluster)
+{
+    for (const QueueSettings& queue : cluster.m_queues)
+        scheduler.m_queues.insert_or_assign(queue.m_name, queue);
+    scheduler.m_needsPlacing = true;
+}
+
+void acceptJob(Scheduler& scheduler, JobPlan plan, TimePoint now)
+{
+    if (scheduler.m_jobs.contains(plan.m_id))
+        return;
+    auto owned = std::make_unique<Job>();
+    Job& job = *owned;
+    job.m_plan = std::move(plan);
+    constexpr Duration oldest { 3'600'000 };
+    const TimePoint accepted = job.m_plan.m_submittedAt - scheduler.m_wallOffset;
+    job.m_acceptedAt = std::clamp(accepted, now - oldest, now);
+    job.m_chain = estimateChain(job.m_plan, {});
+    scheduler.m_jobs.emplace(job.m_plan.m_id, std::move(owned));
+    ++scheduler.m_pendingCounts[job.m_plan.m_queue];
+    logEvent(LogLevel::Info, "job-accepted", { { "job", job.m_plan.m_id }, { "queue", job.m_plan.m_queue }, { "steps", job.m_plan.m_steps.size() }, { "age_ms", (now - job.m_acceptedAt).m_ms }, { "chain_ms", job.m_chain.m_ms } });
+    if (scheduler.m_cancelledEarly.contains(job.m_plan.m_id))
+        return detail::endJob(scheduler, job, JobStage::Cancelled, now);
+    if (job.m_plan.m_repeats == 0)
+        return detail::openOccurrence(scheduler, job, 0, now);
+    scheduler.m_scheduledJobs.push_back(&job);
+    detail::releaseDue(scheduler, job, now);
+}
+
+void cancelJob(Scheduler& scheduler, const std::string& id, TimePoint now)
+{
+    const auto found = scheduler.m_jobs.find(id);
+    if (found == scheduler.m_jobs.end()) {
+        scheduler.m_cancelledEarly.insert(id);
+        return;
+    }
+    logEvent(LogLevel::Info, "job-cancel", { { "job", id }, { "stage", findName(jobStageNames, found->second->m_stage) } });
+    detail::endJob(scheduler, *found->second, JobStage::Cancelled, now);
+}
+
+std::optional<JobStage> findStage(const Scheduler& scheduler, const std::string& id)
+{
+    const auto found = scheduler.m_jobs.find(id);
+    if (found == scheduler.m_jobs.end())
+        return std::nullopt;
+    const Job& job = *found->second;
+    if (!detail::isFinal(job.m_stage) || job.m_stageBatch <= scheduler.m_confirmedBatch)
+        return job.m_stage;
+    return JobStage::Active;
+}
+
+std::uint32_t countPending(const Scheduler& scheduler, const std::string& queue)
+{
+    const auto found = scheduler.m_pendingCounts.find(queue);
+    return found == scheduler.m_pendingCounts.end() ? 0 : found->second;
+}
+
+} // namespace bulrushloft::scheduler
--- /dev/null
+++ b/src/process/scheduler/scheduler_pacing.cpp
@@ -0,0 +1,64 @@
+/** @file scheduler_pacing.cpp Fillers are slowed down beside serving tasks that miss their target. */
+#include "core/log_func.h"
+#include "process/scheduler/scheduler_detail.h"
+#include "request/plan_func.h"
+
+#include <algorithm>
+
+namespace bulrushloft::scheduler::detail {
+
+namespace {
+
+    constexpr Duration pacingInterval { 500 };
+    constexpr double slowDownAbove = 0.85; ///< Share of the target.
+    constexpr double speedUpBelow = 0.6; ///< Share of the target.
+    constexpr int paceStep = 20; ///< Percent.
+    constexpr int lowestMovingPace = 10; ///< Percent; below it a filler stands still.
+
+    /** @return The worst tail of the worker's serving tasks as a share of its target; 0 when there are none. */
+    double worstTail(const Worker& worker)
+    {
+        double worst = 0;
+        for (const TaskRef& ref : worker.m_tasks) {
+            const Duration target = planOf(*ref.m_run).m_tailTarget;
+            if (target.m_ms > 0 && ref.task().m_phase == RunPhase::Running)
+                worst = std::max(worst, static_cast<double>(ref.task().m_figure) / static_cast<double>(target.m_ms));
+        }
+        return worst;
+    }
+
+    int nextPace(int pace, double tail)
+    {
+        if (tail > slowDownAbove) {
+            const int half = pace / 2;
+            return half < lowestMovingPace ? 0 : half;
+        }
+        return tail < speedUpBelow ? std::min(100, pace + paceStep) : pace;
+    }
+
+} // namespace
+
+void stepPacing(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects)
+{
+    if (now < scheduler.m_nextPacingAt)
+        return;
+    scheduler.m_nextPacingAt = now + pacingInterval;
+    for (const Worker& worker : scheduler.m_workers) {
+        if (worker.m_link != WorkerLink::Adopted)
+            continue;
+        const double tail = worstTail(worker);
+        for (const TaskRef& ref : worker.m_tasks) {
+            Task& task = ref.task();
+            if (!planOf(*ref.m_run).m_isFiller || task.m_phase != RunPhase::Running)
+                continue;
+            const int pace = nextPace(task.m_pace, tail);
+            if (pace == task.m_pace)
+                continue;
+            logEvent(LogLevel::Info, "filler-paced", { { "task", format(nameOf(ref)) }, { "worker", worker.m_notice.m_id }, { "from", task.m_pace }, { "to", pace }, { "tail_percent_of_target", static_cast<int>(tail * 100) } });
+            task.m_pace = pace;
+            effects.m_paces.push_back({ targetOf(scheduler, worker), { .m_task = nameOf(ref), .m_attempt = task.m_attempt, .m_percent = static_cast<std::uint32_t>(pace) } });
+        }
+    }
+}
+
+} // namespace bulrushloft::scheduler::detail
--- /dev/null
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -0,0 +1,299 @@
+/** @file scheduler_place.cpp Placement: which waiting task goes to which worker. */
+#include "process/scheduler/approvals.h"
+#include "process/scheduler/scheduler_detail.h"
+#include "process/scheduler/urgency.h"
+#include "request/plan_func.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bulrushloft::scheduler::detail {
+
+namespace {
+
+    constexpr std::size_t mostBlockedSteps = 96; ///< Blocked steps looked at in one pass.
+
+    /** A step with its place in the order. */
+    struct RankedStep {
+        Urgency m_urgency; ///< Its place.
+        StepRun* m_run = nullptr; ///< The step.
+    };
+
+    /** What a pass knows of the pool while it places. */
+    struct PlacementPass {
+        TimePoint m_now; ///< Monotonic time of the pass.
+        std::vector<bool> m_isReserved; ///< By worker: kept for a more urgent step that is blocked.
+    };
+
+    std::uint32_t countToPlace(const StepRun& run)
+    {
+        const auto waits = [](const Task& task) { return task.m_fate == TaskFate::Open && task.m_phase == RunPhase::None; };
+        return static_cast<std::uint32_t>(std::count_if(run.m_tasks.begin(), run.m_tasks.end(), waits));
+    }
+
+    TimePoint dueTime(const Scheduler& scheduler, const StepRun& run)
+    {
+        const JobPlan& plan = run.m_job->m_plan;
+        if (plan.m_repeats == 0)
+            return run.m_job->m_acceptedAt;
+        return plan.m_firstDue + plan.m_period * run.m_occurrence - scheduler.m_wallOffset;
+    }
+
+    Urgency rankOf(const Scheduler& scheduler, const StepRun& run, TimePoint now)
+    {
+        const Job& job = *run.m_job;
+        const QueueSettings& queue = queueOf(scheduler, job);
+        const auto objectiveMs = static_cast<std::int64_t>(queue.m_slackFactor * static_cast<double>(job.m_chain.m_ms)) + queue.m_latencyTarget.m_ms;
+        return urgencyOf({ .m_isLasting = planOf(run).m_isLasting,
+                             .m_acceptedAt = dueTime(scheduler, run),
+                             .m_objective = { objectiveMs },
+                             .m_remaining = estimateChainFrom(job.m_plan, run.m_step, {}) },
+            now);
+    }
+
+    bool hasLabel(const Worker& worker, const std::string& label)
+    {
+        return label.empty() || std::find(worker.m_notice.m_labels.begin(), worker.m_notice.m_labels.end(), label) != worker.m_notice.m_labels.end();
+    }
+
+    Resources freeOf(const Worker& worker)
+    {
+        return worker.m_notice.m_capacity - worker.m_granted;
+    }
+
+    /** @return Whether the worker could ever hold a task of the step. */
+    bool isSuitable(const StepRun& run, const Worker& worker, TimePoint now)
+    {
+        return worker.m_notice.m_pool == run.m_job->m_plan.m_pool && isOpen(worker, now) && hasLabel(worker, planOf(run).m_label)
+            && fitsInto(grantOf(run), worker.m_notice.m_capacity);
+    }
+
+    /** @return How many more tasks of the step fit on a worker now. */
+    std::uint32_t roomFor(const StepRun& run, WorkerIndex index, const Worker& worker)
+    {
+        const Resources size = grantOf(run);
+        const Resources free = freeOf(worker);
+        std::int64_t count = run.m_tasks.size();
+        if (size.m_cpuMilli > 0)
+            count = std::min(count, free.m_cpuMilli / size.m_cpuMilli);
+        if (size.m_memoryMb > 0)
+            count = std::min(count, free.m_memoryMb / size.m_memoryMb);
+        if (size.m_gpus > 0)
+            count = std::min(count, free.m_gpus / size.m_gpus);
+        if (const std::uint32_t limit = planOf(run).m_perWorkerLimit; limit > 0) {
+            const auto on = run.m_onWorker.find(index);
+            const std::uint32_t there = on == run.m_onWorker.end() ? 0 : on->second;
+            count = std::min<std::int64_t>(count, there >= limit ? 0 : limit - there);
+        }
+        return static_cast<std::uint32_t>(std::max<std::int64_t>(0, count));
+    }
+
+    double shareLeft(const Resources& left, const Resources& capacity)
+    {
+        const auto share = [](std::int64_t part, std::int64_t whole) { return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0.0; };
+        return share(left.m_cpuMilli, capacity.m_cpuMilli) + share(left.m_memoryMb, capacity.m_memoryMb) + 2 * share(left.m_gpus, capacity.m_gpus);
+    }
+
+    /** Serving and filling tasks disturb each other. */
+    double interference(const StepPlan& plan, const Worker& worker)
+    {
+        constexpr double besideServing = 2.0;
+        double cost = 0;
+        for (const TaskRef& ref : worker.m_tasks) {
+            const StepPlan& other = planOf(*ref.m_run);
+            if ((plan.m_isFiller && other.m_tailTarget.m_ms > 0) || (plan.m_tailTarget.m_ms > 0 && other.m_isFiller))
+                cost += besideServing;
+        }
+        return cost;
+    }
+
+    /** @return The cost of a worker for a task; the lowest is chosen. */
+    double costOf(const Scheduler& scheduler, const StepRun& run, const Task& task, WorkerIndex index, bool isTight)
+    {
+        constexpr double tightSpeedWeight = 4.0;
+        constexpr double looseSpeedWeight = 0.5;
+        constexpr double remoteWeight = 3.0;
+        constexpr double failedThereWeight = 6.0;
+        constexpr double failingWeight = 1.0;
+        constexpr double togetherWeight = 0.5;
+        const StepPlan& plan = planOf(run);
+        const Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
+        double cost = shareLeft(freeOf(worker) - grantOf(run), worker.m_notice.m_capacity);
+        cost += (isTight ? tightSpeedWeight : looseSpeedWeight) * slownessOf(scheduler, worker);
+        cost += failingWeight * worker.m_health.m_failures / (1 + worker.m_health.m_successes);
+        cost += interference(plan, worker);
+        if (!plan.m_dataRack.empty() && plan.m_dataRack != worker.m_rack)
+            cost += remoteWeight;
+        if (std::find(task.m_failedOn.begin(), task.m_failedOn.end(), index) != task.m_failedOn.end())
+            cost += failedThereWeight;
+        if (const auto on = run.m_onWorker.find(index); plan.m_isLasting && on != run.m_onWorker.end())
+            cost += togetherWeight * on->second;
+        return cost;
+    }
+
+    /** Workers that may take a task of the step now. */
+    struct Choice {
+        std::vector<WorkerIndex> m_fitting; ///< Suitable workers, those with room first.
+        std::size_t m_withRoom = 0; ///< How many have room.
+        std::vector<WorkerIndex> m_usable; ///< With room, not reserved, and with a ticket where one is needed.
+        std::uint32_t m_usableRoom = 0; ///< Tasks that fit on the usable workers.
+    };
+
+    Choice findWorkers(const Scheduler& scheduler, const StepRun& run, bool needsTicket, const PlacementPass& pass)
+    {
+        Choice choice;
+        std::vector<WorkerIndex> full;
+        for (WorkerIndex i = 0; i < static_cast<WorkerIndex>(scheduler.m_workers.size()); ++i) {
+            const Worker& worker = scheduler.m_workers[static_cast<std::size_t>(i)];
+            if (!isSuitable(run, worker, pass.m_now))
+                continue;
+            const std::uint32_t room = pass.m_isReserved[static_cast<std::size_t>(i)] ? 0 : roomFor(run, i, worker);
+            (room > 0 ? choice.m_fitting : full).push_back(i);
+            if (room == 0 || (needsTicket && !hasTicket(run, i, pass.m_now)))
+                continue;
+            choice.m_usable.push_back(i);
+            choice.m_usableRoom += room;
+        }
+        choice.m_withRoom = choice.m_fitting.size();
+        choice.m_fitting.insert(choice.m_fitting.end(), full.begin(), full.end());
+        return choice;
+    }
+
+    /** Places one task on the cheapest usable worker; workers that become full leave the choice. */
+    bool placeOne(Scheduler& scheduler, StepRun& run, std::uint32_t index, std::vector<WorkerIndex>& usable, bool isTight, TimePoint now)
+    {
+        std::size_t best = usable.size();
+        double bestCost = 0;
+        for (std::size_t i = 0; i < usable.size(); ++i) {
+            const double cost = costOf(scheduler, run, run.m_tasks[index], usable[i], isTight);
+            if (best == usable.size() || cost < bestCost) {
+                best = i;
+                bestCost = cost;
+            }
+        }
+        if (best == usable.size())
+            return false;
+        const WorkerIndex worker = usable[best];
+        const auto ticket = run.m_approval.m_approved.find(worker);
+        placeTask(scheduler, { &run, index }, worker, ticket == run.m_approval.m_approved.end() ? std::string() : ticket->second.first, now);
+        if (roomFor(run, worker, scheduler.m_workers[static_cast<std::size_t>(worker)]) == 0)
+            usable.erase(usable.begin() + static_cast<std::ptrdiff_t>(best));
+        return true;
+    }
+
+    /** All members of a gang carry the same attempt and the same checkpoint. */
+    void alignGang(StepRun& run)
+    {
+        std::uint32_t attempt = 0;
+        const Task* newest = nullptr;
+        for (const Task& task : run.m_tasks) {
+            attempt = std::max(attempt, task.m_attempt);
+            if (!task.m_checkpoint.empty() && (!newest || task.m_percent > newest->m_percent))
+                newest = &task;
+        }
+        const std::string checkpoint = newest ? newest->m_checkpoint : std::string();
+        for (Task& task : run.m_tasks) {
+            task.m_attempt = attempt;
+            task.m_checkpoint = checkpoint;
+        }
+    }
+
+    /** Keeps to one rack when the tasks ask for it and a rack has room for all. */
+    void narrowToRack(const Scheduler& scheduler, const StepRun& run, Choice& choice)
+    {
+        if (!planOf(run).m_isRackLocal)
+            return;
+        std::unordered_map<std::string, std::vector<WorkerIndex>> byRack;
+        for (const WorkerIndex worker : choice.m_usable)
+            byRack[scheduler.m_workers[static_cast<std::size_t>(worker)].m_rack].push_back(worker);
+        for (auto& [rack, workers] : byRack) {
+            std::uint32_t room = 0;
+            for (const WorkerIndex worker : workers)
+                room += roomFor(run, worker, scheduler.m_workers[static_cast<std::size_t>(worker)]);
+            if (room >= run.m_tasks.size()) {
+                choice.m_usable = workers;
+                return;
+            }
+        }
+    }
+
+    /** A blocked step of large tasks keeps the workers that are closest to having room for it. */
+    void reserveFor(const Scheduler& scheduler, const StepRun& run, std::uint32_t tasks, const Choice& choice, PlacementPass& pass)
+    {
+        const StepPlan& plan = planOf(run);
+        constexpr int largeShare = 4; ///< A task is large from this part of a worker on.
+        std::vector<std::pair<double, WorkerIndex>> near;
+        for (const WorkerIndex index : choice.m_fitting) {
+            const Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
+            const Resources& whole = worker.m_notice.m_capacity;
+            const bool isLarge = plan.m_size.m_cpuMilli * largeShare >= whole.m_cpuMilli || (whole.m_gpus > 0 && plan.m_size.m_gpus * largeShare >= whole.m_gpus);
+            const bool isDenied = run.m_approval.m_denied.contains(index);
+            if (!isLarge || isDenied || pass.m_isReserved[static_cast<std::size_t>(index)])
+                continue;
+            near.emplace_back(-shareLeft(freeOf(worker), whole), index);
+        }
+        std::sort(near.begin(), near.end());
+        for (std::size_t i = 0; i < near.size() && i < tasks; ++i)
+            pass.m_isReserved[static_cast<std::size_t>(near[i].second)] = true;
+    }
+
+    /** @return Whether all tasks of the step have a worker now. */
+    bool placeStep(Scheduler& scheduler, StepRun& run, Urgency urgency, PlacementPass& pass, SchedulerEffects& effects)
+    {
+        std::uint32_t toPlace = countToPlace(run);
+        const bool isGang = planOf(run).m_isGang;
+        if (toPlace == 0 || (isGang && run.m_openRuns > 0))
+            return toPlace == 0;
+        const auto& policy = queueOf(scheduler, *run.m_job).m_approval;
+        Choice choice = findWorkers(scheduler, run, policy.has_value(), pass);
+        const bool isTight = urgency.m_class == UrgencyClass::InTime && queueOf(scheduler, *run.m_job).m_slackFactor < 2;
+        if (isGang && choice.m_usableRoom >= toPlace) {
+            narrowToRack(scheduler, run, choice);
+            alignGang(run);
+        }
+        const bool mayPlace = !isGang || choice.m_usableRoom >= toPlace;
+        for (std::uint32_t i = 0; mayPlace && i < run.m_tasks.size(); ++i) {
+            if (run.m_tasks[i].m_fate != TaskFate::Open || run.m_tasks[i].m_phase != RunPhase::None)
+                continue;
+            if (!placeOne(scheduler, run, i, choice.m_usable, isTight, pass.m_now))
+                break;
+            --toPlace;
+        }
+        if (toPlace == 0)
+            return true;
+        if (policy)
+            askApprovals(scheduler, run, *policy, choice.m_fitting, choice.m_withRoom, pass.m_now, effects);
+        reserveFor(scheduler, run, toPlace, choice, pass);
+        return false;
+    }
+
+} // namespace
+
+void placeWaiting(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects)
+{
+    scheduler.m_needsPlacing = false;
+    scheduler.m_placedAt = now;
+    std::vector<RankedStep> ranked;
+    std::vector<StepRun*> still;
+    for (StepRun* run : scheduler.m_waiting) {
+        const bool isOver = run->m_job->m_stage != JobStage::Pending && run->m_job->m_stage != JobStage::Active;
+        run->m_isWaiting = !isOver && countToPlace(*run) > 0;
+        if (!run->m_isWaiting)
+            continue;
+        still.push_back(run);
+        if (run->m_isReleased)
+            ranked.push_back({ rankOf(scheduler, *run, now), run });
+    }
+    scheduler.m_waiting = std::move(still);
+    if (ranked.empty())
+        return;
+    std::sort(ranked.begin(), ranked.end(), [](const RankedStep& one, const RankedStep& other) { return one.m_urgency < other.m_urgency; });
+    PlacementPass pass { .m_now = now, .m_isReserved = std::vector<bool>(scheduler.m_workers.size(), false) };
+    std::size_t blocked = 0;
+    for (const RankedStep& step : ranked) {
+        if (!placeStep(scheduler, *step.m_run, step.m_urgency, pass, effects) && ++blocked > mostBlockedSteps)
+            break;
+    }
+}
+
+} // namespace bulrushloft::scheduler::detail
--- /dev/null
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -0,0 +1,192 @@
+/** @file scheduler_record.cpp What of a job's progress is recorded in the store, and how it is read back. */
+#include "core/log_func.h"
+#include "process/scheduler/scheduler_detail.h"
+#include "process/scheduler/scheduler_func.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <nlohmann/json.hpp>
+
+namespace bulrushloft::scheduler {
+
+using Json = nlohmann::json;
+
+namespace {
+
+    /** First number of a record; rises when its form changes. */
+    constexpr int recordForm = 1;
+
+    /** How an open task stands in a record; done and failed ones are just these numbers. */
+    enum class TaskMark : std::uint8_t {
+        Untouched,
+        Done,
+        Failed,
+    };
+
+    Json encodeTask(const Scheduler& scheduler, const Task& task)
+    {
+        const bool isPlaced = task.m_phase != RunPhase::None;
+        if (task.m_fate != TaskFate::Open && !isPlaced)
+            return static_cast<int>(task.m_fate == TaskFate::Done ? TaskMark::Done : TaskMark::Failed);
+        if (task.m_attempt == 0)
+            return static_cast<int>(TaskMark::Untouched);
+        const std::string worker = isPlaced ? scheduler.m_workers[static_cast<std::size_t>(task.m_worker)].m_notice.m_id : std::string();
+        return Json::array({ static_cast<int>(task.m_fate), task.m_attempt, task.m_failures, task.m_hasStarted, worker, task.m_checkpoint });
+    }
+
+    std::string encodeProgress(const Scheduler& scheduler, const Job& job)
+    {
+        Json runs = Json::array();
+        for (const auto& run : job.m_runs) {
+            Json tasks = Json::array();
+            for (const Task& task : run->m_tasks)
+                tasks.push_back(encodeTask(scheduler, task));
+            runs.push_back(Json::array({ run->m_occurrence, run->m_step, run->m_gangFailures, run->m_lastFailedAttempt, std::move(tasks) }));
+        }
+        const std::vector<std::uint8_t> bytes = Json::to_cbor(Json::array({ recordForm, static_cast<int>(job.m_stage), job.m_nextOccurrence, std::move(runs) }));
+        return { bytes.begin(), bytes.end() };
+    }
+
+    WorkerIndex workerOf(Scheduler& scheduler, const std::string& id)
+    {
+        const auto [found, isNew] = scheduler.m_workerById.try_emplace(id, static_cast<WorkerIndex>(scheduler.m_workers.size()));
+        if (isNew) {
+            scheduler.m_workers.emplace_back();
+            scheduler.m_workers.back().m_notice.m_id = id;
+        }
+        return found->second;
+    }
+
+    void restoreTask(Scheduler& scheduler, const TaskRef& ref, const Json& row, TimePoint now)
+    {
+        Task& task = ref.task();
+        if (row.is_number()) {
+            const auto mark = static_cast<TaskMark>(row.get<int>());
+            task.m_fate = mark == TaskMark::Done ? TaskFate::Done : mark == TaskMark::Failed ? TaskFate::Failed
+                                                                                             : TaskFate::Open;
+        } else {
+            task.m_fate = static_cast<TaskFate>(row.at(0).get<int>());
+            task.m_attempt = row.at(1);
+            task.m_failures = row.at(2);
+            task.m_hasStarted = row.at(3);
+            task.m_checkpoint = row.at(5);
+        }
+        if (task.m_fate == TaskFate::Done) {
+            ++ref.m_run->m_doneCount;
+            --ref.m_run->m_job->m_openTasks;
+        }
+        const std::string worker = row.is_number() ? std::string() : row.at(4).get<std::string>();
+        if (worker.empty())
+            return;
+        task.m_worker = workerOf(scheduler, worker);
+        task.m_phase = RunPhase::Running;
+        task.m_confirmedAt = now - Duration { 1 };
+        task.m_progressAt = now;
+        Worker& on = scheduler.m_workers[static_cast<std::size_t>(task.m_worker)];
+        on.m_tasks.push_back(ref);
+        on.m_granted = on.m_granted + detail::grantOf(*ref.m_run);
+        ++ref.m_run->m_onWorker[task.m_worker];
+        ++ref.m_run->m_openRuns;
+    }
+
+    void restoreRun(Scheduler& scheduler, Job& job, const Json& row, TimePoint now)
+    {
+        const auto occurrence = row.at(0).get<std::uint32_t>();
+        const auto step = row.at(1).get<std::uint32_t>();
+        const auto found = std::find_if(job.m_runs.begin(), job.m_runs.end(), [&](const auto& run) { return run->m_occurrence == occurrence && run->m_step == step; });
+        if (found == job.m_runs.end())
+            return;
+        StepRun& run = **found;
+        run.m_gangFailures = row.at(2);
+        run.m_lastFailedAttempt = row.at(3);
+        const Json& tasks = row.at(4);
+        for (std::uint32_t i = 0; i < run.m_tasks.size() && i < tasks.size(); ++i)
+            restoreTask(scheduler, { &run, i }, tasks.at(i), now);
+    }
+
+    bool hasStarted(const Job& job)
+    {
+        return std::any_of(job.m_runs.begin(), job.m_runs.end(), [](const auto& run) {
+            return std::any_of(run->m_tasks.begin(), run->m_tasks.end(), [](const Task& task) { return task.m_hasStarted || task.m_fate != TaskFate::Open; });
+        });
+    }
+
+    void restoreJob(Scheduler& scheduler, Job& job, const Json& whole, TimePoint now)
+    {
+        const auto nextOccurrence = whole.at(2).get<std::uint32_t>();
+        for (std::uint32_t i = job.m_nextOccurrence; i < nextOccurrence; ++i)
+            detail::openOccurrence(scheduler, job, i, now);
+        for (const Json& row : whole.at(3))
+            restoreRun(scheduler, job, row, now);
+        const auto stage = static_cast<JobStage>(whole.at(1).get<int>());
+        const bool isFinal = stage != JobStage::Pending && stage != JobStage::Active;
+        const bool isPending = !isFinal && stage == JobStage::Pending && !hasStarted(job);
+        if (job.m_stage == JobStage::Pending && !isPending)
+            --scheduler.m_pendingCounts[job.m_plan.m_queue];
+        job.m_stage = isFinal ? stage : isPending ? JobStage::Pending
+                                                  : JobStage::Active;
+        if (isFinal) {
+            job.m_endedAt = now;
+            scheduler.m_endedJobs.emplace_back(now, job.m_plan.m_id);
+        }
+        for (const auto& run : job.m_runs) {
+            for (std::uint32_t i = 0; isFinal && i < run->m_tasks.size(); ++i)
+                detail::stopTask(scheduler, { run.get(), i }, now);
+        }
+        if (!isFinal)
+            detail::releaseDue(scheduler, job, now);
+    }
+
+} // namespace
+
+bool hasRecords(const Scheduler& scheduler)
+{
+    return !scheduler.m_dirtyJobs.empty();
+}
+
+std::vector<KeyedRecord> takeRecords(Scheduler& scheduler)
+{
+    std::vector<KeyedRecord> records;
+    records.reserve(scheduler.m_dirtyJobs.size());
+    for (Job* job : scheduler.m_dirtyJobs) {
+        job->m_isDirty = false;
+        records.push_back({ .m_key = job->m_plan.m_id, .m_value = encodeProgress(scheduler, *job) });
+    }
+    scheduler.m_dirtyJobs.clear();
+    ++scheduler.m_nextBatch;
+    return records;
+}
+
+Expected<void> restoreProgress(Scheduler& scheduler, const std::string& id, const std::string& record, TimePoint now)
+{
+    const auto found = scheduler.m_jobs.find(id);
+    if (found == scheduler.m_jobs.end())
+        return fail(ErrorKind::UnknownName, "progress of job " + id + " has no submission", "none is needed: the job was forgotten");
+    try {
+        const Json whole = Json::from_cbor(record);
+        if (whole.at(0) != recordForm)
+            return fail(ErrorKind::InvalidInput, "progress of job " + id + " has form " + whole.at(0).dump(), "run daemons of one version");
+        restoreJob(scheduler, *found->second, whole, now);
+    } catch (const std::exception& error) {
+        return fail(ErrorKind::InvalidInput, "progress of job " + id + " can't be read: " + error.what(), "look for a foreign writer of the topic");
+    }
+    return {};
+}
+
+void finishRestoring(Scheduler& scheduler, TimePoint now)
+{
+    const double bound = static_cast<double>((scheduler.m_options.m_formerGrace + scheduler.m_options.m_longestLease).m_ms) / (1.0 - scheduler.m_options.m_clockDrift);
+    for (Worker& worker : scheduler.m_workers) {
+        worker.m_lapseAt = now + Duration { static_cast<std::int64_t>(std::ceil(bound)) };
+        worker.m_answeredAt = now;
+        worker.m_unanswered = 1;
+        worker.m_nextSyncAt = now;
+    }
+    for (const auto& [id, job] : scheduler.m_jobs) {
+        if (scheduler.m_cancelledEarly.contains(id))
+            detail::endJob(scheduler, *job, JobStage::Cancelled, now);
+    }
+}
+
+} // namespace bulrushloft::scheduler
--- /dev/null
+++ b/src/request/plan.cpp
@@ -0,0 +1,86 @@
+/** @file plan.cpp Checks and estimates of job plans. */
+#include "request/plan_func.h"
+
+#include <algorithm>
+
+namespace bulrushloft {
+
+namespace {
+
+    constexpr std::size_t jobIdDigits = 16;
+
+    Expected<void> validateStep(const StepPlan& step, std::size_t index)
+    {
+        const std::string where = "step " + std::to_string(index);
+        if (step.m_count == 0)
+            return fail(ErrorKind::InvalidInput, where + " has no tasks", "give it a count of 1 or more");
+        if (!isNonNegative(step.m_size))
+            return fail(ErrorKind::InvalidInput, where + " has a negative size", "give sizes of 0 or more");
+        if (step.m_estimate.m_ms < 0)
+            return fail(ErrorKind::InvalidInput, where + " has a negative run time", "give an estimate of 0 ms or more");
+        for (const std::uint32_t earlier : step.m_after) {
+            if (earlier >= index)
+                return fail(ErrorKind::InvalidInput, where + " waits for step " + std::to_string(earlier), "let steps wait for earlier ones only");
+        }
+        return {};
+    }
+
+} // namespace
+
+Expected<void> validatePlan(const JobPlan& plan)
+{
+    const bool isHex = std::all_of(plan.m_id.begin(), plan.m_id.end(), [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F'); });
+    if (plan.m_id.size() != jobIdDigits || !isHex)
+        return fail(ErrorKind::InvalidInput, "the job's id is not 16 hexadecimal digits", "choose an id of 16 hexadecimal digits");
+    if (plan.m_payload.size() > longestPayload)
+        return fail(ErrorKind::TooLarge, "the payload has " + std::to_string(plan.m_payload.size()) + " bytes", "send at most " + std::to_string(longestPayload));
+    if (plan.m_steps.empty())
+        return fail(ErrorKind::InvalidInput, "the job has no steps", "give at least one");
+    std::size_t tasks = 0;
+    for (std::size_t i = 0; i < plan.m_steps.size(); ++i) {
+        if (auto valid = validateStep(plan.m_steps[i], i); !valid)
+            return valid;
+        tasks += plan.m_steps[i].m_count;
+    }
+    if (tasks > mostTasksPerJob)
+        return fail(ErrorKind::TooLarge, "the job has " + std::to_string(tasks) + " tasks", "split it into jobs of at most " + std::to_string(mostTasksPerJob));
+    if (plan.m_repeats > 0 && plan.m_period.m_ms < 0)
+        return fail(ErrorKind::InvalidInput, "the period is negative", "give a period of 0 ms or more");
+    return {};
+}
+
+Duration estimateChainFrom(const JobPlan& plan, std::uint32_t step, Duration delayPerStep)
+{
+    std::vector<Duration> longest(plan.m_steps.size());
+    Duration result;
+    for (std::size_t i = plan.m_steps.size(); i-- > step;) {
+        longest[i] = longest[i] + plan.m_steps[i].m_estimate + delayPerStep;
+        for (const std::uint32_t earlier : plan.m_steps[i].m_after)
+            longest[earlier] = std::max(longest[earlier], longest[i]);
+        if (i == step)
+            result = longest[i];
+    }
+    return result;
+}
+
+Duration estimateChain(const JobPlan& plan, Duration delayPerStep)
+{
+    Duration longest;
+    for (std::uint32_t i = 0; i < plan.m_steps.size(); ++i) {
+        if (plan.m_steps[i].m_after.empty())
+            longest = std::max(longest, estimateChainFrom(plan, i, delayPerStep));
+    }
+    return longest;
+}
+
+bool isLasting(const JobPlan& plan)
+{
+    return std::any_of(plan.m_steps.begin(), plan.m_steps.end(), [](const StepPlan& step) { return step.m_isLasting; });
+}
+
+std::string format(const TaskName& name)
+{
+    return name.m_job + "." + std::to_string(name.m_occurrence) + "." + std::to_string(name.m_step) + "." + std::to_string(name.m_index);
+}
+
+} // namespace bulrushloft
--- /dev/null
+++ b/src/table/scheduler_table.h
@@ -0,0 +1,55 @@
+/** @file scheduler_table.h Names of what the scheduler tells apart. */
+#pragma once
+
+#include "core/enum_table.h"
+#include "process/scheduler/scheduler_base.h"
+
+namespace bulrushloft::scheduler {
+
+constexpr std::array<EnumName<JobStage>, 5> jobStageNames { {
+    { JobStage::Pending, "pending" },
+    { JobStage::Active, "active" },
+    { JobStage::Complete, "complete" },
+    { JobStage::Failed, "failed" },
+    { JobStage::Cancelled, "cancelled" },
+} };
+
+constexpr std::array<EnumName<RunPhase>, 5> runPhaseNames { {
+    { RunPhase::None, "none" },
+    { RunPhase::Recording, "recording" },
+    { RunPhase::Starting, "starting" },
+    { RunPhase::Running, "running" },
+    { RunPhase::Stopping, "stopping" },
+} };
+
+constexpr std::array<EnumName<WorkerLink>, 4> workerLinkNames { {
+    { WorkerLink::New, "new" },
+    { WorkerLink::Adopted, "adopted" },
+    { WorkerLink::Silent, "silent" },
+    { WorkerLink::Gone, "gone" },
+} };
+
+constexpr std::array<EnumName<AttemptEnd>, 6> attemptEndNames { {
+    { AttemptEnd::Done, "done" },
+    { AttemptEnd::Failed, "failed" },
+    { AttemptEnd::Stopped, "stopped" },
+    { AttemptEnd::Lapsed, "lapsed" },
+    { AttemptEnd::Broken, "broken" },
+    { AttemptEnd::Alone, "alone" },
+} };
+
+constexpr std::array<EnumName<OrderStatus>, 11> orderStatusNames { {
+    { OrderStatus::Done, "done" },
+    { OrderStatus::NoAnswer, "no-answer" },
+    { OrderStatus::NotSent, "not-sent" },
+    { OrderStatus::Fenced, "fenced" },
+    { OrderStatus::Superseded, "superseded" },
+    { OrderStatus::LeaseOver, "lease-over" },
+    { OrderStatus::NoRoom, "no-room" },
+    { OrderStatus::NoTicket, "no-ticket" },
+    { OrderStatus::Unhealthy, "unhealthy" },
+    { OrderStatus::WrongInstance, "wrong-instance" },
+    { OrderStatus::Invalid, "invalid" },
+} };
+
+} // namespace bulrushloft::scheduler
