--- a/src/process/scheduler/scheduler_detail.h
+++ b/src/process/scheduler/scheduler_detail.h
@@ -23,6 +23,9 @@
 /** Opens the occurrences that are due and releases the steps whose predecessors are done. */
 void releaseDue(Scheduler& scheduler, Job& job, TimePoint now);
 
+/** Releases the steps whose predecessors are done. */
+void releaseSteps(Scheduler& scheduler, Job& job, TimePoint now);
+
 /** Creates the steps of an occurrence. */
 void openOccurrence(Scheduler& scheduler, Job& job, std::uint32_t occurrence, TimePoint now);
 
--- a/src/process/scheduler/scheduler_jobs.cpp
+++ b/src/process/scheduler/scheduler_jobs.cpp
@@ -76,19 +76,6 @@
             return true;
         }
 
-        void releaseSteps(Scheduler& scheduler, Job& job, TimePoint now)
-        {
-            for (const auto& run : job.m_runs) {
-                if (run->m_isReleased || !arePredecessorsDone(job, *run))
-                    continue;
-                run->m_isReleased = true;
-                run->m_releasedAt = now;
-                for (Task& task : run->m_tasks)
-                    task.m_waitingSince = now;
-                markWaiting(scheduler, *run);
-            }
-        }
-
         bool isWholeJobDone(const Job& job)
         {
             return job.m_openTasks == 0 && job.m_nextOccurrence >= std::max<std::uint32_t>(1, job.m_plan.m_repeats);
@@ -96,6 +83,19 @@
 
     } // namespace
 
+    void releaseSteps(Scheduler& scheduler, Job& job, TimePoint now)
+    {
+        for (const auto& run : job.m_runs) {
+            if (run->m_isReleased || !arePredecessorsDone(job, *run))
+                continue;
+            run->m_isReleased = true;
+            run->m_releasedAt = now;
+            for (Task& task : run->m_tasks)
+                task.m_waitingSince = now;
+            markWaiting(scheduler, *run);
+        }
+    }
+
     void openOccurrence(Scheduler& scheduler, Job& job, std::uint32_t occurrence, TimePoint now)
     {
         for (std::uint32_t step = 0; step < job.m_plan.m_steps.size(); ++step) {
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -134,8 +134,10 @@
             for (std::uint32_t i = 0; isFinal && i < run->m_tasks.size(); ++i)
                 detail::stopTask(scheduler, { run.get(), i }, now);
         }
-        if (!isFinal)
-            detail::releaseDue(scheduler, job, now);
+        if (isFinal)
+            return;
+        detail::releaseSteps(scheduler, job, now);
+        detail::releaseDue(scheduler, job, now);
     }
 
 } // namespace
