Improve: submissions recorded by the leader, speeds learned within steps, queries wait for an end on its way

Cause: on a slow store each submission was an append of its own (0.15 s each, one at a time); estimates are off by a factor of 2.5, so speeds learned from them were noise; clients ask just as the last task ends and came back 250 ms later.

--- a/src/connection/peer_codec.cpp
+++ b/src/connection/peer_codec.cpp
@@ -48,6 +48,8 @@
     Json encode(const PeerQuery& message) { return Json::array({ message.m_job }); }
     Json encode(const PeerCount& message) { return Json::array({ message.m_queue }); }
     Json encode(const PeerTakeOver& message) { return Json::array({ message.m_token }); }
+    Json encode(const PeerSubmit& message) { return Json::array({ binary(message.m_plan) }); }
+    Json encode(const PeerCancel& message) { return Json::array({ message.m_job }); }
 
     Json encode(const PeerAppend& message)
     {
@@ -84,6 +86,7 @@
     }
 
     Json encode(const PeerDone& reply) { return Json::array({ reply.m_isTaken }); }
+    Json encode(const PeerWriteAnswer& reply) { return Json::array({ static_cast<int>(reply.m_outcome) }); }
 
     PeerMessage decodeMessage(std::size_t kind, const Json& row)
     {
@@ -104,6 +107,10 @@
             return PeerAsk { .m_step = taskFromJson(row.at(0)), .m_workers = row.at(1) };
         case 5:
             return PeerTakeOver { .m_token = row.at(0) };
+        case 6:
+            return PeerSubmit { .m_plan = bytesOf(row.at(0)) };
+        case 7:
+            return PeerCancel { .m_job = row.at(0) };
         default:
             throw std::out_of_range("unknown kind of message");
         }
@@ -130,6 +137,8 @@
         }
         case 4:
             return PeerDone { .m_isTaken = row.at(0) };
+        case 5:
+            return PeerWriteAnswer { .m_outcome = static_cast<WriteOutcome>(row.at(0).get<int>()) };
         default:
             throw std::out_of_range("unknown kind of reply");
         }
--- a/src/connection/peer_type.h
+++ b/src/connection/peer_type.h
@@ -71,6 +71,29 @@
     std::uint32_t m_count = 0; ///< Pending jobs.
 };
 
+/** Hands a job to the leader, which records it with its next batch. */
+struct PeerSubmit {
+    std::string m_plan; ///< The plan, encoded as the store keeps it.
+};
+
+/** Has the leader cancel a job. */
+struct PeerCancel {
+    std::string m_job; ///< Id of the job.
+};
+
+/** How the leader took a submission or a cancellation. */
+enum class WriteOutcome : std::uint8_t {
+    Recorded, ///< It is durable.
+    NotTaken, ///< The one asked does not lead, or can't record now; nothing was done.
+    Unknown, ///< The term ended before it was recorded; it may still be.
+    NoSuchJob, ///< There is no such job to cancel.
+};
+
+/** Answer to a submission or a cancellation. */
+struct PeerWriteAnswer {
+    WriteOutcome m_outcome = WriteOutcome::NotTaken; ///< How it ended.
+};
+
 /** Asks a peer to append records for a daemon that the store does not answer. */
 struct PeerAppend {
     StoreAppend m_append; ///< What.
@@ -103,7 +126,7 @@
     bool m_isTaken = false; ///< Whether it will be done.
 };
 
-using PeerMessage = std::variant<PeerHeartbeat, PeerQuery, PeerCount, PeerAppend, PeerAsk, PeerTakeOver>;
-using PeerReply = std::variant<PeerHeartbeatAnswer, PeerQueryAnswer, PeerAppendAnswer, PeerAskAnswer, PeerDone>;
+using PeerMessage = std::variant<PeerHeartbeat, PeerQuery, PeerCount, PeerAppend, PeerAsk, PeerTakeOver, PeerSubmit, PeerCancel>;
+using PeerReply = std::variant<PeerHeartbeatAnswer, PeerQueryAnswer, PeerAppendAnswer, PeerAskAnswer, PeerDone, PeerWriteAnswer>;
 
 } // namespace bulrushloft
--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -62,6 +62,7 @@
     Duration m_pollWait { 1'000 }; ///< How long the store may wait before it answers a read of news.
     Duration m_workerPoll { 250 }; ///< Between reads of the workers' announcements.
     Duration m_unlistedGrace { 2'000 }; ///< Announcements that lapsed in an outage may come back for so long.
+    Duration m_queryHold { 60 }; ///< How long the answer about a job that runs waits for its end, so that an end on its way is told.
     Duration m_visibleWithin { 2'500 }; ///< An unknown job is denied only when the submissions were read less long ago.
 };
 
@@ -136,6 +137,19 @@
     std::function<void()> m_work; ///< What.
 };
 
+/** A peer or client that waits for a batch of records. */
+struct RecordWaiter {
+    std::uint64_t m_batch = 0; ///< The batch that makes its change durable.
+    std::function<void(WriteOutcome)> m_onEnd; ///< Called once.
+};
+
+/** A query of a job that has not ended; its answer waits a little for the end. */
+struct StageWaiter {
+    std::string m_job; ///< Id of the job.
+    TimePoint m_until; ///< When it is answered at the latest.
+    std::function<void(const PeerQueryAnswer&)> m_onAnswer; ///< Called once.
+};
+
 /** Counters that metrics show. */
 struct CellCounters {
     std::uint64_t m_submits = 0; ///< Submissions accepted.
@@ -184,6 +198,8 @@
 
     std::unique_ptr<scheduler::Scheduler> m_scheduler; ///< Set while loading or leading.
     ProgressWriter m_writer; ///< Writes its progress.
+    std::vector<StageWaiter> m_stageWaiters; ///< Queries that wait for the end of a job.
+    std::vector<RecordWaiter> m_recordWaiters; ///< Whom the next batches concern.
     LoadState m_load; ///< Progress of a takeover.
     std::uint64_t m_term = 0; ///< Token of the term of m_scheduler; answers of earlier terms are dropped.
 
--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -44,22 +44,31 @@
         return { .m_status = QueryStatus::Known, .m_stage = 0, .m_count = scheduler::countPending(*node.m_scheduler, queue) };
     }
 
-    PeerQueryAnswer answerLocally(const CellNode& node, const PeerMessage& message)
+    bool isEnded(const PeerQueryAnswer& answer)
     {
-        if (const auto* const query = std::get_if<PeerQuery>(&message))
-            return answerQuery(node, query->m_job);
-        return answerCount(node, std::get<PeerCount>(message).m_queue);
+        return answer.m_stage >= static_cast<std::uint8_t>(scheduler::JobStage::Complete);
+    }
+
+    /** Answers from what this daemon knows; a query of a job that runs is answered a little later. */
+    void answerLocally(CellNode& node, const PeerMessage& message, const std::function<void(const PeerQueryAnswer&)>& onAnswer)
+    {
+        const auto* const query = std::get_if<PeerQuery>(&message);
+        if (!query)
+            return onAnswer(answerCount(node, std::get<PeerCount>(message).m_queue));
+        const PeerQueryAnswer answer = answerQuery(node, query->m_job);
+        if (answer.m_status != QueryStatus::Known || isEnded(answer))
+            return onAnswer(answer);
+        node.m_stageWaiters.push_back({ .m_job = query->m_job, .m_until = node.m_now + node.m_options.m_queryHold, .m_onAnswer = onAnswer });
     }
 
     /** Asks the leader, again and again until the deadline; the answer is NotLeading when none came. */
     void askLeader(CellNode& node, const PeerMessage& message, TimePoint deadline, const std::function<void(const PeerQueryAnswer&)>& onAnswer)
     {
-        const PeerQueryAnswer local = answerLocally(node, message);
-        if (local.m_status != QueryStatus::NotLeading)
-            return onAnswer(local);
+        if (mayAct(node))
+            return answerLocally(node, message, onAnswer);
         const Duration left = deadline - node.m_now - replyMargin;
         if (left.m_ms <= 0)
-            return onAnswer(local);
+            return onAnswer({ .m_status = QueryStatus::NotLeading });
         const auto again = [&node, message, deadline, onAnswer] {
             node.m_laterCalls.push_back({ node.m_now + queryRetry, [&node, message, deadline, onAnswer] { askLeader(node, message, deadline, onAnswer); } });
         };
@@ -90,6 +99,57 @@
         respond(reply);
     }
 
+    /** @return Whether the leader can record soon; else callers use the topic of jobs at once. */
+    bool canRecord(const CellNode& node)
+    {
+        constexpr Duration longAppend { 500 };
+        const bool isStuck = node.m_writer.m_append && node.m_now - node.m_writer.m_sentAt > longAppend && !node.m_isStoreReached;
+        return mayAct(node) && !isStuck;
+    }
+
+    void takeSubmit(CellNode& node, const PeerSubmit& message, const std::function<void(WriteOutcome)>& onEnd)
+    {
+        if (!canRecord(node))
+            return onEnd(WriteOutcome::NotTaken);
+        auto plan = decodePlan(message.m_plan);
+        if (!plan) {
+            logEvent(LogLevel::Error, "submission-unreadable", { { "error", describe(plan.error()) } });
+            return onEnd(WriteOutcome::NotTaken);
+        }
+        const std::uint64_t batch = scheduler::acceptAndRecord(*node.m_scheduler, std::move(*plan), message.m_plan, node.m_now);
+        if (batch == 0)
+            return onEnd(WriteOutcome::Recorded);
+        node.m_recordWaiters.push_back({ .m_batch = batch, .m_onEnd = onEnd });
+    }
+
+    void takeCancel(CellNode& node, const PeerCancel& message, const std::function<void(WriteOutcome)>& onEnd)
+    {
+        if (!canRecord(node))
+            return onEnd(WriteOutcome::NotTaken);
+        const PeerQueryAnswer known = answerQuery(node, message.m_job);
+        if (known.m_status != QueryStatus::Known)
+            return onEnd(known.m_status == QueryStatus::NoSuchJob ? WriteOutcome::NoSuchJob : WriteOutcome::NotTaken);
+        scheduler::cancelJob(*node.m_scheduler, message.m_job, node.m_now);
+        node.m_recordWaiters.push_back({ .m_batch = node.m_scheduler->m_jobs.at(message.m_job)->m_stageBatch, .m_onEnd = onEnd });
+        answerRecorded(node);
+    }
+
+    /** Hands a change to the leader; the outcome is NotTaken when none is known. */
+    template <typename Message>
+    void writeByLeader(CellNode& node, const Message& message, TimePoint deadline, void (*takeHere)(CellNode&, const Message&, const std::function<void(WriteOutcome)>&), const std::function<void(WriteOutcome)>& onEnd)
+    {
+        constexpr Duration leaderTimeout { 900 };
+        if (node.m_role == Role::Leading)
+            return takeHere(node, message, onEnd);
+        const bool isLeaderHeard = node.m_leader.m_token > 0 && node.m_now - node.m_leaderHeardAt <= node.m_options.m_suspectAfter && !node.m_isSuccessorWanted;
+        if (!isLeaderHeard || node.m_role != Role::Follower)
+            return onEnd(WriteOutcome::NotTaken);
+        node.m_ports.m_callPeer(node.m_leader.m_member.m_address, message, std::min(leaderTimeout, deadline - node.m_now), [onEnd](const std::optional<PeerReply>& reply) {
+            const auto* const answer = reply ? std::get_if<PeerWriteAnswer>(&*reply) : nullptr;
+            onEnd(answer ? answer->m_outcome : WriteOutcome::Unknown);
+        });
+    }
+
     void submit(CellNode& node, const ClientCall& call, const QueueSettings& queue, const ClientResponder& respond)
     {
         auto plan = node.m_decoders.m_plan(call.m_body);
@@ -108,7 +168,13 @@
         }
         PendingWrite write { .m_records = { { .m_key = plan->m_id, .m_value = encodePlan(*plan) } }, .m_deadline = call.m_deadline - replyMargin };
         write.m_onEnd = [&node, id = plan->m_id, arrivedAt = call.m_arrivedAt, respond](StoreStatus status) { replyWrite(node, status, ClientStatus::Accepted, id, arrivedAt, respond); };
-        writeJobs(node, std::move(write));
+        const PeerSubmit message { .m_plan = write.m_records.front().m_value };
+        writeByLeader(node, message, write.m_deadline, takeSubmit, [&node, write](WriteOutcome outcome) mutable {
+            if (outcome == WriteOutcome::Recorded)
+                return write.m_onEnd(StoreStatus::Done);
+            write.m_mayBeDone = outcome == WriteOutcome::Unknown;
+            writeJobs(node, std::move(write));
+        });
     }
 
     void query(CellNode& node, const ClientCall& call, const std::string& job, const ClientResponder& respond)
@@ -133,16 +199,17 @@
         });
     }
 
-    /** A cancellation is stored like a submission; the leader is asked first whether the job is known at all. */
+    /** A cancellation is recorded by the leader; without one it is stored beside the submissions. */
     void cancel(CellNode& node, const ClientCall& call, const std::string& job, const ClientResponder& respond)
     {
-        constexpr Duration askFor { 600 };
-        const TimePoint askUntil = std::min(call.m_deadline, node.m_now + askFor + replyMargin);
-        askLeader(node, PeerQuery { .m_job = job }, askUntil, [&node, call, job, respond](const PeerQueryAnswer& answer) {
-            if (answer.m_status == QueryStatus::NoSuchJob)
+        PendingWrite write { .m_records = { { .m_key = "!" + job, .m_value = "cancelled" } }, .m_deadline = call.m_deadline - replyMargin };
+        write.m_onEnd = [&node, job, arrivedAt = call.m_arrivedAt, respond](StoreStatus status) { replyWrite(node, status, ClientStatus::Cancelled, job, arrivedAt, respond); };
+        writeByLeader(node, PeerCancel { .m_job = job }, write.m_deadline, takeCancel, [&node, write, respond](WriteOutcome outcome) mutable {
+            if (outcome == WriteOutcome::Recorded)
+                return write.m_onEnd(StoreStatus::Done);
+            if (outcome == WriteOutcome::NoSuchJob)
                 return respond({ .m_status = ClientStatus::NoSuchJob });
-            PendingWrite write { .m_records = { { .m_key = "!" + job, .m_value = "cancelled" } }, .m_deadline = call.m_deadline - replyMargin };
-            write.m_onEnd = [&node, job, arrivedAt = call.m_arrivedAt, respond](StoreStatus status) { replyWrite(node, status, ClientStatus::Cancelled, job, arrivedAt, respond); };
+            write.m_mayBeDone = outcome == WriteOutcome::Unknown;
             writeJobs(node, std::move(write));
         });
     }
@@ -171,11 +238,26 @@
 
 namespace detail {
 
+    void answerStages(CellNode& node)
+    {
+        std::vector<std::pair<StageWaiter, PeerQueryAnswer>> due;
+        std::erase_if(node.m_stageWaiters, [&](StageWaiter& waiter) {
+            const PeerQueryAnswer answer = answerQuery(node, waiter.m_job);
+            if (answer.m_status == QueryStatus::Known && !isEnded(answer) && node.m_now < waiter.m_until)
+                return false;
+            due.emplace_back(std::move(waiter), answer);
+            return true;
+        });
+        for (const auto& [waiter, answer] : due)
+            waiter.m_onAnswer(answer);
+    }
+
     namespace {
 
         constexpr Duration ownTryTimeout { 600 };
         constexpr Duration relayTryTimeout { 700 };
         constexpr Duration tryPause { 60 };
+        constexpr std::uint32_t refusedTries = 3; ///< After so many clear refusals the caller is told to come back.
 
         void tryWrite(CellNode& node, const std::shared_ptr<PendingWrite>& write);
 
@@ -206,6 +288,9 @@
             if (node.m_now >= write->m_deadline)
                 return write->m_onEnd(write->m_mayBeDone ? StoreStatus::Unknown : StoreStatus::NotDone);
             const std::vector<PeerState*> relays = relayOrder(node);
+            const bool isHopeless = !node.m_isStoreReached && write->m_tries >= refusedTries && !write->m_mayBeDone;
+            if (isHopeless)
+                return write->m_onEnd(StoreStatus::NotDone);
             const std::uint32_t turn = write->m_tries++;
             const bool isOwnTurn = node.m_isStoreReached ? turn % 2 == 0 : turn % 4 == 3;
             if (!isOwnTurn && !relays.empty())
@@ -263,11 +348,16 @@
     if (const auto* const heartbeat = std::get_if<PeerHeartbeat>(&message))
         return respond(answerHeartbeat(node, *heartbeat));
     if (std::holds_alternative<PeerQuery>(message) || std::holds_alternative<PeerCount>(message))
-        return respond(answerLocally(node, message));
+        return answerLocally(node, message, [respond](const PeerQueryAnswer& answer) { respond(answer); });
     if (const auto* const append = std::get_if<PeerAppend>(&message))
         return relayAppend(node, *append, respond);
     if (const auto* const over = std::get_if<PeerTakeOver>(&message))
         return takeOver(node, *over, respond);
+    const auto respondWrite = [respond](WriteOutcome outcome) { respond(PeerWriteAnswer { outcome }); };
+    if (const auto* const submission = std::get_if<PeerSubmit>(&message))
+        return takeSubmit(node, *submission, respondWrite);
+    if (const auto* const cancellation = std::get_if<PeerCancel>(&message))
+        return takeCancel(node, *cancellation, respondWrite);
     const auto& ask = std::get<PeerAsk>(message);
     constexpr Duration askTimeout { 2'400 };
     node.m_ports.m_askApprovals(ask.m_step, ask.m_workers, askTimeout, [respond](const std::optional<std::vector<Approval>>& approvals) {
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -38,6 +38,12 @@
 /** One step of the scheduler and its calls. */
 void stepScheduler(CellNode& node);
 
+/** Answers queries whose jobs have ended or whose time is over. */
+void answerStages(CellNode& node);
+
+/** Tells those that wait for batches up to the confirmed one. */
+void answerRecorded(CellNode& node);
+
 /** @return Whether this daemon leads and may give orders and answers. */
 bool mayAct(const CellNode& node);
 
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -222,10 +222,18 @@
             add(name);
     }
 
-    /** A leader that ends asks one peer after the other to take over. */
+    /** @return Whether the store refuses the leader's records. */
+    bool isWriterStuck(const CellNode& node)
+    {
+        constexpr Duration longAppend { 700 };
+        constexpr Duration longSilence { 500 };
+        return node.m_writer.m_append && node.m_now - node.m_writer.m_sentAt > longAppend && node.m_now - node.m_storeHeardAt > longSilence;
+    }
+
+    /** A leader that ends, or that the store refuses, asks one peer after the other to take over. */
     void stepHandOver(CellNode& node)
     {
-        if (!node.m_isTerminating || node.m_role != Role::Leading || node.m_now < node.m_nextHandOverAt)
+        if ((!node.m_isTerminating && !isWriterStuck(node)) || node.m_role != Role::Leading || node.m_now < node.m_nextHandOverAt)
             return;
         node.m_nextHandOverAt = node.m_now + handOverPause;
         const PeerState* best = nullptr;
@@ -310,6 +318,8 @@
 {
     logEvent(LogLevel::Warning, "term-ends", { { "token", node.m_term }, { "cause", cause }, { "leader", node.m_leader.m_member.m_name } });
     node.m_role = Role::Follower;
+    for (const RecordWaiter& waiter : std::exchange(node.m_recordWaiters, {}))
+        waiter.m_onEnd(WriteOutcome::Unknown);
     node.m_scheduler.reset();
     node.m_term = 0;
     node.m_writer = {};
@@ -366,6 +376,7 @@
     detail::stepLoading(node);
     detail::stepScheduler(node);
     detail::stepWriter(node);
+    detail::answerStages(node);
 }
 
 } // namespace bulrushloft::cell
--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -2,6 +2,7 @@
 #include "core/log_func.h"
 #include "process/cell/cell_detail.h"
 #include "process/scheduler/scheduler_func.h"
+#include "request/plan_codec.h"
 
 namespace bulrushloft::cell::detail {
 
@@ -46,10 +47,24 @@
         });
     }
 
+    void restorePlan(CellNode& node, const KeyedRecord& record)
+    {
+        auto plan = decodePlan(record.m_value);
+        if (!plan) {
+            logEvent(LogLevel::Error, "plan-unusable", { { "key", record.m_key }, { "error", describe(plan.error()) } });
+            return;
+        }
+        scheduler::acceptJob(*node.m_scheduler, std::move(*plan), node.m_now);
+    }
+
     void restoreAll(CellNode& node)
     {
         for (const KeyedRecord& record : node.m_load.m_progress) {
-            if (record.m_value.empty())
+            if (record.m_key.starts_with(scheduler::planKey({})) && !record.m_value.empty())
+                restorePlan(node, record);
+        }
+        for (const KeyedRecord& record : node.m_load.m_progress) {
+            if (record.m_value.empty() || record.m_key.starts_with(scheduler::planKey({})))
                 continue;
             if (auto restored = scheduler::restoreProgress(*node.m_scheduler, record.m_key, record.m_value, node.m_now); !restored)
                 logEvent(LogLevel::Error, "progress-unusable", { { "job", record.m_key }, { "error", describe(restored.error()) } });
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -151,6 +151,7 @@
         writer.m_append.reset();
         if (writer.m_rest.empty())
             scheduler::onRecorded(*node.m_scheduler, writer.m_batch, node.m_now);
+        answerRecorded(node);
     }
 
     /** Records of jobs that are forgotten are dropped from the topic of submissions. */
@@ -161,6 +162,7 @@
         const std::vector<std::string> jobs = std::exchange(node.m_scheduler->m_expiredJobs, {});
         StoreAppend submissions { .m_partition = { .m_topic = node.m_options.m_topics.m_jobs }, .m_records = {}, .m_writer = {}, .m_expectedEnd = {} };
         for (const std::string& job : jobs) {
+            // Submissions that the leader has recorded itself are dropped with its own records.
             submissions.m_records.push_back({ .m_key = job, .m_value = {} });
             submissions.m_records.push_back({ .m_key = "!" + job, .m_value = {} });
         }
@@ -172,6 +174,19 @@
 
 } // namespace
 
+void answerRecorded(CellNode& node)
+{
+    std::vector<RecordWaiter> done;
+    std::erase_if(node.m_recordWaiters, [&](RecordWaiter& waiter) {
+        if (waiter.m_batch > node.m_scheduler->m_confirmedBatch)
+            return false;
+        done.push_back(std::move(waiter));
+        return true;
+    });
+    for (const RecordWaiter& waiter : done)
+        waiter.m_onEnd(WriteOutcome::Recorded);
+}
+
 void stepScheduler(CellNode& node)
 {
     if (!mayAct(node))
--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -13,7 +13,7 @@
 
     constexpr Duration callMargin { 700 }; ///< Beyond the wait that a read asks for.
     constexpr Duration retryPause { 200 };
-    constexpr Duration storeUnreached { 1'500 }; ///< Without an answer for longer the store counts as lost.
+    constexpr Duration storeUnreached { 1'200 }; ///< Without an answer for longer the store counts as lost.
 
     /** Key of a job's cancellation in the topic of jobs. */
     constexpr char cancelMark = '!';
--- a/src/process/scheduler/scheduler.cpp
+++ b/src/process/scheduler/scheduler.cpp
@@ -34,7 +34,10 @@
         std::erase_if(scheduler.m_waiting, [&](const StepRun* run) { return run->m_job == job; });
         std::erase(scheduler.m_scheduledJobs, job);
         scheduler.m_cancelledEarly.erase(id);
-        scheduler.m_expiredJobs.push_back(id);
+        if (job->m_planBatch == 0)
+            scheduler.m_expiredJobs.push_back(id);
+        scheduler.m_droppedKeys.push_back(id);
+        scheduler.m_droppedKeys.push_back(planKey(id));
         scheduler.m_jobs.erase(found);
     }
 
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -72,6 +72,7 @@
     int m_pace = 100; ///< Share of its speed that was ordered.
     TimePoint m_progressAt; ///< When the progress last changed.
     std::string m_checkpoint; ///< Newest checkpoint.
+    std::string m_checkpointAtStart; ///< Checkpoint from which the present attempt resumes.
     std::string m_ticket; ///< Ticket of the present attempt.
     std::vector<WorkerIndex> m_failedOn; ///< Workers on which it failed.
 };
@@ -94,6 +95,8 @@
     bool m_isReleased = false; ///< All earlier steps are done.
     std::uint32_t m_doneCount = 0; ///< Tasks that are done.
     std::uint32_t m_openRuns = 0; ///< Tasks whose phase is not None.
+    double m_logRunSum = 0; ///< Sum of the logarithms of the run times of tasks that are done, at mean speed.
+    std::uint32_t m_logRunCount = 0; ///< Tasks behind m_logRunSum.
     std::uint32_t m_gangFailures = 0; ///< Failed runs of a gang.
     std::uint32_t m_lastFailedAttempt = 0; ///< The latest attempt of a gang that was counted as failed.
     bool m_isWaiting = false; ///< Is in the list of steps that may have tasks to place.
@@ -119,6 +122,8 @@
     std::uint64_t m_stageBatch = 0; ///< Record batch that makes a final stage durable.
     bool m_isStageDurable = false; ///< Whether a final stage is recorded.
     bool m_isDirty = false; ///< Changes are not in a batch yet.
+    std::string m_planRecord; ///< The plan as it is to be recorded; empty when it is, or will be elsewhere.
+    std::uint64_t m_planBatch = 0; ///< Record batch that makes the plan durable; 0 when it is stored elsewhere.
     std::uint32_t m_nextOccurrence = 0; ///< First occurrence that is not due.
     std::uint32_t m_openTasks = 0; ///< Tasks that are not done, over all occurrences that are due.
     TimePoint m_acceptedAt; ///< Monotonic time of acceptance.
@@ -154,7 +159,7 @@
 struct WorkerHealth {
     double m_failures = 0; ///< Failed runs, decayed.
     double m_successes = 0; ///< Done runs, decayed.
-    double m_logSlowness = 0; ///< Mean logarithm of run time over estimate.
+    double m_logSlowness = 0; ///< Mean logarithm of run time over that of tasks of the same step elsewhere.
     std::uint32_t m_samples = 0; ///< Ends behind m_logSlowness.
     TimePoint m_heldOutUntil; ///< No placements before.
     std::string m_lastFailedJob; ///< Job of the latest failure; failures count across jobs.
@@ -217,6 +222,15 @@
     bool m_isFenced = false; ///< A worker obeys a later leader.
 };
 
+/** What the run times of a queue's tasks have shown; all are logarithms of milliseconds. */
+struct RunTimeModel {
+    double m_mean = 0; ///< Mean run time at mean speed.
+    double m_variance = 0; ///< Variance of the run times.
+    double m_bias = 0; ///< Mean of run time less estimate.
+    double m_errorVariance = 0; ///< Variance of run time less estimate.
+    std::uint32_t m_samples = 0; ///< Steps behind these.
+};
+
 /** Counters that metrics show. */
 struct SchedulerCounters {
     std::uint64_t m_placements = 0; ///< Attempts placed.
@@ -235,6 +249,7 @@
     Duration m_wallOffset; ///< Calendar time less monotonic time.
     std::unordered_map<std::string, QueueSettings> m_queues; ///< All queues ever seen in this term, in their newest form.
     std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs; ///< All jobs.
+    std::unordered_map<std::string, RunTimeModel> m_runTimes; ///< Learned run times by queue.
     std::unordered_set<std::string> m_cancelledEarly; ///< Cancelled before their submission was read.
     std::deque<Worker> m_workers; ///< All workers ever seen in this term.
     std::unordered_map<std::string, WorkerIndex> m_workerById; ///< Their indexes.
@@ -244,7 +259,8 @@
     std::vector<Job*> m_dirtyJobs; ///< Jobs with changes that are not in a batch.
     std::vector<Job*> m_scheduledJobs; ///< Jobs with occurrences to come.
     std::deque<std::pair<TimePoint, std::string>> m_endedJobs; ///< Ended jobs by the time of their end.
-    std::vector<std::string> m_expiredJobs; ///< Jobs that were forgotten; their records are to be dropped.
+    std::vector<std::string> m_expiredJobs; ///< Jobs that were forgotten; their submissions are to be dropped from the topic of jobs.
+    std::vector<std::string> m_droppedKeys; ///< Keys to drop with the next batch.
     std::uint64_t m_nextBatch = 1; ///< Number of the batch that collects changes now.
     std::uint64_t m_confirmedBatch = 0; ///< The newest batch that is durable.
     std::vector<Advisor> m_advisors; ///< VMs that can ask for approvals.
--- a/src/process/scheduler/scheduler_detail.h
+++ b/src/process/scheduler/scheduler_detail.h
@@ -74,7 +74,16 @@
 bool isOpen(const Worker& worker, TimePoint now);
 
 /** @return How many times slower than the mean a worker is. */
-double slownessOf(const Scheduler& scheduler, const Worker& worker);
+double slownessOf(const Worker& worker);
+
+/** Learns from a task that ran from its beginning to its end; the run time is a logarithm of milliseconds. */
+void learnRunTime(Scheduler& scheduler, StepRun& run, WorkerHealth& health, double logRan);
+
+/** @return The run time of a task of a step as far as is known: its caller's estimate weighed against what its queue has shown. */
+Duration expectRunTime(const Scheduler& scheduler, const Job& job, std::uint32_t step);
+
+/** @return Expected run time of a step and of the longest chain that depends on it. */
+Duration expectChainFrom(const Scheduler& scheduler, const Job& job, std::uint32_t step);
 
 /** Finds a task by its name, or an empty reference. */
 TaskRef findTask(Scheduler& scheduler, const TaskName& name);
--- a/src/process/scheduler/scheduler_func.h
+++ b/src/process/scheduler/scheduler_func.h
@@ -17,6 +17,16 @@
  */
 void acceptJob(Scheduler& scheduler, JobPlan plan, TimePoint now);
 
+/**
+ * Takes a submission that is to be recorded with the next batch.
+ * @param record The plan as the store keeps it.
+ * @return The batch that makes it durable; 0 when it already is.
+ */
+std::uint64_t acceptAndRecord(Scheduler& scheduler, JobPlan plan, std::string record, TimePoint now);
+
+/** @return The key under which the plan of a job is recorded by the leader. */
+std::string planKey(const std::string& job);
+
 /** Cancels a job; one that is not known yet is cancelled as soon as it is. */
 void cancelJob(Scheduler& scheduler, const std::string& id, TimePoint now);
 
--- a/src/process/scheduler/scheduler_jobs.cpp
+++ b/src/process/scheduler/scheduler_jobs.cpp
@@ -216,6 +216,25 @@
     detail::releaseDue(scheduler, job, now);
 }
 
+std::uint64_t acceptAndRecord(Scheduler& scheduler, JobPlan plan, std::string record, TimePoint now)
+{
+    const std::string id = plan.m_id;
+    const bool isNew = !scheduler.m_jobs.contains(id);
+    acceptJob(scheduler, std::move(plan), now);
+    Job& job = *scheduler.m_jobs.at(id);
+    if (isNew) {
+        job.m_planRecord = std::move(record);
+        job.m_planBatch = scheduler.m_nextBatch;
+        detail::markDirty(scheduler, job);
+    }
+    return job.m_planBatch <= scheduler.m_confirmedBatch ? 0 : job.m_planBatch;
+}
+
+std::string planKey(const std::string& job)
+{
+    return "+" + job;
+}
+
 void cancelJob(Scheduler& scheduler, const std::string& id, TimePoint now)
 {
     const auto found = scheduler.m_jobs.find(id);
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -43,11 +43,14 @@
     {
         const Job& job = *run.m_job;
         const QueueSettings& queue = queueOf(scheduler, job);
-        const auto objectiveMs = static_cast<std::int64_t>(queue.m_slackFactor * static_cast<double>(job.m_chain.m_ms)) + queue.m_latencyTarget.m_ms;
+        Duration chain;
+        for (std::uint32_t i = 0; i < job.m_plan.m_steps.size(); ++i)
+            chain = std::max(chain, job.m_plan.m_steps[i].m_after.empty() ? expectChainFrom(scheduler, job, i) : Duration {});
+        const auto objectiveMs = static_cast<std::int64_t>(queue.m_slackFactor * static_cast<double>(chain.m_ms)) + queue.m_latencyTarget.m_ms;
         return urgencyOf({ .m_isLasting = planOf(run).m_isLasting,
                              .m_acceptedAt = dueTime(scheduler, run),
                              .m_objective = { objectiveMs },
-                             .m_remaining = estimateChainFrom(job.m_plan, run.m_step, {}) },
+                             .m_remaining = expectChainFrom(scheduler, job, run.m_step) },
             now);
     }
 
@@ -107,11 +110,22 @@
         return cost;
     }
 
+    /** Jobs with little slack get the fast workers, those with much slack leave them free. */
+    double speedWeightOf(const QueueSettings& queue, Urgency urgency)
+    {
+        constexpr double tightSlack = 2;
+        constexpr double looseSlack = 3;
+        constexpr double tightWeight = 4;
+        constexpr double middleWeight = 1;
+        constexpr double looseWeight = 0.5;
+        if (urgency.m_class != UrgencyClass::InTime || queue.m_slackFactor >= looseSlack)
+            return looseWeight;
+        return queue.m_slackFactor < tightSlack ? tightWeight : middleWeight;
+    }
+
     /** @return The cost of a worker for a task; the lowest is chosen. */
-    double costOf(const Scheduler& scheduler, const StepRun& run, const Task& task, WorkerIndex index, bool isTight)
+    double costOf(const Scheduler& scheduler, const StepRun& run, const Task& task, WorkerIndex index, double speedWeight)
     {
-        constexpr double tightSpeedWeight = 4.0;
-        constexpr double looseSpeedWeight = 0.5;
         constexpr double remoteWeight = 3.0;
         constexpr double failedThereWeight = 6.0;
         constexpr double failingWeight = 1.0;
@@ -119,7 +133,7 @@
         const StepPlan& plan = planOf(run);
         const Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
         double cost = shareLeft(freeOf(worker) - grantOf(run), worker.m_notice.m_capacity);
-        cost += (isTight ? tightSpeedWeight : looseSpeedWeight) * slownessOf(scheduler, worker);
+        cost += speedWeight * slownessOf(worker);
         cost += failingWeight * worker.m_health.m_failures / (1 + worker.m_health.m_successes);
         cost += interference(plan, worker);
         if (!plan.m_dataRack.empty() && plan.m_dataRack != worker.m_rack)
@@ -160,12 +174,12 @@
     }
 
     /** Places one task on the cheapest usable worker; workers that become full leave the choice. */
-    bool placeOne(Scheduler& scheduler, StepRun& run, std::uint32_t index, std::vector<WorkerIndex>& usable, bool isTight, TimePoint now)
+    bool placeOne(Scheduler& scheduler, StepRun& run, std::uint32_t index, std::vector<WorkerIndex>& usable, double speedWeight, TimePoint now)
     {
         std::size_t best = usable.size();
         double bestCost = 0;
         for (std::size_t i = 0; i < usable.size(); ++i) {
-            const double cost = costOf(scheduler, run, run.m_tasks[index], usable[i], isTight);
+            const double cost = costOf(scheduler, run, run.m_tasks[index], usable[i], speedWeight);
             if (best == usable.size() || cost < bestCost) {
                 best = i;
                 bestCost = cost;
@@ -246,7 +260,7 @@
             return toPlace == 0;
         const auto& policy = queueOf(scheduler, *run.m_job).m_approval;
         Choice choice = findWorkers(scheduler, run, policy.has_value(), pass);
-        const bool isTight = urgency.m_class == UrgencyClass::InTime && queueOf(scheduler, *run.m_job).m_slackFactor < 2;
+        const double speedWeight = speedWeightOf(queueOf(scheduler, *run.m_job), urgency);
         if (isGang && choice.m_usableRoom >= toPlace) {
             narrowToRack(scheduler, run, choice);
             alignGang(run);
@@ -255,7 +269,7 @@
         for (std::uint32_t i = 0; mayPlace && i < run.m_tasks.size(); ++i) {
             if (run.m_tasks[i].m_fate != TaskFate::Open || run.m_tasks[i].m_phase != RunPhase::None)
                 continue;
-            if (!placeOne(scheduler, run, i, choice.m_usable, isTight, pass.m_now))
+            if (!placeOne(scheduler, run, i, choice.m_usable, speedWeight, pass.m_now))
                 break;
             --toPlace;
         }
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -144,7 +144,7 @@
 
 bool hasRecords(const Scheduler& scheduler)
 {
-    return !scheduler.m_dirtyJobs.empty();
+    return !scheduler.m_dirtyJobs.empty() || !scheduler.m_droppedKeys.empty();
 }
 
 std::vector<KeyedRecord> takeRecords(Scheduler& scheduler)
@@ -153,9 +153,14 @@
     records.reserve(scheduler.m_dirtyJobs.size());
     for (Job* job : scheduler.m_dirtyJobs) {
         job->m_isDirty = false;
+        if (!job->m_planRecord.empty())
+            records.push_back({ .m_key = planKey(job->m_plan.m_id), .m_value = std::exchange(job->m_planRecord, {}) });
         records.push_back({ .m_key = job->m_plan.m_id, .m_value = encodeProgress(scheduler, *job) });
     }
     scheduler.m_dirtyJobs.clear();
+    for (std::string& key : scheduler.m_droppedKeys)
+        records.push_back({ .m_key = std::move(key), .m_value = {} });
+    scheduler.m_droppedKeys.clear();
     ++scheduler.m_nextBatch;
     return records;
 }
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -31,6 +31,7 @@
         task.m_batch = scheduler.m_nextBatch;
         task.m_placedAt = now;
         task.m_ticket = std::move(ticket);
+        task.m_checkpointAtStart = task.m_checkpoint;
         task.m_isCallOut = false;
         task.m_mayHaveArrived = false;
         task.m_isStopAnswered = false;
@@ -166,8 +167,7 @@
             task.m_checkpoint = ended.m_checkpoint;
         if (task.m_phase == RunPhase::Starting)
             confirmStart(scheduler, ref, now);
-        if (ended.m_end != AttemptEnd::Done)
-            logEvent(LogLevel::Info, "attempt-ended", { { "task", format(ended.m_task) }, { "attempt", ended.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(index)].m_notice.m_id }, { "end", findName(attemptEndNames, ended.m_end) }, { "ran_ms", (now - task.m_confirmedAt).m_ms } });
+        logEvent(LogLevel::Info, "attempt-ended", { { "task", format(ended.m_task) }, { "attempt", ended.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(index)].m_notice.m_id }, { "end", findName(attemptEndNames, ended.m_end) }, { "ran_ms", (now - task.m_confirmedAt).m_ms }, { "estimate_ms", planOf(*ref.m_run).m_estimate.m_ms }, { "image", planOf(*ref.m_run).m_image } });
         if (ended.m_end == AttemptEnd::Done || ended.m_end == AttemptEnd::Failed)
             noteOutcome(scheduler, ref, ended.m_end == AttemptEnd::Done, now);
         if (ended.m_end == AttemptEnd::Failed)
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -83,7 +83,7 @@
             && worker.m_unanswered == 0 && worker.m_health.m_heldOutUntil <= now;
     }
 
-    double slownessOf(const Scheduler&, const Worker& worker)
+    double slownessOf(const Worker& worker)
     {
         constexpr std::uint32_t enoughSamples = 3;
         return worker.m_health.m_samples < enoughSamples ? 1.0 : std::exp(worker.m_health.m_logSlowness);
@@ -98,15 +98,10 @@
         if (isDone) {
             ++scheduler.m_counters.m_done;
             health.m_successes += 1;
-            const double estimate = static_cast<double>(planOf(*ref.m_run).m_estimate.m_ms);
             const double ran = static_cast<double>((now - task.m_confirmedAt).m_ms);
-            const bool isComparable = estimate > 0 && ran > 0 && !planOf(*ref.m_run).m_isFiller && task.m_attempt == 1;
-            if (isComparable) {
-                constexpr double newShare = 0.15;
-                const double sample = std::clamp(std::log(ran / estimate), -2.0, 2.0);
-                health.m_logSlowness = health.m_samples == 0 ? sample : health.m_logSlowness * (1 - newShare) + sample * newShare;
-                ++health.m_samples;
-            }
+            const bool isComparable = ran > 0 && !planOf(*ref.m_run).m_isFiller && task.m_attempt == 1 && task.m_checkpointAtStart.empty();
+            if (isComparable)
+                learnRunTime(scheduler, *ref.m_run, health, std::log(ran));
             return;
         }
         ++scheduler.m_counters.m_failed;
