--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -23,6 +23,7 @@
     struct PlacementPass {
         TimePoint m_now; ///< Monotonic time of the pass.
         std::vector<bool> m_isReserved; ///< By worker: kept for a more urgent step that is blocked.
+        std::unordered_map<std::string, std::size_t> m_reservations; ///< Workers kept, by pool.
     };
 
     std::uint32_t countToPlace(const StepRun& run)
@@ -232,22 +233,25 @@
     }
 
     /** A blocked step of large tasks keeps the workers that are closest to having room for it. */
-    void reserveFor(const Scheduler& scheduler, const StepRun& run, std::uint32_t tasks, const Choice& choice, PlacementPass& pass)
+    void reserveFor(const Scheduler& scheduler, const StepRun& run, std::uint32_t tasks, bool needsTicket, const Choice& choice, PlacementPass& pass)
     {
         const StepPlan& plan = planOf(run);
+        constexpr std::size_t reservedPart = 6; ///< One worker in so many is kept at most.
+        std::size_t& reserved = pass.m_reservations[run.m_job->m_plan.m_pool];
+        const std::size_t most = choice.m_fitting.size() / reservedPart;
         constexpr int largeShare = 4; ///< A task is large from this part of a worker on.
         std::vector<std::pair<double, WorkerIndex>> near;
         for (const WorkerIndex index : choice.m_fitting) {
             const Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
             const Resources& whole = worker.m_notice.m_capacity;
             const bool isLarge = plan.m_size.m_cpuMilli * largeShare >= whole.m_cpuMilli || (whole.m_gpus > 0 && plan.m_size.m_gpus * largeShare >= whole.m_gpus);
-            const bool isDenied = run.m_approval.m_denied.contains(index);
-            if (!isLarge || isDenied || pass.m_isReserved[static_cast<std::size_t>(index)])
+            const bool isApproved = !needsTicket || run.m_approval.m_approved.contains(index);
+            if (!isLarge || !isApproved || pass.m_isReserved[static_cast<std::size_t>(index)])
                 continue;
             near.emplace_back(-shareLeft(freeOf(worker), whole), index);
         }
         std::sort(near.begin(), near.end());
-        for (std::size_t i = 0; i < near.size() && i < tasks; ++i)
+        for (std::size_t i = 0; i < near.size() && i < tasks && reserved < most; ++i, ++reserved)
             pass.m_isReserved[static_cast<std::size_t>(near[i].second)] = true;
     }
 
@@ -277,7 +281,7 @@
             return true;
         if (policy)
             askApprovals(scheduler, run, *policy, choice.m_fitting, choice.m_withRoom, pass.m_now, effects);
-        reserveFor(scheduler, run, toPlace, choice, pass);
+        reserveFor(scheduler, run, toPlace, policy.has_value(), choice, pass);
         return false;
     }
 
@@ -302,7 +306,7 @@
     if (ranked.empty())
         return;
     std::sort(ranked.begin(), ranked.end(), [](const RankedStep& one, const RankedStep& other) { return one.m_urgency < other.m_urgency; });
-    PlacementPass pass { .m_now = now, .m_isReserved = std::vector<bool>(scheduler.m_workers.size(), false) };
+    PlacementPass pass { .m_now = now, .m_isReserved = std::vector<bool>(scheduler.m_workers.size(), false), .m_reservations = {} };
     std::size_t blocked = 0;
     for (const RankedStep& step : ranked) {
         if (!placeStep(scheduler, *step.m_run, step.m_urgency, pass, effects) && ++blocked > mostBlockedSteps)
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -48,7 +48,7 @@
         scheduler.m_recording.push_back(ref);
         markDirty(scheduler, *ref.m_run->m_job);
         ++scheduler.m_counters.m_placements;
-        logEvent(LogLevel::Info, "task-placed", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "worker", worker.m_notice.m_id }, { "waited_ms", (now - task.m_waitingSince).m_ms }, { "batch", task.m_batch } });
+        logEvent(LogLevel::Info, "task-placed", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "worker", worker.m_notice.m_id }, { "waited_ms", (now - task.m_waitingSince).m_ms }, { "cpu", planOf(*ref.m_run).m_size.m_cpuMilli }, { "gpus", planOf(*ref.m_run).m_size.m_gpus }, { "batch", task.m_batch } });
     }
 
     void detachTask(Scheduler& scheduler, const TaskRef& ref, TimePoint now)
