Improve: slow approval calls are repeated before their tickets run out

Cause: room came free while no ticket was valid: a call takes 0.55 s, a ticket lasts 1.8 s, so a quarter of the time was without one.

--- a/src/process/scheduler/approvals.cpp
+++ b/src/process/scheduler/approvals.cpp
@@ -41,14 +41,14 @@
         }
 
         /** Names workers whose approval is not known, and known ones whose ticket has run out. */
-        std::vector<WorkerIndex> chooseNamed(const StepRun& run, bool isSlow, const std::vector<WorkerIndex>& fitting, std::size_t withRoom, TimePoint now)
+        std::vector<WorkerIndex> chooseNamed(const StepRun& run, bool isSlow, const std::vector<WorkerIndex>& fitting, std::size_t withRoom, TimePoint usableAt)
         {
             std::vector<WorkerIndex> known;
             std::vector<WorkerIndex> unknown;
             bool hasRoomOnUnknown = false;
             for (std::size_t i = 0; i < fitting.size(); ++i) {
                 const WorkerIndex worker = fitting[i];
-                if (run.m_approval.m_denied.contains(worker) || hasTicket(run, worker, now))
+                if (run.m_approval.m_denied.contains(worker) || hasTicket(run, worker, usableAt))
                     continue;
                 const bool hasRoom = i < withRoom;
                 if (run.m_approval.m_approved.contains(worker)) {
@@ -82,7 +82,9 @@
         if (run.m_approval.m_isAskOut || now < run.m_approval.m_nextAskAt)
             return false;
         const bool isSlow = callLength(policy, 1) > slowCall;
-        const std::vector<WorkerIndex> named = chooseNamed(run, isSlow, fitting, withRoom, now);
+        // Slow calls are repeated before the tickets run out, so that room can be used as soon as it is there.
+        const TimePoint usableAt = isSlow ? now + callLength(policy, 1) : now;
+        const std::vector<WorkerIndex> named = chooseNamed(run, isSlow, fitting, withRoom, usableAt);
         if (named.empty())
             return false;
         const Duration length = callLength(policy, named.size());
