--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -46,7 +46,7 @@
 
     bool isEnded(const PeerQueryAnswer& answer)
     {
-        return answer.m_stage >= static_cast<std::uint8_t>(scheduler::JobStage::Complete);
+        return isFinal(static_cast<scheduler::JobStage>(answer.m_stage));
     }
 
     /** Answers from what this daemon knows; a query of a job that runs is answered a little later. */
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -115,6 +115,12 @@
     Cancelled, ///< Ended by its caller.
 };
 
+/** @return Whether a job at this stage will not change again. */
+constexpr bool isFinal(JobStage stage)
+{
+    return stage != JobStage::Pending && stage != JobStage::Active;
+}
+
 /** A job. */
 struct Job {
     JobPlan m_plan; ///< What the caller asked for.
--- a/src/process/scheduler/scheduler_jobs.cpp
+++ b/src/process/scheduler/scheduler_jobs.cpp
@@ -59,11 +59,6 @@
 
     namespace {
 
-        bool isFinal(JobStage stage)
-        {
-            return stage != JobStage::Pending && stage != JobStage::Active;
-        }
-
         bool arePredecessorsDone(const Job& job, const StepRun& run)
         {
             for (const std::uint32_t earlier : planOf(run).m_after) {
@@ -252,7 +247,7 @@
     if (found == scheduler.m_jobs.end())
         return std::nullopt;
     const Job& job = *found->second;
-    if (!detail::isFinal(job.m_stage) || job.m_stageBatch <= scheduler.m_confirmedBatch)
+    if (!isFinal(job.m_stage) || job.m_stageBatch <= scheduler.m_confirmedBatch)
         return job.m_stage;
     return JobStage::Active;
 }
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -40,6 +40,20 @@
         return plan.m_firstDue + plan.m_period * run.m_occurrence - scheduler.m_wallOffset;
     }
 
+    /** @return Core-seconds that a job still takes; a GPU counts as eight cores. */
+    double remainingWork(const Scheduler& scheduler, const Job& job)
+    {
+        constexpr double coresPerGpu = 8;
+        double work = 0;
+        for (const auto& run : job.m_runs) {
+            const Resources& size = planOf(*run).m_size;
+            const double cores = static_cast<double>(size.m_cpuMilli) / 1'000 + coresPerGpu * static_cast<double>(size.m_gpus);
+            const double open = static_cast<double>(run->m_tasks.size() - run->m_doneCount);
+            work += open * cores * static_cast<double>(expectRunTime(scheduler, job, run->m_step).m_ms) / 1'000;
+        }
+        return work;
+    }
+
     Urgency rankOf(const Scheduler& scheduler, const StepRun& run, TimePoint now)
     {
         const Job& job = *run.m_job;
@@ -51,7 +65,8 @@
         return urgencyOf({ .m_isLasting = planOf(run).m_isLasting,
                              .m_acceptedAt = dueTime(scheduler, run),
                              .m_objective = { objectiveMs },
-                             .m_remaining = expectChainFrom(scheduler, job, run.m_step) },
+                             .m_remaining = expectChainFrom(scheduler, job, run.m_step),
+                             .m_remainingWork = remainingWork(scheduler, job) },
             now);
     }
 
@@ -294,8 +309,7 @@
     std::vector<RankedStep> ranked;
     std::vector<StepRun*> still;
     for (StepRun* run : scheduler.m_waiting) {
-        const bool isOver = run->m_job->m_stage != JobStage::Pending && run->m_job->m_stage != JobStage::Active;
-        run->m_isWaiting = !isOver && countToPlace(*run) > 0;
+        run->m_isWaiting = !isFinal(run->m_job->m_stage) && countToPlace(*run) > 0;
         if (!run->m_isWaiting)
             continue;
         still.push_back(run);
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -105,6 +105,15 @@
             restoreTask(scheduler, { &run, i }, tasks.at(i), now);
     }
 
+    void stopAll(Scheduler& scheduler, Job& job, TimePoint now)
+    {
+        job.m_endedAt = now;
+        for (const auto& run : job.m_runs) {
+            for (std::uint32_t i = 0; i < run->m_tasks.size(); ++i)
+                detail::stopTask(scheduler, { run.get(), i }, now);
+        }
+    }
+
     bool hasStarted(const Job& job)
     {
         return std::any_of(job.m_runs.begin(), job.m_runs.end(), [](const auto& run) {
@@ -119,23 +128,19 @@
             detail::openOccurrence(scheduler, job, i, now);
         for (const Json& row : whole.at(3))
             restoreRun(scheduler, job, row, now);
-        const auto stage = static_cast<JobStage>(whole.at(1).get<int>());
-        const bool isFinal = stage != JobStage::Pending && stage != JobStage::Active;
-        const bool isPending = !isFinal && stage == JobStage::Pending && !hasStarted(job);
+        const auto recorded = static_cast<JobStage>(whole.at(1).get<int>());
+        // A cancellation that was read before the progress stands.
+        const bool wasEnded = isFinal(job.m_stage);
+        const JobStage stage = wasEnded ? job.m_stage : recorded;
+        const bool isPending = stage == JobStage::Pending && !hasStarted(job);
         if (job.m_stage == JobStage::Pending && !isPending)
             --scheduler.m_pendingCounts[job.m_plan.m_queue];
-        job.m_stage = isFinal ? stage : isPending ? JobStage::Pending
-                                                  : JobStage::Active;
-        if (isFinal) {
-            job.m_endedAt = now;
-            scheduler.m_endedJobs.emplace_back(now, job.m_plan.m_id);
+        job.m_stage = isFinal(stage) || isPending ? stage : JobStage::Active;
+        if (isFinal(stage)) {
+            if (!wasEnded)
+                scheduler.m_endedJobs.emplace_back(now, job.m_plan.m_id);
+            return stopAll(scheduler, job, now);
         }
-        for (const auto& run : job.m_runs) {
-            for (std::uint32_t i = 0; isFinal && i < run->m_tasks.size(); ++i)
-                detail::stopTask(scheduler, { run.get(), i }, now);
-        }
-        if (isFinal)
-            return;
         detail::releaseSteps(scheduler, job, now);
         detail::releaseDue(scheduler, job, now);
     }
