Improve: a new leader tells its peers, two successors are asked at once, refusals are noticed at once

Cause: VMs cut off from the store followed a former leader for 12 s and could not answer queries; a successor that the store does not reach either cost 0.4 s more; clear refusals were waited out like silence.

--- a/src/connection/peer_codec.cpp
+++ b/src/connection/peer_codec.cpp
@@ -42,7 +42,7 @@
 
     Json encode(const PeerHeartbeat& message)
     {
-        return Json::array({ memberToJson(message.m_from), message.m_configVersion, binary(message.m_configText), message.m_membersVersion, message.m_isStoreReached });
+        return Json::array({ memberToJson(message.m_from), message.m_leader.m_token, memberToJson(message.m_leader.m_member), message.m_configVersion, binary(message.m_configText), message.m_membersVersion, message.m_isStoreReached });
     }
 
     Json encode(const PeerQuery& message) { return Json::array({ message.m_job }); }
@@ -92,7 +92,7 @@
     {
         switch (kind) {
         case 0:
-            return PeerHeartbeat { .m_from = memberFromJson(row.at(0)), .m_configVersion = row.at(1), .m_configText = bytesOf(row.at(2)), .m_membersVersion = row.at(3), .m_isStoreReached = row.at(4) };
+            return PeerHeartbeat { .m_from = memberFromJson(row.at(0)), .m_leader = { .m_token = row.at(1), .m_member = memberFromJson(row.at(2)) }, .m_configVersion = row.at(3), .m_configText = bytesOf(row.at(4)), .m_membersVersion = row.at(5), .m_isStoreReached = row.at(6) };
         case 1:
             return PeerQuery { .m_job = row.at(0) };
         case 2:
--- a/src/connection/peer_type.h
+++ b/src/connection/peer_type.h
@@ -25,9 +25,10 @@
     PeerMember m_member; ///< The leader.
 };
 
-/** Sent to the leader at regular times. */
+/** Sent to the leader at regular times, and by a new leader to all peers. */
 struct PeerHeartbeat {
     PeerMember m_from; ///< The sender.
+    LeaderClaim m_leader; ///< Whom it takes for the leader.
     std::uint64_t m_configVersion = 0; ///< Version of the configuration that it has.
     std::string m_configText; ///< That configuration, when the leader's is known to be older.
     std::uint64_t m_membersVersion = 0; ///< Version of the list of members that it has.
--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -101,6 +101,7 @@
     std::vector<StoreAppend> m_rest; ///< Further parts of the batch, the last first.
     TimePoint m_sentAt; ///< When it was first sent.
     TimePoint m_retryAt; ///< When it is repeated.
+    std::uint32_t m_refusals = 0; ///< Clear refusals of it so far.
 };
 
 /** Progress of a takeover. */
@@ -188,6 +189,8 @@
     TimePoint m_leaderStoreAt; ///< When the leader last reached the store, as far as is known.
     bool m_isSuccessorWanted = false; ///< The leader is about to end, or has ended.
     bool m_isHeartbeatOut = false; ///< A heartbeat is unanswered.
+    std::uint32_t m_leaderRefusals = 0; ///< Heartbeats in a row that the leader's VM refused at once.
+    TimePoint m_nextAnnounceAt; ///< When a leader next tells peers that do not follow it.
     TimePoint m_nextHeartbeatAt; ///< When the next one is due.
     std::uint32_t m_seedIndex = 0; ///< Next seed to ask.
     std::optional<TimePoint> m_claimAt; ///< When this daemon will claim, unless the leader is heard of.
@@ -206,7 +209,7 @@
     bool m_isTerminating = false; ///< SIGTERM has come.
     TimePoint m_terminatingSince; ///< When.
     TimePoint m_nextHandOverAt; ///< When the next successor is asked.
-    std::string m_askedSuccessor; ///< The latest one asked.
+    std::vector<std::string> m_askedSuccessors; ///< The latest ones asked.
     std::vector<LaterCall> m_laterCalls; ///< Tries that are repeated later.
     CellCounters m_counters; ///< For metrics.
 };
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -87,17 +87,25 @@
         takeMembers(node, answer);
     }
 
+    PeerHeartbeat makeHeartbeat(const CellNode& node)
+    {
+        return { .m_from = node.m_options.m_self, .m_leader = node.m_leader, .m_configVersion = node.m_cluster ? node.m_cluster->m_version : 0, .m_configText = {}, .m_membersVersion = node.m_membersVersion, .m_isStoreReached = node.m_isStoreReached };
+    }
+
     void sendHeartbeat(CellNode& node, const Address& to, const std::string& name)
     {
-        PeerHeartbeat heartbeat { .m_from = node.m_options.m_self, .m_configVersion = node.m_cluster ? node.m_cluster->m_version : 0, .m_configText = {}, .m_membersVersion = node.m_membersVersion, .m_isStoreReached = node.m_isStoreReached };
+        PeerHeartbeat heartbeat = makeHeartbeat(node);
         const auto peer = node.m_peers.find(name);
         const bool wasBehind = peer != node.m_peers.end() && peer->second.m_member.m_name == node.m_leader.m_member.m_name && node.m_cluster && !peer->second.m_isStoreReached;
         if (wasBehind)
             heartbeat.m_configText = node.m_clusterText;
         node.m_isHeartbeatOut = true;
         node.m_nextHeartbeatAt = node.m_now + node.m_options.m_heartbeat;
-        node.m_ports.m_callPeer(to, heartbeat, heartbeatTimeout, [&node, name](const std::optional<PeerReply>& reply) {
+        node.m_ports.m_callPeer(to, heartbeat, heartbeatTimeout, [&node, name, sentAt = node.m_now](const std::optional<PeerReply>& reply) {
+            constexpr Duration atOnce { 150 };
             node.m_isHeartbeatOut = false;
+            if (name == node.m_leader.m_member.m_name)
+                node.m_leaderRefusals = reply || node.m_now - sentAt > atOnce ? 0 : node.m_leaderRefusals + 1;
             const auto* const answer = reply ? std::get_if<PeerHeartbeatAnswer>(&*reply) : nullptr;
             if (answer)
                 return onHeartbeatAnswer(node, *answer);
@@ -134,6 +142,9 @@
             return "this VM led before its restart";
         if (node.m_isSuccessorWanted)
             return "the leader is ending";
+        constexpr std::uint32_t enoughRefusals = 2;
+        if (node.m_leaderRefusals >= enoughRefusals)
+            return "the leader's VM refuses connections";
         if (node.m_now - node.m_leaderHeardAt > node.m_options.m_suspectAfter)
             return "the leader is not heard of";
         if (node.m_now - node.m_leaderStoreAt > node.m_options.m_storeLostAfter + node.m_options.m_suspectAfter)
@@ -225,9 +236,13 @@
     /** @return Whether the store refuses the leader's records. */
     bool isWriterStuck(const CellNode& node)
     {
-        constexpr Duration longAppend { 700 };
-        constexpr Duration longSilence { 500 };
-        return node.m_writer.m_append && node.m_now - node.m_writer.m_sentAt > longAppend && node.m_now - node.m_storeHeardAt > longSilence;
+        constexpr Duration longAppend { 550 };
+        constexpr Duration longSilence { 400 };
+        constexpr std::uint32_t enoughRefusals = 3;
+        if (!node.m_writer.m_append)
+            return false;
+        const bool isSilent = node.m_now - node.m_writer.m_sentAt > longAppend && node.m_now - node.m_storeHeardAt > longSilence;
+        return isSilent || node.m_writer.m_refusals >= enoughRefusals;
     }
 
     /** A leader that ends, or that the store refuses, asks one peer after the other to take over. */
@@ -236,17 +251,40 @@
         if ((!node.m_isTerminating && !isWriterStuck(node)) || node.m_role != Role::Leading || node.m_now < node.m_nextHandOverAt)
             return;
         node.m_nextHandOverAt = node.m_now + handOverPause;
-        const PeerState* best = nullptr;
+        // Two are asked at a time: one of them may not reach the store either; the store lets one claim pass.
+        constexpr std::size_t askedAtOnce = 2;
+        std::vector<const PeerState*> usable;
         for (const auto& [name, peer] : node.m_peers) {
-            const bool isUsable = node.m_now - peer.m_heardAt <= node.m_options.m_suspectAfter && peer.m_isStoreReached && name != node.m_askedSuccessor;
-            if (isUsable && (!best || peer.m_member.m_cpuPercent > best->m_member.m_cpuPercent || (peer.m_member.m_cpuPercent == best->m_member.m_cpuPercent && peer.m_member.m_instance > best->m_member.m_instance)))
-                best = &peer;
+            const bool wasAsked = std::find(node.m_askedSuccessors.begin(), node.m_askedSuccessors.end(), name) != node.m_askedSuccessors.end();
+            if (node.m_now - peer.m_heardAt <= node.m_options.m_suspectAfter && peer.m_isStoreReached && !wasAsked)
+                usable.push_back(&peer);
         }
-        if (!best)
+        const auto weight = [](const PeerState* peer) { return std::pair { peer->m_member.m_cpuPercent, peer->m_member.m_instance }; };
+        std::sort(usable.begin(), usable.end(), [&](const PeerState* one, const PeerState* other) { return weight(one) > weight(other); });
+        usable.resize(std::min(usable.size(), askedAtOnce));
+        node.m_askedSuccessors.clear();
+        for (const PeerState* peer : usable) {
+            node.m_askedSuccessors.push_back(peer->m_member.m_name);
+            logEvent(LogLevel::Info, "hand-over", { { "to", peer->m_member.m_name }, { "token", node.m_term }, { "is_terminating", node.m_isTerminating } });
+            node.m_ports.m_callPeer(peer->m_member.m_address, PeerTakeOver { .m_token = node.m_term }, heartbeatTimeout, [](const std::optional<PeerReply>&) { /* The claim itself tells. */ });
+        }
+    }
+
+    /** A leader tells peers that do not follow it; they may not reach the store. */
+    void stepAnnounce(CellNode& node)
+    {
+        constexpr Duration announceInterval { 500 };
+        if ((node.m_role != Role::Leading && node.m_role != Role::Loading) || node.m_isSuspended || node.m_now < node.m_nextAnnounceAt)
             return;
-        node.m_askedSuccessor = best->m_member.m_name;
-        logEvent(LogLevel::Info, "hand-over", { { "to", best->m_member.m_name }, { "token", node.m_term } });
-        node.m_ports.m_callPeer(best->m_member.m_address, PeerTakeOver { .m_token = node.m_term }, heartbeatTimeout, [](const std::optional<PeerReply>&) { /* The claim itself tells. */ });
+        node.m_nextAnnounceAt = node.m_now + announceInterval;
+        for (const auto& [name, peer] : node.m_peers) {
+            if (node.m_now - peer.m_heardAt <= announceInterval && node.m_role == Role::Leading)
+                continue;
+            node.m_ports.m_callPeer(peer.m_member.m_address, makeHeartbeat(node), heartbeatTimeout, [&node](const std::optional<PeerReply>& reply) {
+                if (const auto* const answer = reply ? std::get_if<PeerHeartbeatAnswer>(&*reply) : nullptr)
+                    onHeartbeatAnswer(node, *answer);
+            });
+        }
     }
 
     void runLaterCalls(CellNode& node)
@@ -289,6 +327,7 @@
     node.m_leader = { .m_token = token, .m_member = member };
     node.m_leaderHeardAt = node.m_now;
     node.m_leaderStoreAt = node.m_now;
+    node.m_leaderRefusals = 0;
     node.m_isSuccessorWanted = false;
     logEvent(LogLevel::Info, "leader-known", { { "token", token }, { "leader", member.m_name }, { "instance", member.m_instance } });
     if (node.m_role == Role::Leading || node.m_role == Role::Loading)
@@ -341,7 +380,9 @@
     hearPeer(node, heartbeat.m_from, heartbeat.m_isStoreReached);
     if (!heartbeat.m_configText.empty())
         takeClusterText(node, heartbeat.m_configText, heartbeat.m_from.m_name);
-    PeerHeartbeatAnswer answer { .m_from = node.m_options.m_self, .m_leader = node.m_leader, .m_isLeading = node.m_role == Role::Leading || node.m_role == Role::Loading, .m_isLeaving = node.m_isTerminating, .m_isStoreReached = node.m_isStoreReached, .m_configVersion = node.m_cluster ? node.m_cluster->m_version : 0, .m_configText = {}, .m_membersVersion = node.m_membersVersion, .m_members = {} };
+    if (heartbeat.m_leader.m_token > 0)
+        takeClaim(node, heartbeat.m_leader.m_token, heartbeat.m_leader.m_member);
+    PeerHeartbeatAnswer answer { .m_from = node.m_options.m_self, .m_leader = node.m_leader, .m_isLeading = (node.m_role == Role::Leading || node.m_role == Role::Loading) && !node.m_isSuspended, .m_isLeaving = node.m_isTerminating, .m_isStoreReached = node.m_isStoreReached, .m_configVersion = node.m_cluster ? node.m_cluster->m_version : 0, .m_configText = {}, .m_membersVersion = node.m_membersVersion, .m_members = {} };
     if (answer.m_configVersion > heartbeat.m_configVersion)
         answer.m_configText = node.m_clusterText;
     if (answer.m_isLeading && heartbeat.m_membersVersion != node.m_membersVersion) {
@@ -357,6 +398,7 @@
     stepHeartbeat(node);
     stepClaim(node);
     stepHandOver(node);
+    stepAnnounce(node);
     forgetPeers(node);
     if (node.m_scheduler)
         updateAdvisors(node);
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -134,6 +134,7 @@
         writer.m_rest.pop_back();
         writer.m_append->m_writer = FencedWriter { .m_name = "leader", .m_epoch = node.m_term, .m_sequence = ++writer.m_sequence };
         writer.m_sentAt = node.m_now;
+        writer.m_refusals = 0;
         writer.m_retryAt = node.m_now;
     }
 
@@ -145,6 +146,7 @@
         if (answer.m_status == StoreStatus::Fenced || answer.m_status == StoreStatus::OutOfSequence)
             return stepDown(node, answer.m_status == StoreStatus::Fenced ? "the store knows a later term" : "the store expects another sequence");
         if (answer.m_status != StoreStatus::Done) {
+            writer.m_refusals += answer.m_status == StoreStatus::NotDone ? 1 : 0;
             writer.m_retryAt = node.m_now + appendRetry;
             return;
         }
