--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -251,7 +251,7 @@
     void reserveFor(const Scheduler& scheduler, const StepRun& run, std::uint32_t tasks, bool needsTicket, const Choice& choice, PlacementPass& pass)
     {
         const StepPlan& plan = planOf(run);
-        constexpr std::size_t reservedPart = 6; ///< One worker in so many is kept at most.
+        constexpr std::size_t reservedPart = 3; ///< One worker in so many is kept at most.
         std::size_t& reserved = pass.m_reservations[run.m_job->m_plan.m_pool];
         const std::size_t most = choice.m_fitting.size() / reservedPart;
         constexpr int largeShare = 4; ///< A task is large from this part of a worker on.
