--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+    constexpr Duration firstStartTimeout { 180 }; ///< Lost orders are repeated soon; a repeat of the same attempt does no harm.
     constexpr Duration startTimeout { 450 };
     constexpr Duration stopTimeout { 800 };
     constexpr Duration paceTimeout { 800 };
@@ -40,7 +41,7 @@
 
     void sendStart(CellNode& node, const scheduler::Sent<StartOrder>& start)
     {
-        node.m_ports.m_start(start, startTimeout, [&node, term = node.m_term, id = start.m_to.m_worker, task = start.m_order.m_task, attempt = start.m_order.m_attempt](OrderStatus status) {
+        node.m_ports.m_start(start, start.m_isRepeat ? startTimeout : firstStartTimeout, [&node, term = node.m_term, id = start.m_to.m_worker, task = start.m_order.m_task, attempt = start.m_order.m_attempt](OrderStatus status) {
             if (!isPresentTerm(node, term))
                 return;
             scheduler::SchedulerEffects effects;
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -99,6 +99,7 @@
     std::uint32_t m_logRunCount = 0; ///< Tasks behind m_logRunSum.
     std::uint32_t m_gangFailures = 0; ///< Failed runs of a gang.
     std::uint32_t m_lastFailedAttempt = 0; ///< The latest attempt of a gang that was counted as failed.
+    TimePoint m_reservingSince; ///< Since when workers are kept for it; 0 for never.
     bool m_isWaiting = false; ///< Is in the list of steps that may have tasks to place.
     TimePoint m_releasedAt; ///< When it became due.
     ApprovalState m_approval; ///< Approvals, when the queue asks for them.
@@ -209,6 +210,7 @@
 struct Sent {
     OrderTarget m_to; ///< Which worker.
     Order m_order; ///< What.
+    bool m_isRepeat = false; ///< An earlier call of the same order had no answer.
 };
 
 /** A call for approvals. */
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -248,9 +248,14 @@
     }
 
     /** A blocked step of large tasks keeps the workers that are closest to having room for it. */
-    void reserveFor(const Scheduler& scheduler, const StepRun& run, std::uint32_t tasks, bool needsTicket, const Choice& choice, PlacementPass& pass)
+    void reserveFor(const Scheduler& scheduler, StepRun& run, std::uint32_t tasks, bool needsTicket, const Choice& choice, PlacementPass& pass)
     {
         const StepPlan& plan = planOf(run);
+        constexpr Duration longestReservation { 12'000 }; ///< What can't be placed by then must not keep others from running.
+        if (run.m_reservingSince.m_ms == 0)
+            run.m_reservingSince = pass.m_now;
+        if (pass.m_now - run.m_reservingSince > longestReservation)
+            return;
         constexpr std::size_t reservedPart = 3; ///< One worker in so many is kept at most.
         std::size_t& reserved = pass.m_reservations[run.m_job->m_plan.m_pool];
         const std::size_t most = choice.m_fitting.size() / reservedPart;
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -57,6 +57,9 @@
     {
         if (worker.m_clockMs == 0)
             return 0;
+        // Calls to a silent worker must not move the end of its lease, or its tasks would never count as lost.
+        if (worker.m_unanswered > 0)
+            return worker.m_leaseUntilMs;
         return std::max(worker.m_leaseUntilMs, worker.m_clockMs + (now - worker.m_clockSeenAt).m_ms + scheduler.m_options.m_lease.m_ms);
     }
 
@@ -183,7 +186,7 @@
             task.m_isCallOut = true;
             ++task.m_tries;
             ++scheduler.m_counters.m_starts;
-            effects.m_starts.push_back({ targetOf(scheduler, worker), { .m_task = nameOf(ref), .m_attempt = task.m_attempt, .m_payload = ref.m_run->m_job->m_plan.m_payload, .m_leaseUntilMs = deadline, .m_checkpoint = task.m_checkpoint, .m_ticket = task.m_ticket } });
+            effects.m_starts.push_back({ targetOf(scheduler, worker), { .m_task = nameOf(ref), .m_attempt = task.m_attempt, .m_payload = ref.m_run->m_job->m_plan.m_payload, .m_leaseUntilMs = deadline, .m_checkpoint = task.m_checkpoint, .m_ticket = task.m_ticket }, task.m_mayHaveArrived });
         }
 
         void stepTaskCalls(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects)
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -329,3 +329,55 @@
     BOOST_TEST((late < overdue));
     BOOST_TEST((urgencyOf({ .m_isLasting = true, .m_acceptedAt = now, .m_objective = {}, .m_remaining = {}, .m_remainingWork = 0 }, now) < pressing));
 }
+
+BOOST_AUTO_TEST_CASE(a_step_that_can_never_be_placed_does_not_keep_workers_from_others_for_long)
+{
+    Bench bench;
+    for (const char* id : { "w1", "w2", "w3" })
+        bench.adopt(id);
+    StepPlan gang = makeStep(5);
+    gang.m_isGang = true;
+    gang.m_size.m_cpuMilli = 2'000;
+    acceptJob(bench.m_scheduler, makePlan({ gang }), bench.m_now);
+    StepPlan small = makeStep(6);
+    bench.step();
+    const std::string other = "00000000000000bb";
+    acceptJob(bench.m_scheduler, makePlan({ small }, other), bench.m_now);
+    for (int i = 0; i < 200; ++i) {
+        bench.step({ 100 });
+        for (const char* id : { "w1", "w2", "w3" })
+            bench.answerSync(id, { .m_clockMs = bench.m_now.m_ms });
+    }
+    for (std::uint32_t i = 0; i < 6; ++i)
+        BOOST_TEST((bench.task(0, i, other).m_phase == RunPhase::Recording));
+}
+
+BOOST_AUTO_TEST_CASE(tasks_of_a_silent_worker_start_elsewhere_once_its_lease_has_run_out)
+{
+    Bench bench;
+    bench.adopt("w1");
+    acceptJob(bench.m_scheduler, makePlan({ makeStep(1) }), bench.m_now);
+    bench.step();
+    bench.record();
+    const auto start = bench.step().m_starts.at(0);
+    bench.answerStart(start, OrderStatus::Done);
+    bench.adopt("w2");
+    const TimePoint silentSince = bench.m_now;
+    bench.answerSync("w1", {}, OrderStatus::NoAnswer);
+    bool isRestarted = false;
+    for (int i = 0; i < 120 && !isRestarted; ++i) {
+        const auto effects = bench.step({ 100 });
+        for (const auto& sync : effects.m_syncs) {
+            const bool isSilent = sync.m_to.m_worker == "w1";
+            bench.answerSync(sync.m_to.m_worker, { .m_clockMs = bench.m_now.m_ms }, isSilent ? OrderStatus::NoAnswer : OrderStatus::Done);
+        }
+        bench.record();
+        isRestarted = !effects.m_starts.empty();
+        if (isRestarted)
+            BOOST_TEST(effects.m_starts[0].m_to.m_worker == "w2");
+    }
+    BOOST_TEST(isRestarted);
+    const Duration lease = bench.m_scheduler.m_options.m_longestLease;
+    BOOST_TEST((bench.m_now - silentSince >= lease));
+    BOOST_TEST((bench.m_now - silentSince).m_ms <= lease.m_ms * 2);
+}
