--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -337,6 +337,7 @@
         bench.adopt(id);
     StepPlan gang = makeStep(5);
     gang.m_isGang = true;
+    gang.m_isLasting = true;
     gang.m_size.m_cpuMilli = 2'000;
     acceptJob(bench.m_scheduler, makePlan({ gang }), bench.m_now);
     StepPlan small = makeStep(6);
