--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -15,6 +15,8 @@
     constexpr Duration claimTimeout { 1'000 };
     constexpr Duration peerForgottenAfter { 3'000 };
     constexpr Duration firstClaimSpread { 300 }; ///< Claims of daemons that know no leader spread over this.
+    constexpr int weakCpuPercent = 15; ///< VMs below it lead only when no other one does.
+    constexpr Duration weakDelay { 1'000 };
     constexpr Duration thawGap { 600 }; ///< A suspension longer than this makes the leadership doubtful.
     constexpr Duration handOverPause { 400 }; ///< Before the next successor is asked.
 
@@ -162,7 +164,8 @@
         if (!node.m_claimAt) {
             const bool wasOurs = node.m_leader.m_member.m_name == node.m_options.m_self.m_name;
             const Duration spread { node.m_leader.m_token == 0 ? static_cast<std::int64_t>(node.m_options.m_self.m_instance % static_cast<std::uint64_t>(firstClaimSpread.m_ms)) : 0 };
-            node.m_claimAt = node.m_now + (wasOurs ? Duration {} : node.m_options.m_rankDelay * rankOfSelf(node)) + spread;
+            const bool isWeak = node.m_options.m_self.m_cpuPercent < weakCpuPercent;
+            node.m_claimAt = node.m_now + (wasOurs ? Duration {} : node.m_options.m_rankDelay * rankOfSelf(node)) + spread + (isWeak ? weakDelay : Duration {});
         }
         if (node.m_now < *node.m_claimAt)
             return;
@@ -236,8 +239,8 @@
     /** @return Whether the store refuses the leader's records. */
     bool isWriterStuck(const CellNode& node)
     {
-        constexpr Duration longAppend { 550 };
-        constexpr Duration longSilence { 400 };
+        constexpr Duration longAppend { 800 };
+        constexpr Duration longSilence { 700 };
         constexpr std::uint32_t enoughRefusals = 3;
         if (!node.m_writer.m_append)
             return false;
@@ -245,10 +248,22 @@
         return isSilent || node.m_writer.m_refusals >= enoughRefusals;
     }
 
-    /** A leader that ends, or that the store refuses, asks one peer after the other to take over. */
+    /** @return Whether a weak VM leads although a strong one could. */
+    bool isLeadingInPlaceOfStronger(const CellNode& node)
+    {
+        constexpr Duration settleTime { 3'000 };
+        if (node.m_options.m_self.m_cpuPercent >= weakCpuPercent || node.m_now - node.m_leaderHeardAt < settleTime)
+            return false;
+        return std::any_of(node.m_peers.begin(), node.m_peers.end(), [&](const auto& entry) {
+            const PeerState& peer = entry.second;
+            return peer.m_member.m_cpuPercent >= weakCpuPercent && peer.m_isStoreReached && node.m_now - peer.m_heardAt <= node.m_options.m_suspectAfter;
+        });
+    }
+
+    /** A leader that ends, that the store refuses, or that is weak asks peers to take over. */
     void stepHandOver(CellNode& node)
     {
-        if ((!node.m_isTerminating && !isWriterStuck(node)) || node.m_role != Role::Leading || node.m_now < node.m_nextHandOverAt)
+        if ((!node.m_isTerminating && !isWriterStuck(node) && !isLeadingInPlaceOfStronger(node)) || node.m_role != Role::Leading || node.m_now < node.m_nextHandOverAt)
             return;
         node.m_nextHandOverAt = node.m_now + handOverPause;
         // Two are asked at a time: one of them may not reach the store either; the store lets one claim pass.
--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr Duration callTimeout { 1'500 };
+    constexpr Duration callTimeout { 4'000 }; ///< A page of many records may take long while the store is slow.
     constexpr Duration retryPause { 100 };
     constexpr const char* writerName = "leader";
 
--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -12,6 +12,7 @@
 namespace {
 
     constexpr Duration callMargin { 700 }; ///< Beyond the wait that a read asks for.
+    constexpr Duration listingTimeout { 4'000 }; ///< A page of many records may take long while the store is slow.
     constexpr Duration retryPause { 200 };
     constexpr Duration storeUnreached { 1'200 }; ///< Without an answer for longer the store counts as lost.
 
@@ -150,7 +151,7 @@
             return true;
         };
         if (tail.m_isListing) {
-            node.m_ports.m_newest({ .m_partition = tail.m_partition, .m_after = tail.m_after }, callMargin + node.m_options.m_pollWait, [&node, &tail, isCurrentCall](const NewestAnswer& page) {
+            node.m_ports.m_newest({ .m_partition = tail.m_partition, .m_after = tail.m_after }, listingTimeout, [&node, &tail, isCurrentCall](const NewestAnswer& page) {
                 if (isCurrentCall(page.m_status))
                     onPage(node, tail, page);
             });
--- a/src/process/scheduler/scheduler.cpp
+++ b/src/process/scheduler/scheduler.cpp
@@ -64,6 +64,7 @@
     stepCalls(scheduler, now, effects);
     if (isPlacingDue(scheduler, now))
         placeWaiting(scheduler, now, effects);
+    stepWatch(scheduler, now);
     stepPacing(scheduler, now, effects);
     forgetEnded(scheduler, now);
 }
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -273,6 +273,7 @@
     std::uint64_t m_confirmedBatch = 0; ///< The newest batch that is durable.
     std::vector<Advisor> m_advisors; ///< VMs that can ask for approvals.
     std::unordered_map<std::string, std::uint32_t> m_pendingCounts; ///< Accepted jobs without a start, by queue.
+    TimePoint m_nextWatchAt; ///< When progress is looked at again.
     TimePoint m_nextPacingAt; ///< When pacing is looked at again.
     bool m_needsPlacing = false; ///< Something has changed for placement.
     TimePoint m_placedAt; ///< When placement last ran.
--- a/src/process/scheduler/scheduler_detail.h
+++ b/src/process/scheduler/scheduler_detail.h
@@ -64,6 +64,9 @@
 /** Places what waits. */
 void placeWaiting(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects);
 
+/** Tasks that make no progress are stopped and run elsewhere; gangs that do not come together in time are stopped. */
+void stepWatch(Scheduler& scheduler, TimePoint now);
+
 /** Slows fillers down beside serving tasks that are over their target, and speeds them up again. */
 void stepPacing(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects);
 
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -382,3 +382,46 @@
     BOOST_TEST((bench.m_now - silentSince >= lease));
     BOOST_TEST((bench.m_now - silentSince).m_ms <= lease.m_ms * 2);
 }
+
+BOOST_AUTO_TEST_CASE(a_task_without_progress_is_stopped_and_its_worker_held_out)
+{
+    Bench bench;
+    bench.adopt("w1");
+    acceptJob(bench.m_scheduler, makePlan({ makeStep(1) }), bench.m_now);
+    bench.step();
+    bench.record();
+    const auto start = bench.step().m_starts.at(0);
+    bench.answerStart(start, OrderStatus::Done);
+    for (int i = 0; i < 25; ++i) {
+        bench.answerSync("w1", { .m_clockMs = bench.m_now.m_ms + 5'000, .m_bornMs = 0, .m_running = { runningOf(start) }, .m_ended = {} });
+        bench.step({ 100 });
+    }
+    BOOST_TEST((bench.task(0, 0).m_phase == RunPhase::Stopping));
+    BOOST_TEST(!detail::isOpen(bench.m_scheduler.m_workers[0], bench.m_now));
+}
+
+BOOST_AUTO_TEST_CASE(a_gang_that_does_not_come_together_is_stopped_before_its_workers_give_up)
+{
+    Bench bench;
+    bench.adopt("w1");
+    bench.adopt("w2");
+    StepPlan gang = makeStep(2);
+    gang.m_isGang = true;
+    gang.m_size.m_cpuMilli = 2'000;
+    acceptJob(bench.m_scheduler, makePlan({ gang }), bench.m_now);
+    bench.step();
+    bench.record();
+    const auto starts = bench.step().m_starts;
+    BOOST_REQUIRE(starts.size() == 2U);
+    BOOST_TEST(starts[0].m_order.m_attempt == starts[1].m_order.m_attempt);
+    bench.answerStart(starts[0], OrderStatus::Done);
+    bench.answerStart(starts[1], OrderStatus::NoAnswer);
+    const Duration timeout = bench.m_scheduler.m_options.m_gangTimeout;
+    const TimePoint begin = bench.m_now;
+    while (bench.task(0, 0).m_phase == RunPhase::Running && bench.m_now - begin < timeout * 2) {
+        for (const auto& start : bench.step({ 100 }).m_starts)
+            bench.answerStart(start, OrderStatus::NoAnswer);
+    }
+    BOOST_TEST((bench.task(0, 0).m_phase == RunPhase::Stopping));
+    BOOST_TEST((bench.m_now - begin < timeout));
+}
