--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -102,6 +102,7 @@
     TimePoint m_sentAt; ///< When it was first sent.
     TimePoint m_retryAt; ///< When it is repeated.
     std::uint32_t m_refusals = 0; ///< Clear refusals of it so far.
+    Duration m_lastTook; ///< How long the latest append took that was carried out.
 };
 
 /** Progress of a takeover. */
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -239,12 +239,13 @@
     /** @return Whether the store refuses the leader's records. */
     bool isWriterStuck(const CellNode& node)
     {
-        constexpr Duration longAppend { 800 };
-        constexpr Duration longSilence { 700 };
+        constexpr Duration longAppend { 600 };
+        constexpr Duration longSilence { 500 };
+        constexpr std::int64_t timesTheLast = 3; // A store that is slow but answers is no reason to hand over.
         constexpr std::uint32_t enoughRefusals = 3;
         if (!node.m_writer.m_append)
             return false;
-        const bool isSilent = node.m_now - node.m_writer.m_sentAt > longAppend && node.m_now - node.m_storeHeardAt > longSilence;
+        const bool isSilent = node.m_now - node.m_writer.m_sentAt > std::max(longAppend, node.m_writer.m_lastTook * timesTheLast) && node.m_now - node.m_storeHeardAt > longSilence;
         return isSilent || node.m_writer.m_refusals >= enoughRefusals;
     }
 
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -151,6 +151,7 @@
             writer.m_retryAt = node.m_now + appendRetry;
             return;
         }
+        writer.m_lastTook = node.m_now - writer.m_sentAt;
         writer.m_append.reset();
         if (writer.m_rest.empty())
             scheduler::onRecorded(*node.m_scheduler, writer.m_batch, node.m_now);
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -247,11 +247,34 @@
         }
     }
 
+    /** @return Whether the workers that may run a gang could hold all of it if they were empty. */
+    bool couldHoldAll(const Scheduler& scheduler, const StepRun& run, std::uint32_t tasks, bool needsTicket, const Choice& choice)
+    {
+        std::int64_t room = 0;
+        const Resources size = grantOf(run);
+        for (const WorkerIndex index : choice.m_fitting) {
+            if (needsTicket && !run.m_approval.m_approved.contains(index))
+                continue;
+            const Resources& whole = scheduler.m_workers[static_cast<std::size_t>(index)].m_notice.m_capacity;
+            std::int64_t here = tasks;
+            if (size.m_cpuMilli > 0)
+                here = std::min(here, whole.m_cpuMilli / size.m_cpuMilli);
+            if (size.m_memoryMb > 0)
+                here = std::min(here, whole.m_memoryMb / size.m_memoryMb);
+            if (size.m_gpus > 0)
+                here = std::min(here, whole.m_gpus / size.m_gpus);
+            room += here;
+        }
+        return room >= tasks;
+    }
+
     /** A blocked step of large tasks keeps the workers that are closest to having room for it. */
     void reserveFor(const Scheduler& scheduler, StepRun& run, std::uint32_t tasks, bool needsTicket, const Choice& choice, PlacementPass& pass)
     {
         const StepPlan& plan = planOf(run);
-        constexpr Duration longestReservation { 12'000 }; ///< What can't be placed by then must not keep others from running.
+        constexpr Duration longestReservation { 30'000 }; ///< What can't be placed by then must not keep others from running.
+        if (plan.m_isGang && !couldHoldAll(scheduler, run, tasks, needsTicket, choice))
+            return;
         if (run.m_reservingSince.m_ms == 0)
             run.m_reservingSince = pass.m_now;
         if (pass.m_now - run.m_reservingSince > longestReservation)
