--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -145,6 +145,14 @@
     std::function<void(WriteOutcome)> m_onEnd; ///< Called once.
 };
 
+/** Group commit of submissions and cancellations that the leader did not take. */
+struct DirectWriter {
+    std::vector<std::shared_ptr<PendingWrite>> m_queue; ///< Waiting for the next append.
+    std::uint32_t m_out = 0; ///< Appends that are unanswered.
+    TimePoint m_sentAt; ///< When the latest was sent.
+    Duration m_lastTook; ///< How long the latest answered append took.
+};
+
 /** A query of a job that has not ended; its answer waits a little for the end. */
 struct StageWaiter {
     std::string m_job; ///< Id of the job.
@@ -211,6 +219,7 @@
     TimePoint m_terminatingSince; ///< When.
     TimePoint m_nextHandOverAt; ///< When the next successor is asked.
     std::vector<std::string> m_askedSuccessors; ///< The latest ones asked.
+    DirectWriter m_direct; ///< Writes to the topic of jobs.
     std::vector<LaterCall> m_laterCalls; ///< Tries that are repeated later.
     CellCounters m_counters; ///< For metrics.
 };
--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -256,6 +256,10 @@
 
         constexpr Duration ownTryTimeout { 600 };
         constexpr Duration relayTryTimeout { 700 };
+        constexpr Duration longestTryTimeout { 2'500 };
+        constexpr Duration nextAppendAfter { 250 }; ///< A silent append does not hold up later ones for longer.
+        constexpr std::uint32_t mostAppendsOut = 3;
+        constexpr std::size_t mostWritesTogether = 64;
         constexpr Duration tryPause { 60 };
         constexpr std::uint32_t refusedTries = 3; ///< After so many clear refusals the caller is told to come back.
 
@@ -295,16 +299,43 @@
             const bool isOwnTurn = node.m_isStoreReached ? turn % 2 == 0 : turn % 4 == 3;
             if (!isOwnTurn && !relays.empty())
                 return relayWrite(node, write, *relays[(turn / 2) % relays.size()]);
-            ++node.m_counters.m_appends;
-            const StoreAppend append { .m_partition = { .m_topic = node.m_options.m_topics.m_jobs }, .m_records = write->m_records, .m_writer = {}, .m_expectedEnd = {} };
-            node.m_ports.m_append(append, std::min(ownTryTimeout, write->m_deadline - node.m_now), [&node, write](const AppendAnswer& answer) {
-                noteStore(node, answer.m_status == StoreStatus::Done);
-                endTry(node, write, answer.m_status);
-            });
+            node.m_direct.m_queue.push_back(write);
+        }
+
+        /** @return How long an append may take: a slow store is waited for, as repeats would make it slower still. */
+        Duration directTimeout(const CellNode& node)
+        {
+            constexpr std::int64_t timesTheLast = 4;
+            return std::clamp(node.m_direct.m_lastTook * timesTheLast, ownTryTimeout, longestTryTimeout);
         }
 
     } // namespace
 
+    void stepDirect(CellNode& node)
+    {
+        DirectWriter& direct = node.m_direct;
+        const bool mustWait = direct.m_out >= mostAppendsOut || (direct.m_out > 0 && node.m_now - direct.m_sentAt < nextAppendAfter);
+        if (direct.m_queue.empty() || mustWait)
+            return;
+        const std::size_t count = std::min(direct.m_queue.size(), mostWritesTogether);
+        const std::vector<std::shared_ptr<PendingWrite>> writes(direct.m_queue.begin(), direct.m_queue.begin() + static_cast<std::ptrdiff_t>(count));
+        direct.m_queue.erase(direct.m_queue.begin(), direct.m_queue.begin() + static_cast<std::ptrdiff_t>(count));
+        StoreAppend append { .m_partition = { .m_topic = node.m_options.m_topics.m_jobs }, .m_records = {}, .m_writer = {}, .m_expectedEnd = {} };
+        for (const auto& write : writes)
+            append.m_records.insert(append.m_records.end(), write->m_records.begin(), write->m_records.end());
+        ++direct.m_out;
+        direct.m_sentAt = node.m_now;
+        ++node.m_counters.m_appends;
+        node.m_ports.m_append(append, directTimeout(node), [&node, writes, sentAt = node.m_now](const AppendAnswer& answer) {
+            --node.m_direct.m_out;
+            if (answer.m_status == StoreStatus::Done)
+                node.m_direct.m_lastTook = node.m_now - sentAt;
+            noteStore(node, answer.m_status == StoreStatus::Done);
+            for (const auto& write : writes)
+                endTry(node, write, answer.m_status);
+        });
+    }
+
     std::vector<PeerState*> relayOrder(CellNode& node)
     {
         std::vector<PeerState*> order;
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -50,6 +50,9 @@
 /** Writes records to the topic of jobs, by the store or through peers, until the deadline. */
 void writeJobs(CellNode& node, PendingWrite write);
 
+/** Appends the queued submissions and cancellations together. */
+void stepDirect(CellNode& node);
+
 /** @return Peers in the order in which they are asked to relay. */
 std::vector<PeerState*> relayOrder(CellNode& node);
 
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -434,6 +434,7 @@
     detail::stepLoading(node);
     detail::stepScheduler(node);
     detail::stepWriter(node);
+    detail::stepDirect(node);
     detail::answerStages(node);
 }
 
