--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -62,6 +62,8 @@
     std::uint16_t m_tries = 0; ///< Calls of the present phase.
     std::uint32_t m_attempt = 0; ///< Number of the newest attempt.
     WorkerIndex m_worker = noWorker; ///< Worker of the present attempt.
+    WorkerIndex m_lastWorker = noWorker; ///< Worker of the latest attempt that was lost or left.
+    std::uint32_t m_lastAttempt = 0; ///< That attempt.
     std::uint64_t m_batch = 0; ///< Record batch that must be confirmed before the start.
     TimePoint m_placedAt; ///< When the present attempt was placed.
     TimePoint m_confirmedAt; ///< When the worker confirmed it, or took the stop.
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -63,8 +63,12 @@
         if (--run.m_onWorker[task.m_worker] == 0)
             run.m_onWorker.erase(task.m_worker);
         --run.m_openRuns;
-        if (task.m_phase == RunPhase::Recording)
+        if (task.m_phase == RunPhase::Recording) {
             std::erase(scheduler.m_recording, ref);
+        } else {
+            task.m_lastWorker = task.m_worker;
+            task.m_lastAttempt = task.m_attempt;
+        }
         if (task.m_phase == RunPhase::Starting || task.m_phase == RunPhase::Stopping)
             std::erase(scheduler.m_calls, ref);
         task.m_phase = RunPhase::None;
@@ -154,6 +158,24 @@
             returnTask(scheduler, ref, cause, now);
     }
 
+    /** A worker that was given up has come back: what it finished need not run again if nothing has started since. */
+    void takePastEnd(Scheduler& scheduler, const TaskRef& ref, WorkerIndex index, const EndedAttempt& ended, TimePoint now)
+    {
+        Task& task = ref.task();
+        const bool isUnstarted = task.m_phase == RunPhase::None || task.m_phase == RunPhase::Recording;
+        const bool isLatest = task.m_lastWorker == index && task.m_lastAttempt == ended.m_attempt && task.m_fate == TaskFate::Open;
+        const bool canStandAlone = !planOf(*ref.m_run).m_isLasting && !planOf(*ref.m_run).m_isGang;
+        if (!isUnstarted || !isLatest || !canStandAlone)
+            return;
+        if (ended.m_end == AttemptEnd::Done) {
+            logEvent(LogLevel::Info, "late-end-taken", { { "task", format(ended.m_task) }, { "attempt", ended.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(index)].m_notice.m_id } });
+            detachTask(scheduler, ref, now);
+            return finishTask(scheduler, ref, now);
+        }
+        if (!ended.m_checkpoint.empty())
+            task.m_checkpoint = ended.m_checkpoint;
+    }
+
     void takeEnd(Scheduler& scheduler, WorkerIndex index, const EndedAttempt& ended, TimePoint now)
     {
         const TaskRef ref = findTask(scheduler, ended.m_task);
@@ -162,7 +184,7 @@
         Task& task = ref.task();
         const bool isPresent = task.m_worker == index && task.m_attempt == ended.m_attempt && task.m_phase != RunPhase::None && task.m_phase != RunPhase::Recording;
         if (!isPresent)
-            return;
+            return takePastEnd(scheduler, ref, index, ended, now);
         if (!ended.m_checkpoint.empty())
             task.m_checkpoint = ended.m_checkpoint;
         if (task.m_phase == RunPhase::Starting)
--- /dev/null
+++ b/tests/cell_soak_test.cpp
@@ -0,0 +1,58 @@
+/** @file cell_soak_test.cpp Worlds of a cell with random faults; CELL_SEED replays one, CELL_WORLDS sets how many. */
+#define BOOST_TEST_MODULE cell_soak
+#include <boost/test/unit_test.hpp>
+
+#include "cell_world.h"
+#include "core/log_func.h"
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace bulrushloft;
+using namespace bulrushloft::test;
+
+namespace {
+
+constexpr std::uint64_t usualWorlds = 25;
+constexpr std::uint64_t firstSeed = 20261204;
+
+std::uint64_t fromEnvironment(const char* name, std::uint64_t fallback)
+{
+    const char* const text = std::getenv(name);
+    return text ? std::strtoull(text, nullptr, 10) : fallback;
+}
+
+void runWorlds(std::uint64_t seed, std::uint64_t count, CellWorldOptions options)
+{
+    openLog({ .m_level = std::getenv("CELL_LOG") ? LogLevel::Info : LogLevel::Off, .m_process = "cell" });
+    std::uint64_t runs = 0;
+    std::uint64_t terms = 0;
+    int accepted = 0;
+    for (std::uint64_t i = 0; i < count; ++i) {
+        options.m_seed = seed + i;
+        const CellWorldResult result = runCellWorld(options);
+        runs += result.m_runs;
+        terms += result.m_terms;
+        accepted += result.m_accepted;
+        for (const std::string& violation : result.m_violations)
+            BOOST_ERROR("CELL_SEED=" << options.m_seed << " CELL_WORLDS=1: " << violation);
+    }
+    std::cout << count << " worlds from seed " << seed << ": " << accepted << " jobs accepted, " << runs << " attempts, " << terms << " terms\n";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(promises_hold_under_random_faults)
+{
+    runWorlds(fromEnvironment("CELL_SEED", firstSeed), fromEnvironment("CELL_WORLDS", usualWorlds), {});
+}
+
+BOOST_AUTO_TEST_CASE(a_quiet_world_completes_all)
+{
+    CellWorldOptions options { .m_seed = 1, .m_nodes = 3, .m_workers = 6, .m_jobs = 40, .m_faults = 0, .m_lateOrders = 0 };
+    options.m_quiet = { 15'000 };
+    const CellWorldResult result = runCellWorld(options);
+    BOOST_TEST(result.m_violations.empty());
+    BOOST_TEST(result.m_accepted == 40);
+    BOOST_TEST(result.m_terms == 1U);
+}
--- /dev/null
+++ b/tests/fakes/fake_store.h
@@ -0,0 +1,95 @@
+/** @file fake_store.h The metadata store in memory: keyed topics, fenced writers, conditional appends. */
+#pragma once
+
+#include "connection/store_type.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+namespace bulrushloft::test {
+
+/** Answers as the store's pages say; the caller adds delays and losses. */
+class FakeStore {
+public:
+    AppendAnswer append(const StoreAppend& append)
+    {
+        Topic& topic = m_topics[append.m_partition.m_topic];
+        if (append.m_writer) {
+            Writer& writer = topic.m_writers[append.m_writer->m_name];
+            if (append.m_writer->m_epoch < writer.m_epoch)
+                return { .m_status = StoreStatus::Fenced, .m_offset = 0, .m_end = topic.end() };
+            if (append.m_writer->m_epoch == writer.m_epoch && append.m_writer->m_sequence == writer.m_sequence && writer.m_epoch > 0)
+                return writer.m_last;
+            if (append.m_writer->m_epoch == writer.m_epoch && append.m_writer->m_sequence != writer.m_sequence + 1)
+                return { .m_status = StoreStatus::OutOfSequence, .m_offset = 0, .m_end = topic.end() };
+        }
+        if (append.m_expectedEnd && *append.m_expectedEnd != topic.end())
+            return { .m_status = StoreStatus::EndMoved, .m_offset = 0, .m_end = topic.end() };
+        AppendAnswer answer { .m_status = StoreStatus::Done, .m_offset = topic.end() };
+        for (KeyedRecord record : append.m_records) {
+            record.m_offset = topic.end();
+            topic.m_records.push_back(record);
+            if (record.m_value.empty())
+                topic.m_newest.erase(record.m_key);
+            else
+                topic.m_newest[record.m_key] = record;
+        }
+        answer.m_end = topic.end();
+        if (append.m_writer)
+            topic.m_writers[append.m_writer->m_name] = { append.m_writer->m_epoch, append.m_writer->m_sequence, answer };
+        return answer;
+    }
+
+    ReadAnswer read(const StoreRead& read)
+    {
+        Topic& topic = m_topics[read.m_partition.m_topic];
+        if (read.m_from < topic.m_first)
+            return { .m_status = StoreStatus::Expired, .m_end = topic.end() };
+        ReadAnswer answer { .m_status = StoreStatus::Done, .m_end = topic.end() };
+        for (std::uint64_t offset = read.m_from; offset < topic.end(); ++offset)
+            answer.m_records.push_back(topic.m_records[offset - topic.m_first]);
+        return answer;
+    }
+
+    NewestAnswer newest(const StoreNewest& newest)
+    {
+        constexpr std::size_t pageSize = 50;
+        Topic& topic = m_topics[newest.m_partition.m_topic];
+        NewestAnswer answer { .m_status = StoreStatus::Done, .m_records = {}, .m_hasMore = false, .m_end = topic.end() };
+        auto row = newest.m_after.empty() ? topic.m_newest.begin() : topic.m_newest.upper_bound(newest.m_after);
+        for (; row != topic.m_newest.end() && answer.m_records.size() < pageSize; ++row)
+            answer.m_records.push_back(row->second);
+        answer.m_hasMore = row != topic.m_newest.end();
+        return answer;
+    }
+
+    /** Deletes the history; the newest record of each key stays. */
+    void forgetHistory()
+    {
+        for (auto& [name, topic] : m_topics) {
+            topic.m_first = topic.end();
+            topic.m_records.clear();
+        }
+    }
+
+private:
+    struct Writer {
+        std::uint64_t m_epoch = 0;
+        std::uint64_t m_sequence = 0;
+        AppendAnswer m_last;
+    };
+
+    struct Topic {
+        std::uint64_t m_first = 0;
+        std::vector<KeyedRecord> m_records;
+        std::map<std::string, KeyedRecord> m_newest;
+        std::map<std::string, Writer> m_writers;
+
+        std::uint64_t end() const { return m_first + m_records.size(); }
+    };
+
+    std::map<std::string, Topic> m_topics;
+};
+
+} // namespace bulrushloft::test
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -425,3 +425,18 @@
     BOOST_TEST((bench.task(0, 0).m_phase == RunPhase::Stopping));
     BOOST_TEST((bench.m_now - begin < timeout));
 }
+
+BOOST_AUTO_TEST_CASE(what_a_returning_worker_has_finished_does_not_run_again)
+{
+    Bench bench;
+    bench.adopt("w1");
+    acceptJob(bench.m_scheduler, makePlan({ makeStep(1) }), bench.m_now);
+    bench.step();
+    bench.record();
+    const auto start = bench.step().m_starts.at(0);
+    bench.answerStart(start, OrderStatus::Done);
+    detail::loseTasks(bench.m_scheduler, 0, "its lease has run out", bench.m_now);
+    bench.answerSync("w1", { .m_clockMs = 90'000, .m_bornMs = 0, .m_running = {}, .m_ended = { endedOf(start, 1, AttemptEnd::Done) } });
+    bench.record();
+    BOOST_TEST((findStage(bench.m_scheduler, jobId) == JobStage::Complete));
+}
