--- a/src/platform/job_codec.cpp
+++ b/src/platform/job_codec.cpp
@@ -42,6 +42,8 @@
 
     StepPlan stepFrom(const Json& row)
     {
+        if (!row.is_object())
+            throw std::invalid_argument("a step is not an object");
         StepPlan step { .m_count = readCount(row, "count", 0),
             .m_size = { .m_cpuMilli = readInt(row, "cpu"), .m_memoryMb = readInt(row, "mem_mb"), .m_gpus = readInt(row, "gpu") },
             .m_estimate = { readInt(row, "estimated_ms") },
@@ -81,7 +83,7 @@
         const Json whole = Json::parse(body);
         JobPlan plan;
         plan.m_payload = readText(whole, "spec");
-        for (const Json& row : whole.at("steps"))
+        for (const Json& row : whole.at("steps").get_ref<const Json::array_t&>())
             plan.m_steps.push_back(stepFrom(row));
         plan.m_repeats = readCount(whole, "repeat_count", 0);
         plan.m_firstDue = { readInt(whole, "start_at_ms") };
--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -94,8 +94,8 @@
         node.m_counters.m_refusals += status == StoreStatus::NotDone ? 1 : 0;
         node.m_counters.m_unknowns += reply.m_status == ClientStatus::Unknown ? 1 : 0;
         logEvent(LogLevel::Info, "client-write", { { "job", job }, { "outcome", status == StoreStatus::Done ? "stored" : status == StoreStatus::NotDone ? "refused"
-                                                                                                                                                      : "unknown" },
-                                                      { "is_cancel", whenDone == ClientStatus::Cancelled }, { "took_ms", (node.m_now - arrivedAt).m_ms }, { "config", node.m_cluster->m_version } });
+                                                                                                                                                        : "unknown" },
+                                                     { "is_cancel", whenDone == ClientStatus::Cancelled }, { "took_ms", (node.m_now - arrivedAt).m_ms }, { "config", node.m_cluster->m_version } });
         respond(reply);
     }
 
@@ -355,7 +355,7 @@
 
 } // namespace detail
 
-void onClientCall(CellNode& node, const ClientCall& call, ClientResponder respond)
+void onClientCall(CellNode& node, const ClientCall& call, const ClientResponder& respond)
 {
     if (!node.m_cluster) {
         ++node.m_counters.m_refusals;
@@ -374,7 +374,7 @@
     respond({ .m_status = ClientStatus::Invalid, .m_text = "this path takes POST, GET and DELETE of a job's id, and GET of the queue" });
 }
 
-void onPeerMessage(CellNode& node, const PeerMessage& message, std::function<void(PeerReply)> respond)
+void onPeerMessage(CellNode& node, const PeerMessage& message, const std::function<void(PeerReply)>& respond)
 {
     if (const auto* const heartbeat = std::get_if<PeerHeartbeat>(&message))
         return respond(answerHeartbeat(node, *heartbeat));
--- a/src/process/cell/cell_daemon.cpp
+++ b/src/process/cell/cell_daemon.cpp
@@ -63,7 +63,7 @@
     void run();
     void onClient(const HttpRequest& request, const HttpResponder& respond);
     void onPeer(const HttpRequest& request, const HttpResponder& respond);
-    void onReadiness(const HttpRequest& request, const HttpResponder& respond);
+    void onReadiness(const HttpRequest& request, const HttpResponder& respond) const;
     void onMetrics(const HttpRequest& request, const HttpResponder& respond);
     void callPeer(const Address& address, const PeerMessage& message, Duration timeout, std::function<void(std::optional<PeerReply>)> onReply);
 
@@ -167,7 +167,7 @@
     });
 }
 
-void CellDaemon::Impl::onReadiness(const HttpRequest& request, const HttpResponder& respond)
+void CellDaemon::Impl::onReadiness(const HttpRequest& request, const HttpResponder& respond) const
 {
     if (!platform::isReadinessRequest(request))
         return respond(plainResponse(404, "ask for readiness here"));
--- a/src/process/cell/cell_func.h
+++ b/src/process/cell/cell_func.h
@@ -16,10 +16,10 @@
 void stepCell(CellNode& node, TimePoint now, TimePoint bootNow);
 
 /** Takes a client's call; the reply may come at once or later. */
-void onClientCall(CellNode& node, const ClientCall& call, ClientResponder respond);
+void onClientCall(CellNode& node, const ClientCall& call, const ClientResponder& respond);
 
 /** Takes a peer's message; the reply may come at once or later. */
-void onPeerMessage(CellNode& node, const PeerMessage& message, std::function<void(PeerReply)> respond);
+void onPeerMessage(CellNode& node, const PeerMessage& message, const std::function<void(PeerReply)>& respond);
 
 /** SIGTERM has come: the leadership is handed over, clients are still served. */
 void beginTermination(CellNode& node);
--- a/tests/cell_world.cpp
+++ b/tests/cell_world.cpp
@@ -286,7 +286,8 @@
             };
             // A wait at the worker is played as a pause before the call.
             at(sync.m_order.m_wait.m_ms / 10, [order, sync, timeout, onAnswer, report, perform] {
-                order(sync.m_to, timeout, [onAnswer, report](OrderStatus status) { onAnswer(status, *report); }, perform);
+                order(
+                    sync.m_to, timeout, [onAnswer, report](OrderStatus status) { onAnswer(status, *report); }, perform);
             });
         };
         ports.m_askApprovals = [](const TaskName&, const std::vector<std::string>&, Duration, const std::function<void(std::optional<std::vector<Approval>>)>& onAnswer) { onAnswer(std::nullopt); };
