--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -216,7 +216,6 @@
     std::uint64_t m_term = 0; ///< Token of the term of m_scheduler; answers of earlier terms are dropped.
 
     bool m_isTerminating = false; ///< SIGTERM has come.
-    TimePoint m_terminatingSince; ///< When.
     TimePoint m_nextHandOverAt; ///< When the next successor is asked.
     std::vector<std::string> m_askedSuccessors; ///< The latest ones asked.
     DirectWriter m_direct; ///< Writes to the topic of jobs.
--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -399,7 +399,6 @@
 void beginTermination(CellNode& node)
 {
     node.m_isTerminating = true;
-    node.m_terminatingSince = node.m_now;
     logEvent(LogLevel::Info, "terminating", { { "is_leading", node.m_role == Role::Leading }, { "token", node.m_leader.m_token } });
 }
 
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -9,11 +9,6 @@
 
 namespace {
 
-    constexpr Duration firstStartTimeout { 180 }; ///< Lost orders are repeated soon; a repeat of the same attempt does no harm.
-    constexpr Duration startTimeout { 450 };
-    constexpr Duration stopTimeout { 800 };
-    constexpr Duration paceTimeout { 800 };
-    constexpr Duration syncMargin { 600 };
     constexpr Duration askTimeout { 2'500 };
     constexpr Duration appendTimeout { 800 };
     constexpr Duration appendRetry { 100 };
@@ -30,7 +25,7 @@
     void sendSync(CellNode& node, const scheduler::Sent<SyncOrder>& sync)
     {
         const TimePoint sentAt = node.m_now;
-        node.m_ports.m_sync(sync, sync.m_order.m_wait + syncMargin, [&node, sentAt, term = node.m_term, id = sync.m_to.m_worker](OrderStatus status, const SyncReport& report) {
+        node.m_ports.m_sync(sync, sync.m_timeout, [&node, sentAt, term = node.m_term, id = sync.m_to.m_worker](OrderStatus status, const SyncReport& report) {
             if (!isPresentTerm(node, term))
                 return;
             scheduler::SchedulerEffects effects;
@@ -41,7 +36,7 @@
 
     void sendStart(CellNode& node, const scheduler::Sent<StartOrder>& start)
     {
-        node.m_ports.m_start(start, start.m_isRepeat ? startTimeout : firstStartTimeout, [&node, term = node.m_term, id = start.m_to.m_worker, task = start.m_order.m_task, attempt = start.m_order.m_attempt](OrderStatus status) {
+        node.m_ports.m_start(start, start.m_timeout, [&node, term = node.m_term, id = start.m_to.m_worker, task = start.m_order.m_task, attempt = start.m_order.m_attempt](OrderStatus status) {
             if (!isPresentTerm(node, term))
                 return;
             scheduler::SchedulerEffects effects;
@@ -52,7 +47,7 @@
 
     void sendStop(CellNode& node, const scheduler::Sent<StopOrder>& stop)
     {
-        node.m_ports.m_stop(stop, stopTimeout, [&node, term = node.m_term, id = stop.m_to.m_worker, task = stop.m_order.m_task, attempt = stop.m_order.m_attempt](OrderStatus status) {
+        node.m_ports.m_stop(stop, stop.m_timeout, [&node, term = node.m_term, id = stop.m_to.m_worker, task = stop.m_order.m_task, attempt = stop.m_order.m_attempt](OrderStatus status) {
             if (!isPresentTerm(node, term))
                 return;
             scheduler::SchedulerEffects effects;
@@ -94,7 +89,7 @@
         for (const auto& ask : effects.m_asks)
             sendAsk(node, ask);
         for (const auto& pace : effects.m_paces)
-            node.m_ports.m_pace(pace, paceTimeout, [](OrderStatus) { /* The next look tells whether it had an effect. */ });
+            node.m_ports.m_pace(pace, pace.m_timeout, [](OrderStatus) { /* The next look tells whether it had an effect. */ });
     }
 
     void afterAnswer(CellNode& node, const scheduler::SchedulerEffects& effects)
--- a/src/process/cell/cell_startup.cpp
+++ b/src/process/cell/cell_startup.cpp
@@ -14,7 +14,6 @@
         scheduler::SchedulerOptions& options = settings.m_scheduler;
         options.m_longestLease.m_ms = times.integer("longest_lease_ms", options.m_longestLease.m_ms, 1'000, dayMs, "ms");
         options.m_lease.m_ms = std::min(times.integer("lease_ms", options.m_lease.m_ms, 1'000, dayMs, "ms"), options.m_longestLease.m_ms);
-        options.m_stopLimit.m_ms = times.integer("stop_limit_ms", options.m_stopLimit.m_ms, 0, dayMs, "ms");
         options.m_gangTimeout.m_ms = times.integer("gang_timeout_ms", options.m_gangTimeout.m_ms, 1, dayMs, "ms");
         options.m_memory.m_ms = times.integer("job_memory_s", options.m_memory.m_ms / 1'000, 1, dayMs / 1'000, "s") * 1'000;
         options.m_remoteFactor = times.number("remote_factor", options.m_remoteFactor, 1, 1'000, "times");
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -24,7 +24,6 @@
     Duration m_lease { 5'000 }; ///< Length of the leases that workers get.
     Duration m_longestLease { 6'000 }; ///< Workers shorten longer leases to this.
     Duration m_formerGrace { 3'000 }; ///< How long an isolated former leader may go on renewing leases.
-    Duration m_stopLimit { 1'000 }; ///< Longest time that a stop takes.
     Duration m_gangTimeout { 3'000 }; ///< Longest wait of a gang's member for the others.
     Duration m_syncWait { 1'000 }; ///< How long a sync waits at the worker for an end.
     Duration m_memory { 150'000 }; ///< How long ended jobs are remembered.
@@ -103,7 +102,6 @@
     std::uint32_t m_lastFailedAttempt = 0; ///< The latest attempt of a gang that was counted as failed.
     TimePoint m_reservingSince; ///< Since when workers are kept for it; 0 for never.
     bool m_isWaiting = false; ///< Is in the list of steps that may have tasks to place.
-    TimePoint m_releasedAt; ///< When it became due.
     ApprovalState m_approval; ///< Approvals, when the queue asks for them.
     std::vector<Task> m_tasks; ///< One a task.
     std::unordered_map<WorkerIndex, std::uint32_t> m_onWorker; ///< Attempts by worker, for the limit for each worker.
@@ -129,7 +127,6 @@
     JobPlan m_plan; ///< What the caller asked for.
     JobStage m_stage = JobStage::Pending; ///< Where it stands.
     std::uint64_t m_stageBatch = 0; ///< Record batch that makes a final stage durable.
-    bool m_isStageDurable = false; ///< Whether a final stage is recorded.
     bool m_isDirty = false; ///< Changes are not in a batch yet.
     std::string m_planRecord; ///< The plan as it is to be recorded; empty when it is, or will be elsewhere.
     std::uint64_t m_planBatch = 0; ///< Record batch that makes the plan durable; 0 when it is stored elsewhere.
@@ -190,7 +187,6 @@
     std::int64_t m_leaseUntilMs = 0; ///< The latest lease deadline that may have reached it.
     TimePoint m_lapseAt = farFuture; ///< Bound of the leases of earlier terms, on our clock.
     bool m_isSyncOut = false; ///< A sync is unanswered.
-    TimePoint m_syncSentAt; ///< When it was sent.
     TimePoint m_nextSyncAt; ///< When the next one is due.
     TimePoint m_answeredAt; ///< When it last answered.
     std::uint32_t m_unanswered = 0; ///< Calls in a row without an answer.
@@ -212,7 +208,7 @@
 struct Sent {
     OrderTarget m_to; ///< Which worker.
     Order m_order; ///< What.
-    bool m_isRepeat = false; ///< An earlier call of the same order had no answer.
+    Duration m_timeout { 800 }; ///< Without an answer by then the order counts as unanswered.
 };
 
 /** A call for approvals. */
@@ -275,6 +271,7 @@
     std::uint64_t m_confirmedBatch = 0; ///< The newest batch that is durable.
     std::vector<Advisor> m_advisors; ///< VMs that can ask for approvals.
     std::unordered_map<std::string, std::uint32_t> m_pendingCounts; ///< Accepted jobs without a start, by queue.
+    TimePoint m_lossyUntil; ///< Orders get lost on the way to workers that are well.
     TimePoint m_nextWatchAt; ///< When progress is looked at again.
     TimePoint m_nextPacingAt; ///< When pacing is looked at again.
     bool m_needsPlacing = false; ///< Something has changed for placement.
--- a/src/process/scheduler/scheduler_detail.h
+++ b/src/process/scheduler/scheduler_detail.h
@@ -39,7 +39,7 @@
 void failTask(Scheduler& scheduler, const TaskRef& ref, TimePoint now);
 
 /** Gives a task an attempt on a worker. */
-void placeTask(Scheduler& scheduler, const TaskRef& ref, WorkerIndex worker, std::string ticket, TimePoint now);
+void placeTask(Scheduler& scheduler, const TaskRef& ref, WorkerIndex index, std::string ticket, TimePoint now);
 
 /** The present attempt is known to be nowhere; its room is free. */
 void detachTask(Scheduler& scheduler, const TaskRef& ref, TimePoint now);
@@ -48,7 +48,7 @@
 void stopTask(Scheduler& scheduler, const TaskRef& ref, TimePoint now);
 
 /** The process of a worker has ended or its lease has run out: all its attempts are lost. */
-void loseTasks(Scheduler& scheduler, WorkerIndex worker, std::string_view cause, TimePoint now);
+void loseTasks(Scheduler& scheduler, WorkerIndex index, std::string_view cause, TimePoint now);
 
 /** @return The lease deadline to send, on the worker's clock; 0 when its clock is not known. */
 std::int64_t leaseDeadline(const Scheduler& scheduler, const Worker& worker, TimePoint now);
@@ -56,7 +56,7 @@
 OrderTarget targetOf(const Scheduler& scheduler, const Worker& worker);
 
 /** Counts an answer or its absence. */
-void noteContact(Scheduler& scheduler, WorkerIndex worker, bool hasAnswered, TimePoint now);
+void noteContact(Scheduler& scheduler, WorkerIndex index, bool hasAnswered, TimePoint now);
 
 /** Calls that are due: starts, stops, syncs; leases that have run out. */
 void stepCalls(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects);
@@ -88,6 +88,9 @@
 /** @return Expected run time of a step and of the longest chain that depends on it. */
 Duration expectChainFrom(const Scheduler& scheduler, const Job& job, std::uint32_t step);
 
+/** @return Expected run time of the longest chain of the job. */
+Duration expectChain(const Scheduler& scheduler, const Job& job);
+
 /** Finds a task by its name, or an empty reference. */
 TaskRef findTask(Scheduler& scheduler, const TaskName& name);
 
--- a/src/process/scheduler/scheduler_func.h
+++ b/src/process/scheduler/scheduler_func.h
@@ -46,13 +46,13 @@
 void removeWorker(Scheduler& scheduler, const std::string& id, TimePoint now);
 
 /** Takes the answer to a sync. */
-void onSyncAnswer(Scheduler& scheduler, const std::string& worker, OrderStatus status, const SyncReport& report, TimePoint sentAt, TimePoint now, SchedulerEffects& effects);
+void onSyncAnswer(Scheduler& scheduler, const std::string& id, OrderStatus status, const SyncReport& report, TimePoint sentAt, TimePoint now, SchedulerEffects& effects);
 
-/** Takes the answer to a start; the worker's clock is 0 when it was not told. */
-void onStartAnswer(Scheduler& scheduler, const std::string& worker, const TaskName& task, std::uint32_t attempt, OrderStatus status, TimePoint now, SchedulerEffects& effects);
+/** Takes the answer to a start. */
+void onStartAnswer(Scheduler& scheduler, const std::string& worker, const TaskName& name, std::uint32_t attempt, OrderStatus status, TimePoint now, SchedulerEffects& effects);
 
 /** Takes the answer to a stop. */
-void onStopAnswer(Scheduler& scheduler, const std::string& worker, const TaskName& task, std::uint32_t attempt, OrderStatus status, TimePoint now, SchedulerEffects& effects);
+void onStopAnswer(Scheduler& scheduler, const std::string& worker, const TaskName& name, std::uint32_t attempt, OrderStatus status, TimePoint now, SchedulerEffects& effects);
 
 /** Takes the answer to a call for approvals; none when the call failed. */
 void onApprovals(Scheduler& scheduler, const ApprovalAsk& ask, const std::optional<std::vector<Approval>>& approvals, TimePoint now);
--- a/src/process/scheduler/scheduler_jobs.cpp
+++ b/src/process/scheduler/scheduler_jobs.cpp
@@ -84,7 +84,6 @@
             if (run->m_isReleased || !arePredecessorsDone(job, *run))
                 continue;
             run->m_isReleased = true;
-            run->m_releasedAt = now;
             for (Task& task : run->m_tasks)
                 task.m_waitingSince = now;
             markWaiting(scheduler, *run);
@@ -199,7 +198,7 @@
     constexpr Duration oldest { 3'600'000 };
     const TimePoint accepted = job.m_plan.m_submittedAt - scheduler.m_wallOffset;
     job.m_acceptedAt = std::clamp(accepted, now - oldest, now);
-    job.m_chain = estimateChain(job.m_plan, {});
+    job.m_chain = detail::expectChain(scheduler, job);
     scheduler.m_jobs.emplace(job.m_plan.m_id, std::move(owned));
     ++scheduler.m_pendingCounts[job.m_plan.m_queue];
     logEvent(LogLevel::Info, "job-accepted", { { "job", job.m_plan.m_id }, { "queue", job.m_plan.m_queue }, { "steps", job.m_plan.m_steps.size() }, { "age_ms", (now - job.m_acceptedAt).m_ms }, { "chain_ms", job.m_chain.m_ms } });
--- a/src/process/scheduler/scheduler_learning.cpp
+++ b/src/process/scheduler/scheduler_learning.cpp
@@ -74,16 +74,32 @@
     return { static_cast<std::int64_t>(std::exp(expected)) };
 }
 
+namespace {
+
+    /** @return By step: its expected run time and that of the longest chain that depends on it. */
+    std::vector<Duration> expectChains(const Scheduler& scheduler, const Job& job)
+    {
+        const auto& steps = job.m_plan.m_steps;
+        std::vector<Duration> longest(steps.size());
+        for (std::size_t i = steps.size(); i-- > 0;) {
+            longest[i] = longest[i] + expectRunTime(scheduler, job, static_cast<std::uint32_t>(i));
+            for (const std::uint32_t earlier : steps[i].m_after)
+                longest[earlier] = std::max(longest[earlier], longest[i]);
+        }
+        return longest;
+    }
+
+} // namespace
+
 Duration expectChainFrom(const Scheduler& scheduler, const Job& job, std::uint32_t step)
 {
-    const auto& steps = job.m_plan.m_steps;
-    std::vector<Duration> longest(steps.size());
-    for (std::size_t i = steps.size(); i-- > step;) {
-        longest[i] = longest[i] + expectRunTime(scheduler, job, static_cast<std::uint32_t>(i));
-        for (const std::uint32_t earlier : steps[i].m_after)
-            longest[earlier] = std::max(longest[earlier], longest[i]);
-    }
-    return longest[step];
+    return expectChains(scheduler, job)[step];
+}
+
+Duration expectChain(const Scheduler& scheduler, const Job& job)
+{
+    const std::vector<Duration> chains = expectChains(scheduler, job);
+    return *std::max_element(chains.begin(), chains.end());
 }
 
 } // namespace bulrushloft::scheduler::detail
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -58,9 +58,7 @@
     {
         const Job& job = *run.m_job;
         const QueueSettings& queue = queueOf(scheduler, job);
-        Duration chain;
-        for (std::uint32_t i = 0; i < job.m_plan.m_steps.size(); ++i)
-            chain = std::max(chain, job.m_plan.m_steps[i].m_after.empty() ? expectChainFrom(scheduler, job, i) : Duration {});
+        const Duration chain = expectChain(scheduler, job);
         const auto objectiveMs = static_cast<std::int64_t>(queue.m_slackFactor * static_cast<double>(chain.m_ms)) + queue.m_latencyTarget.m_ms;
         return urgencyOf({ .m_isLasting = planOf(run).m_isLasting,
                              .m_acceptedAt = dueTime(scheduler, run),
@@ -92,7 +90,7 @@
     {
         const Resources size = grantOf(run);
         const Resources free = freeOf(worker);
-        std::int64_t count = run.m_tasks.size();
+        auto count = static_cast<std::int64_t>(run.m_tasks.size());
         if (size.m_cpuMilli > 0)
             count = std::min(count, free.m_cpuMilli / size.m_cpuMilli);
         if (size.m_memoryMb > 0)
@@ -153,7 +151,7 @@
         cost += failingWeight * worker.m_health.m_failures / (1 + worker.m_health.m_successes);
         cost += interference(plan, worker);
         if (!plan.m_dataRack.empty() && plan.m_dataRack != worker.m_rack)
-            cost += remoteWeight;
+            cost += remoteWeight * (scheduler.m_options.m_remoteFactor - 1);
         if (std::find(task.m_failedOn.begin(), task.m_failedOn.end(), index) != task.m_failedOn.end())
             cost += failedThereWeight;
         if (const auto on = run.m_onWorker.find(index); plan.m_isLasting && on != run.m_onWorker.end())
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -12,7 +12,14 @@
 namespace {
 
     constexpr std::uint32_t unansweredUntilSilent = 2;
+    constexpr Duration firstRetry { 20 };
     constexpr Duration silentRetry { 150 };
+    constexpr Duration lossyFor { 5'000 }; ///< After a lost order, syncs are short for so long, so that ends are not seen late.
+    constexpr Duration lossySyncWait { 300 };
+    constexpr Duration lossySyncMargin { 250 };
+    constexpr Duration syncMargin { 600 }; ///< Beyond the wait at the worker.
+    constexpr Duration firstStartTimeout { 180 }; ///< Lost starts are repeated soon; a repeat of the same attempt does no harm.
+    constexpr Duration startTimeout { 450 };
     constexpr Duration goneRetry { 1'000 };
     constexpr double healthHalfLifeMs = 5'000;
     constexpr double failuresUntilHeldOut = 2.5;
@@ -67,13 +74,17 @@
     {
         Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
         if (hasAnswered) {
+            // A worker that answers again soon was well: its orders were lost on the way.
+            const bool wasLoss = worker.m_unanswered > 0 && worker.m_unanswered <= unansweredUntilSilent && worker.m_link == WorkerLink::Adopted;
+            if (wasLoss)
+                scheduler.m_lossyUntil = now + lossyFor;
             worker.m_unanswered = 0;
             worker.m_answeredAt = now;
             return;
         }
         ++worker.m_unanswered;
         if (!worker.m_isSyncOut)
-            worker.m_nextSyncAt = now + silentRetry;
+            worker.m_nextSyncAt = now + (worker.m_unanswered == 1 ? firstRetry : silentRetry);
         if (worker.m_link == WorkerLink::Adopted && worker.m_unanswered >= unansweredUntilSilent) {
             worker.m_link = WorkerLink::Silent;
             logEvent(LogLevel::Warning, "worker-silent", { { "worker", worker.m_notice.m_id }, { "unanswered", worker.m_unanswered }, { "tasks", worker.m_tasks.size() }, { "answered_ms_ago", (now - worker.m_answeredAt).m_ms } });
@@ -159,12 +170,12 @@
                 order.m_leaseUntilMs = deadline;
                 worker.m_leaseUntilMs = deadline;
             }
+            const bool isLossy = now < scheduler.m_lossyUntil;
             if (isHealthy && worker.m_pendingEnds.empty())
-                order.m_wait = scheduler.m_options.m_syncWait;
+                order.m_wait = isLossy ? lossySyncWait : scheduler.m_options.m_syncWait;
             worker.m_isSyncOut = true;
-            worker.m_syncSentAt = now;
             ++scheduler.m_counters.m_syncs;
-            effects.m_syncs.push_back({ targetOf(scheduler, worker), order });
+            effects.m_syncs.push_back({ targetOf(scheduler, worker), order, order.m_wait + (isLossy ? lossySyncMargin : syncMargin) });
         }
 
         void stepSync(Scheduler& scheduler, Worker& worker, TimePoint now, SchedulerEffects& effects)
@@ -186,7 +197,7 @@
             task.m_isCallOut = true;
             ++task.m_tries;
             ++scheduler.m_counters.m_starts;
-            effects.m_starts.push_back({ targetOf(scheduler, worker), { .m_task = nameOf(ref), .m_attempt = task.m_attempt, .m_payload = ref.m_run->m_job->m_plan.m_payload, .m_leaseUntilMs = deadline, .m_checkpoint = task.m_checkpoint, .m_ticket = task.m_ticket }, task.m_mayHaveArrived });
+            effects.m_starts.push_back({ targetOf(scheduler, worker), { .m_task = nameOf(ref), .m_attempt = task.m_attempt, .m_payload = ref.m_run->m_job->m_plan.m_payload, .m_leaseUntilMs = deadline, .m_checkpoint = task.m_checkpoint, .m_ticket = task.m_ticket }, task.m_mayHaveArrived ? startTimeout : firstStartTimeout });
         }
 
         void stepTaskCalls(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects)
--- a/src/request/plan.cpp
+++ b/src/request/plan.cpp
@@ -49,35 +49,6 @@
     return {};
 }
 
-Duration estimateChainFrom(const JobPlan& plan, std::uint32_t step, Duration delayPerStep)
-{
-    std::vector<Duration> longest(plan.m_steps.size());
-    Duration result;
-    for (std::size_t i = plan.m_steps.size(); i-- > step;) {
-        longest[i] = longest[i] + plan.m_steps[i].m_estimate + delayPerStep;
-        for (const std::uint32_t earlier : plan.m_steps[i].m_after)
-            longest[earlier] = std::max(longest[earlier], longest[i]);
-        if (i == step)
-            result = longest[i];
-    }
-    return result;
-}
-
-Duration estimateChain(const JobPlan& plan, Duration delayPerStep)
-{
-    Duration longest;
-    for (std::uint32_t i = 0; i < plan.m_steps.size(); ++i) {
-        if (plan.m_steps[i].m_after.empty())
-            longest = std::max(longest, estimateChainFrom(plan, i, delayPerStep));
-    }
-    return longest;
-}
-
-bool isLasting(const JobPlan& plan)
-{
-    return std::any_of(plan.m_steps.begin(), plan.m_steps.end(), [](const StepPlan& step) { return step.m_isLasting; });
-}
-
 std::string format(const TaskName& name)
 {
     return name.m_job + "." + std::to_string(name.m_occurrence) + "." + std::to_string(name.m_step) + "." + std::to_string(name.m_index);
--- a/tests/cell_world.cpp
+++ b/tests/cell_world.cpp
@@ -69,9 +69,9 @@
         FakeLeaseWorker* findWorker(const std::string& id);
         void makeWorker(int index);
         void announce(const FakeLeaseWorker& worker);
-        void submit(std::size_t job);
-        void cancel(std::size_t job, int tries);
-        void ask(std::size_t job);
+        void submit(std::size_t index);
+        void cancel(std::size_t index, int tries);
+        void ask(std::size_t index);
         void fault();
         void checkStart(const FakeLeaseWorker& worker, const TaskName& task, std::uint32_t attempt);
         void tick();
@@ -230,7 +230,7 @@
         ports.m_newest = [this, &node](const StoreNewest& newest, Duration timeout, std::function<void(NewestAnswer)> onAnswer) {
             callStore<NewestAnswer>(node, timeout, std::move(onAnswer), [this, newest] { return m_store.newest(newest); });
         };
-        ports.m_callPeer = [this, &node](const Address& address, const PeerMessage& message, Duration timeout, std::function<void(std::optional<PeerReply>)> onReply) {
+        ports.m_callPeer = [this, &node](const Address& address, const PeerMessage& message, Duration timeout, const std::function<void(std::optional<PeerReply>)>& onReply) {
             const auto alive = node.m_isAlive;
             WorldNode& peer = m_nodes[address.m_port];
             if (!peer.m_cell)
@@ -249,7 +249,7 @@
                     onReply(std::nullopt);
             });
         };
-        const auto order = [this, &node](const OrderTarget& to, Duration timeout, std::function<void(OrderStatus)> onAnswer, std::function<OrderStatus(FakeLeaseWorker&)> perform) {
+        const auto order = [this, &node](const OrderTarget& to, Duration timeout, const std::function<void(OrderStatus)>& onAnswer, const std::function<OrderStatus(FakeLeaseWorker&)>& perform) {
             FakeLeaseWorker* const worker = findWorker(to.m_worker);
             const auto alive = node.m_isAlive;
             if (worker->m_isDown)
@@ -270,14 +270,14 @@
                 answer(node, alive, 1, [onAnswer, status] { onAnswer(status); });
             });
         };
-        ports.m_start = [this, order](const Sent<StartOrder>& start, Duration timeout, std::function<void(OrderStatus)> onAnswer) {
-            order(start.m_to, timeout, std::move(onAnswer), [this, start](FakeLeaseWorker& worker) { return worker.start(start.m_order, start.m_to.m_token, random(200, 1'500), m_now); });
+        ports.m_start = [this, order](const Sent<StartOrder>& start, Duration timeout, const std::function<void(OrderStatus)>& onAnswer) {
+            order(start.m_to, timeout, onAnswer, [this, start](FakeLeaseWorker& worker) { return worker.start(start.m_order, start.m_to.m_token, random(200, 1'500), m_now); });
         };
-        ports.m_stop = [order](const Sent<StopOrder>& stop, Duration timeout, std::function<void(OrderStatus)> onAnswer) {
-            order(stop.m_to, timeout, std::move(onAnswer), [stop](FakeLeaseWorker& worker) { return worker.stop(stop.m_order, stop.m_to.m_token); });
+        ports.m_stop = [order](const Sent<StopOrder>& stop, Duration timeout, const std::function<void(OrderStatus)>& onAnswer) {
+            order(stop.m_to, timeout, onAnswer, [stop](FakeLeaseWorker& worker) { return worker.stop(stop.m_order, stop.m_to.m_token); });
         };
         ports.m_pace = [](const Sent<PaceOrder>&, Duration, const std::function<void(OrderStatus)>&) {};
-        ports.m_sync = [this, order](const Sent<SyncOrder>& sync, Duration timeout, std::function<void(OrderStatus, const SyncReport&)> onAnswer) {
+        ports.m_sync = [this, order](const Sent<SyncOrder>& sync, Duration timeout, const std::function<void(OrderStatus, const SyncReport&)>& onAnswer) {
             auto report = std::make_shared<SyncReport>();
             const auto perform = [this, sync, report](FakeLeaseWorker& worker) {
                 const auto done = worker.sync(sync.m_order, sync.m_to.m_token, m_now);
