--- a/src/connection/caller_codec.cpp
+++ b/src/connection/caller_codec.cpp
@@ -18,7 +18,6 @@
 namespace {
 
     constexpr Duration callTimeout { 12'000 };
-    constexpr Duration answerMargin { 1'000 };
     constexpr std::int64_t longestDeadlineMs = 60'000;
     constexpr std::int64_t longestWaitMs = 60'000;
     constexpr std::size_t keyLimitBytes = 200;
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -21,7 +21,6 @@
     constexpr Duration checkStep { 500 };
     constexpr Duration callerPatience { 25'000 };
     constexpr Duration drainBound { 5'000 };
-    constexpr Duration inForceBound { 5'000 };
 
     const std::vector<std::string> pools { "proof", "engraving" };
     const std::vector<std::string> teams { "salto", "paysandu" };
@@ -582,7 +581,7 @@
     const Duration length { fault.m_lengthMs };
     const std::size_t index = nodeOf(fault);
     NodePlace& place = m_places[index];
-    const std::string pool = pools[fault.m_target % pools.size()];
+    const std::string& pool = pools[fault.m_target % pools.size()];
     const std::string workerName = pool + "-worker-" + std::to_string(fault.m_target / 2 % 4);
     const std::string runnerName = pool + "-runner-" + std::to_string(fault.m_target / 2 % 3);
     const auto restart = [this, index] { if (!m_places[index].m_node) startNode(index); };
