Fix: a submission waits for a leader that is heard of, instead of crowding the store beside it

Cause: on a store slowed 95 times each record of the leader takes 0.6 to 0.8 s, so VMs gave its answer up after 0.9 s and all 29 appended to the one partition of submissions, which does one append at a time; 208 calls were told 504. Ruled out: bytes of a record (2 KB take 602 ms, 115 KB 614 ms). Now the answer is waited for until the deadline while the term goes on and its leader is heard of; the direct way is taken within 100 ms of a doubt.

--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -134,20 +134,42 @@
         answerRecorded(node);
     }
 
-    /** Hands a change to the leader; the outcome is NotTaken when none is known. */
+    /** @return Whether the leader of the term is heard of and stays. */
+    bool isLeaderSteady(const CellNode& node, std::uint64_t token)
+    {
+        return node.m_leader.m_token == token && node.m_now - node.m_leaderHeardAt <= node.m_options.m_suspectAfter && !node.m_isSuccessorWanted;
+    }
+
+    using WriteEnd = std::function<void(WriteOutcome)>;
+
+    /** Gives up a change that the leader has taken when its term is in doubt, so that there is time to store it here. */
+    void watchLeader(CellNode& node, const std::shared_ptr<WriteEnd>& onEnd)
+    {
+        constexpr Duration watchInterval { 100 };
+        node.m_laterCalls.push_back({ node.m_now + watchInterval, [&node, onEnd, token = node.m_leader.m_token] {
+                                         if (!*onEnd)
+                                             return;
+                                         if (isLeaderSteady(node, token))
+                                             return watchLeader(node, onEnd);
+                                         std::exchange(*onEnd, {})(WriteOutcome::Unknown);
+                                     } });
+    }
+
+    /** Hands a change to the leader; the outcome is NotTaken when none is known. A leader that is heard of is waited for, as its records may be slow. */
     template <typename Message>
-    void writeByLeader(CellNode& node, const Message& message, TimePoint deadline, void (*takeHere)(CellNode&, const Message&, const std::function<void(WriteOutcome)>&), const std::function<void(WriteOutcome)>& onEnd)
+    void writeByLeader(CellNode& node, const Message& message, TimePoint deadline, void (*takeHere)(CellNode&, const Message&, const WriteEnd&), const WriteEnd& onEnd)
     {
-        constexpr Duration leaderTimeout { 900 };
         if (node.m_role == Role::Leading)
             return takeHere(node, message, onEnd);
-        const bool isLeaderHeard = node.m_leader.m_token > 0 && node.m_now - node.m_leaderHeardAt <= node.m_options.m_suspectAfter && !node.m_isSuccessorWanted;
-        if (!isLeaderHeard || node.m_role != Role::Follower)
+        if (node.m_role != Role::Follower || node.m_leader.m_token == 0 || !isLeaderSteady(node, node.m_leader.m_token))
             return onEnd(WriteOutcome::NotTaken);
-        node.m_ports.m_callPeer(node.m_leader.m_member.m_address, message, std::min(leaderTimeout, deadline - node.m_now), [onEnd](const std::optional<PeerReply>& reply) {
+        const auto end = std::make_shared<WriteEnd>(onEnd);
+        node.m_ports.m_callPeer(node.m_leader.m_member.m_address, message, deadline - node.m_now, [end](const std::optional<PeerReply>& reply) {
             const auto* const answer = reply ? std::get_if<PeerWriteAnswer>(&*reply) : nullptr;
-            onEnd(answer ? answer->m_outcome : WriteOutcome::Unknown);
+            if (*end)
+                std::exchange(*end, {})(answer ? answer->m_outcome : WriteOutcome::Unknown);
         });
+        watchLeader(node, end);
     }
 
     void submit(CellNode& node, const ClientCall& call, const QueueSettings& queue, const ClientResponder& respond)
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -4,6 +4,7 @@
 #include "process/scheduler/scheduler_func.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace bulrushloft::cell::detail {
 
@@ -13,6 +14,12 @@
     constexpr Duration appendTimeout { 800 };
     constexpr Duration appendRetry { 100 };
     constexpr std::size_t appendBytes = 1024 * 1024;
+    constexpr Duration slowAppend { 200 }; ///< A slower append is logged.
+
+    std::size_t countBytes(const StoreAppend& append)
+    {
+        return std::accumulate(append.m_records.begin(), append.m_records.end(), std::size_t { 0 }, [](std::size_t sum, const KeyedRecord& record) { return sum + record.m_key.size() + record.m_value.size(); });
+    }
 
     /** @return Whether an answer belongs to the present term. */
     bool isPresentTerm(const CellNode& node, std::uint64_t term)
@@ -147,6 +154,8 @@
             return;
         }
         writer.m_lastTook = node.m_now - writer.m_sentAt;
+        if (writer.m_lastTook > slowAppend)
+            logEvent(LogLevel::Info, "append-slow", { { "took_ms", writer.m_lastTook.m_ms }, { "records", writer.m_append->m_records.size() }, { "bytes", countBytes(*writer.m_append) }, { "token", node.m_term }, { "batch", writer.m_batch } });
         writer.m_append.reset();
         if (writer.m_rest.empty())
             scheduler::onRecorded(*node.m_scheduler, writer.m_batch, node.m_now);
