Improve: appends of a leader overlap on a slow store; a thawed leader answers nothing before the store confirms it

Found by the soak with stores that carry out lost calls late: (1): a leader that thawed answered the queries that had queued up before it looked at its suspension, so an accepted job was denied; (2): it took a peer's old heartbeat for the store's confirmation. Time is now noted before messages are handled, and only a listing of claims confirms.

--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -3,6 +3,7 @@
 
 #include "connection/client_type.h"
 #include "connection/peer_type.h"
+#include "process/cell/append_pipeline.h"
 #include "process/scheduler/scheduler_base.h"
 #include "version/cluster_type.h"
 
@@ -92,19 +93,6 @@
     Leading, ///< Leads.
 };
 
-/** Group commit of progress. */
-struct ProgressWriter {
-    std::uint64_t m_sequence = 0; ///< Number of the next append.
-    bool m_isOut = false; ///< An append is unanswered.
-    std::optional<StoreAppend> m_append; ///< The append that is out or to be repeated.
-    std::uint64_t m_batch = 0; ///< Its batch.
-    std::vector<StoreAppend> m_rest; ///< Further parts of the batch, the last first.
-    TimePoint m_sentAt; ///< When it was first sent.
-    TimePoint m_retryAt; ///< When it is repeated.
-    std::uint32_t m_refusals = 0; ///< Clear refusals of it so far.
-    Duration m_lastTook; ///< How long the latest append took that was carried out.
-};
-
 /** Progress of a takeover. */
 struct LoadState {
     bool m_isFenced = false; ///< Earlier terms can't write any more.
@@ -209,7 +197,7 @@
     bool m_isSuspended = false; ///< Orders wait until the store confirms the leadership.
 
     std::unique_ptr<scheduler::Scheduler> m_scheduler; ///< Set while loading or leading.
-    ProgressWriter m_writer; ///< Writes its progress.
+    AppendPipeline m_writer; ///< Writes its progress.
     std::vector<StageWaiter> m_stageWaiters; ///< Queries that wait for the end of a job.
     std::vector<RecordWaiter> m_recordWaiters; ///< Whom the next batches concern.
     LoadState m_load; ///< Progress of a takeover.
--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -103,7 +103,8 @@
     bool canRecord(const CellNode& node)
     {
         constexpr Duration longAppend { 500 };
-        const bool isStuck = node.m_writer.m_append && node.m_now - node.m_writer.m_sentAt > longAppend && !node.m_isStoreReached;
+        const auto since = oldestSince(node.m_writer);
+        const bool isStuck = since && node.m_now - *since > longAppend && !node.m_isStoreReached;
         return mayAct(node) && !isStuck;
     }
 
--- a/src/process/cell/cell_daemon.cpp
+++ b/src/process/cell/cell_daemon.cpp
@@ -138,7 +138,7 @@
     while (!m_isStopping) {
         Work work;
         if (m_works.popWithin(work, m_isLeading ? restWhenLeading : restOtherwise)) {
-            m_node->m_now = steadyNow();
+            noteTime(*m_node, steadyNow(), bootNow());
             std::size_t count = 0;
             do
                 work();
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -5,6 +5,8 @@
 
 namespace bulrushloft::cell::detail {
 
+constexpr const char* writerName = "leader"; ///< All leaders write progress under this name, fenced by their terms.
+
 /** Follows the topics: reads that are due. */
 void stepTails(CellNode& node);
 
@@ -23,6 +25,9 @@
 /** Takes a claim that the store keeps. */
 void takeClaim(CellNode& node, std::uint64_t token, const PeerMember& member);
 
+/** The store's listing of claims, begun after a suspension, shows no later one: a leader may act again. */
+void confirmLeadership(CellNode& node);
+
 /** Writes the claim of this daemon if the topic of claims has not moved. */
 void claimLeadership(CellNode& node, std::string_view cause);
 
--- a/src/process/cell/cell_func.h
+++ b/src/process/cell/cell_func.h
@@ -8,6 +8,12 @@
 /** Makes a daemon that knows nothing yet. */
 std::unique_ptr<CellNode> makeCell(CellOptions options, CellPorts ports, CellDecoders decoders, TimePoint now, Duration wallOffset);
 
+/**
+ * Takes the time before messages are handled; after a suspension a leader gives neither orders nor answers until the store confirms it.
+ * @param now, bootNow As for stepCell().
+ */
+void noteTime(CellNode& node, TimePoint now, TimePoint bootNow);
+
 /**
  * Does all that is due.
  * @param now Monotonic time, which stands still while the machine is suspended.
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -185,7 +185,7 @@
         node.m_scheduler->m_options.m_token = node.m_term;
         node.m_scheduler->m_wallOffset = node.m_wallOffset;
         scheduler::setCluster(*node.m_scheduler, *node.m_cluster);
-        node.m_writer = {};
+        node.m_writer = { .m_writer = { .m_name = writerName, .m_epoch = node.m_term, .m_sequence = 0 } };
         node.m_load = { .m_startedAt = node.m_now };
         resetTail(node.m_jobsTail, true);
         resetTail(node.m_workersTail, false);
@@ -243,9 +243,10 @@
         constexpr Duration longSilence { 500 };
         constexpr std::int64_t timesTheLast = 3; // A store that is slow but answers is no reason to hand over.
         constexpr std::uint32_t enoughRefusals = 3;
-        if (!node.m_writer.m_append)
+        const auto since = oldestSince(node.m_writer);
+        if (!since)
             return false;
-        const bool isSilent = node.m_now - node.m_writer.m_sentAt > std::max(longAppend, node.m_writer.m_lastTook * timesTheLast) && node.m_now - node.m_storeHeardAt > longSilence;
+        const bool isSilent = node.m_now - *since > std::max(longAppend, node.m_writer.m_lastTook * timesTheLast) && node.m_now - node.m_storeHeardAt > longSilence;
         return isSilent || node.m_writer.m_refusals >= enoughRefusals;
     }
 
@@ -331,15 +332,8 @@
 
 void takeClaim(CellNode& node, std::uint64_t token, const PeerMember& member)
 {
-    if (token < node.m_leader.m_token)
+    if (token <= node.m_leader.m_token)
         return;
-    if (token == node.m_leader.m_token) {
-        if (node.m_isSuspended && isOwnClaim(node) && node.m_leaderTail.m_isListing) {
-            node.m_isSuspended = false;
-            logEvent(LogLevel::Info, "leadership-confirmed", { { "token", token } });
-        }
-        return;
-    }
     node.m_leader = { .m_token = token, .m_member = member };
     node.m_leaderHeardAt = node.m_now;
     node.m_leaderStoreAt = node.m_now;
@@ -352,6 +346,14 @@
         beginTerm(node);
 }
 
+void confirmLeadership(CellNode& node)
+{
+    if (!node.m_isSuspended || !isOwnClaim(node))
+        return;
+    node.m_isSuspended = false;
+    logEvent(LogLevel::Info, "leadership-confirmed", { { "token", node.m_leader.m_token } });
+}
+
 void claimLeadership(CellNode& node, std::string_view cause)
 {
     node.m_role = Role::Claiming;
@@ -424,10 +426,15 @@
 
 namespace bulrushloft::cell {
 
-void stepCell(CellNode& node, TimePoint now, TimePoint bootNow)
+void noteTime(CellNode& node, TimePoint now, TimePoint bootNow)
 {
     node.m_now = now;
     detail::checkSuspension(node, bootNow);
+}
+
+void stepCell(CellNode& node, TimePoint now, TimePoint bootNow)
+{
+    noteTime(node, now, bootNow);
     detail::runLaterCalls(node);
     detail::stepTails(node);
     detail::stepLeadership(node);
--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -10,7 +10,6 @@
 
     constexpr Duration callTimeout { 4'000 }; ///< A page of many records may take long while the store is slow.
     constexpr Duration retryPause { 100 };
-    constexpr const char* writerName = "leader";
 
     void fenceEarlierTerms(CellNode& node)
     {
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -4,23 +4,16 @@
 #include "process/scheduler/scheduler_func.h"
 
 #include <algorithm>
-#include <numeric>
 
 namespace bulrushloft::cell::detail {
 
 namespace {
 
     constexpr Duration askTimeout { 2'500 };
-    constexpr Duration appendTimeout { 800 };
-    constexpr Duration appendRetry { 100 };
+    constexpr Duration dropTimeout { 800 };
     constexpr std::size_t appendBytes = 1024 * 1024;
     constexpr Duration slowAppend { 200 }; ///< A slower append is logged.
 
-    std::size_t countBytes(const StoreAppend& append)
-    {
-        return std::accumulate(append.m_records.begin(), append.m_records.end(), std::size_t { 0 }, [](std::size_t sum, const KeyedRecord& record) { return sum + record.m_key.size() + record.m_value.size(); });
-    }
-
     /** @return Whether an answer belongs to the present term. */
     bool isPresentTerm(const CellNode& node, std::uint64_t term)
     {
@@ -110,55 +103,36 @@
             perform(node, effects);
     }
 
-    /** Splits a batch into appends that the store takes. */
+    /** Adds the records of a batch to the pipeline, as appends that the store takes. */
     void fillWriter(CellNode& node)
     {
-        ProgressWriter& writer = node.m_writer;
-        writer.m_batch = node.m_scheduler->m_nextBatch;
-        std::vector<KeyedRecord> records = scheduler::takeRecords(*node.m_scheduler);
-        std::vector<StoreAppend> parts;
-        std::size_t bytes = appendBytes;
-        for (KeyedRecord& record : records) {
+        const std::uint64_t batch = node.m_scheduler->m_nextBatch;
+        StoreAppend part { .m_partition = { .m_topic = node.m_options.m_topics.m_progress }, .m_records = {}, .m_writer = {}, .m_expectedEnd = {} };
+        std::size_t bytes = 0;
+        for (KeyedRecord& record : scheduler::takeRecords(*node.m_scheduler)) {
             if (bytes + record.m_value.size() > appendBytes) {
-                parts.push_back({ .m_partition = { .m_topic = node.m_options.m_topics.m_progress }, .m_records = {}, .m_writer = {}, .m_expectedEnd = {} });
+                pushAppend(node.m_writer, part, 0);
+                part.m_records.clear();
                 bytes = 0;
             }
             bytes += record.m_value.size();
-            parts.back().m_records.push_back(std::move(record));
+            part.m_records.push_back(std::move(record));
         }
-        std::reverse(parts.begin(), parts.end());
-        writer.m_rest = std::move(parts);
-    }
-
-    void takeNextPart(CellNode& node)
-    {
-        ProgressWriter& writer = node.m_writer;
-        writer.m_append = std::move(writer.m_rest.back());
-        writer.m_rest.pop_back();
-        writer.m_append->m_writer = FencedWriter { .m_name = "leader", .m_epoch = node.m_term, .m_sequence = ++writer.m_sequence };
-        writer.m_sentAt = node.m_now;
-        writer.m_refusals = 0;
-        writer.m_retryAt = node.m_now;
+        pushAppend(node.m_writer, std::move(part), batch);
     }
 
-    void onWritten(CellNode& node, const AppendAnswer& answer)
+    void onWritten(CellNode& node, std::uint64_t sequence, const AppendAnswer& answer)
     {
-        ProgressWriter& writer = node.m_writer;
-        writer.m_isOut = false;
-        noteStore(node, answer.m_status == StoreStatus::Done || answer.m_status == StoreStatus::Fenced || answer.m_status == StoreStatus::OutOfSequence);
-        if (answer.m_status == StoreStatus::Fenced || answer.m_status == StoreStatus::OutOfSequence)
-            return stepDown(node, answer.m_status == StoreStatus::Fenced ? "the store knows a later term" : "the store expects another sequence");
-        if (answer.m_status != StoreStatus::Done) {
-            writer.m_refusals += answer.m_status == StoreStatus::NotDone ? 1 : 0;
-            writer.m_retryAt = node.m_now + appendRetry;
+        const bool isAnswered = answer.m_status == StoreStatus::Done || answer.m_status == StoreStatus::Fenced || answer.m_status == StoreStatus::OutOfSequence;
+        noteStore(node, isAnswered);
+        const AppendVerdict verdict = onAppendAnswer(node.m_writer, sequence, answer.m_status, node.m_now);
+        if (verdict != AppendVerdict::GoOn)
+            return stepDown(node, verdict == AppendVerdict::Fenced ? "the store knows a later term" : "the store expects another sequence");
+        if (answer.m_status != StoreStatus::Done)
             return;
-        }
-        writer.m_lastTook = node.m_now - writer.m_sentAt;
-        if (writer.m_lastTook > slowAppend)
-            logEvent(LogLevel::Info, "append-slow", { { "took_ms", writer.m_lastTook.m_ms }, { "records", writer.m_append->m_records.size() }, { "bytes", countBytes(*writer.m_append) }, { "token", node.m_term }, { "batch", writer.m_batch } });
-        writer.m_append.reset();
-        if (writer.m_rest.empty())
-            scheduler::onRecorded(*node.m_scheduler, writer.m_batch, node.m_now);
+        if (node.m_writer.m_lastTook > slowAppend)
+            logEvent(LogLevel::Info, "append-slow", { { "took_ms", node.m_writer.m_lastTook.m_ms }, { "sequence", sequence }, { "unconfirmed", node.m_writer.m_queue.size() }, { "token", node.m_term }, { "batch", node.m_writer.m_confirmedBatch } });
+        scheduler::onRecorded(*node.m_scheduler, node.m_writer.m_confirmedBatch, node.m_now);
         answerRecorded(node);
     }
 
@@ -174,7 +148,7 @@
             submissions.m_records.push_back({ .m_key = job, .m_value = {} });
             submissions.m_records.push_back({ .m_key = "!" + job, .m_value = {} });
         }
-        node.m_ports.m_append(submissions, appendTimeout, [](const AppendAnswer& answer) {
+        node.m_ports.m_append(submissions, dropTimeout, [](const AppendAnswer& answer) {
             if (answer.m_status != StoreStatus::Done)
                 logEvent(LogLevel::Warning, "drop-failed", { { "reason", answer.m_reason } });
         });
@@ -207,23 +181,18 @@
 
 void stepWriter(CellNode& node)
 {
-    if (!mayAct(node) || node.m_writer.m_isOut)
+    if (!mayAct(node))
         return;
-    ProgressWriter& writer = node.m_writer;
-    if (!writer.m_append && writer.m_rest.empty()) {
-        if (!scheduler::hasRecords(*node.m_scheduler))
-            return;
+    AppendPipeline& writer = node.m_writer;
+    if (wantsAppend(writer, node.m_now) && scheduler::hasRecords(*node.m_scheduler))
         fillWriter(node);
-    }
-    if (!writer.m_append)
-        takeNextPart(node);
-    if (node.m_now < writer.m_retryAt)
+    const PipelinedAppend* const next = takeAppend(writer, node.m_now);
+    if (!next)
         return;
-    writer.m_isOut = true;
     ++node.m_counters.m_appends;
-    node.m_ports.m_append(*writer.m_append, appendTimeout, [&node, term = node.m_term](const AppendAnswer& answer) {
+    node.m_ports.m_append(next->m_append, writer.m_timeout, [&node, term = node.m_term, sequence = next->m_append.m_writer->m_sequence](const AppendAnswer& answer) {
         if (isPresentTerm(node, term))
-            onWritten(node, answer);
+            onWritten(node, sequence, answer);
     });
 }
 
--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -116,6 +116,8 @@
         tail.m_isCurrent = true;
         tail.m_currentAt = node.m_now;
         tail.m_listedKeys.clear();
+        if (&tail == &node.m_leaderTail)
+            confirmLeadership(node);
     }
 
     void onRead(CellNode& node, TopicTail& tail, const ReadAnswer& answer)
--- a/tests/cell_world.cpp
+++ b/tests/cell_world.cpp
@@ -181,7 +181,7 @@
             const auto deliver = [this, &node, alive, callback] {
                 if (!*alive)
                     return;
-                node.m_cell->m_now = { steadyOf(node) };
+                noteTime(*node.m_cell, { steadyOf(node) }, { m_now });
                 callback();
             };
             if (m_now < node.m_frozenUntil)
@@ -209,13 +209,19 @@
             return answer(node, alive, delay, [onAnswer, refused] { onAnswer(refused); });
         }
         const bool isLost = m_now < m_storeLossyUntil && chance(0.3);
-        at(delay / 2, [this, &node, alive, onAnswer, perform, delay, timeout, isLost] {
+        // A call without an answer may be carried out seconds later.
+        const std::int64_t lateBy = isLost && chance(0.5) ? random(500, 4'000) : 0;
+        at(delay / 2 + lateBy, [this, &node, alive, onAnswer, perform, delay, timeout, isLost] {
             const Answer done = perform();
+            if (isLost || delay > timeout.m_ms)
+                return;
+            answer(node, alive, delay / 2, [onAnswer, done] { onAnswer(done); });
+        });
+        if (isLost || delay > timeout.m_ms) {
             Answer none {};
             none.m_status = StoreStatus::Unknown;
-            const bool isLate = isLost || delay > timeout.m_ms;
-            answer(node, alive, isLate ? timeout.m_ms : delay / 2, [onAnswer, done, none, isLate] { onAnswer(isLate ? none : done); });
-        });
+            answer(node, alive, timeout.m_ms, [onAnswer, none] { onAnswer(none); });
+        }
     }
 
     cell::CellPorts World::portsOf(WorldNode& node)
@@ -432,7 +438,7 @@
             at(random(1'000, 9'000), [&worker] { worker.m_isDark = false; });
             return;
         case 7:
-            worker.m_isDown = true;
+            worker.crash();
             at(random(300, 5'000), [this, &worker] {
                 worker.restart(m_now);
                 announce(worker);
--- a/tests/fakes/fake_lease_worker.h
+++ b/tests/fakes/fake_lease_worker.h
@@ -120,13 +120,18 @@
         return report;
     }
 
-    /** The process ends and another starts under the same id, knowing nothing. */
-    void restart(std::int64_t now)
+    /** The process ends, and all that runs with it. */
+    void crash()
     {
-        const auto running = m_running;
+        m_isDown = true;
+        const auto running = std::exchange(m_running, {});
         for (const auto& [task, run] : running)
             m_onEnd(*this, task, run.m_attempt, AttemptEnd::Lapsed);
-        m_running.clear();
+    }
+
+    /** Another process starts under the same id, knowing nothing. */
+    void restart(std::int64_t now)
+    {
         m_highestEnded.clear();
         m_ended.clear();
         m_lastEnd = 0;
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -19,9 +19,11 @@
             Writer& writer = topic.m_writers[append.m_writer->m_name];
             if (append.m_writer->m_epoch < writer.m_epoch)
                 return { .m_status = StoreStatus::Fenced, .m_offset = 0, .m_end = topic.end() };
-            if (append.m_writer->m_epoch == writer.m_epoch && append.m_writer->m_sequence == writer.m_sequence && writer.m_epoch > 0)
-                return writer.m_last;
-            if (append.m_writer->m_epoch == writer.m_epoch && append.m_writer->m_sequence != writer.m_sequence + 1)
+            if (append.m_writer->m_epoch > writer.m_epoch)
+                writer = { .m_epoch = append.m_writer->m_epoch, .m_sequence = append.m_writer->m_sequence - 1, .m_answers = {} };
+            if (const auto repeat = writer.m_answers.find(append.m_writer->m_sequence); repeat != writer.m_answers.end())
+                return repeat->second;
+            if (append.m_writer->m_sequence != writer.m_sequence + 1)
                 return { .m_status = StoreStatus::OutOfSequence, .m_offset = 0, .m_end = topic.end() };
         }
         if (append.m_expectedEnd && *append.m_expectedEnd != topic.end())
@@ -37,7 +39,7 @@
         }
         answer.m_end = topic.end();
         if (append.m_writer)
-            topic.m_writers[append.m_writer->m_name] = { append.m_writer->m_epoch, append.m_writer->m_sequence, answer };
+            noteAnswer(topic.m_writers[append.m_writer->m_name], append.m_writer->m_sequence, answer);
         return answer;
     }
 
@@ -77,9 +79,18 @@
     struct Writer {
         std::uint64_t m_epoch = 0;
         std::uint64_t m_sequence = 0;
-        AppendAnswer m_last;
+        std::map<std::uint64_t, AppendAnswer> m_answers; ///< To the latest appends, by sequence number.
     };
 
+    static void noteAnswer(Writer& writer, std::uint64_t sequence, const AppendAnswer& answer)
+    {
+        constexpr std::size_t answersKept = 5;
+        writer.m_sequence = sequence;
+        writer.m_answers[sequence] = answer;
+        if (writer.m_answers.size() > answersKept)
+            writer.m_answers.erase(writer.m_answers.begin());
+    }
+
     struct Topic {
         std::uint64_t m_first = 0;
         std::vector<KeyedRecord> m_records;
