--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -4,6 +4,7 @@
 #include "connection/client_type.h"
 #include "connection/peer_type.h"
 #include "process/cell/append_pipeline.h"
+#include "process/cell/hedged_call.h"
 #include "process/scheduler/scheduler_base.h"
 #include "version/cluster_type.h"
 
@@ -71,16 +72,14 @@
 struct TopicTail {
     StorePartition m_partition; ///< Which.
     bool m_isWanted = false; ///< Whether it is followed.
-    bool m_isOut = false; ///< A call is unanswered.
+    HedgedCall m_call; ///< The call that is due or unanswered.
     bool m_isListing = true; ///< The newest record of each key is read first.
-    std::uint64_t m_generation = 0; ///< Answers to calls of an earlier generation are dropped.
     std::string m_after; ///< Last key of the listing so far.
     std::optional<std::uint64_t> m_listedEnd; ///< End of the partition at the first page of the listing.
     std::vector<std::string> m_listedKeys; ///< Keys of the listing so far.
     std::uint64_t m_next = 0; ///< Next offset to read.
     bool m_isCurrent = false; ///< A listing is complete.
     TimePoint m_currentAt; ///< When it was last known to hold all.
-    TimePoint m_nextAt; ///< No call before.
     Duration m_wait; ///< How long the store may wait for news.
     Duration m_pause; ///< Least time between calls.
 };
@@ -93,15 +92,21 @@
     Leading, ///< Leads.
 };
 
+/** A part of the progress that is read beside the others. */
+struct LoadRange {
+    std::string m_after; ///< Keys up to this one are before the range or have been read.
+    std::string m_until; ///< Keys from this one on belong to the next range; empty for the last.
+    bool m_isRead = false; ///< All of it has been read.
+    HedgedCall m_call; ///< The page that is due or unanswered.
+};
+
 /** Progress of a takeover. */
 struct LoadState {
     bool m_isFenced = false; ///< Earlier terms can't write any more.
-    bool m_isProgressRead = false; ///< The progress has been read.
-    std::string m_after; ///< Last key of the progress so far.
+    HedgedCall m_fence; ///< The append that fences them.
+    std::vector<LoadRange> m_ranges; ///< What is read.
     std::vector<KeyedRecord> m_progress; ///< Progress read so far.
     TimePoint m_startedAt; ///< When it began.
-    TimePoint m_retryAt; ///< No call before.
-    bool m_isOut = false; ///< A call is unanswered.
 };
 
 /** What is known of a peer. */
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -16,6 +16,9 @@
 /** Notes that the store has answered, or has not. */
 void noteStore(CellNode& node, bool isReached);
 
+/** @return How long a call to the store may be silent before it is sent once more beside. @param triedAt When it was sent. */
+Duration patienceWithStore(const CellNode& node, TimePoint triedAt);
+
 /** Takes a configuration, from the store or from a peer; older ones change nothing. */
 void takeClusterText(CellNode& node, const std::string& text, std::string_view source);
 
--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -4,48 +4,105 @@
 #include "process/scheduler/scheduler_func.h"
 #include "request/plan_codec.h"
 
+#include <algorithm>
+
 namespace bulrushloft::cell::detail {
 
 namespace {
 
     constexpr Duration callTimeout { 4'000 }; ///< A page of many records may take long while the store is slow.
     constexpr Duration retryPause { 100 };
+    constexpr Duration slowPage { 150 }; ///< When a page takes longer, the others are read side by side.
+
+    bool isStillLoading(const CellNode& node, std::uint64_t term)
+    {
+        return node.m_role == Role::Loading && node.m_term == term;
+    }
 
     void fenceEarlierTerms(CellNode& node)
     {
-        node.m_load.m_isOut = true;
+        HedgedCall& call = node.m_load.m_fence;
+        if (!isTryDue(call, patienceWithStore(node, call.m_triedAt), node.m_now))
+            return;
+        beginTry(call, node.m_now);
         StoreAppend append { .m_partition = { .m_topic = node.m_options.m_topics.m_progress }, .m_records = {}, .m_writer = FencedWriter { .m_name = writerName, .m_epoch = node.m_term, .m_sequence = 0 }, .m_expectedEnd = {} };
         node.m_ports.m_append(append, callTimeout, [&node, term = node.m_term](const AppendAnswer& answer) {
             noteStore(node, answer.m_status == StoreStatus::Done || answer.m_status == StoreStatus::Fenced);
-            if (node.m_role != Role::Loading || node.m_term != term)
+            if (!isStillLoading(node, term) || node.m_load.m_isFenced)
                 return;
-            node.m_load.m_isOut = false;
             if (answer.m_status == StoreStatus::Fenced)
                 return stepDown(node, "the store knows a later term");
-            node.m_load.m_isFenced = answer.m_status == StoreStatus::Done;
-            node.m_load.m_retryAt = node.m_now + (node.m_load.m_isFenced ? Duration {} : retryPause);
+            if (answer.m_status == StoreStatus::Done)
+                node.m_load.m_isFenced = true;
+            else
+                failTry(node.m_load.m_fence, node.m_now + retryPause);
         });
     }
 
-    void readProgress(CellNode& node)
+    /** @return Ranges that hold what comes after a key; each holds about the same number of jobs, as their ids are random hexadecimal digits. */
+    std::vector<LoadRange> splitRest(const std::string& after)
+    {
+        std::vector<LoadRange> ranges;
+        std::string from = after;
+        for (const std::string& prefix : { scheduler::planKey({}), std::string() }) {
+            for (const char* const digit : { "4", "8", "c" }) {
+                if (prefix + digit <= after)
+                    continue;
+                ranges.push_back({ .m_after = from, .m_until = prefix + digit });
+                from = prefix + digit;
+            }
+        }
+        ranges.push_back({ .m_after = from, .m_until = {} });
+        return ranges;
+    }
+
+    /** Takes a page of a range; what belongs to the next range is left to it. */
+    void takePage(CellNode& node, LoadRange& range, const NewestAnswer& page)
     {
-        node.m_load.m_isOut = true;
-        node.m_ports.m_newest({ .m_partition = { .m_topic = node.m_options.m_topics.m_progress }, .m_after = node.m_load.m_after }, callTimeout, [&node, term = node.m_term](const NewestAnswer& page) {
+        const auto isWithin = [&](const KeyedRecord& record) { return range.m_until.empty() || record.m_key < range.m_until; };
+        const auto end = std::find_if_not(page.m_records.begin(), page.m_records.end(), isWithin);
+        node.m_load.m_progress.insert(node.m_load.m_progress.end(), page.m_records.begin(), end);
+        range.m_isRead = end != page.m_records.end() || !page.m_hasMore || page.m_records.empty();
+        const bool isSlow = node.m_now - range.m_call.m_triedAt > slowPage;
+        endCall(range.m_call, node.m_now);
+        if (range.m_isRead)
+            return;
+        range.m_after = page.m_records.back().m_key;
+        // Pages side by side cost more reads, as each may hold records of the next range.
+        if (isSlow && node.m_load.m_ranges.size() == 1)
+            node.m_load.m_ranges = splitRest(range.m_after);
+    }
+
+    void readRange(CellNode& node, std::size_t index)
+    {
+        LoadRange& range = node.m_load.m_ranges[index];
+        if (range.m_isRead || !isTryDue(range.m_call, patienceWithStore(node, range.m_call.m_triedAt), node.m_now))
+            return;
+        const std::uint64_t position = beginTry(range.m_call, node.m_now);
+        node.m_ports.m_newest({ .m_partition = { .m_topic = node.m_options.m_topics.m_progress }, .m_after = range.m_after }, callTimeout, [&node, index, position, term = node.m_term](const NewestAnswer& page) {
             noteStore(node, page.m_status == StoreStatus::Done);
-            if (node.m_role != Role::Loading || node.m_term != term)
+            if (!isStillLoading(node, term))
                 return;
-            node.m_load.m_isOut = false;
-            if (page.m_status != StoreStatus::Done) {
-                node.m_load.m_retryAt = node.m_now + retryPause;
+            LoadRange& asked = node.m_load.m_ranges[index];
+            if (!isOfCall(asked.m_call, position))
                 return;
-            }
-            node.m_load.m_progress.insert(node.m_load.m_progress.end(), page.m_records.begin(), page.m_records.end());
-            node.m_load.m_isProgressRead = !page.m_hasMore || page.m_records.empty();
-            if (!page.m_records.empty())
-                node.m_load.m_after = page.m_records.back().m_key;
+            if (page.m_status == StoreStatus::Done)
+                takePage(node, asked, page);
+            else
+                failTry(asked.m_call, node.m_now + retryPause);
         });
     }
 
+    /** Reads the progress. @return Whether all has been read. */
+    bool readProgress(CellNode& node)
+    {
+        if (node.m_load.m_ranges.empty())
+            node.m_load.m_ranges.resize(1);
+        for (std::size_t i = 0; i < node.m_load.m_ranges.size(); ++i)
+            readRange(node, i);
+        return std::all_of(node.m_load.m_ranges.begin(), node.m_load.m_ranges.end(), [](const LoadRange& range) { return range.m_isRead; });
+    }
+
     void restorePlan(CellNode& node, const KeyedRecord& record)
     {
         auto plan = decodePlan(record.m_value);
@@ -79,13 +136,11 @@
 
 void stepLoading(CellNode& node)
 {
-    if (node.m_role != Role::Loading || node.m_load.m_isOut || node.m_now < node.m_load.m_retryAt)
+    if (node.m_role != Role::Loading)
         return;
     if (!node.m_load.m_isFenced)
         return fenceEarlierTerms(node);
-    if (!node.m_load.m_isProgressRead)
-        return readProgress(node);
-    if (node.m_jobsTail.m_isCurrent)
+    if (readProgress(node) && node.m_jobsTail.m_isCurrent)
         restoreAll(node);
 }
 
--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -97,9 +97,10 @@
     void onPage(CellNode& node, TopicTail& tail, const NewestAnswer& page)
     {
         if (page.m_status != StoreStatus::Done) {
-            tail.m_nextAt = node.m_now + retryPause;
+            failTry(tail.m_call, node.m_now + retryPause);
             return;
         }
+        endCall(tail.m_call, node.m_now);
         if (!tail.m_listedEnd)
             tail.m_listedEnd = page.m_end;
         for (const KeyedRecord& record : page.m_records) {
@@ -125,32 +126,28 @@
         if (answer.m_status == StoreStatus::Expired)
             return resetTail(tail, true);
         if (answer.m_status != StoreStatus::Done) {
-            tail.m_nextAt = node.m_now + retryPause;
+            failTry(tail.m_call, node.m_now + retryPause);
             return;
         }
         for (const KeyedRecord& record : answer.m_records)
             takeRecord(node, tail, record);
         tail.m_next += answer.m_records.size();
-        tail.m_nextAt = node.m_now + tail.m_pause;
-        if (tail.m_next >= answer.m_end)
+        const bool isAll = tail.m_next >= answer.m_end;
+        if (isAll)
             tail.m_currentAt = node.m_now;
-        else
-            tail.m_nextAt = node.m_now;
+        endCall(tail.m_call, isAll ? node.m_now + tail.m_pause : node.m_now);
     }
 
     void stepTail(CellNode& node, TopicTail& tail)
     {
-        if (!tail.m_isWanted || tail.m_isOut || node.m_now < tail.m_nextAt)
+        // A store that is lost is asked without a wait, so that its return is seen soon.
+        const Duration wait = node.m_isStoreReached && !tail.m_isListing ? tail.m_wait : Duration {};
+        if (!tail.m_isWanted || !isTryDue(tail.m_call, wait + patienceWithStore(node, tail.m_call.m_triedAt), node.m_now))
             return;
-        tail.m_isOut = true;
         ++node.m_counters.m_reads;
-        const std::uint64_t generation = tail.m_generation;
-        const auto isCurrentCall = [&node, &tail, generation](StoreStatus status) {
+        const auto isCurrentCall = [&node, &tail, position = beginTry(tail.m_call, node.m_now)](StoreStatus status) {
             noteStore(node, status == StoreStatus::Done || status == StoreStatus::Expired);
-            if (tail.m_generation != generation)
-                return false;
-            tail.m_isOut = false;
-            return true;
+            return isOfCall(tail.m_call, position);
         };
         if (tail.m_isListing) {
             node.m_ports.m_newest({ .m_partition = tail.m_partition, .m_after = tail.m_after }, listingTimeout, [&node, &tail, isCurrentCall](const NewestAnswer& page) {
@@ -159,7 +156,7 @@
             });
             return;
         }
-        node.m_ports.m_read({ .m_partition = tail.m_partition, .m_from = tail.m_next, .m_wait = tail.m_wait }, tail.m_wait + callMargin, [&node, &tail, isCurrentCall](const ReadAnswer& answer) {
+        node.m_ports.m_read({ .m_partition = tail.m_partition, .m_from = tail.m_next, .m_wait = wait }, wait + callMargin, [&node, &tail, isCurrentCall](const ReadAnswer& answer) {
             if (isCurrentCall(answer.m_status))
                 onRead(node, tail, answer);
         });
@@ -178,17 +175,22 @@
 
 } // namespace
 
+Duration patienceWithStore(const CellNode& node, TimePoint triedAt)
+{
+    constexpr Duration whileSilent { 500 };
+    constexpr Duration whileAnswering { 2'500 }; // It is slow, and repeats would make it slower.
+    return node.m_storeHeardAt > triedAt ? whileAnswering : whileSilent;
+}
+
 void resetTail(TopicTail& tail, bool isWanted)
 {
     tail.m_isWanted = isWanted;
-    tail.m_isOut = false;
+    endCall(tail.m_call, {});
     tail.m_isListing = true;
     tail.m_isCurrent = false;
-    ++tail.m_generation;
     tail.m_after.clear();
     tail.m_listedEnd.reset();
     tail.m_listedKeys.clear();
-    tail.m_nextAt = {};
 }
 
 void noteStore(CellNode& node, bool isReached)
