--- a/src/connection/peer_type.h
+++ b/src/connection/peer_type.h
@@ -88,6 +88,7 @@
     NotTaken, ///< The one asked does not lead, or can't record now; nothing was done.
     Unknown, ///< The term ended before it was recorded; it may still be.
     NoSuchJob, ///< There is no such job to cancel.
+    StoreSilent, ///< The store does not answer the leader; nothing was done.
 };
 
 /** Answer to a submission or a cancellation. */
--- /dev/null
+++ b/src/process/cell/admission.h
@@ -0,0 +1,36 @@
+/** @file admission.h Whether submissions are taken, wait or are refused; decided from what is known of the store. */
+#pragma once
+
+#include "core/clock_type.h"
+
+#include <optional>
+
+namespace bulrushloft::cell {
+
+/** What a leader knows of the store when a submission waits. */
+struct StoreBelief {
+    std::optional<TimePoint> m_oldestAppend; ///< Since when the oldest append is not confirmed.
+    TimePoint m_heardAt; ///< When the store last answered any call.
+    bool m_isAppendWanted = false; ///< Whether the next append may be filled.
+};
+
+/** What is done with a submission that has not been recorded. */
+enum class Admission : std::uint8_t {
+    Take, ///< It goes into the next append.
+    Wait, ///< The append before it is not answered yet.
+    Refuse, ///< The store is silent; nothing of it has left, so it surely never runs.
+};
+
+/**
+ * Load: the store falls silent while jobs keep coming. What has left in an append can only be told as unknown, which
+ * clients can't repeat; what waits here is refused for certain once the silence is no longer a slow answer.
+ */
+Admission decideAdmission(const StoreBelief& belief, TimePoint now);
+
+/** @return When a refused caller should come back: an outage has lasted for so long, and may last as long again. @param silence How long the store has been silent. */
+Duration comeBackAfter(Duration silence);
+
+/** @return Whether the store answered so lately that the silence told by the leader is the leader's own. */
+bool isHeardLately(TimePoint heardAt, TimePoint now);
+
+} // namespace bulrushloft::cell
--- a/src/process/cell/append_pipeline.cpp
+++ b/src/process/cell/append_pipeline.cpp
@@ -41,12 +41,13 @@
 
 } // namespace
 
-bool wantsAppend(const AppendPipeline& pipeline, TimePoint now)
+bool wantsAppend(const AppendPipeline& pipeline, TimePoint storeHeardAt, TimePoint now)
 {
     if (pipeline.m_queue.empty())
         return true;
-    const bool isSlow = now - pipeline.m_lastSentAt >= nextAppendAfter;
-    return isSlow && pipeline.m_queue.back().m_isOut && !isRepeatDue(pipeline) && pipeline.m_queue.size() < mostUnconfirmed;
+    const bool isDue = now - pipeline.m_lastSentAt >= nextAppendAfter;
+    const bool isAlive = pipeline.m_lastTook >= nextAppendAfter || storeHeardAt > pipeline.m_lastSentAt;
+    return isDue && isAlive && pipeline.m_queue.back().m_isOut && !isRepeatDue(pipeline) && pipeline.m_queue.size() < mostUnconfirmed;
 }
 
 void pushAppend(AppendPipeline& pipeline, StoreAppend append, std::uint64_t batch)
--- a/src/process/cell/append_pipeline.h
+++ b/src/process/cell/append_pipeline.h
@@ -36,8 +36,13 @@
     Disordered, ///< The store expects a sequence number that this writer did not give.
 };
 
-/** @return Whether records may be taken for a further append: the store is idle, or so slow that waiting for its answer costs more than another append. */
-bool wantsAppend(const AppendPipeline& pipeline, TimePoint now);
+/**
+ * Load: a slow store, or one whose answers get lost; each append would wait for the one before it.
+ * A store that falls silent gets no further append, so that what waits can still be refused for certain.
+ * @param storeHeardAt When the store last answered any call.
+ * @return Whether records may be taken for a further append.
+ */
+bool wantsAppend(const AppendPipeline& pipeline, TimePoint storeHeardAt, TimePoint now);
 
 /** Adds an append as the youngest. @param batch The batch that it completes, or 0. */
 void pushAppend(AppendPipeline& pipeline, StoreAppend append, std::uint64_t batch);
--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -138,6 +138,14 @@
     std::function<void(WriteOutcome)> m_onEnd; ///< Called once.
 };
 
+/** A submission that the leader has not put into an append yet. */
+struct WaitingSubmit {
+    JobPlan m_plan; ///< What is to be done.
+    std::string m_record; ///< The same, as it is recorded.
+    TimePoint m_arrivedAt; ///< When it came.
+    std::function<void(WriteOutcome)> m_onEnd; ///< Called once.
+};
+
 /** Group commit of submissions and cancellations that the leader did not take. */
 struct DirectWriter {
     std::vector<std::shared_ptr<PendingWrite>> m_queue; ///< Waiting for the next append.
@@ -204,6 +212,7 @@
     std::unique_ptr<scheduler::Scheduler> m_scheduler; ///< Set while loading or leading.
     AppendPipeline m_writer; ///< Writes its progress.
     std::vector<StageWaiter> m_stageWaiters; ///< Queries that wait for the end of a job.
+    std::vector<WaitingSubmit> m_waitingSubmits; ///< Not in any append yet.
     std::vector<RecordWaiter> m_recordWaiters; ///< Whom the next batches concern.
     LoadState m_load; ///< Progress of a takeover.
     std::uint64_t m_term = 0; ///< Token of the term of m_scheduler; answers of earlier terms are dropped.
--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -1,5 +1,6 @@
 /** @file cell_clients.cpp Calls of clients and peers. */
 #include "core/log_func.h"
+#include "process/cell/admission.h"
 #include "process/cell/cell_detail.h"
 #include "process/cell/cell_func.h"
 #include "process/scheduler/scheduler_func.h"
@@ -16,7 +17,6 @@
 
     using namespace detail;
 
-    constexpr Duration comeBack { 1'000 }; ///< Hint for a call that can't be served now.
     constexpr Duration replyMargin { 150 }; ///< Time for a reply to reach its client.
     constexpr Duration queryTimeout { 700 };
     constexpr Duration queryRetry { 100 };
@@ -83,15 +83,21 @@
         });
     }
 
+    /** @return The reply to a call that surely did nothing. */
+    ClientReply refuse(CellNode& node)
+    {
+        ++node.m_counters.m_refusals;
+        return { .m_status = ClientStatus::NotDone, .m_retryAfter = comeBackAfter(node.m_isStoreReached ? Duration {} : node.m_now - node.m_storeHeardAt) };
+    }
+
     void replyWrite(CellNode& node, StoreStatus status, ClientStatus whenDone, const std::string& job, TimePoint arrivedAt, const ClientResponder& respond)
     {
         ClientReply reply { .m_status = whenDone };
         if (status == StoreStatus::NotDone)
-            reply = { .m_status = ClientStatus::NotDone, .m_retryAfter = comeBack };
+            reply = refuse(node);
         else if (status != StoreStatus::Done)
             reply = { .m_status = ClientStatus::Unknown };
         node.m_counters.m_submits += status == StoreStatus::Done ? 1 : 0;
-        node.m_counters.m_refusals += status == StoreStatus::NotDone ? 1 : 0;
         node.m_counters.m_unknowns += reply.m_status == ClientStatus::Unknown ? 1 : 0;
         logEvent(LogLevel::Info, "client-write", { { "job", job }, { "outcome", status == StoreStatus::Done ? "stored" : status == StoreStatus::NotDone ? "refused"
                                                                                                                                                         : "unknown" },
@@ -108,21 +114,6 @@
         return mayAct(node) && !isStuck;
     }
 
-    void takeSubmit(CellNode& node, const PeerSubmit& message, const std::function<void(WriteOutcome)>& onEnd)
-    {
-        if (!canRecord(node))
-            return onEnd(WriteOutcome::NotTaken);
-        auto plan = decodePlan(message.m_plan);
-        if (!plan) {
-            logEvent(LogLevel::Error, "submission-unreadable", { { "error", describe(plan.error()) } });
-            return onEnd(WriteOutcome::NotTaken);
-        }
-        const std::uint64_t batch = scheduler::acceptAndRecord(*node.m_scheduler, std::move(*plan), message.m_plan, node.m_now);
-        if (batch == 0)
-            return onEnd(WriteOutcome::Recorded);
-        node.m_recordWaiters.push_back({ .m_batch = batch, .m_onEnd = onEnd });
-    }
-
     void takeCancel(CellNode& node, const PeerCancel& message, const std::function<void(WriteOutcome)>& onEnd)
     {
         if (!canRecord(node))
@@ -195,6 +186,8 @@
         writeByLeader(node, message, write.m_deadline, takeSubmit, [&node, write](WriteOutcome outcome) mutable {
             if (outcome == WriteOutcome::Recorded)
                 return write.m_onEnd(StoreStatus::Done);
+            if (outcome == WriteOutcome::StoreSilent && !isHeardLately(node.m_storeHeardAt, node.m_now))
+                return write.m_onEnd(StoreStatus::NotDone);
             write.m_mayBeDone = outcome == WriteOutcome::Unknown;
             writeJobs(node, std::move(write));
         });
@@ -208,17 +201,16 @@
             logEvent(LogLevel::Info, "client-query", { { "job", job }, { "outcome", answer.m_status == QueryStatus::NoSuchJob ? "no-such-job" : "leader-not-reached" }, { "leader", node.m_leader.m_member.m_name }, { "token", node.m_leader.m_token } });
             if (answer.m_status == QueryStatus::NoSuchJob)
                 return respond({ .m_status = ClientStatus::NoSuchJob });
-            ++node.m_counters.m_refusals;
-            respond({ .m_status = ClientStatus::NotDone, .m_retryAfter = comeBack });
+            respond(refuse(node));
         });
     }
 
     void count(CellNode& node, const ClientCall& call, const QueueSettings& queue, const ClientResponder& respond)
     {
-        askLeader(node, PeerCount { .m_queue = queue.m_name }, call.m_deadline, [respond](const PeerQueryAnswer& answer) {
+        askLeader(node, PeerCount { .m_queue = queue.m_name }, call.m_deadline, [&node, respond](const PeerQueryAnswer& answer) {
             if (answer.m_status == QueryStatus::Known)
                 return respond({ .m_status = ClientStatus::Counted, .m_count = answer.m_count });
-            respond({ .m_status = ClientStatus::NotDone, .m_retryAfter = comeBack });
+            respond(refuse(node));
         });
     }
 
@@ -275,115 +267,12 @@
             waiter.m_onAnswer(answer);
     }
 
-    namespace {
-
-        constexpr Duration ownTryTimeout { 600 };
-        constexpr Duration relayTryTimeout { 700 };
-        constexpr Duration longestTryTimeout { 2'500 };
-        constexpr Duration nextAppendAfter { 250 }; ///< A silent append does not hold up later ones for longer.
-        constexpr std::uint32_t mostAppendsOut = 3;
-        constexpr std::size_t mostWritesTogether = 64;
-        constexpr Duration tryPause { 60 };
-        constexpr std::uint32_t refusedTries = 3; ///< After so many clear refusals the caller is told to come back.
-
-        void tryWrite(CellNode& node, const std::shared_ptr<PendingWrite>& write);
-
-        void endTry(CellNode& node, const std::shared_ptr<PendingWrite>& write, StoreStatus status)
-        {
-            if (status == StoreStatus::Done)
-                return write->m_onEnd(StoreStatus::Done);
-            write->m_mayBeDone = write->m_mayBeDone || status != StoreStatus::NotDone;
-            node.m_laterCalls.push_back({ node.m_now + tryPause, [&node, write] { tryWrite(node, write); } });
-        }
-
-        void relayWrite(CellNode& node, const std::shared_ptr<PendingWrite>& write, const PeerState& peer)
-        {
-            ++node.m_counters.m_relays;
-            const PeerAppend message { .m_append = { .m_partition = { .m_topic = node.m_options.m_topics.m_jobs }, .m_records = write->m_records, .m_writer = {}, .m_expectedEnd = {} } };
-            const Duration timeout = std::min(relayTryTimeout, write->m_deadline - node.m_now);
-            node.m_ports.m_callPeer(peer.m_member.m_address, message, timeout, [&node, write, name = peer.m_member.m_name](const std::optional<PeerReply>& reply) {
-                const auto* const answer = reply ? std::get_if<PeerAppendAnswer>(&*reply) : nullptr;
-                if (const auto found = node.m_peers.find(name); !answer && found != node.m_peers.end())
-                    found->second.m_failedAt = node.m_now;
-                endTry(node, write, answer ? answer->m_answer.m_status : StoreStatus::Unknown);
-            });
-        }
-
-        /** Tries the store and peers in turn; records of one key may be written more than once. */
-        void tryWrite(CellNode& node, const std::shared_ptr<PendingWrite>& write)
-        {
-            if (node.m_now >= write->m_deadline)
-                return write->m_onEnd(write->m_mayBeDone ? StoreStatus::Unknown : StoreStatus::NotDone);
-            const std::vector<PeerState*> relays = relayOrder(node);
-            const bool isHopeless = !node.m_isStoreReached && write->m_tries >= refusedTries && !write->m_mayBeDone;
-            if (isHopeless)
-                return write->m_onEnd(StoreStatus::NotDone);
-            const std::uint32_t turn = write->m_tries++;
-            const bool isOwnTurn = node.m_isStoreReached ? turn % 2 == 0 : turn % 4 == 3;
-            if (!isOwnTurn && !relays.empty())
-                return relayWrite(node, write, *relays[(turn / 2) % relays.size()]);
-            node.m_direct.m_queue.push_back(write);
-        }
-
-        /** @return How long an append may take: a slow store is waited for, as repeats would make it slower still. */
-        Duration directTimeout(const CellNode& node)
-        {
-            constexpr std::int64_t timesTheLast = 4;
-            return std::clamp(node.m_direct.m_lastTook * timesTheLast, ownTryTimeout, longestTryTimeout);
-        }
-
-    } // namespace
-
-    void stepDirect(CellNode& node)
-    {
-        DirectWriter& direct = node.m_direct;
-        const bool mustWait = direct.m_out >= mostAppendsOut || (direct.m_out > 0 && node.m_now - direct.m_sentAt < nextAppendAfter);
-        if (direct.m_queue.empty() || mustWait)
-            return;
-        const std::size_t count = std::min(direct.m_queue.size(), mostWritesTogether);
-        const std::vector<std::shared_ptr<PendingWrite>> writes(direct.m_queue.begin(), direct.m_queue.begin() + static_cast<std::ptrdiff_t>(count));
-        direct.m_queue.erase(direct.m_queue.begin(), direct.m_queue.begin() + static_cast<std::ptrdiff_t>(count));
-        StoreAppend append { .m_partition = { .m_topic = node.m_options.m_topics.m_jobs }, .m_records = {}, .m_writer = {}, .m_expectedEnd = {} };
-        for (const auto& write : writes)
-            append.m_records.insert(append.m_records.end(), write->m_records.begin(), write->m_records.end());
-        ++direct.m_out;
-        direct.m_sentAt = node.m_now;
-        ++node.m_counters.m_appends;
-        node.m_ports.m_append(append, directTimeout(node), [&node, writes, sentAt = node.m_now](const AppendAnswer& answer) {
-            --node.m_direct.m_out;
-            if (answer.m_status == StoreStatus::Done)
-                node.m_direct.m_lastTook = node.m_now - sentAt;
-            noteStore(node, answer.m_status == StoreStatus::Done);
-            for (const auto& write : writes)
-                endTry(node, write, answer.m_status);
-        });
-    }
-
-    std::vector<PeerState*> relayOrder(CellNode& node)
-    {
-        std::vector<PeerState*> order;
-        for (auto& [name, peer] : node.m_peers)
-            order.push_back(&peer);
-        const auto weight = [&](const PeerState* peer) {
-            return std::tuple { !peer->m_isStoreReached, peer->m_failedAt, peer->m_member.m_name != node.m_leader.m_member.m_name };
-        };
-        std::sort(order.begin(), order.end(), [&](const PeerState* one, const PeerState* other) { return weight(one) < weight(other); });
-        return order;
-    }
-
-    void writeJobs(CellNode& node, PendingWrite write)
-    {
-        tryWrite(node, std::make_shared<PendingWrite>(std::move(write)));
-    }
-
 } // namespace detail
 
 void onClientCall(CellNode& node, const ClientCall& call, const ClientResponder& respond)
 {
-    if (!node.m_cluster) {
-        ++node.m_counters.m_refusals;
-        return respond({ .m_status = ClientStatus::NotDone, .m_retryAfter = comeBack });
-    }
+    if (!node.m_cluster)
+        return respond(refuse(node));
     const QueueSettings* const queue = findQueue(*node.m_cluster, call.m_host, call.m_path);
     if (!queue)
         return respond({ .m_status = ClientStatus::NoSuchQueue });
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -55,6 +55,12 @@
 /** @return Whether this daemon leads and may give orders and answers. */
 bool mayAct(const CellNode& node);
 
+/** Takes a submission for the next append, if this daemon leads. @param onEnd Called once. */
+void takeSubmit(CellNode& node, const PeerSubmit& message, const std::function<void(WriteOutcome)>& onEnd);
+
+/** Submissions that wait are recorded, or refused while the store is silent. */
+void stepAdmission(CellNode& node);
+
 /** Writes records to the topic of jobs, by the store or through peers, until the deadline. */
 void writeJobs(CellNode& node, PendingWrite write);
 
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -439,6 +439,7 @@
     detail::stepTails(node);
     detail::stepLeadership(node);
     detail::stepLoading(node);
+    detail::stepAdmission(node);
     detail::stepScheduler(node);
     detail::stepWriter(node);
     detail::stepDirect(node);
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -184,7 +184,7 @@
     if (!mayAct(node))
         return;
     AppendPipeline& writer = node.m_writer;
-    if (wantsAppend(writer, node.m_now) && scheduler::hasRecords(*node.m_scheduler))
+    if (wantsAppend(writer, node.m_storeHeardAt, node.m_now) && scheduler::hasRecords(*node.m_scheduler))
         fillWriter(node);
     const PipelinedAppend* const next = takeAppend(writer, node.m_now);
     if (!next)
--- a/tests/append_pipeline_test.cpp
+++ b/tests/append_pipeline_test.cpp
@@ -37,19 +37,20 @@
     AppendPipeline pipeline = makePipeline();
     pushAppend(pipeline, makeAppend(1), 1);
     BOOST_REQUIRE(takeAppend(pipeline, { 1'000 }));
-    BOOST_TEST(!wantsAppend(pipeline, { 1'010 }));
+    BOOST_TEST(!wantsAppend(pipeline, { 1'000 }, { 1'010 }));
     BOOST_CHECK(onAppendAnswer(pipeline, 1, StoreStatus::Done, { 1'012 }) == AppendVerdict::GoOn);
     BOOST_TEST(pipeline.m_confirmedBatch == 1U);
-    BOOST_TEST(wantsAppend(pipeline, { 1'012 }));
+    BOOST_TEST(wantsAppend(pipeline, { 1'012 }, { 1'012 }));
 }
 
 // Load: a store that takes 0.6 s for each append, while jobs arrive all the time; each waited for two appends in turn.
 BOOST_AUTO_TEST_CASE(a_slow_store_gets_appends_before_it_answers)
 {
     AppendPipeline pipeline = makePipeline();
+    pipeline.m_lastTook = { 600 };
     std::uint64_t batch = 0;
     for (std::int64_t now = 1'000; now < 1'600; now += 10) {
-        if (wantsAppend(pipeline, { now })) {
+        if (wantsAppend(pipeline, { 900 }, { now })) {
             ++batch;
             pushAppend(pipeline, makeAppend(batch), batch);
         }
@@ -59,6 +60,16 @@
     BOOST_TEST(pipeline.m_queue.size() == 4U);
 }
 
+// Load: the store falls silent; what has not left yet must stay refusable, as a call told "unknown" is lost to its client.
+BOOST_AUTO_TEST_CASE(a_store_that_falls_silent_gets_one_append)
+{
+    AppendPipeline pipeline = makePipeline();
+    pushAppend(pipeline, makeAppend(1), 1);
+    takeAppend(pipeline, { 1'000 });
+    BOOST_TEST(!wantsAppend(pipeline, { 999 }, { 1'700 }));
+    BOOST_TEST(wantsAppend(pipeline, { 1'600 }, { 1'700 })); // It answers others: only this answer is lost.
+}
+
 BOOST_AUTO_TEST_CASE(a_later_confirmation_confirms_what_went_before)
 {
     AppendPipeline pipeline = makePipeline();
@@ -82,7 +93,7 @@
     onAppendAnswer(pipeline, 1, StoreStatus::NotDone, { 1'300 });
     BOOST_TEST(!takeAppend(pipeline, { 1'500 })); // The younger one is not answered yet.
     onAppendAnswer(pipeline, 2, StoreStatus::OutOfSequence, { 1'600 });
-    BOOST_TEST(!wantsAppend(pipeline, { 1'650 }));
+    BOOST_TEST(!wantsAppend(pipeline, { 1'600 }, { 1'650 }));
     const PipelinedAppend* const repeat = takeAppend(pipeline, { 1'800 });
     BOOST_REQUIRE(repeat);
     BOOST_TEST(sequenceOf(*repeat) == 1U);
@@ -118,7 +129,7 @@
             now += 10;
             while (!events.empty() && events.begin()->first <= now)
                 events.extract(events.begin()).mapped()();
-            if (batch < batches && wantsAppend(pipeline, { now })) {
+            if (batch < batches && wantsAppend(pipeline, { now }, { now })) {
                 ++batch;
                 pushAppend(pipeline, makeAppend(batch), batch);
             }
