--- a/src/process/cell/admission.cpp
+++ b/src/process/cell/admission.cpp
@@ -8,8 +8,7 @@
 namespace {
 
     constexpr Duration silentAfter { 1'000 }; ///< A slow store answers within it.
-    constexpr Duration shortestComeBack { 1'000 };
-    constexpr Duration longestComeBack { 2'000 }; ///< Clients try a few times only; a longer pause would miss the end of the outage by as much.
+    constexpr Duration lately { 700 }; ///< Shorter than that, so that both can't be the same silence.
 
 } // namespace
 
@@ -20,14 +19,9 @@
     return belief.m_isAppendWanted ? Admission::Take : Admission::Wait;
 }
 
-Duration comeBackAfter(Duration silence)
-{
-    return std::clamp(silence, shortestComeBack, longestComeBack);
-}
-
 bool isHeardLately(TimePoint heardAt, TimePoint now)
 {
-    return now - heardAt < silentAfter - Duration { 300 };
+    return now - heardAt < lately;
 }
 
 } // namespace bulrushloft::cell
--- a/src/process/cell/admission.h
+++ b/src/process/cell/admission.h
@@ -27,8 +27,8 @@
  */
 Admission decideAdmission(const StoreBelief& belief, TimePoint now);
 
-/** @return When a refused caller should come back: an outage has lasted for so long, and may last as long again. @param silence How long the store has been silent. */
-Duration comeBackAfter(Duration silence);
+/** When a refused caller should come back: often enough for the few seconds that clients have, and no storm. */
+constexpr Duration comeBackAfter { 1'000 };
 
 /** @return Whether the store answered so lately that the silence told by the leader is the leader's own. */
 bool isHeardLately(TimePoint heardAt, TimePoint now);
--- a/src/process/cell/append_pipeline.cpp
+++ b/src/process/cell/append_pipeline.cpp
@@ -12,6 +12,7 @@
     constexpr Duration shortestTimeout { 800 };
     constexpr Duration longestTimeout { 4'000 };
     constexpr Duration retryPause { 100 };
+    constexpr Duration shortestSilence { 150 };
     constexpr std::int64_t timesTheLast = 3; ///< An append is waited for so many times as long as the latest one took.
 
     bool isAnyOut(const AppendPipeline& pipeline)
@@ -25,6 +26,13 @@
         return std::any_of(pipeline.m_queue.begin(), pipeline.m_queue.end(), [](const PipelinedAppend& each) { return each.m_isSent && !each.m_isOut; });
     }
 
+    /** @return Whether the oldest append is silent while the store answers others: its answer or its connection is lost. */
+    bool isPassedOver(const AppendPipeline& pipeline, TimePoint storeHeardAt, TimePoint now)
+    {
+        const PipelinedAppend& front = pipeline.m_queue.front();
+        return front.m_isOut && storeHeardAt > front.m_sentAt && now - front.m_sentAt >= std::max(shortestSilence, pipeline.m_lastTook * timesTheLast);
+    }
+
     /** Drops what is confirmed: the store takes sequence numbers in their order, so all before a confirmed one are kept too. */
     void confirm(AppendPipeline& pipeline, std::uint64_t sequence, TimePoint now)
     {
@@ -36,7 +44,6 @@
             pipeline.m_queue.pop_front();
         }
         pipeline.m_refusals = 0;
-        pipeline.m_timeout = std::clamp(pipeline.m_lastTook * timesTheLast, shortestTimeout, longestTimeout);
     }
 
 } // namespace
@@ -57,8 +64,10 @@
     pipeline.m_queue.push_back({ .m_append = std::move(append), .m_batch = batch, .m_firstSentAt = {}, .m_sentAt = {} });
 }
 
-const PipelinedAppend* takeAppend(AppendPipeline& pipeline, TimePoint now)
+const PipelinedAppend* takeAppend(AppendPipeline& pipeline, TimePoint storeHeardAt, TimePoint now)
 {
+    if (!pipeline.m_queue.empty() && isPassedOver(pipeline, storeHeardAt, now))
+        pipeline.m_queue.front().m_isOut = false;
     PipelinedAppend* next = nullptr;
     if (isRepeatDue(pipeline)) {
         // Alone, so that answers of earlier tries can't be taken for its own.
@@ -98,11 +107,14 @@
     found->m_isOut = false;
     pipeline.m_retryAt = now + retryPause;
     pipeline.m_refusals += status == StoreStatus::NotDone && found == pipeline.m_queue.begin() ? 1 : 0;
-    if (status == StoreStatus::Unknown)
-        pipeline.m_timeout = std::min(pipeline.m_timeout * 2, longestTimeout);
     return AppendVerdict::GoOn;
 }
 
+Duration appendTimeout(const AppendPipeline& pipeline)
+{
+    return std::clamp(pipeline.m_lastTook * timesTheLast, shortestTimeout, longestTimeout);
+}
+
 std::optional<TimePoint> oldestSince(const AppendPipeline& pipeline)
 {
     if (pipeline.m_queue.empty() || !pipeline.m_queue.front().m_isSent)
--- a/src/process/cell/append_pipeline.h
+++ b/src/process/cell/append_pipeline.h
@@ -25,7 +25,6 @@
     TimePoint m_retryAt; ///< No repeat before.
     std::uint32_t m_refusals = 0; ///< Clear refusals of the oldest append.
     Duration m_lastTook; ///< How long the latest confirmed append took.
-    Duration m_timeout { 800 }; ///< How long the next append is waited for.
     std::uint64_t m_confirmedBatch = 0; ///< The latest batch that the store keeps.
 };
 
@@ -47,8 +46,12 @@
 /** Adds an append as the youngest. @param batch The batch that it completes, or 0. */
 void pushAppend(AppendPipeline& pipeline, StoreAppend append, std::uint64_t batch);
 
-/** Marks the append that is to be sent now as sent. @return It, or null; valid until the next call. */
-const PipelinedAppend* takeAppend(AppendPipeline& pipeline, TimePoint now);
+/**
+ * Marks the append that is to be sent now as sent: the next one, or the oldest again.
+ * @param storeHeardAt When the store last answered any call; an append that is silent while others are answered is sent again.
+ * @return It, or null; valid until the next call.
+ */
+const PipelinedAppend* takeAppend(AppendPipeline& pipeline, TimePoint storeHeardAt, TimePoint now);
 
 /**
  * Takes the answer to an append.
@@ -57,6 +60,9 @@
  */
 AppendVerdict onAppendAnswer(AppendPipeline& pipeline, std::uint64_t sequence, StoreStatus status, TimePoint now);
 
+/** @return How long the next append is waited for. */
+Duration appendTimeout(const AppendPipeline& pipeline);
+
 /** @return When the oldest append that is not confirmed was first sent; nothing when all are confirmed. */
 std::optional<TimePoint> oldestSince(const AppendPipeline& pipeline);
 
--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -18,6 +18,7 @@
     using namespace detail;
 
     constexpr Duration replyMargin { 150 }; ///< Time for a reply to reach its client.
+    constexpr Duration shortestWrite { 30 }; ///< With less time left nothing is begun, so that the caller can be told so.
     constexpr Duration queryTimeout { 700 };
     constexpr Duration queryRetry { 100 };
 
@@ -87,7 +88,7 @@
     ClientReply refuse(CellNode& node)
     {
         ++node.m_counters.m_refusals;
-        return { .m_status = ClientStatus::NotDone, .m_retryAfter = comeBackAfter(node.m_isStoreReached ? Duration {} : node.m_now - node.m_storeHeardAt) };
+        return { .m_status = ClientStatus::NotDone, .m_retryAfter = comeBackAfter };
     }
 
     void replyWrite(CellNode& node, StoreStatus status, ClientStatus whenDone, const std::string& job, TimePoint arrivedAt, const ClientResponder& respond)
@@ -182,6 +183,8 @@
         }
         PendingWrite write { .m_records = { { .m_key = plan->m_id, .m_value = encodePlan(*plan) } }, .m_deadline = call.m_deadline - replyMargin };
         write.m_onEnd = [&node, id = plan->m_id, arrivedAt = call.m_arrivedAt, respond](StoreStatus status) { replyWrite(node, status, ClientStatus::Accepted, id, arrivedAt, respond); };
+        if (write.m_deadline - node.m_now < shortestWrite)
+            return write.m_onEnd(StoreStatus::NotDone);
         const PeerSubmit message { .m_plan = write.m_records.front().m_value };
         writeByLeader(node, message, write.m_deadline, takeSubmit, [&node, write](WriteOutcome outcome) mutable {
             if (outcome == WriteOutcome::Recorded)
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -186,11 +186,11 @@
     AppendPipeline& writer = node.m_writer;
     if (wantsAppend(writer, node.m_storeHeardAt, node.m_now) && scheduler::hasRecords(*node.m_scheduler))
         fillWriter(node);
-    const PipelinedAppend* const next = takeAppend(writer, node.m_now);
+    const PipelinedAppend* const next = takeAppend(writer, node.m_storeHeardAt, node.m_now);
     if (!next)
         return;
     ++node.m_counters.m_appends;
-    node.m_ports.m_append(next->m_append, writer.m_timeout, [&node, term = node.m_term, sequence = next->m_append.m_writer->m_sequence](const AppendAnswer& answer) {
+    node.m_ports.m_append(next->m_append, appendTimeout(writer), [&node, term = node.m_term, sequence = next->m_append.m_writer->m_sequence](const AppendAnswer& answer) {
         if (isPresentTerm(node, term))
             onWritten(node, sequence, answer);
     });
