--- a/src/connection/peer_codec.cpp
+++ b/src/connection/peer_codec.cpp
@@ -22,12 +22,12 @@
 
     Json memberToJson(const PeerMember& member)
     {
-        return Json::array({ member.m_name, member.m_address.m_host, member.m_address.m_port, member.m_instance, member.m_cpuPercent });
+        return Json::array({ member.m_name, member.m_address.m_host, member.m_address.m_port, member.m_instance, member.m_strength });
     }
 
     PeerMember memberFromJson(const Json& row)
     {
-        return { .m_name = row.at(0), .m_address = { .m_host = row.at(1), .m_port = row.at(2) }, .m_instance = row.at(3), .m_cpuPercent = row.at(4) };
+        return { .m_name = row.at(0), .m_address = { .m_host = row.at(1), .m_port = row.at(2) }, .m_instance = row.at(3), .m_strength = row.at(4) };
     }
 
     Json taskToJson(const TaskName& name)
--- a/src/connection/peer_type.h
+++ b/src/connection/peer_type.h
@@ -16,7 +16,7 @@
     std::string m_name; ///< Name of its VM.
     Address m_address; ///< Where peers reach it.
     std::uint64_t m_instance = 0; ///< Differs with each start of the process.
-    int m_cpuPercent = 0; ///< Its share of a core in percent; stronger VMs lead.
+    int m_strength = 0; ///< How well it could lead, see strengthOf().
 };
 
 /** Whom a daemon takes for the leader. */
--- a/src/process/cell/cell_daemon.cpp
+++ b/src/process/cell/cell_daemon.cpp
@@ -9,6 +9,7 @@
 #include "platform/platform_link.h"
 #include "process/cell/cell_func.h"
 #include "process/cell/cell_metrics.h"
+#include "process/cell/leader_choice.h"
 
 #include <atomic>
 #include <thread>
@@ -125,8 +126,7 @@
 
 CellOptions CellDaemon::Impl::makeOptions() const
 {
-    constexpr double percent = 100;
-    return { .m_self = { .m_name = m_settings.m_member, .m_address = m_settings.m_peers, .m_instance = makeInstance(), .m_cpuPercent = static_cast<int>(m_settings.m_cpuShare * percent) },
+    return { .m_self = { .m_name = m_settings.m_member, .m_address = m_settings.m_peers, .m_instance = makeInstance(), .m_strength = strengthOf(m_settings.m_cpuShare, m_settings.m_linkMbps) },
         .m_seeds = m_settings.m_seeds,
         .m_topics = platform::PlatformLink::makeTopics(),
         .m_scheduler = m_settings.m_scheduler };
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -1,7 +1,7 @@
 /** @file cell_leadership.cpp Who leads: heartbeats, claims, the end of a term. */
-#include "core/hash_func.h"
 #include "core/log_func.h"
 #include "process/cell/cell_detail.h"
+#include "process/cell/leader_choice.h"
 #include "process/cell/leader_codec.h"
 #include "process/scheduler/scheduler_func.h"
 
@@ -15,8 +15,6 @@
     constexpr Duration claimTimeout { 1'000 };
     constexpr Duration peerForgottenAfter { 3'000 };
     constexpr Duration firstClaimSpread { 300 }; ///< Claims of daemons that know no leader spread over this.
-    constexpr int weakCpuPercent = 15; ///< VMs below it lead only when no other one does.
-    constexpr Duration weakDelay { 1'000 };
     constexpr Duration thawGap { 600 }; ///< A suspension longer than this makes the leadership doubtful.
     constexpr Duration handOverPause { 400 }; ///< Before the next successor is asked.
 
@@ -30,16 +28,15 @@
         return node.m_leader.m_token > 0 && isSelf(node, node.m_leader.m_member);
     }
 
-    /** Position of this daemon among those that could lead: strong VMs first, then by a hash that differs with each term. */
-    std::int64_t rankOfSelf(const CellNode& node)
+    /** @return Peers that could lead in place of the former leader. */
+    std::vector<PeerMember> rivalsOf(const CellNode& node)
     {
-        const auto weight = [&](const PeerMember& member) { return std::pair { -member.m_cpuPercent, stableHash(member.m_name + std::to_string(node.m_leader.m_token)) }; };
-        std::int64_t rank = 0;
+        std::vector<PeerMember> rivals;
         for (const auto& [name, peer] : node.m_peers) {
-            if (name != node.m_leader.m_member.m_name && peer.m_heardAt >= peer.m_failedAt && weight(peer.m_member) < weight(node.m_options.m_self))
-                ++rank;
+            if (name != node.m_leader.m_member.m_name && peer.m_heardAt >= peer.m_failedAt)
+                rivals.push_back(peer.m_member);
         }
-        return rank;
+        return rivals;
     }
 
     void hearPeer(CellNode& node, const PeerMember& member, bool isStoreReached)
@@ -164,8 +161,9 @@
         if (!node.m_claimAt) {
             const bool wasOurs = node.m_leader.m_member.m_name == node.m_options.m_self.m_name;
             const Duration spread { node.m_leader.m_token == 0 ? static_cast<std::int64_t>(node.m_options.m_self.m_instance % static_cast<std::uint64_t>(firstClaimSpread.m_ms)) : 0 };
-            const bool isWeak = node.m_options.m_self.m_cpuPercent < weakCpuPercent;
-            node.m_claimAt = node.m_now + (wasOurs ? Duration {} : node.m_options.m_rankDelay * rankOfSelf(node)) + spread + (isWeak ? weakDelay : Duration {});
+            const std::vector<PeerMember> rivals = rivalsOf(node);
+            const Duration turn = wasOurs ? Duration {} : node.m_options.m_rankDelay * rankOf(node.m_options.m_self, rivals, node.m_leader.m_token);
+            node.m_claimAt = node.m_now + turn + spread + delayOfWeak(node.m_options.m_self, rivals);
         }
         if (node.m_now < *node.m_claimAt)
             return;
@@ -250,22 +248,25 @@
         return isSilent || node.m_writer.m_refusals >= enoughRefusals;
     }
 
-    /** @return Whether a weak VM leads although a strong one could. */
+    /** @return Whether a weak VM leads, or begins to, although a strong one could. */
     bool isLeadingInPlaceOfStronger(const CellNode& node)
     {
         constexpr Duration settleTime { 3'000 };
-        if (node.m_options.m_self.m_cpuPercent >= weakCpuPercent || node.m_now - node.m_leaderHeardAt < settleTime)
+        const bool isSettling = node.m_role == Role::Leading && node.m_now - node.m_leaderHeardAt < settleTime;
+        if (!isWeak(node.m_options.m_self) || isSettling)
             return false;
         return std::any_of(node.m_peers.begin(), node.m_peers.end(), [&](const auto& entry) {
             const PeerState& peer = entry.second;
-            return peer.m_member.m_cpuPercent >= weakCpuPercent && peer.m_isStoreReached && node.m_now - peer.m_heardAt <= node.m_options.m_suspectAfter;
+            return !isWeak(peer.m_member) && peer.m_isStoreReached && node.m_now - peer.m_heardAt <= node.m_options.m_suspectAfter;
         });
     }
 
     /** A leader that ends, that the store refuses, or that is weak asks peers to take over. */
     void stepHandOver(CellNode& node)
     {
-        if ((!node.m_isTerminating && !isWriterStuck(node) && !isLeadingInPlaceOfStronger(node)) || node.m_role != Role::Leading || node.m_now < node.m_nextHandOverAt)
+        const bool hasTerm = node.m_role == Role::Leading || node.m_role == Role::Loading;
+        const bool isWanted = node.m_isTerminating || isWriterStuck(node) || isLeadingInPlaceOfStronger(node);
+        if (!hasTerm || !isWanted || node.m_now < node.m_nextHandOverAt)
             return;
         node.m_nextHandOverAt = node.m_now + handOverPause;
         // Two are asked at a time: one of them may not reach the store either; the store lets one claim pass.
@@ -276,7 +277,7 @@
             if (node.m_now - peer.m_heardAt <= node.m_options.m_suspectAfter && peer.m_isStoreReached && !wasAsked)
                 usable.push_back(&peer);
         }
-        const auto weight = [](const PeerState* peer) { return std::pair { peer->m_member.m_cpuPercent, peer->m_member.m_instance }; };
+        const auto weight = [](const PeerState* peer) { return std::pair { peer->m_member.m_strength, peer->m_member.m_instance }; };
         std::sort(usable.begin(), usable.end(), [&](const PeerState* one, const PeerState* other) { return weight(one) > weight(other); });
         usable.resize(std::min(usable.size(), askedAtOnce));
         node.m_askedSuccessors.clear();
--- /dev/null
+++ b/src/process/cell/leader_choice.cpp
@@ -0,0 +1,43 @@
+/** @file leader_choice.cpp Strength and order of VMs that could lead. */
+#include "process/cell/leader_choice.h"
+
+#include "core/hash_func.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace bulrushloft::cell {
+
+namespace {
+
+    constexpr int weakBelow = 15; ///< Percent of a core or Mbit/s.
+    constexpr Duration weakDelay { 1'000 };
+
+} // namespace
+
+int strengthOf(double cpuShare, double linkMbps)
+{
+    constexpr double percent = 100;
+    constexpr double most = 1'000'000;
+    return static_cast<int>(std::min({ cpuShare * percent, linkMbps, most }));
+}
+
+bool isWeak(const PeerMember& member)
+{
+    return member.m_strength < weakBelow;
+}
+
+std::int64_t rankOf(const PeerMember& self, const std::vector<PeerMember>& others, std::uint64_t formerToken)
+{
+    const auto weight = [&](const PeerMember& member) { return std::pair { -member.m_strength, stableHash(member.m_name + std::to_string(formerToken)) }; };
+    return std::count_if(others.begin(), others.end(), [&](const PeerMember& other) { return weight(other) < weight(self); });
+}
+
+Duration delayOfWeak(const PeerMember& self, const std::vector<PeerMember>& others)
+{
+    const bool mayBeStronger = others.empty() || !std::all_of(others.begin(), others.end(), isWeak);
+    return isWeak(self) && mayBeStronger ? weakDelay : Duration {};
+}
+
+} // namespace bulrushloft::cell
--- a/src/process/cell/leader_codec.cpp
+++ b/src/process/cell/leader_codec.cpp
@@ -9,7 +9,7 @@
 
 std::string encodeClaim(const PeerMember& member)
 {
-    const std::vector<std::uint8_t> bytes = Json::to_cbor(Json::array({ member.m_name, member.m_address.m_host, member.m_address.m_port, member.m_instance, member.m_cpuPercent }));
+    const std::vector<std::uint8_t> bytes = Json::to_cbor(Json::array({ member.m_name, member.m_address.m_host, member.m_address.m_port, member.m_instance, member.m_strength }));
     return { bytes.begin(), bytes.end() };
 }
 
@@ -17,7 +17,7 @@
 {
     try {
         const Json row = Json::from_cbor(bytes);
-        return PeerMember { .m_name = row.at(0), .m_address = { .m_host = row.at(1), .m_port = row.at(2) }, .m_instance = row.at(3), .m_cpuPercent = row.at(4) };
+        return PeerMember { .m_name = row.at(0), .m_address = { .m_host = row.at(1), .m_port = row.at(2) }, .m_instance = row.at(3), .m_strength = row.at(4) };
     } catch (const std::exception&) {
         return std::nullopt;
     }
