--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <deque>
 #include <future>
+#include <list>
 #include <strings.h>
 #include <unordered_map>
 
@@ -60,10 +61,13 @@
     void start(PendingCall call);
     void startNext(const Address& address);
     void failExpired(Destination& destination);
+    void keepIdle(const std::shared_ptr<Connection>& connection);
+    std::shared_ptr<Connection> takeIdle(Destination& destination);
 
     asio::io_context& m_context;
     HttpClientOptions m_options;
     std::unordered_map<Address, Destination> m_destinations;
+    std::list<Connection*> m_idleOrder; ///< All idle connections, the oldest first.
     std::atomic<std::uint64_t> m_bytesSent { 0 };
 };
 
@@ -103,6 +107,11 @@
             writeRequest();
         }
 
+        const Address& address() const { return m_address; }
+
+        TimePoint m_idleSince; ///< When it was last given back.
+        std::list<Connection*>::iterator m_idlePlace; ///< Its place among the idle ones, while it is one.
+
     private:
         /** A readable idle connection was closed by the other side (or broke the protocol). */
         bool isClosedByPeer() const
@@ -180,8 +189,7 @@
             Destination& destination = m_client->m_destinations[m_address];
             if (result && m_keepAlive) {
                 m_stream.expires_never();
-                m_idleSince = steadyNow();
-                destination.m_idle.push_back(shared_from_this());
+                m_client->keepIdle(shared_from_this());
             } else {
                 m_stream.close();
                 --destination.m_openCount;
@@ -198,17 +206,38 @@
         http::request<http::span_body<const char>> m_message;
         std::optional<http::response_parser<http::string_body>> m_parser;
         bool m_keepAlive = false;
-        TimePoint m_idleSince;
     };
 
 } // namespace
 
+void HttpClient::Impl::keepIdle(const std::shared_ptr<Connection>& connection)
+{
+    connection->m_idleSince = steadyNow();
+    m_destinations[connection->address()].m_idle.push_back(connection);
+    connection->m_idlePlace = m_idleOrder.insert(m_idleOrder.end(), connection.get());
+    if (m_idleOrder.size() <= m_options.m_mostIdle)
+        return;
+    // The oldest connection to an address is the first of its idle ones.
+    Destination& destination = m_destinations[m_idleOrder.front()->address()];
+    m_idleOrder.pop_front();
+    destination.m_idle.erase(destination.m_idle.begin());
+    --destination.m_openCount;
+}
+
+std::shared_ptr<Connection> HttpClient::Impl::takeIdle(Destination& destination)
+{
+    if (destination.m_idle.empty())
+        return nullptr;
+    auto connection = destination.m_idle.back();
+    destination.m_idle.pop_back();
+    m_idleOrder.erase(connection->m_idlePlace);
+    return connection;
+}
+
 void HttpClient::Impl::start(PendingCall call)
 {
     Destination& destination = m_destinations[call.m_call.m_address];
-    while (!destination.m_idle.empty()) {
-        auto connection = destination.m_idle.back();
-        destination.m_idle.pop_back();
+    while (const auto connection = takeIdle(destination)) {
         if (connection->isUsable())
             return connection->run(std::move(call));
         --destination.m_openCount;
--- a/src/platform/worker_client.h
+++ b/src/platform/worker_client.h
@@ -9,7 +9,8 @@
 /** Sends orders; results come on the loop's thread. */
 class WorkerClient {
 public:
-    explicit WorkerClient(EventLoop& loop);
+    /** @param mostIdle Idle connections that are kept to all workers together, for each kind of call. */
+    WorkerClient(EventLoop& loop, std::size_t mostIdle);
 
     void start(const scheduler::Sent<StartOrder>& order, Duration timeout, std::function<void(OrderStatus)> onAnswer);
     void stop(const scheduler::Sent<StopOrder>& order, Duration timeout, std::function<void(OrderStatus)> onAnswer);
--- a/src/process/cell/cell_daemon.cpp
+++ b/src/process/cell/cell_daemon.cpp
@@ -53,7 +53,7 @@
     explicit Impl(const CellStartup& settings)
         : m_settings(settings)
         , m_works(settings.m_ringCapacity)
-        , m_link(m_loop, { .m_store = settings.m_store, .m_approvals = settings.m_approvals })
+        , m_link(m_loop, { .m_store = settings.m_store, .m_approvals = settings.m_approvals, .m_mostIdle = settings.m_descriptors / 4 })
     {
     }
 
--- a/src/process/cell/cell_startup.cpp
+++ b/src/process/cell/cell_startup.cpp
@@ -47,6 +47,7 @@
         settings.m_member = file.text("member");
         settings.m_zone = file.text("zone");
         settings.m_cpuShare = file.number("cpu_share", settings.m_cpuShare, 0.001, 1'024, "cores");
+        settings.m_descriptors = static_cast<std::size_t>(file.integer("descriptors", static_cast<std::int64_t>(settings.m_descriptors), 256, 1'048'576, "descriptors"));
         settings.m_linkMbps = file.number("link_mbps", settings.m_linkMbps, 0.001, 1'000'000, "Mbit/s");
         readListen(file.section("listen"), settings);
         readPlatform(file.section("platform"), settings);
--- a/src/process/cell/cell_startup.h
+++ b/src/process/cell/cell_startup.h
@@ -11,6 +11,7 @@
     std::string m_member; ///< Name of this VM.
     std::string m_zone; ///< Its availability zone.
     double m_cpuShare = 1; ///< Its share of a core.
+    std::size_t m_descriptors = 4'096; ///< Descriptors that the process may open; half of them may be idle connections to workers.
     double m_linkMbps = 1'000; ///< Bandwidth of its link in Mbit/s.
     Address m_clients; ///< Where clients call.
     Address m_readiness; ///< Where the platform asks whether it is ready.
--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -6,6 +6,7 @@
 #include "request/plan_codec.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace bulrushloft::cell::detail {
 
@@ -87,11 +88,13 @@
     {
         if (&tail != &node.m_workersTail || !node.m_scheduler)
             return;
+        const std::unordered_set<std::string_view> listed(tail.m_listedKeys.begin(), tail.m_listedKeys.end());
         for (const scheduler::Worker& worker : node.m_scheduler->m_workers) {
-            const auto& keys = tail.m_listedKeys;
-            if (worker.m_isListed && std::find(keys.begin(), keys.end(), worker.m_notice.m_id) == keys.end())
+            if (worker.m_isListed && !listed.contains(worker.m_notice.m_id))
                 dropWorker(node, worker.m_notice.m_id);
         }
+        if (std::exchange(node.m_scheduler->m_isBeginning, false))
+            logEvent(LogLevel::Info, "workers-listed", { { "workers", listed.size() }, { "token", node.m_term } });
     }
 
     void onPage(CellNode& node, TopicTail& tail, const NewestAnswer& page)
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -26,6 +26,7 @@
     Duration m_formerGrace { 3'000 }; ///< How long an isolated former leader may go on renewing leases.
     Duration m_gangTimeout { 3'000 }; ///< Longest wait of a gang's member for the others.
     Duration m_syncWait { 1'000 }; ///< How long a sync waits at the worker for an end.
+    Duration m_idleSync { 2'500 }; ///< Between syncs of a worker on which nothing runs.
     Duration m_memory { 150'000 }; ///< How long ended jobs are remembered.
     double m_clockDrift = 0.02; ///< Workers' clocks may be slower by this share.
     double m_remoteFactor = 2; ///< Slow-down of tasks away from their data.
@@ -274,6 +275,7 @@
     TimePoint m_lossyUntil; ///< Orders get lost on the way to workers that are well.
     TimePoint m_nextWatchAt; ///< When progress is looked at again.
     TimePoint m_nextPacingAt; ///< When pacing is looked at again.
+    bool m_isBeginning = true; ///< The records and workers that a term begins with are being taken; they are logged as counts.
     bool m_needsPlacing = false; ///< Something has changed for placement.
     TimePoint m_placedAt; ///< When placement last ran.
     SchedulerCounters m_counters; ///< For metrics.
--- a/src/process/scheduler/scheduler_jobs.cpp
+++ b/src/process/scheduler/scheduler_jobs.cpp
@@ -201,7 +201,8 @@
     job.m_chain = detail::expectChain(scheduler, job);
     scheduler.m_jobs.emplace(job.m_plan.m_id, std::move(owned));
     ++scheduler.m_pendingCounts[job.m_plan.m_queue];
-    logEvent(LogLevel::Info, "job-accepted", { { "job", job.m_plan.m_id }, { "queue", job.m_plan.m_queue }, { "steps", job.m_plan.m_steps.size() }, { "age_ms", (now - job.m_acceptedAt).m_ms }, { "chain_ms", job.m_chain.m_ms } });
+    if (!scheduler.m_isBeginning)
+        logEvent(LogLevel::Info, "job-accepted", { { "job", job.m_plan.m_id }, { "queue", job.m_plan.m_queue }, { "steps", job.m_plan.m_steps.size() }, { "age_ms", (now - job.m_acceptedAt).m_ms }, { "chain_ms", job.m_chain.m_ms } });
     if (scheduler.m_cancelledEarly.contains(job.m_plan.m_id))
         return detail::endJob(scheduler, job, JobStage::Cancelled, now);
     if (job.m_plan.m_repeats == 0)
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -307,7 +307,9 @@
     if (isFresh)
         worker.m_leaseUntilMs = std::max(worker.m_leaseUntilMs, report.m_clockMs + scheduler.m_options.m_longestLease.m_ms);
     if (worker.m_link != WorkerLink::Adopted) {
-        logEvent(LogLevel::Info, "worker-adopted", { { "worker", id }, { "was", findName(workerLinkNames, worker.m_link) }, { "running", report.m_running.size() }, { "ended", report.m_ended.size() }, { "born_ms", report.m_bornMs } });
+        const bool isPlain = worker.m_link == WorkerLink::New && report.m_running.empty() && report.m_ended.empty();
+        if (!isPlain)
+            logEvent(LogLevel::Info, "worker-adopted", { { "worker", id }, { "was", findName(workerLinkNames, worker.m_link) }, { "running", report.m_running.size() }, { "ended", report.m_ended.size() }, { "born_ms", report.m_bornMs } });
         scheduler.m_needsPlacing = true;
     }
     worker.m_link = WorkerLink::Adopted;
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -21,6 +21,7 @@
     constexpr Duration firstStartTimeout { 180 }; ///< Lost starts are repeated soon; a repeat of the same attempt does no harm.
     constexpr Duration startTimeout { 450 };
     constexpr Duration goneRetry { 1'000 };
+    constexpr std::int64_t mostIdleSyncsPerSecond = 300; ///< Over all idle workers.
     constexpr double healthHalfLifeMs = 5'000;
     constexpr double failuresUntilHeldOut = 2.5;
     constexpr Duration failingHoldOut { 3'000 };
@@ -161,6 +162,12 @@
             worker.m_link = WorkerLink::Gone;
         }
 
+        /** @return Whether nothing runs, starts or waits for its acknowledgement on a worker that is well. */
+        bool isIdle(const Worker& worker)
+        {
+            return worker.m_link == WorkerLink::Adopted && worker.m_unanswered == 0 && worker.m_tasks.empty() && worker.m_strangers == 0 && worker.m_pendingEnds.empty();
+        }
+
         void sendSync(Scheduler& scheduler, Worker& worker, TimePoint now, SchedulerEffects& effects)
         {
             const bool isHealthy = worker.m_link == WorkerLink::Adopted && worker.m_unanswered == 0;
@@ -171,17 +178,27 @@
                 worker.m_leaseUntilMs = deadline;
             }
             const bool isLossy = now < scheduler.m_lossyUntil;
-            if (isHealthy && worker.m_pendingEnds.empty())
+            if (isHealthy && worker.m_pendingEnds.empty() && !isIdle(worker))
                 order.m_wait = isLossy ? lossySyncWait : scheduler.m_options.m_syncWait;
             worker.m_isSyncOut = true;
             ++scheduler.m_counters.m_syncs;
             effects.m_syncs.push_back({ targetOf(scheduler, worker), order, order.m_wait + (isLossy ? lossySyncMargin : syncMargin) });
         }
 
+        /** @return When the next sync of a worker is due; idle ones are only looked at, so that their clocks and losses are known. */
+        TimePoint syncDueAt(const Scheduler& scheduler, const Worker& worker)
+        {
+            if (!isIdle(worker))
+                return worker.m_nextSyncAt;
+            const auto count = static_cast<std::int64_t>(scheduler.m_workers.size());
+            const Duration interval { std::max(scheduler.m_options.m_idleSync.m_ms, count * 1'000 / mostIdleSyncsPerSecond) };
+            return std::max(worker.m_nextSyncAt, worker.m_answeredAt + interval);
+        }
+
         void stepSync(Scheduler& scheduler, Worker& worker, TimePoint now, SchedulerEffects& effects)
         {
             const bool isOfUse = worker.m_isListed || !worker.m_tasks.empty();
-            if (worker.m_isSyncOut || now < worker.m_nextSyncAt || !isOfUse || worker.m_notice.m_address.m_port == 0)
+            if (worker.m_isSyncOut || now < syncDueAt(scheduler, worker) || !isOfUse || worker.m_notice.m_address.m_port == 0)
                 return;
             sendSync(scheduler, worker, now, effects);
             if (worker.m_link == WorkerLink::Gone)
@@ -247,7 +264,8 @@
     const bool hasMoved = worker.m_notice.m_address != notice.m_address;
     if (isNew || isReborn || hasMoved || !worker.m_isListed) {
         worker.m_nextSyncAt = now;
-        logEvent(LogLevel::Info, "worker-listed", { { "worker", notice.m_id }, { "pool", notice.m_pool }, { "address", format(notice.m_address) }, { "is_reborn", isReborn } });
+        if (!scheduler.m_isBeginning)
+            logEvent(LogLevel::Info, "worker-listed", { { "worker", notice.m_id }, { "pool", notice.m_pool }, { "address", format(notice.m_address) }, { "is_reborn", isReborn } });
     }
     worker.m_notice = notice;
     worker.m_isListed = true;
