Fix: a page of progress that comes twice after the rest was divided is taken once

Cause: a page is asked for again while the store is silent; when the first answer was slow the rest was divided into ranges whose calls were numbered anew, so the second answer passed for a page of the new first range. Tasks done in it counted twice and the next step began early. Ruled out: writes of a former term (the fence comes first). Progress is now kept by key and answers carry the division they belong to.

--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -105,7 +105,8 @@
     bool m_isFenced = false; ///< Earlier terms can't write any more.
     HedgedCall m_fence; ///< The append that fences them.
     std::vector<LoadRange> m_ranges; ///< What is read.
-    std::vector<KeyedRecord> m_progress; ///< Progress read so far.
+    std::uint64_t m_division = 0; ///< Rises when the ranges are divided anew; answers for earlier ones are dropped.
+    std::map<std::string, std::string> m_progress; ///< Progress read so far, by key.
     TimePoint m_startedAt; ///< When it began.
 };
 
--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -61,7 +61,8 @@
     {
         const auto isWithin = [&](const KeyedRecord& record) { return range.m_until.empty() || record.m_key < range.m_until; };
         const auto end = std::find_if_not(page.m_records.begin(), page.m_records.end(), isWithin);
-        node.m_load.m_progress.insert(node.m_load.m_progress.end(), page.m_records.begin(), end);
+        for (auto record = page.m_records.begin(); record != end; ++record)
+            node.m_load.m_progress.insert_or_assign(record->m_key, record->m_value);
         range.m_isRead = end != page.m_records.end() || !page.m_hasMore || page.m_records.empty();
         const bool isSlow = node.m_now - range.m_call.m_triedAt > slowPage;
         endCall(range.m_call, node.m_now);
@@ -69,8 +70,10 @@
             return;
         range.m_after = page.m_records.back().m_key;
         // Pages side by side cost more reads, as each may hold records of the next range.
-        if (isSlow && node.m_load.m_ranges.size() == 1)
+        if (isSlow && node.m_load.m_ranges.size() == 1) {
             node.m_load.m_ranges = splitRest(range.m_after);
+            ++node.m_load.m_division;
+        }
     }
 
     void readRange(CellNode& node, std::size_t index)
@@ -79,9 +82,9 @@
         if (range.m_isRead || !isTryDue(range.m_call, patienceWithStore(node, range.m_call.m_triedAt), node.m_now))
             return;
         const std::uint64_t position = beginTry(range.m_call, node.m_now);
-        node.m_ports.m_newest({ .m_partition = { .m_topic = node.m_options.m_topics.m_progress }, .m_after = range.m_after }, callTimeout, [&node, index, position, term = node.m_term](const NewestAnswer& page) {
+        node.m_ports.m_newest({ .m_partition = { .m_topic = node.m_options.m_topics.m_progress }, .m_after = range.m_after }, callTimeout, [&node, index, position, division = node.m_load.m_division, term = node.m_term](const NewestAnswer& page) {
             noteStore(node, page.m_status == StoreStatus::Done);
-            if (!isStillLoading(node, term))
+            if (!isStillLoading(node, term) || node.m_load.m_division != division)
                 return;
             LoadRange& asked = node.m_load.m_ranges[index];
             if (!isOfCall(asked.m_call, position))
@@ -103,11 +106,11 @@
         return std::all_of(node.m_load.m_ranges.begin(), node.m_load.m_ranges.end(), [](const LoadRange& range) { return range.m_isRead; });
     }
 
-    void restorePlan(CellNode& node, const KeyedRecord& record)
+    void restorePlan(CellNode& node, const std::string& key, const std::string& value)
     {
-        auto plan = decodePlan(record.m_value);
+        auto plan = decodePlan(value);
         if (!plan) {
-            logEvent(LogLevel::Error, "plan-unusable", { { "key", record.m_key }, { "error", describe(plan.error()) } });
+            logEvent(LogLevel::Error, "plan-unusable", { { "key", key }, { "error", describe(plan.error()) } });
             return;
         }
         scheduler::acceptJob(*node.m_scheduler, std::move(*plan), node.m_now);
@@ -115,15 +118,16 @@
 
     void restoreAll(CellNode& node)
     {
-        for (const KeyedRecord& record : node.m_load.m_progress) {
-            if (record.m_key.starts_with(scheduler::planKey({})) && !record.m_value.empty())
-                restorePlan(node, record);
+        const auto isPlan = [](const std::string& key) { return key.starts_with(scheduler::planKey({})); };
+        for (const auto& [key, value] : node.m_load.m_progress) {
+            if (isPlan(key) && !value.empty())
+                restorePlan(node, key, value);
         }
-        for (const KeyedRecord& record : node.m_load.m_progress) {
-            if (record.m_value.empty() || record.m_key.starts_with(scheduler::planKey({})))
+        for (const auto& [key, value] : node.m_load.m_progress) {
+            if (value.empty() || isPlan(key))
                 continue;
-            if (auto restored = scheduler::restoreProgress(*node.m_scheduler, record.m_key, record.m_value, node.m_now); !restored)
-                logEvent(LogLevel::Error, "progress-unusable", { { "job", record.m_key }, { "error", describe(restored.error()) } });
+            if (auto restored = scheduler::restoreProgress(*node.m_scheduler, key, value, node.m_now); !restored)
+                logEvent(LogLevel::Error, "progress-unusable", { { "job", key }, { "error", describe(restored.error()) } });
         }
         scheduler::finishRestoring(*node.m_scheduler, node.m_now);
         logEvent(LogLevel::Info, "term-loaded", { { "token", node.m_term }, { "jobs", node.m_scheduler->m_jobs.size() }, { "progress", node.m_load.m_progress.size() }, { "workers_with_tasks", node.m_scheduler->m_workers.size() }, { "took_ms", (node.m_now - node.m_load.m_startedAt).m_ms } });
