Improve: a leader of a thousand workers or more has its orders passed on by peers

Cause: at 3,000 workers and 900 starts a second one VM of 0.25 cores can't call each worker itself: heartbeats were answered late, and terms changed every second. Orders now go in batches to a few peers, which call the workers and report in batches (cell_relay, order_codec); an order without a report in time counts as unanswered, as if the worker had not answered. Heartbeats are handled ahead of other messages. Ruled out: a single long step (none over 100 ms).

--- a/src/connection/order_type.h
+++ b/src/connection/order_type.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace bulrushloft {
@@ -119,4 +120,27 @@
     std::uint64_t m_token = 0; ///< Fencing token of the leader.
 };
 
+/** An order with its target. */
+template <typename Order>
+struct Sent {
+    OrderTarget m_to; ///< Which worker.
+    Order m_order; ///< What.
+    Duration m_timeout { 800 }; ///< Without an answer by then the order counts as unanswered.
+};
+
+/** An order that a peer passes on to a worker. */
+struct RelayedOrder {
+    std::uint64_t m_number = 0; ///< Given by the leader; the report names it.
+    OrderTarget m_to; ///< Which worker.
+    Duration m_timeout; ///< How long the worker's answer is waited for.
+    std::variant<StartOrder, StopOrder, SyncOrder> m_order; ///< What.
+};
+
+/** How a relayed order ended. */
+struct OrderReport {
+    std::uint64_t m_number = 0; ///< Which order.
+    OrderStatus m_status = OrderStatus::NoAnswer; ///< How it ended.
+    SyncReport m_sync; ///< What the worker told, when a sync was Done.
+};
+
 } // namespace bulrushloft
--- a/src/connection/peer_codec.cpp
+++ b/src/connection/peer_codec.cpp
@@ -1,6 +1,8 @@
 /** @file peer_codec.cpp Messages between daemons as CBOR arrays; the first item tells the kind. */
 #include "connection/peer_codec.h"
 
+#include "connection/order_codec.h"
+
 #include <nlohmann/json.hpp>
 
 namespace bulrushloft {
@@ -30,16 +32,6 @@
         return { .m_name = row.at(0), .m_address = { .m_host = row.at(1), .m_port = row.at(2) }, .m_instance = row.at(3), .m_strength = row.at(4) };
     }
 
-    Json taskToJson(const TaskName& name)
-    {
-        return Json::array({ name.m_job, name.m_occurrence, name.m_step, name.m_index });
-    }
-
-    TaskName taskFromJson(const Json& row)
-    {
-        return { .m_job = row.at(0), .m_occurrence = row.at(1), .m_step = row.at(2), .m_index = row.at(3) };
-    }
-
     Json encode(const PeerHeartbeat& message)
     {
         return Json::array({ memberToJson(message.m_from), message.m_leader.m_token, memberToJson(message.m_leader.m_member), message.m_configVersion, binary(message.m_configText), message.m_membersVersion, message.m_isStoreReached });
@@ -59,6 +51,22 @@
         return Json::array({ message.m_append.m_partition.m_topic, message.m_append.m_partition.m_partition, std::move(records) });
     }
 
+    Json encode(const PeerOrders& message)
+    {
+        Json orders = Json::array();
+        for (const RelayedOrder& order : message.m_orders)
+            orders.push_back(orderToJson(order));
+        return Json::array({ memberToJson(message.m_from), std::move(orders) });
+    }
+
+    Json encode(const PeerReports& message)
+    {
+        Json reports = Json::array();
+        for (const OrderReport& report : message.m_reports)
+            reports.push_back(reportToJson(report));
+        return Json::array({ message.m_token, std::move(reports) });
+    }
+
     Json encode(const PeerAsk& message) { return Json::array({ taskToJson(message.m_step), message.m_workers }); }
 
     Json encode(const PeerHeartbeatAnswer& reply)
@@ -111,6 +119,18 @@
             return PeerSubmit { .m_plan = bytesOf(row.at(0)) };
         case 7:
             return PeerCancel { .m_job = row.at(0) };
+        case 8: {
+            PeerOrders message { .m_from = memberFromJson(row.at(0)), .m_orders = {} };
+            for (const Json& order : row.at(1))
+                message.m_orders.push_back(orderFromJson(order));
+            return message;
+        }
+        case 9: {
+            PeerReports message { .m_token = row.at(0), .m_reports = {} };
+            for (const Json& report : row.at(1))
+                message.m_reports.push_back(reportFromJson(report));
+            return message;
+        }
         default:
             throw std::out_of_range("unknown kind of message");
         }
--- a/src/connection/peer_type.h
+++ b/src/connection/peer_type.h
@@ -123,12 +123,24 @@
     std::uint64_t m_token = 0; ///< Token of the term that ends.
 };
 
+/** Orders that a peer passes on, so that a leader of many workers need not call each of them. */
+struct PeerOrders {
+    PeerMember m_from; ///< The leader, whom the reports go to.
+    std::vector<RelayedOrder> m_orders; ///< What.
+};
+
+/** How orders ended that a peer has passed on. */
+struct PeerReports {
+    std::uint64_t m_token = 0; ///< Token of the term whose orders they were.
+    std::vector<OrderReport> m_reports; ///< What became of them.
+};
+
 /** Answer without content. */
 struct PeerDone {
     bool m_isTaken = false; ///< Whether it will be done.
 };
 
-using PeerMessage = std::variant<PeerHeartbeat, PeerQuery, PeerCount, PeerAppend, PeerAsk, PeerTakeOver, PeerSubmit, PeerCancel>;
+using PeerMessage = std::variant<PeerHeartbeat, PeerQuery, PeerCount, PeerAppend, PeerAsk, PeerTakeOver, PeerSubmit, PeerCancel, PeerOrders, PeerReports>;
 using PeerReply = std::variant<PeerHeartbeatAnswer, PeerQueryAnswer, PeerAppendAnswer, PeerAskAnswer, PeerDone, PeerWriteAnswer>;
 
 } // namespace bulrushloft
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -128,7 +128,7 @@
 {
 }
 
-void WorkerClient::start(const scheduler::Sent<StartOrder>& order, Duration timeout, std::function<void(OrderStatus)> onAnswer)
+void WorkerClient::start(const Sent<StartOrder>& order, Duration timeout, std::function<void(OrderStatus)> onAnswer)
 {
     Json body { { "task", format(order.m_order.m_task) }, { "attempt", order.m_order.m_attempt }, { "spec", order.m_order.m_payload }, { "deadline_ms", order.m_order.m_leaseUntilMs }, { "fencing_token", order.m_to.m_token } };
     if (!order.m_order.m_checkpoint.empty())
@@ -138,19 +138,19 @@
     m_client.send(makeCall(order.m_to, "/bulrushloft/run-start", body, timeout), [onAnswer = std::move(onAnswer)](const HttpResult& result) { onAnswer(statusOf(result)); });
 }
 
-void WorkerClient::stop(const scheduler::Sent<StopOrder>& order, Duration timeout, std::function<void(OrderStatus)> onAnswer)
+void WorkerClient::stop(const Sent<StopOrder>& order, Duration timeout, std::function<void(OrderStatus)> onAnswer)
 {
     const Json body { { "task", format(order.m_order.m_task) }, { "attempt", order.m_order.m_attempt }, { "fencing_token", order.m_to.m_token } };
     m_client.send(makeCall(order.m_to, "/bulrushloft/run-stop", body, timeout), [onAnswer = std::move(onAnswer)](const HttpResult& result) { onAnswer(statusOf(result)); });
 }
 
-void WorkerClient::pace(const scheduler::Sent<PaceOrder>& order, Duration timeout, std::function<void(OrderStatus)> onAnswer)
+void WorkerClient::pace(const Sent<PaceOrder>& order, Duration timeout, std::function<void(OrderStatus)> onAnswer)
 {
     const Json body { { "task", format(order.m_order.m_task) }, { "attempt", order.m_order.m_attempt }, { "percent", order.m_order.m_percent }, { "fencing_token", order.m_to.m_token } };
     m_client.send(makeCall(order.m_to, "/bulrushloft/pace", body, timeout), [onAnswer = std::move(onAnswer)](const HttpResult& result) { onAnswer(statusOf(result)); });
 }
 
-void WorkerClient::sync(const scheduler::Sent<SyncOrder>& order, Duration timeout, std::function<void(OrderStatus, const SyncReport&)> onAnswer)
+void WorkerClient::sync(const Sent<SyncOrder>& order, Duration timeout, std::function<void(OrderStatus, const SyncReport&)> onAnswer)
 {
     Json body { { "fencing_token", order.m_to.m_token }, { "ack_seq", order.m_order.m_ackedEnds } };
     if (order.m_order.m_leaseUntilMs)
--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -44,10 +45,10 @@
     std::function<void(StoreRead, Duration timeout, std::function<void(ReadAnswer)>)> m_read;
     std::function<void(StoreNewest, Duration timeout, std::function<void(NewestAnswer)>)> m_newest;
     std::function<void(const Address&, const PeerMessage&, Duration timeout, std::function<void(std::optional<PeerReply>)>)> m_callPeer;
-    std::function<void(const scheduler::Sent<StartOrder>&, Duration timeout, std::function<void(OrderStatus)>)> m_start;
-    std::function<void(const scheduler::Sent<StopOrder>&, Duration timeout, std::function<void(OrderStatus)>)> m_stop;
-    std::function<void(const scheduler::Sent<PaceOrder>&, Duration timeout, std::function<void(OrderStatus)>)> m_pace;
-    std::function<void(const scheduler::Sent<SyncOrder>&, Duration timeout, std::function<void(OrderStatus, const SyncReport&)>)> m_sync;
+    std::function<void(const Sent<StartOrder>&, Duration timeout, std::function<void(OrderStatus)>)> m_start;
+    std::function<void(const Sent<StopOrder>&, Duration timeout, std::function<void(OrderStatus)>)> m_stop;
+    std::function<void(const Sent<PaceOrder>&, Duration timeout, std::function<void(OrderStatus)>)> m_pace;
+    std::function<void(const Sent<SyncOrder>&, Duration timeout, std::function<void(OrderStatus, const SyncReport&)>)> m_sync;
     std::function<void(const TaskName&, const std::vector<std::string>&, Duration timeout, std::function<void(std::optional<std::vector<Approval>>)>)> m_askApprovals;
 };
 
@@ -66,6 +67,7 @@
     Duration m_workerPoll { 250 }; ///< Between reads of the workers' announcements.
     Duration m_unlistedGrace { 2'000 }; ///< Announcements that lapsed in an outage may come back for so long.
     Duration m_queryHold { 60 }; ///< How long the answer about a job that runs waits for its end, so that an end on its way is told.
+    std::size_t m_relayFrom = 1'000; ///< With so many workers the leader's orders are passed on by peers.
     Duration m_visibleWithin { 2'500 }; ///< An unknown job is denied only when the submissions were read less long ago.
 };
 
@@ -164,6 +166,39 @@
     std::function<void(const PeerQueryAnswer&)> m_onAnswer; ///< Called once.
 };
 
+/** Called once with the end of an order; the report is filled when a sync was Done. */
+using OrderEnd = std::function<void(OrderStatus, const SyncReport&)>;
+
+/** An order that a peer passes on and that has not ended. */
+struct OpenOrder {
+    TimePoint m_until; ///< Without a report by then it counts as unanswered.
+    OrderEnd m_onAnswer; ///< Called once.
+};
+
+/** Orders that wait to be sent to one peer. */
+struct RelayLane {
+    std::vector<RelayedOrder> m_orders; ///< What.
+    TimePoint m_since; ///< When the first of them came.
+};
+
+/** Reports that wait to be sent to one leader. */
+struct ReportLane {
+    std::vector<OrderReport> m_reports; ///< What.
+    TimePoint m_since; ///< When the first of them came.
+};
+
+/** Orders that peers pass on for a leader of many workers. */
+struct OrderRelay {
+    std::uint64_t m_lastNumber = 0; ///< Number of the latest order.
+    std::vector<std::string> m_peers; ///< The peers that pass orders on.
+    TimePoint m_nextChoiceAt; ///< When they are chosen anew.
+    std::map<std::string, RelayLane> m_lanes; ///< By peer.
+    std::unordered_map<std::uint64_t, OpenOrder> m_open; ///< By number.
+    TimePoint m_nextExpiryAt; ///< When the open ones are next looked through.
+    std::map<std::pair<Address, std::uint64_t>, ReportLane> m_reports; ///< By leader and term, when this daemon passes orders on.
+    TimePoint m_closedUntil; ///< No orders are passed on before.
+};
+
 /** Counters that metrics show. */
 struct CellCounters {
     std::uint64_t m_submits = 0; ///< Submissions accepted.
@@ -230,6 +265,7 @@
     std::vector<std::string> m_askedSuccessors; ///< The latest ones asked.
     DirectWriter m_direct; ///< Writes to the topic of jobs.
     std::vector<LaterCall> m_laterCalls; ///< Tries that are repeated later.
+    OrderRelay m_relay; ///< Orders that peers pass on.
     CellCounters m_counters; ///< For metrics.
 };
 
--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -299,6 +299,10 @@
         return relayAppend(node, *append, respond);
     if (const auto* const over = std::get_if<PeerTakeOver>(&message))
         return takeOver(node, *over, respond);
+    if (const auto* const orders = std::get_if<PeerOrders>(&message))
+        return respond(takeOrders(node, *orders));
+    if (const auto* const reports = std::get_if<PeerReports>(&message))
+        return respond(takeReports(node, *reports));
     const auto respondWrite = [respond](WriteOutcome outcome) { respond(PeerWriteAnswer { outcome }); };
     if (const auto* const submission = std::get_if<PeerSubmit>(&message))
         return takeSubmit(node, *submission, respondWrite);
--- a/src/process/cell/cell_daemon.cpp
+++ b/src/process/cell/cell_daemon.cpp
@@ -53,14 +53,17 @@
     explicit Impl(const CellStartup& settings)
         : m_settings(settings)
         , m_works(settings.m_ringCapacity)
+        , m_urgentWorks(settings.m_ringCapacity)
         , m_link(m_loop, { .m_store = settings.m_store, .m_approvals = settings.m_approvals, .m_mostIdle = settings.m_descriptors / 4 })
     {
     }
 
     Expected<void> listen();
     void post(Work work);
+    void postUrgent(Work work);
     CellPorts makePorts();
     CellOptions makeOptions() const;
+    void runUrgent();
     void run();
     void onClient(const HttpRequest& request, const HttpResponder& respond);
     void onPeer(const HttpRequest& request, const HttpResponder& respond);
@@ -70,6 +73,7 @@
 
     CellStartup m_settings; ///< What the start-up file says.
     Ring<Work> m_works; ///< To the deciding thread.
+    Ring<Work> m_urgentWorks; ///< The same, ahead of the others: a leader under load must not pass for a dead one.
     std::atomic<bool> m_isStopping { false };
     std::atomic<bool> m_isReady { false };
     std::atomic<bool> m_isLeading { false };
@@ -103,6 +107,19 @@
     m_works.push(std::move(work));
 }
 
+void CellDaemon::Impl::postUrgent(Work work)
+{
+    m_urgentWorks.push(std::move(work));
+    m_works.push([] { /* Wakes the deciding thread. */ });
+}
+
+void CellDaemon::Impl::runUrgent()
+{
+    Work work;
+    while (m_urgentWorks.tryPop(work))
+        work();
+}
+
 void CellDaemon::Impl::callPeer(const Address& address, const PeerMessage& message, Duration timeout, std::function<void(std::optional<PeerReply>)> onReply)
 {
     HttpCall call { .m_address = address, .m_request = { .m_method = "POST", .m_target = peerPath, .m_headers = {}, .m_body = makeBody(encodePeerMessage(message)) }, .m_timeout = timeout };
@@ -140,9 +157,10 @@
         if (m_works.popWithin(work, m_isLeading ? restWhenLeading : restOtherwise)) {
             noteTime(*m_node, steadyNow(), bootNow());
             std::size_t count = 0;
-            do
+            do {
+                runUrgent();
                 work();
-            while (++count < worksPerStep && m_works.tryPop(work));
+            } while (++count < worksPerStep && m_works.tryPop(work));
         }
         stepCell(*m_node, steadyNow(), bootNow());
         m_isReady = isReady(*m_node);
@@ -162,9 +180,14 @@
     auto message = decodePeerMessage(viewOf(request.m_body));
     if (!message)
         return respond(plainResponse(400, describe(message.error())));
-    post([this, message = std::move(*message), respond] {
+    const bool isUrgent = std::holds_alternative<PeerHeartbeat>(*message);
+    Work work = [this, message = std::move(*message), respond] {
         onPeerMessage(*m_node, message, [respond](const PeerReply& reply) { respond({ .m_status = 200, .m_headers = {}, .m_body = makeBody(encodePeerReply(reply)) }); });
-    });
+    };
+    if (isUrgent)
+        postUrgent(std::move(work));
+    else
+        post(std::move(work));
 }
 
 void CellDaemon::Impl::onReadiness(const HttpRequest& request, const HttpResponder& respond) const
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -52,6 +52,21 @@
 /** Reads what earlier terms have recorded. */
 void stepLoading(CellNode& node);
 
+/** Gives an order to a worker, or to the peer that passes it on. @param onAnswer Called once. */
+void giveOrder(CellNode& node, const OrderTarget& to, std::variant<StartOrder, StopOrder, SyncOrder> order, Duration timeout, const OrderEnd& onAnswer);
+
+/** Passes orders of a leader on. @return Whether they were taken. */
+PeerDone takeOrders(CellNode& node, const PeerOrders& message);
+
+/** Takes the ends of orders that a peer has passed on. */
+PeerDone takeReports(CellNode& node, const PeerReports& message);
+
+/** After a suspension: orders that came meanwhile are not passed on. */
+void closeRelay(CellNode& node);
+
+/** Sends orders and reports that have been collected. */
+void stepRelay(CellNode& node);
+
 /** Writes the progress of the scheduler. */
 void stepWriter(CellNode& node);
 
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -84,6 +84,8 @@
     {
         const Duration gap = bootNow - node.m_bootSeenAt;
         node.m_bootSeenAt = bootNow;
+        if (gap >= thawGap)
+            closeRelay(node);
         if (gap < thawGap || (node.m_role != Role::Leading && node.m_role != Role::Loading))
             return;
         logEvent(LogLevel::Warning, "suspended", { { "gap_ms", gap.m_ms }, { "token", node.m_term } });
@@ -222,6 +224,8 @@
     for (const RecordWaiter& waiter : std::exchange(node.m_recordWaiters, {}))
         waiter.m_onEnd(WriteOutcome::Unknown);
     node.m_scheduler.reset();
+    node.m_relay.m_lanes.clear();
+    node.m_relay.m_open.clear();
     node.m_term = 0;
     node.m_writer = {};
     node.m_isSuspended = false;
@@ -265,6 +269,7 @@
     detail::stepAdmission(node);
     detail::stepScheduler(node);
     detail::stepWriter(node);
+    detail::stepRelay(node);
     detail::stepDirect(node);
     detail::answerStages(node);
 }
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -22,10 +22,10 @@
 
     void afterAnswer(CellNode& node, const scheduler::SchedulerEffects& effects);
 
-    void sendSync(CellNode& node, const scheduler::Sent<SyncOrder>& sync)
+    void sendSync(CellNode& node, const Sent<SyncOrder>& sync)
     {
         const TimePoint sentAt = node.m_now;
-        node.m_ports.m_sync(sync, sync.m_timeout, [&node, sentAt, term = node.m_term, id = sync.m_to.m_worker](OrderStatus status, const SyncReport& report) {
+        giveOrder(node, sync.m_to, sync.m_order, sync.m_timeout, [&node, sentAt, term = node.m_term, id = sync.m_to.m_worker](OrderStatus status, const SyncReport& report) {
             if (!isPresentTerm(node, term))
                 return;
             scheduler::SchedulerEffects effects;
@@ -34,9 +34,9 @@
         });
     }
 
-    void sendStart(CellNode& node, const scheduler::Sent<StartOrder>& start)
+    void sendStart(CellNode& node, const Sent<StartOrder>& start)
     {
-        node.m_ports.m_start(start, start.m_timeout, [&node, term = node.m_term, id = start.m_to.m_worker, task = start.m_order.m_task, attempt = start.m_order.m_attempt](OrderStatus status) {
+        giveOrder(node, start.m_to, start.m_order, start.m_timeout, [&node, term = node.m_term, id = start.m_to.m_worker, task = start.m_order.m_task, attempt = start.m_order.m_attempt](OrderStatus status, const SyncReport&) {
             if (!isPresentTerm(node, term))
                 return;
             scheduler::SchedulerEffects effects;
@@ -45,9 +45,9 @@
         });
     }
 
-    void sendStop(CellNode& node, const scheduler::Sent<StopOrder>& stop)
+    void sendStop(CellNode& node, const Sent<StopOrder>& stop)
     {
-        node.m_ports.m_stop(stop, stop.m_timeout, [&node, term = node.m_term, id = stop.m_to.m_worker, task = stop.m_order.m_task, attempt = stop.m_order.m_attempt](OrderStatus status) {
+        giveOrder(node, stop.m_to, stop.m_order, stop.m_timeout, [&node, term = node.m_term, id = stop.m_to.m_worker, task = stop.m_order.m_task, attempt = stop.m_order.m_attempt](OrderStatus status, const SyncReport&) {
             if (!isPresentTerm(node, term))
                 return;
             scheduler::SchedulerEffects effects;
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -204,14 +204,6 @@
     TimePoint m_busyUntil; ///< When its calls so far will be answered.
 };
 
-/** An order with its target. */
-template <typename Order>
-struct Sent {
-    OrderTarget m_to; ///< Which worker.
-    Order m_order; ///< What.
-    Duration m_timeout { 800 }; ///< Without an answer by then the order counts as unanswered.
-};
-
 /** A call for approvals. */
 struct ApprovalAsk {
     std::string m_member; ///< The VM that asks.
--- a/tests/cell_world.cpp
+++ b/tests/cell_world.cpp
@@ -14,7 +14,6 @@
 
     using cell::CellNode;
     using scheduler::JobStage;
-    using scheduler::Sent;
 
     constexpr const char* configText = "config";
     constexpr Duration tickLength { 10 };
@@ -305,6 +304,8 @@
         const auto index = static_cast<std::uint16_t>(std::find_if(m_nodes.begin(), m_nodes.end(), [&](const WorldNode& other) { return &other == &node; }) - m_nodes.begin());
         cell::CellOptions options;
         options.m_self = { .m_name = node.m_name, .m_address = { "127.0.0.1", index }, .m_instance = static_cast<std::uint64_t>(index) * 1'000 + ++node.m_starts * 17, .m_strength = 25 };
+        if (m_options.m_seed % 2 == 0)
+            options.m_relayFrom = 1; // Orders go through peers in every other world.
         options.m_seeds = { { "127.0.0.1", 0 }, { "127.0.0.1", 1 } };
         options.m_topics = { .m_operator = "op", .m_workers = "workers" };
         cell::CellDecoders decoders;
