--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -178,13 +178,13 @@
 /** Orders that wait to be sent to one peer. */
 struct RelayLane {
     std::vector<RelayedOrder> m_orders; ///< What.
-    TimePoint m_since; ///< When the first of them came.
+    TimePoint m_sentAt; ///< When the latest were sent.
 };
 
 /** Reports that wait to be sent to one leader. */
 struct ReportLane {
     std::vector<OrderReport> m_reports; ///< What.
-    TimePoint m_since; ///< When the first of them came.
+    TimePoint m_sentAt; ///< When the latest were sent.
 };
 
 /** Orders that peers pass on for a leader of many workers. */
@@ -234,6 +234,8 @@
     Role m_role = Role::Follower; ///< What this daemon is.
     LeaderClaim m_leader; ///< Whom it takes for the leader.
     TimePoint m_leaderHeardAt; ///< When the leader last answered well.
+    TimePoint m_leaderSince; ///< When its claim became known.
+    std::int64_t m_patience = 1; ///< Factor of the time after which the leader is in doubt, see patienceAfter().
     TimePoint m_leaderStoreAt; ///< When the leader last reached the store, as far as is known.
     bool m_isSuccessorWanted = false; ///< The leader is about to end, or has ended.
     bool m_isHeartbeatOut = false; ///< A heartbeat is unanswered.
--- a/src/process/cell/cell_daemon.cpp
+++ b/src/process/cell/cell_daemon.cpp
@@ -26,6 +26,7 @@
     constexpr Duration restWhenLeading { 10 };
     constexpr Duration restOtherwise { 25 };
     constexpr std::size_t worksPerStep = 512;
+    constexpr Duration slowStep { 100 }; ///< A longer one is logged: it holds up all that waits for a decision.
     constexpr Duration shutdownPoll { 20 };
     constexpr const char* peerPath = "/cell";
 
@@ -146,7 +147,8 @@
     return { .m_self = { .m_name = m_settings.m_member, .m_address = m_settings.m_peers, .m_instance = makeInstance(), .m_strength = strengthOf(m_settings.m_cpuShare, m_settings.m_linkMbps) },
         .m_seeds = m_settings.m_seeds,
         .m_topics = platform::PlatformLink::makeTopics(),
-        .m_scheduler = m_settings.m_scheduler };
+        .m_scheduler = m_settings.m_scheduler,
+        .m_relayFrom = m_settings.m_relayFrom };
 }
 
 void CellDaemon::Impl::run()
@@ -154,15 +156,21 @@
     pthread_setname_np(pthread_self(), "decide");
     while (!m_isStopping) {
         Work work;
-        if (m_works.popWithin(work, m_isLeading ? restWhenLeading : restOtherwise)) {
-            noteTime(*m_node, steadyNow(), bootNow());
-            std::size_t count = 0;
+        std::size_t count = 0;
+        const bool hasWork = m_works.popWithin(work, m_isLeading ? restWhenLeading : restOtherwise);
+        const TimePoint begunAt = steadyNow();
+        if (hasWork) {
+            noteTime(*m_node, begunAt, bootNow());
             do {
                 runUrgent();
                 work();
             } while (++count < worksPerStep && m_works.tryPop(work));
         }
-        stepCell(*m_node, steadyNow(), bootNow());
+        const TimePoint stepAt = steadyNow();
+        stepCell(*m_node, stepAt, bootNow());
+        const TimePoint endedAt = steadyNow();
+        if (endedAt - begunAt > slowStep)
+            logEvent(LogLevel::Warning, "step-slow", { { "works", count }, { "works_ms", (stepAt - begunAt).m_ms }, { "step_ms", (endedAt - stepAt).m_ms }, { "is_leading", m_isLeading.load() } });
         m_isReady = isReady(*m_node);
         m_isLeading = m_node->m_role == Role::Leading;
     }
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -33,9 +33,9 @@
         constexpr std::uint32_t enoughRefusals = 2;
         if (node.m_leaderRefusals >= enoughRefusals)
             return "the leader's VM refuses connections";
-        if (node.m_now - node.m_leaderHeardAt > node.m_pace.m_suspectAfter)
+        if (node.m_now - node.m_leaderHeardAt > node.m_pace.m_suspectAfter * node.m_patience)
             return "the leader is not heard of";
-        if (node.m_now - node.m_leaderStoreAt > node.m_options.m_storeLostAfter + node.m_pace.m_suspectAfter)
+        if (node.m_now - node.m_leaderStoreAt > node.m_options.m_storeLostAfter + node.m_pace.m_suspectAfter * node.m_patience)
             return "the leader does not reach the store";
         return {};
     }
@@ -180,6 +180,9 @@
 {
     if (token <= node.m_leader.m_token)
         return;
+    if (node.m_leader.m_token > 0)
+        node.m_patience = patienceAfter(node.m_now - node.m_leaderSince, node.m_patience);
+    node.m_leaderSince = node.m_now;
     node.m_leader = { .m_token = token, .m_member = member };
     node.m_leaderHeardAt = node.m_now;
     node.m_leaderStoreAt = node.m_now;
--- a/src/process/cell/cell_relay.cpp
+++ b/src/process/cell/cell_relay.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 
-    constexpr Duration ordersWait { 40 }; ///< Orders of a lane are collected for so long.
-    constexpr Duration reportsWait { 20 };
+    constexpr Duration ordersInterval { 40 }; ///< Least time between messages of a lane, in which orders are collected.
+    constexpr Duration reportsInterval { 20 };
+    constexpr Duration laneForgottenAfter { 10'000 };
     constexpr std::size_t fullLane = 128;
     constexpr Duration passTimeout { 700 };
     constexpr Duration reportMargin { 500 }; ///< For the way to the peer and back, beyond an order's own timeout.
@@ -102,8 +103,6 @@
     {
         const auto report = [&node, leader, number = order.m_number, token = order.m_to.m_token](OrderStatus status, const SyncReport& sync) {
             ReportLane& lane = node.m_relay.m_reports[{ leader, token }];
-            if (lane.m_reports.empty())
-                lane.m_since = node.m_now;
             lane.m_reports.push_back({ .m_number = number, .m_status = status, .m_sync = sync });
         };
         const auto plain = [report](OrderStatus status) { report(status, {}); };
@@ -117,13 +116,13 @@
 
     void sendReports(CellNode& node)
     {
-        std::erase_if(node.m_relay.m_reports, [&](auto& entry) {
-            auto& [to, lane] = entry;
-            if (node.m_now - lane.m_since < reportsWait && lane.m_reports.size() < fullLane)
-                return false;
-            node.m_ports.m_callPeer(to.first, PeerReports { .m_token = to.second, .m_reports = std::move(lane.m_reports) }, passTimeout, [](const std::optional<PeerReply>&) { /* The leader takes what it does not hear of as unanswered. */ });
-            return true;
-        });
+        for (auto& [to, lane] : node.m_relay.m_reports) {
+            if (lane.m_reports.empty() || (node.m_now - lane.m_sentAt < reportsInterval && lane.m_reports.size() < fullLane))
+                continue;
+            lane.m_sentAt = node.m_now;
+            node.m_ports.m_callPeer(to.first, PeerReports { .m_token = to.second, .m_reports = std::exchange(lane.m_reports, {}) }, passTimeout, [](const std::optional<PeerReply>&) { /* The leader takes what it does not hear of as unanswered. */ });
+        }
+        std::erase_if(node.m_relay.m_reports, [&](const auto& entry) { return entry.second.m_reports.empty() && node.m_now - entry.second.m_sentAt > laneForgottenAfter; });
     }
 
 } // namespace
@@ -142,8 +141,6 @@
     }
     OrderRelay& relay = node.m_relay;
     RelayLane& lane = relay.m_lanes[relayOf(peers, to.m_worker)];
-    if (lane.m_orders.empty())
-        lane.m_since = node.m_now;
     const std::uint64_t number = ++relay.m_lastNumber;
     lane.m_orders.push_back({ .m_number = number, .m_to = to, .m_timeout = timeout, .m_order = std::move(order) });
     relay.m_open.emplace(number, OpenOrder { .m_until = node.m_now + timeout + reportMargin, .m_onAnswer = onAnswer });
@@ -175,9 +172,11 @@
 void stepRelay(CellNode& node)
 {
     for (auto& [name, lane] : node.m_relay.m_lanes) {
-        const bool isDue = node.m_now - lane.m_since >= ordersWait || lane.m_orders.size() >= fullLane;
-        if (!lane.m_orders.empty() && isDue)
-            sendLane(node, name, lane);
+        const bool isDue = node.m_now - lane.m_sentAt >= ordersInterval || lane.m_orders.size() >= fullLane;
+        if (lane.m_orders.empty() || !isDue)
+            continue;
+        lane.m_sentAt = node.m_now;
+        sendLane(node, name, lane);
     }
     expireOrders(node);
     sendReports(node);
--- a/src/process/cell/cell_startup.cpp
+++ b/src/process/cell/cell_startup.cpp
@@ -57,6 +57,7 @@
         settings.m_logFormat = orReject("log/format", parseLogFormat(log.text("format", "key-value")));
         log.rejectUnknown();
         readTimes(file.section("times"), settings);
+        settings.m_relayFrom = static_cast<std::size_t>(file.integer("relay_from_workers", static_cast<std::int64_t>(settings.m_relayFrom), 1, 1'000'000, "workers"));
         settings.m_ringCapacity = static_cast<std::size_t>(file.integer("ring_items", static_cast<std::int64_t>(settings.m_ringCapacity), 16, 1'000'000, "items"));
         settings.m_abortsOnInvariant = file.boolean("abort_on_invariant", settings.m_abortsOnInvariant);
         file.rejectUnknown();
--- a/src/process/cell/leader_choice.cpp
+++ b/src/process/cell/leader_choice.cpp
@@ -50,6 +50,13 @@
     return rank < static_cast<std::int64_t>(quickFollowers) ? quick : slowPace;
 }
 
+std::int64_t patienceAfter(Duration lastTerm, std::int64_t patience)
+{
+    constexpr Duration shortTerm { 5'000 };
+    constexpr std::int64_t mostPatience = 4;
+    return lastTerm < shortTerm ? std::min(patience * 2, mostPatience) : 1;
+}
+
 Duration delayOfWeak(const PeerMember& self, const std::vector<PeerMember>& others)
 {
     const bool mayBeStronger = others.empty() || !std::all_of(others.begin(), others.end(), isWeak);
--- a/src/process/cell/leader_choice.h
+++ b/src/process/cell/leader_choice.h
@@ -40,6 +40,13 @@
  */
 FollowerPace paceOf(std::int64_t rank, const FollowerPace& quick);
 
+/**
+ * Load: more than the leader can do; it answers late, is replaced, and its successors, which also have to load, are replaced in turn.
+ * @param lastTerm How long the former term lasted. @param patience The factor before.
+ * @return By how much longer a leader may be silent before it is in doubt.
+ */
+std::int64_t patienceAfter(Duration lastTerm, std::int64_t patience);
+
 /**
  * Load: all VMs start at once after a loss of power and know no peer; on a VM with a slow link the records take seconds to
  * load, and its calls to hundreds of workers then time out.
--- a/tests/leader_choice_test.cpp
+++ b/tests/leader_choice_test.cpp
@@ -49,3 +49,21 @@
     BOOST_TEST(firsts > 10);
     BOOST_TEST(firsts < 54);
 }
+
+// Load: 900 starts a second on 0.25 cores; 50 claims in a day, each leader replaced within a second of its beginning.
+BOOST_AUTO_TEST_CASE(short_terms_make_followers_patient)
+{
+    BOOST_TEST(patienceAfter({ 900 }, 1) == 2);
+    BOOST_TEST(patienceAfter({ 900 }, 2) == 4);
+    BOOST_TEST(patienceAfter({ 900 }, 4) == 4);
+    BOOST_TEST(patienceAfter({ 6'000 }, 4) == 1);
+}
+
+// Load: 300 VMs that follow one leader.
+BOOST_AUTO_TEST_CASE(only_the_first_followers_follow_quickly)
+{
+    const FollowerPace quick;
+    BOOST_TEST((paceOf(0, quick).m_interval == quick.m_interval));
+    BOOST_TEST((paceOf(39, quick).m_suspectAfter == quick.m_suspectAfter));
+    BOOST_TEST((paceOf(40, quick).m_interval > quick.m_interval));
+}
