Improve: starts are repeated sooner and syncs are shorter while orders get lost

Cause: with 15 % of the orders unanswered most steps of ten tasks wait for one that is repeated (180 ms, then 450 ms), and an end on a worker whose sync was lost is seen after 550 ms (overhead of a step, p90: 1.15 s against 0.02 s in calm seconds).

--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -15,11 +15,12 @@
     constexpr Duration firstRetry { 20 };
     constexpr Duration silentRetry { 150 };
     constexpr Duration lossyFor { 5'000 }; ///< After a lost order, syncs are short for so long, so that ends are not seen late.
-    constexpr Duration lossySyncWait { 300 };
-    constexpr Duration lossySyncMargin { 250 };
+    constexpr Duration lossySyncWait { 250 };
+    constexpr Duration lossySyncMargin { 150 };
     constexpr Duration syncMargin { 600 }; ///< Beyond the wait at the worker.
     constexpr Duration firstStartTimeout { 180 }; ///< Lost starts are repeated soon; a repeat of the same attempt does no harm.
     constexpr Duration startTimeout { 450 };
+    constexpr Duration lossyStartTimeout { 120 };
     constexpr Duration goneRetry { 1'000 };
     constexpr std::int64_t mostIdleSyncsPerSecond = 300; ///< Over all idle workers.
     constexpr double healthHalfLifeMs = 5'000;
@@ -205,6 +206,14 @@
                 worker.m_nextSyncAt = now + goneRetry;
         }
 
+        /** @return How long a start is waited for; while orders get lost, repeats cost less than waiting. */
+        Duration startTimeoutOf(const Scheduler& scheduler, const Task& task, TimePoint now)
+        {
+            if (now < scheduler.m_lossyUntil)
+                return lossyStartTimeout;
+            return task.m_mayHaveArrived ? startTimeout : firstStartTimeout;
+        }
+
         void callStart(Scheduler& scheduler, const TaskRef& ref, TimePoint now, SchedulerEffects& effects)
         {
             Task& task = ref.task();
@@ -214,7 +223,7 @@
             task.m_isCallOut = true;
             ++task.m_tries;
             ++scheduler.m_counters.m_starts;
-            effects.m_starts.push_back({ targetOf(scheduler, worker), { .m_task = nameOf(ref), .m_attempt = task.m_attempt, .m_payload = ref.m_run->m_job->m_plan.m_payload, .m_leaseUntilMs = deadline, .m_checkpoint = task.m_checkpoint, .m_ticket = task.m_ticket }, task.m_mayHaveArrived ? startTimeout : firstStartTimeout });
+            effects.m_starts.push_back({ targetOf(scheduler, worker), { .m_task = nameOf(ref), .m_attempt = task.m_attempt, .m_payload = ref.m_run->m_job->m_plan.m_payload, .m_leaseUntilMs = deadline, .m_checkpoint = task.m_checkpoint, .m_ticket = task.m_ticket }, startTimeoutOf(scheduler, task, now) });
         }
 
         void stepTaskCalls(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects)
