--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -54,6 +54,7 @@
     TaskFate m_fate = TaskFate::Open; ///< Whether it still has to run.
     RunPhase m_phase = RunPhase::None; ///< Where the present attempt stands.
     bool m_isCallOut = false; ///< A start or stop is unanswered.
+    TimePoint m_calledAt; ///< When the latest start was sent.
     bool m_mayHaveArrived = false; ///< An unanswered start may still be carried out.
     bool m_hasStarted = false; ///< Some attempt was confirmed by a worker.
     bool m_isStopAnswered = false; ///< The worker has taken the stop.
@@ -264,6 +265,7 @@
     std::uint64_t m_confirmedBatch = 0; ///< The newest batch that is durable.
     std::vector<Advisor> m_advisors; ///< VMs that can ask for approvals.
     std::unordered_map<std::string, std::uint32_t> m_pendingCounts; ///< Accepted jobs without a start, by queue.
+    double m_usualAnswerMs = 20; ///< How long an answered start takes on the mean of late.
     TimePoint m_lossyUntil; ///< Orders get lost on the way to workers that are well.
     TimePoint m_nextWatchAt; ///< When progress is looked at again.
     TimePoint m_nextPacingAt; ///< When pacing is looked at again.
--- a/src/process/scheduler/scheduler_detail.h
+++ b/src/process/scheduler/scheduler_detail.h
@@ -55,6 +55,15 @@
 
 OrderTarget targetOf(const Scheduler& scheduler, const Worker& worker);
 
+/** Learns how long answered starts take. @param took From the start to its answer. */
+void noteAnswerTime(Scheduler& scheduler, Duration took);
+
+/**
+ * Load: a share of the orders gets no answer; a step of many tasks waits for the one that is repeated.
+ * @param least, most Bounds. @return How long an answer is waited for while orders get lost: a few times as long as answers take.
+ */
+Duration lossyTimeout(const Scheduler& scheduler, Duration least, Duration most);
+
 /** Counts an answer or its absence. */
 void noteContact(Scheduler& scheduler, WorkerIndex index, bool hasAnswered, TimePoint now);
 
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -340,6 +340,8 @@
         return;
     Task& task = ref.task();
     task.m_isCallOut = false;
+    if (status != OrderStatus::NoAnswer && status != OrderStatus::NotSent)
+        noteAnswerTime(scheduler, now - task.m_calledAt);
     constexpr Duration retryPause { 30 };
     task.m_nextCallAt = now + retryPause;
     switch (status) {
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -15,12 +15,12 @@
     constexpr Duration firstRetry { 20 };
     constexpr Duration silentRetry { 150 };
     constexpr Duration lossyFor { 5'000 }; ///< After a lost order, syncs are short for so long, so that ends are not seen late.
-    constexpr Duration lossySyncWait { 250 };
-    constexpr Duration lossySyncMargin { 150 };
+    constexpr Duration lossySyncWait { 160 };
+    constexpr Duration lossySyncMargin { 90 };
     constexpr Duration syncMargin { 600 }; ///< Beyond the wait at the worker.
     constexpr Duration firstStartTimeout { 180 }; ///< Lost starts are repeated soon; a repeat of the same attempt does no harm.
     constexpr Duration startTimeout { 450 };
-    constexpr Duration lossyStartTimeout { 120 };
+    constexpr Duration lossyStartTimeout { 70 }; ///< The least; longer where answers take longer.
     constexpr Duration goneRetry { 1'000 };
     constexpr std::int64_t mostIdleSyncsPerSecond = 300; ///< Over all idle workers.
     constexpr double healthHalfLifeMs = 5'000;
@@ -72,6 +72,18 @@
         return std::max(worker.m_leaseUntilMs, worker.m_clockMs + (now - worker.m_clockSeenAt).m_ms + scheduler.m_options.m_lease.m_ms);
     }
 
+    void noteAnswerTime(Scheduler& scheduler, Duration took)
+    {
+        constexpr double weightOfNew = 0.1;
+        scheduler.m_usualAnswerMs += (static_cast<double>(took.m_ms) - scheduler.m_usualAnswerMs) * weightOfNew;
+    }
+
+    Duration lossyTimeout(const Scheduler& scheduler, Duration least, Duration most)
+    {
+        constexpr double timesTheUsual = 4;
+        return std::clamp(Duration { static_cast<std::int64_t>(scheduler.m_usualAnswerMs * timesTheUsual) }, least, most);
+    }
+
     void noteContact(Scheduler& scheduler, WorkerIndex index, bool hasAnswered, TimePoint now)
     {
         Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
@@ -183,7 +195,7 @@
                 order.m_wait = isLossy ? lossySyncWait : scheduler.m_options.m_syncWait;
             worker.m_isSyncOut = true;
             ++scheduler.m_counters.m_syncs;
-            effects.m_syncs.push_back({ targetOf(scheduler, worker), order, order.m_wait + (isLossy ? lossySyncMargin : syncMargin) });
+            effects.m_syncs.push_back({ targetOf(scheduler, worker), order, order.m_wait + (isLossy ? lossyTimeout(scheduler, lossySyncMargin, syncMargin) : syncMargin) });
         }
 
         /** @return When the next sync of a worker is due; idle ones are only looked at, so that their clocks and losses are known. */
@@ -210,7 +222,7 @@
         Duration startTimeoutOf(const Scheduler& scheduler, const Task& task, TimePoint now)
         {
             if (now < scheduler.m_lossyUntil)
-                return lossyStartTimeout;
+                return lossyTimeout(scheduler, lossyStartTimeout, startTimeout);
             return task.m_mayHaveArrived ? startTimeout : firstStartTimeout;
         }
 
@@ -221,6 +233,7 @@
             const std::int64_t deadline = leaseDeadline(scheduler, worker, now);
             worker.m_leaseUntilMs = std::max(worker.m_leaseUntilMs, deadline);
             task.m_isCallOut = true;
+            task.m_calledAt = now;
             ++task.m_tries;
             ++scheduler.m_counters.m_starts;
             effects.m_starts.push_back({ targetOf(scheduler, worker), { .m_task = nameOf(ref), .m_attempt = task.m_attempt, .m_payload = ref.m_run->m_job->m_plan.m_payload, .m_leaseUntilMs = deadline, .m_checkpoint = task.m_checkpoint, .m_ticket = task.m_ticket }, startTimeoutOf(scheduler, task, now) });
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -440,3 +440,18 @@
     bench.record();
     BOOST_TEST((findStage(bench.m_scheduler, jobId) == JobStage::Complete));
 }
+
+// Load: orders get lost on links of unlike length; a timeout of a short link would repeat every order of a long one.
+BOOST_AUTO_TEST_CASE(repeats_wait_for_a_few_times_the_usual_answer)
+{
+    constexpr Duration least { 70 };
+    constexpr Duration most { 450 };
+    Scheduler scheduler;
+    for (int i = 0; i < 100; ++i)
+        detail::noteAnswerTime(scheduler, { 2 });
+    BOOST_TEST((detail::lossyTimeout(scheduler, least, most) == least));
+    for (int i = 0; i < 100; ++i)
+        detail::noteAnswerTime(scheduler, { 60 });
+    const Duration onLongLinks = detail::lossyTimeout(scheduler, least, most);
+    BOOST_TEST((onLongLinks > Duration { 200 } && onLongLinks < most));
+}
