--- a/src/connection/peer_codec.cpp
+++ b/src/connection/peer_codec.cpp
@@ -1,6 +1,7 @@
 /** @file peer_codec.cpp Messages between daemons as CBOR arrays; the first item tells the kind. */
 #include "connection/peer_codec.h"
 
+#include "connection/member_codec.h"
 #include "connection/order_codec.h"
 
 #include <nlohmann/json.hpp>
@@ -22,16 +23,6 @@
         return { bytes.begin(), bytes.end() };
     }
 
-    Json memberToJson(const PeerMember& member)
-    {
-        return Json::array({ member.m_name, member.m_address.m_host, member.m_address.m_port, member.m_instance, member.m_strength });
-    }
-
-    PeerMember memberFromJson(const Json& row)
-    {
-        return { .m_name = row.at(0), .m_address = { .m_host = row.at(1), .m_port = row.at(2) }, .m_instance = row.at(3), .m_strength = row.at(4) };
-    }
-
     Json encode(const PeerHeartbeat& message)
     {
         return Json::array({ memberToJson(message.m_from), message.m_leader.m_token, memberToJson(message.m_leader.m_member), message.m_configVersion, binary(message.m_configText), message.m_membersVersion, message.m_isStoreReached });
--- a/src/core/yaml_section.h
+++ b/src/core/yaml_section.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/address_type.h"
+#include "core/log_func.h"
 
 #include <set>
 #include <string>
@@ -139,4 +140,25 @@
     return *value;
 }
 
+/** Reads the section "log" with its level and format. */
+inline void readLogSection(Section log, LogLevel& level, LogFormat& format)
+{
+    level = orReject("log/level", parseLogLevel(log.text("level", "info")));
+    format = orReject("log/format", parseLogFormat(log.text("format", "key-value")));
+    log.rejectUnknown();
+}
+
+/** @return What a reader makes of a start-up file, or an error that names the bad value and the remedy. */
+template <typename Settings>
+Expected<Settings> parseStartupFile(const std::string& yaml, Settings (*read)(const YAML::Node&))
+{
+    try {
+        return read(YAML::Load(yaml));
+    } catch (const BadValue& bad) {
+        return tl::unexpected(bad.m_error);
+    } catch (const std::exception& error) {
+        return fail(ErrorKind::InvalidInput, std::string("the start-up file is not YAML: ") + error.what(), "mend the line that is named");
+    }
+}
+
 } // namespace bulrushloft
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -22,37 +22,36 @@
 
     void afterAnswer(CellNode& node, const scheduler::SchedulerEffects& effects);
 
+    /** Hands an answer to the scheduler, unless its term is over. @param take Called with the effects to fill. */
+    template <typename Take>
+    void takeAnswer(CellNode& node, std::uint64_t term, Take take)
+    {
+        if (!isPresentTerm(node, term))
+            return;
+        scheduler::SchedulerEffects effects;
+        take(effects);
+        afterAnswer(node, effects);
+    }
+
     void sendSync(CellNode& node, const Sent<SyncOrder>& sync)
     {
         const TimePoint sentAt = node.m_now;
         giveOrder(node, sync.m_to, sync.m_order, sync.m_timeout, [&node, sentAt, term = node.m_term, id = sync.m_to.m_worker](OrderStatus status, const SyncReport& report) {
-            if (!isPresentTerm(node, term))
-                return;
-            scheduler::SchedulerEffects effects;
-            scheduler::onSyncAnswer(*node.m_scheduler, id, status, report, sentAt, node.m_now, effects);
-            afterAnswer(node, effects);
+            takeAnswer(node, term, [&](scheduler::SchedulerEffects& effects) { scheduler::onSyncAnswer(*node.m_scheduler, id, status, report, sentAt, node.m_now, effects); });
         });
     }
 
     void sendStart(CellNode& node, const Sent<StartOrder>& start)
     {
         giveOrder(node, start.m_to, start.m_order, start.m_timeout, [&node, term = node.m_term, id = start.m_to.m_worker, task = start.m_order.m_task, attempt = start.m_order.m_attempt](OrderStatus status, const SyncReport&) {
-            if (!isPresentTerm(node, term))
-                return;
-            scheduler::SchedulerEffects effects;
-            scheduler::onStartAnswer(*node.m_scheduler, id, task, attempt, status, node.m_now, effects);
-            afterAnswer(node, effects);
+            takeAnswer(node, term, [&](scheduler::SchedulerEffects& effects) { scheduler::onStartAnswer(*node.m_scheduler, id, task, attempt, status, node.m_now, effects); });
         });
     }
 
     void sendStop(CellNode& node, const Sent<StopOrder>& stop)
     {
         giveOrder(node, stop.m_to, stop.m_order, stop.m_timeout, [&node, term = node.m_term, id = stop.m_to.m_worker, task = stop.m_order.m_task, attempt = stop.m_order.m_attempt](OrderStatus status, const SyncReport&) {
-            if (!isPresentTerm(node, term))
-                return;
-            scheduler::SchedulerEffects effects;
-            scheduler::onStopAnswer(*node.m_scheduler, id, task, attempt, status, node.m_now, effects);
-            afterAnswer(node, effects);
+            takeAnswer(node, term, [&](scheduler::SchedulerEffects& effects) { scheduler::onStopAnswer(*node.m_scheduler, id, task, attempt, status, node.m_now, effects); });
         });
     }
 
--- a/src/process/cell/cell_startup.cpp
+++ b/src/process/cell/cell_startup.cpp
@@ -52,10 +52,7 @@
         readListen(file.section("listen"), settings);
         readPlatform(file.section("platform"), settings);
         settings.m_seeds = file.addresses("seeds");
-        Section log = file.section("log");
-        settings.m_logLevel = orReject("log/level", parseLogLevel(log.text("level", "info")));
-        settings.m_logFormat = orReject("log/format", parseLogFormat(log.text("format", "key-value")));
-        log.rejectUnknown();
+        readLogSection(file.section("log"), settings.m_logLevel, settings.m_logFormat);
         readTimes(file.section("times"), settings);
         settings.m_relayFrom = static_cast<std::size_t>(file.integer("relay_from_workers", static_cast<std::int64_t>(settings.m_relayFrom), 1, 1'000'000, "workers"));
         settings.m_ringCapacity = static_cast<std::size_t>(file.integer("ring_items", static_cast<std::int64_t>(settings.m_ringCapacity), 16, 1'000'000, "items"));
@@ -68,13 +65,7 @@
 
 Expected<CellStartup> parseCellStartup(const std::string& yaml)
 {
-    try {
-        return readAll(YAML::Load(yaml));
-    } catch (const BadValue& bad) {
-        return tl::unexpected(bad.m_error);
-    } catch (const std::exception& error) {
-        return fail(ErrorKind::InvalidInput, std::string("the start-up file is not YAML: ") + error.what(), "mend the line that is named");
-    }
+    return parseStartupFile(yaml, readAll);
 }
 
 } // namespace bulrushloft::cell
--- a/src/process/startup.cpp
+++ b/src/process/startup.cpp
@@ -38,10 +38,7 @@
         settings.m_vmList = platform.address("vm_list");
         platform.rejectUnknown();
         settings.m_seeds = file.addresses("seeds");
-        Section log = file.section("log");
-        settings.m_logLevel = orReject("log/level", parseLogLevel(log.text("level", "info")));
-        settings.m_logFormat = orReject("log/format", parseLogFormat(log.text("format", "key-value")));
-        log.rejectUnknown();
+        readLogSection(file.section("log"), settings.m_logLevel, settings.m_logFormat);
         readLimits(file.section("limits"), settings);
         readTimes(file.section("times"), settings);
         settings.m_abortsOnInvariant = file.boolean("abort_on_invariant", settings.m_abortsOnInvariant);
@@ -53,13 +50,7 @@
 
 Expected<StartupSettings> parseStartup(const std::string& yaml)
 {
-    try {
-        return readAll(YAML::Load(yaml));
-    } catch (const BadValue& bad) {
-        return tl::unexpected(bad.m_error);
-    } catch (const std::exception& error) {
-        return fail(ErrorKind::InvalidInput, std::string("the start-up file is not YAML: ") + error.what(), "mend the line that is named");
-    }
+    return parseStartupFile(yaml, readAll);
 }
 
 } // namespace bulrushloft
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -112,6 +112,13 @@
     return { .m_number = number, .m_task = start.m_order.m_task, .m_attempt = start.m_order.m_attempt, .m_end = end, .m_checkpoint = {} };
 }
 
+/** Reads a job and its progress into the scheduler of a later term. */
+void restore(Bench& later, JobPlan plan, const std::string& progress)
+{
+    acceptJob(later.m_scheduler, std::move(plan), later.m_now);
+    BOOST_REQUIRE(restoreProgress(later.m_scheduler, jobId, progress, later.m_now));
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(a_start_waits_for_its_record)
@@ -187,8 +194,7 @@
     const std::string progress = progressOf(first.record(), jobId);
 
     Bench later(2);
-    acceptJob(later.m_scheduler, makePlan({ makeStep(1), makeStep(1, { 0 }) }), later.m_now);
-    BOOST_REQUIRE(restoreProgress(later.m_scheduler, jobId, progress, later.m_now));
+    restore(later, makePlan({ makeStep(1), makeStep(1, { 0 }) }), progress);
     finishRestoring(later.m_scheduler, later.m_now);
     later.adopt("w1");
     later.step();
@@ -228,8 +234,7 @@
     const std::string progress = progressOf(first.record(), jobId);
 
     Bench later(2);
-    acceptJob(later.m_scheduler, makePlan({ makeStep(1) }), later.m_now);
-    BOOST_REQUIRE(restoreProgress(later.m_scheduler, jobId, progress, later.m_now));
+    restore(later, makePlan({ makeStep(1) }), progress);
     finishRestoring(later.m_scheduler, later.m_now);
     const TimePoint takeover = later.m_now;
     later.adopt("w2");
@@ -258,8 +263,7 @@
     const std::string progress = progressOf(first.record(), jobId);
 
     Bench later(2);
-    acceptJob(later.m_scheduler, makePlan({ makeStep(1) }), later.m_now);
-    BOOST_REQUIRE(restoreProgress(later.m_scheduler, jobId, progress, later.m_now));
+    restore(later, makePlan({ makeStep(1) }), progress);
     finishRestoring(later.m_scheduler, later.m_now);
     later.adopt("w1");
     later.step();
