Suspect the leader by unanswered heartbeats, and ask other daemons before replacing it

Cause: a follower that alternated between the leader and the seeds moved the index of seeds twice, so that it called seeds only once it suspected the leader. It came to suspect it when its heartbeats became more frequent: the time since the last answer, normal under the long interval, exceeded the short timeout. On the large fleet a VM of 0.3 cores and 20 Mbit/s replaced the leader 3.8 s after each loss of VMs; every later term fell behind. Ruled out: lost or refused heartbeats (failed peer calls were logged: none at that VM), overload of the leader. Change: leader_monitor.h; only heartbeats that stay unanswered count; other daemons are asked meanwhile and their answers count as signs of life; what a silent leader reports about the store is not judged.

--- a/src/connection/peer_codec.cpp
+++ b/src/connection/peer_codec.cpp
@@ -66,7 +66,7 @@
         for (const PeerMember& member : reply.m_members)
             members.push_back(memberToJson(member));
         return Json::array({ memberToJson(reply.m_from), reply.m_leader.m_token, memberToJson(reply.m_leader.m_member), reply.m_isLeading, reply.m_isLeaving, reply.m_isStoreReached,
-            reply.m_configVersion, encodeBytes(reply.m_configText), reply.m_membersVersion, std::move(members) });
+            reply.m_configVersion, encodeBytes(reply.m_configText), reply.m_membersVersion, std::move(members), reply.m_leaderAnswerAge ? Json(reply.m_leaderAnswerAge->m_ms) : Json() });
     }
 
     Json encode(const PeerQueryAnswer& reply) { return Json::array({ static_cast<int>(reply.m_status), reply.m_stage, reply.m_count }); }
@@ -134,6 +134,8 @@
             PeerHeartbeatAnswer reply { .m_from = memberFromJson(row.at(0)), .m_leader = { .m_token = row.at(1), .m_member = memberFromJson(row.at(2)) }, .m_isLeading = row.at(3), .m_isLeaving = row.at(4), .m_isStoreReached = row.at(5), .m_configVersion = row.at(6), .m_configText = decodeBytes(row.at(7)), .m_membersVersion = row.at(8), .m_members = {} };
             for (const Json& member : row.at(9))
                 reply.m_members.push_back(memberFromJson(member));
+            if (!row.at(10).is_null())
+                reply.m_leaderAnswerAge = Duration { row.at(10).get<std::int64_t>() };
             return reply;
         }
         case 1:
--- a/src/connection/peer_type.h
+++ b/src/connection/peer_type.h
@@ -46,6 +46,7 @@
     std::string m_configText; ///< Text of that configuration if the heartbeat came with an older version, otherwise empty.
     std::uint64_t m_membersVersion = 0; ///< Version of that daemon's member list.
     std::vector<PeerMember> m_members; ///< Member list if the heartbeat came with a different version, otherwise empty.
+    std::optional<Duration> m_leaderAnswerAge; ///< How long ago the leader last answered that daemon; empty when it has not answered since its claim, or is that daemon.
 };
 
 /** Asks the leader for the stage of a job. */
--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -5,7 +5,7 @@
 #include "connection/peer_type.h"
 #include "process/cell/append_pipeline.h"
 #include "process/cell/hedged_call.h"
-#include "process/cell/leader_choice.h"
+#include "process/cell/leader_monitor.h"
 #include "process/scheduler/scheduler_base.h"
 #include "version/cluster_type.h"
 
@@ -233,16 +233,14 @@
 
     Role m_role = Role::Follower;
     LeaderClaim m_leader; ///< Newest known leadership claim.
-    TimePoint m_leaderLastContactAt; ///< When the leader last confirmed that it leads; reset when a claim becomes known.
-    TimePoint m_leaderSince; ///< When the leader's claim became known.
-    std::int64_t m_suspectFactor = 1; ///< Multiplier of the suspicion timeout, see suspicionFactorAfter().
-    TimePoint m_leaderStoreReachedAt; ///< When the leader last reported that it reaches the store; reset when a claim becomes known.
+    LeaderMonitor m_leaderMonitor; ///< Liveness of the leader.
     bool m_isSuccessorWanted = false; ///< Whether the leader is shutting down or has restarted, so that a successor is needed.
     bool m_isHeartbeatPending = false; ///< Whether a heartbeat is unanswered.
-    std::uint32_t m_leaderRefusals = 0; ///< Consecutive heartbeats that failed at once, as when the leader's VM refuses connections.
+    std::uint64_t m_heartbeatNumber = 0; ///< Number of the latest heartbeat; a new claim does not wait for the answer to an earlier one.
     TimePoint m_nextAnnounceAt; ///< Leader: when peers that send no heartbeats are next notified of the term.
     TimePoint m_nextHeartbeatAt; ///< When the next heartbeat is due.
-    std::uint32_t m_seedIndex = 0; ///< Index of the next seed to contact.
+    std::uint32_t m_seedIndex = 0; ///< Index of the next seed to contact while no leader is known.
+    std::uint32_t m_probeIndex = 0; ///< Index of the next daemon to ask about a silent leader.
     std::optional<TimePoint> m_claimAt; ///< When this daemon claims the leadership, unless the leader answers first.
     std::map<std::string, PeerState> m_peers; ///< Other daemons, by name.
     std::uint64_t m_membersVersion = 0; ///< Version of m_advertisedMembers; a follower holds the version it last received.
--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -130,7 +130,7 @@
     /** @return Whether the leader of the given term answers heartbeats and is not about to leave. */
     bool isLeaderStable(const CellNode& node, std::uint64_t token)
     {
-        return node.m_leader.m_token == token && node.m_now - node.m_leaderLastContactAt <= node.m_heartbeatTiming.m_suspectAfter && !node.m_isSuccessorWanted;
+        return node.m_leader.m_token == token && !isLeaderUnreachable(node.m_leaderMonitor, node.m_heartbeatTiming, node.m_now) && !node.m_isSuccessorWanted;
     }
 
     using WriteCallback = std::function<void(WriteOutcome)>;
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -31,11 +31,11 @@
         if (node.m_isSuccessorWanted)
             return "the leader is terminating or was restarted";
         constexpr std::uint32_t refusalLimit = 2;
-        if (node.m_leaderRefusals >= refusalLimit)
+        if (node.m_leaderMonitor.m_refusals >= refusalLimit)
             return "the leader's VM refuses connections";
-        if (node.m_now - node.m_leaderLastContactAt > node.m_heartbeatTiming.m_suspectAfter * node.m_suspectFactor)
+        if (isLeaderSilent(node.m_leaderMonitor, node.m_heartbeatTiming, node.m_now))
             return "the leader does not answer heartbeats";
-        if (node.m_now - node.m_leaderStoreReachedAt > node.m_options.m_storeLostAfter + node.m_heartbeatTiming.m_suspectAfter * node.m_suspectFactor)
+        if (storeOutageOf(node.m_leaderMonitor) > node.m_options.m_storeLostAfter + node.m_heartbeatTiming.m_suspectAfter * node.m_leaderMonitor.m_suspectFactor)
             return "the leader does not reach the store";
         return {};
     }
@@ -125,7 +125,7 @@
     bool isStrongerPeerAvailable(const CellNode& node)
     {
         constexpr Duration settleTime { 3'000 };
-        const bool isSettling = node.m_role == Role::Leading && node.m_now - node.m_leaderLastContactAt < settleTime;
+        const bool isSettling = node.m_role == Role::Leading && node.m_now - node.m_leaderMonitor.m_answeredAt < settleTime;
         if (!isWeak(node.m_options.m_self) || isSettling)
             return false;
         return std::any_of(node.m_peers.begin(), node.m_peers.end(), [&](const auto& entry) {
@@ -180,14 +180,10 @@
 {
     if (token <= node.m_leader.m_token)
         return;
-    if (node.m_leader.m_token > 0)
-        node.m_suspectFactor = suspicionFactorAfter(node.m_now - node.m_leaderSince, node.m_suspectFactor);
-    node.m_leaderSince = node.m_now;
+    watchNewLeader(node.m_leaderMonitor, node.m_leader.m_token > 0, node.m_now);
     node.m_leader = { .m_token = token, .m_member = member };
-    node.m_leaderLastContactAt = node.m_now;
-    node.m_leaderStoreReachedAt = node.m_now;
-    node.m_leaderRefusals = 0;
     node.m_isSuccessorWanted = false;
+    node.m_isHeartbeatPending = false;
     logEvent(LogLevel::Info, "leader-known", { { "token", token }, { "leader", member.m_name }, { "instance", member.m_instance } });
     if (node.m_role == Role::Leading || node.m_role == Role::Loading)
         stepDown(node, "a later claim exists");
@@ -207,7 +203,7 @@
 {
     node.m_role = Role::Claiming;
     ++node.m_counters.m_claims;
-    logEvent(LogLevel::Info, "claim", { { "cause", cause }, { "previous_leader", node.m_leader.m_member.m_name }, { "previous_token", node.m_leader.m_token }, { "last_contact_ms_ago", (node.m_now - node.m_leaderLastContactAt).m_ms } });
+    logEvent(LogLevel::Info, "claim", { { "cause", cause }, { "previous_leader", node.m_leader.m_member.m_name }, { "previous_token", node.m_leader.m_token }, { "last_contact_ms_ago", (node.m_now - node.m_leaderMonitor.m_answeredAt).m_ms } });
     StoreAppend append { .m_partition = node.m_leaderTail.m_partition, .m_records = { { .m_key = claimKey, .m_value = encodeClaim(node.m_options.m_self) } }, .m_writer = {}, .m_expectedEnd = node.m_leaderTail.m_nextOffset };
     node.m_ports.m_append(append, claimTimeout, [&node](const StoreAppendAnswer& answer) {
         updateStoreReachability(node, answer.m_status == StoreStatus::Done || answer.m_status == StoreStatus::EndMismatch);
@@ -235,8 +231,7 @@
     node.m_pendingRemovals.clear();
     resetTail(node.m_jobsTail, false);
     resetTail(node.m_workersTail, false);
-    node.m_leaderLastContactAt = node.m_now;
-    node.m_leaderStoreReachedAt = node.m_now;
+    resetObservations(node.m_leaderMonitor, node.m_now);
 }
 
 bool isActiveLeader(const CellNode& node)
--- a/src/process/cell/cell_peers.cpp
+++ b/src/process/cell/cell_peers.cpp
@@ -54,16 +54,16 @@
         if (answer.m_leader.m_token > 0)
             applyClaim(node, answer.m_leader.m_token, answer.m_leader.m_member);
         const bool isFromLeader = answer.m_from.m_name == node.m_leader.m_member.m_name;
+        if (!isFromLeader && answer.m_leaderAnswerAge && answer.m_leader.m_token == node.m_leader.m_token)
+            onLeaderSeenByPeer(node.m_leaderMonitor, node.m_now - *answer.m_leaderAnswerAge);
         if (!isFromLeader)
             return;
         if (!answer.m_isLeading) {
             node.m_isSuccessorWanted = node.m_isSuccessorWanted || answer.m_from.m_instance != node.m_leader.m_member.m_instance;
             return;
         }
-        node.m_leaderLastContactAt = node.m_now;
+        onLeaderConfirmed(node.m_leaderMonitor, answer.m_isStoreReached, node.m_now);
         node.m_isSuccessorWanted = answer.m_isLeaving;
-        if (answer.m_isStoreReached)
-            node.m_leaderStoreReachedAt = node.m_now;
         mergeMembers(node, answer);
     }
 
@@ -81,11 +81,12 @@
             heartbeat.m_configText = node.m_clusterText;
         node.m_isHeartbeatPending = true;
         node.m_nextHeartbeatAt = node.m_now + node.m_heartbeatTiming.m_interval;
-        node.m_ports.m_callPeer(to, heartbeat, heartbeatTimeout, [&node, name, sentAt = node.m_now](const std::optional<PeerReply>& reply) {
+        node.m_ports.m_callPeer(to, heartbeat, heartbeatTimeout, [&node, name, number = ++node.m_heartbeatNumber, sentAt = node.m_now](const std::optional<PeerReply>& reply) {
             constexpr Duration immediateRefusalLimit { 150 };
-            node.m_isHeartbeatPending = false;
+            if (number == node.m_heartbeatNumber)
+                node.m_isHeartbeatPending = false;
             if (name == node.m_leader.m_member.m_name)
-                node.m_leaderRefusals = reply || node.m_now - sentAt > immediateRefusalLimit ? 0 : node.m_leaderRefusals + 1;
+                node.m_leaderMonitor.m_refusals = reply || node.m_now - sentAt > immediateRefusalLimit ? 0 : node.m_leaderMonitor.m_refusals + 1;
             const auto* const answer = reply ? std::get_if<PeerHeartbeatAnswer>(&*reply) : nullptr;
             if (answer)
                 return onHeartbeatAnswer(node, *answer);
@@ -99,10 +100,10 @@
         if (node.m_isHeartbeatPending || node.m_now < node.m_nextHeartbeatAt)
             return;
         node.m_heartbeatTiming = timingOf(rankOf(node.m_options.m_self, otherCandidates(node), node.m_leader.m_token), { .m_interval = node.m_options.m_heartbeatInterval, .m_suspectAfter = node.m_options.m_suspectAfter });
-        // While the leader is suspected, seeds are called too, as they may know its successor.
-        const bool isLeaderSuspected = node.m_now - node.m_leaderLastContactAt > node.m_heartbeatTiming.m_suspectAfter;
-        if (node.m_leader.m_token > 0 && !isOwnClaim(node) && (!isLeaderSuspected || node.m_seedIndex++ % 2 == 0))
+        if (node.m_leader.m_token > 0 && !isOwnClaim(node)) {
+            onHeartbeatSent(node.m_leaderMonitor, node.m_now);
             return sendHeartbeat(node, node.m_leader.m_member.m_address, node.m_leader.m_member.m_name);
+        }
         if (node.m_role == Role::Leading || node.m_options.m_seeds.empty())
             return;
         const Address& seed = node.m_options.m_seeds[node.m_seedIndex++ % node.m_options.m_seeds.size()];
@@ -111,6 +112,39 @@
             sendHeartbeat(node, seed, {});
     }
 
+    /** @return Addresses of daemons that may know whether the leader is alive, or who its successor is: the seeds and the best candidates for the next term. */
+    std::vector<Address> probeTargets(const CellNode& node)
+    {
+        constexpr std::size_t maxCandidates = 6;
+        std::vector<PeerMember> candidates = otherCandidates(node);
+        sortByRank(candidates, node.m_leader.m_token);
+        candidates.resize(std::min(candidates.size(), maxCandidates));
+        std::vector<Address> targets;
+        for (const PeerMember& member : candidates)
+            targets.push_back(member.m_address);
+        for (const Address& seed : node.m_options.m_seeds) {
+            if (std::find(targets.begin(), targets.end(), seed) == targets.end() && seed != node.m_options.m_self.m_address && seed != node.m_leader.m_member.m_address)
+                targets.push_back(seed);
+        }
+        return targets;
+    }
+
+    /** Asks another daemon about a leader that leaves heartbeats unanswered. */
+    void stepProbe(CellNode& node)
+    {
+        constexpr Duration probeInterval { 100 };
+        if (node.m_leader.m_token == 0 || isOwnClaim(node) || !isProbeDue(node.m_leaderMonitor, node.m_heartbeatTiming, node.m_now))
+            return;
+        node.m_leaderMonitor.m_nextProbeAt = node.m_now + probeInterval;
+        const std::vector<Address> targets = probeTargets(node);
+        if (targets.empty())
+            return;
+        node.m_ports.m_callPeer(targets[node.m_probeIndex++ % targets.size()], makeHeartbeat(node), heartbeatTimeout, [&node](const std::optional<PeerReply>& reply) {
+            if (const auto* const answer = reply ? std::get_if<PeerHeartbeatAnswer>(&*reply) : nullptr)
+                onHeartbeatAnswer(node, *answer);
+        });
+    }
+
     /** Updates the list of VMs that can request approvals: this VM and the peers that are responsive. */
     void updateApprovalProxies(CellNode& node)
     {
@@ -175,6 +209,15 @@
         node.m_advertisedMembers.resize(std::min(node.m_advertisedMembers.size(), fastFollowerCount));
     }
 
+    /** @return How long ago the leader last answered this daemon; empty when it has not answered since its claim, or is this daemon. */
+    std::optional<Duration> leaderAnswerAge(const CellNode& node)
+    {
+        const LeaderMonitor& monitor = node.m_leaderMonitor;
+        if (node.m_leader.m_token == 0 || isOwnClaim(node) || monitor.m_answeredAt == monitor.m_knownSince)
+            return std::nullopt;
+        return node.m_now - monitor.m_answeredAt;
+    }
+
 } // namespace
 
 PeerHeartbeatAnswer answerHeartbeat(CellNode& node, const PeerHeartbeat& heartbeat)
@@ -184,7 +227,7 @@
         applyClusterText(node, heartbeat.m_configText, heartbeat.m_from.m_name);
     if (heartbeat.m_leader.m_token > 0)
         applyClaim(node, heartbeat.m_leader.m_token, heartbeat.m_leader.m_member);
-    PeerHeartbeatAnswer answer { .m_from = node.m_options.m_self, .m_leader = node.m_leader, .m_isLeading = (node.m_role == Role::Leading || node.m_role == Role::Loading) && !node.m_isAwaitingConfirmation, .m_isLeaving = node.m_isTerminating, .m_isStoreReached = node.m_isStoreReached, .m_configVersion = node.m_cluster ? node.m_cluster->m_version : 0, .m_configText = {}, .m_membersVersion = node.m_membersVersion, .m_members = {} };
+    PeerHeartbeatAnswer answer { .m_from = node.m_options.m_self, .m_leader = node.m_leader, .m_isLeading = (node.m_role == Role::Leading || node.m_role == Role::Loading) && !node.m_isAwaitingConfirmation, .m_isLeaving = node.m_isTerminating, .m_isStoreReached = node.m_isStoreReached, .m_configVersion = node.m_cluster ? node.m_cluster->m_version : 0, .m_configText = {}, .m_membersVersion = node.m_membersVersion, .m_members = {}, .m_leaderAnswerAge = leaderAnswerAge(node) };
     if (answer.m_configVersion > heartbeat.m_configVersion)
         answer.m_configText = node.m_clusterText;
     if (answer.m_isLeading && heartbeat.m_membersVersion != node.m_membersVersion)
@@ -215,6 +258,7 @@
 void stepPeers(CellNode& node)
 {
     stepHeartbeat(node);
+    stepProbe(node);
     stepAnnounce(node);
     expirePeers(node);
     updateMembers(node);
