--- a/src/process/cell/cell_daemon.cpp
+++ b/src/process/cell/cell_daemon.cpp
@@ -146,7 +146,7 @@
 
 CellOptions CellDaemon::Impl::makeOptions() const
 {
-    return { .m_self = { .m_name = m_settings.m_member, .m_address = m_settings.m_peers, .m_instance = makeInstance(), .m_strength = strengthOf(m_settings.m_cpuShare, m_settings.m_linkMbps) },
+    return { .m_self = { .m_name = m_settings.m_member, .m_address = m_settings.m_advertisedPeers, .m_instance = makeInstance(), .m_strength = strengthOf(m_settings.m_cpuShare, m_settings.m_linkMbps) },
         .m_seeds = m_settings.m_seeds,
         .m_topics = platform::PlatformAdapter::makeTopics(),
         .m_scheduler = m_settings.m_scheduler,
--- a/src/process/cell/cell_startup.cpp
+++ b/src/process/cell/cell_startup.cpp
@@ -27,6 +27,7 @@
         settings.m_clients = listen.address("clients");
         settings.m_readiness = listen.address("readiness");
         settings.m_peers = listen.address("peers");
+        settings.m_advertisedPeers = listen.has("advertised_peers") ? listen.address("advertised_peers") : settings.m_peers;
         if (listen.has("metrics"))
             settings.m_metrics = listen.address("metrics");
         listen.rejectUnknownKeys();
--- a/src/process/cell/cell_startup.h
+++ b/src/process/cell/cell_startup.h
@@ -16,6 +16,7 @@
     Address m_clients; ///< Listening address for clients.
     Address m_readiness; ///< Listening address for readiness checks of the platform.
     Address m_peers; ///< Listening address for other daemons.
+    Address m_advertisedPeers; ///< Address that other daemons call; the listening address unless a forwarder stands before it.
     Address m_metrics; ///< Listening address for metrics; port 0 for none.
     Address m_store; ///< Address of the metadata store.
     Address m_approvals; ///< Address of the service that approves workers; port 0 for none.
--- a/src/process/scheduler/approvals.cpp
+++ b/src/process/scheduler/approvals.cpp
@@ -45,33 +45,59 @@
             return { static_cast<std::int64_t>(policy.m_baseCallTimeMs + policy.m_callTimePerWorkerMs * static_cast<double>(workers)) + 1 };
         }
 
+        ApprovalMark markOf(const StepRun& run, WorkerIndex worker)
+        {
+            const auto index = static_cast<std::size_t>(worker);
+            return index < run.m_approval.m_marks.size() ? run.m_approval.m_marks[index] : ApprovalMark::Unknown;
+        }
+
+        void setMark(ApprovalState& state, WorkerIndex worker, ApprovalMark mark)
+        {
+            const auto index = static_cast<std::size_t>(worker);
+            if (index >= state.m_marks.size())
+                state.m_marks.resize(index + 1, ApprovalMark::Unknown);
+            state.m_marks[index] = mark;
+        }
+
+        /** Collects the approved workers whose ticket is not valid at the time. */
+        std::vector<WorkerIndex> findExpiringTickets(const StepRun& run, bool isSlow, const PoolView& view, const std::vector<std::uint32_t>& withRoom, TimePoint usableAt)
+        {
+            std::vector<WorkerIndex> chosen;
+            const auto isExpiring = [&](WorkerIndex worker) { return markOf(run, worker) == ApprovalMark::Approved && !hasTicket(run, worker, usableAt); };
+            for (const std::uint32_t position : withRoom) {
+                if (isExpiring(view.m_workers[position]))
+                    chosen.push_back(view.m_workers[position]);
+            }
+            // A quick request can wait until the worker has room; a slow one has to be sent ahead of time.
+            for (std::size_t i = 0; isSlow && i < view.m_workers.size(); ++i) {
+                const WorkerIndex worker = view.m_workers[i];
+                if (isExpiring(worker) && std::find(chosen.begin(), chosen.end(), worker) == chosen.end())
+                    chosen.push_back(worker);
+            }
+            return chosen;
+        }
+
         /**
-         * Chooses the workers to name in a request: those with unknown approval, and approved ones whose ticket needs a renewal.
+         * Chooses the workers to name in a request: approved ones whose ticket needs a renewal, then those with unknown approval, first the ones with room.
          * @param usableAt Time at which a ticket must still be valid to need no renewal.
          */
-        std::vector<WorkerIndex> chooseWorkersToName(const StepRun& run, bool isSlow, const std::vector<WorkerIndex>& fitting, std::size_t withRoom, TimePoint usableAt)
+        std::vector<WorkerIndex> chooseWorkersToName(const Scheduler& scheduler, const StepRun& run, bool isSlow, const PoolView& view, const std::vector<std::uint32_t>& withRoom, TimePoint usableAt)
         {
-            std::vector<WorkerIndex> chosen;
-            std::vector<WorkerIndex> unknown;
-            bool hasUnknownWithRoom = false;
-            for (std::size_t i = 0; i < fitting.size(); ++i) {
-                const WorkerIndex worker = fitting[i];
-                if (run.m_approval.m_denied.contains(worker) || hasTicket(run, worker, usableAt))
-                    continue;
-                const bool hasRoom = i < withRoom;
-                if (run.m_approval.m_approved.contains(worker)) {
-                    // A quick request can wait until the worker has room; a slow one has to be sent ahead of time.
-                    if (hasRoom || isSlow)
-                        chosen.push_back(worker);
-                } else {
-                    unknown.push_back(worker);
-                    hasUnknownWithRoom = hasUnknownWithRoom || hasRoom;
-                }
+            std::vector<WorkerIndex> chosen = findExpiringTickets(run, isSlow, view, withRoom, usableAt);
+            const std::size_t renewals = chosen.size();
+            for (const std::uint32_t position : withRoom) {
+                if (markOf(run, view.m_workers[position]) == ApprovalMark::Unknown)
+                    chosen.push_back(view.m_workers[position]);
             }
             constexpr std::size_t minApprovedWorkers = 3;
-            const bool needsMore = hasUnknownWithRoom || run.m_approval.m_approved.size() < minApprovedWorkers;
-            if (needsMore)
-                chosen.insert(chosen.end(), unknown.begin(), unknown.end());
+            const bool hasUnknownWithRoom = chosen.size() > renewals;
+            const std::size_t approved = run.m_approval.m_tickets.size();
+            for (std::size_t i = 0; (hasUnknownWithRoom || approved < minApprovedWorkers) && i < view.m_workers.size() && chosen.size() < maxNamedWorkers; ++i) {
+                const WorkerIndex worker = view.m_workers[i];
+                const bool isFull = std::find(chosen.begin() + static_cast<std::ptrdiff_t>(renewals), chosen.end(), worker) == chosen.end();
+                if (isFull && markOf(run, worker) == ApprovalMark::Unknown && isSuitable(run, scheduler.m_workers[static_cast<std::size_t>(worker)]))
+                    chosen.push_back(worker);
+            }
             if (chosen.size() > maxNamedWorkers)
                 chosen.resize(maxNamedWorkers);
             return chosen;
@@ -81,24 +107,33 @@
 
     bool hasTicket(const StepRun& run, WorkerIndex worker, TimePoint time)
     {
-        const auto found = run.m_approval.m_approved.find(worker);
-        return found != run.m_approval.m_approved.end() && time <= found->second.second;
+        const auto found = run.m_approval.m_tickets.find(worker);
+        return found != run.m_approval.m_tickets.end() && time <= found->second.m_usableUntil;
+    }
+
+    bool isSuitable(const StepRun& run, const Worker& worker)
+    {
+        const std::string& label = planOf(run).m_label;
+        const auto& labels = worker.m_announcement.m_labels;
+        return (label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end()) && fitsInto(grantOf(run), worker.m_announcement.m_capacity);
+    }
+
+    bool canRequestApprovals(Scheduler& scheduler, const StepRun& run, const ApprovalPolicy& policy, TimePoint now)
+    {
+        return !run.m_approval.m_isRequestPending && now >= run.m_approval.m_nextRequestAt && chooseProxy(scheduler, requestDuration(policy, 1), now);
     }
 
-    bool requestApprovals(Scheduler& scheduler, StepRun& run, const ApprovalPolicy& policy, const std::vector<WorkerIndex>& fitting, std::size_t withRoom, TimePoint now, SchedulerEffects& effects)
+    void requestApprovals(Scheduler& scheduler, StepRun& run, const ApprovalPolicy& policy, const PoolView& view, const std::vector<std::uint32_t>& withRoom, TimePoint now, SchedulerEffects& effects)
     {
-        if (run.m_approval.m_isRequestPending || now < run.m_approval.m_nextRequestAt)
-            return false;
-        const bool isSlow = requestDuration(policy, 1) > slowRequestThreshold;
+        const Duration shortest = requestDuration(policy, 1);
+        const bool isSlow = shortest > slowRequestThreshold;
         // Slow requests are repeated before the tickets expire, so that resources can be used as soon as they become free.
-        const TimePoint usableAt = isSlow ? now + requestDuration(policy, 1) : now;
-        const std::vector<WorkerIndex> named = chooseWorkersToName(run, isSlow, fitting, withRoom, usableAt);
-        if (named.empty())
-            return false;
+        const TimePoint usableAt = isSlow ? now + shortest : now;
+        const std::vector<WorkerIndex> named = chooseWorkersToName(scheduler, run, isSlow, view, withRoom, usableAt);
         const Duration duration = requestDuration(policy, named.size());
-        ApprovalProxy* const proxy = chooseProxy(scheduler, duration, now);
+        ApprovalProxy* const proxy = named.empty() ? nullptr : chooseProxy(scheduler, duration, now);
         if (!proxy)
-            return false;
+            return;
         proxy->m_busyUntil = std::max(proxy->m_busyUntil, now) + duration;
         run.m_approval.m_isRequestPending = true;
         run.m_approval.m_nextRequestAt = proxy->m_busyUntil + answerTimeoutMargin;
@@ -107,7 +142,6 @@
             request.m_workers.push_back(scheduler.m_workers[static_cast<std::size_t>(worker)].m_announcement.m_id);
         ++scheduler.m_counters.m_approvalRequests;
         effects.m_approvalRequests.push_back(std::move(request));
-        return true;
     }
 
 } // namespace detail
@@ -119,6 +153,7 @@
         return;
     ApprovalState& state = ref.m_run->m_approval;
     state.m_isRequestPending = false;
+    ref.m_run->m_isChanged = true;
     scheduler.m_needsPlacing = true;
     logEvent(LogLevel::Info, "approval-request-ended", { { "step", format(request.m_step) }, { "sent_by", request.m_member }, { "workers_named", request.m_workers.size() }, { "approved", approvals ? static_cast<std::int64_t>(approvals->size()) : -1 } });
     if (!approvals) {
@@ -134,10 +169,11 @@
         if (found == scheduler.m_workerById.end())
             continue;
         const auto approval = std::find_if(approvals->begin(), approvals->end(), [&](const Approval& row) { return row.m_worker == id; });
+        detail::setMark(state, found->second, approval == approvals->end() ? ApprovalMark::Denied : ApprovalMark::Approved);
         if (approval == approvals->end())
-            state.m_denied.insert(found->second);
+            state.m_tickets.erase(found->second);
         else
-            state.m_approved.insert_or_assign(found->second, std::pair { approval->m_ticket, now + validity - detail::ticketExpiryMargin });
+            state.m_tickets.insert_or_assign(found->second, Ticket { .m_text = approval->m_ticket, .m_usableUntil = now + validity - detail::ticketExpiryMargin });
     }
 }
 
--- /dev/null
+++ b/src/process/scheduler/pool_view.h
@@ -0,0 +1,55 @@
+/** @file pool_view.h Compact copy of the workers of a pool, on which one placement pass searches for room. */
+#pragma once
+
+#include "process/scheduler/scheduler_base.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bulrushloft::scheduler::detail {
+
+/**
+ * The workers of a pool that accept tasks.
+ * Load: hundreds of steps wait for room on a thousand full workers. Their free resources stand side by side, so that a search
+ * takes microseconds, and a size that was searched for in vain answers for all larger ones.
+ */
+struct PoolView {
+    std::vector<WorkerIndex> m_workers; ///< Workers that accept tasks.
+    std::vector<Resources> m_free; ///< Free resources of each of m_workers.
+    std::vector<const StepRun*> m_reservedFor; ///< Blocked step for which each of m_workers is reserved; null for none.
+    std::size_t m_reservedCount = 0; ///< Number of reserved workers.
+    std::vector<std::uint32_t> m_changed; ///< Positions of the workers on which room may have appeared since the previous pass.
+    std::vector<std::uint32_t> m_reservable; ///< Positions of the workers that are not reserved, those with the most free resources first; filled when it is first needed.
+    std::vector<Resources> m_sizesWithoutRoom; ///< Task sizes for which no worker that is not reserved has room any more.
+};
+
+/** Views of all pools, by name of the pool. */
+using PoolViews = std::map<std::string, PoolView, std::less<>>;
+
+/** Builds the views of all pools with a worker that accepts tasks now, and forgets the changes that led to this pass. */
+PoolViews takePoolViews(Scheduler& scheduler, TimePoint now);
+
+/** @return Positions in m_workers of the workers that have room for a task of this size and are not reserved for another step. */
+std::vector<std::uint32_t> findRoom(PoolView& view, const Resources& size, const StepRun& run);
+
+/** @return Whether a worker has room for a task of this size and is not reserved for another step. */
+bool hasRoom(const PoolView& view, std::uint32_t position, const Resources& size, const StepRun& run);
+
+/** @return Position of a worker in m_workers; nothing when it accepts no tasks, or belongs to another pool. */
+std::optional<std::uint32_t> findPosition(const Scheduler& scheduler, const PoolView& view, WorkerIndex worker);
+
+/** @return Whether room for a task of this size may have appeared since the previous pass on a worker that is not reserved for another step. */
+bool hasNewRoom(const PoolView& view, const Resources& size, const StepRun& run);
+
+/** @return Positions of the workers that are not reserved, those with the most free resources first. Resources are compared as they were at the first call. */
+const std::vector<std::uint32_t>& reservableWorkers(const Scheduler& scheduler, PoolView& view);
+
+/** Reserves workers for a blocked step until the next full pass. @param positions Positions in m_workers. */
+void reserveWorkers(Scheduler& scheduler, PoolView& view, const std::vector<std::uint32_t>& positions, StepRun& run);
+
+/** @return Number of tasks of a size that fit into the free resources, at most the given limit. */
+std::int64_t countFitting(const Resources& size, const Resources& free, std::int64_t limit);
+
+} // namespace bulrushloft::scheduler::detail
--- a/src/process/scheduler/scheduler.cpp
+++ b/src/process/scheduler/scheduler.cpp
@@ -51,8 +51,10 @@
     /** @return Whether to run a placement pass; changes are batched because each pass examines all waiting steps. */
     bool isPlacementDue(const Scheduler& scheduler, TimePoint now)
     {
-        constexpr Duration intervalAfterChange { 4 };
+        constexpr Duration minIntervalAfterChange { 4 };
+        constexpr std::size_t waitingStepsPerMs = 100; // A pass that examines thousands of steps takes milliseconds itself.
         constexpr Duration intervalWithoutChange { 50 };
+        const Duration intervalAfterChange = minIntervalAfterChange + Duration { static_cast<std::int64_t>(scheduler.m_waitingSteps.size() / waitingStepsPerMs) };
         return now - scheduler.m_placedAt >= (scheduler.m_needsPlacing ? intervalAfterChange : intervalWithoutChange);
     }
 
@@ -85,7 +87,9 @@
         for (const auto& run : job->m_runs) {
             const auto done = std::count_if(run->m_tasks.begin(), run->m_tasks.end(), [](const Task& task) { return task.m_resolution == TaskResolution::Done; });
             const auto active = std::count_if(run->m_tasks.begin(), run->m_tasks.end(), [](const Task& task) { return task.m_phase != RunPhase::None; });
-            if (static_cast<std::uint32_t>(done) != run->m_doneCount || static_cast<std::uint32_t>(active) != run->m_activeAttempts)
+            const auto unplaced = std::count_if(run->m_tasks.begin(), run->m_tasks.end(), [](const Task& task) { return task.m_resolution == TaskResolution::Open && task.m_phase == RunPhase::None; });
+            const bool isUnplacedRight = isFinal(job->m_stage) || static_cast<std::uint32_t>(unplaced) == countUnplaced(*run);
+            if (static_cast<std::uint32_t>(done) != run->m_doneCount || static_cast<std::uint32_t>(active) != run->m_activeAttempts || !isUnplacedRight)
                 return false;
         }
     }
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -3,6 +3,7 @@
 
 #include "connection/order_type.h"
 #include "connection/store_type.h"
+#include "process/scheduler/urgency.h"
 #include "request/plan_type.h"
 #include "version/cluster_type.h"
 
@@ -80,10 +81,23 @@
     std::vector<WorkerIndex> m_failedOn; ///< Workers on which an attempt of the task failed.
 };
 
+/** Permission to start tasks of a step on a worker. */
+struct Ticket {
+    std::string m_text; ///< Sent with the start of a task.
+    TimePoint m_usableUntil; ///< Latest time at which a start that carries it is sent.
+};
+
+/** What is known about the approval of a step on a worker. */
+enum class ApprovalMark : std::uint8_t {
+    Unknown, ///< Not asked for yet.
+    Approved, ///< The step may run there with a ticket.
+    Denied, ///< The step must not run there.
+};
+
 /** Known approvals of a step. */
 struct ApprovalState {
-    std::unordered_map<WorkerIndex, std::pair<std::string, TimePoint>> m_approved; ///< Ticket of each approved worker and the time until which it can be used.
-    std::unordered_set<WorkerIndex> m_denied; ///< Workers on which the step must not run.
+    std::vector<ApprovalMark> m_marks; ///< By WorkerIndex; workers beyond its end are Unknown.
+    std::unordered_map<WorkerIndex, Ticket> m_tickets; ///< Ticket of each approved worker.
     bool m_isRequestPending = false; ///< An approval request has not been answered yet.
     TimePoint m_nextRequestAt; ///< Earliest time of the next request.
 };
@@ -104,6 +118,11 @@
     std::uint32_t m_lastFailedAttempt = 0; ///< Number of the latest gang attempt that is included in m_gangFailures; each attempt is counted once.
     TimePoint m_reservingSince; ///< Time since which workers have been reserved for the step; 0 for never.
     bool m_isWaiting = false; ///< The step is in Scheduler::m_waitingSteps.
+    bool m_isChanged = true; ///< Something about the step itself has changed since a pass examined it, such as its tasks or approvals.
+    bool m_isApprovalRequestDelayed = false; ///< An approval request was due and no VM was free to send it.
+    bool m_hasReservations = false; ///< Workers are reserved for the step.
+    UrgencyInput m_urgencyInput; ///< What the step's urgency was last computed from.
+    TimePoint m_urgencyInputAt; ///< When m_urgencyInput was last updated; zero for never.
     ApprovalState m_approval; ///< Approvals; unused when the queue requires none.
     std::vector<Task> m_tasks; ///< Tasks of the step, by index.
     std::unordered_map<WorkerIndex, std::uint32_t> m_attemptsByWorker; ///< Number of current attempts on each worker; limited by StepPlan::m_perWorkerLimit.
@@ -197,6 +216,9 @@
     std::deque<PendingEnd> m_pendingEnds; ///< Ends that have been processed and are not durable yet.
     WorkerHealth m_health; ///< Recent failures and speed.
     TimePoint m_drainingSince; ///< Time at which the worker first announced that it is draining.
+    const StepRun* m_reservedFor = nullptr; ///< Blocked step for which the worker is reserved; only compared, as the step may be gone. Null for none.
+    bool m_wasAccepting = false; ///< Whether it accepted tasks at the latest placement pass.
+    std::uint32_t m_viewPosition = 0; ///< Its position in the pool's view of the latest placement pass, if it accepted tasks then.
 };
 
 /** A VM that sends approval requests for the leader, one at a time. */
@@ -272,6 +294,8 @@
     bool m_isInitialLoad = true; ///< The records and workers present at the start of the term are being loaded; they are logged as totals only.
     bool m_needsPlacing = false; ///< Something has changed that may allow a placement.
     TimePoint m_placedAt; ///< Time of the latest placement pass.
+    TimePoint m_fullPassAt; ///< Time of the latest full placement pass.
+    std::vector<WorkerIndex> m_changedWorkers; ///< Workers on which room may have appeared since the latest placement pass.
     SchedulerCounters m_counters;
 };
 
--- a/src/process/scheduler/scheduler_detail.h
+++ b/src/process/scheduler/scheduler_detail.h
@@ -78,6 +78,9 @@
 /** Issues the starts, stops and syncs that are due, expires leases and stops tasks on draining workers. */
 void stepCalls(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects);
 
+/** @return Number of open tasks of a step without an attempt. */
+std::uint32_t countUnplaced(const StepRun& run);
+
 /** Places the tasks of waiting steps. */
 void placeWaiting(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects);
 
--- a/src/process/scheduler/scheduler_jobs.cpp
+++ b/src/process/scheduler/scheduler_jobs.cpp
@@ -51,6 +51,7 @@
     void markWaiting(Scheduler& scheduler, StepRun& run)
     {
         scheduler.m_needsPlacing = true;
+        run.m_isChanged = true;
         if (run.m_isWaiting)
             return;
         run.m_isWaiting = true;
@@ -152,8 +153,10 @@
         markDirty(scheduler, job);
         if (isWholeJobDone(job))
             return endJob(scheduler, job, JobStage::Complete, now);
-        if (run.m_doneCount == run.m_tasks.size())
-            releaseReadySteps(scheduler, job, now);
+        if (run.m_doneCount < run.m_tasks.size())
+            return;
+        run.m_approval = {};
+        releaseReadySteps(scheduler, job, now);
     }
 
     void failTask(Scheduler& scheduler, const TaskRef& ref, TimePoint now)
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -59,6 +59,7 @@
         StepRun& run = *ref.m_run;
         Worker& worker = scheduler.m_workers[static_cast<std::size_t>(task.m_worker)];
         worker.m_granted = worker.m_granted - grantOf(run);
+        scheduler.m_changedWorkers.push_back(task.m_worker);
         std::erase(worker.m_tasks, ref);
         if (--run.m_attemptsByWorker[task.m_worker] == 0)
             run.m_attemptsByWorker.erase(task.m_worker);
@@ -363,7 +364,7 @@
     case OrderStatus::Fenced:
         return;
     case OrderStatus::InvalidTicket:
-        ref.m_run->m_approval.m_approved.erase(task.m_worker);
+        ref.m_run->m_approval.m_tickets.erase(task.m_worker);
         return handleRefusedStart(scheduler, ref, "no-ticket", now);
     case OrderStatus::InsufficientCapacity:
         return handleRefusedStart(scheduler, ref, "no-room", now);
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -295,6 +295,7 @@
             logEvent(LogLevel::Info, "worker-announced", { { "worker", announcement.m_id }, { "pool", announcement.m_pool }, { "address", format(announcement.m_address) }, { "has_restarted", hasRestarted } });
     }
     worker.m_announcement = announcement;
+    scheduler.m_changedWorkers.push_back(found->second);
     worker.m_isAnnounced = true;
     worker.m_rack.clear();
     for (const std::string& label : announcement.m_labels) {
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -56,16 +56,17 @@
 
     StoreNewestAnswer newest(const StoreNewestRead& newest)
     {
-        constexpr std::size_t pageSize = 50;
         Topic& topic = m_topics[newest.m_partition.m_topic];
         StoreNewestAnswer answer { .m_status = StoreStatus::Done, .m_records = {}, .m_hasMore = false, .m_end = topic.end() };
         auto record = newest.m_after.empty() ? topic.m_newestByKey.begin() : topic.m_newestByKey.upper_bound(newest.m_after);
-        for (; record != topic.m_newestByKey.end() && answer.m_records.size() < pageSize; ++record)
+        for (; record != topic.m_newestByKey.end() && answer.m_records.size() < m_pageSize; ++record)
             answer.m_records.push_back(record->second);
         answer.m_hasMore = record != topic.m_newestByKey.end();
         return answer;
     }
 
+    std::size_t m_pageSize = 50; ///< Maximum number of records in a page of newest(); small, so that tests need few records for several pages.
+
     /** Simulates compaction: reads of earlier offsets fail as Expired; newest() still returns the newest record of each key. */
     void compactTopics()
     {
--- /dev/null
+++ b/tests/soak/fault_proxy.cpp
@@ -0,0 +1,183 @@
+/** @file fault_proxy.cpp Forwarding of bytes between two sockets, subject to the fault in force. */
+#include "fault_proxy.h"
+
+#include "core/event_loop_impl.h"
+
+#include <array>
+#include <set>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace bulrushloft::soak {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+    class Pair;
+
+} // namespace
+
+struct FaultProxy::Impl : std::enable_shared_from_this<FaultProxy::Impl> {
+    Impl(asio::io_context& context, Address listen, Address target)
+        : m_context(context)
+        , m_acceptor(context)
+        , m_listen(std::move(listen))
+        , m_target(std::move(target))
+    {
+    }
+
+    void accept();
+    void resetAll();
+
+    asio::io_context& m_context;
+    Tcp::acceptor m_acceptor;
+    Address m_listen;
+    Address m_target;
+    ProxyMode m_mode = ProxyMode::Pass;
+    Duration m_delay;
+    std::set<std::shared_ptr<Pair>> m_pairs; ///< Open connections.
+};
+
+namespace {
+
+    /** A caller's connection and the one to the target. */
+    class Pair : public std::enable_shared_from_this<Pair> {
+    public:
+        Pair(Tcp::socket caller, std::shared_ptr<FaultProxy::Impl> proxy)
+            : m_caller(std::move(caller))
+            , m_target(proxy->m_context)
+            , m_proxy(std::move(proxy))
+        {
+        }
+
+        void start()
+        {
+            const Tcp::endpoint endpoint(asio::ip::make_address(m_proxy->m_target.m_host), m_proxy->m_target.m_port);
+            m_target.async_connect(endpoint, [self = shared_from_this()](const boost::system::error_code& error) {
+                if (error)
+                    return self->reset();
+                self->read(self->m_caller, self->m_target, self->m_fromCaller, false);
+                self->read(self->m_target, self->m_caller, self->m_fromTarget, true);
+            });
+        }
+
+        /** Closes both connections with a reset. */
+        void reset()
+        {
+            boost::system::error_code ignored;
+            m_caller.set_option(asio::socket_base::linger(true, 0), ignored);
+            m_caller.close(ignored);
+            m_target.close(ignored);
+            m_proxy->m_pairs.erase(shared_from_this());
+        }
+
+    private:
+        using Buffer = std::array<char, 16 * 1024>;
+
+        bool isDropped(bool isAnswer) const
+        {
+            return m_proxy->m_mode == ProxyMode::Silence || (isAnswer && m_proxy->m_mode == ProxyMode::SilenceAnswers);
+        }
+
+        void read(Tcp::socket& from, Tcp::socket& to, Buffer& buffer, bool isAnswer)
+        {
+            from.async_read_some(asio::buffer(buffer), [self = shared_from_this(), &from, &to, &buffer, isAnswer](const boost::system::error_code& error, std::size_t count) {
+                if (error)
+                    return self->reset();
+                if (self->isDropped(isAnswer))
+                    return self->read(from, to, buffer, isAnswer);
+                if (self->m_proxy->m_mode != ProxyMode::Delay)
+                    return self->write(from, to, buffer, count, isAnswer);
+                const auto timer = std::make_shared<asio::steady_timer>(self->m_proxy->m_context);
+                timer->expires_after(std::chrono::milliseconds(self->m_proxy->m_delay.m_ms));
+                timer->async_wait([self, timer, &from, &to, &buffer, count, isAnswer](const boost::system::error_code&) { self->write(from, to, buffer, count, isAnswer); });
+            });
+        }
+
+        void write(Tcp::socket& from, Tcp::socket& to, Buffer& buffer, std::size_t count, bool isAnswer)
+        {
+            asio::async_write(to, asio::buffer(buffer.data(), count), [self = shared_from_this(), &from, &to, &buffer, isAnswer](const boost::system::error_code& error, std::size_t) {
+                if (error)
+                    return self->reset();
+                self->read(from, to, buffer, isAnswer);
+            });
+        }
+
+        Tcp::socket m_caller;
+        Tcp::socket m_target;
+        std::shared_ptr<FaultProxy::Impl> m_proxy;
+        Buffer m_fromCaller {};
+        Buffer m_fromTarget {};
+    };
+
+} // namespace
+
+void FaultProxy::Impl::accept()
+{
+    m_acceptor.async_accept(m_context, [self = shared_from_this()](const boost::system::error_code& error, Tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
+        if (!error && self->m_mode != ProxyMode::Refuse) {
+            boost::system::error_code ignored;
+            socket.set_option(Tcp::no_delay(true), ignored);
+            const auto pair = std::make_shared<Pair>(std::move(socket), self);
+            self->m_pairs.insert(pair);
+            pair->start();
+        }
+        self->accept();
+    });
+}
+
+void FaultProxy::Impl::resetAll()
+{
+    const auto pairs = m_pairs;
+    for (const auto& pair : pairs)
+        pair->reset();
+}
+
+FaultProxy::FaultProxy(EventLoop& loop, Address listen, Address target)
+    : m_impl(std::make_shared<Impl>(loop.impl().m_context, std::move(listen), std::move(target)))
+{
+}
+
+FaultProxy::~FaultProxy() = default;
+
+Expected<void> FaultProxy::listen()
+{
+    const Tcp::endpoint endpoint(asio::ip::make_address(m_impl->m_listen.m_host), m_impl->m_listen.m_port);
+    boost::system::error_code error;
+    m_impl->m_acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        m_impl->m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        m_impl->m_acceptor.bind(endpoint, error);
+    if (!error)
+        m_impl->m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return fail(ErrorKind::Unavailable, "the proxy can't listen on " + format(m_impl->m_listen) + ": " + error.message(), "end the process that uses the address");
+    asio::post(m_impl->m_context, [impl = m_impl] { impl->accept(); });
+    return {};
+}
+
+void FaultProxy::setMode(ProxyMode mode, Duration delay)
+{
+    asio::post(m_impl->m_context, [impl = m_impl, mode, delay] {
+        const bool hasLostBytes = impl->m_mode == ProxyMode::Silence || impl->m_mode == ProxyMode::SilenceAnswers;
+        impl->m_mode = mode;
+        impl->m_delay = delay;
+        if (mode == ProxyMode::Refuse || (hasLostBytes && mode == ProxyMode::Pass))
+            impl->resetAll();
+    });
+}
+
+void FaultProxy::resetConnections()
+{
+    asio::post(m_impl->m_context, [impl = m_impl] { impl->resetAll(); });
+}
+
+} // namespace bulrushloft::soak
--- /dev/null
+++ b/tests/soak/fault_proxy.h
@@ -0,0 +1,44 @@
+/** @file fault_proxy.h A loopback TCP proxy that delays, resets, cuts or silences the connections through it. */
+#pragma once
+
+#include "connection/http_type.h"
+#include "core/error_type.h"
+#include "core/event_loop.h"
+
+#include <memory>
+
+namespace bulrushloft::soak {
+
+/** How the connections through a proxy are treated. */
+enum class ProxyMode : std::uint8_t {
+    Pass, ///< Bytes are forwarded.
+    Delay, ///< Bytes are forwarded some time later.
+    Silence, ///< No bytes are forwarded either way, and new connections are accepted and ignored, as behind a partition.
+    SilenceAnswers, ///< Requests are forwarded and answers are not: the path works one way only.
+    Refuse, ///< New connections are closed at once, and open ones are reset.
+};
+
+/** One listening address whose connections are forwarded to another one. All functions may be called from any thread. */
+class FaultProxy {
+public:
+    struct Impl;
+
+    FaultProxy(EventLoop& loop, Address listen, Address target);
+    ~FaultProxy();
+    FaultProxy(const FaultProxy&) = delete;
+    FaultProxy& operator=(const FaultProxy&) = delete;
+
+    /** Starts listening. @return An error when the address can't be bound. */
+    Expected<void> listen();
+
+    /** Changes how bytes are treated from now on. Bytes that a silent path has held are lost, and its connections are reset when it passes bytes again. */
+    void setMode(ProxyMode mode, Duration delay = {});
+
+    /** Resets all open connections once. */
+    void resetConnections();
+
+private:
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace bulrushloft::soak
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,210 @@
+/**
+ * @file main.cpp The fault soak: real daemons on loopback with stand-ins of the platform, faults from outside, and checks of the
+ * promises over what callers and workers see. Prints the seed, counts and violations; exits with 1 when a promise was broken.
+ */
+#include "daemon_process.h"
+#include "fault_proxy.h"
+#include "soak_clients.h"
+#include "soak_faults.h"
+#include "stand_in_store.h"
+#include "stand_in_workers.h"
+
+#include <filesystem>
+#include <future>
+#include <iostream>
+#include <thread>
+
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+DEFINE_string(daemon, "build/bulrushloftd", "path of the daemon's program");
+DEFINE_string(directory, "", "directory for start-up files and logs; a new one under the temporary directory if empty");
+DEFINE_uint64(seed, 1, "first seed of the random choices");
+DEFINE_uint64(runs, 1, "number of runs, with consecutive seeds");
+DEFINE_int32(daemons, 4, "number of daemons");
+DEFINE_int32(workers, 8, "number of workers");
+DEFINE_int32(task_slots, 8, "tasks that a worker can hold");
+DEFINE_double(jobs_per_second, 12, "submissions a second");
+DEFINE_int32(steps, 2, "most steps of a job");
+DEFINE_int32(width, 6, "most tasks of a step");
+DEFINE_int32(run_ms, 400, "mean run time of a task, in ms");
+DEFINE_int32(payload_bytes, 200, "length of a job's payload, in bytes");
+DEFINE_int32(seconds, 12, "length of the load, in seconds");
+DEFINE_bool(approvals, false, "whether jobs need approvals");
+DEFINE_bool(faults, true, "whether faults are injected");
+DEFINE_int32(relay_from_workers, 1'000, "number of workers from which on orders go through peers");
+
+namespace bulrushloft::soak {
+
+namespace {
+
+    constexpr Duration startTime { 1'500 }; ///< Time for the daemons to elect a leader before the load.
+    constexpr Duration maxSettlingTime { 40'000 }; ///< After the load and the faults every accepted job must complete within this time.
+    constexpr std::uint16_t storePort = 7'500;
+    constexpr std::uint16_t approvalsPort = 7'501;
+    constexpr std::uint16_t clientsPort = 7'400;
+    constexpr std::uint16_t readinessPort = 7'401;
+    constexpr std::uint16_t peersPort = 7'402;
+    constexpr std::uint16_t advertisedPort = 7'403;
+    constexpr std::uint16_t daemonStorePort = 7'404;
+    const std::string platformHost = "127.0.200.1";
+
+    std::string hostOf(int daemon)
+    {
+        return "127.0.201." + std::to_string(daemon + 1);
+    }
+
+    /** @return The operator's configuration of a version; each version adds a queue, so that callers can tell which one is in force. */
+    std::string makeConfig(std::uint64_t version)
+    {
+        nlohmann::json routes = nlohmann::json::array();
+        const auto addRoute = [&](const std::string& prefix) {
+            nlohmann::json route { { "name", "route-" + prefix }, { "host", "h.example" }, { "path_prefix", "/" + prefix + "/" }, { "service", "pool" }, { "priority", 0 }, { "max_attempts", 3 }, { "slack_factor", 3 }, { "target_latency_ms", 1'000 }, { "timeout_ms", 3'000 } };
+            if (FLAGS_approvals)
+                route["advice"] = { { "decide_ms", 25 }, { "interval_ms", 0.5 }, { "valid_ms", 2'000 } };
+            routes.push_back(std::move(route));
+        };
+        addRoute("q");
+        addRoute("v" + std::to_string(version));
+        return nlohmann::json({ { "version", version }, { "routes", routes }, { "services", { { { "name", "pool" }, { "admission_control", false } } } } }).dump();
+    }
+
+    /** One run of the soak. */
+    class Soak {
+    public:
+        Soak(std::uint64_t seed, std::string directory)
+            : m_seed(seed)
+            , m_directory(std::move(directory))
+            , m_store(m_platformLoop, seed)
+            , m_approvals(m_platformLoop)
+            , m_workers(m_platformLoop, m_store, { .m_pool = "pool", .m_count = FLAGS_workers, .m_cpuMilli = FLAGS_task_slots * 1'000, .m_taskCpuMilli = 1'000 }, makeObserver(), seed + 1)
+        {
+        }
+
+        /** @return Whether all promises were kept. */
+        bool run();
+
+    private:
+        WorkerObserver makeObserver()
+        {
+            return { .m_onStart = [this](const std::string& worker, const TaskName& task, std::uint32_t attempt) { m_history.onStart(worker, static_cast<std::size_t>(FLAGS_task_slots), task, attempt); },
+                .m_onEnd = [this](const std::string& worker, const TaskName& task, std::uint32_t attempt, AttemptEnd end) { m_history.onEnd(worker, task, attempt, end); },
+                .m_onAck = [this](const std::string&, const EndedAttempt& end) { m_history.onAck(end); } };
+        }
+
+        bool startPlatform();
+        void startDaemons();
+        void settle();
+        void printResult() const;
+
+        std::uint64_t m_seed;
+        std::string m_directory;
+        SoakHistory m_history;
+        EventLoop m_platformLoop { "platform" };
+        EventLoop m_clientLoop { "clients" };
+        EventLoop m_proxyLoop { "proxies" };
+        StandInStore m_store;
+        StandInApprovals m_approvals;
+        StandInWorkers m_workers;
+        std::vector<SoakDaemon> m_daemons;
+    };
+
+    bool Soak::startPlatform()
+    {
+        for (const Expected<void>& listening : { m_store.listen({ platformHost, storePort }), m_approvals.listen({ platformHost, approvalsPort }), m_workers.listen() }) {
+            if (listening)
+                continue;
+            std::cerr << "cell_soak: " << describe(listening.error()) << "\n";
+            return false;
+        }
+        m_store.write("keyed.op", "config", makeConfig(1));
+        return true;
+    }
+
+    void Soak::startDaemons()
+    {
+        std::string seeds;
+        for (int i = 0; i < std::min(FLAGS_daemons, 3); ++i)
+            seeds += (i > 0 ? ", \"" : "\"") + format(Address { hostOf(i), advertisedPort }) + "\"";
+        for (int i = 0; i < FLAGS_daemons; ++i) {
+            const Address store { hostOf(i), daemonStorePort };
+            const Address peers { hostOf(i), peersPort };
+            const Address advertised { hostOf(i), advertisedPort };
+            SoakDaemon daemon;
+            daemon.m_process = std::make_unique<DaemonProcess>(DaemonSetup { .m_program = FLAGS_daemon, .m_name = "n" + std::to_string(i + 1), .m_directory = m_directory, .m_clients = { hostOf(i), clientsPort }, .m_readiness = { hostOf(i), readinessPort }, .m_peers = peers, .m_advertisedPeers = advertised, .m_store = store, .m_approvals = { platformHost, approvalsPort }, .m_seeds = seeds, .m_relayMinWorkers = FLAGS_relay_from_workers });
+            daemon.m_storeProxy = std::make_unique<FaultProxy>(m_proxyLoop, store, Address { platformHost, storePort });
+            daemon.m_peerProxy = std::make_unique<FaultProxy>(m_proxyLoop, advertised, peers);
+            for (const Expected<void>& listening : { daemon.m_storeProxy->listen(), daemon.m_peerProxy->listen() }) {
+                if (!listening)
+                    m_history.report("SETUP: " + describe(listening.error()));
+            }
+            daemon.m_process->start();
+            m_daemons.push_back(std::move(daemon));
+        }
+    }
+
+    void Soak::settle()
+    {
+        constexpr Duration pollInterval { 100 };
+        const TimePoint until = steadyNow() + maxSettlingTime;
+        while (!m_history.openJobs().empty() && steadyNow() < until)
+            std::this_thread::sleep_for(std::chrono::milliseconds(pollInterval.m_ms));
+        m_history.finish();
+    }
+
+    void Soak::printResult() const
+    {
+        const SoakCounts counts = m_history.counts();
+        std::cout << "seed " << m_seed << ": submitted " << counts.m_submitted << ", accepted " << counts.m_accepted << ", refused " << counts.m_refused << ", unknown " << counts.m_unknown << ", cancelled " << counts.m_cancelled
+                  << ", complete " << counts.m_complete << ", starts " << counts.m_starts << ", queries " << counts.m_queries << "; logs in " << m_directory << "\n";
+        for (const std::string& violation : m_history.violations())
+            std::cout << "seed " << m_seed << " BROKEN " << violation << "\n";
+    }
+
+    bool Soak::run()
+    {
+        if (!startPlatform())
+            return false;
+        startDaemons();
+        std::this_thread::sleep_for(std::chrono::milliseconds(startTime.m_ms));
+        ClientLoad load { .m_entries = {}, .m_jobsPerSecond = FLAGS_jobs_per_second, .m_maxSteps = static_cast<std::uint32_t>(FLAGS_steps), .m_maxWidth = static_cast<std::uint32_t>(FLAGS_width), .m_runTime = { FLAGS_run_ms }, .m_payloadBytes = static_cast<std::size_t>(FLAGS_payload_bytes) };
+        for (const SoakDaemon& daemon : m_daemons)
+            load.m_entries.push_back(daemon.m_process->setup().m_clients);
+        SoakClients clients(m_clientLoop, load, m_history, m_seed + 2);
+        FaultInjector faults({ .m_platformLoop = m_platformLoop, .m_store = m_store, .m_workers = m_workers, .m_daemons = m_daemons, .m_clients = clients, .m_history = m_history, .m_workerCount = FLAGS_workers, .m_makeConfig = makeConfig }, m_seed + 3);
+        clients.start();
+        const Duration length { FLAGS_seconds * 1'000 };
+        if (FLAGS_faults)
+            faults.run(length);
+        else
+            std::this_thread::sleep_for(std::chrono::milliseconds(length.m_ms));
+        clients.stop();
+        settle();
+        printResult();
+        const bool isKept = m_history.violations().empty();
+        m_daemons.clear(); // Ends the processes before their platform goes.
+        m_clientLoop.stop();
+        m_proxyLoop.stop();
+        m_platformLoop.stop();
+        return isKept;
+    }
+
+} // namespace
+
+} // namespace bulrushloft::soak
+
+int main(int argc, char** argv)
+{
+    using namespace bulrushloft::soak;
+    gflags::SetUsageMessage("runs daemons on loopback under random faults and checks what callers and workers see");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::string root = FLAGS_directory.empty() ? (std::filesystem::temp_directory_path() / ("cell_soak." + std::to_string(getpid()))).string() : FLAGS_directory;
+    std::uint64_t failed = 0;
+    for (std::uint64_t i = 0; i < FLAGS_runs; ++i) {
+        const std::string directory = root + "/seed-" + std::to_string(FLAGS_seed + i);
+        std::filesystem::create_directories(directory);
+        failed += Soak(FLAGS_seed + i, directory).run() ? 0 : 1;
+    }
+    std::cout << FLAGS_runs << " runs from seed " << FLAGS_seed << ", " << failed << " with broken promises\n";
+    return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/soak_faults.cpp
@@ -0,0 +1,209 @@
+/** @file soak_faults.cpp Random faults, their ends, and the checks of configuration, drained processes and unexpected exits. */
+#include "soak_faults.h"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+#include <sys/wait.h>
+
+namespace bulrushloft::soak {
+
+namespace {
+
+    constexpr Duration tickLength { 20 };
+    constexpr Duration afterFault { 3'000 }; ///< After a fault, bounds in time do not hold for so long.
+    constexpr Duration configLimit { 2'000 }; ///< A configuration is in force within this time at an undisturbed daemon.
+    constexpr Duration terminationLimit { 6'000 }; ///< Grace between SIGTERM and SIGKILL.
+    constexpr Duration configCheckInterval { 400 };
+    constexpr unsigned statusNotFound = 404;
+    constexpr unsigned statusOk = 200;
+
+} // namespace
+
+FaultInjector::FaultInjector(const FaultTargets& targets, std::uint64_t seed)
+    : m_targets(targets)
+    , m_random(seed)
+    , m_probeClient(m_probeLoop, { .m_connectionsPerAddress = 4, .m_connectTimeout = { 300 } })
+{
+}
+
+void FaultInjector::disturb(SoakDaemon& daemon, Duration length)
+{
+    daemon.m_disturbedUntil = std::max(daemon.m_disturbedUntil, steadyNow() + length + afterFault);
+}
+
+void FaultInjector::disturbAll(Duration length)
+{
+    for (SoakDaemon& daemon : m_targets.m_daemons)
+        disturb(daemon, length);
+}
+
+void FaultInjector::inject(Kind kind)
+{
+    const TimePoint now = steadyNow();
+    const Duration length { randomBetween(500, 4'000) };
+    SoakDaemon& daemon = anyDaemon();
+    const auto endAfter = [&](std::function<void()> action) { m_ends.push_back({ now + length, std::move(action) }); };
+    const auto applyStoreFaults = [this] { onPlatform([this, faults = m_storeFaults] { m_targets.m_store.setFaults(faults); }); };
+    const int worker = static_cast<int>(randomBetween(0, m_targets.m_workerCount - 1));
+    std::cout << "  fault " << static_cast<int>(kind) << " for " << length.m_ms << " ms at " << daemon.m_process->setup().m_name << std::endl;
+    switch (kind) {
+    case Kind::Kill:
+        daemon.m_isEndExpected = true;
+        daemon.m_process->signal(SIGKILL);
+        daemon.m_restartAt = now + Duration { randomBetween(200, 2'000) };
+        return disturb(daemon, length);
+    case Kind::Terminate:
+        if (daemon.m_resumeAt.m_ms > 0)
+            return;
+        daemon.m_isEndExpected = true;
+        daemon.m_process->signal(SIGTERM);
+        daemon.m_restartAt = now + terminationLimit;
+        return disturb(daemon, terminationLimit);
+    case Kind::Suspend:
+        daemon.m_process->signal(SIGSTOP);
+        daemon.m_resumeAt = now + length;
+        return disturb(daemon, length);
+    case Kind::Reload:
+        return daemon.m_process->signal(SIGHUP);
+    case Kind::StorePath:
+    case Kind::PeerPath: {
+        FaultProxy* const proxy = kind == Kind::StorePath ? daemon.m_storeProxy.get() : daemon.m_peerProxy.get();
+        const std::array modes { ProxyMode::Delay, ProxyMode::Silence, ProxyMode::SilenceAnswers, ProxyMode::Refuse };
+        proxy->setMode(modes[static_cast<std::size_t>(randomBetween(0, 3))], { randomBetween(50, 600) });
+        disturb(daemon, length);
+        return endAfter([proxy] { proxy->setMode(ProxyMode::Pass); });
+    }
+    case Kind::ResetConnections:
+        daemon.m_storeProxy->resetConnections();
+        daemon.m_peerProxy->resetConnections();
+        return disturb(daemon, {});
+    case Kind::StoreDown:
+        m_storeFaults.m_isDown = true;
+        m_storeFaults.m_isSilent = randomBetween(0, 1) == 1;
+        applyStoreFaults();
+        disturbAll(length);
+        return endAfter([this, applyStoreFaults] { m_storeFaults.m_isDown = false; applyStoreFaults(); });
+    case Kind::StoreSlow:
+        m_storeFaults.m_delay = { randomBetween(50, 700) };
+        applyStoreFaults();
+        disturbAll(length);
+        return endAfter([this, applyStoreFaults] { m_storeFaults.m_delay = {}; applyStoreFaults(); });
+    case Kind::StoreLossy:
+        m_storeFaults.m_lostAnswerShare = 0.3;
+        m_storeFaults.m_lateAppendShare = 0.1;
+        applyStoreFaults();
+        disturbAll(length + Duration { 4'000 });
+        return endAfter([this, applyStoreFaults] { m_storeFaults.m_lostAnswerShare = 0; m_storeFaults.m_lateAppendShare = 0; applyStoreFaults(); });
+    case Kind::Compact:
+        return onPlatform([this] { m_targets.m_store.compact(); });
+    case Kind::WorkerCrash:
+        return onPlatform([this, worker, length] { m_targets.m_workers.crash(worker, length); });
+    case Kind::WorkerSilent:
+        return onPlatform([this, worker, length] { m_targets.m_workers.silence(worker, length * 2); });
+    case Kind::LateOrders:
+        onPlatform([this] { m_targets.m_workers.setLateOrderShare(0.1); });
+        return endAfter([this] { onPlatform([this] { m_targets.m_workers.setLateOrderShare(0); }); });
+    case Kind::KillAll:
+        for (SoakDaemon& each : m_targets.m_daemons) {
+            each.m_isEndExpected = true;
+            each.m_process->signal(SIGKILL);
+            each.m_restartAt = now + Duration { randomBetween(200, 800) };
+        }
+        return disturbAll(length);
+    case Kind::ChangeConfig:
+    case Kind::KindCount:
+        ++m_configVersion;
+        m_configWrittenAt = now;
+        return onPlatform([this, text = m_targets.m_makeConfig(m_configVersion)] { m_targets.m_store.write("keyed.op", "config", text); });
+    }
+}
+
+void FaultInjector::endDue(TimePoint now)
+{
+    std::vector<End> due;
+    std::erase_if(m_ends, [&](const End& end) {
+        if (now < end.m_at)
+            return false;
+        due.push_back(end);
+        return true;
+    });
+    for (const End& end : due)
+        end.m_action();
+}
+
+void FaultInjector::superviseProcesses(TimePoint now)
+{
+    for (SoakDaemon& daemon : m_targets.m_daemons) {
+        if (daemon.m_resumeAt.m_ms > 0 && now >= daemon.m_resumeAt) {
+            daemon.m_process->signal(SIGCONT);
+            daemon.m_resumeAt = {};
+            disturb(daemon, {});
+        }
+        const bool isRunning = daemon.m_process->isRunning();
+        if (!isRunning && !daemon.m_isEndExpected)
+            m_targets.m_history.report("EXIT: daemon " + daemon.m_process->setup().m_name + " has ended by itself with status " + std::to_string(daemon.m_process->exitStatus()));
+        if (!isRunning && daemon.m_isEndExpected && daemon.m_process->exitStatus() != 0 && WIFEXITED(daemon.m_process->exitStatus()))
+            m_targets.m_history.report("EXIT: daemon " + daemon.m_process->setup().m_name + " has ended with status " + std::to_string(WEXITSTATUS(daemon.m_process->exitStatus())));
+        if (isRunning && daemon.m_restartAt.m_ms > 0 && now >= daemon.m_restartAt)
+            daemon.m_process->signal(SIGKILL);
+        if (isRunning || now < daemon.m_restartAt)
+            continue;
+        daemon.m_restartAt = {};
+        daemon.m_resumeAt = {};
+        daemon.m_isEndExpected = false;
+        daemon.m_configSeen = 0;
+        disturb(daemon, {});
+        daemon.m_process->start();
+    }
+}
+
+void FaultInjector::checkConfig(TimePoint now)
+{
+    if (now < m_nextConfigCheckAt)
+        return;
+    m_nextConfigCheckAt = now + configCheckInterval;
+    for (SoakDaemon& daemon : m_targets.m_daemons) {
+        if (daemon.m_restartAt.m_ms > 0 || daemon.m_resumeAt.m_ms > 0)
+            continue;
+        const std::uint64_t version = m_configVersion;
+        const bool isDue = now - m_configWrittenAt > configLimit && now >= daemon.m_disturbedUntil;
+        HttpCall call { .m_address = daemon.m_process->setup().m_clients, .m_request = { .m_method = "GET", .m_target = "/v" + std::to_string(version) + "/", .m_headers = { { "Host", "h.example" } }, .m_body = nullptr }, .m_timeout = { 1'500 } };
+        const HttpResult result = sendAndWait(m_probeClient, std::move(call));
+        if (!result)
+            continue;
+        const std::string name = daemon.m_process->setup().m_name;
+        if (result->m_status == statusNotFound && daemon.m_configSeen >= version)
+            m_targets.m_history.report("CONFIG: daemon " + name + " has gone back behind version " + std::to_string(version));
+        if (result->m_status == statusNotFound && isDue)
+            m_targets.m_history.report("CONFIG: daemon " + name + " does not use version " + std::to_string(version) + " after " + std::to_string((now - m_configWrittenAt).m_ms) + " ms");
+        if (result->m_status == statusOk)
+            daemon.m_configSeen = std::max(daemon.m_configSeen, version);
+    }
+}
+
+void FaultInjector::run(Duration length)
+{
+    const TimePoint end = steadyNow() + length;
+    TimePoint nextFaultAt = steadyNow() + Duration { 500 };
+    const auto isCalm = [&] {
+        return m_ends.empty() && std::none_of(m_targets.m_daemons.begin(), m_targets.m_daemons.end(), [](const SoakDaemon& daemon) { return daemon.m_restartAt.m_ms > 0 || daemon.m_resumeAt.m_ms > 0; });
+    };
+    for (TimePoint now = steadyNow(); now < end || !isCalm(); now = steadyNow()) {
+        if (now >= nextFaultAt && now < end) {
+            inject(static_cast<Kind>(randomBetween(0, static_cast<std::int64_t>(Kind::KindCount) - 1)));
+            nextFaultAt = now + Duration { randomBetween(200, 1'800) };
+        }
+        endDue(now);
+        superviseProcesses(now);
+        checkConfig(now);
+        const bool isDisturbed = std::any_of(m_targets.m_daemons.begin(), m_targets.m_daemons.end(), [&](const SoakDaemon& daemon) { return now < daemon.m_disturbedUntil; });
+        m_targets.m_clients.setDisturbed(isDisturbed);
+        std::this_thread::sleep_for(std::chrono::milliseconds(tickLength.m_ms));
+    }
+}
+
+} // namespace bulrushloft::soak
--- /dev/null
+++ b/tests/soak/stand_in_workers.cpp
@@ -0,0 +1,269 @@
+/** @file stand_in_workers.cpp The stand-ins of workers and of the approval service. */
+#include "stand_in_workers.h"
+
+#include "core/hash_func.h"
+#include "platform/worker_client.h"
+#include "request/plan_func.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bulrushloft::soak {
+
+using Json = nlohmann::json;
+
+namespace {
+
+    constexpr Duration tickInterval { 10 };
+    constexpr std::int64_t minLateMs = 1'000;
+    constexpr std::int64_t maxLateMs = 5'000;
+    constexpr std::uint16_t workerPort = 7'600;
+    constexpr int hostsPerSubnet = 200;
+
+    HttpResponse jsonResponse(unsigned status, const Json& body)
+    {
+        return { .m_status = status, .m_headers = { { "Content-Type", "application/json" } }, .m_body = makeBody(body.dump()) };
+    }
+
+    const char* reasonOf(OrderStatus status)
+    {
+        switch (status) {
+        case OrderStatus::Fenced:
+            return "fence";
+        case OrderStatus::Superseded:
+            return "old";
+        case OrderStatus::LeaseExpired:
+            return "late";
+        default:
+            return "room";
+        }
+    }
+
+    const char* nameOfEnd(AttemptEnd end)
+    {
+        switch (end) {
+        case AttemptEnd::Done:
+            return "done";
+        case AttemptEnd::Failed:
+            return "failed";
+        case AttemptEnd::Stopped:
+            return "stopped";
+        default:
+            return "lapsed";
+        }
+    }
+
+    std::int64_t runTimeOf(const std::string& payload)
+    {
+        constexpr std::string_view key = "run_ms=";
+        return payload.starts_with(key) ? std::stoll(payload.substr(key.size())) : 100;
+    }
+
+    Address addressOf(int index)
+    {
+        return { "127.10." + std::to_string(index / hostsPerSubnet) + "." + std::to_string(index % hostsPerSubnet + 1), workerPort };
+    }
+
+    Json reportOf(const SyncReport& report)
+    {
+        Json running = Json::array();
+        for (const RunningAttempt& attempt : report.m_running)
+            running.push_back(Json::array({ format(attempt.m_task), attempt.m_attempt, attempt.m_checkpoint, attempt.m_percent }));
+        Json finished = Json::array();
+        for (const EndedAttempt& attempt : report.m_ended)
+            finished.push_back(Json::array({ attempt.m_number, format(attempt.m_task), attempt.m_attempt, nameOfEnd(attempt.m_end), attempt.m_checkpoint }));
+        return { { "clock_ms", report.m_clockMs }, { "born", report.m_processStartMs }, { "running", std::move(running) }, { "finished", std::move(finished) } };
+    }
+
+} // namespace
+
+/** One worker and the syncs that it holds open. */
+struct StandInWorkers::Member {
+    /** A sync that waits for an end. */
+    struct Hold {
+        SyncOrder m_order;
+        std::uint64_t m_token = 0;
+        TimePoint m_until;
+        HttpResponder m_respond;
+    };
+
+    explicit Member(EventLoop& loop)
+        : m_server(loop)
+    {
+    }
+
+    test::FakeLeaseWorker m_worker;
+    Address m_address;
+    std::string m_rack;
+    HttpServer m_server;
+    std::vector<Hold> m_holds;
+    TimePoint m_silentUntil;
+};
+
+StandInWorkers::StandInWorkers(EventLoop& loop, StandInStore& store, const WorkerFleet& fleet, WorkerObserver observer, std::uint64_t seed)
+    : m_loop(loop)
+    , m_store(store)
+    , m_fleet(fleet)
+    , m_observer(std::move(observer))
+    , m_random(seed)
+{
+    constexpr int workersPerRack = 8;
+    const std::int64_t now = wallNow().m_ms;
+    for (int i = 0; i < fleet.m_count; ++i) {
+        auto member = std::make_unique<Member>(loop);
+        member->m_address = addressOf(i);
+        member->m_rack = "r-" + std::to_string(i / workersPerRack);
+        test::FakeLeaseWorker& worker = member->m_worker;
+        worker.m_id = "i-" + std::to_string(i);
+        worker.m_processStartMs = now;
+        worker.m_clockOriginMs = steadyNow().m_ms - i * 1'000;
+        worker.m_capacityCpuMilli = fleet.m_cpuMilli;
+        worker.m_taskCpuMilli = fleet.m_taskCpuMilli;
+        worker.m_onStart = [this](const test::FakeLeaseWorker& started, const TaskName& task, std::uint32_t attempt) { m_observer.m_onStart(started.m_id, task, attempt); };
+        worker.m_onEnd = [this](const test::FakeLeaseWorker& ended, const TaskName& task, std::uint32_t attempt, AttemptEnd end) { m_observer.m_onEnd(ended.m_id, task, attempt, end); };
+        worker.m_onAck = [this](const test::FakeLeaseWorker& acknowledged, const EndedAttempt& end) { m_observer.m_onAck(acknowledged.m_id, end); };
+        m_members.push_back(std::move(member));
+    }
+}
+
+StandInWorkers::~StandInWorkers() = default;
+
+Expected<void> StandInWorkers::listen()
+{
+    for (const auto& member : m_members) {
+        auto listening = member->m_server.listen({ .m_address = member->m_address }, [this, each = member.get()](const HttpRequest& request, const HttpResponder& respond) { handle(*each, request, respond); });
+        if (!listening)
+            return listening;
+        announce(*member);
+    }
+    m_loop.post([this] { tick(); });
+    return {};
+}
+
+void StandInWorkers::announce(const Member& member)
+{
+    const Json entry { { "service", m_fleet.m_pool }, { "addr", format(member.m_address) }, { "zone", "a" }, { "state", "ready" }, { "machine", member.m_worker.m_id },
+        { "born", member.m_worker.m_processStartMs }, { "capacity", { { "cpu", m_fleet.m_cpuMilli }, { "mem_mb", 65'536 }, { "gpu", 0 } } }, { "labels", { "kind", member.m_rack } } };
+    m_store.write("keyed.servers", member.m_worker.m_id, entry.dump());
+}
+
+void StandInWorkers::crash(int index, Duration downFor)
+{
+    Member& member = *m_members[static_cast<std::size_t>(index)];
+    if (member.m_worker.m_isDown)
+        return;
+    member.m_worker.crash();
+    member.m_holds.clear();
+    m_loop.runAfter(downFor, [this, &member] {
+        member.m_worker.restart(steadyNow().m_ms);
+        member.m_worker.m_processStartMs = wallNow().m_ms;
+        announce(member);
+    });
+}
+
+void StandInWorkers::silence(int index, Duration length)
+{
+    Member& member = *m_members[static_cast<std::size_t>(index)];
+    member.m_silentUntil = steadyNow() + length;
+    member.m_holds.clear();
+}
+
+void StandInWorkers::handle(Member& member, const HttpRequest& request, const HttpResponder& respond)
+{
+    if (member.m_worker.m_isDown || steadyNow() < member.m_silentUntil)
+        return;
+    if (findHeader(request.m_headers, "Expected-Instance") != member.m_worker.m_id)
+        return respond(jsonResponse(421, Json::object()));
+    if (std::uniform_real_distribution<double>(0, 1)(m_random) < m_fleet.m_lateOrderShare) {
+        const Duration delay { std::uniform_int_distribution<std::int64_t>(minLateMs, maxLateMs)(m_random) };
+        return m_loop.runAfter(delay, [this, &member, request] {
+            if (!member.m_worker.m_isDown)
+                perform(member, request, [](const HttpResponse&) { /* The answer is lost. */ });
+        });
+    }
+    perform(member, request, respond);
+}
+
+void StandInWorkers::perform(Member& member, const HttpRequest& request, const HttpResponder& respond)
+{
+    const Json body = Json::parse(viewOf(request.m_body));
+    const std::int64_t now = steadyNow().m_ms;
+    const std::uint64_t token = body.value("fencing_token", std::uint64_t {});
+    test::FakeLeaseWorker& worker = member.m_worker;
+    const auto respondStatus = [&](OrderStatus status) {
+        if (status == OrderStatus::Done)
+            return respond(jsonResponse(200, { { "clock_ms", worker.clockAt(now) } }));
+        respond(jsonResponse(409, { { "clock_ms", worker.clockAt(now) }, { "reason", reasonOf(status) } }));
+    };
+    if (request.m_target == "/bulrushloft/hold") {
+        SyncOrder order { .m_leaseUntilMs = std::nullopt, .m_ackedEndNumber = body.value("ack_seq", std::uint64_t {}), .m_wait = { body.value("wait_ms", std::int64_t {}) } };
+        if (body.contains("deadline_ms"))
+            order.m_leaseUntilMs = body["deadline_ms"].get<std::int64_t>();
+        const auto report = worker.sync(order, token, now);
+        if (!report)
+            return respondStatus(OrderStatus::Fenced);
+        if (!report->m_ended.empty() || order.m_wait.m_ms == 0)
+            return respond(jsonResponse(200, reportOf(*report)));
+        member.m_holds.push_back({ .m_order = order, .m_token = token, .m_until = TimePoint { now } + order.m_wait, .m_respond = respond });
+        return;
+    }
+    const TaskName task = platform::decodeTaskName(body.at("task").get<std::string>()).value();
+    const auto attempt = body.at("attempt").get<std::uint32_t>();
+    if (request.m_target == "/bulrushloft/run-start") {
+        const StartOrder order { .m_task = task, .m_attempt = attempt, .m_payload = body.at("spec"), .m_leaseUntilMs = body.at("deadline_ms"), .m_checkpoint = {}, .m_ticket = {} };
+        return respondStatus(worker.start(order, token, runTimeOf(order.m_payload), now));
+    }
+    respondStatus(worker.stop({ .m_task = task, .m_attempt = attempt }, token));
+}
+
+void StandInWorkers::answerHolds(Member& member, bool isForced)
+{
+    const TimePoint now = steadyNow();
+    std::erase_if(member.m_holds, [&](Member::Hold& hold) {
+        if (!isForced && now < hold.m_until)
+            return false;
+        const auto report = member.m_worker.sync({ .m_leaseUntilMs = std::nullopt, .m_ackedEndNumber = 0, .m_wait = {} }, hold.m_token, now.m_ms);
+        hold.m_respond(report ? jsonResponse(200, reportOf(*report)) : jsonResponse(409, { { "reason", "fence" } }));
+        return true;
+    });
+}
+
+void StandInWorkers::tick()
+{
+    const std::int64_t now = steadyNow().m_ms;
+    for (const auto& member : m_members) {
+        const std::uint64_t ends = member->m_worker.m_lastEndNumber;
+        member->m_worker.tick(now);
+        answerHolds(*member, member->m_worker.m_lastEndNumber > ends);
+    }
+    m_loop.runAfter(tickInterval, [this] { tick(); });
+}
+
+StandInApprovals::StandInApprovals(EventLoop& loop)
+    : m_loop(loop)
+    , m_server(loop)
+{
+}
+
+Expected<void> StandInApprovals::listen(const Address& address)
+{
+    return m_server.listen({ .m_address = address }, [this](const HttpRequest& request, const HttpResponder& respond) {
+        constexpr std::int64_t baseMs = 25;
+        constexpr std::uint64_t approvedOfTen = 6;
+        const Json body = Json::parse(viewOf(request.m_body));
+        Json approved = Json::array();
+        for (const Json& worker : body.at("workers")) {
+            if (stableHash(worker.get<std::string>(), stableHash(body.at("step").get<std::string>())) % 10 < approvedOfTen)
+                approved.push_back(Json::array({ worker, "ticket" }));
+        }
+        m_loop.runAfter({ baseMs + static_cast<std::int64_t>(body.at("workers").size()) / 2 }, [respond, approved] { respond(jsonResponse(200, { { "approved", approved } })); });
+    });
+}
+
+std::string makePayload(Duration runTime, std::size_t length)
+{
+    std::string payload = "run_ms=" + std::to_string(runTime.m_ms) + ";";
+    payload.resize(std::max(payload.size(), length), 'x');
+    return payload;
+}
+
+} // namespace bulrushloft::soak
--- /dev/null
+++ b/tests/soak/stand_in_workers.h
@@ -0,0 +1,79 @@
+/** @file stand_in_workers.h The platform's workers and its approval service, played over HTTP for daemons on loopback. */
+#pragma once
+
+#include "connection/http_server.h"
+#include "fake_lease_worker.h"
+#include "stand_in_store.h"
+
+#include <memory>
+
+namespace bulrushloft::soak {
+
+/** What the workers observe; called on the event loop's thread. */
+struct WorkerObserver {
+    std::function<void(const std::string& worker, const TaskName&, std::uint32_t attempt)> m_onStart; ///< An attempt is about to start.
+    std::function<void(const std::string& worker, const TaskName&, std::uint32_t attempt, AttemptEnd)> m_onEnd; ///< An attempt has ended.
+    std::function<void(const std::string& worker, const EndedAttempt&)> m_onAck; ///< The leader has acknowledged an end.
+};
+
+/** Number and size of the workers. */
+struct WorkerFleet {
+    std::string m_pool = "pool"; ///< Pool of all workers.
+    int m_count = 8; ///< Number of workers; each listens on an address of its own.
+    std::int64_t m_cpuMilli = 8'000; ///< Capacity of each worker in thousandths of a core.
+    std::int64_t m_taskCpuMilli = 1'000; ///< CPU use of each task, for the check of the capacity.
+    double m_lateOrderShare = 0; ///< Share of orders, 0 to 1, that are not answered and carried out seconds later.
+};
+
+/** The workers. All functions run on the thread of their event loop. */
+class StandInWorkers {
+public:
+    StandInWorkers(EventLoop& loop, StandInStore& store, const WorkerFleet& fleet, WorkerObserver observer, std::uint64_t seed);
+    ~StandInWorkers();
+
+    /** Starts serving and announces all workers. @return An error when an address can't be bound. */
+    Expected<void> listen();
+
+    /** Ends a worker's process; it starts again after a time, without anything that it held. */
+    void crash(int index, Duration downFor);
+
+    /** A worker stops answering for a time; what it runs goes on. */
+    void silence(int index, Duration length);
+
+    /** Sets the share of orders that are carried out late. */
+    void setLateOrderShare(double share) { m_fleet.m_lateOrderShare = share; }
+
+private:
+    struct Member;
+
+    void handle(Member& member, const HttpRequest& request, const HttpResponder& respond);
+    void perform(Member& member, const HttpRequest& request, const HttpResponder& respond);
+    void answerHolds(Member& member, bool isForced);
+    void announce(const Member& member);
+    void tick();
+
+    EventLoop& m_loop;
+    StandInStore& m_store;
+    WorkerFleet m_fleet;
+    WorkerObserver m_observer;
+    std::mt19937_64 m_random;
+    std::vector<std::unique_ptr<Member>> m_members;
+};
+
+/** Answers approval requests: a hash of step and worker decides, so that an answer never changes. */
+class StandInApprovals {
+public:
+    explicit StandInApprovals(EventLoop& loop);
+
+    /** Starts serving. @return An error when the address can't be bound. */
+    Expected<void> listen(const Address& address);
+
+private:
+    EventLoop& m_loop;
+    HttpServer m_server;
+};
+
+/** @return The payload of a task that runs for a time; padded to a length in bytes. */
+std::string makePayload(Duration runTime, std::size_t length);
+
+} // namespace bulrushloft::soak
