Takeover loads short records; orders of a failed relay are repeated at once; all peers request approvals

(2) When a VM that forwards orders ended, its workers' syncs and starts were waited for until their timeouts (0.7 to 2.1 s) and 216 workers counted as silent. (3) Only peers with two contacts within 0.9 s were asked to request approvals: of 147 VMs the 40 with frequent heartbeats, where 38 requests are under way on the mean. Change: an ended job keeps its stage and a plan without payload and tasks, written after its stage; plans and progress are read side by side, workers while loading. OrderStatus::Unreported: a failed relay says nothing against the workers. A peer may be heard of as rarely as its heartbeats are due, unless a call to it failed. Tests: orders_of_a_peer_that_has_ended_..., orders_of_a_peer_that_is_not_heard_of_... and peers_that_call_rarely_... fail on the code before. a_page_that_arrives_twice_... waits for two ranges now, as loading begins with two; without the check of the call's number it still fails.

--- a/src/connection/order_type.h
+++ b/src/connection/order_type.h
@@ -39,6 +39,7 @@
     Unhealthy, ///< The worker refused the order for the time being; it had no effect.
     WrongInstance, ///< A different worker answers at the address.
     Invalid, ///< The worker rejected the order as malformed.
+    Unreported, ///< The peer that forwarded it has failed: like NoAnswer, but nothing speaks against the worker.
 };
 
 /** Starts an attempt of a task. */
--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -100,6 +100,7 @@
     std::string m_after; ///< The next page starts after this key; empty for the start of the topic.
     std::string m_until; ///< Exclusive end of the range; empty for the last range.
     bool m_isRead = false; ///< Whether the whole range has been read.
+    bool m_isSplit = false; ///< Whether the range has been split, or is a part of one.
     HedgedCall m_call; ///< The current page request, due or awaiting its answer.
 };
 
@@ -108,7 +109,6 @@
     bool m_isFenced = false; ///< Whether writers of earlier terms are fenced off.
     HedgedCall m_fence; ///< The append that fences writers of earlier terms.
     std::vector<LoadRange> m_ranges; ///< Key ranges to read.
-    std::uint64_t m_rangesGeneration = 0; ///< Incremented when the ranges are split again; answers for earlier ranges are dropped.
     std::map<std::string, std::string> m_progress; ///< Progress records read so far, by key.
     TimePoint m_startedAt; ///< When loading started.
 };
@@ -119,7 +119,7 @@
     TimePoint m_lastContactAt; ///< When the peer last called or answered; zero when never.
     TimePoint m_failedAt; ///< When a call to the peer last failed; zero when never.
     bool m_isStoreReached = false; ///< Whether the peer reported that it reaches the store.
-    bool m_isResponsive = false; ///< Whether the last two contacts were at most m_suspectAfter apart.
+    bool m_isResponsive = false; ///< Whether the latest contact was an answer to this daemon, or followed soon on the one before.
 };
 
 /** A submission or cancellation that is being written to the topic of jobs. */
@@ -171,6 +171,7 @@
 
 /** An order that was sent through a peer and has no outcome yet. */
 struct OpenOrder {
+    std::string m_relay; ///< Name of the peer that forwards it.
     TimePoint m_until; ///< Without a report by this time the order counts as unanswered.
     OrderCallback m_onAnswer; ///< Called once.
 };
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -32,6 +32,15 @@
 /** Sends heartbeats and announcements of the term that are due; updates the lists of peers, members and approval proxies. */
 void stepPeers(CellNode& node);
 
+/** @return How long ago the latest contact with a peer may be; longer in a large cell, where most followers call rarely. */
+Duration contactLimit(const CellNode& node);
+
+/** @return Whether a peer can be given work, such as approval requests: it was heard of recently, and the latest call to it did not fail. */
+bool isPeerUsable(const CellNode& node, const PeerState& peer);
+
+/** Notes that a call to a peer has failed. */
+void markPeerFailed(CellNode& node, const std::string& name);
+
 /** @return Peers that could lead instead of the current leader: those whose latest call did not fail. */
 std::vector<PeerMember> otherCandidates(const CellNode& node);
 
@@ -60,6 +69,9 @@
 /** Ends this daemon's term. @param cause Reason for the log. */
 void stepDown(CellNode& node, std::string_view cause);
 
+/** Notes that a leader's records and the announcements of its workers are both loaded, once they are. */
+void finishInitialLoad(CellNode& node);
+
 /** Fences earlier terms and reads their records. */
 void stepLoading(CellNode& node);
 
--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -12,6 +12,8 @@
 
     constexpr Duration callTimeout { 4'000 }; ///< A page of many records may take long when the store is slow.
     constexpr Duration retryDelay { 100 };
+    constexpr const char* firstProgressKey = "0"; ///< No key of a progress record comes before this one.
+    constexpr const char* lastPlanKey = "/"; ///< All keys of plans come before this one, and no other key does.
     constexpr Duration slowPageThreshold { 150 }; ///< When a page takes longer, the remaining ones are read in parallel.
 
     bool isStillLoading(const CellNode& node, std::uint64_t term)
@@ -39,26 +41,34 @@
         });
     }
 
-    /** @return Ranges that cover all keys after a given one; each holds about the same number of jobs, as job ids are random hexadecimal digits. */
-    std::vector<LoadRange> splitRemainder(const std::string& after)
+    /** @return Keys that split a range into parts with about the same number of jobs, as job ids are random hexadecimal digits. */
+    std::vector<std::string> splitKeysOf(const LoadRange& range)
     {
-        std::vector<LoadRange> ranges;
-        std::string from = after;
-        for (const std::string& prefix : { scheduler::planKey({}), std::string() }) {
-            for (const char* const digit : { "4", "8", "c" }) {
-                if (prefix + digit <= after)
-                    continue;
-                ranges.push_back({ .m_after = from, .m_until = prefix + digit });
-                from = prefix + digit;
-            }
+        const std::string prefix = range.m_after < lastPlanKey ? scheduler::planKey({}) : std::string();
+        std::vector<std::string> keys;
+        for (const char* const digit : { "4", "8", "c" }) {
+            const std::string key = prefix + digit;
+            if (key > range.m_after && (range.m_until.empty() || key < range.m_until))
+                keys.push_back(key);
         }
-        ranges.push_back({ .m_after = from, .m_until = {} });
-        return ranges;
+        return keys;
+    }
+
+    /** Splits the rest of a range, so that its parts are read side by side. Only for a slow store: it costs more calls, as a page may hold records of the next range. */
+    void splitRange(LoadState& load, std::size_t index)
+    {
+        const std::vector<std::string> keys = splitKeysOf(load.m_ranges[index]);
+        const std::string until = load.m_ranges[index].m_until;
+        for (std::size_t i = 0; i < keys.size(); ++i)
+            load.m_ranges.push_back({ .m_after = keys[i], .m_until = i + 1 < keys.size() ? keys[i + 1] : until, .m_isRead = false, .m_isSplit = true });
+        if (!keys.empty())
+            load.m_ranges[index].m_until = keys.front();
     }
 
     /** Merges the records of a page that lie within its range and advances the range; later records are read with the next range. */
-    void mergePage(CellNode& node, LoadRange& range, const StoreNewestAnswer& page)
+    void mergePage(CellNode& node, std::size_t index, const StoreNewestAnswer& page)
     {
+        LoadRange& range = node.m_load.m_ranges[index];
         const auto isWithin = [&](const KeyedRecord& record) { return range.m_until.empty() || record.m_key < range.m_until; };
         const auto end = std::find_if_not(page.m_records.begin(), page.m_records.end(), isWithin);
         for (auto record = page.m_records.begin(); record != end; ++record)
@@ -69,11 +79,8 @@
         if (range.m_isRead)
             return;
         range.m_after = page.m_records.back().m_key;
-        // Only for a slow store: parallel reads cost more calls, as a page may hold records of the next range.
-        if (isSlow && node.m_load.m_ranges.size() == 1) {
-            node.m_load.m_ranges = splitRemainder(range.m_after);
-            ++node.m_load.m_rangesGeneration;
-        }
+        if (isSlow && !std::exchange(range.m_isSplit, true))
+            splitRange(node.m_load, index);
     }
 
     void readRange(CellNode& node, std::size_t index)
@@ -82,15 +89,15 @@
         if (range.m_isRead || !isAttemptDue(range.m_call, storeHedgeDelay(node, range.m_call.m_lastAttemptAt), node.m_now))
             return;
         const std::uint64_t callNumber = beginAttempt(range.m_call, node.m_now);
-        node.m_ports.m_readNewest({ .m_partition = { .m_topic = node.m_options.m_topics.m_progress }, .m_after = range.m_after }, callTimeout, [&node, index, callNumber, generation = node.m_load.m_rangesGeneration, term = node.m_term](const StoreNewestAnswer& page) {
+        node.m_ports.m_readNewest({ .m_partition = { .m_topic = node.m_options.m_topics.m_progress }, .m_after = range.m_after }, callTimeout, [&node, index, callNumber, term = node.m_term](const StoreNewestAnswer& page) {
             updateStoreReachability(node, page.m_status == StoreStatus::Done);
-            if (!isStillLoading(node, term) || node.m_load.m_rangesGeneration != generation)
+            if (!isStillLoading(node, term))
                 return;
             LoadRange& current = node.m_load.m_ranges[index];
             if (!isAnswerToCall(current.m_call, callNumber))
                 return;
             if (page.m_status == StoreStatus::Done)
-                mergePage(node, current, page);
+                mergePage(node, index, page);
             else
                 failAttempt(current.m_call, node.m_now + retryDelay);
         });
@@ -99,8 +106,8 @@
     /** Sends the reads of progress that are due. @return Whether all progress has been read. */
     bool readProgress(CellNode& node)
     {
-        if (node.m_load.m_ranges.empty())
-            node.m_load.m_ranges.resize(1);
+        if (node.m_load.m_ranges.empty()) // The keys of plans begin with a character before all digits, those of progress with a hexadecimal digit.
+            node.m_load.m_ranges = { { .m_after = {}, .m_until = firstProgressKey }, { .m_after = lastPlanKey, .m_until = {} } };
         for (std::size_t i = 0; i < node.m_load.m_ranges.size(); ++i)
             readRange(node, i);
         return std::all_of(node.m_load.m_ranges.begin(), node.m_load.m_ranges.end(), [](const LoadRange& range) { return range.m_isRead; });
@@ -113,7 +120,7 @@
             logEvent(LogLevel::Error, "plan-unusable", { { "key", key }, { "error", describe(plan.error()) } });
             return;
         }
-        scheduler::acceptJob(*node.m_scheduler, std::move(*plan), node.m_now);
+        scheduler::restorePlan(*node.m_scheduler, std::move(*plan), node.m_now);
     }
 
     void restoreAll(CellNode& node)
@@ -133,7 +140,7 @@
         logEvent(LogLevel::Info, "term-loaded", { { "token", node.m_term }, { "jobs", node.m_scheduler->m_jobs.size() }, { "progress", node.m_load.m_progress.size() }, { "workers_with_tasks", node.m_scheduler->m_workers.size() }, { "took_ms", (node.m_now - node.m_load.m_startedAt).m_ms } });
         node.m_load = {};
         node.m_role = Role::Leading;
-        resetTail(node.m_workersTail, true);
+        finishInitialLoad(node);
     }
 
 } // namespace
--- a/src/process/cell/cell_peers.cpp
+++ b/src/process/cell/cell_peers.cpp
@@ -19,7 +19,8 @@
         node.m_areMembersStale = true;
     }
 
-    void recordPeerContact(CellNode& node, const PeerMember& member, bool isStoreReached)
+    /** @param isReply Whether the peer has answered a call of this daemon, rather than called it. */
+    void recordPeerContact(CellNode& node, const PeerMember& member, bool isStoreReached, bool isReply)
     {
         if (member.m_name.empty() || isSelf(node, member))
             return;
@@ -29,7 +30,7 @@
             logEvent(LogLevel::Info, "peer-known", { { "peer", member.m_name }, { "address", format(member.m_address) }, { "instance", member.m_instance } });
         }
         peer.m_member = member;
-        peer.m_isResponsive = node.m_now - peer.m_lastContactAt <= node.m_options.m_suspectAfter;
+        peer.m_isResponsive = isReply || node.m_now - peer.m_lastContactAt <= contactLimit(node);
         peer.m_lastContactAt = node.m_now;
         peer.m_isStoreReached = isStoreReached;
     }
@@ -48,7 +49,7 @@
 
     void onHeartbeatAnswer(CellNode& node, const PeerHeartbeatAnswer& answer)
     {
-        recordPeerContact(node, answer.m_from, answer.m_isStoreReached);
+        recordPeerContact(node, answer.m_from, answer.m_isStoreReached, true);
         if (!answer.m_configText.empty())
             applyClusterText(node, answer.m_configText, answer.m_from.m_name);
         if (answer.m_leader.m_token > 0)
@@ -90,8 +91,7 @@
             const auto* const answer = reply ? std::get_if<PeerHeartbeatAnswer>(&*reply) : nullptr;
             if (answer)
                 return onHeartbeatAnswer(node, *answer);
-            if (const auto found = node.m_peers.find(name); found != node.m_peers.end())
-                found->second.m_failedAt = node.m_now;
+            markPeerFailed(node, name);
         });
     }
 
@@ -154,7 +154,7 @@
         node.m_nextApprovalProxiesUpdateAt = node.m_now + interval;
         std::unordered_set<std::string> reachable { node.m_options.m_self.m_name };
         for (const auto& [name, peer] : node.m_peers) {
-            if (peer.m_isResponsive && node.m_now - peer.m_lastContactAt <= node.m_options.m_suspectAfter)
+            if (isPeerUsable(node, peer))
                 reachable.insert(name);
         }
         auto& proxies = node.m_scheduler->m_approvalProxies;
@@ -220,9 +220,25 @@
 
 } // namespace
 
+Duration contactLimit(const CellNode& node)
+{
+    return node.m_peers.size() < fastFollowerCount ? node.m_options.m_suspectAfter : slowTiming.m_suspectAfter;
+}
+
+void markPeerFailed(CellNode& node, const std::string& name)
+{
+    if (const auto found = node.m_peers.find(name); found != node.m_peers.end())
+        found->second.m_failedAt = node.m_now;
+}
+
+bool isPeerUsable(const CellNode& node, const PeerState& peer)
+{
+    return peer.m_isResponsive && peer.m_lastContactAt >= peer.m_failedAt && node.m_now - peer.m_lastContactAt <= contactLimit(node);
+}
+
 PeerHeartbeatAnswer answerHeartbeat(CellNode& node, const PeerHeartbeat& heartbeat)
 {
-    recordPeerContact(node, heartbeat.m_from, heartbeat.m_isStoreReached);
+    recordPeerContact(node, heartbeat.m_from, heartbeat.m_isStoreReached, false);
     if (!heartbeat.m_configText.empty())
         applyClusterText(node, heartbeat.m_configText, heartbeat.m_from.m_name);
     if (heartbeat.m_leader.m_token > 0)
--- a/src/process/cell/cell_relay.cpp
+++ b/src/process/cell/cell_relay.cpp
@@ -30,6 +30,27 @@
         onAnswer(status, report);
     }
 
+    /**
+     * Gives up a peer that does not answer. Load: a peer ends while it forwards the orders to hundreds of workers. Its open orders
+     * end at once, so that they are repeated through other peers without waiting for their timeouts, and no worker counts as silent.
+     */
+    void failRelay(CellNode& node, const std::string& name)
+    {
+        OrderRelay& relay = node.m_relay;
+        markPeerFailed(node, name);
+        relay.m_nextSelectionAt = node.m_now;
+        for (const RelayedOrder& unsent : std::exchange(relay.m_outboxes[name].m_orders, {}))
+            completeOrder(node, unsent.m_number, OrderStatus::NotSent, {});
+        std::vector<std::uint64_t> open;
+        for (const auto& [number, order] : relay.m_openOrders) {
+            if (order.m_relay == name)
+                open.push_back(number);
+        }
+        logEvent(LogLevel::Warning, "order-relay-failed", { { "peer", name }, { "orders", open.size() } });
+        for (const std::uint64_t number : open)
+            completeOrder(node, number, OrderStatus::Unreported, {});
+    }
+
     void sendOutbox(CellNode& node, const std::string& name, OrderOutbox& outbox)
     {
         PeerOrders message { .m_from = node.m_options.m_self, .m_orders = std::exchange(outbox.m_orders, {}) };
@@ -43,13 +64,15 @@
                 completeOrder(node, number, OrderStatus::NotSent, {});
             return;
         }
-        node.m_ports.m_callPeer(peer->second.m_member.m_address, message, forwardTimeout, [&node, name, numbers](const std::optional<PeerReply>& reply) {
+        node.m_ports.m_callPeer(peer->second.m_member.m_address, message, forwardTimeout, [&node, name, numbers, term = node.m_term](const std::optional<PeerReply>& reply) {
             const auto* const done = reply ? std::get_if<PeerAck>(&*reply) : nullptr;
-            if (done && done->m_isAccepted)
+            if (node.m_term != term || (done && done->m_isAccepted))
                 return;
-            logEvent(LogLevel::Warning, "order-relay-failed", { { "peer", name }, { "orders", numbers.size() }, { "is_answered", reply.has_value() } });
+            if (!done)
+                return failRelay(node, name);
+            logEvent(LogLevel::Warning, "order-relay-refused", { { "peer", name }, { "orders", numbers.size() } });
             for (const std::uint64_t number : numbers)
-                completeOrder(node, number, done ? OrderStatus::NotSent : OrderStatus::NoAnswer, {});
+                completeOrder(node, number, OrderStatus::NotSent, {});
         });
     }
 
@@ -68,6 +91,12 @@
             completeOrder(node, number, OrderStatus::NoAnswer, {});
     }
 
+    /** @return Whether a peer may forward orders; it must be heard of often, as its failure leaves many orders without an outcome. */
+    bool canRelay(const CellNode& node, const PeerState& peer)
+    {
+        return peer.m_isResponsive && peer.m_lastContactAt >= peer.m_failedAt && node.m_now - peer.m_lastContactAt <= node.m_options.m_suspectAfter;
+    }
+
     /** @return The peers that forward orders, chosen anew at intervals; none when the leader calls its workers directly. */
     const std::vector<std::string>& selectRelays(CellNode& node)
     {
@@ -76,19 +105,24 @@
         if (node.m_now < relay.m_nextSelectionAt)
             return relay.m_peers;
         relay.m_nextSelectionAt = node.m_now + interval;
-        relay.m_peers.clear();
+        const std::vector<std::string> previous = std::exchange(relay.m_peers, {});
         const std::size_t workers = node.m_scheduler ? node.m_scheduler->m_workers.size() : 0;
         if (workers < node.m_options.m_relayMinWorkers)
             return relay.m_peers;
         std::vector<PeerMember> candidates;
         for (const auto& [name, peer] : node.m_peers) {
-            if (peer.m_isResponsive && node.m_now - peer.m_lastContactAt <= node.m_options.m_suspectAfter)
+            if (canRelay(node, peer))
                 candidates.push_back(peer.m_member);
         }
         sortByRank(candidates, node.m_term);
         candidates.resize(std::min(candidates.size(), workers / workersPerRelay + 1));
         for (const PeerMember& member : candidates)
             relay.m_peers.push_back(member.m_name);
+        for (const std::string& name : previous) {
+            const auto peer = node.m_peers.find(name);
+            if (peer == node.m_peers.end() || !canRelay(node, peer->second))
+                failRelay(node, name);
+        }
         return relay.m_peers;
     }
 
@@ -140,10 +174,11 @@
         return node.m_ports.m_sync({ to, std::get<SyncOrder>(direct.m_order), timeout }, timeout, onAnswer);
     }
     OrderRelay& relay = node.m_relay;
-    OrderOutbox& outbox = relay.m_outboxes[relayOf(peers, to.m_worker)];
+    const std::string& name = relayOf(peers, to.m_worker);
+    OrderOutbox& outbox = relay.m_outboxes[name];
     const std::uint64_t number = ++relay.m_lastNumber;
     outbox.m_orders.push_back({ .m_number = number, .m_to = to, .m_timeout = timeout, .m_order = std::move(order) });
-    relay.m_openOrders.emplace(number, OpenOrder { .m_until = node.m_now + timeout + reportMargin, .m_onAnswer = onAnswer });
+    relay.m_openOrders.emplace(number, OpenOrder { .m_relay = name, .m_until = node.m_now + timeout + reportMargin, .m_onAnswer = onAnswer });
 }
 
 PeerAck forwardOrders(CellNode& node, const PeerOrders& message)
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -72,6 +72,8 @@
         if (peer == node.m_peers.end())
             return handleApprovals(node, term, request, std::nullopt);
         node.m_ports.m_callPeer(peer->second.m_member.m_address, PeerApprovalRequest { .m_step = request.m_step, .m_workers = request.m_workers }, approvalTimeout, [&node, term, request](const std::optional<PeerReply>& reply) {
+            if (!reply)
+                markPeerFailed(node, request.m_member);
             const auto* const answer = reply ? std::get_if<PeerApprovalAnswer>(&*reply) : nullptr;
             handleApprovals(node, term, request, answer && answer->m_isAnswered ? std::optional(answer->m_approvals) : std::nullopt);
         });
--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -94,8 +94,6 @@
             if (worker.m_isAnnounced && !listed.contains(worker.m_announcement.m_id))
                 removeAfterGrace(node, worker.m_announcement.m_id);
         }
-        if (std::exchange(node.m_scheduler->m_isInitialLoad, false))
-            logEvent(LogLevel::Info, "workers-announced", { { "workers", listed.size() }, { "token", node.m_term } });
     }
 
     void onPage(CellNode& node, TopicTail& tail, const StoreNewestAnswer& page)
@@ -123,6 +121,8 @@
         tail.m_listedKeys.clear();
         if (&tail == &node.m_leaderTail)
             confirmLeadership(node);
+        if (&tail == &node.m_workersTail)
+            finishInitialLoad(node);
     }
 
     void onRead(CellNode& node, TopicTail& tail, const StoreReadAnswer& answer)
@@ -215,6 +215,13 @@
     }
 }
 
+void finishInitialLoad(CellNode& node)
+{
+    if (node.m_role != Role::Leading || !node.m_workersTail.m_isListingComplete || !std::exchange(node.m_scheduler->m_isInitialLoad, false))
+        return;
+    logEvent(LogLevel::Info, "workers-announced", { { "workers", node.m_scheduler->m_workers.size() }, { "token", node.m_term } });
+}
+
 void applyClusterText(CellNode& node, const std::string& text, std::string_view source)
 {
     const std::size_t separator = text.find('\n');
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -150,6 +150,8 @@
     std::uint64_t m_stageBatch = 0; ///< Record batch that makes a final stage durable.
     bool m_isDirty = false; ///< The job has changes that are not in a record batch yet.
     std::string m_planRecord; ///< Encoded plan that still has to be recorded; empty when it is recorded already or stored elsewhere.
+    bool m_isPlanInProgress = false; ///< The leader has recorded the plan itself; a plan that a VM stored is in the topic of jobs instead.
+    bool m_isPlanShortened = false; ///< The recorded plan was replaced by a short one, as the job has ended.
     std::uint64_t m_planBatch = 0; ///< Record batch that makes the plan durable; 0 when the plan is stored elsewhere.
     std::uint32_t m_nextOccurrence = 0; ///< Number of the first occurrence that is not due yet.
     std::uint32_t m_openTasks = 0; ///< Tasks that are not done, over all occurrences that are due.
--- a/src/process/scheduler/scheduler_func.h
+++ b/src/process/scheduler/scheduler_func.h
@@ -24,6 +24,9 @@
  */
 std::uint64_t acceptAndRecord(Scheduler& scheduler, JobPlan plan, std::string record, TimePoint now);
 
+/** Accepts a submission that an earlier leader has recorded itself. */
+void restorePlan(Scheduler& scheduler, JobPlan plan, TimePoint now);
+
 /** @return The key under which the leader records the plan of a job. */
 std::string planKey(const std::string& job);
 
--- a/src/process/scheduler/scheduler_jobs.cpp
+++ b/src/process/scheduler/scheduler_jobs.cpp
@@ -223,11 +223,21 @@
     if (isNew) {
         job.m_planRecord = std::move(record);
         job.m_planBatch = scheduler.m_nextBatch;
+        job.m_isPlanInProgress = true;
         detail::markDirty(scheduler, job);
     }
     return job.m_planBatch <= scheduler.m_confirmedBatch ? 0 : job.m_planBatch;
 }
 
+void restorePlan(Scheduler& scheduler, JobPlan plan, TimePoint now)
+{
+    const std::string id = plan.m_id;
+    acceptJob(scheduler, std::move(plan), now);
+    Job& job = *scheduler.m_jobs.at(id);
+    job.m_isPlanInProgress = true;
+    job.m_isPlanShortened = job.m_plan.m_steps.front().m_count == 0;
+}
+
 std::string planKey(const std::string& job)
 {
     return "+" + job;
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -2,6 +2,7 @@
 #include "core/log_func.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
+#include "request/plan_codec.h"
 
 #include <algorithm>
 #include <cmath>
@@ -35,19 +36,34 @@
         return Json::array({ static_cast<int>(task.m_resolution), task.m_attempt, task.m_failures, task.m_hasStarted, worker, task.m_checkpoint });
     }
 
+    /** @return Whether the job has ended and nothing of it may be running any more, so that only its stage matters. */
+    bool isSettled(const Job& job)
+    {
+        return isFinal(job.m_stage) && std::all_of(job.m_runs.begin(), job.m_runs.end(), [](const auto& run) { return run->m_activeAttempts == 0; });
+    }
+
     std::string encodeProgress(const Scheduler& scheduler, const Job& job)
     {
         Json runs = Json::array();
+        const bool isShort = isSettled(job);
         for (const auto& run : job.m_runs) {
+            if (isShort)
+                break;
             Json tasks = Json::array();
             for (const Task& task : run->m_tasks)
                 tasks.push_back(encodeTask(scheduler, task));
             runs.push_back(Json::array({ run->m_occurrence, run->m_step, run->m_gangFailures, run->m_lastFailedAttempt, std::move(tasks) }));
         }
-        const std::vector<std::uint8_t> bytes = Json::to_cbor(Json::array({ recordFormat, static_cast<int>(job.m_stage), job.m_nextOccurrence, std::move(runs) }));
+        const std::vector<std::uint8_t> bytes = Json::to_cbor(Json::array({ recordFormat, static_cast<int>(job.m_stage), isShort ? 0 : job.m_nextOccurrence, std::move(runs) }));
         return { bytes.begin(), bytes.end() };
     }
 
+    /** @return What has to be kept of the plan of an ended job, so that its id is known and its stage can be told. */
+    std::string encodeShortPlan(const JobPlan& plan)
+    {
+        return encodePlan({ .m_id = plan.m_id, .m_queue = plan.m_queue, .m_pool = plan.m_pool, .m_payload = {}, .m_steps = { { .m_count = 0 } }, .m_firstStart = {}, .m_period = {}, .m_occurrenceCount = 0, .m_submittedAt = plan.m_submittedAt });
+    }
+
     WorkerIndex findOrCreateWorker(Scheduler& scheduler, const std::string& id)
     {
         const auto [found, isNew] = scheduler.m_workerById.try_emplace(id, static_cast<WorkerIndex>(scheduler.m_workers.size()));
@@ -161,6 +177,11 @@
         if (!job->m_planRecord.empty())
             records.push_back({ .m_key = planKey(job->m_plan.m_id), .m_value = std::exchange(job->m_planRecord, {}) });
         records.push_back({ .m_key = job->m_plan.m_id, .m_value = encodeProgress(scheduler, *job) });
+        // The short plan follows the stage: should only a part of the batch be stored, the job must not be known as open without its tasks.
+        if (job->m_isPlanInProgress && !job->m_isPlanShortened && isSettled(*job)) {
+            job->m_isPlanShortened = true;
+            records.push_back({ .m_key = planKey(job->m_plan.m_id), .m_value = encodeShortPlan(job->m_plan) });
+        }
     }
     scheduler.m_dirtyJobs.clear();
     for (std::string& key : scheduler.m_droppedKeys)
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -295,6 +295,10 @@
         worker.m_nextSyncAt = now + goneWorkerRetryDelay;
         return;
     }
+    if (status == OrderStatus::Unreported) {
+        worker.m_nextSyncAt = now;
+        return;
+    }
     if (status != OrderStatus::Done) {
         countAnswer(scheduler, index, false, now);
         return;
@@ -339,7 +343,7 @@
 {
     const TaskRef ref = findCurrentAttempt(scheduler, worker, name, attempt);
     const auto index = scheduler.m_workerById.find(worker);
-    if (index != scheduler.m_workerById.end() && status != OrderStatus::NotSent)
+    if (index != scheduler.m_workerById.end() && status != OrderStatus::NotSent && status != OrderStatus::Unreported)
         countAnswer(scheduler, index->second, status != OrderStatus::NoAnswer, now);
     if (status == OrderStatus::Fenced)
         effects.m_isFenced = true;
@@ -347,7 +351,7 @@
         return;
     Task& task = ref.task();
     task.m_isCallPending = false;
-    if (status != OrderStatus::NoAnswer && status != OrderStatus::NotSent)
+    if (status != OrderStatus::NoAnswer && status != OrderStatus::NotSent && status != OrderStatus::Unreported)
         updateMeanAnswerTime(scheduler, now - task.m_startSentAt);
     constexpr Duration retryDelay { 30 };
     task.m_nextCallAt = now + retryDelay;
@@ -357,6 +361,7 @@
         confirmStart(scheduler, ref, now);
         return;
     case OrderStatus::NoAnswer:
+    case OrderStatus::Unreported:
         task.m_mayHaveArrived = true;
         return;
     case OrderStatus::LeaseExpired: // The next sync refreshes the known clock of the worker, so a later deadline can be sent.
--- a/src/table/scheduler_table.h
+++ b/src/table/scheduler_table.h
@@ -38,7 +38,7 @@
     { AttemptEnd::GangIncomplete, "alone" },
 } };
 
-constexpr std::array<EnumName<OrderStatus>, 11> orderStatusNames { {
+constexpr std::array<EnumName<OrderStatus>, 12> orderStatusNames { {
     { OrderStatus::Done, "done" },
     { OrderStatus::NoAnswer, "no-answer" },
     { OrderStatus::NotSent, "not-sent" },
@@ -50,6 +50,7 @@
     { OrderStatus::Unhealthy, "unhealthy" },
     { OrderStatus::WrongInstance, "wrong-instance" },
     { OrderStatus::Invalid, "invalid" },
+    { OrderStatus::Unreported, "unreported" },
 } };
 
 } // namespace bulrushloft::scheduler
