--- a/tests/order_relay_test.cpp
+++ b/tests/order_relay_test.cpp
@@ -71,6 +71,9 @@
         ports.m_append = [this, deliverLater](const StoreAppend& append, Duration, const std::function<void(StoreAppendAnswer)>& onAnswer) { deliverLater(onAnswer, m_store.append(append)); };
         ports.m_read = [this, deliverLater](const StoreRead& read, Duration, const std::function<void(StoreReadAnswer)>& onAnswer) { deliverLater(onAnswer, m_store.read(read)); };
         ports.m_readNewest = [this, deliverLater](const StoreNewestRead& newest, Duration, const std::function<void(StoreNewestAnswer)>& onAnswer) { deliverLater(onAnswer, m_store.newest(newest)); };
+        ports.m_sync = [this](const AddressedOrder<SyncOrder>&, Duration, const std::function<void(OrderStatus, const SyncReport&)>& onAnswer) {
+            m_answers.push_back([this, onAnswer] { onAnswer(OrderStatus::Done, { .m_clockMs = m_now.m_ms, .m_processStartMs = 1, .m_running = {}, .m_ended = {} }); });
+        };
         ports.m_callPeer = [this, deliverLater](const Address& to, const PeerMessage& message, Duration, const std::function<void(std::optional<PeerReply>)>& onReply) {
             const auto peer = std::find_if(m_peers.begin(), m_peers.end(), [&](const PeerMember& each) { return each.m_address == to; });
             if (peer->m_name == m_silentPeer)
