Lint: capacity reserved ahead, members and parameters const

Change: probeTargets() reserves its result; DaemonProcess::signal() and FaultProxy's resetAll() are const; SoakClients::submit() takes its body by reference.

--- a/src/process/cell/cell_peers.cpp
+++ b/src/process/cell/cell_peers.cpp
@@ -120,6 +120,7 @@
         sortByRank(candidates, node.m_leader.m_token);
         candidates.resize(std::min(candidates.size(), maxCandidates));
         std::vector<Address> targets;
+        targets.reserve(candidates.size() + node.m_options.m_seeds.size());
         for (const PeerMember& member : candidates)
             targets.push_back(member.m_address);
         for (const Address& seed : node.m_options.m_seeds) {
--- a/tests/soak/daemon_process.cpp
+++ b/tests/soak/daemon_process.cpp
@@ -53,7 +53,7 @@
     _exit(127);
 }
 
-void DaemonProcess::signal(int number)
+void DaemonProcess::signal(int number) const
 {
     if (m_pid > 0)
         kill(m_pid, number);
--- a/tests/soak/daemon_process.h
+++ b/tests/soak/daemon_process.h
@@ -37,7 +37,7 @@
     void start();
 
     /** Sends a signal to the running process; does nothing when there is none. */
-    void signal(int number);
+    void signal(int number) const;
 
     /** Waits for the process to end. @return Whether it has ended within the limit. */
     bool waitForEnd(Duration limit);
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -32,7 +32,7 @@
     }
 
     void accept();
-    void resetAll();
+    void resetAll() const;
 
     asio::io_context& m_context;
     Tcp::acceptor m_acceptor;
@@ -133,7 +133,7 @@
     });
 }
 
-void FaultProxy::Impl::resetAll()
+void FaultProxy::Impl::resetAll() const
 {
     const auto pairs = m_pairs;
     for (const auto& pair : pairs)
--- a/tests/soak/soak_clients.cpp
+++ b/tests/soak/soak_clients.cpp
@@ -89,7 +89,7 @@
     m_loop.post([this] { submitNext(); });
 }
 
-void SoakClients::submit(const std::string& job, std::string body, int tries, TimePoint deadline)
+void SoakClients::submit(const std::string& job, const std::string& body, int tries, TimePoint deadline)
 {
     send("POST", job, body, [this, job, body, tries, deadline](const HttpResult& result) {
         if (result && result->m_status == statusOk) {
--- a/tests/soak/soak_clients.h
+++ b/tests/soak/soak_clients.h
@@ -36,7 +36,7 @@
 
 private:
     void submitNext();
-    void submit(const std::string& job, std::string body, int tries, TimePoint deadline);
+    void submit(const std::string& job, const std::string& body, int tries, TimePoint deadline);
     void query(const std::string& job);
     void cancel(const std::string& job, int tries);
     void send(const std::string& method, const std::string& job, std::string body, std::function<void(HttpResult)> onResult);
