Malformed input and unexpected exceptions no longer end the process

(1) The CBOR decoder recurses for each level, so a message of two million bytes of 0x81 to the peers' port exhausts the stack. (2) A worker entry whose id is not valid text makes the JSON of the leader's approval requests throw on the decision thread, which had no handler. (3) Records and peers' submissions were not checked as clients' are: a count of 4 billion tasks allocates until the process is killed; so does a client's repeating job with period 0. (4) Enumerators beyond the last were taken. (5) The accept loop span when no descriptor was free. Change: core/cbor.h limits the nesting; enum_codec.h; validateStructure() holds for each decoded plan; occurrences that are due at once open in parts of 20,000 tasks; ids of workers are printable ASCII; runGuarded() around every callback of the event loops and each item of the decision thread, after which a leader gives up its term and loads from the records; accepting pauses for 50 ms after an error.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -29,13 +30,16 @@
     explicit Impl(EventLoop& loop)
         : m_context(loop.impl().m_context)
         , m_acceptor(m_context)
+        , m_acceptTimer(m_context)
     {
     }
 
     void accept();
+    void acceptLater();
 
     asio::io_context& m_context; ///< Event loop of all sessions.
     Tcp::acceptor m_acceptor; ///< The listening socket.
+    asio::steady_timer m_acceptTimer; ///< Delay before connections are accepted again after an error.
     HttpServerOptions m_options; ///< Address and limits, set by listen().
     HttpHandler m_handler; ///< Called with each complete request.
     std::set<std::shared_ptr<Session>> m_sessions; ///< Open connections.
@@ -178,12 +182,24 @@
 
 } // namespace
 
+void HttpServer::Impl::acceptLater()
+{
+    constexpr std::chrono::milliseconds retryDelay { 50 };
+    m_acceptTimer.expires_after(retryDelay);
+    m_acceptTimer.async_wait([self = shared_from_this()](beast::error_code error) {
+        if (!error && !self->m_isClosing)
+            self->accept();
+    });
+}
+
 void HttpServer::Impl::accept()
 {
     m_acceptor.async_accept(m_context, [self = shared_from_this()](beast::error_code error, Tcp::socket socket) {
         if (self->m_isClosing || error == asio::error::operation_aborted)
             return;
-        if (!error && self->m_sessions.size() < self->m_options.m_connectionLimit) {
+        if (error) // Out of descriptors, for example; the connection stays in the backlog.
+            return self->acceptLater();
+        if (self->m_sessions.size() < self->m_options.m_connectionLimit) {
             beast::error_code ignored;
             socket.set_option(Tcp::no_delay(true), ignored);
             auto session = std::make_shared<Session>(std::move(socket), self);
--- a/src/connection/order_codec.cpp
+++ b/src/connection/order_codec.cpp
@@ -1,6 +1,8 @@
 /** @file order_codec.cpp Conversion of orders and reports to and from JSON arrays. */
 #include "connection/order_codec.h"
 
+#include "connection/enum_codec.h"
+
 namespace bulrushloft {
 
 using Json = nlohmann::json;
@@ -61,11 +63,11 @@
 
 OrderReport reportFromJson(const Json& row)
 {
-    OrderReport report { .m_number = row.at(0), .m_status = static_cast<OrderStatus>(row.at(1).get<int>()), .m_sync = { .m_clockMs = row.at(2), .m_processStartMs = row.at(3), .m_running = {}, .m_ended = {} } };
+    OrderReport report { .m_number = row.at(0), .m_status = decodeEnum(row.at(1), OrderStatus::Unreported), .m_sync = { .m_clockMs = row.at(2), .m_processStartMs = row.at(3), .m_running = {}, .m_ended = {} } };
     for (const Json& attempt : row.at(4))
         report.m_sync.m_running.push_back({ .m_task = taskNameFromJson(attempt.at(0)), .m_attempt = attempt.at(1), .m_checkpoint = attempt.at(2), .m_percent = attempt.at(3), .m_loadMetric = attempt.at(4) });
     for (const Json& attempt : row.at(5))
-        report.m_sync.m_ended.push_back({ .m_number = attempt.at(0), .m_task = taskNameFromJson(attempt.at(1)), .m_attempt = attempt.at(2), .m_end = static_cast<AttemptEnd>(attempt.at(3).get<int>()), .m_checkpoint = attempt.at(4) });
+        report.m_sync.m_ended.push_back({ .m_number = attempt.at(0), .m_task = taskNameFromJson(attempt.at(1)), .m_attempt = attempt.at(2), .m_end = decodeEnum(attempt.at(3), AttemptEnd::GangIncomplete), .m_checkpoint = attempt.at(4) });
     return report;
 }
 
--- a/src/connection/peer_codec.cpp
+++ b/src/connection/peer_codec.cpp
@@ -1,10 +1,10 @@
 /** @file peer_codec.cpp Messages between daemons as CBOR arrays of two items: the index of the variant alternative and its content. */
 #include "connection/peer_codec.h"
 
+#include "connection/enum_codec.h"
 #include "connection/member_codec.h"
 #include "connection/order_codec.h"
-
-#include <nlohmann/json.hpp>
+#include "core/cbor.h"
 
 namespace bulrushloft {
 
@@ -23,6 +23,13 @@
         return { bytes.begin(), bytes.end() };
     }
 
+    std::uint8_t decodeStage(const Json& value)
+    {
+        if (value.get<std::uint64_t>() >= jobStageCount)
+            throw std::out_of_range("unknown stage of a job");
+        return value;
+    }
+
     Json encode(const PeerHeartbeat& message)
     {
         return Json::array({ memberToJson(message.m_from), message.m_leader.m_token, memberToJson(message.m_leader.m_member), message.m_configVersion, message.m_membersVersion, message.m_isStoreReached });
@@ -143,9 +150,9 @@
             return reply;
         }
         case 1:
-            return PeerQueryAnswer { .m_status = static_cast<QueryStatus>(row.at(0).get<int>()), .m_stage = row.at(1), .m_count = row.at(2) };
+            return PeerQueryAnswer { .m_status = decodeEnum(row.at(0), QueryStatus::NotLeading), .m_stage = decodeStage(row.at(1)), .m_count = row.at(2) };
         case 2:
-            return PeerAppendAnswer { { .m_status = static_cast<StoreStatus>(row.at(0).get<int>()), .m_offset = row.at(1), .m_end = row.at(2), .m_reason = row.at(3) } };
+            return PeerAppendAnswer { { .m_status = decodeEnum(row.at(0), StoreStatus::Expired), .m_offset = row.at(1), .m_end = row.at(2), .m_reason = row.at(3) } };
         case 3: {
             PeerApprovalAnswer reply { .m_isAnswered = row.at(0), .m_approvals = {} };
             for (const Json& approval : row.at(1))
@@ -155,7 +162,7 @@
         case 4:
             return PeerAck { .m_isAccepted = row.at(0) };
         case 5:
-            return PeerWriteAnswer { .m_outcome = static_cast<WriteOutcome>(row.at(0).get<int>()) };
+            return PeerWriteAnswer { .m_outcome = decodeEnum(row.at(0), WriteOutcome::StoreUnavailable) };
         case 6:
             return PeerConfigAnswer { .m_text = decodeBytes(row.at(0)) };
         default:
@@ -175,7 +182,7 @@
     auto decodeVariant(std::string_view bytes, Decode decode) -> Expected<decltype(decode(std::size_t {}, std::declval<const Json&>()))>
     {
         try {
-            const Json root = Json::from_cbor(bytes);
+            const Json root = decodeCbor(bytes);
             return decode(root.at(0).template get<std::size_t>(), root.at(1));
         } catch (const std::exception& error) {
             return fail(ErrorKind::InvalidInput, std::string("malformed message from a peer: ") + error.what(), "run the same version of the daemon on all VMs");
--- a/src/connection/peer_type.h
+++ b/src/connection/peer_type.h
@@ -64,6 +64,8 @@
     NotLeading, ///< The receiver is not the leader, or can't answer at present.
 };
 
+constexpr std::uint8_t jobStageCount = 5; ///< Number of stages of a job, see scheduler::JobStage.
+
 /** Answer to a PeerJobQuery or a PeerPendingJobsQuery. */
 struct PeerQueryAnswer {
     QueryStatus m_status = QueryStatus::NotLeading; ///< Outcome.
--- a/src/core/event_loop.cpp
+++ b/src/core/event_loop.cpp
@@ -1,5 +1,6 @@
 /** @file event_loop.cpp Event loop based on Boost.Asio. */
 #include "core/event_loop_impl.h"
+#include "core/guard_func.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -13,7 +14,9 @@
 {
     m_impl->m_thread = std::thread([this, name = std::move(name)] {
         pthread_setname_np(pthread_self(), name.substr(0, 15).c_str());
-        m_impl->m_context.run();
+        while (!runGuarded(name, [this] { m_impl->m_context.run(); })) {
+            // The context goes on with the next handler.
+        }
     });
 }
 
--- a/src/platform/operator_codec.cpp
+++ b/src/platform/operator_codec.cpp
@@ -63,6 +63,12 @@
         return wave;
     }
 
+    /** @return Whether an id consists of printable ASCII characters; others can't be sent as JSON text. */
+    bool isPrintableName(const std::string& id)
+    {
+        return !id.empty() && std::all_of(id.begin(), id.end(), [](char c) { return c > ' ' && c <= '~'; });
+    }
+
     Resources decodeCapacity(const Json& row)
     {
         return { .m_cpuMilli = readInt(row, "cpu"), .m_memoryMb = readInt(row, "mem_mb"), .m_gpus = readInt(row, "gpu") };
@@ -84,6 +90,8 @@
 
 std::optional<WorkerAnnouncement> decodeWorkerEntry(const std::string& id, const std::string& value)
 {
+    if (!isPrintableName(id))
+        return std::nullopt;
     const Json entry = parseJson(value);
     if (!entry.is_object())
         return std::nullopt;
--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -321,6 +321,12 @@
     });
 }
 
+void abandonTerm(CellNode& node)
+{
+    if (node.m_role == Role::Leading || node.m_role == Role::Loading)
+        stepDown(node, "unexpected error");
+}
+
 void beginTermination(CellNode& node)
 {
     node.m_isTerminating = true;
--- a/src/process/cell/cell_daemon.cpp
+++ b/src/process/cell/cell_daemon.cpp
@@ -4,6 +4,7 @@
 #include "connection/http_server.h"
 #include "connection/peer_codec.h"
 #include "core/bounded_queue.h"
+#include "core/guard_func.h"
 #include "core/log_func.h"
 #include "platform/job_codec.h"
 #include "platform/platform_adapter.h"
@@ -66,7 +67,9 @@
     void postUrgent(WorkItem work);
     CellPorts makePorts();
     CellOptions makeOptions() const;
+    void runItem(const WorkItem& work);
     void runUrgentWork();
+    std::size_t runRound(WorkItem first);
     void run();
     void onClient(const HttpRequest& request, const HttpResponder& respond);
     void onPeer(const HttpRequest& request, const HttpResponder& respond);
@@ -116,11 +119,18 @@
     m_workItems.push([] { /* Wakes the decision thread. */ });
 }
 
+/** Runs work on the decision thread. State that an unexpected exception may have left half changed is given up. */
+void CellDaemon::Impl::runItem(const WorkItem& work)
+{
+    if (!runGuarded("decide", work))
+        runGuarded("decide", [this] { abandonTerm(*m_node); });
+}
+
 void CellDaemon::Impl::runUrgentWork()
 {
     WorkItem work;
     while (m_urgentWorkItems.tryPop(work))
-        work();
+        runItem(work);
 }
 
 void CellDaemon::Impl::callPeer(const Address& address, const PeerMessage& message, Duration timeout, std::function<void(std::optional<PeerReply>)> onReply)
@@ -153,6 +163,17 @@
         .m_relayMinWorkers = m_settings.m_relayMinWorkers };
 }
 
+/** Runs queued work, urgent items first. @param first An item taken from the queue. @return Number of items, without urgent ones. */
+std::size_t CellDaemon::Impl::runRound(WorkItem first)
+{
+    std::size_t count = 0;
+    do {
+        runUrgentWork();
+        runItem(first);
+    } while (++count < maxItemsPerRound && m_workItems.tryPop(first));
+    return count;
+}
+
 void CellDaemon::Impl::run()
 {
     pthread_setname_np(pthread_self(), "decide");
@@ -163,13 +184,10 @@
         const TimePoint roundStartedAt = steadyNow();
         if (hasWork) {
             advanceTime(*m_node, roundStartedAt, bootNow());
-            do {
-                runUrgentWork();
-                work();
-            } while (++count < maxItemsPerRound && m_workItems.tryPop(work));
+            count = runRound(std::move(work));
         }
         const TimePoint stepStartedAt = steadyNow();
-        stepCell(*m_node, stepStartedAt, bootNow());
+        runItem([this, stepStartedAt] { stepCell(*m_node, stepStartedAt, bootNow()); });
         const TimePoint roundEndedAt = steadyNow();
         if (roundEndedAt - roundStartedAt > slowRoundThreshold)
             logEvent(LogLevel::Warning, "round-slow", { { "items", count }, { "items_ms", (stepStartedAt - roundStartedAt).m_ms }, { "step_ms", (roundEndedAt - stepStartedAt).m_ms }, { "is_leading", m_isLeading.load() } });
--- a/src/process/cell/cell_func.h
+++ b/src/process/cell/cell_func.h
@@ -28,6 +28,9 @@
 /** Handles a peer's message. @param respond Called once, at once or later. */
 void onPeerMessage(CellNode& node, const PeerMessage& message, const std::function<void(PeerReply)>& respond);
 
+/** Ends this daemon's term, if it has one, after an unexpected error; the next term loads the state from the records. */
+void abandonTerm(CellNode& node);
+
 /** Starts the shutdown after SIGTERM: hands the leadership over while clients are still served. */
 void beginTermination(CellNode& node);
 
--- a/src/process/cell/leader_codec.cpp
+++ b/src/process/cell/leader_codec.cpp
@@ -2,8 +2,7 @@
 #include "process/cell/leader_codec.h"
 
 #include "connection/member_codec.h"
-
-#include <nlohmann/json.hpp>
+#include "core/cbor.h"
 
 namespace bulrushloft::cell {
 
@@ -18,7 +17,7 @@
 std::optional<PeerMember> decodeClaim(const std::string& bytes)
 {
     try {
-        return memberFromJson(Json::from_cbor(bytes));
+        return memberFromJson(decodeCbor(bytes));
     } catch (const std::exception&) {
         return std::nullopt;
     }
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "connection/order_type.h"
+#include "connection/peer_type.h"
 #include "connection/store_type.h"
 #include "process/scheduler/urgency.h"
 #include "request/plan_type.h"
@@ -142,6 +143,8 @@
     Cancelled, ///< Cancelled by the caller.
 };
 
+static_assert(static_cast<std::uint8_t>(JobStage::Cancelled) + 1 == jobStageCount);
+
 /** @return Whether a job at this stage has ended. */
 constexpr bool isFinal(JobStage stage)
 {
--- a/src/process/scheduler/scheduler_jobs.cpp
+++ b/src/process/scheduler/scheduler_jobs.cpp
@@ -111,7 +111,8 @@
         if (isFinal(job.m_stage))
             return;
         const TimePoint wall = now + scheduler.m_wallOffset;
-        while (job.m_nextOccurrence < job.m_plan.m_occurrenceCount && job.m_plan.m_firstStart + job.m_plan.m_period * job.m_nextOccurrence <= wall) {
+        // Occurrences that are due at once, such as those of a schedule that began long ago, are opened as earlier ones end.
+        while (job.m_openTasks < maxTasksPerJob && job.m_nextOccurrence < job.m_plan.m_occurrenceCount && job.m_plan.m_firstStart + job.m_plan.m_period * job.m_nextOccurrence <= wall) {
             openOccurrence(scheduler, job, job.m_nextOccurrence, now);
             markDirty(scheduler, job);
         }
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -1,4 +1,6 @@
 /** @file scheduler_record.cpp Encoding of job progress for the store, and its restoration by a later term. */
+#include "connection/enum_codec.h"
+#include "core/cbor.h"
 #include "core/log_func.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
@@ -78,11 +80,11 @@
     {
         Task& task = ref.task();
         if (row.is_number()) {
-            const auto mark = static_cast<TaskMark>(row.get<int>());
+            const auto mark = decodeEnum(row, TaskMark::Failed);
             task.m_resolution = mark == TaskMark::Done ? TaskResolution::Done : mark == TaskMark::Failed ? TaskResolution::Failed
                                                                                                          : TaskResolution::Open;
         } else {
-            task.m_resolution = static_cast<TaskResolution>(row.at(0).get<int>());
+            task.m_resolution = decodeEnum(row.at(0), TaskResolution::Failed);
             task.m_attempt = row.at(1);
             task.m_failures = row.at(2);
             task.m_hasStarted = row.at(3);
@@ -139,12 +141,12 @@
 
     void restoreJob(Scheduler& scheduler, Job& job, const Json& decoded, TimePoint now)
     {
-        const auto nextOccurrence = decoded.at(2).get<std::uint32_t>();
+        const std::uint32_t nextOccurrence = std::min(decoded.at(2).get<std::uint32_t>(), std::max(job.m_plan.m_occurrenceCount, 1U));
         for (std::uint32_t i = job.m_nextOccurrence; i < nextOccurrence; ++i)
             detail::openOccurrence(scheduler, job, i, now);
         for (const Json& row : decoded.at(3))
             restoreRun(scheduler, job, row, now);
-        const auto recordedStage = static_cast<JobStage>(decoded.at(1).get<int>());
+        const auto recordedStage = decodeEnum(decoded.at(1), JobStage::Cancelled);
         // A cancellation that was read before the progress record takes precedence over it.
         const bool wasEnded = isFinal(job.m_stage);
         const JobStage stage = wasEnded ? job.m_stage : recordedStage;
@@ -197,7 +199,7 @@
     if (found == scheduler.m_jobs.end())
         return fail(ErrorKind::UnknownName, "progress record of job " + id + " has no matching submission", "no action needed: the job has expired");
     try {
-        const Json decoded = Json::from_cbor(record);
+        const Json decoded = decodeCbor(record);
         if (decoded.at(0) != recordFormat)
             return fail(ErrorKind::InvalidInput, "progress record of job " + id + " has unsupported format version " + decoded.at(0).dump(), "run the same release on all daemons");
         restoreJob(scheduler, *found->second, decoded, now);
--- a/src/request/plan_codec.cpp
+++ b/src/request/plan_codec.cpp
@@ -1,7 +1,8 @@
 /** @file plan_codec.cpp CBOR encoding of job plans. */
 #include "request/plan_codec.h"
 
-#include <nlohmann/json.hpp>
+#include "core/cbor.h"
+#include "request/plan_func.h"
 
 namespace bulrushloft {
 
@@ -66,7 +67,7 @@
 Expected<JobPlan> decodePlan(const std::string& bytes)
 {
     try {
-        const Json root = Json::from_cbor(bytes);
+        const Json root = decodeCbor(bytes);
         if (root.at(0) != planFormatVersion)
             return fail(ErrorKind::InvalidInput, "the record of a job has the unsupported format version " + root.at(0).dump(), "run the same version of the daemon on all VMs");
         JobPlan plan { .m_id = root.at(1),
@@ -80,6 +81,8 @@
             .m_submittedAt = { root.at(9).get<std::int64_t>() } };
         for (const Json& row : root.at(5))
             plan.m_steps.push_back(stepFromJson(row));
+        if (auto valid = validateStructure(plan); !valid)
+            return tl::unexpected(valid.error());
         return plan;
     } catch (const std::exception& error) {
         return fail(ErrorKind::InvalidInput, std::string("the record of a job can't be decoded: ") + error.what(), "check whether another program writes to the topic");
--- a/src/request/plan_type.h
+++ b/src/request/plan_type.h
@@ -55,6 +55,8 @@
 };
 
 constexpr std::size_t maxPayloadBytes = 4'000; ///< Maximum size of JobPlan::m_payload.
+constexpr std::int64_t maxTaskResource = 1'000'000'000; ///< Maximum amount of a resource that a task requests.
+constexpr Duration maxPlanTime { 100'000'000'000'000 }; ///< Latest time and longest duration in a plan, in ms; about the year 5138.
 constexpr std::size_t maxTasksPerJob = 20'000; ///< Maximum number of tasks of a JobPlan, over all its steps.
 
 } // namespace bulrushloft
