Refused callers are told when to return by what is known of the outage and of what can be served

Cause: Retry-After was one second for every refusal, whatever the caller's patience, the length of the outage or the number of refused callers: all callers of an outage returned within its first second after the end, in the order of their calls, and callers that can wait for minutes called every second. Change: retry_advice.h. A caller with a few seconds of patience still returns every second, so as not to miss the end of the outage; one with more returns after half of what the outage has lasted, a quarter of its patience at most; no more callers are told to return in one second than the VM has been able to serve in one; urgent queues are not put off. Ruled out: the delay as hash of the job id over refusals per second: 123 callers in one second where 40 can be served.

--- a/src/process/cell/admission.h
+++ b/src/process/cell/admission.h
@@ -28,9 +28,6 @@
  */
 Admission decideAdmission(const StoreHealth& health, TimePoint now);
 
-/** Retry delay for refused clients: short enough for retries within the few seconds that clients wait, long enough to prevent a retry storm. */
-constexpr Duration clientRetryDelay { 1'000 };
-
 /**
  * Checks whether the store answers this daemon although it does not answer the leader.
  * @param lastAnswerAt When the store last answered this daemon.
--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -7,6 +7,7 @@
 #include "process/cell/config_fetch.h"
 #include "process/cell/hedged_call.h"
 #include "process/cell/leader_monitor.h"
+#include "process/cell/retry_advice.h"
 #include "process/scheduler/scheduler_base.h"
 #include "version/cluster_type.h"
 
@@ -269,6 +270,7 @@
     DirectWriter m_directWriter; ///< Writer to the topic of jobs.
     std::vector<DeferredCall> m_deferredCalls; ///< Callbacks scheduled for later, such as retries.
     OrderRelay m_relay;
+    RetrySchedule m_retrySchedule; ///< When refused clients are told to call again.
     CellCounters m_counters;
 };
 
--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -84,25 +84,43 @@
         });
     }
 
+    /** What is remembered of a client's call until its reply. */
+    struct CallContext {
+        std::string m_job; ///< Job id; empty for a count.
+        TimePoint m_arrivedAt; ///< When the call arrived.
+        TimePoint m_deadline; ///< When the client stops waiting.
+        bool m_isUrgent = false; ///< Whether its queue has the first priority.
+    };
+
+    CallContext contextOf(const ClientCall& call, const QueueSettings& queue)
+    {
+        return { .m_job = jobIdFromPath(queue, call.m_path), .m_arrivedAt = call.m_arrivedAt, .m_deadline = call.m_deadline, .m_isUrgent = queue.m_priority == 0 };
+    }
+
     /** Counts a refusal. @return The reply to a call that certainly had no effect. */
-    ClientReply makeRefusal(CellNode& node)
+    ClientReply makeRefusal(CellNode& node, const CallContext& context)
     {
         ++node.m_counters.m_refusedCalls;
-        return { .m_status = ClientStatus::NotDone, .m_retryAfter = clientRetryDelay };
+        Refusal refusal { .m_storeOutage = {}, .m_patience = context.m_deadline - node.m_now, .m_isUrgent = context.m_isUrgent };
+        if (!node.m_isStoreReached)
+            refusal.m_storeOutage = node.m_now - node.m_storeLastContactAt;
+        return { .m_status = ClientStatus::NotDone, .m_retryAfter = scheduleReturn(node.m_retrySchedule, refusal, node.m_now) };
     }
 
-    void replyToWrite(CellNode& node, StoreStatus status, ClientStatus successStatus, const std::string& job, TimePoint arrivedAt, const ClientResponder& respond)
+    void replyToWrite(CellNode& node, StoreStatus status, ClientStatus successStatus, const CallContext& context, const ClientResponder& respond)
     {
         ClientReply reply { .m_status = successStatus };
+        if (status == StoreStatus::Done)
+            countServedCall(node.m_retrySchedule, node.m_now);
         if (status == StoreStatus::NotDone)
-            reply = makeRefusal(node);
+            reply = makeRefusal(node, context);
         else if (status != StoreStatus::Done)
             reply = { .m_status = ClientStatus::Unknown };
         node.m_counters.m_storedWrites += status == StoreStatus::Done ? 1 : 0;
         node.m_counters.m_unknownOutcomes += reply.m_status == ClientStatus::Unknown ? 1 : 0;
-        logEvent(LogLevel::Info, "client-write", { { "job", job }, { "outcome", status == StoreStatus::Done ? "stored" : status == StoreStatus::NotDone ? "refused"
-                                                                                                                                                        : "unknown" },
-                                                     { "is_cancel", successStatus == ClientStatus::Cancelled }, { "took_ms", (node.m_now - arrivedAt).m_ms }, { "config", node.m_cluster->m_version } });
+        logEvent(LogLevel::Info, "client-write", { { "job", context.m_job }, { "outcome", status == StoreStatus::Done ? "stored" : status == StoreStatus::NotDone ? "refused"
+                                                                                                                                                                  : "unknown" },
+                                                     { "is_cancel", successStatus == ClientStatus::Cancelled }, { "took_ms", (node.m_now - context.m_arrivedAt).m_ms }, { "config", node.m_cluster->m_version } });
         respond(reply);
     }
 
@@ -186,7 +204,7 @@
             return respond({ .m_status = ClientStatus::Invalid, .m_text = describe(error) });
         }
         PendingWrite write { .m_records = { { .m_key = plan->m_id, .m_value = encodePlan(*plan) } }, .m_deadline = call.m_deadline - replyMargin };
-        write.m_onComplete = [&node, id = plan->m_id, arrivedAt = call.m_arrivedAt, respond](StoreStatus status) { replyToWrite(node, status, ClientStatus::Accepted, id, arrivedAt, respond); };
+        write.m_onComplete = [&node, context = contextOf(call, queue), respond](StoreStatus status) { replyToWrite(node, status, ClientStatus::Accepted, context, respond); };
         if (write.m_deadline - node.m_now < minWriteTime)
             return write.m_onComplete(StoreStatus::NotDone);
         const PeerSubmit message { .m_plan = write.m_records.front().m_value };
@@ -200,33 +218,33 @@
         });
     }
 
-    void query(CellNode& node, const ClientCall& call, const std::string& job, const ClientResponder& respond)
+    void query(CellNode& node, const CallContext& context, const ClientResponder& respond)
     {
-        queryLeader(node, PeerJobQuery { .m_job = job }, call.m_deadline, [&node, respond, job](const PeerQueryAnswer& answer) {
+        queryLeader(node, PeerJobQuery { .m_job = context.m_job }, context.m_deadline, [&node, respond, context](const PeerQueryAnswer& answer) {
             if (answer.m_status == QueryStatus::Known)
                 return respond({ .m_status = ClientStatus::Known, .m_stage = answer.m_stage });
-            logEvent(LogLevel::Info, "client-query", { { "job", job }, { "outcome", answer.m_status == QueryStatus::NoSuchJob ? "no-such-job" : "leader-not-reached" }, { "leader", node.m_leader.m_member.m_name }, { "token", node.m_leader.m_token } });
+            logEvent(LogLevel::Info, "client-query", { { "job", context.m_job }, { "outcome", answer.m_status == QueryStatus::NoSuchJob ? "no-such-job" : "leader-not-reached" }, { "leader", node.m_leader.m_member.m_name }, { "token", node.m_leader.m_token } });
             if (answer.m_status == QueryStatus::NoSuchJob)
                 return respond({ .m_status = ClientStatus::NoSuchJob });
-            respond(makeRefusal(node));
+            respond(makeRefusal(node, context));
         });
     }
 
-    void count(CellNode& node, const ClientCall& call, const QueueSettings& queue, const ClientResponder& respond)
+    void count(CellNode& node, const CallContext& context, const QueueSettings& queue, const ClientResponder& respond)
     {
-        queryLeader(node, PeerPendingJobsQuery { .m_queue = queue.m_name }, call.m_deadline, [&node, respond](const PeerQueryAnswer& answer) {
+        queryLeader(node, PeerPendingJobsQuery { .m_queue = queue.m_name }, context.m_deadline, [&node, respond, context](const PeerQueryAnswer& answer) {
             if (answer.m_status == QueryStatus::Known)
                 return respond({ .m_status = ClientStatus::Counted, .m_count = answer.m_count });
-            respond(makeRefusal(node));
+            respond(makeRefusal(node, context));
         });
     }
 
     /** Has the leader record a cancellation; without a leader it is stored in the topic of jobs. */
-    void cancel(CellNode& node, const ClientCall& call, const std::string& job, const ClientResponder& respond)
+    void cancel(CellNode& node, const CallContext& context, const ClientResponder& respond)
     {
-        PendingWrite write { .m_records = { { .m_key = "!" + job, .m_value = "cancelled" } }, .m_deadline = call.m_deadline - replyMargin };
-        write.m_onComplete = [&node, job, arrivedAt = call.m_arrivedAt, respond](StoreStatus status) { replyToWrite(node, status, ClientStatus::Cancelled, job, arrivedAt, respond); };
-        writeThroughLeader(node, PeerCancel { .m_job = job }, write.m_deadline, recordCancellation, [&node, write, respond](WriteOutcome outcome) mutable {
+        PendingWrite write { .m_records = { { .m_key = "!" + context.m_job, .m_value = "cancelled" } }, .m_deadline = context.m_deadline - replyMargin };
+        write.m_onComplete = [&node, context, respond](StoreStatus status) { replyToWrite(node, status, ClientStatus::Cancelled, context, respond); };
+        writeThroughLeader(node, PeerCancel { .m_job = context.m_job }, write.m_deadline, recordCancellation, [&node, write, respond](WriteOutcome outcome) mutable {
             if (outcome == WriteOutcome::Recorded)
                 return write.m_onComplete(StoreStatus::Done);
             if (outcome == WriteOutcome::NoSuchJob)
@@ -279,17 +297,17 @@
 void onClientCall(CellNode& node, const ClientCall& call, const ClientResponder& respond)
 {
     if (!node.m_cluster)
-        return respond(makeRefusal(node));
+        return respond(makeRefusal(node, { .m_job = {}, .m_arrivedAt = call.m_arrivedAt, .m_deadline = call.m_deadline }));
     const QueueSettings* const queue = findQueue(*node.m_cluster, call.m_host, call.m_path);
     if (!queue)
         return respond({ .m_status = ClientStatus::NoSuchQueue });
-    const std::string job = jobIdFromPath(*queue, call.m_path);
     if (call.m_verb == ClientVerb::Submit)
         return submit(node, call, *queue, respond);
+    const CallContext context = contextOf(call, *queue);
     if (call.m_verb == ClientVerb::Query)
-        return job.empty() ? count(node, call, *queue, respond) : query(node, call, job, respond);
-    if (call.m_verb == ClientVerb::Cancel && !job.empty())
-        return cancel(node, call, job, respond);
+        return context.m_job.empty() ? count(node, context, *queue, respond) : query(node, context, respond);
+    if (call.m_verb == ClientVerb::Cancel && !context.m_job.empty())
+        return cancel(node, context, respond);
     respond({ .m_status = ClientStatus::Invalid, .m_text = "method not supported here; use POST, GET or DELETE on a job's id, or GET on the queue" });
 }
 
