Learned run times and worker speeds survive a takeover

Change: learned_record.h: one record of the progress topic, at most every 3 s, read with the others.

--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -1,6 +1,7 @@
 /** @file cell_loading.cpp Start of a term: fences earlier terms and loads the records that they have written. */
 #include "core/log_func.h"
 #include "process/cell/cell_detail.h"
+#include "process/scheduler/learned_record.h"
 #include "process/scheduler/scheduler_func.h"
 #include "request/plan_codec.h"
 
@@ -123,6 +124,13 @@
         scheduler::restorePlan(*node.m_scheduler, std::move(*plan), node.m_now);
     }
 
+    void restoreProgress(CellNode& node, const std::string& key, const std::string& value)
+    {
+        const auto restored = key == scheduler::learnedKey ? scheduler::restoreLearned(*node.m_scheduler, value) : scheduler::restoreProgress(*node.m_scheduler, key, value, node.m_now);
+        if (!restored)
+            logEvent(LogLevel::Error, "progress-unusable", { { "key", key }, { "error", describe(restored.error()) } });
+    }
+
     void restoreAll(CellNode& node)
     {
         const auto isPlan = [](const std::string& key) { return key.starts_with(scheduler::planKey({})); };
@@ -131,10 +139,8 @@
                 restorePlan(node, key, value);
         }
         for (const auto& [key, value] : node.m_load.m_progress) {
-            if (value.empty() || isPlan(key))
-                continue;
-            if (auto restored = scheduler::restoreProgress(*node.m_scheduler, key, value, node.m_now); !restored)
-                logEvent(LogLevel::Error, "progress-unusable", { { "job", key }, { "error", describe(restored.error()) } });
+            if (!value.empty() && !isPlan(key))
+                restoreProgress(node, key, value);
         }
         scheduler::finishRestoring(*node.m_scheduler, node.m_now);
         logEvent(LogLevel::Info, "term-loaded", { { "token", node.m_term }, { "jobs", node.m_scheduler->m_jobs.size() }, { "progress", node.m_load.m_progress.size() }, { "workers_with_tasks", node.m_scheduler->m_workers.size() }, { "took_ms", (node.m_now - node.m_load.m_startedAt).m_ms } });
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -1,6 +1,7 @@
 /** @file cell_scheduling.cpp Runs the leader's scheduler: performs its effects and writes its progress to the store. */
 #include "core/log_func.h"
 #include "process/cell/cell_detail.h"
+#include "process/scheduler/learned_record.h"
 #include "process/scheduler/scheduler_func.h"
 
 #include <algorithm>
@@ -110,7 +111,10 @@
         const std::uint64_t batch = node.m_scheduler->m_nextBatch;
         StoreAppend part { .m_partition = { .m_topic = node.m_options.m_topics.m_progress }, .m_records = {}, .m_writer = {}, .m_expectedEnd = {} };
         std::size_t bytes = 0;
-        for (KeyedRecord& record : scheduler::takeRecords(*node.m_scheduler)) {
+        std::vector<KeyedRecord> records = scheduler::takeRecords(*node.m_scheduler);
+        if (auto learned = scheduler::takeLearnedRecord(*node.m_scheduler, node.m_now))
+            records.push_back(std::move(*learned));
+        for (KeyedRecord& record : records) {
             if (bytes + record.m_value.size() > maxAppendBytes) {
                 pushAppend(node.m_writer, part, 0);
                 part.m_records.clear();
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -271,6 +271,12 @@
     double m_approved = 0; ///< Workers approved.
 };
 
+/** Learned speed of a worker. */
+struct WorkerSpeed {
+    double m_logSlowdown = 0; ///< See WorkerHealth::m_logSlowdown.
+    std::uint32_t m_samples = 0; ///< Number of samples.
+};
+
 /** Counters exported as metrics. */
 struct SchedulerCounters {
     std::uint64_t m_placements = 0; ///< Attempts placed.
@@ -292,6 +298,9 @@
     std::unordered_map<std::string, ApprovalRate> m_approvalRates; ///< Share of approved workers, by queue.
     std::unordered_map<std::string, RunTimeModel> m_runTimes; ///< Run time models, by queue.
     std::unordered_set<std::string> m_cancelledEarly; ///< Ids of jobs whose cancellation was read before their submission.
+    std::unordered_map<std::string, WorkerSpeed> m_restoredSpeeds; ///< Speeds learned in earlier terms, by worker id, of workers that have not been announced in this term.
+    TimePoint m_learnedRecordedAt; ///< When learned run times were last recorded.
+    std::uint32_t m_learnedSamples = 0; ///< Number of samples in that record.
     std::deque<Worker> m_workers; ///< All workers seen during this term; WorkerIndex refers to this list.
     std::unordered_map<std::string, WorkerIndex> m_workerById; ///< Index of each worker, by id.
     std::vector<StepRun*> m_waitingSteps; ///< Steps that may have tasks without an attempt.
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -297,6 +297,10 @@
     worker.m_announcement = announcement;
     scheduler.m_changedWorkers.push_back(found->second);
     worker.m_isAnnounced = true;
+    if (const auto speed = scheduler.m_restoredSpeeds.extract(announcement.m_id); !speed.empty() && worker.m_health.m_samples == 0) {
+        worker.m_health.m_logSlowdown = speed.mapped().m_logSlowdown;
+        worker.m_health.m_samples = speed.mapped().m_samples;
+    }
     worker.m_rack.clear();
     for (const std::string& label : announcement.m_labels) {
         if (isRackLabel(label))
