Late gangs have a share of the reservations that more urgent steps can't take

Change: in a full pass up to four late steps reserve up to a sixth of a pool before the others are examined; a step whose reservations were in vain pauses for 30 s and tries again. Ruled out: a share that is only added to the limits (13 of 16 late gangs still wait in the test: reserved workers must be out of reach of the others). Tests: gangs_that_have_become_late_start_while_others_keep_coming: 12 of 16 wait after 25 s on the code before, none now.

--- a/src/process/scheduler/reservation.cpp
+++ b/src/process/scheduler/reservation.cpp
@@ -34,4 +34,24 @@
     return reservation;
 }
 
+ReservationLimits reservationLimitsOf(std::size_t poolWorkers)
+{
+    constexpr std::size_t divisor = 3;
+    constexpr std::size_t maxSteps = 16; ///< For steps that come after many others in a pool, reserved workers would be idle for too long.
+    return { .m_workers = poolWorkers / divisor, .m_steps = maxSteps };
+}
+
+ReservationLimits lateShareOf(std::size_t poolWorkers)
+{
+    constexpr std::size_t divisor = 6;
+    constexpr std::size_t maxSteps = 4;
+    return { .m_workers = poolWorkers / divisor, .m_steps = maxSteps };
+}
+
+bool isReservationPhase(Duration elapsed)
+{
+    constexpr std::int64_t phaseMs = 30'000;
+    return elapsed.m_ms / phaseMs % 2 == 0;
+}
+
 } // namespace bulrushloft::scheduler
--- a/src/process/scheduler/reservation.h
+++ b/src/process/scheduler/reservation.h
@@ -32,4 +32,26 @@
  */
 Reservation chooseReservation(std::vector<ReservationCandidate> candidates, std::uint32_t tasks, std::size_t maxWorkers);
 
+/** How much of a pool may be reserved for blocked steps. */
+struct ReservationLimits {
+    std::size_t m_workers = 0; ///< Most workers that are reserved.
+    std::size_t m_steps = 0; ///< Most steps for which workers are reserved.
+};
+
+/** @return How much of a pool may be reserved for steps in the order of their urgency. @param poolWorkers Number of workers of the pool. */
+ReservationLimits reservationLimitsOf(std::size_t poolWorkers);
+
+/**
+ * Load: after a takeover dozens of gangs have become late while new ones, which can still be in time, keep coming. The new
+ * ones are placed first and would take each worker that has become free for a late one, until the load ends.
+ * @return How much of a pool may be reserved for late steps before others are examined.
+ */
+ReservationLimits lateShareOf(std::size_t poolWorkers);
+
+/**
+ * A step that could not be placed although workers were reserved for it stops keeping others from running, and tries again later.
+ * @param elapsed Time since workers were first reserved for the step. @return Whether workers may be reserved for it now.
+ */
+bool isReservationPhase(Duration elapsed);
+
 } // namespace bulrushloft::scheduler
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -102,21 +102,19 @@
         }
 
         /** Reserves workers for the tasks without a worker, if they are large, so that streams of small tasks don't starve them. */
-        void reserve()
+        void reserve(const ReservationLimits& limits)
         {
-            constexpr std::size_t reservationDivisor = 3; ///< At most 1/reservationDivisor of the pool's workers are reserved.
-            constexpr std::size_t maxReservingSteps = 16; ///< For steps that come after many others in a pool, reserved workers would be idle for too long.
-            constexpr Duration maxReservationTime { 30'000 }; ///< A step that can't be placed within this time must not keep others from running.
-            const std::size_t maxReserved = m_view.m_workers.size() / reservationDivisor;
             const bool isGang = planOf(m_run).m_isGang;
+            if (m_run.m_hasReservations) // From the share of late steps.
+                return;
             m_run.m_reservedReadyAt = farFuture;
-            if (m_toPlace == 0 || (isGang && m_run.m_activeAttempts > 0) || m_view.m_reservedCount >= maxReserved || m_view.m_reservingSteps >= maxReservingSteps || (isGang && !wouldFitIfEmpty()))
+            if (m_toPlace == 0 || (isGang && m_run.m_activeAttempts > 0) || m_view.m_reservedCount >= limits.m_workers || m_view.m_reservingSteps >= limits.m_steps || (isGang && !wouldFitIfEmpty()))
                 return;
             if (m_run.m_reservingSince.m_ms == 0)
                 m_run.m_reservingSince = m_now;
-            if (m_now - m_run.m_reservingSince > maxReservationTime)
+            if (!isReservationPhase(m_now - m_run.m_reservingSince))
                 return;
-            const Reservation chosen = chooseReservation(reservationCandidates(), m_toPlace, maxReserved - m_view.m_reservedCount);
+            const Reservation chosen = chooseReservation(reservationCandidates(), m_toPlace, limits.m_workers - m_view.m_reservedCount);
             if (chosen.m_room >= m_toPlace)
                 m_run.m_reservedReadyAt = chosen.m_readyAt;
             reserveWorkers(m_scheduler, m_view, chosen.m_positions, m_run);
@@ -348,6 +346,26 @@
         return now - scheduler.m_fullPassAt >= minInterval + Duration { static_cast<std::int64_t>(scheduler.m_waitingSteps.size() / waitingStepsPerMs) };
     }
 
+    PoolView& viewOf(PoolViews& views, const StepRun& run)
+    {
+        return views.find(run.m_job->m_plan.m_pool)->second;
+    }
+
+    /** Reserves a share of each pool for late steps before more urgent steps are placed. The share does not count against that of the others. */
+    void reserveLateShare(Scheduler& scheduler, const std::vector<RankedStep>& ranked, PoolViews& views, TimePoint now)
+    {
+        for (const RankedStep& step : ranked) {
+            if (step.m_urgency.m_class < UrgencyClass::Late)
+                continue;
+            PoolView& view = viewOf(views, *step.m_run);
+            StepPlacement(scheduler, *step.m_run, step.m_urgency, view, now).reserve(lateShareOf(view.m_workers.size()));
+        }
+        for (auto& [pool, view] : views) {
+            view.m_reservedCount = 0;
+            view.m_reservingSteps = 0;
+        }
+    }
+
     void clearReservations(Scheduler& scheduler)
     {
         for (Worker& worker : scheduler.m_workers)
@@ -377,12 +395,16 @@
         clearReservations(scheduler);
     }
     PoolViews views = takePoolViews(scheduler, now);
-    for (const RankedStep& step : rankWaiting(scheduler, views, isFullPass, now)) {
-        StepPlacement placement(scheduler, *step.m_run, step.m_urgency, views.find(step.m_run->m_job->m_plan.m_pool)->second, now);
+    const std::vector<RankedStep> ranked = rankWaiting(scheduler, views, isFullPass, now);
+    if (isFullPass)
+        reserveLateShare(scheduler, ranked, views, now);
+    for (const RankedStep& step : ranked) {
+        PoolView& view = viewOf(views, *step.m_run);
+        StepPlacement placement(scheduler, *step.m_run, step.m_urgency, view, now);
         step.m_run->m_isChanged = false;
         placement.place(effects);
         if (isFullPass)
-            placement.reserve();
+            placement.reserve(reservationLimitsOf(view.m_workers.size()));
     }
 }
 
--- a/tests/approval_load_test.cpp
+++ b/tests/approval_load_test.cpp
@@ -202,6 +202,36 @@
     BOOST_TEST(static_cast<std::size_t>(late) * 10 <= gangs.size()); // At most a tenth, as the users ask of each kind of request.
 }
 
+// Gangs that had become late around a takeover waited for up to 49 s, until the load ended, as new ones that could be in time kept coming.
+BOOST_AUTO_TEST_CASE(gangs_that_have_become_late_start_while_others_keep_coming)
+{
+    constexpr int workers = 200;
+    constexpr Duration lateness { 12'000 };
+    constexpr Duration startLimit { 25'000 };
+    ApprovalLoad load(workers, 60, 0.3);
+    std::mt19937_64 random(11);
+    constexpr std::array<std::int64_t, 4> gpuSizes { 2, 4, 8, 8 };
+    const auto submitOthers = [&] { // On the mean 200 small tasks for 3 s and 4.5 gangs of 8 tasks for 3.6 s each second.
+        if (random() % 100 < 60)
+            load.submitSmall(static_cast<std::uint32_t>(1 + random() % 64));
+        if (random() % 100 < 45)
+            load.submitGang(static_cast<std::uint32_t>(2 + random() % 13), gpuSizes[random() % gpuSizes.size()]);
+        load.run({ 100 });
+    };
+    for (int i = 0; i < 60; ++i)
+        submitOthers();
+    std::vector<std::string> lateGangs;
+    for (int i = 0; i < 16; ++i) {
+        lateGangs.push_back(load.submitGang(static_cast<std::uint32_t>(6 + random() % 8), 8));
+        Job& job = *load.m_scheduler.m_jobs.at(lateGangs.back());
+        job.m_acceptedAt = job.m_acceptedAt - lateness;
+    }
+    for (TimePoint end = load.m_now + startLimit; load.m_now < end;)
+        submitOthers();
+    const auto waiting = std::count_if(lateGangs.begin(), lateGangs.end(), [&](const std::string& gang) { return !load.m_waits.contains(gang); });
+    BOOST_TEST(waiting == 0);
+}
+
 // A task of archive watchers was stopped on a leaving worker. The step had approvals for enough workers, but on all of them its other
 // tasks had reached the limit of tasks on one worker, so it asked for no further ones and never ran again.
 BOOST_AUTO_TEST_CASE(a_step_whose_approved_workers_are_all_used_asks_for_others)
