Log ends without effect, why an attempt counts as missing, and what a gone worker last said

Change: end-ignored, end-unknown; attempt-missing and worker-gone name their evidence. Measured: built, scheduler_test passes.

--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -161,6 +161,16 @@
             requeueTask(scheduler, ref, cause, now);
     }
 
+    /** Logs an end without effect on its task; acknowledged like any other, it is not reported again. */
+    void logIgnoredEnd(const Scheduler& scheduler, const TaskRef& ref, WorkerIndex index, const EndedAttempt& ended)
+    {
+        const Task& task = ref.task();
+        const bool isOutcome = ended.m_end == AttemptEnd::Done || ended.m_end == AttemptEnd::Failed;
+        if (!isOutcome || task.m_resolution != TaskResolution::Open)
+            return;
+        logEvent(LogLevel::Warning, "end-ignored", { { "task", format(ended.m_task) }, { "attempt", ended.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(index)].m_announcement.m_id }, { "end", findName(attemptEndNames, ended.m_end) }, { "latest_attempt", task.m_attempt }, { "phase", findName(runPhaseNames, task.m_phase) } });
+    }
+
     /**
      * Handles an end that is reported for an earlier attempt, by a worker that has returned after its attempts counted as lost.
      * Uses the result or checkpoint if no later attempt has been started, except for long-running tasks and gangs.
@@ -172,7 +182,7 @@
         const bool isLatest = task.m_lastWorker == index && task.m_lastAttempt == ended.m_attempt && task.m_resolution == TaskResolution::Open;
         const bool canCompleteAlone = !planOf(*ref.m_run).m_isLongRunning && !planOf(*ref.m_run).m_isGang;
         if (!hasNotStarted || !isLatest || !canCompleteAlone)
-            return;
+            return logIgnoredEnd(scheduler, ref, index, ended);
         if (ended.m_end == AttemptEnd::Done) {
             logEvent(LogLevel::Info, "late-end-accepted", { { "task", format(ended.m_task) }, { "attempt", ended.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(index)].m_announcement.m_id } });
             detachTask(scheduler, ref, now);
@@ -185,8 +195,10 @@
     void handleEnd(Scheduler& scheduler, WorkerIndex index, const EndedAttempt& ended, TimePoint now)
     {
         const TaskRef ref = findTask(scheduler, ended.m_task);
-        if (!ref.m_run)
+        if (!ref.m_run) {
+            logEvent(LogLevel::Warning, "end-unknown", { { "task", format(ended.m_task) }, { "attempt", ended.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(index)].m_announcement.m_id }, { "end", findName(attemptEndNames, ended.m_end) } });
             return;
+        }
         Task& task = ref.task();
         const bool isCurrent = task.m_worker == index && task.m_attempt == ended.m_attempt && task.m_phase != RunPhase::None && task.m_phase != RunPhase::Recording;
         if (!isCurrent)
@@ -260,7 +272,7 @@
             ++task.m_missedSyncs;
             if (task.m_phase == RunPhase::Running && !isFirstReport && task.m_missedSyncs < missedSyncsUntilLost)
                 continue;
-            logEvent(LogLevel::Info, "attempt-missing", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "phase", findName(runPhaseNames, task.m_phase) }, { "worker", scheduler.m_workers[static_cast<std::size_t>(index)].m_announcement.m_id } });
+            logEvent(LogLevel::Info, "attempt-missing", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "phase", findName(runPhaseNames, task.m_phase) }, { "worker", scheduler.m_workers[static_cast<std::size_t>(index)].m_announcement.m_id }, { "is_first_report", isFirstReport }, { "confirmed_ms_ago", (now - task.m_confirmedAt).m_ms }, { "sync_sent_ms_ago", (now - sentAt).m_ms } });
             detachTask(scheduler, ref, now);
             if (task.m_resolution == TaskResolution::Open)
                 stopOtherMembers(scheduler, ref, now);
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -176,7 +176,7 @@
                 return;
             if (now < leaseEndBound(scheduler, worker))
                 return;
-            logEvent(LogLevel::Warning, "worker-gone", { { "worker", worker.m_announcement.m_id }, { "cause", "its lease has run out" }, { "tasks", worker.m_tasks.size() } });
+            logEvent(LogLevel::Warning, "worker-gone", { { "worker", worker.m_announcement.m_id }, { "cause", "its lease has run out" }, { "tasks", worker.m_tasks.size() }, { "has_answered", worker.m_clockMs != 0 }, { "unanswered", worker.m_unansweredCalls }, { "answered_ms_ago", (now - worker.m_answeredAt).m_ms }, { "lease_until", worker.m_leaseUntilMs } });
             markTasksLost(scheduler, index, "the worker's lease has run out", now);
             worker.m_state = WorkerState::Gone;
         }
