Late reports on orders are used; a missing report says nothing about the worker

What callers saw: tasks that had ended ran again elsewhere, others waited for seconds beside free workers. Cause: the leader gave up an order after a fixed time, dropped its report when that came later, and counted the missing report against the worker. When the leader or a forwarding peer fell behind, all reports were late: workers counted as silent, their leases were not extended, and what they had finished or still ran was placed again. Change: an order without a report in time counts as Unreported and is repeated, but a report that still comes within 10 s is used, if it is not older than one used already. Only the forwarding peer says that a worker has not answered. A late report's reading of the worker's clock bounds the end of its leases; deadlines are computed from the latest prompt reading.

--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -168,14 +168,15 @@
     std::function<void(const PeerQueryAnswer&)> m_onAnswer; ///< Called once.
 };
 
-/** Called once with the outcome of an order; the report is filled for a sync that is Done. */
+/** Called with the outcome of an order, and after Unreported once more if the worker has carried it out; the report is filled for a sync that is Done. */
 using OrderCallback = std::function<void(OrderStatus, const SyncReport&)>;
 
-/** An order that was sent through a peer and has no outcome yet. */
+/** An order that was sent through a peer and whose outcome has not been reported. */
 struct OpenOrder {
     std::string m_relay; ///< Name of the peer that forwards it.
-    TimePoint m_until; ///< Without a report by this time the order counts as unanswered.
-    OrderCallback m_onAnswer; ///< Called once.
+    TimePoint m_until; ///< Without a report by this time the order is given up, and then removed.
+    bool m_isGivenUp = false; ///< It counts as Unreported; a report that still comes is used if it says Done.
+    OrderCallback m_onAnswer;
 };
 
 /** Orders collected for one peer. */
@@ -196,7 +197,7 @@
     std::vector<std::string> m_peers; ///< Names of the peers that forward orders; empty when the leader calls workers itself.
     TimePoint m_nextSelectionAt; ///< When the peers are next selected.
     std::map<std::string, OrderOutbox> m_outboxes; ///< Leader: orders to send, by peer name.
-    std::unordered_map<std::uint64_t, OpenOrder> m_openOrders; ///< Leader: orders without an outcome, by sequence number.
+    std::unordered_map<std::uint64_t, OpenOrder> m_openOrders; ///< Leader: orders without a report, by sequence number.
     TimePoint m_nextExpiryAt; ///< When the open orders are next checked for expiry.
     std::map<std::pair<Address, std::uint64_t>, ReportOutbox> m_reports; ///< Forwarding peer: reports to send, by leader address and term.
     TimePoint m_pausedUntil; ///< Forwarding peer: orders that arrive earlier are refused.
--- a/src/process/cell/cell_relay.cpp
+++ b/src/process/cell/cell_relay.cpp
@@ -16,6 +16,7 @@
     constexpr std::size_t fullOutboxSize = 128; ///< An outbox with this number of orders or reports is sent at once.
     constexpr Duration forwardTimeout { 700 };
     constexpr Duration reportMargin { 500 }; ///< Added to an order's own timeout for the round trip to the peer.
+    constexpr Duration lateReportLimit { 10'000 }; ///< A report that comes later after its order was given up is ignored.
     constexpr Duration expiryInterval { 50 };
     constexpr std::size_t workersPerRelay = 500;
     constexpr Duration postSuspensionPause { 300 }; ///< After a suspension a peer refuses orders for this time, as those that arrived meanwhile are outdated.
@@ -25,9 +26,21 @@
         const auto found = node.m_relay.m_openOrders.find(number);
         if (found == node.m_relay.m_openOrders.end())
             return;
-        const auto onAnswer = std::move(found->second.m_onAnswer);
+        const OpenOrder order = std::move(found->second);
         node.m_relay.m_openOrders.erase(found);
-        onAnswer(status, report);
+        if (!order.m_isGivenUp || status == OrderStatus::Done)
+            order.m_onAnswer(status, report);
+    }
+
+    /** Ends the wait for a report. The peer or this leader may only be slow, so nothing follows about the worker, and a late report is still used. */
+    void giveUpOrder(CellNode& node, std::uint64_t number)
+    {
+        const auto found = node.m_relay.m_openOrders.find(number);
+        if (found == node.m_relay.m_openOrders.end() || std::exchange(found->second.m_isGivenUp, true))
+            return;
+        found->second.m_until = node.m_now + lateReportLimit;
+        const OrderCallback onAnswer = found->second.m_onAnswer; // The callback may send orders, which moves the entries.
+        onAnswer(OrderStatus::Unreported, {});
     }
 
     /**
@@ -43,12 +56,12 @@
             completeOrder(node, unsent.m_number, OrderStatus::NotSent, {});
         std::vector<std::uint64_t> open;
         for (const auto& [number, order] : relay.m_openOrders) {
-            if (order.m_relay == name)
+            if (order.m_relay == name && !order.m_isGivenUp)
                 open.push_back(number);
         }
         logEvent(LogLevel::Warning, "order-relay-failed", { { "peer", name }, { "orders", open.size() } });
         for (const std::uint64_t number : open)
-            completeOrder(node, number, OrderStatus::Unreported, {});
+            giveUpOrder(node, number);
     }
 
     void sendOutbox(CellNode& node, const std::string& name, OrderOutbox& outbox)
@@ -82,13 +95,16 @@
         if (node.m_now < relay.m_nextExpiryAt)
             return;
         relay.m_nextExpiryAt = node.m_now + expiryInterval;
+        std::erase_if(relay.m_openOrders, [&](const auto& entry) { return entry.second.m_isGivenUp && node.m_now >= entry.second.m_until; });
         std::vector<std::uint64_t> expired;
         for (const auto& [number, open] : relay.m_openOrders) {
-            if (node.m_now >= open.m_until)
+            if (!open.m_isGivenUp && node.m_now >= open.m_until)
                 expired.push_back(number);
         }
+        if (!expired.empty())
+            logEvent(LogLevel::Warning, "orders-unreported", { { "orders", expired.size() }, { "open", relay.m_openOrders.size() } });
         for (const std::uint64_t number : expired)
-            completeOrder(node, number, OrderStatus::NoAnswer, {});
+            giveUpOrder(node, number);
     }
 
     /** @return Whether a peer may forward orders; it must be heard of often, as its failure leaves many orders without an outcome. */
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -203,6 +203,12 @@
     TimePoint m_decayedAt; ///< Time of the latest decay of the counts.
 };
 
+/** A reading of a worker's clock; the clock may have shown it some time before. */
+struct ClockReading {
+    std::int64_t m_ms = 0; ///< What the clock showed; 0 when unknown.
+    TimePoint m_readAt; ///< Monotonic time at which the report arrived.
+};
+
 /** A worker as the leader knows it. */
 struct Worker {
     WorkerAnnouncement m_announcement; ///< Latest announcement of the worker.
@@ -213,11 +219,13 @@
     std::vector<TaskRef> m_tasks; ///< Tasks whose current attempt may be on the worker.
     std::uint32_t m_unexpectedAttempts = 0; ///< Attempts in its latest report that the scheduler did not expect there.
     std::int64_t m_processStartMs = 0; ///< Start of its process in Unix milliseconds; 0 when unknown.
-    std::int64_t m_clockMs = 0; ///< Worker's clock at its latest answer; 0 when unknown.
-    TimePoint m_clockReadAt; ///< Monotonic time at which that answer arrived.
+    ClockReading m_clock; ///< From the latest report; a bound from below, so the end of leases is computed from it.
+    ClockReading m_promptClock; ///< From the latest report that came in time, or a later one that tells more; lease deadlines are computed from it.
     std::int64_t m_leaseUntilMs = 0; ///< Latest lease deadline that may have reached the worker, on its clock.
     TimePoint m_earlierLeasesEndAt = farFuture; ///< Time by which all leases granted in earlier terms have run out.
     bool m_isSyncPending = false; ///< A sync has not been answered yet.
+    TimePoint m_syncSentAt; ///< When the latest sync was sent.
+    TimePoint m_reportedSyncSentAt; ///< When the sync was sent whose report was used last.
     TimePoint m_nextSyncAt; ///< Earliest time of the next sync.
     TimePoint m_answeredAt; ///< Time of the latest answer.
     std::uint32_t m_unansweredCalls = 0; ///< Consecutive calls without an answer.
--- a/src/process/scheduler/scheduler_detail.h
+++ b/src/process/scheduler/scheduler_detail.h
@@ -72,6 +72,9 @@
  */
 Duration lossyTimeout(const Scheduler& scheduler, Duration minTimeout, Duration maxTimeout);
 
+/** Notes a reading of a worker's clock. @param isOld It comes from a late report, and an earlier reading may tell more. */
+void updateClock(const Scheduler& scheduler, Worker& worker, const ClockReading& reading, bool isOld);
+
 /** Counts an answered or unanswered call to a worker. */
 void countAnswer(Scheduler& scheduler, WorkerIndex index, bool hasAnswered, TimePoint now);
 
--- a/src/process/scheduler/scheduler_func.h
+++ b/src/process/scheduler/scheduler_func.h
@@ -49,7 +49,7 @@
 void removeWorker(Scheduler& scheduler, const std::string& id, TimePoint now);
 
 /**
- * Handles the answer to a sync.
+ * Handles the answer to a sync. A report that comes late, after later syncs were sent, is used unless a later one has been used already.
  * @param sentAt Time at which the sync was sent; its answer may omit attempts that were confirmed later.
  */
 void onSyncAnswer(Scheduler& scheduler, const std::string& id, OrderStatus status, const SyncReport& report, TimePoint sentAt, TimePoint now, SchedulerEffects& effects);
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -166,7 +166,7 @@
     {
         const Task& task = ref.task();
         const bool isOutcome = ended.m_end == AttemptEnd::Done || ended.m_end == AttemptEnd::Failed;
-        if (!isOutcome || task.m_resolution != TaskResolution::Open)
+        if (!isOutcome || task.m_resolution != TaskResolution::Open || isFinal(ref.m_run->m_job->m_stage))
             return;
         logEvent(LogLevel::Warning, "end-ignored", { { "task", format(ended.m_task) }, { "attempt", ended.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(index)].m_announcement.m_id }, { "end", findName(attemptEndNames, ended.m_end) }, { "latest_attempt", task.m_attempt }, { "phase", findName(runPhaseNames, task.m_phase) } });
     }
@@ -195,8 +195,9 @@
     void handleEnd(Scheduler& scheduler, WorkerIndex index, const EndedAttempt& ended, TimePoint now)
     {
         const TaskRef ref = findTask(scheduler, ended.m_task);
-        if (!ref.m_run) {
-            logEvent(LogLevel::Warning, "end-unknown", { { "task", format(ended.m_task) }, { "attempt", ended.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(index)].m_announcement.m_id }, { "end", findName(attemptEndNames, ended.m_end) } });
+        if (!ref.m_run) { // Of an ended job only the stage may be known.
+            if (!scheduler.m_jobs.contains(ended.m_task.m_job))
+                logEvent(LogLevel::Warning, "end-unknown", { { "task", format(ended.m_task) }, { "attempt", ended.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(index)].m_announcement.m_id }, { "end", findName(attemptEndNames, ended.m_end) } });
             return;
         }
         Task& task = ref.task();
@@ -297,7 +298,9 @@
         return;
     const WorkerIndex index = found->second;
     Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
-    worker.m_isSyncPending = false;
+    const bool isLate = sentAt < worker.m_syncSentAt;
+    if (!isLate)
+        worker.m_isSyncPending = false;
     if (status == OrderStatus::Fenced) {
         effects.m_isFenced = true;
         return;
@@ -317,6 +320,9 @@
         countAnswer(scheduler, index, false, now);
         return;
     }
+    if (sentAt < worker.m_reportedSyncSentAt)
+        return;
+    worker.m_reportedSyncSentAt = sentAt;
     countAnswer(scheduler, index, true, now);
     const bool hasRestarted = worker.m_processStartMs != 0 && report.m_processStartMs != worker.m_processStartMs;
     const bool isFirstReport = hasRestarted || worker.m_state == WorkerState::New;
@@ -328,8 +334,7 @@
     }
     worker.m_isProcessConfirmed = true;
     worker.m_processStartMs = report.m_processStartMs;
-    worker.m_clockMs = report.m_clockMs;
-    worker.m_clockReadAt = now;
+    updateClock(scheduler, worker, { .m_ms = report.m_clockMs, .m_readAt = now }, isLate && !hasRestarted);
     if (isFirstReport)
         worker.m_leaseUntilMs = std::max(worker.m_leaseUntilMs, report.m_clockMs + scheduler.m_options.m_longestLease.m_ms);
     if (worker.m_state != WorkerState::Adopted) {
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -36,14 +36,14 @@
     /** @return Monotonic time of the leader by which the worker's clock has passed a deadline, even if that clock runs slow. */
     TimePoint latestPassingTime(const Scheduler& scheduler, const Worker& worker, std::int64_t deadlineMs)
     {
-        const double leftMs = static_cast<double>(deadlineMs - worker.m_clockMs) / (1.0 - scheduler.m_options.m_clockDrift);
-        return worker.m_clockReadAt + Duration { static_cast<std::int64_t>(std::ceil(leftMs)) + 1 };
+        const double leftMs = static_cast<double>(deadlineMs - worker.m_clock.m_ms) / (1.0 - scheduler.m_options.m_clockDrift);
+        return worker.m_clock.m_readAt + Duration { static_cast<std::int64_t>(std::ceil(leftMs)) + 1 };
     }
 
     /** @return Monotonic time of the leader by which all leases of the worker have run out. */
     TimePoint leaseEndBound(const Scheduler& scheduler, const Worker& worker)
     {
-        return worker.m_clockMs == 0 ? worker.m_earlierLeasesEndAt : latestPassingTime(scheduler, worker, worker.m_leaseUntilMs);
+        return worker.m_clock.m_ms == 0 ? worker.m_earlierLeasesEndAt : latestPassingTime(scheduler, worker, worker.m_leaseUntilMs);
     }
 
     void decay(WorkerHealth& health, TimePoint now)
@@ -65,12 +65,12 @@
 
     std::int64_t leaseDeadline(const Scheduler& scheduler, const Worker& worker, TimePoint now)
     {
-        if (worker.m_clockMs == 0)
+        if (worker.m_clock.m_ms == 0)
             return 0;
         // Calls to a worker that does not answer must not extend its lease, or its tasks would never count as lost.
         if (worker.m_unansweredCalls > 0)
             return worker.m_leaseUntilMs;
-        return std::max(worker.m_leaseUntilMs, worker.m_clockMs + (now - worker.m_clockReadAt).m_ms + scheduler.m_options.m_lease.m_ms);
+        return std::max(worker.m_leaseUntilMs, worker.m_promptClock.m_ms + (now - worker.m_promptClock.m_readAt).m_ms + scheduler.m_options.m_lease.m_ms);
     }
 
     void updateMeanAnswerTime(Scheduler& scheduler, Duration answerTime)
@@ -85,6 +85,15 @@
         return std::clamp(Duration { static_cast<std::int64_t>(scheduler.m_meanAnswerMs * meanAnswerMultiple) }, minTimeout, maxTimeout);
     }
 
+    void updateClock(const Scheduler& scheduler, Worker& worker, const ClockReading& reading, bool isOld)
+    {
+        const ClockReading& prompt = worker.m_promptClock;
+        const auto passedMs = static_cast<std::int64_t>(static_cast<double>((reading.m_readAt - prompt.m_readAt).m_ms) * (1.0 - scheduler.m_options.m_clockDrift));
+        if (!isOld || prompt.m_ms == 0 || reading.m_ms >= prompt.m_ms + passedMs)
+            worker.m_promptClock = reading;
+        worker.m_clock = reading;
+    }
+
     void countAnswer(Scheduler& scheduler, WorkerIndex index, bool hasAnswered, TimePoint now)
     {
         Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
@@ -176,7 +185,7 @@
                 return;
             if (now < leaseEndBound(scheduler, worker))
                 return;
-            logEvent(LogLevel::Warning, "worker-gone", { { "worker", worker.m_announcement.m_id }, { "cause", "its lease has run out" }, { "tasks", worker.m_tasks.size() }, { "has_answered", worker.m_clockMs != 0 }, { "unanswered", worker.m_unansweredCalls }, { "answered_ms_ago", (now - worker.m_answeredAt).m_ms }, { "lease_until", worker.m_leaseUntilMs } });
+            logEvent(LogLevel::Warning, "worker-gone", { { "worker", worker.m_announcement.m_id }, { "cause", "its lease has run out" }, { "tasks", worker.m_tasks.size() }, { "has_answered", worker.m_clock.m_ms != 0 }, { "unanswered", worker.m_unansweredCalls }, { "answered_ms_ago", (now - worker.m_answeredAt).m_ms }, { "lease_until", worker.m_leaseUntilMs } });
             markTasksLost(scheduler, index, "the worker's lease has run out", now);
             worker.m_state = WorkerState::Gone;
         }
@@ -210,6 +219,7 @@
             if (isHealthy && worker.m_pendingEnds.empty() && !isIdle(worker))
                 order.m_wait = isLossy ? lossySyncWait : scheduler.m_options.m_syncWait;
             worker.m_isSyncPending = true;
+            worker.m_syncSentAt = now;
             ++scheduler.m_counters.m_syncs;
             effects.m_syncs.push_back({ targetOf(scheduler, worker), order, order.m_wait + (isLossy ? lossyTimeout(scheduler, lossySyncTimeoutMargin, syncTimeoutMargin) : syncTimeoutMargin) });
         }
