A daemon without a configuration refuses to take over

What callers saw: nothing yet; a VM that had just started could end with an access violation when a leaving leader asked it to lead. Cause: the request to take over was not subject to the condition of a daemon's own claim that a configuration is known. Measured: the new case of hand_over_test ends with the same violation before, passes now.

--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -268,7 +268,7 @@
 
     void onTakeOverRequest(CellNode& node, const PeerTakeOver& message, const std::function<void(PeerReply)>& respond)
     {
-        const bool isAccepted = message.m_token == node.m_leader.m_token && node.m_role == Role::Follower && !node.m_isTerminating && node.m_leaderTail.m_isListingComplete;
+        const bool isAccepted = message.m_token == node.m_leader.m_token && node.m_role == Role::Follower && !node.m_isTerminating && node.m_leaderTail.m_isListingComplete && node.m_cluster;
         respond(PeerAck { .m_isAccepted = isAccepted });
         if (isAccepted)
             claimLeadership(node, "the leader asked this VM to take over");
--- a/tests/hand_over_test.cpp
+++ b/tests/hand_over_test.cpp
@@ -22,8 +22,8 @@
     return { .m_name = name, .m_address = { "127.0.0.1", port }, .m_instance = instance, .m_strength = 50 };
 }
 
-/** A daemon that leads two workers; the store outlives it, and the workers carry out and remember what they are told. */
-struct LeaderWithWorkers {
+/** A daemon with two workers; the store outlives it, and the workers carry out and remember what they are told. */
+struct DaemonWithWorkers {
     FakeStore& m_store;
     std::unique_ptr<CellNode> m_node;
     std::vector<std::function<void()>> m_answers; ///< Answers that are delivered at the next step.
@@ -33,7 +33,7 @@
     TimePoint m_now { 10'000 };
     TimePoint m_bootNow { 10'000 };
 
-    LeaderWithWorkers(FakeStore& store, std::uint64_t instance)
+    DaemonWithWorkers(FakeStore& store, std::uint64_t instance)
         : m_store(store)
     {
         CellOptions options;
@@ -46,8 +46,6 @@
         };
         m_node = makeCell(std::move(options), makePorts(), std::move(decoders), m_now, {});
         m_node->m_lastBootTime = m_bootNow;
-        run({ 2'000 });
-        BOOST_REQUIRE((m_node->m_role == Role::Leading));
     }
 
     template <typename Callback, typename Answer>
@@ -98,6 +96,16 @@
     }
 };
 
+/** A daemon that leads. */
+struct LeaderWithWorkers : DaemonWithWorkers {
+    LeaderWithWorkers(FakeStore& store, std::uint64_t instance)
+        : DaemonWithWorkers(store, instance)
+    {
+        run({ 2'000 });
+        BOOST_REQUIRE((m_node->m_role == Role::Leading));
+    }
+};
+
 /** @return A store with a configuration and two announced workers. */
 FakeStore makeStore()
 {
@@ -159,3 +167,20 @@
     leader.run({ 3'000 });
     BOOST_TEST((leader.m_startedOn == std::set<std::string> { "w1" }));
 }
+
+// A VM that had just started and knew no configuration ended with an access violation when a leader that was leaving asked it to take over.
+BOOST_AUTO_TEST_CASE(a_daemon_without_a_configuration_does_not_take_over)
+{
+    FakeStore store;
+    const PeerMember former = makeMember("other", 2, 7);
+    store.append({ .m_partition = { .m_topic = "keyed.leader" }, .m_records = { { .m_key = "leader", .m_value = encodeClaim(former) } }, .m_writer = {}, .m_expectedEnd = {} });
+    DaemonWithWorkers daemon(store, 1);
+    daemon.run({ 100 });
+    BOOST_REQUIRE(daemon.m_node->m_leader.m_token == 1U);
+    std::optional<PeerReply> reply;
+    onPeerMessage(*daemon.m_node, PeerTakeOver { .m_token = 1 }, [&](const PeerReply& answer) { reply = answer; });
+    daemon.run({ 300 });
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_TEST(!std::get<PeerAck>(*reply).m_isAccepted);
+    BOOST_TEST((daemon.m_node->m_role == Role::Follower));
+}
