A new leader lists submissions only after earlier leaders are fenced

A job could be accepted anew without its progress, and all its tasks would run again. Cause: the listing of submissions began together with the fencing of earlier leaders. A submission stored behind the listing's position, accepted and recorded by the former leader before it was fenced, was missing when its progress was restored. Change: the listing begins when the fence is confirmed; it runs beside the reading of progress, as before.

--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -35,10 +35,10 @@
                 return;
             if (answer.m_status == StoreStatus::Fenced)
                 return stepDown(node, "fenced by the store: a later term exists");
-            if (answer.m_status == StoreStatus::Done)
-                node.m_load.m_isFenced = true;
-            else
-                failAttempt(node.m_load.m_fence, node.m_now + retryDelay);
+            if (answer.m_status != StoreStatus::Done)
+                return failAttempt(node.m_load.m_fence, node.m_now + retryDelay);
+            node.m_load.m_isFenced = true;
+            resetTail(node.m_jobsTail, true); // Not earlier: until now a former leader may accept submissions that a listing has passed.
         });
     }
 
--- a/tests/cell_loading_test.cpp
+++ b/tests/cell_loading_test.cpp
@@ -39,6 +39,8 @@
     FakeStore m_store;
     std::vector<std::function<void()>> m_answers; ///< Answers that are delivered at the next step.
     std::vector<PendingPage> m_pages; ///< Reads of progress, which the test case answers.
+    bool m_isFenceHeld = false; ///< The append that fences earlier terms reaches the store only later.
+    bool m_areReadsHeld = false; ///< The store answers no reads that follow a listing.
     std::unique_ptr<CellNode> m_node;
     TimePoint m_now { 10'000 };
 
@@ -57,6 +59,23 @@
         m_node->m_lastBootTime = m_now;
     }
 
+    static JobPlan makePlan(const std::string& id, const std::vector<StepPlan>& steps)
+    {
+        return { .m_id = id, .m_queue = "q", .m_pool = "pool", .m_payload = "p", .m_steps = steps, .m_firstStart = {}, .m_period = {}, .m_occurrenceCount = 0, .m_submittedAt = { 1'000 } };
+    }
+
+    /** Stores a job that a VM has stored and the former leader has accepted, run and recorded as complete. */
+    void storeCompleteJob(const std::string& id)
+    {
+        const StepPlan step { .m_count = 1, .m_size = { .m_cpuMilli = 1'000, .m_memoryMb = 1, .m_gpus = 0 }, .m_estimatedRunTime = { 500 } };
+        m_store.append({ .m_partition = { .m_topic = "keyed.jobs" }, .m_records = { { .m_key = id, .m_value = encodePlan(makePlan(id, { step })) } }, .m_writer = {}, .m_expectedEnd = {} });
+        scheduler::Scheduler formerLeader;
+        scheduler::setCluster(formerLeader, makeCluster());
+        scheduler::acceptJob(formerLeader, makePlan(id, { step }), m_now);
+        scheduler::detail::finishTask(formerLeader, { formerLeader.m_jobs.at(id)->m_runs.front().get(), 0 }, m_now);
+        m_store.append({ .m_partition = { .m_topic = progressTopic }, .m_records = takeRecords(formerLeader), .m_writer = {}, .m_expectedEnd = {} });
+    }
+
     /** Stores jobs of two steps with two tasks each; the first task of the first step is done. */
     void storeJobs()
     {
@@ -66,7 +85,7 @@
             const StepPlan step { .m_count = 2, .m_size = { .m_cpuMilli = 1'000, .m_memoryMb = 1, .m_gpus = 0 }, .m_estimatedRunTime = { 500 } };
             StepPlan second = step;
             second.m_predecessors = { 0 };
-            JobPlan plan { .m_id = idOf(i), .m_queue = "q", .m_pool = "pool", .m_payload = "p", .m_steps = { step, second }, .m_firstStart = {}, .m_period = {}, .m_occurrenceCount = 0, .m_submittedAt = { 1'000 } };
+            JobPlan plan = makePlan(idOf(i), { step, second });
             const std::string record = encodePlan(plan);
             scheduler::acceptAndRecord(writer, std::move(plan), record, m_now);
             scheduler::StepRun& run = *writer.m_jobs.at(idOf(i))->m_runs.front();
@@ -79,9 +98,12 @@
     {
         CellPorts ports;
         const auto deliverLater = [this](auto onAnswer, auto answer) { m_answers.push_back([onAnswer, answer] { onAnswer(answer); }); };
-        ports.m_append = [this, deliverLater](const StoreAppend& append, Duration, const std::function<void(StoreAppendAnswer)>& onAnswer) { deliverLater(onAnswer, m_store.append(append)); };
+        ports.m_append = [this, deliverLater](const StoreAppend& append, Duration, const std::function<void(StoreAppendAnswer)>& onAnswer) {
+            if (!m_isFenceHeld || !append.m_writer)
+                deliverLater(onAnswer, m_store.append(append));
+        };
         ports.m_read = [this, deliverLater](const StoreRead& read, Duration, const std::function<void(StoreReadAnswer)>& onAnswer) {
-            if (m_pages.empty()) // Once progress is being read, the store answers no other reads.
+            if (m_pages.empty() && !m_areReadsHeld) // Once progress is being read, the store answers no other reads.
                 deliverLater(onAnswer, m_store.read(read));
         };
         ports.m_readNewest = [this, deliverLater](const StoreNewestRead& newest, Duration, const std::function<void(StoreNewestAnswer)>& onAnswer) {
@@ -142,3 +164,29 @@
         BOOST_TEST(job->m_openTasks == 3U, id);
     }
 }
+
+// A submission that the former leader accepted while its successor was already listing submissions was accepted again without its progress.
+BOOST_AUTO_TEST_CASE(a_job_that_the_former_leader_completes_until_it_is_fenced_stays_complete)
+{
+    LoadingFixture fixture;
+    fixture.m_isFenceHeld = true;
+    for (int i = 0; i < 100; ++i)
+        fixture.step();
+    BOOST_REQUIRE((fixture.m_node->m_role == Role::Loading));
+    const std::string id = "0123456789abcdef";
+    fixture.m_areReadsHeld = true;
+    fixture.storeCompleteJob(id);
+    fixture.m_isFenceHeld = false;
+    std::size_t answered = 0;
+    for (int i = 0; i < 600 && fixture.m_node->m_role == Role::Loading; ++i) {
+        fixture.step();
+        while (answered < fixture.m_pages.size())
+            fixture.answerPage(answered++);
+    }
+    BOOST_REQUIRE((fixture.m_node->m_role == Role::Leading));
+    fixture.m_areReadsHeld = false;
+    fixture.m_pages.clear();
+    for (int i = 0; i < 400; ++i)
+        fixture.step();
+    BOOST_TEST((scheduler::findStage(*fixture.m_node->m_scheduler, id) == scheduler::JobStage::Complete));
+}
