A task that has ended as done is done, whichever attempt and term it was

Cause: an end was used only if the leader remembered which worker had run the latest attempt. A successor does not, so it ignored the end, acknowledged it and placed the task again. Change: while no later attempt has been started, an end as done of any attempt completes the task. The checkpoint is still taken from the latest attempt only.

--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -172,23 +172,24 @@
     }
 
     /**
-     * Handles an end that is reported for an earlier attempt, by a worker that has returned after its attempts counted as lost.
-     * Uses the result or checkpoint if no later attempt has been started, except for long-running tasks and gangs.
+     * Handles an end of an attempt that is not current any more: its worker has returned after its attempts counted as lost, perhaps
+     * in an earlier term. If no later attempt has been started, a task that has ended as done is done, whichever attempt it was, and
+     * the checkpoint of the latest attempt is used. Long-running tasks and gangs run again.
      */
     void handleLateEnd(Scheduler& scheduler, const TaskRef& ref, WorkerIndex index, const EndedAttempt& ended, TimePoint now)
     {
         Task& task = ref.task();
-        const bool hasNotStarted = task.m_phase == RunPhase::None || task.m_phase == RunPhase::Recording;
-        const bool isLatest = task.m_lastWorker == index && task.m_lastAttempt == ended.m_attempt && task.m_resolution == TaskResolution::Open;
+        const bool isAwaited = (task.m_phase == RunPhase::None || task.m_phase == RunPhase::Recording) && task.m_resolution == TaskResolution::Open;
         const bool canCompleteAlone = !planOf(*ref.m_run).m_isLongRunning && !planOf(*ref.m_run).m_isGang;
-        if (!hasNotStarted || !isLatest || !canCompleteAlone)
+        if (!isAwaited || !canCompleteAlone)
             return logIgnoredEnd(scheduler, ref, index, ended);
         if (ended.m_end == AttemptEnd::Done) {
             logEvent(LogLevel::Info, "late-end-accepted", { { "task", format(ended.m_task) }, { "attempt", ended.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(index)].m_announcement.m_id } });
             detachTask(scheduler, ref, now);
             return finishTask(scheduler, ref, now);
         }
-        if (!ended.m_checkpoint.empty())
+        const bool isLatest = task.m_lastWorker == index && task.m_lastAttempt == ended.m_attempt;
+        if (isLatest && !ended.m_checkpoint.empty())
             task.m_checkpoint = ended.m_checkpoint;
     }
 
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -447,6 +447,27 @@
     BOOST_TEST((findStage(fixture.m_scheduler, jobId) == JobStage::Complete));
 }
 
+// A successor did not know which worker had run a lost task, ignored that it had ended as done there, and started it again.
+BOOST_AUTO_TEST_CASE(a_task_that_was_lost_in_an_earlier_term_and_has_completed_does_not_run_again)
+{
+    Fixture former;
+    former.adoptWorker("w1");
+    acceptJob(former.m_scheduler, makePlan({ makeStep(1) }), former.m_now);
+    former.step();
+    former.record();
+    const auto start = former.step().m_starts.at(0);
+    former.answerStart(start, OrderStatus::Done);
+    detail::markTasksLost(former.m_scheduler, 0, "its lease has run out", former.m_now);
+    const std::string progress = progressOf(former.record(), jobId);
+    Fixture fixture(2);
+    acceptJob(fixture.m_scheduler, makePlan({ makeStep(1) }), fixture.m_now);
+    BOOST_REQUIRE(restoreProgress(fixture.m_scheduler, jobId, progress, fixture.m_now).has_value());
+    finishRestoring(fixture.m_scheduler, fixture.m_now);
+    fixture.adoptWorker("w1", { .m_clockMs = 90'000, .m_processStartMs = 0, .m_running = {}, .m_ended = { makeEnded(start, 1, AttemptEnd::Done) } });
+    fixture.record();
+    BOOST_TEST((findStage(fixture.m_scheduler, jobId) == JobStage::Complete));
+}
+
 // Load: orders get lost on links of different latency. A timeout that suits a short link would repeat every order on a long one.
 BOOST_AUTO_TEST_CASE(timeouts_under_loss_are_a_multiple_of_the_mean_answer_time)
 {
