Waiting steps renew tickets only where no more urgent step has claimed the room

Cause: each waiting step renewed its tickets for every approved worker on which room appeared; hundreds of steps asked for the same room, which one of them got. 3,000 requests a second instead of 200 kept the leader busy, so that tickets expired and were renewed. Change: a quick renewal is not sent for a worker whose free room is already named in that many unanswered requests; the most urgent steps ask first.

--- a/src/process/scheduler/approvals.cpp
+++ b/src/process/scheduler/approvals.cpp
@@ -104,8 +104,11 @@
                 const bool isOpen = reservedFor == &run || (!reservedFor && !waitsForReservations);
                 if (!position || !isOpen || expectedRoomAt(scheduler, view, *position, grantOf(run), now) > answerAt)
                     continue;
-                room += std::max<std::int64_t>(1, countFitting(grantOf(run), view.m_free[*position], need.m_tasks));
-                if (!ticket.m_isRenewalPending && !hasTicket(run, worker, answerAt))
+                const std::int64_t fitting = std::max<std::int64_t>(1, countFitting(grantOf(run), view.m_free[*position], need.m_tasks));
+                room += fitting;
+                // More urgent steps with requests under way are going to use the room.
+                const bool isClaimed = !isSlow && scheduler.m_workers[static_cast<std::size_t>(worker)].m_pendingNames >= fitting;
+                if (!ticket.m_isRenewalPending && !isClaimed && !hasTicket(run, worker, answerAt))
                     chosen.push_back(worker);
             }
             if (isGang && room < need.m_tasks) // It can't start then anyway.
--- a/tests/approval_load_test.cpp
+++ b/tests/approval_load_test.cpp
@@ -51,6 +51,7 @@
     std::map<std::string, Duration> m_waits; ///< Time from acceptance to the first start, by job.
     double m_approvedShare; ///< Share of approved workers.
     std::uint64_t m_requests = 0;
+    std::uint64_t m_starts = 0;
     int m_nextJob = 1;
 
     explicit ApprovalLoad(int workers, int proxies, double approvedShare)
@@ -60,7 +61,8 @@
         m_scheduler.m_isInitialLoad = false;
         const ApprovalPolicy gangPolicy { .m_baseCallTimeMs = 490, .m_callTimePerWorkerMs = 7, .m_validity = { 2'000 } };
         const ApprovalPolicy smallPolicy { .m_baseCallTimeMs = 160, .m_callTimePerWorkerMs = 2.3, .m_validity = { 2'000 } };
-        setCluster(m_scheduler, { .m_version = 1, .m_queues = { makeQueue("gang", gangSlackFactor, gangLatencyTarget, gangPolicy), makeQueue("small", 4, { 3'000 }, smallPolicy) }, .m_pools = { { .m_name = "pool" } } });
+        const ApprovalPolicy quickPolicy { .m_baseCallTimeMs = 25, .m_callTimePerWorkerMs = 0.35, .m_validity = { 2'000 } };
+        setCluster(m_scheduler, { .m_version = 1, .m_queues = { makeQueue("gang", gangSlackFactor, gangLatencyTarget, gangPolicy), makeQueue("small", 4, { 3'000 }, smallPolicy), makeQueue("quick", 2, { 300 }, quickPolicy) }, .m_pools = { { .m_name = "pool" } } });
         for (int i = 0; i < proxies; ++i)
             m_scheduler.m_approvalProxies.push_back({ .m_member = "vm-" + std::to_string(i), .m_busyUntil = {} });
         for (int i = 0; i < workers; ++i)
@@ -121,6 +123,7 @@
         const StepPlan& step = plan.m_steps[order.m_order.m_task.m_step];
         const TimePoint endsAt = step.m_isLongRunning ? farFuture : m_now + step.m_estimatedRunTime;
         m_workers[order.m_to.m_worker].m_runs.push_back({ .m_task = order.m_order.m_task, .m_attempt = order.m_order.m_attempt, .m_endsAt = endsAt });
+        ++m_starts;
         m_waits.try_emplace(plan.m_id, m_now - m_scheduler.m_jobs.at(plan.m_id)->m_acceptedAt);
         SchedulerEffects effects;
         onStartAnswer(m_scheduler, order.m_to.m_worker, order.m_order.m_task, order.m_order.m_attempt, OrderStatus::Done, m_now, effects);
@@ -232,6 +235,21 @@
     BOOST_TEST(waiting == 0);
 }
 
+// Hundreds of steps waited after an overload, and each of them renewed its tickets for every worker on which room appeared, 3,000 times a
+// second in all. The leader had no time left to start tasks, and the overload did not end.
+BOOST_AUTO_TEST_CASE(steps_that_wait_for_room_do_not_renew_tickets_without_bound)
+{
+    constexpr int workers = 100;
+    ApprovalLoad load(workers, 140, 0.7);
+    std::mt19937_64 random(5);
+    for (int i = 0; i < 500; ++i) // Many times the tasks that fit the pool at once.
+        load.submit("quick", { .m_count = static_cast<std::uint32_t>(5 + random() % 20), .m_size = { .m_cpuMilli = 8'000, .m_memoryMb = 15'000, .m_gpus = 0 }, .m_estimatedRunTime = { 880 } });
+    load.run({ 10'000 });
+    std::cout << load.m_starts << " starts, " << load.m_requests << " requests\n";
+    BOOST_TEST(load.m_requests <= load.m_starts); // A day without trouble has one request for six starts.
+    BOOST_TEST(load.m_starts >= 4'000U); // Of the 4,500 that the pool can run in that time.
+}
+
 // A task of archive watchers was stopped on a leaving worker. The step had approvals for enough workers, but on all of them its other
 // tasks had reached the limit of tasks on one worker, so it asked for no further ones and never ran again.
 BOOST_AUTO_TEST_CASE(a_step_whose_approved_workers_are_all_used_asks_for_others)
