A forwarding peer that is slow but heard of keeps its orders

Cause: a message of orders without an acknowledgement within 0.7 s counted as the end of the peer. Hundreds of open orders were repeated at once through other peers, which fell behind in turn; workers got 67,372 connections instead of 16,201. Change: if the same process has been heard of since the message was sent, it stays; orders that it does not report are given up one by one. A peer that refuses connections, restarted or fell silent is given up as before.

--- a/src/process/cell/cell_relay.cpp
+++ b/src/process/cell/cell_relay.cpp
@@ -64,6 +64,13 @@
             giveUpOrder(node, number);
     }
 
+    /** @return Whether a peer that did not acknowledge orders in time is only slow: the same process has been heard of since. */
+    bool isSlow(const CellNode& node, const PeerMember& member, TimePoint sentAt)
+    {
+        const auto peer = node.m_peers.find(member.m_name);
+        return node.m_now - sentAt >= forwardTimeout && peer != node.m_peers.end() && peer->second.m_member.m_instance == member.m_instance && peer->second.m_lastContactAt > sentAt;
+    }
+
     void sendOutbox(CellNode& node, const std::string& name, OrderOutbox& outbox)
     {
         PeerOrders message { .m_from = node.m_options.m_self, .m_orders = std::exchange(outbox.m_orders, {}) };
@@ -77,10 +84,12 @@
                 completeOrder(node, number, OrderStatus::NotSent, {});
             return;
         }
-        node.m_ports.m_callPeer(peer->second.m_member.m_address, message, forwardTimeout, [&node, name, numbers, term = node.m_term](const std::optional<PeerReply>& reply) {
+        node.m_ports.m_callPeer(peer->second.m_member.m_address, message, forwardTimeout, [&node, name, numbers, member = peer->second.m_member, sentAt = node.m_now, term = node.m_term](const std::optional<PeerReply>& reply) {
             const auto* const done = reply ? std::get_if<PeerAck>(&*reply) : nullptr;
             if (node.m_term != term || (done && done->m_isAccepted))
                 return;
+            if (!done && isSlow(node, member, sentAt))
+                return; // It may have taken the orders; those that it does not report are given up one by one.
             if (!done)
                 return failRelay(node, name);
             logEvent(LogLevel::Warning, "order-relay-refused", { { "peer", name }, { "orders", numbers.size() } });
--- a/tests/order_relay_test.cpp
+++ b/tests/order_relay_test.cpp
@@ -43,6 +43,20 @@
         BOOST_TEST((job->m_runs.front()->m_tasks.front().m_phase == scheduler::RunPhase::Running), id);
 }
 
+// A peer that acknowledged orders after more than 0.7 s counted as ended, though its heartbeats came. Its hundreds of orders were repeated
+// through other peers, which made those slow as well.
+BOOST_AUTO_TEST_CASE(a_peer_that_acknowledges_orders_late_keeps_forwarding)
+{
+    RelayFixture fixture(3);
+    const std::string relay = fixture.m_node->m_relay.m_peers.front();
+    fixture.m_slowPeer = relay;
+    fixture.m_doTasksEnd = true;
+    fixture.submit("0000000000000010");
+    fixture.run({ 3'000 });
+    BOOST_TEST(fixture.m_node->m_relay.m_peers.front() == relay);
+    BOOST_TEST(fixture.m_node->m_peers.at(relay).m_failedAt.m_ms == 0);
+}
+
 // Approvals were requested through the 40 peers with frequent heartbeats only; at 38 requests under way on the mean, steps waited for a free one.
 BOOST_AUTO_TEST_CASE(peers_that_call_rarely_request_approvals_too)
 {
