Reports that did not reach the leader are sent again

Cause: a peer that forwards orders sent each message of reports once. When the busy leader did not acknowledge it within 0.7 s, what the workers had answered was gone. Change: the reports of a failed message go with the next one, for 5 s and up to 4,096 reports; the leader ignores those that it has.

--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -185,10 +185,14 @@
     TimePoint m_lastSentAt; ///< When the latest message was sent.
 };
 
+/** Address and term of the leader that is to receive reports. */
+using ReportTarget = std::pair<Address, std::uint64_t>;
+
 /** Order outcomes collected for one leader. */
 struct ReportOutbox {
-    std::vector<OrderReport> m_reports; ///< Reports not sent yet.
+    std::vector<OrderReport> m_reports; ///< Reports not sent yet, or whose message has failed.
     TimePoint m_lastSentAt; ///< When the latest message was sent.
+    std::optional<TimePoint> m_failingSince; ///< Time of the first failure since a message has last reached the leader.
 };
 
 /** Forwarding of orders through peers, which offloads a leader of many workers. Holds the state of both sides. */
@@ -199,7 +203,7 @@
     std::map<std::string, OrderOutbox> m_outboxes; ///< Leader: orders to send, by peer name.
     std::unordered_map<std::uint64_t, OpenOrder> m_openOrders; ///< Leader: orders without a report, by sequence number.
     TimePoint m_nextExpiryAt; ///< When the open orders are next checked for expiry.
-    std::map<std::pair<Address, std::uint64_t>, ReportOutbox> m_reports; ///< Forwarding peer: reports to send, by leader address and term.
+    std::map<ReportTarget, ReportOutbox> m_reports; ///< Forwarding peer: reports to send.
     TimePoint m_pausedUntil; ///< Forwarding peer: orders that arrive earlier are refused.
 };
 
--- a/src/process/cell/cell_relay.cpp
+++ b/src/process/cell/cell_relay.cpp
@@ -12,6 +12,9 @@
 
     constexpr Duration ordersInterval { 40 }; ///< Minimum time between messages to a peer, unless its outbox is full; orders are collected meanwhile.
     constexpr Duration reportsInterval { 20 };
+    constexpr Duration reportRetryInterval { 200 };
+    constexpr Duration reportRetryLimit { 5'000 };
+    constexpr std::size_t maxKeptReports = 4'096;
     constexpr Duration reportOutboxExpiry { 10'000 }; ///< An empty outbox of reports is removed after this time.
     constexpr std::size_t fullOutboxSize = 128; ///< An outbox with this number of orders or reports is sent at once.
     constexpr Duration forwardTimeout { 700 };
@@ -173,13 +176,41 @@
             node.m_ports.m_sync({ order.m_to, std::get<SyncOrder>(order.m_order), order.m_timeout }, order.m_timeout, report);
     }
 
+    /** Keeps the reports of a failed message for the next one, for a limited time, as the leader may have ended. */
+    void keepReports(CellNode& node, ReportOutbox& outbox, const std::vector<OrderReport>& reports)
+    {
+        outbox.m_failingSince = outbox.m_failingSince.value_or(node.m_now);
+        outbox.m_reports.insert(outbox.m_reports.begin(), reports.begin(), reports.end());
+        const bool isHopeless = node.m_now - *outbox.m_failingSince > reportRetryLimit;
+        const std::size_t excess = isHopeless ? outbox.m_reports.size() : outbox.m_reports.size() - std::min(outbox.m_reports.size(), maxKeptReports);
+        if (excess == 0)
+            return;
+        logEvent(LogLevel::Warning, "order-reports-dropped", { { "reports", excess }, { "failing_ms", (node.m_now - *outbox.m_failingSince).m_ms } });
+        outbox.m_reports.erase(outbox.m_reports.begin(), outbox.m_reports.begin() + static_cast<std::ptrdiff_t>(excess));
+    }
+
+    void sendReportsTo(CellNode& node, const ReportTarget& to, ReportOutbox& outbox)
+    {
+        outbox.m_lastSentAt = node.m_now;
+        const auto message = std::make_shared<const PeerReports>(PeerReports { .m_token = to.second, .m_reports = std::exchange(outbox.m_reports, {}) });
+        node.m_ports.m_callPeer(to.first, *message, forwardTimeout, [&node, to, message](const std::optional<PeerReply>& reply) {
+            const auto found = node.m_relay.m_reports.find(to);
+            if (found == node.m_relay.m_reports.end())
+                return;
+            if (reply)
+                found->second.m_failingSince.reset();
+            else
+                keepReports(node, found->second, message->m_reports); // The leader ignores reports that it has received already.
+        });
+    }
+
     void sendReports(CellNode& node)
     {
         for (auto& [to, outbox] : node.m_relay.m_reports) {
-            if (outbox.m_reports.empty() || (node.m_now - outbox.m_lastSentAt < reportsInterval && outbox.m_reports.size() < fullOutboxSize))
-                continue;
-            outbox.m_lastSentAt = node.m_now;
-            node.m_ports.m_callPeer(to.first, PeerReports { .m_token = to.second, .m_reports = std::exchange(outbox.m_reports, {}) }, forwardTimeout, [](const std::optional<PeerReply>&) { /* The leader treats orders without a report as unanswered. */ });
+            const bool isFull = !outbox.m_failingSince && outbox.m_reports.size() >= fullOutboxSize;
+            const bool isDue = isFull || node.m_now - outbox.m_lastSentAt >= (outbox.m_failingSince ? reportRetryInterval : reportsInterval);
+            if (!outbox.m_reports.empty() && isDue)
+                sendReportsTo(node, to, outbox);
         }
         std::erase_if(node.m_relay.m_reports, [&](const auto& entry) { return entry.second.m_reports.empty() && node.m_now - entry.second.m_lastSentAt > reportOutboxExpiry; });
     }
