Each queued item is handled with the time at which it begins

Cause: the decision thread noted the time once for a round of up to 512 items. A report that arrived late in a long round counted as received at its start, so a worker's clock seemed to be ahead and the end of its leases was computed too early by the length of the round; beyond 0.1 s (what the bound on clock drift leaves) its tasks could start elsewhere while they ran. Change: the round is a module of its own and notes the time before each item.

--- a/src/process/cell/cell_daemon.cpp
+++ b/src/process/cell/cell_daemon.cpp
@@ -10,6 +10,7 @@
 #include "platform/platform_adapter.h"
 #include "process/cell/cell_func.h"
 #include "process/cell/cell_metrics.h"
+#include "process/cell/decision_round.h"
 #include "process/cell/leader_choice.h"
 
 #include <atomic>
@@ -22,8 +23,6 @@
 
 namespace {
 
-    using WorkItem = std::function<void()>;
-
     constexpr Duration idleWaitWhenLeading { 10 };
     constexpr Duration idleWaitOtherwise { 25 };
     constexpr std::size_t maxItemsPerRound = 512;
@@ -56,8 +55,7 @@
 struct CellDaemon::Impl {
     explicit Impl(const CellStartup& settings)
         : m_settings(settings)
-        , m_workItems(settings.m_ringCapacity)
-        , m_urgentWorkItems(settings.m_ringCapacity)
+        , m_queues(settings.m_ringCapacity)
         , m_link(m_loop, { .m_store = settings.m_store, .m_approvals = settings.m_approvals, .m_maxIdleConnections = settings.m_descriptors / idleConnectionsDivisor })
     {
     }
@@ -68,8 +66,7 @@
     CellPorts makePorts();
     CellOptions makeOptions() const;
     void runItem(const WorkItem& work);
-    void runUrgentWork();
-    std::size_t runRound(WorkItem first);
+    std::size_t runQueuedWork(WorkItem first);
     void run();
     void onClient(const HttpRequest& request, const HttpResponder& respond);
     void onPeer(const HttpRequest& request, const HttpResponder& respond);
@@ -78,8 +75,7 @@
     void callPeer(const Address& address, const PeerMessage& message, Duration timeout, std::function<void(std::optional<PeerReply>)> onReply);
 
     CellStartup m_settings; ///< Contents of the start-up file.
-    BoundedQueue<WorkItem> m_workItems; ///< Work for the decision thread.
-    BoundedQueue<WorkItem> m_urgentWorkItems; ///< Work that overtakes m_workItems, such as heartbeats: a busy leader must not be mistaken for a dead one.
+    WorkQueues m_queues; ///< Work for the decision thread.
     std::atomic<bool> m_isStopping { false };
     std::atomic<bool> m_isReady { false };
     std::atomic<bool> m_isLeading { false };
@@ -110,13 +106,13 @@
 
 void CellDaemon::Impl::post(WorkItem work)
 {
-    m_workItems.push(std::move(work));
+    m_queues.m_items.push(std::move(work));
 }
 
 void CellDaemon::Impl::postUrgent(WorkItem work)
 {
-    m_urgentWorkItems.push(std::move(work));
-    m_workItems.push([] { /* Wakes the decision thread. */ });
+    m_queues.m_urgentItems.push(std::move(work));
+    m_queues.m_items.push([] { /* Wakes the decision thread. */ });
 }
 
 /** Runs work on the decision thread. State that an unexpected exception may have left half changed is given up. */
@@ -126,13 +122,6 @@
         runGuarded("decide", [this] { abandonTerm(*m_node); });
 }
 
-void CellDaemon::Impl::runUrgentWork()
-{
-    WorkItem work;
-    while (m_urgentWorkItems.tryPop(work))
-        runItem(work);
-}
-
 void CellDaemon::Impl::callPeer(const Address& address, const PeerMessage& message, Duration timeout, std::function<void(std::optional<PeerReply>)> onReply)
 {
     HttpCall call { .m_address = address, .m_request = { .m_method = "POST", .m_target = peerPath, .m_headers = {}, .m_body = makeBody(encodePeerMessage(message)) }, .m_timeout = timeout };
@@ -163,15 +152,11 @@
         .m_relayMinWorkers = m_settings.m_relayMinWorkers };
 }
 
-/** Runs queued work, urgent items first. @param first An item taken from the queue. @return Number of items, without urgent ones. */
-std::size_t CellDaemon::Impl::runRound(WorkItem first)
+/** @param first An item taken from the queue. @return Number of items, without urgent ones. */
+std::size_t CellDaemon::Impl::runQueuedWork(WorkItem first)
 {
-    std::size_t count = 0;
-    do {
-        runUrgentWork();
-        runItem(first);
-    } while (++count < maxItemsPerRound && m_workItems.tryPop(first));
-    return count;
+    const auto noteTime = [this] { advanceTime(*m_node, steadyNow(), bootNow()); };
+    return runRound(m_queues, std::move(first), maxItemsPerRound, { .m_noteTime = noteTime, .m_runItem = [this](const WorkItem& work) { runItem(work); } });
 }
 
 void CellDaemon::Impl::run()
@@ -180,12 +165,10 @@
     while (!m_isStopping) {
         WorkItem work;
         std::size_t count = 0;
-        const bool hasWork = m_workItems.tryPopFor(work, m_isLeading ? idleWaitWhenLeading : idleWaitOtherwise);
+        const bool hasWork = m_queues.m_items.tryPopFor(work, m_isLeading ? idleWaitWhenLeading : idleWaitOtherwise);
         const TimePoint roundStartedAt = steadyNow();
-        if (hasWork) {
-            advanceTime(*m_node, roundStartedAt, bootNow());
-            count = runRound(std::move(work));
-        }
+        if (hasWork)
+            count = runQueuedWork(std::move(work));
         const TimePoint stepStartedAt = steadyNow();
         runItem([this, stepStartedAt] { stepCell(*m_node, stepStartedAt, bootNow()); });
         const TimePoint roundEndedAt = steadyNow();
