--- a/tests/cell_simulation.cpp
+++ b/tests/cell_simulation.cpp
@@ -30,6 +30,10 @@
         std::int64_t m_suspendedUntil = 0; ///< Until then the process executes nothing.
         std::int64_t m_suspendedMs = 0; ///< Total suspension of the process in ms, by which its steady clock lags.
         std::int64_t m_downUntil = 0; ///< Time at which a new process starts; only used while the process is down.
+        std::int64_t m_busyUntil = 0; ///< Until then the decision thread works in long rounds.
+        std::int64_t m_roundEndsAt = 0; ///< End of the current long round; work done until then sees the time of the round's start.
+        std::int64_t m_splitUntil = 0; ///< Until then only daemons of the same kind (split or not) reach each other.
+        std::int64_t m_heldOrdersUntil = 0; ///< Until then orders leave the daemon seconds after they were issued.
         std::int64_t m_storeUnreachableUntil = 0; ///< Until then the network between daemon and store is down.
         std::uint64_t m_startCount = 0; ///< Processes started so far; makes instance numbers unique.
         std::deque<std::function<void()>> m_deferredDeliveries; ///< Messages and answers that arrived during a suspension; delivered at its end.
@@ -84,6 +88,17 @@
         void cancel(std::size_t index, int tries);
         void queryJob(std::size_t index);
         void injectFault();
+        /** Injects one of the further faults of the options. @param victim The leader or a random daemon. */
+        void injectExtraFault(SimulatedNode& victim);
+        void restartWorkers(int count, int times);
+        void killLeaders(int times);
+        /** Makes about half of the workers unreachable for some seconds. */
+        void muteWorkers();
+        SimulatedNode* findLeader();
+        bool isInRound(const SimulatedNode& node) const { return m_now < node.m_roundEndsAt; }
+        /** Sets a daemon's time, unless it is in the middle of a long round. */
+        void updateTime(SimulatedNode& node);
+        std::int64_t peerDelay() { return m_now < m_slowPeersUntil ? randomBetween(1, 2'500) : 1; }
         /** Counts an attempt that a worker is about to start, and checks the guarantees that must hold at that time. */
         void checkStart(const FakeLeaseWorker& worker, const TaskName& task, std::uint32_t attempt);
         void tick();
@@ -99,6 +114,7 @@
         bool m_isStoreUnresponsive = false; ///< Calls to a store that is down time out instead of being refused.
         std::int64_t m_storeSlowUntil = 0; ///< Until then calls take 40 times as long.
         std::int64_t m_storeLossyUntil = 0; ///< Until then answers of the store may be lost.
+        std::int64_t m_slowPeersUntil = 0; ///< Until then messages between daemons take up to seconds.
         std::deque<SimulatedNode> m_nodes;
         std::deque<FakeLeaseWorker> m_workers;
         std::vector<ClientJob> m_jobs;
@@ -187,6 +203,12 @@
         }
     }
 
+    void CellSimulation::updateTime(SimulatedNode& node)
+    {
+        if (!isInRound(node))
+            advanceTime(*node.m_cell, { steadyTimeOf(node) }, { m_now });
+    }
+
     template <typename Callback>
     void CellSimulation::deliverLater(SimulatedNode& node, const std::shared_ptr<bool>& alive, std::int64_t delay, Callback callback)
     {
@@ -196,7 +218,7 @@
             const auto deliver = [this, &node, alive, callback] {
                 if (!*alive)
                     return;
-                advanceTime(*node.m_cell, { steadyTimeOf(node) }, { m_now });
+                updateTime(node);
                 callback();
             };
             if (m_now < node.m_suspendedUntil)
@@ -256,10 +278,13 @@
             SimulatedNode& peer = m_nodes[address.m_port]; // startNode() uses the index of the node as its port.
             if (!peer.m_cell)
                 return deliverLater(node, alive, 2, [onReply] { onReply(std::nullopt); });
+            const bool isSplit = (m_now < node.m_splitUntil) != (m_now < peer.m_splitUntil);
+            if (isSplit)
+                return deliverLater(node, alive, timeout.m_ms, [onReply] { onReply(std::nullopt); });
             auto isAnswered = std::make_shared<bool>(false);
-            deliverLater(peer, peer.m_isAlive, 1, [this, &node, &peer, alive, message, onReply, isAnswered] {
+            deliverLater(peer, peer.m_isAlive, peerDelay(), [this, &node, &peer, alive, message, onReply, isAnswered] {
                 onPeerMessage(*peer.m_cell, message, [this, &node, alive, onReply, isAnswered](const PeerReply& reply) {
-                    deliverLater(node, alive, 1, [onReply, reply, isAnswered] {
+                    deliverLater(node, alive, peerDelay(), [onReply, reply, isAnswered] {
                         if (!std::exchange(*isAnswered, true))
                             onReply(reply);
                     });
@@ -270,11 +295,18 @@
                     onReply(std::nullopt);
             });
         };
-        const auto sendOrder = [this, &node](const OrderTarget& to, Duration timeout, const std::function<void(OrderStatus)>& onAnswer, const std::function<OrderStatus(FakeLeaseWorker&)>& perform) {
+        const auto sendOrder = [this, &node](const OrderTarget& to, Duration timeout, const std::function<void(OrderStatus)>& onAnswer, const std::function<OrderStatus(FakeLeaseWorker&)>& perform, const std::shared_ptr<bool>& alive) {
             FakeLeaseWorker* const worker = findWorker(to.m_worker);
-            const auto alive = node.m_isAlive;
             if (worker->m_isDown)
                 return deliverLater(node, alive, 2, [onAnswer] { onAnswer(OrderStatus::NotSent); });
+            if (m_now < node.m_heldOrdersUntil) {
+                // The order leaves late, on a connection to whichever process of the worker then runs.
+                schedule(randomBetween(50, 6'000), [worker, perform] {
+                    if (!worker->m_isDown && !worker->m_isUnreachable)
+                        perform(*worker);
+                });
+                return deliverLater(node, alive, timeout.m_ms, [onAnswer] { onAnswer(OrderStatus::NoAnswer); });
+            }
             const bool isLate = randomBool(m_options.m_lateOrderShare);
             if (worker->m_isUnreachable || isLate) {
                 if (isLate) {
@@ -291,24 +323,29 @@
                 deliverLater(node, alive, 1, [onAnswer, status] { onAnswer(status); });
             });
         };
-        ports.m_start = [this, sendOrder](const AddressedOrder<StartOrder>& start, Duration timeout, const std::function<void(OrderStatus)>& onAnswer) {
-            sendOrder(start.m_to, timeout, onAnswer, [this, start](FakeLeaseWorker& worker) { return worker.start(start.m_order, start.m_to.m_token, randomBetween(200, 1'500), m_now); });
+        ports.m_start = [this, &node, sendOrder](const AddressedOrder<StartOrder>& start, Duration timeout, const std::function<void(OrderStatus)>& onAnswer) {
+            sendOrder(
+                start.m_to, timeout, onAnswer, [this, start](FakeLeaseWorker& worker) { return worker.start(start.m_order, start.m_to.m_token, randomBetween(200, 1'500), m_now); }, node.m_isAlive);
         };
-        ports.m_stop = [sendOrder](const AddressedOrder<StopOrder>& stop, Duration timeout, const std::function<void(OrderStatus)>& onAnswer) {
-            sendOrder(stop.m_to, timeout, onAnswer, [stop](FakeLeaseWorker& worker) { return worker.stop(stop.m_order, stop.m_to.m_token); });
+        ports.m_stop = [&node, sendOrder](const AddressedOrder<StopOrder>& stop, Duration timeout, const std::function<void(OrderStatus)>& onAnswer) {
+            sendOrder(
+                stop.m_to, timeout, onAnswer, [stop](FakeLeaseWorker& worker) { return worker.stop(stop.m_order, stop.m_to.m_token); }, node.m_isAlive);
         };
         ports.m_pace = [](const AddressedOrder<PaceOrder>&, Duration, const std::function<void(OrderStatus)>&) {};
-        ports.m_sync = [this, sendOrder](const AddressedOrder<SyncOrder>& sync, Duration timeout, const std::function<void(OrderStatus, const SyncReport&)>& onAnswer) {
+        ports.m_sync = [this, &node, sendOrder](const AddressedOrder<SyncOrder>& sync, Duration timeout, const std::function<void(OrderStatus, const SyncReport&)>& onAnswer) {
             auto report = std::make_shared<SyncReport>();
             const auto perform = [this, sync, report](FakeLeaseWorker& worker) {
                 const auto result = worker.sync(sync.m_order, sync.m_to.m_token, m_now);
                 *report = result.value_or(SyncReport {});
                 return result ? OrderStatus::Done : OrderStatus::Fenced;
             };
-            // Instead of holding its answer back until an attempt ends, the worker gets the order after a tenth of the maximum wait.
-            schedule(sync.m_order.m_wait.m_ms / 10, [sendOrder, sync, timeout, onAnswer, report, perform] {
-                sendOrder(
-                    sync.m_to, timeout, [onAnswer, report](OrderStatus status) { onAnswer(status, *report); }, perform);
+            // Instead of holding its answer back until an attempt ends, the worker gets the order after a tenth of the maximum wait,
+            // or after a random part of it, so that answers arrive at any time of a long round.
+            const std::int64_t wait = (m_options.m_extraFaults & busyFault) ? randomBetween(0, sync.m_order.m_wait.m_ms) : sync.m_order.m_wait.m_ms / 10;
+            schedule(wait, [sendOrder, sync, timeout, onAnswer, report, perform, alive = node.m_isAlive] {
+                if (*alive)
+                    sendOrder(
+                        sync.m_to, timeout, [onAnswer, report](OrderStatus status) { onAnswer(status, *report); }, perform, alive);
             });
         };
         ports.m_requestApprovals = [](const TaskName&, const std::vector<std::string>&, Duration, const std::function<void(std::optional<std::vector<Approval>>)>& onAnswer) { onAnswer(std::nullopt); };
@@ -349,6 +386,8 @@
         node.m_cell.reset();
         node.m_deferredDeliveries.clear();
         node.m_suspendedUntil = 0;
+        node.m_busyUntil = 0;
+        node.m_roundEndsAt = 0;
         node.m_downUntil = m_now + downFor;
     }
 
@@ -426,11 +465,89 @@
         });
     }
 
+    SimulatedNode* CellSimulation::findLeader()
+    {
+        const auto leader = std::find_if(m_nodes.begin(), m_nodes.end(), [](const SimulatedNode& other) { return other.m_cell && other.m_cell->m_role == cell::Role::Leading; });
+        return leader == m_nodes.end() ? nullptr : &*leader;
+    }
+
+    void CellSimulation::restartWorkers(int count, int times)
+    {
+        for (FakeLeaseWorker& worker : m_workers) {
+            if (count-- <= 0 || worker.m_isDown)
+                continue;
+            worker.crash();
+            schedule(randomBetween(20, 800), [this, &worker] {
+                if (!worker.m_isDown)
+                    return;
+                worker.restart(m_now);
+                announce(worker);
+            });
+        }
+        if (times > 1)
+            schedule(randomBetween(400, 2'500), [this, times] { restartWorkers(m_options.m_workers / 3, times - 1); });
+    }
+
+    void CellSimulation::muteWorkers()
+    {
+        for (FakeLeaseWorker& worker : m_workers) {
+            if (!randomBool(0.5))
+                continue;
+            worker.m_isUnreachable = true;
+            schedule(randomBetween(1'000, 9'000), [&worker] { worker.m_isUnreachable = false; });
+        }
+    }
+
+    void CellSimulation::killLeaders(int times)
+    {
+        if (SimulatedNode* const leader = findLeader())
+            stopNode(*leader, randomBetween(200, 2'000));
+        if (times > 1)
+            schedule(randomBetween(1'000, 3'000), [this, times] { killLeaders(times - 1); });
+    }
+
+    void CellSimulation::injectExtraFault(SimulatedNode& victim)
+    {
+        std::vector<std::uint32_t> kinds;
+        for (std::uint32_t kind = 1; kind <= heldOrdersFault; kind *= 2) {
+            if (m_options.m_extraFaults & kind)
+                kinds.push_back(kind);
+        }
+        switch (kinds[static_cast<std::size_t>(randomBetween(0, static_cast<std::int64_t>(kinds.size()) - 1))]) {
+        case busyFault:
+            victim.m_busyUntil = m_now + randomBetween(1'000, 6'000);
+            if (m_options.m_extraFaults & deafWorkersFault)
+                schedule(victim.m_busyUntil - m_now - randomBetween(0, 800), [this] { muteWorkers(); });
+            return;
+        case slowPeersFault:
+            m_slowPeersUntil = m_now + randomBetween(1'000, 5'000);
+            return;
+        case flapFault:
+            return restartWorkers(m_options.m_workers / 3, static_cast<int>(randomBetween(1, 4)));
+        case leaderKillsFault:
+            return killLeaders(static_cast<int>(randomBetween(2, 4)));
+        case splitFault: {
+            const std::int64_t until = m_now + randomBetween(1'000, 9'000);
+            victim.m_splitUntil = until;
+            m_nodes[static_cast<std::size_t>(randomBetween(0, m_options.m_nodes - 1))].m_splitUntil = until;
+            if (randomBool(0.5))
+                victim.m_storeUnreachableUntil = until;
+            return;
+        }
+        case deafWorkersFault:
+            return muteWorkers();
+        default:
+            victim.m_heldOrdersUntil = m_now + randomBetween(300, 3'000);
+        }
+    }
+
     void CellSimulation::injectFault()
     {
         SimulatedNode& node = m_nodes[static_cast<std::size_t>(randomBetween(0, m_options.m_nodes - 1))];
-        const auto leader = std::find_if(m_nodes.begin(), m_nodes.end(), [](const SimulatedNode& other) { return other.m_cell && other.m_cell->m_role == cell::Role::Leading; });
-        SimulatedNode& victim = leader != m_nodes.end() && randomBool(0.6) ? *leader : node;
+        SimulatedNode* const leader = findLeader();
+        SimulatedNode& victim = leader && randomBool(0.6) ? *leader : node;
+        if (m_options.m_extraFaults != 0 && randomBool(0.5))
+            return injectExtraFault(victim);
         FakeLeaseWorker& worker = m_workers[static_cast<std::size_t>(randomBetween(0, m_options.m_workers - 1))];
         switch (randomBetween(0, 9)) {
         case 0:
@@ -485,11 +602,19 @@
                 node.m_suspendedMs += tickLength.m_ms;
                 continue;
             }
+            if (isInRound(node))
+                continue;
             for (auto deferred = std::exchange(node.m_deferredDeliveries, {}); const auto& deliver : deferred)
                 deliver();
+            if (!node.m_cell)
+                continue;
             stepCell(*node.m_cell, { steadyTimeOf(node) }, { m_now });
             if (node.m_cell->m_scheduler && !isConsistent(*node.m_cell->m_scheduler))
                 reportViolation("scheduler state of " + node.m_name + " is inconsistent");
+            if (m_now < node.m_busyUntil) {
+                updateTime(node);
+                node.m_roundEndsAt = m_now + randomBetween(m_options.m_minRoundMs, m_options.m_maxRoundMs);
+            }
         }
     }
 
@@ -531,7 +656,7 @@
             schedule(loadStart - m_now + randomBetween(0, m_options.m_loadDuration.m_ms), [this] { injectFault(); });
         const std::int64_t simulationEnd = loadStart + m_options.m_loadDuration.m_ms + m_options.m_recoveryDuration.m_ms;
         std::int64_t nextQuery = loadStart;
-        while (m_now < simulationEnd && m_result.m_violations.empty()) {
+        while (m_now < simulationEnd && (m_result.m_violations.empty() || !m_options.m_stopsAtViolation)) {
             const std::int64_t nextTick = m_now + tickLength.m_ms;
             while (!m_events.empty() && m_events.begin()->first <= nextTick) {
                 auto event = m_events.extract(m_events.begin());
@@ -547,7 +672,7 @@
                     queryJob(i);
             }
         }
-        if (m_result.m_violations.empty())
+        if (m_result.m_violations.empty() || !m_options.m_stopsAtViolation)
             finish();
         return m_result;
     }
--- a/tests/cell_simulation.h
+++ b/tests/cell_simulation.h
@@ -10,6 +10,17 @@
 
 namespace bulrushloft::test {
 
+/** Further kinds of faults, as bits of CellSimulationOptions::m_extraFaults; each fault of a simulation is then one of them with probability 1/2. */
+enum ExtraFault : std::uint32_t {
+    busyFault = 1, ///< The decision thread of a daemon, mostly the leader, is overloaded: its rounds of work are long, and their start is the time that all of a round's work sees.
+    slowPeersFault = 2, ///< Messages between daemons take up to seconds.
+    flapFault = 4, ///< A third of the workers crash and restart several times within seconds.
+    leaderKillsFault = 8, ///< Leaders are killed in quick succession.
+    splitFault = 16, ///< A part of the daemons can't reach the others; all reach the workers, and the part may be cut off from the store.
+    deafWorkersFault = 32, ///< Half of the workers can't be reached; their attempts go on.
+    heldOrdersFault = 64, ///< A daemon holds its orders back for seconds before they leave, so that they may reach a later process of the worker.
+};
+
 /** Size, load and faults of a simulation. */
 struct CellSimulationOptions {
     std::uint64_t m_seed = 1; ///< Seed of all random choices.
@@ -18,6 +29,10 @@
     int m_jobs = 60; ///< Number of jobs that clients submit.
     int m_faults = 6; ///< Number of faults, injected at random times during the load.
     double m_lateOrderShare = 0.03; ///< Share of orders, 0 to 1, that time out at the sender and are carried out seconds later.
+    std::uint32_t m_extraFaults = 0; ///< Further kinds of faults to inject; bits of ExtraFault.
+    std::int64_t m_minRoundMs = 100; ///< Shortest round of a busy decision thread, in ms.
+    std::int64_t m_maxRoundMs = 590; ///< Longest round of a busy decision thread, in ms; from 600 ms on the daemon takes it for a suspension.
+    bool m_stopsAtViolation = true; ///< Whether the first violation ends the simulation.
     Duration m_loadDuration { 20'000 }; ///< Period in which clients submit jobs and faults are injected.
     Duration m_recoveryDuration { 40'000 }; ///< Period after the load, without new faults, in which every accepted job must end.
 };
@@ -34,7 +49,7 @@
 };
 
 /**
- * Runs a simulation until its end or the first violation.
+ * Runs a simulation until its end or, unless the options say otherwise, the first violation.
  * The counts of jobs and terms are complete only if no violation ended the simulation early.
  */
 CellSimulationResult runCellSimulation(const CellSimulationOptions& options);
--- a/tests/cell_soak_test.cpp
+++ b/tests/cell_soak_test.cpp
@@ -1,6 +1,9 @@
 /**
  * @file cell_soak_test.cpp Simulations of a cell with random faults.
  * CELL_SEED sets the first seed, CELL_WORLDS the number of simulations; CELL_LOG turns on the log.
+ * CELL_EXTRA sets further kinds of faults (bits of ExtraFault), CELL_FAULTS the number of faults, CELL_NODES and CELL_WORKERS the
+ * number of daemons and workers, CELL_JOBS the number of jobs, CELL_LATE the share of late orders in percent, CELL_ROUND_MIN and
+ * CELL_ROUND_MAX the length of a busy daemon's rounds in ms; with CELL_GO_ON a violation does not end its simulation.
  * Each error message begins with the settings that replay its simulation.
  */
 #define BOOST_TEST_MODULE cell_soak
@@ -48,7 +51,18 @@
 
 BOOST_AUTO_TEST_CASE(guarantees_hold_under_random_faults)
 {
-    runSimulations(fromEnvironment("CELL_SEED", defaultSeed), fromEnvironment("CELL_WORLDS", defaultSimulationCount), {});
+    CellSimulationOptions options;
+    const auto intFromEnvironment = [](const char* name, int fallback) { return static_cast<int>(fromEnvironment(name, static_cast<std::uint64_t>(fallback))); };
+    options.m_extraFaults = static_cast<std::uint32_t>(fromEnvironment("CELL_EXTRA", 0));
+    options.m_stopsAtViolation = !std::getenv("CELL_GO_ON");
+    options.m_faults = intFromEnvironment("CELL_FAULTS", options.m_faults);
+    options.m_nodes = intFromEnvironment("CELL_NODES", options.m_nodes);
+    options.m_workers = intFromEnvironment("CELL_WORKERS", options.m_workers);
+    options.m_jobs = intFromEnvironment("CELL_JOBS", options.m_jobs);
+    options.m_lateOrderShare = static_cast<double>(fromEnvironment("CELL_LATE", 3)) / 100;
+    options.m_minRoundMs = intFromEnvironment("CELL_ROUND_MIN", static_cast<int>(options.m_minRoundMs));
+    options.m_maxRoundMs = intFromEnvironment("CELL_ROUND_MAX", static_cast<int>(options.m_maxRoundMs));
+    runSimulations(fromEnvironment("CELL_SEED", defaultSeed), fromEnvironment("CELL_WORLDS", defaultSimulationCount), options);
 }
 
 BOOST_AUTO_TEST_CASE(all_jobs_complete_without_faults)
--- a/tests/fakes/fake_lease_worker.h
+++ b/tests/fakes/fake_lease_worker.h
@@ -21,6 +21,7 @@
     std::string m_id; ///< Stays the same across restarts.
     std::int64_t m_processStartMs = 1; ///< Simulated time at which the process started; the leader recognises a restart by a changed value.
     std::int64_t m_clockOriginMs = 0; ///< Simulated time at which the worker's clock was 0.
+    std::int64_t m_longestLeaseMs = 6'000; ///< Upper bound of the remaining lease, in ms; longer ones are shortened to it.
     std::int64_t m_capacityCpuMilli = 4'000; ///< Capacity in thousandths of a core.
     std::int64_t m_taskCpuMilli = 1'000; ///< CPU use of each task in thousandths of a core.
     std::uint64_t m_token = 0; ///< Highest fencing token seen; orders with a lower one are rejected.
@@ -74,13 +75,15 @@
         return true;
     }
 
+    void extendLease(std::int64_t untilMs, std::int64_t now) { m_leaseUntilMs = std::max(m_leaseUntilMs, std::min(untilMs, clockAt(now) + m_longestLeaseMs)); }
+
     OrderStatus start(const StartOrder& order, std::uint64_t token, std::int64_t runMs, std::int64_t now)
     {
         if (!acceptToken(token))
             return OrderStatus::Fenced;
         if (order.m_leaseUntilMs < clockAt(now))
             return OrderStatus::LeaseExpired;
-        m_leaseUntilMs = std::max(m_leaseUntilMs, order.m_leaseUntilMs);
+        extendLease(order.m_leaseUntilMs, now);
         const auto found = m_running.find(order.m_task);
         if (found != m_running.end() && found->second.m_attempt == order.m_attempt)
             return OrderStatus::Done;
@@ -109,7 +112,7 @@
         if (!acceptToken(token))
             return std::nullopt;
         if (order.m_leaseUntilMs)
-            m_leaseUntilMs = std::max(m_leaseUntilMs, *order.m_leaseUntilMs);
+            extendLease(*order.m_leaseUntilMs, now);
         std::erase_if(m_ended, [&](const EndedAttempt& ended) {
             if (ended.m_number > order.m_ackedEndNumber)
                 return false;
