A restarted worker stops an attempt whose start may still arrive, before the task runs elsewhere

Cause: a start that was not reported is sent again, and the earlier copy may be forwarded seconds later. The worker refuses it as long as its process lives. After a restart under its id the task was placed elsewhere at once, and the copy ran on the new process. Change: when an attempt is missing after a restart and a copy of its start may be under way, the new process is told to stop the attempt, which bars it, and the task is placed when that is confirmed.

--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -258,6 +258,18 @@
         });
     }
 
+    /**
+     * Has the new process of a restarted worker stop an attempt that ran on the former one. An unreported copy of its start may still
+     * arrive there, and the new process, which knows nothing of the attempt, would run it.
+     */
+    void stopAtNewProcess(Scheduler& scheduler, const TaskRef& ref, TimePoint now)
+    {
+        Task& task = ref.task();
+        stopTask(scheduler, ref, now);
+        task.m_isStopAcknowledged = false; // A stop that the former process has accepted does not bind the new one.
+        task.m_nextCallAt = now;
+    }
+
     /**
      * Detaches tasks whose attempts are missing from the worker's list.
      * @param isFirstReport The worker's first report in this term, or since its process restarted: a single miss is conclusive.
@@ -275,7 +287,10 @@
             if (task.m_phase == RunPhase::Running && !isFirstReport && task.m_missedSyncs < missedSyncsUntilLost)
                 continue;
             logEvent(LogLevel::Info, "attempt-missing", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "phase", findName(runPhaseNames, task.m_phase) }, { "worker", scheduler.m_workers[static_cast<std::size_t>(index)].m_announcement.m_id }, { "is_first_report", isFirstReport }, { "confirmed_ms_ago", (now - task.m_confirmedAt).m_ms }, { "sync_sent_ms_ago", (now - sentAt).m_ms } });
-            detachTask(scheduler, ref, now);
+            if (isFirstReport && task.m_mayHaveArrived)
+                stopAtNewProcess(scheduler, ref, now);
+            else
+                detachTask(scheduler, ref, now);
             if (task.m_resolution == TaskResolution::Open)
                 stopOtherMembers(scheduler, ref, now);
         }
--- a/tests/worker_restart_test.cpp
+++ b/tests/worker_restart_test.cpp
@@ -20,6 +20,7 @@
     TimePoint m_now { 10'000 };
     std::vector<AddressedOrder<StartOrder>> m_starts; ///< Starts sent and not answered yet.
     std::vector<SyncOrder> m_syncs; ///< Syncs sent and not answered yet.
+    std::vector<StopOrder> m_stops; ///< Stops sent and not answered yet.
 
     RestartFixture()
     {
@@ -47,6 +48,8 @@
             m_starts.insert(m_starts.end(), effects.m_starts.begin(), effects.m_starts.end());
             for (const auto& sync : effects.m_syncs)
                 m_syncs.push_back(sync.m_order);
+            for (const auto& stop : effects.m_stops)
+                m_stops.push_back(stop.m_order);
             const std::uint64_t batch = m_scheduler.m_nextBatch;
             takeRecords(m_scheduler);
             onRecorded(m_scheduler, batch, m_now);
@@ -67,13 +70,22 @@
         onSyncAnswer(m_scheduler, "w", OrderStatus::NoAnswer, {}, m_now, m_now, effects);
     }
 
-    void answerStart()
+    void answerStart(OrderStatus status = OrderStatus::Done)
     {
         BOOST_REQUIRE(!m_starts.empty());
         const StartOrder order = m_starts.front().m_order;
         m_starts.clear();
         SchedulerEffects effects;
-        onStartAnswer(m_scheduler, "w", order.m_task, order.m_attempt, OrderStatus::Done, m_now, effects);
+        onStartAnswer(m_scheduler, "w", order.m_task, order.m_attempt, status, m_now, effects);
+    }
+
+    void answerStop()
+    {
+        BOOST_REQUIRE(!m_stops.empty());
+        const StopOrder order = m_stops.front();
+        m_stops.clear();
+        SchedulerEffects effects;
+        onStopAnswer(m_scheduler, "w", order.m_task, order.m_attempt, OrderStatus::Done, m_now, effects);
     }
 
     /** Runs a task on the worker's first process until its end is ready to be acknowledged. */
@@ -125,3 +137,25 @@
     BOOST_REQUIRE(!fixture.m_syncs.empty());
     BOOST_TEST(fixture.m_syncs.front().m_ackedEndNumber == 1U);
 }
+
+// Found by the simulation (CELL_SEED=136 CELL_EXTRA=6): a peer forwarded an old copy of a start after the worker had restarted. The new
+// process knew nothing of the attempt and ran it, while the task ran elsewhere already.
+BOOST_AUTO_TEST_CASE(a_start_that_may_still_arrive_is_stopped_at_a_restarted_worker_before_the_task_runs_again)
+{
+    RestartFixture fixture;
+    fixture.submit(firstJob);
+    fixture.run({ 50 });
+    fixture.answerStart(OrderStatus::Unreported);
+    fixture.run({ 50 });
+    fixture.answerStart();
+    fixture.run({ 50 });
+    fixture.answerSync(secondProcess, {}, {});
+    fixture.run({ 50 });
+    BOOST_TEST(fixture.m_starts.empty()); // The copy that was not reported could start the attempt after this.
+    fixture.answerStop();
+    fixture.run({ 50 });
+    fixture.answerSync(secondProcess, {}, {});
+    fixture.run({ 50 });
+    BOOST_REQUIRE(!fixture.m_starts.empty());
+    BOOST_TEST(fixture.m_starts.front().m_order.m_attempt == 2U);
+}
