A peer does not forward orders of a former term

Cause: a slow peer forwarded starts of a leader that had been replaced. Workers refuse them by their token, but a process that has just started has seen none. Change: orders with a token below that of the newest claim the peer knows are refused.

--- a/src/process/cell/cell_relay.cpp
+++ b/src/process/cell/cell_relay.cpp
@@ -239,7 +239,9 @@
 
 PeerAck forwardOrders(CellNode& node, const PeerOrders& message)
 {
-    if (node.m_now < node.m_relay.m_pausedUntil)
+    // A worker refuses orders of former terms, but not one that has restarted and has not heard of the new term yet.
+    const bool isOutdated = !message.m_orders.empty() && message.m_orders.front().m_to.m_token < node.m_leader.m_token;
+    if (node.m_now < node.m_relay.m_pausedUntil || isOutdated)
         return { .m_isAccepted = false };
     for (const RelayedOrder& order : message.m_orders)
         forwardOrder(node, message.m_from.m_address, order);
--- a/tests/late_report_test.cpp
+++ b/tests/late_report_test.cpp
@@ -115,3 +115,14 @@
     peer.run({ 30'000 });
     BOOST_TEST(peer.m_node->m_relay.m_reports.empty());
 }
+
+// A slow peer forwarded starts of a leader that had been replaced. Workers refused them, except for those that had restarted meanwhile.
+BOOST_AUTO_TEST_CASE(orders_of_a_former_term_are_not_forwarded)
+{
+    ForwardingPeer peer;
+    const PeerMember successor = test::makeMember("successor", 3);
+    onPeerMessage(*peer.m_node, PeerHeartbeat { .m_from = successor, .m_leader = { .m_token = 2, .m_member = successor }, .m_configVersion = 1, .m_membersVersion = 0, .m_isStoreReached = true }, [](const PeerReply&) { /* Not of interest. */ });
+    peer.forward(7); // Its token is 1.
+    peer.run({ 500 });
+    BOOST_TEST(peer.m_reported.empty());
+}
