Negative room holds no task

Cause: when a worker's capacity shrinks below what is granted, what is free is negative, and countFitting() returned a negative number of tasks, which its callers convert to an unsigned one. A reservation then took one such worker for a whole step. Change: countFitting() returns 0 unless one task fits in every dimension. Callers see: nothing directly; a large step gets as many reserved workers as it needs when workers have shrunk.

--- a/src/process/scheduler/pool_view.cpp
+++ b/src/process/scheduler/pool_view.cpp
@@ -102,6 +102,8 @@
 
 std::int64_t countFitting(const Resources& size, const Resources& free, std::int64_t limit)
 {
+    if (!fitsInto(size, free)) // What is free is negative once the capacity has shrunk below what is granted.
+        return 0;
     if (size.m_cpuMilli > 0)
         limit = std::min(limit, free.m_cpuMilli / size.m_cpuMilli);
     if (size.m_memoryMb > 0)
