A start is not sent to a worker whose capacity has shrunk since the placement

Cause: a task's size was compared with its worker's capacity when it was placed, and taken to fit until its start was sent or repeated, seconds later when the worker can't be reached. Workers without admission control start what exceeds their capacity. Change: each step withdraws unconfirmed starts from workers whose attempts exceed the announced capacity, the latest first and no more than needed. One that was never sent is placed again; one that may have arrived is stopped, and no start is repeated there while attempts that are being stopped still count. The members of a gang are withdrawn together. Event start-withdrawn. The simulated workers of the cell soak shrink and grow, half of them while they can't be reached. Callers see: tasks on a worker that shrinks before they start run elsewhere, as another attempt.

--- a/src/process/scheduler/scheduler_detail.h
+++ b/src/process/scheduler/scheduler_detail.h
@@ -47,6 +47,9 @@
 /** Ends the current attempt: drops it when its start was never sent, else has the worker stop it. */
 void stopTask(Scheduler& scheduler, const TaskRef& ref, TimePoint now);
 
+/** Ends the current attempt of a task, or those of its whole gang, as with stopTask(). */
+void stopTaskAndGang(Scheduler& scheduler, const TaskRef& ref, TimePoint now);
+
 /**
  * Marks all attempts on a worker as lost, because its lease has run out or another worker answers at its address.
  * @param cause Reason for the log.
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -100,6 +100,14 @@
         task.m_tries = 0;
     }
 
+    void stopTaskAndGang(Scheduler& scheduler, const TaskRef& ref, TimePoint now)
+    {
+        if (!planOf(*ref.m_run).m_isGang)
+            return stopTask(scheduler, ref, now);
+        for (std::uint32_t i = 0; i < ref.m_run->m_tasks.size(); ++i)
+            stopTask(scheduler, { ref.m_run, i }, now);
+    }
+
     void markTasksLost(Scheduler& scheduler, WorkerIndex index, std::string_view cause, TimePoint now)
     {
         Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
--- a/src/process/scheduler/scheduler_watch.cpp
+++ b/src/process/scheduler/scheduler_watch.cpp
@@ -59,8 +59,7 @@
             if (ref.task().m_phase != RunPhase::Starting || !planOf(run).m_isGang || !isGangStartOverdue(scheduler, run, now))
                 continue;
             logEvent(LogLevel::Warning, "gang-start-overdue", { { "step", format(nameOf(ref)) }, { "attempt", ref.task().m_attempt } });
-            for (std::uint32_t i = 0; i < run.m_tasks.size(); ++i)
-                stopTask(scheduler, { &run, i }, now);
+            stopTaskAndGang(scheduler, ref, now);
         }
     }
 
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -168,6 +168,51 @@
             }
         }
 
+        /** @return Whether all attempts that may be on a worker fit its present capacity, including those that are being stopped. */
+        bool isWithinCapacity(const Worker& worker)
+        {
+            return fitsInto(worker.m_granted, worker.m_announcement.m_capacity);
+        }
+
+        /** @return Whether the attempts on a worker fit its present capacity once those that are being stopped have ended. */
+        bool willBeWithinCapacity(const Worker& worker)
+        {
+            Resources kept;
+            for (const TaskRef& ref : worker.m_tasks) {
+                if (ref.task().m_phase != RunPhase::Stopping)
+                    kept = kept + grantOf(*ref.m_run);
+            }
+            return fitsInto(kept, worker.m_announcement.m_capacity);
+        }
+
+        /**
+         * @return Whether a placed task has to be withdrawn from a worker whose capacity is exceeded. A start that may have arrived
+         * is stopped only if it doesn't fit after the stops under way; until then, it is not repeated.
+         */
+        bool mustWithdraw(const Task& task, const Worker& worker)
+        {
+            if (task.m_phase == RunPhase::Recording)
+                return true;
+            const bool isWaiting = task.m_phase == RunPhase::Starting && !task.m_isCallPending;
+            return isWaiting && (!task.m_mayHaveArrived || !willBeWithinCapacity(worker));
+        }
+
+        /**
+         * Withdraws placed tasks whose start is not confirmed from a worker whose capacity has shrunk since their placement, the
+         * latest first, until the others fit. Workers don't always refuse what exceeds their capacity.
+         */
+        void withdrawExcessStarts(Scheduler& scheduler, Worker& worker, TimePoint now)
+        {
+            const std::vector<TaskRef> tasks = worker.m_tasks;
+            for (auto ref = tasks.rbegin(); ref != tasks.rend() && !isWithinCapacity(worker); ++ref) {
+                const Task& task = ref->task();
+                if (!mustWithdraw(task, worker))
+                    continue;
+                logEvent(LogLevel::Info, "start-withdrawn", { { "task", format(nameOf(*ref)) }, { "attempt", task.m_attempt }, { "worker", worker.m_announcement.m_id }, { "cause", "the worker's capacity has shrunk" }, { "may_have_arrived", task.m_mayHaveArrived }, { "granted_cpu", worker.m_granted.m_cpuMilli }, { "capacity_cpu", worker.m_announcement.m_capacity.m_cpuMilli } });
+                stopTaskAndGang(scheduler, *ref, now);
+            }
+        }
+
         /** Marks a worker that does not answer as gone, and its attempts as lost, once its lease has run out. */
         void stepLeases(Scheduler& scheduler, WorkerIndex index, TimePoint now)
         {
@@ -263,7 +308,7 @@
                 if (task.m_isCallPending || now < task.m_nextCallAt)
                     continue;
                 Worker& worker = scheduler.m_workers[static_cast<std::size_t>(task.m_worker)];
-                if (task.m_phase == RunPhase::Starting) {
+                if (task.m_phase == RunPhase::Starting && isWithinCapacity(worker)) {
                     sendStart(scheduler, ref, now, effects);
                 } else if (task.m_phase == RunPhase::Stopping && !task.m_isStopAcknowledged) {
                     task.m_isCallPending = true;
@@ -281,6 +326,8 @@
             stepLeases(scheduler, i, now);
             if (worker.m_announcement.m_isDraining && worker.m_state == WorkerState::Adopted)
                 evacuateDraining(scheduler, worker, now);
+            if (!isWithinCapacity(worker))
+                withdrawExcessStarts(scheduler, worker, now);
             stepSync(scheduler, worker, now, effects);
         }
         stepTaskCalls(scheduler, now, effects);
--- a/tests/capacity_change_test.cpp
+++ b/tests/capacity_change_test.cpp
@@ -272,6 +272,33 @@
     BOOST_TEST(fixture.step().m_stops.size() == 2U);
 }
 
+// A later term finds a worker with more running tasks than it has room for: nothing is placed there until it has room again.
+BOOST_AUTO_TEST_CASE(a_later_term_places_nothing_on_a_worker_that_shrank_under_restored_tasks)
+{
+    CapacityFixture former;
+    former.adopt("w1", 2'000);
+    former.submit(firstJob, 2, 1'000);
+    former.step();
+    CapacityFixture later;
+    later.submit(firstJob, 2, 1'000);
+    for (const KeyedRecord& record : takeRecords(former.m_scheduler)) {
+        if (record.m_key == firstJob)
+            BOOST_REQUIRE(restoreProgress(later.m_scheduler, record.m_key, record.m_value, later.m_now));
+    }
+    finishRestoring(later.m_scheduler, later.m_now);
+    later.announce("w1", 1'000);
+    later.step();
+    const std::vector<RunningAttempt> running { { .m_task = { .m_job = firstJob, .m_index = 0 }, .m_attempt = 1 }, { .m_task = { .m_job = firstJob, .m_index = 1 }, .m_attempt = 1 } };
+    later.answerSync("w1", running);
+    BOOST_REQUIRE(later.m_scheduler.m_workers[0].m_tasks.size() == 2U);
+    later.submit(secondJob, 1, 1'000);
+    for (int i = 0; i < 20; ++i)
+        BOOST_TEST(later.placeAndStart().empty());
+    later.announce("w1", 3'000);
+    later.step({ 100 });
+    BOOST_TEST(later.placeAndStart().size() == 1U);
+}
+
 // Free resources that are negative in one dimension hold no task, even one that uses nothing of it.
 BOOST_AUTO_TEST_CASE(no_task_fits_where_another_dimension_is_negative)
 {
--- a/tests/cell_simulation.h
+++ b/tests/cell_simulation.h
@@ -17,6 +17,7 @@
     int m_workers = 6; ///< Number of workers, all in one pool.
     int m_jobs = 60; ///< Number of jobs that clients submit.
     int m_faults = 6; ///< Number of faults, injected at random times during the load.
+    int m_capacityChanges = 0; ///< How often the capacity of a worker shrinks during the load; it grows again seconds later. During half of these, the worker can't be reached.
     double m_lateOrderShare = 0.03; ///< Share of orders, 0 to 1, that time out at the sender and are carried out seconds later.
     Duration m_loadDuration { 20'000 }; ///< Period in which clients submit jobs and faults are injected.
     Duration m_recoveryDuration { 40'000 }; ///< Period after the load, without new faults, in which every accepted job must end.
--- a/tests/cell_soak_test.cpp
+++ b/tests/cell_soak_test.cpp
@@ -51,6 +51,12 @@
     runSimulations(fromEnvironment("CELL_SEED", defaultSeed), fromEnvironment("CELL_WORLDS", defaultSimulationCount), {});
 }
 
+// Workers that do not guard their capacity shrink and grow again, half of them while they can't be reached.
+BOOST_AUTO_TEST_CASE(guarantees_hold_while_the_capacity_of_workers_changes)
+{
+    runSimulations(fromEnvironment("CELL_SEED", defaultSeed), fromEnvironment("CELL_WORLDS", defaultSimulationCount), { .m_faults = 2, .m_capacityChanges = 16 });
+}
+
 BOOST_AUTO_TEST_CASE(all_jobs_complete_without_faults)
 {
     CellSimulationOptions options { .m_seed = 1, .m_nodes = 3, .m_workers = 6, .m_jobs = 40, .m_faults = 0, .m_lateOrderShare = 0 };
