A leader has read all that was stored during its listing before it leads; reads may take seconds

Cause: a leader led as soon as its listing of submissions was complete. What was stored during the listing came with the next reads; these had 0.7 s, and 705 records of a listing that had taken 10 s did not arrive in time on a slow VM, ten seconds on end. Change: loading waits until a read that follows the listing has reached the end of the topic, and that counts as up to date, not the end of the listing; all reads have the margin that reads of the configuration had (4 s), as hedging covers a silent store. Measured: the new case of cell_loading_test fails before, passes now.

--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -157,7 +157,7 @@
         return;
     if (!node.m_load.m_isFenced)
         return fenceEarlierTerms(node);
-    if (readProgress(node) && node.m_jobsTail.m_isListingComplete)
+    if (readProgress(node) && node.m_jobsTail.m_isCaughtUp)
         restoreAll(node);
 }
 
--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -12,9 +12,8 @@
 
 namespace {
 
-    constexpr Duration readMargin { 700 }; ///< Added to a read's long-poll wait for the answer to arrive.
+    constexpr Duration readMargin { 4'000 }; ///< Added to a read's long-poll wait for the answer, which may be large for a slow link or VM; hedging covers a silent store.
     constexpr Duration listingTimeout { 4'000 }; ///< A page of many records may take long when the store is slow.
-    constexpr Duration configReadMargin { 4'000 }; ///< Like readMargin, for configurations, which may be large for a slow link; hedging covers a silent store.
     constexpr Duration retryDelay { 200 };
     constexpr Duration storeSilenceLimit { 1'200 }; ///< A store without an answer for longer is considered lost.
 
@@ -118,7 +117,6 @@
         tail.m_nextOffset = *tail.m_listedEnd;
         tail.m_isListing = false;
         tail.m_isListingComplete = true;
-        tail.m_upToDateAt = node.m_now;
         tail.m_listedKeys.clear();
         if (&tail == &node.m_leaderTail)
             confirmLeadership(node);
@@ -146,6 +144,7 @@
         }
         tail.m_nextOffset += answer.m_records.size();
         const bool isCaughtUp = tail.m_nextOffset >= answer.m_end;
+        tail.m_isCaughtUp = tail.m_isCaughtUp || isCaughtUp;
         if (isCaughtUp)
             tail.m_upToDateAt = node.m_now;
         endCall(tail.m_call, isCaughtUp ? node.m_now + tail.m_pollDelay : node.m_now);
@@ -153,8 +152,8 @@
 
     void stepTail(CellNode& node, TopicTail& tail)
     {
-        // A lost store is polled without a wait, so that its recovery is noticed soon.
-        const Duration wait = node.m_isStoreReached && !tail.m_isListing ? tail.m_wait : Duration {};
+        // A lost store is polled without a wait, so that its recovery is noticed soon; so is one that may have more than was listed.
+        const Duration wait = node.m_isStoreReached && tail.m_isCaughtUp ? tail.m_wait : Duration {};
         if (!tail.m_isFollowed || !isAttemptDue(tail.m_call, wait + storeHedgeDelay(node, tail.m_call.m_lastAttemptAt), node.m_now))
             return;
         ++node.m_counters.m_reads;
@@ -170,8 +169,7 @@
             });
             return;
         }
-        const Duration margin = &tail == &node.m_operatorTail ? configReadMargin : readMargin;
-        node.m_ports.m_read({ .m_partition = tail.m_partition, .m_from = tail.m_nextOffset, .m_wait = wait }, wait + margin, [&node, &tail, checkAnswer](const StoreReadAnswer& answer) {
+        node.m_ports.m_read({ .m_partition = tail.m_partition, .m_from = tail.m_nextOffset, .m_wait = wait }, wait + readMargin, [&node, &tail, checkAnswer](const StoreReadAnswer& answer) {
             if (checkAnswer(answer.m_status))
                 onRead(node, tail, answer);
         });
@@ -213,6 +211,7 @@
     endCall(tail.m_call, {});
     tail.m_isListing = true;
     tail.m_isListingComplete = false;
+    tail.m_isCaughtUp = false;
     tail.m_after.clear();
     tail.m_listedEnd.reset();
     tail.m_listedKeys.clear();
--- a/tests/cell_loading_test.cpp
+++ b/tests/cell_loading_test.cpp
@@ -39,8 +39,10 @@
     FakeStore m_store;
     std::vector<std::function<void()>> m_answers; ///< Answers that are delivered at the next step.
     std::vector<PendingPage> m_pages; ///< Reads of progress, which the test case answers.
+    std::size_t m_answeredPages = 0; ///< Number of reads that answerPagesUntilLeading() has answered.
     bool m_isFenceHeld = false; ///< The append that fences earlier terms reaches the store only later.
     bool m_areReadsHeld = false; ///< The store answers no reads that follow a listing.
+    bool m_areOtherReadsAnswered = false; ///< The store answers such reads also once progress is being read.
     std::unique_ptr<CellNode> m_node;
     TimePoint m_now { 10'000 };
 
@@ -103,7 +105,7 @@
                 deliverLater(onAnswer, m_store.append(append));
         };
         ports.m_read = [this, deliverLater](const StoreRead& read, Duration, const std::function<void(StoreReadAnswer)>& onAnswer) {
-            if (m_pages.empty() && !m_areReadsHeld) // Once progress is being read, the store answers no other reads.
+            if (!m_areReadsHeld && (m_pages.empty() || m_areOtherReadsAnswered))
                 deliverLater(onAnswer, m_store.read(read));
         };
         ports.m_readNewest = [this, deliverLater](const StoreNewestRead& newest, Duration, const std::function<void(StoreNewestAnswer)>& onAnswer) {
@@ -130,6 +132,17 @@
         page.m_onAnswer(m_store.newest(page.m_call));
     }
 
+    /** Answers reads of progress as they come. @param steps Maximum number of steps. */
+    void answerPagesUntilLeading(int steps)
+    {
+        m_areOtherReadsAnswered = true;
+        for (int i = 0; i < steps && m_node->m_role != Role::Leading; ++i) {
+            step();
+            while (m_answeredPages < m_pages.size())
+                answerPage(m_answeredPages++);
+        }
+    }
+
     void stepUntilPages(std::size_t count)
     {
         for (int i = 0; i < 400 && m_pages.size() < count; ++i)
@@ -152,11 +165,8 @@
     fixture.step();
     fixture.answerPage(2);
     fixture.step();
-    for (std::size_t i = 1; i < fixture.m_pages.size() || fixture.m_node->m_role == Role::Loading; ++i) {
-        fixture.stepUntilPages(i + 1);
-        fixture.answerPage(i);
-        fixture.step();
-    }
+    fixture.m_answeredPages = 1;
+    fixture.answerPagesUntilLeading(600);
     BOOST_REQUIRE(fixture.m_node->m_role == Role::Leading);
     BOOST_TEST(fixture.m_node->m_scheduler->m_jobs.size() == static_cast<std::size_t>(jobCount));
     for (const auto& [id, job] : fixture.m_node->m_scheduler->m_jobs) {
@@ -177,16 +187,32 @@
     fixture.m_areReadsHeld = true;
     fixture.storeCompleteJob(id);
     fixture.m_isFenceHeld = false;
-    std::size_t answered = 0;
-    for (int i = 0; i < 600 && fixture.m_node->m_role == Role::Loading; ++i) {
+    while (!fixture.m_node->m_load.m_isFenced)
         fixture.step();
-        while (answered < fixture.m_pages.size())
-            fixture.answerPage(answered++);
-    }
-    BOOST_REQUIRE((fixture.m_node->m_role == Role::Leading));
     fixture.m_areReadsHeld = false;
+    fixture.answerPagesUntilLeading(600);
+    BOOST_REQUIRE((fixture.m_node->m_role == Role::Leading));
     fixture.m_pages.clear();
     for (int i = 0; i < 400; ++i)
         fixture.step();
     BOOST_TEST((scheduler::findStage(*fixture.m_node->m_scheduler, id) == scheduler::JobStage::Complete));
 }
+
+// A listing took 10 s on slow VMs. Cancellations that were stored behind its position were read 10 s later still; their jobs' tasks started meanwhile.
+BOOST_AUTO_TEST_CASE(a_leader_knows_what_was_stored_during_its_listing_before_it_leads)
+{
+    LoadingFixture fixture;
+    const std::string id = idOf(3);
+    fixture.m_areReadsHeld = true;
+    while (fixture.m_node->m_role != Role::Loading)
+        fixture.step();
+    while (!fixture.m_node->m_jobsTail.m_isListingComplete)
+        fixture.step();
+    fixture.m_store.append({ .m_partition = { .m_topic = "keyed.jobs" }, .m_records = { { .m_key = "!" + id, .m_value = "cancelled" } }, .m_writer = {}, .m_expectedEnd = {} });
+    fixture.answerPagesUntilLeading(200);
+    BOOST_TEST((fixture.m_node->m_role == Role::Loading));
+    fixture.m_areReadsHeld = false;
+    fixture.answerPagesUntilLeading(600);
+    BOOST_REQUIRE((fixture.m_node->m_role == Role::Leading));
+    BOOST_TEST((fixture.m_node->m_scheduler->m_jobs.at(id)->m_stage == scheduler::JobStage::Cancelled));
+}
