--- a/tests/cell_loading_test.cpp
+++ b/tests/cell_loading_test.cpp
@@ -42,7 +42,7 @@
     std::size_t m_answeredPages = 0; ///< Number of reads that answerPagesUntilLeading() has answered.
     bool m_isFenceHeld = false; ///< The append that fences earlier terms reaches the store only later.
     bool m_areReadsHeld = false; ///< The store answers no reads that follow a listing.
-    bool m_areOtherReadsAnswered = false; ///< The store answers such reads also once progress is being read.
+    std::vector<std::function<void()>> m_heldReads; ///< Reads that the store has not answered yet: those held, and those sent once progress is being read.
     std::unique_ptr<CellNode> m_node;
     TimePoint m_now { 10'000 };
 
@@ -105,8 +105,10 @@
                 deliverLater(onAnswer, m_store.append(append));
         };
         ports.m_read = [this, deliverLater](const StoreRead& read, Duration, const std::function<void(StoreReadAnswer)>& onAnswer) {
-            if (!m_areReadsHeld && (m_pages.empty() || m_areOtherReadsAnswered))
+            if (!m_areReadsHeld && m_pages.empty())
                 deliverLater(onAnswer, m_store.read(read));
+            else
+                m_heldReads.push_back([this, read, onAnswer] { onAnswer(m_store.read(read)); });
         };
         ports.m_readNewest = [this, deliverLater](const StoreNewestRead& newest, Duration, const std::function<void(StoreNewestAnswer)>& onAnswer) {
             if (newest.m_partition.m_topic == progressTopic)
@@ -132,12 +134,19 @@
         page.m_onAnswer(m_store.newest(page.m_call));
     }
 
-    /** Answers reads of progress as they come. @param steps Maximum number of steps. */
+    void answerHeldReads()
+    {
+        for (const auto& answer : std::exchange(m_heldReads, {}))
+            answer();
+    }
+
+    /** Answers reads of progress, and other reads unless they are held, as they come. @param steps Maximum number of steps. */
     void answerPagesUntilLeading(int steps)
     {
-        m_areOtherReadsAnswered = true;
         for (int i = 0; i < steps && m_node->m_role != Role::Leading; ++i) {
             step();
+            if (!m_areReadsHeld)
+                answerHeldReads();
             while (m_answeredPages < m_pages.size())
                 answerPage(m_answeredPages++);
         }
