A leader that could go on leading hands over to much stronger peers only

Cause: two peers are asked in a round, and the next round asked the next ones whatever their strength, so that a weaker VM could win and hand back seconds later.

--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -137,7 +137,8 @@
     void stepHandOver(CellNode& node)
     {
         const bool hasTerm = node.m_role == Role::Leading || node.m_role == Role::Loading;
-        const bool isHandOverWanted = node.m_isTerminating || isWriterStalled(node) || isStrongerPeerAvailable(node);
+        const bool isLeavingOrStalled = node.m_isTerminating || isWriterStalled(node);
+        const bool isHandOverWanted = isLeavingOrStalled || isStrongerPeerAvailable(node);
         if (!hasTerm || !isHandOverWanted || node.m_now < node.m_nextHandOverAt)
             return;
         node.m_nextHandOverAt = node.m_now + handOverInterval;
@@ -146,7 +147,8 @@
         std::vector<const PeerState*> candidates;
         for (const auto& [name, peer] : node.m_peers) {
             const bool wasAsked = std::find(node.m_askedSuccessors.begin(), node.m_askedSuccessors.end(), name) != node.m_askedSuccessors.end();
-            if (node.m_now - peer.m_lastContactAt <= node.m_options.m_suspectAfter && peer.m_isStoreReached && !wasAsked)
+            const bool isSuitable = isLeavingOrStalled || isMuchStronger(peer.m_member, node.m_options.m_self);
+            if (node.m_now - peer.m_lastContactAt <= node.m_options.m_suspectAfter && peer.m_isStoreReached && !wasAsked && isSuitable)
                 candidates.push_back(&peer);
         }
         const auto preference = [](const PeerState* peer) { return std::pair { peer->m_member.m_strength, peer->m_member.m_instance }; };
--- a/tests/hand_over_test.cpp
+++ b/tests/hand_over_test.cpp
@@ -7,6 +7,7 @@
 #include "process/cell/leader_codec.h"
 #include "request/plan_codec.h"
 
+#include <map>
 #include <set>
 
 using namespace bulrushloft;
@@ -204,3 +205,22 @@
         BOOST_TEST((leader.m_takeOverRequests > 0) == (peerStrength > strength), peerStrength);
     }
 }
+
+// Review: a leader that hands over to a much stronger peer also asked peers that are weaker than itself.
+BOOST_AUTO_TEST_CASE(a_leader_that_can_lead_hands_over_to_much_stronger_peers_only)
+{
+    FakeStore store = makeStore();
+    LeaderWithWorkers leader(store, 1);
+    leader.m_node->m_options.m_self.m_strength = 20;
+    std::map<std::uint16_t, int> requests;
+    leader.m_node->m_ports.m_callPeer = [&](const Address& to, const PeerMessage& message, Duration, const std::function<void(std::optional<PeerReply>)>&) { requests[to.m_port] += std::holds_alternative<PeerTakeOver>(message) ? 1 : 0; };
+    const std::vector<PeerMember> peers { makeMember("strong", 2, 7, 40), makeMember("weak", 3, 8, 9), makeMember("weaker", 4, 9, 9) };
+    for (int i = 0; i < 50; ++i) {
+        for (const PeerMember& peer : peers)
+            onPeerMessage(*leader.m_node, PeerHeartbeat { .m_from = peer, .m_leader = leader.m_node->m_leader, .m_configVersion = 1, .m_membersVersion = 0, .m_isStoreReached = true }, [](const PeerReply&) { /* Not of interest. */ });
+        leader.run({ 100 });
+    }
+    BOOST_TEST(requests[2] > 0);
+    BOOST_TEST(requests[3] == 0);
+    BOOST_TEST(requests[4] == 0);
+}
