Late reports of every kind are used, and none of a former process

Cause: only late reports that said Done were used, so that a forwarding peer's word that a worker had not answered, or had refused a start, was lost: dead workers were never noticed while reports were late, and a refused start was repeated for ever. A late report of a worker's former process confirmed that process, and the next acknowledgement deleted ends of the new one that nobody had read. Orders that a peer refused counted against the workers. Change: every late report is used, except that another worker answers at the address; one of a process other than the announced one is ignored, and none confirms a process. A sync that was not sent to its peer says nothing about the worker.

--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -169,14 +169,14 @@
     std::function<void(const PeerQueryAnswer&)> m_onAnswer; ///< Called once.
 };
 
-/** Called with the outcome of an order, and after Unreported once more if the worker has carried it out; the report is filled for a sync that is Done. */
+/** Called with the outcome of an order, and after Unreported once more if a report still comes; the report is filled for a sync that is Done. */
 using OrderCallback = std::function<void(OrderStatus, const SyncReport&)>;
 
 /** An order that was sent through a peer and whose outcome has not been reported. */
 struct OpenOrder {
     std::string m_relay; ///< Name of the peer that forwards it.
     TimePoint m_until; ///< Without a report by this time the order is given up, and then removed.
-    bool m_isGivenUp = false; ///< It counts as Unreported; a report that still comes is used if it says Done.
+    bool m_isGivenUp = false; ///< It counts as Unreported; a report that still comes is used.
     OrderCallback m_onAnswer;
 };
 
--- a/src/process/cell/cell_relay.cpp
+++ b/src/process/cell/cell_relay.cpp
@@ -31,10 +31,17 @@
             return;
         const OpenOrder order = std::move(found->second);
         node.m_relay.m_openOrders.erase(found);
-        if (!order.m_isGivenUp || status == OrderStatus::Done)
+        const bool isOutdated = order.m_isGivenUp && status == OrderStatus::WrongInstance; // The worker may have another address by now.
+        if (!isOutdated)
             order.m_onAnswer(status, report);
     }
 
+    /** @return Outcome of an order that was not sent to its peer; for a sync, nothing follows about the worker. */
+    OrderStatus unsentStatus(const RelayedOrder& order)
+    {
+        return std::holds_alternative<SyncOrder>(order.m_order) ? OrderStatus::Unreported : OrderStatus::NotSent;
+    }
+
     /** Ends the wait for a report. The peer or this leader may only be slow, so nothing follows about the worker, and a late report is still used. */
     void giveUpOrder(CellNode& node, std::uint64_t number)
     {
@@ -56,7 +63,7 @@
         markPeerFailed(node, name);
         relay.m_nextSelectionAt = node.m_now;
         for (const RelayedOrder& unsent : std::exchange(relay.m_outboxes[name].m_orders, {}))
-            completeOrder(node, unsent.m_number, OrderStatus::NotSent, {});
+            completeOrder(node, unsent.m_number, unsentStatus(unsent), {});
         std::vector<std::uint64_t> open;
         for (const auto& [number, order] : relay.m_openOrders) {
             if (order.m_relay == name && !order.m_isGivenUp)
@@ -77,17 +84,17 @@
     void sendOutbox(CellNode& node, const std::string& name, OrderOutbox& outbox)
     {
         PeerOrders message { .m_from = node.m_options.m_self, .m_orders = std::exchange(outbox.m_orders, {}) };
-        std::vector<std::uint64_t> numbers;
-        numbers.reserve(message.m_orders.size());
+        std::vector<std::pair<std::uint64_t, OrderStatus>> unsent; ///< Numbers, with the outcome if the peer does not take the orders.
+        unsent.reserve(message.m_orders.size());
         for (const RelayedOrder& order : message.m_orders)
-            numbers.push_back(order.m_number);
+            unsent.emplace_back(order.m_number, unsentStatus(order));
         const auto peer = node.m_peers.find(name);
         if (peer == node.m_peers.end()) {
-            for (const std::uint64_t number : numbers)
-                completeOrder(node, number, OrderStatus::NotSent, {});
+            for (const auto& [number, status] : unsent)
+                completeOrder(node, number, status, {});
             return;
         }
-        node.m_ports.m_callPeer(peer->second.m_member.m_address, message, forwardTimeout, [&node, name, numbers, member = peer->second.m_member, sentAt = node.m_now, term = node.m_term](const std::optional<PeerReply>& reply) {
+        node.m_ports.m_callPeer(peer->second.m_member.m_address, message, forwardTimeout, [&node, name, unsent, member = peer->second.m_member, sentAt = node.m_now, term = node.m_term](const std::optional<PeerReply>& reply) {
             const auto* const done = reply ? std::get_if<PeerAck>(&*reply) : nullptr;
             if (node.m_term != term || (done && done->m_isAccepted))
                 return;
@@ -95,9 +102,9 @@
                 return; // It may have taken the orders; those that it does not report are given up one by one.
             if (!done)
                 return failRelay(node, name);
-            logEvent(LogLevel::Warning, "order-relay-refused", { { "peer", name }, { "orders", numbers.size() } });
-            for (const std::uint64_t number : numbers)
-                completeOrder(node, number, OrderStatus::NotSent, {});
+            logEvent(LogLevel::Warning, "order-relay-refused", { { "peer", name }, { "orders", unsent.size() } });
+            for (const auto& [number, status] : unsent)
+                completeOrder(node, number, status, {});
         });
     }
 
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -304,6 +304,14 @@
         }
     }
 
+    /** @return Whether a late answer tells nothing new: a later one has been used, or the worker has been announced as restarted since. */
+    bool isOutdated(const Worker& worker, OrderStatus status, const SyncReport& report, TimePoint sentAt)
+    {
+        const std::int64_t announcedStartMs = worker.m_announcement.m_processStartMs;
+        const bool isOfOtherProcess = status == OrderStatus::Done && announcedStartMs != 0 && report.m_processStartMs != announcedStartMs;
+        return sentAt < worker.m_reportedSyncSentAt || isOfOtherProcess;
+    }
+
     TaskRef findCurrentAttempt(Scheduler& scheduler, const std::string& worker, const TaskName& name, std::uint32_t attempt)
     {
         const auto index = scheduler.m_workerById.find(worker);
@@ -325,6 +333,8 @@
     const bool isLate = sentAt < worker.m_syncSentAt;
     if (!isLate)
         worker.m_isSyncPending = false;
+    else if (isOutdated(worker, status, report, sentAt))
+        return;
     if (status == OrderStatus::Fenced) {
         effects.m_isFenced = true;
         return;
@@ -344,8 +354,6 @@
         countAnswer(scheduler, index, false, now);
         return;
     }
-    if (sentAt < worker.m_reportedSyncSentAt)
-        return;
     worker.m_reportedSyncSentAt = sentAt;
     countAnswer(scheduler, index, true, now);
     const bool hasRestarted = worker.m_processStartMs != 0 && report.m_processStartMs != worker.m_processStartMs;
@@ -356,7 +364,7 @@
         worker.m_pendingEnds.clear();
         worker.m_leaseUntilMs = 0;
     }
-    worker.m_isProcessConfirmed = true;
+    worker.m_isProcessConfirmed = worker.m_isProcessConfirmed || !isLate; // The process that made a late report may have ended since.
     worker.m_processStartMs = report.m_processStartMs;
     updateClock(scheduler, worker, { .m_ms = report.m_clockMs, .m_readAt = now }, isLate && !hasRestarted);
     if (isFirstReport)
