A task is stalled by the clock of its worker's reports only

Cause: the time without progress was measured by the arrival of any answer. Answers to starts carry no progress, and reports that were made 20 ms apart may arrive 2 s apart. Change: the worker's clock in the report that first showed the present progress is kept and compared with that of its latest report.

--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -75,7 +75,8 @@
     int m_percent = -1; ///< Latest reported progress in percent; -1 when none was reported.
     int m_loadMetric = 0; ///< Latest tail latency or CPU usage; see RunningAttempt.
     int m_pace = 100; ///< Ordered speed in percent of full speed.
-    TimePoint m_progressAt; ///< Time of the latest change in progress.
+    TimePoint m_progressAt; ///< Time at which the latest change in progress was reported.
+    std::int64_t m_progressClockMs = 0; ///< Worker's clock in the report that first showed the present progress; 0 when none has shown any.
     std::string m_checkpoint; ///< Newest checkpoint; empty for none.
     std::string m_checkpointAtStart; ///< Checkpoint from which the current attempt resumes; empty for none.
     std::string m_ticket; ///< Approval ticket of the current attempt; empty for none.
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -41,6 +41,7 @@
         task.m_percent = -1;
         task.m_pace = 100;
         task.m_progressAt = now;
+        task.m_progressClockMs = 0;
         worker.m_granted = worker.m_granted + grantOf(*ref.m_run);
         worker.m_tasks.push_back(ref);
         ref.m_run->m_expectedRunTime = predictRunTime(scheduler, *ref.m_run->m_job, ref.m_run->m_step);
@@ -251,8 +252,10 @@
                 confirmStart(scheduler, ref, now);
             if (!running.m_checkpoint.empty())
                 task.m_checkpoint = running.m_checkpoint;
-            if (running.m_percent != task.m_percent)
+            if (running.m_percent != task.m_percent || task.m_progressClockMs == 0) {
                 task.m_progressAt = now;
+                task.m_progressClockMs = report.m_clockMs;
+            }
             task.m_percent = running.m_percent;
             task.m_loadMetric = running.m_loadMetric;
         }
--- a/src/process/scheduler/scheduler_watch.cpp
+++ b/src/process/scheduler/scheduler_watch.cpp
@@ -15,13 +15,13 @@
     constexpr Duration gangStopMargin { 1'200 }; ///< Gangs are stopped this long before their workers would end the attempts themselves.
     constexpr int completePercent = 100;
 
-    bool isStalled(const TaskRef& ref, const Worker& worker, TimePoint now)
+    bool isStalled(const TaskRef& ref, const Worker& worker)
     {
         const StepPlan& plan = planOf(*ref.m_run);
         const Task& task = ref.task();
         const bool isWatched = task.m_phase == RunPhase::Running && task.m_percent >= 0 && !plan.m_isBestEffort && !plan.m_isLongRunning && task.m_percent < completePercent;
-        // A task counts as stalled only while its worker answers syncs: without reports, its progress is unknown.
-        return isWatched && now - task.m_progressAt > maxTimeWithoutProgress && worker.m_answeredAt - task.m_progressAt > maxTimeWithoutProgress;
+        // Judged by the worker's clock in its reports, as these may be late or missing, and other answers say nothing about progress.
+        return isWatched && task.m_progressClockMs != 0 && worker.m_clock.m_ms - task.m_progressClockMs > maxTimeWithoutProgress.m_ms;
     }
 
     void watchWorker(Scheduler& scheduler, Worker& worker, TimePoint now)
@@ -30,7 +30,7 @@
             return;
         const std::vector<TaskRef> tasks = worker.m_tasks;
         for (const TaskRef& ref : tasks) {
-            if (!isStalled(ref, worker, now))
+            if (!isStalled(ref, worker))
                 continue;
             worker.m_health.m_quarantinedUntil = std::max(worker.m_health.m_quarantinedUntil, now + stallQuarantine);
             logEvent(LogLevel::Warning, "task-stalled", { { "task", format(nameOf(ref)) }, { "attempt", ref.task().m_attempt }, { "worker", worker.m_announcement.m_id }, { "percent", ref.task().m_percent }, { "without_progress_ms", (now - ref.task().m_progressAt).m_ms } });
