An end as done completes the task also while a later attempt runs, and for gangs

Cause: a late end as done was ignored, and acknowledged, when a later attempt had been started, and always for gangs, though one such end represents all members. Change: the task is known to be done; later attempts, for a gang all, are stopped, and it is resolved when they have gone.

--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -58,6 +58,7 @@
     bool m_isCallPending = false; ///< A start or stop call has not been answered yet.
     TimePoint m_startSentAt; ///< Time of the latest start call.
     bool m_mayHaveArrived = false; ///< An unanswered start call may still be executed by the worker.
+    bool m_isKnownDone = false; ///< An earlier attempt has ended as done; the task is resolved as soon as it has no attempt.
     bool m_hasStarted = false; ///< A worker has confirmed the start of at least one attempt.
     bool m_isStopAcknowledged = false; ///< The worker has accepted the stop.
     std::uint16_t m_failures = 0; ///< Number of failed attempts.
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -80,8 +80,11 @@
         task.m_waitingSince = now;
         markDirty(scheduler, *run.m_job);
         scheduler.m_needsPlacing = true;
-        if (task.m_resolution == TaskResolution::Open)
-            markWaiting(scheduler, run);
+        if (task.m_resolution != TaskResolution::Open)
+            return;
+        if (task.m_isKnownDone)
+            return finishTask(scheduler, ref, now);
+        markWaiting(scheduler, run);
     }
 
     void stopTask(Scheduler& scheduler, const TaskRef& ref, TimePoint now)
@@ -180,26 +183,35 @@
         logEvent(LogLevel::Warning, "end-ignored", { { "task", format(ended.m_task) }, { "attempt", ended.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(index)].m_announcement.m_id }, { "end", findName(attemptEndNames, ended.m_end) }, { "latest_attempt", task.m_attempt }, { "phase", findName(runPhaseNames, task.m_phase) } });
     }
 
+    /** Completes a task, or its gang, whose earlier attempt has ended as done. A later attempt is stopped first. */
+    void acceptLateDone(Scheduler& scheduler, const TaskRef& ref, TimePoint now)
+    {
+        Task& task = ref.task();
+        task.m_isKnownDone = true;
+        stopTaskAndGang(scheduler, ref, now);
+        if (task.m_phase == RunPhase::None)
+            finishTask(scheduler, ref, now);
+    }
+
     /**
      * Handles an end of an attempt that is not current any more: its worker has returned after its attempts counted as lost, perhaps
-     * in an earlier term. If no later attempt has been started, a task that has ended as done is done, whichever attempt it was, and
-     * the checkpoint of the latest attempt is used. Long-running tasks and gangs run again.
+     * in an earlier term. A task that has ended as done is done, whichever attempt it was; long-running tasks run again. The checkpoint
+     * of the latest attempt is used if no later one has been started.
      */
     void handleLateEnd(Scheduler& scheduler, const TaskRef& ref, WorkerIndex index, const EndedAttempt& ended, TimePoint now)
     {
         Task& task = ref.task();
-        const bool isAwaited = (task.m_phase == RunPhase::None || task.m_phase == RunPhase::Recording) && task.m_resolution == TaskResolution::Open;
-        const bool canCompleteAlone = !planOf(*ref.m_run).m_isLongRunning && !planOf(*ref.m_run).m_isGang;
-        if (!isAwaited || !canCompleteAlone)
-            return logIgnoredEnd(scheduler, ref, index, ended);
-        if (ended.m_end == AttemptEnd::Done) {
-            logEvent(LogLevel::Info, "late-end-accepted", { { "task", format(ended.m_task) }, { "attempt", ended.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(index)].m_announcement.m_id } });
-            detachTask(scheduler, ref, now);
-            return finishTask(scheduler, ref, now);
+        const StepPlan& plan = planOf(*ref.m_run);
+        const bool isOpen = task.m_resolution == TaskResolution::Open && !isFinal(ref.m_run->m_job->m_stage);
+        if (isOpen && ended.m_end == AttemptEnd::Done && !plan.m_isLongRunning) {
+            logEvent(LogLevel::Info, "late-end-accepted", { { "task", format(ended.m_task) }, { "attempt", ended.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(index)].m_announcement.m_id }, { "latest_attempt", task.m_attempt }, { "phase", findName(runPhaseNames, task.m_phase) } });
+            return acceptLateDone(scheduler, ref, now);
         }
+        const bool hasNotStarted = task.m_phase == RunPhase::None || task.m_phase == RunPhase::Recording;
         const bool isLatest = task.m_lastWorker == index && task.m_lastAttempt == ended.m_attempt;
-        if (isLatest && !ended.m_checkpoint.empty())
+        if (isOpen && hasNotStarted && isLatest && !plan.m_isLongRunning && !plan.m_isGang && !ended.m_checkpoint.empty())
             task.m_checkpoint = ended.m_checkpoint;
+        logIgnoredEnd(scheduler, ref, index, ended);
     }
 
     void handleEnd(Scheduler& scheduler, WorkerIndex index, const EndedAttempt& ended, TimePoint now)
