Log the crash of a worker and what proves it

Change: worker-crashed, one line a crash of a worker with tasks; crash_record.{h,cpp} takes the places where a crash is proven.

--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -2,6 +2,7 @@
 #include "core/invariant.h"
 #include "core/log_func.h"
 #include "process/scheduler/approvals.h"
+#include "process/scheduler/crash_record.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
 #include "request/plan_func.h"
@@ -303,7 +304,7 @@
         return;
     }
     if (status == OrderStatus::WrongInstance) {
-        markTasksLost(scheduler, index, "another worker answers at its address", now);
+        loseTasksToCrash(scheduler, index, now);
         worker.m_state = WorkerState::Gone;
         constexpr Duration goneWorkerRetryDelay { 1'000 };
         worker.m_nextSyncAt = now + goneWorkerRetryDelay;
@@ -321,6 +322,7 @@
     const bool hasRestarted = worker.m_processStartMs != 0 && report.m_processStartMs != worker.m_processStartMs;
     const bool isFirstReport = hasRestarted || worker.m_state == WorkerState::New;
     if (hasRestarted) {
+        noteRestart(scheduler, index, now);
         worker.m_highestSeenEnd = 0;
         worker.m_ackedEndNumber = 0;
         worker.m_pendingEnds.clear();
@@ -394,7 +396,7 @@
         return handleRefusedStart(scheduler, ref, "unhealthy", now);
     }
     case OrderStatus::WrongInstance:
-        return markTasksLost(scheduler, task.m_worker, "another worker answers at its address", now);
+        return loseTasksToCrash(scheduler, task.m_worker, now);
     case OrderStatus::Invalid:
         logEvent(LogLevel::Error, "start-invalid", { { "task", format(name) }, { "worker", worker } });
         return handleRefusedStart(scheduler, ref, "invalid", now);
@@ -413,7 +415,7 @@
     constexpr Duration retryDelay { 100 };
     task.m_nextCallAt = now + retryDelay;
     if (status == OrderStatus::WrongInstance)
-        return markTasksLost(scheduler, task.m_worker, "another worker answers at its address", now);
+        return loseTasksToCrash(scheduler, task.m_worker, now);
     if (status != OrderStatus::Done)
         return;
     task.m_isStopAcknowledged = true;
