--- a/src/process/scheduler/crash_record.cpp
+++ b/src/process/scheduler/crash_record.cpp
@@ -1,30 +1,147 @@
-/** @file crash_record.cpp Crashes of workers. */
+/** @file crash_record.cpp Counts crashes of workers for their tasks, and gives up the tasks that cause them. */
 #include "process/scheduler/crash_record.h"
 
 #include "core/log_func.h"
 #include "process/scheduler/scheduler_detail.h"
+#include "request/plan_func.h"
+
+#include <algorithm>
 
 namespace bulrushloft::scheduler::detail {
 
 namespace {
 
-    void logCrash(const Worker& worker, std::string_view proof, TimePoint now)
+    constexpr std::uint16_t crashesOfCulprit = 2; ///< Crashes on probation in a row, in the latest of which no other attempt was on probation.
+    constexpr std::uint16_t maxCrashes = 5; ///< Limit for tasks that crash their workers later than on probation: the most that callers allow.
+    constexpr Duration calmRunTime { 30'000 }; ///< An attempt that has run for this long ends the count of crashes of a long-running task.
+
+    /** @return Whether an attempt may have been running on its worker when that crashed. */
+    bool mayHaveRun(const Task& task)
+    {
+        switch (task.m_phase) {
+        case RunPhase::None:
+        case RunPhase::Recording:
+            return false;
+        case RunPhase::Starting:
+            return task.m_isCallPending || task.m_mayHaveArrived;
+        case RunPhase::Running:
+            return true;
+        case RunPhase::Stopping:
+            return !task.m_isStopAcknowledged;
+        }
+        return false;
+    }
+
+    void countCrash(Scheduler& scheduler, Worker& worker, const TaskRef& ref)
+    {
+        Task& task = ref.task();
+        ++task.m_crashes;
+        if (!task.m_hasPassedProbation) {
+            worker.m_suspects += isSuspect(task) ? 0 : 1;
+            ++task.m_suspicions;
+            ref.m_run->m_hadSuspects = true;
+        }
+        markDirty(scheduler, *ref.m_run->m_job);
+    }
+
+    void logCrash(const Worker& worker, std::string_view proof, std::size_t onProbation, TimePoint now)
+    {
+        logEvent(LogLevel::Warning, "worker-crashed", { { "worker", worker.m_announcement.m_id }, { "proof", proof }, { "tasks", worker.m_tasks.size() }, { "on_probation", onProbation }, { "is_draining", worker.m_announcement.m_isDraining }, { "answered_ms_ago", (now - worker.m_answeredAt).m_ms } });
+    }
+
+    void logSuspect(const Worker& worker, const TaskRef& ref, bool wasAlone)
+    {
+        const Task& task = ref.task();
+        logEvent(LogLevel::Warning, "task-suspected", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "worker", worker.m_announcement.m_id }, { "crashes", task.m_crashes }, { "on_probation_in_a_row", task.m_suspicions }, { "was_alone", wasAlone } });
+    }
+
+    /**
+     * Counts a crash for all attempts that may have been running on the worker. A worker that leaves as announced has not crashed.
+     * @return The tasks to give up.
+     */
+    std::vector<TaskRef> recordCrash(Scheduler& scheduler, WorkerIndex index, std::string_view proof, TimePoint now)
     {
+        Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
+        std::vector<TaskRef> affected = worker.m_tasks;
+        std::erase_if(affected, [](const TaskRef& ref) { return !mayHaveRun(ref.task()); });
+        const auto onProbation = static_cast<std::size_t>(std::count_if(affected.begin(), affected.end(), [](const TaskRef& ref) { return !ref.task().m_hasPassedProbation; }));
         if (!worker.m_tasks.empty())
-            logEvent(LogLevel::Warning, "worker-crashed", { { "worker", worker.m_announcement.m_id }, { "proof", proof }, { "tasks", worker.m_tasks.size() }, { "is_draining", worker.m_announcement.m_isDraining }, { "answered_ms_ago", (now - worker.m_answeredAt).m_ms } });
+            logCrash(worker, proof, onProbation, now);
+        std::vector<TaskRef> culprits;
+        if (worker.m_announcement.m_isDraining)
+            return culprits;
+        const bool wasAlone = onProbation == 1;
+        for (const TaskRef& ref : affected) {
+            countCrash(scheduler, worker, ref);
+            const Task& task = ref.task();
+            const bool wasOnProbation = !task.m_hasPassedProbation;
+            if (wasOnProbation)
+                logSuspect(worker, ref, wasAlone);
+            if ((wasOnProbation && wasAlone && task.m_suspicions >= crashesOfCulprit) || task.m_crashes >= maxCrashes)
+                culprits.push_back(ref);
+        }
+        return culprits;
+    }
+
+    /** Fails the jobs of tasks that cause crashes. */
+    void giveUp(Scheduler& scheduler, const std::vector<TaskRef>& culprits, TimePoint now)
+    {
+        for (const TaskRef& ref : culprits) {
+            Task& task = ref.task();
+            Job& job = *ref.m_run->m_job;
+            if (isFinal(job.m_stage) || task.m_resolution != TaskResolution::Open)
+                continue;
+            logEvent(LogLevel::Warning, "task-given-up", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "crashes", task.m_crashes }, { "cause", "workers crashed under it" } });
+            task.m_resolution = TaskResolution::Failed;
+            endJob(scheduler, job, JobStage::Failed, now);
+        }
     }
 
 } // namespace
 
+bool isOnProbation(const Task& task)
+{
+    return !task.m_hasPassedProbation && !(task.m_phase == RunPhase::Stopping && task.m_isStopAcknowledged);
+}
+
 void loseTasksToCrash(Scheduler& scheduler, WorkerIndex index, TimePoint now)
 {
-    logCrash(scheduler.m_workers[static_cast<std::size_t>(index)], "another worker answers at its address", now);
-    markTasksLost(scheduler, index, "another worker answers at its address", now);
+    constexpr std::string_view proof = "another worker answers at its address";
+    const std::vector<TaskRef> culprits = recordCrash(scheduler, index, proof, now);
+    markTasksLost(scheduler, index, proof, now);
+    giveUp(scheduler, culprits, now);
 }
 
 void noteRestart(Scheduler& scheduler, WorkerIndex index, TimePoint now)
 {
-    logCrash(scheduler.m_workers[static_cast<std::size_t>(index)], "its process has started again", now);
+    const std::vector<TaskRef> culprits = recordCrash(scheduler, index, "its process has started again", now);
+    // A repeated start would run an attempt in the new process that may have crashed the old one, beside other tasks.
+    const std::vector<TaskRef> tasks = scheduler.m_workers[static_cast<std::size_t>(index)].m_tasks;
+    for (const TaskRef& ref : tasks) {
+        if (isSuspect(ref.task()) && ref.task().m_phase == RunPhase::Starting)
+            stopTask(scheduler, ref, now);
+    }
+    giveUp(scheduler, culprits, now);
+}
+
+void noteListed(Scheduler& scheduler, const TaskRef& ref, TimePoint now)
+{
+    Task& task = ref.task();
+    if (task.m_phase != RunPhase::Running)
+        return;
+    const Duration age = now - task.m_confirmedAt;
+    if (age >= calmRunTime)
+        task.m_crashes = 0;
+    if (task.m_hasPassedProbation || age < probationPeriod)
+        return;
+    task.m_hasPassedProbation = true;
+    if (!isSuspect(task))
+        return;
+    logEvent(LogLevel::Info, "task-cleared", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(task.m_worker)].m_announcement.m_id }, { "crashes", task.m_crashes }, { "ran_ms", age.m_ms } });
+    task.m_suspicions = 0;
+    --scheduler.m_workers[static_cast<std::size_t>(task.m_worker)].m_suspects;
+    scheduler.m_changedWorkers.push_back(task.m_worker);
+    scheduler.m_needsPlacing = true;
 }
 
 } // namespace bulrushloft::scheduler::detail
--- a/src/process/scheduler/crash_record.h
+++ b/src/process/scheduler/crash_record.h
@@ -1,17 +1,36 @@
-/** @file crash_record.h Crashes of workers, and what they say about the tasks that ran there. */
+/** @file crash_record.h Crashes of workers, and the tasks that may have caused them. */
 #pragma once
 
 #include "process/scheduler/scheduler_base.h"
 
 namespace bulrushloft::scheduler::detail {
 
+/*
+ * A task may crash each worker that starts it, which takes the worker's other tasks along. A task that makes its worker crash
+ * does so soon after its start, so an attempt is on probation until its worker has listed it for probationPeriod. Tasks that are
+ * on probation when their worker crashes are suspects: each is started again where no other attempt is on probation
+ * (suspect_placement.h), so that the next crash tells which of them it was.
+ */
+
+constexpr Duration probationPeriod { 300 }; ///< A worker that lists an attempt for this long does not crash because of its start.
+
+/** @return Whether the task was on probation at the latest crash of a worker that ran it and has not passed probation since. */
+constexpr bool isSuspect(const Task& task) { return task.m_suspicions > 0; }
+
+/** @return Whether an attempt may be running on its worker without having passed probation, or is going to be started there. */
+bool isOnProbation(const Task& task);
+
 /**
- * Handles the proof that a worker has crashed, as another process answers at its address: its attempts are lost.
+ * Handles the proof that a worker has crashed, as another process answers at its address: counts the crash for its attempts,
+ * which are lost, and gives up tasks that are found to cause crashes.
  * A lease that runs out is no such proof, since a worker that is cut off looks the same.
  */
 void loseTasksToCrash(Scheduler& scheduler, WorkerIndex index, TimePoint now);
 
-/** Handles the proof that a worker has crashed and restarted under its id; its first report tells which attempts are lost. */
+/** As loseTasksToCrash() for a worker that has restarted under its id; its first report tells which attempts are lost. */
 void noteRestart(Scheduler& scheduler, WorkerIndex index, TimePoint now);
 
+/** Notes that a worker has listed a task's current attempt as running; ends its probation in due course. */
+void noteListed(Scheduler& scheduler, const TaskRef& ref, TimePoint now);
+
 } // namespace bulrushloft::scheduler::detail
--- a/src/process/scheduler/scheduler.cpp
+++ b/src/process/scheduler/scheduler.cpp
@@ -1,5 +1,6 @@
 /** @file scheduler.cpp The scheduler's periodic step, expiry of ended jobs and consistency checks. */
 #include "core/log_func.h"
+#include "process/scheduler/crash_record.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
 
@@ -75,12 +76,14 @@
 {
     for (const Worker& worker : scheduler.m_workers) {
         Resources sum;
+        std::uint32_t suspects = 0;
         for (const TaskRef& ref : worker.m_tasks) {
             if (ref.task().m_phase == RunPhase::None || scheduler.m_workers[static_cast<std::size_t>(ref.task().m_worker)].m_announcement.m_id != worker.m_announcement.m_id)
                 return false;
             sum = sum + grantOf(*ref.m_run);
+            suspects += isSuspect(ref.task()) ? 1 : 0;
         }
-        if (!(sum == worker.m_granted))
+        if (!(sum == worker.m_granted) || suspects != worker.m_suspects)
             return false;
     }
     for (const auto& [id, job] : scheduler.m_jobs) {
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -61,6 +61,9 @@
     bool m_hasStarted = false; ///< A worker has confirmed the start of at least one attempt.
     bool m_isStopAcknowledged = false; ///< The worker has accepted the stop.
     std::uint16_t m_failures = 0; ///< Number of failed attempts.
+    std::uint16_t m_crashes = 0; ///< Number of workers that crashed while an attempt may have been running there.
+    std::uint16_t m_suspicions = 0; ///< Number of those crashes, since an attempt last passed its probation, that fell into the probation; see crash_record.h.
+    bool m_hasPassedProbation = false; ///< The worker has listed the current attempt for longer than a task needs to crash it.
     std::uint16_t m_missedSyncs = 0; ///< Consecutive syncs that did not list the current attempt.
     std::uint16_t m_tries = 0; ///< Calls made in the current phase.
     std::uint32_t m_attempt = 0; ///< Number of the newest attempt; 0 before the first.
@@ -127,6 +130,7 @@
     bool m_isChanged = true; ///< Something about the step itself has changed since a pass examined it, such as its tasks or approvals.
     bool m_isApprovalRequestDelayed = false; ///< An approval request was due and no VM was free to send it.
     bool m_hasReservations = false; ///< Workers are reserved for the step.
+    bool m_hadSuspects = false; ///< A task of the step was on probation when its worker crashed.
     UrgencyInput m_urgencyInput; ///< What the step's urgency was last computed from.
     TimePoint m_urgencyInputAt; ///< When m_urgencyInput was last updated; zero for never.
     ApprovalState m_approval; ///< Approvals; unused when the queue requires none.
@@ -211,6 +215,8 @@
     WorkerState m_state = WorkerState::New; ///< Whether the leader can rely on the worker.
     Resources m_granted; ///< Sum of the resources of m_tasks.
     std::vector<TaskRef> m_tasks; ///< Tasks whose current attempt may be on the worker.
+    std::uint32_t m_suspects = 0; ///< Number of suspects among m_tasks; nothing else is placed beside them.
+    TimePoint m_heldForSuspectUntil; ///< Until then, the worker is kept for a suspect of the step in m_reservedFor.
     std::uint32_t m_unexpectedAttempts = 0; ///< Attempts in its latest report that the scheduler did not expect there.
     std::int64_t m_processStartMs = 0; ///< Start of its process in Unix milliseconds; 0 when unknown.
     std::int64_t m_clockMs = 0; ///< Worker's clock at its latest answer; 0 when unknown.
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -1,10 +1,14 @@
 /** @file scheduler_place.cpp Placement passes: waiting steps in the order of their urgency, and the workers that their tasks get. */
+#include "core/log_func.h"
 #include "process/scheduler/approvals.h"
+#include "process/scheduler/crash_record.h"
 #include "process/scheduler/placement_cost.h"
 #include "process/scheduler/pool_view.h"
 #include "process/scheduler/reservation.h"
 #include "process/scheduler/scheduler_detail.h"
+#include "process/scheduler/suspect_placement.h"
 #include "process/scheduler/urgency.h"
+#include "request/plan_func.h"
 
 #include <algorithm>
 
@@ -92,11 +96,14 @@
             if (isGang && m_run.m_activeAttempts > 0)
                 return;
             findCandidates();
-            const bool mayPlace = !isGang || totalRoom() >= m_toPlace;
+            isolateSuspects();
+            const bool mayPlace = !isGang || (m_isolation.m_ready.size() == m_suspects.size() && totalRoom() + m_suspects.size() >= m_toPlace);
             if (mayPlace && isGang)
                 prepareGang();
-            if (mayPlace)
+            if (mayPlace) {
+                placeSuspects();
                 placeTasks();
+            }
             if (m_toPlace > 0 && m_policy)
                 request(effects);
         }
@@ -226,7 +233,7 @@
             std::make_heap(m_candidates.begin(), m_candidates.end());
             for (std::uint32_t i = 0; i < m_run.m_tasks.size() && m_toPlace > 0 && !m_candidates.empty(); ++i) {
                 const Task& task = m_run.m_tasks[i];
-                if (task.m_resolution == TaskResolution::Open && task.m_phase == RunPhase::None)
+                if (isUnplaced(task) && std::find(m_suspects.begin(), m_suspects.end(), i) == m_suspects.end())
                     placeOnCheapest(i);
             }
         }
@@ -246,9 +253,7 @@
         {
             moveCheapestToEnd(m_run.m_tasks[index]);
             const std::uint32_t position = m_candidates.back().m_position;
-            const WorkerIndex worker = m_view.m_workers[position];
-            const auto ticket = m_run.m_approval.m_tickets.find(worker);
-            placeTask(m_scheduler, { &m_run, index }, worker, ticket == m_run.m_approval.m_tickets.end() ? std::string() : ticket->second.m_text, m_now);
+            placeTask(m_scheduler, { &m_run, index }, m_view.m_workers[position], ticketTextFor(position), m_now);
             m_view.m_free[position] = m_view.m_free[position] - m_size;
             --m_toPlace;
             if (roomAt(position) == 0)
@@ -257,6 +262,88 @@
             std::push_heap(m_candidates.begin(), m_candidates.end());
         }
 
+        static bool isUnplaced(const Task& task) { return task.m_resolution == TaskResolution::Open && task.m_phase == RunPhase::None; }
+
+        /** Lists the suspects to place. A gang with more of them than workers can be isolated at once is placed as usual after a while. */
+        void findSuspects()
+        {
+            constexpr Duration maxGangWait { 2'000 };
+            for (std::uint32_t i = 0; m_run.m_hadSuspects && i < m_run.m_tasks.size(); ++i) {
+                const Task& task = m_run.m_tasks[i];
+                if (!isUnplaced(task) || !isSuspect(task))
+                    continue;
+                if (planOf(m_run).m_isGang && m_now - task.m_waitingSince > maxGangWait)
+                    return m_suspects.clear();
+                m_suspects.push_back(i);
+            }
+        }
+
+        std::vector<IsolationCandidate> isolationCandidates()
+        {
+            std::vector<IsolationCandidate> candidates;
+            for (std::uint32_t i = 0; i < m_view.m_workers.size(); ++i) {
+                const Worker& worker = workerAt(i);
+                const bool isFree = !m_view.m_reservedFor[i] || m_view.m_reservedFor[i] == &m_run;
+                if (!isFree || !isApproved(i) || !isSuitable(m_run, worker) || remainingLimitAt(i) == 0 || !fitsInto(m_size, worker.m_announcement.m_capacity))
+                    continue;
+                const bool hasUsableTicket = !m_policy || m_now <= m_run.m_approval.m_tickets.at(m_view.m_workers[i]).m_usableUntil;
+                const bool isReady = hasUsableTicket && fitsInto(m_size, m_view.m_free[i]) && isReadyForSuspect(worker);
+                candidates.push_back({ .m_position = i, .m_isReady = isReady, .m_isHeld = isHeldForSuspect(worker, m_now), .m_roomAt = expectedRoomAt(m_scheduler, m_view, i, m_size, m_now), .m_tasks = worker.m_tasks.size() });
+            }
+            return candidates;
+        }
+
+        void hold(std::uint32_t position)
+        {
+            constexpr Duration holdPeriod { 3'000 };
+            Worker& worker = workerAt(position);
+            if (!isHeldForSuspect(worker, m_now)) {
+                logEvent(LogLevel::Info, "worker-held-for-suspect", { { "worker", worker.m_announcement.m_id }, { "step", format(nameOf({ &m_run, m_suspects.front() })) }, { "tasks", worker.m_tasks.size() } });
+                worker.m_heldForSuspectUntil = m_now + holdPeriod;
+                reserveWorkers(m_scheduler, m_view, { position }, m_run);
+            }
+        }
+
+        /** Chooses workers for the suspects, and holds some where that takes time; these are not available to other tasks. */
+        void isolateSuspects()
+        {
+            findSuspects();
+            if (!m_suspects.empty()) {
+                const auto held = static_cast<std::size_t>(std::count_if(m_view.m_workers.begin(), m_view.m_workers.end(), [&](WorkerIndex index) { return isHeldForSuspect(m_scheduler.m_workers[static_cast<std::size_t>(index)], m_now); }));
+                const std::size_t limit = maxHeldWorkers(m_view.m_workers.size());
+                m_isolation = chooseIsolation(isolationCandidates(), m_suspects.size(), limit > held ? limit - held : 0);
+                for (const std::uint32_t position : m_isolation.m_toHold)
+                    hold(position);
+            }
+            std::erase_if(m_candidates, [&](const Candidate& candidate) {
+                const bool isTaken = std::find(m_isolation.m_ready.begin(), m_isolation.m_ready.end(), candidate.m_position) != m_isolation.m_ready.end();
+                return isTaken || isHeldForSuspect(workerAt(candidate.m_position), m_now);
+            });
+        }
+
+        /** Places suspects on the workers chosen for them; nothing else is placed there until they have passed their probation. */
+        void placeSuspects()
+        {
+            for (std::size_t i = 0; i < m_isolation.m_ready.size(); ++i) {
+                const std::uint32_t position = m_isolation.m_ready[i];
+                const TaskRef ref { &m_run, m_suspects[i] };
+                Worker& worker = workerAt(position);
+                logEvent(LogLevel::Info, "task-isolated", { { "task", format(nameOf(ref)) }, { "worker", worker.m_announcement.m_id }, { "beside", worker.m_tasks.size() }, { "crashes", ref.task().m_crashes } });
+                if (isHeldForSuspect(worker, m_now))
+                    worker.m_reservedFor = nullptr;
+                worker.m_heldForSuspectUntil = {};
+                placeTask(m_scheduler, ref, m_view.m_workers[position], ticketTextFor(position), m_now);
+                m_view.m_free[position] = {};
+                --m_toPlace;
+            }
+        }
+
+        std::string ticketTextFor(std::uint32_t position) const
+        {
+            const auto ticket = m_run.m_approval.m_tickets.find(m_view.m_workers[position]);
+            return ticket == m_run.m_approval.m_tickets.end() ? std::string() : ticket->second.m_text;
+        }
+
         /** @return Whether all members of a gang would fit on its approved workers if those were empty. */
         bool wouldFitIfEmpty()
         {
@@ -305,6 +392,8 @@
         const std::optional<ApprovalPolicy>& m_policy;
         double m_speedWeight;
         std::uint32_t m_toPlace; ///< Open tasks without an attempt.
+        std::vector<std::uint32_t> m_suspects; ///< Tasks to place apart from others; each index into the step's tasks.
+        Isolation m_isolation; ///< Workers for them.
         std::vector<Candidate> m_candidates; ///< Workers on which tasks of the step may start now.
     };
 
@@ -366,10 +455,11 @@
         }
     }
 
-    void clearReservations(Scheduler& scheduler)
+    /** Ends all reservations except those of workers that are held for a suspect. */
+    void clearReservations(Scheduler& scheduler, TimePoint now)
     {
         for (Worker& worker : scheduler.m_workers)
-            worker.m_lastReservedFor = std::exchange(worker.m_reservedFor, nullptr);
+            worker.m_lastReservedFor = isHeldForSuspect(worker, now) ? nullptr : std::exchange(worker.m_reservedFor, nullptr);
         for (StepRun* run : scheduler.m_waitingSteps)
             run->m_hasReservations = false;
     }
@@ -392,7 +482,7 @@
     const bool isFullPass = isFullPassDue(scheduler, now);
     if (isFullPass) {
         scheduler.m_fullPassAt = now;
-        clearReservations(scheduler);
+        clearReservations(scheduler, now);
     }
     PoolViews views = takePoolViews(scheduler, now);
     const std::vector<RankedStep> ranked = rankWaiting(scheduler, views, isFullPass, now);
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -2,6 +2,7 @@
 #include "connection/enum_codec.h"
 #include "core/cbor.h"
 #include "core/log_func.h"
+#include "process/scheduler/crash_record.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
 #include "request/plan_codec.h"
@@ -20,6 +21,9 @@
     /** Format version of a progress record, its first element; incremented whenever the format changes. */
     constexpr int recordFormat = 1;
 
+    constexpr std::size_t crashesElement = 6; ///< Position of the counts of crashes in a task's row; earlier releases wrote shorter rows.
+    constexpr std::size_t addressElement = 8; ///< Position of the worker's address and process start, which only placed tasks have.
+
     /** Short form, a single number, of a task that was never placed or that is resolved and has no current attempt. */
     enum class TaskMark : std::uint8_t {
         NeverPlaced,
@@ -34,8 +38,18 @@
             return static_cast<int>(task.m_resolution == TaskResolution::Done ? TaskMark::Done : TaskMark::Failed);
         if (task.m_attempt == 0)
             return static_cast<int>(TaskMark::NeverPlaced);
-        const std::string worker = isPlaced ? scheduler.m_workers[static_cast<std::size_t>(task.m_worker)].m_announcement.m_id : std::string();
-        return Json::array({ static_cast<int>(task.m_resolution), task.m_attempt, task.m_failures, task.m_hasStarted, worker, task.m_checkpoint });
+        Json row = Json::array({ static_cast<int>(task.m_resolution), task.m_attempt, task.m_failures, task.m_hasStarted, std::string(), task.m_checkpoint });
+        if (isPlaced || task.m_crashes > 0) {
+            row.push_back(task.m_crashes);
+            row.push_back(task.m_suspicions);
+        }
+        if (isPlaced) {
+            const Worker& worker = scheduler.m_workers[static_cast<std::size_t>(task.m_worker)];
+            row.at(4) = worker.m_announcement.m_id;
+            row.push_back(format(worker.m_announcement.m_address));
+            row.push_back(worker.m_processStartMs);
+        }
+        return row;
     }
 
     /** @return Whether the job has ended and nothing of it may be running any more, so that only its stage matters. */
@@ -76,6 +90,18 @@
         return found->second;
     }
 
+    /** Restores where a task's worker was and when its process had started, so that a crash during the change of leader shows. */
+    void restoreProcess(Worker& worker, const Json& row)
+    {
+        if (row.size() <= addressElement + 1)
+            return;
+        const auto address = parseAddress(row.at(addressElement).get<std::string>());
+        if (address && worker.m_announcement.m_address.m_port == 0)
+            worker.m_announcement.m_address = *address;
+        if (worker.m_processStartMs == 0)
+            worker.m_processStartMs = row.at(addressElement + 1);
+    }
+
     void restoreTask(Scheduler& scheduler, const TaskRef& ref, const Json& row, TimePoint now)
     {
         Task& task = ref.task();
@@ -89,6 +115,11 @@
             task.m_failures = row.at(2);
             task.m_hasStarted = row.at(3);
             task.m_checkpoint = row.at(5);
+            if (row.size() > crashesElement + 1) {
+                task.m_crashes = row.at(crashesElement);
+                task.m_suspicions = row.at(crashesElement + 1);
+                ref.m_run->m_hadSuspects = ref.m_run->m_hadSuspects || detail::isSuspect(task);
+            }
         }
         if (task.m_resolution == TaskResolution::Done) {
             ++ref.m_run->m_doneCount;
@@ -102,7 +133,9 @@
         task.m_confirmedAt = now - Duration { 1 }; // Before the first sync is sent, so that its answer can show that the attempt is missing.
         task.m_progressAt = now;
         Worker& host = scheduler.m_workers[static_cast<std::size_t>(task.m_worker)];
+        restoreProcess(host, row);
         host.m_tasks.push_back(ref);
+        host.m_suspects += detail::isSuspect(task) ? 1 : 0;
         host.m_granted = host.m_granted + detail::grantOf(*ref.m_run);
         ++ref.m_run->m_attemptsByWorker[task.m_worker];
         ++ref.m_run->m_activeAttempts;
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -37,6 +37,7 @@
         task.m_isCallPending = false;
         task.m_mayHaveArrived = false;
         task.m_isStopAcknowledged = false;
+        task.m_hasPassedProbation = false;
         task.m_missedSyncs = 0;
         task.m_tries = 0;
         task.m_percent = -1;
@@ -44,6 +45,7 @@
         task.m_progressAt = now;
         worker.m_granted = worker.m_granted + grantOf(*ref.m_run);
         worker.m_tasks.push_back(ref);
+        worker.m_suspects += isSuspect(task) ? 1 : 0;
         ref.m_run->m_expectedRunTime = predictRunTime(scheduler, *ref.m_run->m_job, ref.m_run->m_step);
         BULRUSH_INVARIANT(fitsInto(worker.m_granted, worker.m_announcement.m_capacity), "granted resources fit the worker's capacity");
         ++ref.m_run->m_attemptsByWorker[index];
@@ -64,6 +66,7 @@
         worker.m_granted = worker.m_granted - grantOf(run);
         scheduler.m_changedWorkers.push_back(task.m_worker);
         std::erase(worker.m_tasks, ref);
+        worker.m_suspects -= isSuspect(task) ? 1 : 0;
         if (--run.m_attemptsByWorker[task.m_worker] == 0)
             run.m_attemptsByWorker.erase(task.m_worker);
         --run.m_activeAttempts;
@@ -240,6 +243,7 @@
             task.m_missedSyncs = 0;
             if (task.m_phase == RunPhase::Starting)
                 confirmStart(scheduler, ref, now);
+            noteListed(scheduler, ref, now);
             if (!running.m_checkpoint.empty())
                 task.m_checkpoint = running.m_checkpoint;
             if (running.m_percent != task.m_percent)
@@ -360,7 +364,7 @@
 {
     const TaskRef ref = findCurrentAttempt(scheduler, worker, name, attempt);
     const auto index = scheduler.m_workerById.find(worker);
-    if (index != scheduler.m_workerById.end() && status != OrderStatus::NotSent && status != OrderStatus::Unreported)
+    if (index != scheduler.m_workerById.end() && status != OrderStatus::NotSent && status != OrderStatus::Unreported && status != OrderStatus::WrongInstance)
         countAnswer(scheduler, index->second, status != OrderStatus::NoAnswer, now);
     if (status == OrderStatus::Fenced)
         effects.m_isFenced = true;
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -1,7 +1,9 @@
 /** @file scheduler_workers.cpp Workers: announcements, leases, health, and the calls to them. */
 #include "core/log_func.h"
+#include "process/scheduler/crash_record.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
+#include "process/scheduler/suspect_placement.h"
 #include "request/plan_func.h"
 
 #include <algorithm>
@@ -109,7 +111,7 @@
 
     bool acceptsTasks(const Worker& worker, TimePoint now)
     {
-        return worker.m_isAnnounced && worker.m_state == WorkerState::Adopted && !worker.m_announcement.m_isDraining && worker.m_unexpectedAttempts == 0
+        return worker.m_isAnnounced && worker.m_state == WorkerState::Adopted && !worker.m_announcement.m_isDraining && worker.m_unexpectedAttempts == 0 && worker.m_suspects == 0
             && worker.m_unansweredCalls == 0 && worker.m_health.m_quarantinedUntil <= now;
     }
 
@@ -197,6 +199,13 @@
             return worker.m_isProcessConfirmed ? worker.m_ackedEndNumber : 0;
         }
 
+        /** @return How long a worker may hold a sync open; short where the end of a probation is waited for. */
+        Duration syncWaitOf(const Scheduler& scheduler, const Worker& worker, TimePoint now)
+        {
+            const bool isProbationWatched = worker.m_suspects > 0 || isHeldForSuspect(worker, now);
+            return isProbationWatched ? std::min(probationPeriod, scheduler.m_options.m_syncWait) : scheduler.m_options.m_syncWait;
+        }
+
         void sendSync(Scheduler& scheduler, Worker& worker, TimePoint now, SchedulerEffects& effects)
         {
             const bool isHealthy = worker.m_state == WorkerState::Adopted && worker.m_unansweredCalls == 0;
@@ -208,7 +217,7 @@
             }
             const bool isLossy = now < scheduler.m_lossyUntil;
             if (isHealthy && worker.m_pendingEnds.empty() && !isIdle(worker))
-                order.m_wait = isLossy ? lossySyncWait : scheduler.m_options.m_syncWait;
+                order.m_wait = isLossy ? lossySyncWait : syncWaitOf(scheduler, worker, now);
             worker.m_isSyncPending = true;
             ++scheduler.m_counters.m_syncs;
             effects.m_syncs.push_back({ targetOf(scheduler, worker), order, order.m_wait + (isLossy ? lossyTimeout(scheduler, lossySyncTimeoutMargin, syncTimeoutMargin) : syncTimeoutMargin) });
--- a/tests/deadly_task_test.cpp
+++ b/tests/deadly_task_test.cpp
@@ -3,12 +3,16 @@
 #include <boost/test/unit_test.hpp>
 
 #include "fake_lease_worker.h"
+#include "process/scheduler/crash_record.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
+#include "process/scheduler/suspect_placement.h"
 
 #include <deque>
 #include <set>
 
+#include <nlohmann/json.hpp>
+
 using namespace bulrushloft;
 using namespace bulrushloft::scheduler;
 
@@ -20,6 +24,7 @@
 constexpr std::int64_t runMs = 600;
 constexpr std::int64_t crashAfterMs = 200; ///< Time from the start of a deadly task to the crash of its worker.
 constexpr std::int64_t downMs = 3'000; ///< How long a crashed worker is down.
+constexpr std::uint32_t maxCulpritCrashes = 3; ///< Workers that a task which crashes them soon after its start may crash.
 constexpr std::uint32_t maxDeadlyStarts = 5; ///< Three crashes and two more starts; a third one after them is forbidden.
 
 /** What happened to a task so far. */
@@ -42,6 +47,11 @@
     std::uint64_t m_term = 0;
     bool m_keepsIds = false; ///< Whether a worker that restarts keeps its id; otherwise the new process has another id at the same address.
 
+    bool m_announcesDownWorkers = true; ///< Whether the announcement of a worker that is down is still there when a leader is elected.
+    std::int64_t m_crashAfterMs = crashAfterMs; ///< As the constant, for tasks that crash their workers later.
+
+    std::int64_t m_runMs = runMs; ///< How long attempts run.
+
     explicit DeadlyFixture(std::uint32_t workers)
     {
         for (std::uint32_t i = 0; i < workers; ++i) {
@@ -68,8 +78,10 @@
             if (!record.empty())
                 BOOST_REQUIRE(restoreProgress(*m_scheduler, id, record, now()).has_value());
         }
-        for (const auto& worker : m_workers)
-            announce(worker);
+        for (const auto& worker : m_workers) {
+            if (!worker.m_isDown || m_announcesDownWorkers)
+                announce(worker);
+        }
         finishRestoring(*m_scheduler, now());
         m_scheduler->m_isInitialLoad = false;
     }
@@ -83,7 +95,7 @@
         return { "127.0.0.1", static_cast<std::uint16_t>(firstPort + std::stoi(machineOf(worker.m_id).substr(1))) };
     }
 
-    void announce(const test::FakeLeaseWorker& worker)
+    void announce(const test::FakeLeaseWorker& worker) const
     {
         updateWorker(*m_scheduler, { .m_id = worker.m_id, .m_pool = "p", .m_address = addressOf(worker), .m_zone = "z", .m_machine = machineOf(worker.m_id), .m_capacity = { .m_cpuMilli = worker.m_capacityCpuMilli, .m_memoryMb = 4'000 }, .m_processStartMs = worker.m_processStartMs }, now());
     }
@@ -100,7 +112,7 @@
     {
         ++m_history[task].m_starts;
         if (m_deadlyJobs.contains(task.m_job))
-            m_crashAtMs.try_emplace(host.m_id, m_nowMs + crashAfterMs);
+            m_crashAtMs.try_emplace(host.m_id, m_nowMs + m_crashAfterMs);
     }
 
     /** @return The worker at the address of a worker with this id, whose id may have changed since. */
@@ -109,7 +121,7 @@
         return *std::find_if(m_workers.begin(), m_workers.end(), [&](const auto& worker) { return machineOf(worker.m_id) == machineOf(id); });
     }
 
-    void comeBack(test::FakeLeaseWorker& worker)
+    void comeBack(test::FakeLeaseWorker& worker) const
     {
         worker.restart(m_nowMs);
         if (!m_keepsIds) {
@@ -137,11 +149,11 @@
 
     static bool isUnreachable(const test::FakeLeaseWorker& worker) { return worker.m_isDown || worker.m_isUnreachable; }
 
-    OrderStatus deliverStart(const AddressedOrder<StartOrder>& start, test::FakeLeaseWorker& worker)
+    OrderStatus deliverStart(const AddressedOrder<StartOrder>& start, test::FakeLeaseWorker& worker) const
     {
         if (isUnreachable(worker))
             return OrderStatus::NoAnswer;
-        return worker.m_id == start.m_to.m_worker ? worker.start(start.m_order, start.m_to.m_token, runMs, m_nowMs) : OrderStatus::WrongInstance;
+        return worker.m_id == start.m_to.m_worker ? worker.start(start.m_order, start.m_to.m_token, m_runMs, m_nowMs) : OrderStatus::WrongInstance;
     }
 
     void deliverSync(const AddressedOrder<SyncOrder>& sync, SchedulerEffects& answers)
@@ -188,6 +200,7 @@
     {
         for (const std::int64_t end = m_nowMs + lengthMs; m_nowMs < end;)
             tick();
+        BOOST_TEST(isConsistent(*m_scheduler));
     }
 
     /** Advances until a worker has crashed this often under a task of the deadly job, or a minute has passed. */
@@ -332,3 +345,154 @@
     fixture.run(60'000);
     BOOST_TEST(fixture.mostStarts(deadlyJob) <= maxDeadlyStarts);
 }
+
+// A task that shares its first worker with others must be told from them by the next crash, not by many.
+BOOST_AUTO_TEST_CASE(a_task_that_crashes_its_workers_beside_others_crashes_few)
+{
+    DeadlyFixture fixture(4);
+    fixture.submit(soundJob, { .m_count = 12 });
+    fixture.submit(deadlyJob, { .m_count = 1 });
+    fixture.run(40'000);
+    BOOST_TEST(fixture.mostCrashes(deadlyJob) <= maxCulpritCrashes);
+    BOOST_TEST((fixture.stage(deadlyJob) == JobStage::Failed));
+    BOOST_TEST((fixture.stage(soundJob) == JobStage::Complete));
+}
+
+// The leader changes while the worker is down and its announcement has expired: only the record tells where to look for the crash.
+BOOST_AUTO_TEST_CASE(crashes_of_workers_that_a_new_leader_does_not_find_announced_are_counted)
+{
+    DeadlyFixture fixture(6);
+    fixture.m_announcesDownWorkers = false;
+    fixture.submit(deadlyJob, { .m_count = 1 });
+    for (std::uint32_t crashes = 1; crashes <= 6; ++crashes) {
+        fixture.runUntilCrashes(crashes);
+        fixture.elect();
+    }
+    BOOST_TEST(fixture.mostCrashes(deadlyJob) <= maxCulpritCrashes);
+    BOOST_TEST((fixture.stage(deadlyJob) == JobStage::Failed));
+}
+
+// The leader changes while the worker is down, and the worker keeps its id: only the record tells that its process is a new one.
+BOOST_AUTO_TEST_CASE(crashes_of_workers_that_keep_their_ids_during_a_change_of_leader_are_counted)
+{
+    DeadlyFixture fixture(6);
+    fixture.m_keepsIds = true;
+    fixture.submit(deadlyJob, { .m_count = 1 });
+    for (std::uint32_t crashes = 1; crashes <= 6; ++crashes) {
+        fixture.runUntilCrashes(crashes);
+        fixture.elect();
+    }
+    BOOST_TEST(fixture.mostCrashes(deadlyJob) <= maxCulpritCrashes);
+    BOOST_TEST((fixture.stage(deadlyJob) == JobStage::Failed));
+}
+
+// A task that crashes its workers only after its probation is bounded as well.
+BOOST_AUTO_TEST_CASE(a_task_that_crashes_its_workers_late_is_given_up)
+{
+    DeadlyFixture fixture(6);
+    fixture.m_crashAfterMs = runMs - 100;
+    fixture.submit(deadlyJob, { .m_count = 1 });
+    fixture.run(60'000);
+    BOOST_TEST(fixture.mostStarts(deadlyJob) <= maxDeadlyStarts);
+    BOOST_TEST((fixture.stage(deadlyJob) == JobStage::Failed));
+}
+
+// A long-running task whose workers crash for other reasons, far apart, is never given up.
+BOOST_AUTO_TEST_CASE(rare_crashes_do_not_fail_a_long_running_task)
+{
+    constexpr std::int64_t calmMs = 40'000;
+    constexpr int crashes = 8;
+    DeadlyFixture fixture(6);
+    fixture.m_deadlyJobs.clear();
+    fixture.m_runMs = 2 * calmMs;
+    fixture.submit(soundJob, { .m_count = 1, .m_isLongRunning = true });
+    for (int i = 0; i < crashes; ++i) {
+        fixture.run(calmMs);
+        for (auto& worker : fixture.m_workers) {
+            if (!worker.m_running.empty())
+                fixture.m_crashAtMs.try_emplace(worker.m_id, fixture.m_nowMs);
+        }
+    }
+    fixture.run(calmMs);
+    BOOST_TEST((fixture.stage(soundJob) == JobStage::Active));
+    BOOST_TEST(fixture.mostStarts(soundJob) > crashes);
+}
+
+// Another attempt that starts beside a suspect would share the blame for the next crash.
+BOOST_AUTO_TEST_CASE(nothing_is_placed_beside_a_suspect_on_probation)
+{
+    DeadlyFixture fixture(1);
+    fixture.submit(deadlyJob, { .m_count = 1 });
+    fixture.runUntilCrashes(1);
+    fixture.submit(soundJob, { .m_count = 2 });
+    bool wasIsolated = false;
+    for (const std::int64_t end = fixture.m_nowMs + 20'000; fixture.m_nowMs < end && fixture.stage(deadlyJob) != JobStage::Failed;) {
+        fixture.tick();
+        for (const Worker& worker : fixture.m_scheduler->m_workers) {
+            const auto onProbation = std::count_if(worker.m_tasks.begin(), worker.m_tasks.end(), [](const TaskRef& ref) { return detail::isOnProbation(ref.task()); });
+            wasIsolated = wasIsolated || worker.m_suspects > 0;
+            BOOST_TEST((worker.m_suspects == 0 || onProbation == 1));
+        }
+    }
+    fixture.run(10'000);
+    BOOST_TEST(wasIsolated);
+    BOOST_TEST((fixture.stage(deadlyJob) == JobStage::Failed));
+    BOOST_TEST((fixture.stage(soundJob) == JobStage::Complete));
+}
+
+// Two suspects that share a worker after all, as when a cut hides one of them, must not both be blamed for its crash.
+BOOST_AUTO_TEST_CASE(suspects_that_share_a_worker_are_not_given_up)
+{
+    DeadlyFixture fixture(1);
+    fixture.m_deadlyJobs.clear();
+    fixture.submit(soundJob, { .m_count = 2 });
+    fixture.run(100);
+    Worker& worker = fixture.m_scheduler->m_workers.front();
+    BOOST_REQUIRE(worker.m_tasks.size() == 2);
+    for (const TaskRef& ref : worker.m_tasks) {
+        ref.task().m_suspicions = 1;
+        ++worker.m_suspects;
+    }
+    fixture.m_crashAtMs["w0"] = fixture.m_nowMs;
+    fixture.run(20'000);
+    BOOST_TEST((fixture.stage(soundJob) == JobStage::Complete));
+}
+
+// A leader of an earlier release wrote shorter rows; its jobs must not be lost in an upgrade.
+BOOST_AUTO_TEST_CASE(records_of_earlier_releases_are_restored)
+{
+    constexpr std::size_t earlierRowLength = 6;
+    DeadlyFixture fixture(2);
+    fixture.submit(soundJob, { .m_count = 2 });
+    fixture.run(100);
+    const std::string& record = fixture.m_records.at(soundJob);
+    auto decoded = nlohmann::json::from_cbor(std::vector<std::uint8_t>(record.begin(), record.end()));
+    for (auto& run : decoded.at(3)) {
+        for (auto& row : run.at(4)) {
+            BOOST_REQUIRE(row.size() > earlierRowLength);
+            row.erase(row.begin() + earlierRowLength, row.end());
+        }
+    }
+    const auto bytes = nlohmann::json::to_cbor(decoded);
+    fixture.m_records[soundJob].assign(bytes.begin(), bytes.end());
+    fixture.elect();
+    fixture.run(20'000);
+    BOOST_TEST((fixture.stage(soundJob) == JobStage::Complete));
+    BOOST_TEST(fixture.mostStarts(soundJob) == 1);
+}
+
+// A suspect on a busy worker would cost more tasks than needed, and unlimited holding would idle the pool.
+BOOST_AUTO_TEST_CASE(ready_workers_with_few_tasks_are_chosen_and_holds_are_limited)
+{
+    const std::vector<detail::IsolationCandidate> candidates {
+        { .m_position = 0, .m_isReady = true, .m_tasks = 5 },
+        { .m_position = 1, .m_isReady = true, .m_tasks = 1 },
+        { .m_position = 2, .m_roomAt = { 900 } },
+        { .m_position = 3, .m_roomAt = { 100 } },
+        { .m_position = 4, .m_isHeld = true, .m_roomAt = { 1'000 } },
+    };
+    BOOST_TEST(detail::chooseIsolation(candidates, 1, 1).m_ready == std::vector<std::uint32_t>({ 1 }), boost::test_tools::per_element());
+    BOOST_TEST(detail::chooseIsolation(candidates, 1, 1).m_toHold.empty());
+    BOOST_TEST(detail::chooseIsolation(candidates, 5, 1).m_ready == std::vector<std::uint32_t>({ 1, 0 }), boost::test_tools::per_element());
+    BOOST_TEST(detail::chooseIsolation(candidates, 5, 1).m_toHold == std::vector<std::uint32_t>({ 4, 3 }), boost::test_tools::per_element());
+}
