--- a/src/process/scheduler/crash_record.cpp
+++ b/src/process/scheduler/crash_record.cpp
@@ -6,6 +6,7 @@
 #include "request/plan_func.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace bulrushloft::scheduler::detail {
 
@@ -32,11 +33,25 @@
         return false;
     }
 
-    void countCrash(Scheduler& scheduler, Worker& worker, const TaskRef& ref)
+    /**
+     * Selects the attempts that may have caused a crash: those on probation. If one of them was isolated, the others had passed
+     * theirs under an earlier leader.
+     */
+    std::vector<TaskRef> selectSuspects(const std::vector<TaskRef>& affected)
+    {
+        std::vector<TaskRef> suspects = affected;
+        std::erase_if(suspects, [](const TaskRef& ref) { return ref.task().m_hasPassedProbation; });
+        const auto isIsolated = [](const TaskRef& ref) { return ref.task().m_isIsolated; };
+        if (std::any_of(suspects.begin(), suspects.end(), isIsolated))
+            std::erase_if(suspects, std::not_fn(isIsolated));
+        return suspects;
+    }
+
+    void countCrash(Scheduler& scheduler, Worker& worker, const TaskRef& ref, bool isSuspected)
     {
         Task& task = ref.task();
         ++task.m_crashes;
-        if (!task.m_hasPassedProbation) {
+        if (isSuspected) {
             worker.m_suspects += isSuspect(task) ? 0 : 1;
             ++task.m_suspicions;
             ref.m_run->m_hadSuspects = true;
@@ -64,20 +79,20 @@
         Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
         std::vector<TaskRef> affected = worker.m_tasks;
         std::erase_if(affected, [](const TaskRef& ref) { return !mayHaveRun(ref.task()); });
-        const auto onProbation = static_cast<std::size_t>(std::count_if(affected.begin(), affected.end(), [](const TaskRef& ref) { return !ref.task().m_hasPassedProbation; }));
+        const std::vector<TaskRef> suspects = selectSuspects(affected);
         if (!worker.m_tasks.empty())
-            logCrash(worker, proof, onProbation, now);
+            logCrash(worker, proof, suspects.size(), now);
         std::vector<TaskRef> culprits;
         if (worker.m_announcement.m_isDraining)
             return culprits;
-        const bool wasAlone = onProbation == 1;
+        const bool wasAlone = suspects.size() == 1;
         for (const TaskRef& ref : affected) {
-            countCrash(scheduler, worker, ref);
             const Task& task = ref.task();
-            const bool wasOnProbation = !task.m_hasPassedProbation;
-            if (wasOnProbation)
+            const bool isSuspected = std::find(suspects.begin(), suspects.end(), ref) != suspects.end();
+            countCrash(scheduler, worker, ref, isSuspected);
+            if (isSuspected)
                 logSuspect(worker, ref, wasAlone);
-            if ((wasOnProbation && wasAlone && task.m_suspicions >= crashesOfCulprit) || task.m_crashes >= maxCrashes)
+            if ((isSuspected && wasAlone && task.m_suspicions >= crashesOfCulprit) || task.m_crashes >= maxCrashes)
                 culprits.push_back(ref);
         }
         return culprits;
@@ -139,6 +154,8 @@
         return;
     logEvent(LogLevel::Info, "task-cleared", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(task.m_worker)].m_announcement.m_id }, { "crashes", task.m_crashes }, { "ran_ms", age.m_ms } });
     task.m_suspicions = 0;
+    task.m_isIsolated = false;
+    markDirty(scheduler, *ref.m_run->m_job); // Before other attempts start there, so that a later leader doesn't take this one for the cause of their crash.
     --scheduler.m_workers[static_cast<std::size_t>(task.m_worker)].m_suspects;
     scheduler.m_changedWorkers.push_back(task.m_worker);
     scheduler.m_needsPlacing = true;
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -63,6 +63,7 @@
     std::uint16_t m_failures = 0; ///< Number of failed attempts.
     std::uint16_t m_crashes = 0; ///< Number of workers that crashed while an attempt may have been running there.
     std::uint16_t m_suspicions = 0; ///< Number of those crashes, since an attempt last passed its probation, that fell into the probation; see crash_record.h.
+    bool m_isIsolated = false; ///< The current attempt began its probation when no other attempt on its worker was on probation, and none has been placed there since.
     bool m_hasPassedProbation = false; ///< The worker has listed the current attempt for longer than a task needs to crash it.
     std::uint16_t m_missedSyncs = 0; ///< Consecutive syncs that did not list the current attempt.
     std::uint16_t m_tries = 0; ///< Calls made in the current phase.
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -333,6 +333,7 @@
                     worker.m_reservedFor = nullptr;
                 worker.m_heldForSuspectUntil = {};
                 placeTask(m_scheduler, ref, m_view.m_workers[position], ticketTextFor(position), m_now);
+                ref.task().m_isIsolated = true;
                 m_view.m_free[position] = {};
                 --m_toPlace;
             }
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -22,7 +22,8 @@
     constexpr int recordFormat = 1;
 
     constexpr std::size_t crashesElement = 6; ///< Position of the counts of crashes in a task's row; earlier releases wrote shorter rows.
-    constexpr std::size_t addressElement = 8; ///< Position of the worker's address and process start, which only placed tasks have.
+    constexpr std::size_t addressElement = 8; ///< Position of the worker's address and process start, and of the isolation, which only placed tasks have.
+    constexpr std::size_t isolationElement = addressElement + 2;
 
     /** Short form, a single number, of a task that was never placed or that is resolved and has no current attempt. */
     enum class TaskMark : std::uint8_t {
@@ -48,6 +49,7 @@
             row.at(4) = worker.m_announcement.m_id;
             row.push_back(format(worker.m_announcement.m_address));
             row.push_back(worker.m_processStartMs);
+            row.push_back(task.m_isIsolated);
         }
         return row;
     }
@@ -118,6 +120,7 @@
             if (row.size() > crashesElement + 1) {
                 task.m_crashes = row.at(crashesElement);
                 task.m_suspicions = row.at(crashesElement + 1);
+                task.m_isIsolated = row.size() > isolationElement && row.at(isolationElement).get<bool>();
                 ref.m_run->m_hadSuspects = ref.m_run->m_hadSuspects || detail::isSuspect(task);
             }
         }
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -38,6 +38,7 @@
         task.m_mayHaveArrived = false;
         task.m_isStopAcknowledged = false;
         task.m_hasPassedProbation = false;
+        task.m_isIsolated = false;
         task.m_missedSyncs = 0;
         task.m_tries = 0;
         task.m_percent = -1;
--- a/tests/deadly_task_test.cpp
+++ b/tests/deadly_task_test.cpp
@@ -458,6 +458,42 @@
     BOOST_TEST((fixture.stage(soundJob) == JobStage::Complete));
 }
 
+// A new leader has seen no attempt pass its probation, so it must know from the record which one was isolated.
+BOOST_AUTO_TEST_CASE(a_suspect_that_was_isolated_is_given_up_by_a_new_leader)
+{
+    constexpr std::int64_t longRunMs = 20'000;
+    DeadlyFixture fixture(1);
+    fixture.m_runMs = longRunMs;
+    fixture.submit(soundJob, { .m_count = 3 });
+    fixture.run(1'500);
+    fixture.submit(deadlyJob, { .m_count = 1 });
+    fixture.runUntilCrashes(2);
+    fixture.elect();
+    fixture.run(90'000);
+    BOOST_TEST(fixture.mostCrashes(deadlyJob) == 2);
+    BOOST_TEST((fixture.stage(deadlyJob) == JobStage::Failed));
+    BOOST_TEST((fixture.stage(soundJob) == JobStage::Complete));
+}
+
+// A suspect that has passed must not be taken for the cause of a later crash by a new leader.
+BOOST_AUTO_TEST_CASE(a_cleared_suspect_is_not_blamed_by_a_new_leader)
+{
+    constexpr std::int64_t longRunMs = 4'000;
+    DeadlyFixture fixture(1);
+    fixture.m_runMs = longRunMs;
+    fixture.m_deadlyJobs.clear();
+    fixture.submit(soundJob, { .m_count = 1 });
+    fixture.run(100);
+    fixture.m_crashAtMs["w0"] = fixture.m_nowMs;
+    fixture.run(5'000);
+    BOOST_REQUIRE(fixture.mostStarts(soundJob) == 2);
+    fixture.m_crashAtMs[fixture.m_workers.front().m_id] = fixture.m_nowMs;
+    fixture.tick();
+    fixture.elect();
+    fixture.run(20'000);
+    BOOST_TEST((fixture.stage(soundJob) == JobStage::Complete));
+}
+
 // A leader of an earlier release wrote shorter rows; its jobs must not be lost in an upgrade.
 BOOST_AUTO_TEST_CASE(records_of_earlier_releases_are_restored)
 {
