--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -317,7 +317,8 @@
             }
             std::erase_if(m_candidates, [&](const Candidate& candidate) {
                 const bool isTaken = std::find(m_isolation.m_ready.begin(), m_isolation.m_ready.end(), candidate.m_position) != m_isolation.m_ready.end();
-                return isTaken || isHeldForSuspect(workerAt(candidate.m_position), m_now);
+                const bool isReserved = m_view.m_reservedFor[candidate.m_position]; // Held workers are; the others need not be looked up.
+                return isTaken || (isReserved && isHeldForSuspect(workerAt(candidate.m_position), m_now));
             });
         }
 
