--- a/src/process/scheduler/pool_view.cpp
+++ b/src/process/scheduler/pool_view.cpp
@@ -18,6 +18,7 @@
         view.m_free.push_back(worker.m_announcement.m_capacity - worker.m_granted);
         view.m_reservedFor.push_back(worker.m_reservedFor);
         view.m_reservedCount += worker.m_reservedFor ? 1 : 0;
+        view.m_hasHeldWorkers = view.m_hasHeldWorkers || worker.m_heldForSuspectUntil.m_ms > 0;
     }
 
 } // namespace
--- a/src/process/scheduler/pool_view.h
+++ b/src/process/scheduler/pool_view.h
@@ -20,6 +20,7 @@
     std::vector<Resources> m_free; ///< Free resources of each of m_workers.
     std::vector<const StepRun*> m_reservedFor; ///< Blocked step for which each of m_workers is reserved; null for none.
     std::size_t m_reservedCount = 0; ///< Number of reserved workers.
+    bool m_hasHeldWorkers = false; ///< A worker may be held for a suspect, see isHeldForSuspect().
     std::size_t m_reservingSteps = 0; ///< Number of steps for which this pass has reserved workers.
     std::vector<std::uint32_t> m_changed; ///< Positions of the workers on which room may have appeared since the previous pass.
     std::vector<std::vector<ExpectedEnd>> m_ends; ///< Expected ends on each of m_workers, as of the beginning of the pass; filled when they are first needed.
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -62,6 +62,10 @@
     bool m_hasStarted = false; ///< A worker has confirmed the start of at least one attempt.
     bool m_isStopAcknowledged = false; ///< The worker has accepted the stop.
     std::uint16_t m_failures = 0; ///< Number of failed attempts.
+    std::uint16_t m_crashes = 0; ///< Number of workers that crashed while an attempt may have been running there.
+    std::uint16_t m_suspicions = 0; ///< Number of those crashes, since an attempt last passed its probation, that fell into the probation; see crash_record.h.
+    bool m_isIsolated = false; ///< The current attempt began its probation when no other attempt on its worker was on probation, and none has been placed there since.
+    bool m_hasPassedProbation = false; ///< The worker has listed the current attempt for longer than a task needs to crash it.
     std::uint16_t m_missedSyncs = 0; ///< Consecutive syncs that did not list the current attempt.
     std::uint16_t m_tries = 0; ///< Calls made in the current phase.
     std::uint32_t m_attempt = 0; ///< Number of the newest attempt; 0 before the first.
@@ -129,6 +133,7 @@
     bool m_isChanged = true; ///< Something about the step itself has changed since a pass examined it, such as its tasks or approvals.
     bool m_isApprovalRequestDelayed = false; ///< An approval request was due and no VM was free to send it.
     bool m_hasReservations = false; ///< Workers are reserved for the step.
+    bool m_hadSuspects = false; ///< A task of the step was on probation when its worker crashed.
     UrgencyInput m_urgencyInput; ///< What the step's urgency was last computed from.
     TimePoint m_urgencyInputAt; ///< When m_urgencyInput was last updated; zero for never.
     ApprovalState m_approval; ///< Approvals; unused when the queue requires none.
@@ -214,12 +219,19 @@
 /** A worker as the leader knows it. */
 struct Worker {
     WorkerAnnouncement m_announcement; ///< Latest announcement of the worker.
-    bool m_isAnnounced = false; ///< The worker is currently announced.
-    std::string m_rack; ///< Rack label; empty when the worker has none.
     WorkerState m_state = WorkerState::New; ///< Whether the leader can rely on the worker.
+    bool m_isAnnounced = false; ///< The worker is currently announced.
+    bool m_wasAccepting = false; ///< Whether it accepted tasks at the latest placement pass.
+    std::uint32_t m_unexpectedAttempts = 0; ///< Attempts in its latest report that the scheduler did not expect there.
+    std::uint32_t m_suspects = 0; ///< Number of suspects among m_tasks; nothing else is placed beside them.
+    std::uint32_t m_unansweredCalls = 0; ///< Consecutive calls without an answer.
+    std::uint32_t m_viewPosition = 0; ///< Its position in the pool's view of the latest placement pass, if it accepted tasks then.
     Resources m_granted; ///< Sum of the resources of m_tasks.
+    const StepRun* m_lastReservedFor = nullptr; ///< Step for which it was reserved before the latest full pass; only compared. Null for none.
+    const StepRun* m_reservedFor = nullptr; ///< Blocked step for which the worker is reserved; only compared, as the step may be gone. Null for none.
+    TimePoint m_heldForSuspectUntil; ///< Until then, the worker is kept for a suspect of the step in m_reservedFor.
+    std::string m_rack; ///< Rack label; empty when the worker has none.
     std::vector<TaskRef> m_tasks; ///< Tasks whose current attempt may be on the worker.
-    std::uint32_t m_unexpectedAttempts = 0; ///< Attempts in its latest report that the scheduler did not expect there.
     std::int64_t m_processStartMs = 0; ///< Start of its process in Unix milliseconds; 0 when unknown.
     ClockReading m_clock; ///< From the latest report; a bound from below, so the end of leases is computed from it.
     ClockReading m_promptClock; ///< From the latest report that came in time, or a later one that tells more; lease deadlines are computed from it.
@@ -230,7 +242,6 @@
     TimePoint m_reportedSyncSentAt; ///< When the sync was sent whose report was used last.
     TimePoint m_nextSyncAt; ///< Earliest time of the next sync.
     TimePoint m_answeredAt; ///< Time of the latest answer.
-    std::uint32_t m_unansweredCalls = 0; ///< Consecutive calls without an answer.
     std::uint64_t m_highestSeenEnd = 0; ///< Number of the latest end that has been processed; 0 for none.
     std::uint64_t m_ackedEndNumber = 0; ///< Ends up to this number are durable and can be acknowledged.
     bool m_isProcessConfirmed = false; ///< No call has failed since the latest sync answer, so the process that numbered the ends still runs.
@@ -238,10 +249,6 @@
     WorkerHealth m_health; ///< Recent failures and speed.
     TimePoint m_drainingSince; ///< Time at which the worker first announced that it is draining.
     std::uint32_t m_pendingNames = 0; ///< Unanswered approval requests that name the worker; their steps are going to use its room.
-    const StepRun* m_lastReservedFor = nullptr; ///< Step for which it was reserved before the latest full pass; only compared. Null for none.
-    const StepRun* m_reservedFor = nullptr; ///< Blocked step for which the worker is reserved; only compared, as the step may be gone. Null for none.
-    bool m_wasAccepting = false; ///< Whether it accepted tasks at the latest placement pass.
-    std::uint32_t m_viewPosition = 0; ///< Its position in the pool's view of the latest placement pass, if it accepted tasks then.
 };
 
 /** A VM that sends approval requests for the leader, one at a time. */
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -2,6 +2,7 @@
 #include "core/invariant.h"
 #include "core/log_func.h"
 #include "process/scheduler/approvals.h"
+#include "process/scheduler/crash_record.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
 #include "request/plan_func.h"
@@ -36,6 +37,8 @@
         task.m_isCallPending = false;
         task.m_mayHaveArrived = false;
         task.m_isStopAcknowledged = false;
+        task.m_hasPassedProbation = false;
+        task.m_isIsolated = false;
         task.m_missedSyncs = 0;
         task.m_tries = 0;
         task.m_percent = -1;
@@ -44,6 +47,7 @@
         task.m_progressClockMs = 0;
         worker.m_granted = worker.m_granted + grantOf(*ref.m_run);
         worker.m_tasks.push_back(ref);
+        worker.m_suspects += isSuspect(task) ? 1 : 0;
         ref.m_run->m_expectedRunTime = predictRunTime(scheduler, *ref.m_run->m_job, ref.m_run->m_step);
         BULRUSH_INVARIANT(fitsInto(worker.m_granted, worker.m_announcement.m_capacity), "granted resources fit the worker's capacity");
         ++ref.m_run->m_attemptsByWorker[index];
@@ -64,6 +68,7 @@
         worker.m_granted = worker.m_granted - grantOf(run);
         scheduler.m_changedWorkers.push_back(task.m_worker);
         std::erase(worker.m_tasks, ref);
+        worker.m_suspects -= isSuspect(task) ? 1 : 0;
         if (--run.m_attemptsByWorker[task.m_worker] == 0)
             run.m_attemptsByWorker.erase(task.m_worker);
         --run.m_activeAttempts;
@@ -262,6 +267,7 @@
             task.m_missedSyncs = 0;
             if (task.m_phase == RunPhase::Starting)
                 confirmStart(scheduler, ref, now);
+            noteListed(scheduler, ref, now);
             if (!running.m_checkpoint.empty())
                 task.m_checkpoint = running.m_checkpoint;
             if (running.m_percent != task.m_percent || task.m_progressClockMs == 0) {
@@ -355,7 +361,7 @@
         return;
     }
     if (status == OrderStatus::WrongInstance) {
-        markTasksLost(scheduler, index, "another worker answers at its address", now);
+        loseTasksToCrash(scheduler, index, now);
         worker.m_state = WorkerState::Gone;
         constexpr Duration goneWorkerRetryDelay { 1'000 };
         worker.m_nextSyncAt = now + goneWorkerRetryDelay;
@@ -374,6 +380,7 @@
     const bool hasRestarted = worker.m_processStartMs != 0 && report.m_processStartMs != worker.m_processStartMs;
     const bool isFirstReport = hasRestarted || worker.m_state == WorkerState::New;
     if (hasRestarted) {
+        noteRestart(scheduler, index, now);
         worker.m_highestSeenEnd = 0;
         worker.m_ackedEndNumber = 0;
         worker.m_pendingEnds.clear();
@@ -410,7 +417,7 @@
 {
     const TaskRef ref = findCurrentAttempt(scheduler, worker, name, attempt);
     const auto index = scheduler.m_workerById.find(worker);
-    if (index != scheduler.m_workerById.end() && status != OrderStatus::NotSent && status != OrderStatus::Unreported)
+    if (index != scheduler.m_workerById.end() && status != OrderStatus::NotSent && status != OrderStatus::Unreported && status != OrderStatus::WrongInstance)
         countAnswer(scheduler, index->second, status != OrderStatus::NoAnswer, now);
     if (status == OrderStatus::Fenced)
         effects.m_isFenced = true;
@@ -446,7 +453,7 @@
         return handleRefusedStart(scheduler, ref, "unhealthy", now);
     }
     case OrderStatus::WrongInstance:
-        return markTasksLost(scheduler, task.m_worker, "another worker answers at its address", now);
+        return loseTasksToCrash(scheduler, task.m_worker, now);
     case OrderStatus::Invalid:
         logEvent(LogLevel::Error, "start-invalid", { { "task", format(name) }, { "worker", worker } });
         return handleRefusedStart(scheduler, ref, "invalid", now);
@@ -465,7 +472,7 @@
     constexpr Duration retryDelay { 100 };
     task.m_nextCallAt = now + retryDelay;
     if (status == OrderStatus::WrongInstance)
-        return markTasksLost(scheduler, task.m_worker, "another worker answers at its address", now);
+        return loseTasksToCrash(scheduler, task.m_worker, now);
     if (status != OrderStatus::Done)
         return;
     task.m_isStopAcknowledged = true;
--- a/tests/cell_simulation.cpp
+++ b/tests/cell_simulation.cpp
@@ -350,7 +350,7 @@
             };
             // Instead of holding its answer back until an attempt ends, the worker gets the order after a tenth of the maximum wait,
             // or after a random part of it, so that answers arrive at any time of a long round.
-            const std::int64_t wait = (m_options.m_extraFaults & busyFault) ? randomBetween(0, sync.m_order.m_wait.m_ms) : sync.m_order.m_wait.m_ms / 10;
+            const std::int64_t wait = (m_options.m_extraFaults & BusyFault) ? randomBetween(0, sync.m_order.m_wait.m_ms) : sync.m_order.m_wait.m_ms / 10;
             schedule(wait, [sendOrder, sync, timeout, onAnswer, report, perform, alive = node.m_isAlive] {
                 if (*alive)
                     sendOrder(
@@ -520,24 +520,24 @@
     void CellSimulation::injectExtraFault(SimulatedNode& victim)
     {
         std::vector<std::uint32_t> kinds;
-        for (std::uint32_t kind = 1; kind <= heldOrdersFault; kind *= 2) {
+        for (std::uint32_t kind = 1; kind <= HeldOrdersFault; kind *= 2) {
             if (m_options.m_extraFaults & kind)
                 kinds.push_back(kind);
         }
         switch (kinds[static_cast<std::size_t>(randomBetween(0, static_cast<std::int64_t>(kinds.size()) - 1))]) {
-        case busyFault:
+        case BusyFault:
             victim.m_busyUntil = m_now + randomBetween(1'000, 6'000);
-            if (m_options.m_extraFaults & deafWorkersFault)
+            if (m_options.m_extraFaults & DeafWorkersFault)
                 schedule(victim.m_busyUntil - m_now - randomBetween(0, 800), [this] { muteWorkers(); });
             return;
-        case slowPeersFault:
+        case SlowPeersFault:
             m_slowPeersUntil = m_now + randomBetween(1'000, 5'000);
             return;
-        case flapFault:
+        case FlapFault:
             return restartWorkers(m_options.m_workers / 3, static_cast<int>(randomBetween(1, 4)));
-        case leaderKillsFault:
+        case LeaderKillsFault:
             return killLeaders(static_cast<int>(randomBetween(2, 4)));
-        case splitFault: {
+        case SplitFault: {
             const std::int64_t until = m_now + randomBetween(1'000, 9'000);
             victim.m_splitUntil = until;
             m_nodes[static_cast<std::size_t>(randomBetween(0, m_options.m_nodes - 1))].m_splitUntil = until;
@@ -545,7 +545,7 @@
                 victim.m_storeUnreachableUntil = until;
             return;
         }
-        case deafWorkersFault:
+        case DeafWorkersFault:
             return muteWorkers();
         default:
             victim.m_heldOrdersUntil = m_now + randomBetween(300, 3'000);
--- a/tests/cell_simulation.h
+++ b/tests/cell_simulation.h
@@ -12,13 +12,13 @@
 
 /** Further kinds of faults, as bits of CellSimulationOptions::m_extraFaults; each fault of a simulation is then one of them with probability 1/2. */
 enum ExtraFault : std::uint32_t {
-    busyFault = 1, ///< The decision thread of a daemon, mostly the leader, is overloaded: its rounds of work are long.
-    slowPeersFault = 2, ///< Messages between daemons take up to seconds.
-    flapFault = 4, ///< A third of the workers crash and restart several times within seconds.
-    leaderKillsFault = 8, ///< Leaders are killed in quick succession.
-    splitFault = 16, ///< A part of the daemons can't reach the others; all reach the workers, and the part may be cut off from the store.
-    deafWorkersFault = 32, ///< Half of the workers can't be reached; their attempts go on.
-    heldOrdersFault = 64, ///< A daemon holds its orders back for seconds before they leave, so that they may reach a later process of the worker.
+    BusyFault = 1, ///< The decision thread of a daemon, mostly the leader, is overloaded: its rounds of work are long.
+    SlowPeersFault = 2, ///< Messages between daemons take up to seconds.
+    FlapFault = 4, ///< A third of the workers crash and restart several times within seconds.
+    LeaderKillsFault = 8, ///< Leaders are killed in quick succession.
+    SplitFault = 16, ///< A part of the daemons can't reach the others; all reach the workers, and the part may be cut off from the store.
+    DeafWorkersFault = 32, ///< Half of the workers can't be reached; their attempts go on.
+    HeldOrdersFault = 64, ///< A daemon holds its orders back for seconds before they leave, so that they may reach a later process of the worker.
 };
 
 /** Size, load and faults of a simulation. */
