A read that fails gets more time at the next attempt, instead of all reads from the start

Cause (suspected, not traced with logs): the reads that follow a topic had got 4 s for their answers, so that one lost answer was noticed only by hedging, 2.5 s later, and the announcements of draining workers were read that much later. Configurations have 4 s as before.

--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-    constexpr Duration readMargin { 4'000 }; ///< Added to a read's long-poll wait for the answer, which may be large for a slow link or VM; hedging covers a silent store.
+    constexpr Duration readMargin { 700 }; ///< Added to a read's long-poll wait for the answer to arrive; doubled with each read that fails.
+    constexpr Duration maxReadMargin { 4'000 }; ///< Enough for a large answer on a slow link or VM. Configurations get it at once; hedging covers a silent store.
     constexpr Duration listingTimeout { 4'000 }; ///< A page of many records may take long when the store is slow.
     constexpr Duration retryDelay { 200 };
     constexpr Duration storeSilenceLimit { 1'200 }; ///< A store without an answer for longer is considered lost.
@@ -135,9 +136,11 @@
         if (answer.m_status == StoreStatus::Expired)
             return resetTail(tail, true);
         if (answer.m_status != StoreStatus::Done) {
+            ++tail.m_failedReads;
             failAttempt(tail.m_call, node.m_now + retryDelay);
             return;
         }
+        tail.m_failedReads = 0;
         for (auto record = answer.m_records.begin(); record != answer.m_records.end(); ++record) {
             if (&tail != &node.m_operatorTail || !isSuperseded(record, answer.m_records.end()))
                 applyRecord(node, tail, *record);
@@ -150,6 +153,15 @@
         endCall(tail.m_call, isCaughtUp ? node.m_now + tail.m_pollDelay : node.m_now);
     }
 
+    /** @return Time for the answer of a tail's next read, without its wait: an answer that is lost must not hold up the tail, and one that takes long must arrive some time. */
+    Duration marginOf(const CellNode& node, const TopicTail& tail)
+    {
+        constexpr std::uint32_t maxDoublings = 3;
+        if (&tail == &node.m_operatorTail)
+            return maxReadMargin;
+        return std::min(readMargin * (std::int64_t { 1 } << std::min(tail.m_failedReads, maxDoublings)), maxReadMargin);
+    }
+
     void stepTail(CellNode& node, TopicTail& tail)
     {
         // A lost store is polled without a wait, so that its recovery is noticed soon; so is one that may have more than was listed.
@@ -169,7 +181,7 @@
             });
             return;
         }
-        node.m_ports.m_read({ .m_partition = tail.m_partition, .m_from = tail.m_nextOffset, .m_wait = wait }, wait + readMargin, [&node, &tail, checkAnswer](const StoreReadAnswer& answer) {
+        node.m_ports.m_read({ .m_partition = tail.m_partition, .m_from = tail.m_nextOffset, .m_wait = wait }, wait + marginOf(node, tail), [&node, &tail, checkAnswer](const StoreReadAnswer& answer) {
             if (checkAnswer(answer.m_status))
                 onRead(node, tail, answer);
         });
--- a/tests/cell_loading_test.cpp
+++ b/tests/cell_loading_test.cpp
@@ -41,6 +41,8 @@
     std::vector<PendingPage> m_pages; ///< Reads of progress, which the test case answers.
     std::size_t m_answeredPages = 0; ///< Number of reads that answerPagesUntilLeading() has answered.
     bool m_isFenceHeld = false; ///< The append that fences earlier terms reaches the store only later.
+    int m_failingReads = 0; ///< Number of further reads of submissions that fail.
+    std::vector<Duration> m_readMargins; ///< Time that each read of submissions had for its answer, without its wait.
     bool m_areReadsHeld = false; ///< The store answers no reads that follow a listing.
     std::vector<std::function<void()>> m_heldReads; ///< Reads that the store has not answered yet: those held, and those sent once progress is being read.
     std::unique_ptr<CellNode> m_node;
@@ -104,7 +106,12 @@
             if (!m_isFenceHeld || !append.m_writer)
                 deliverLater(onAnswer, m_store.append(append));
         };
-        ports.m_read = [this, deliverLater](const StoreRead& read, Duration, const std::function<void(StoreReadAnswer)>& onAnswer) {
+        ports.m_read = [this, deliverLater](const StoreRead& read, Duration timeout, const std::function<void(StoreReadAnswer)>& onAnswer) {
+            if (read.m_partition.m_topic == "keyed.jobs") {
+                m_readMargins.push_back(timeout - read.m_wait);
+                if (m_failingReads > 0 && m_failingReads-- > 0)
+                    return deliverLater(onAnswer, StoreReadAnswer { .m_status = StoreStatus::Unknown });
+            }
             if (!m_areReadsHeld && m_pages.empty())
                 deliverLater(onAnswer, m_store.read(read));
             else
@@ -225,3 +232,17 @@
     BOOST_REQUIRE((fixture.m_node->m_role == Role::Leading));
     BOOST_TEST((fixture.m_node->m_scheduler->m_jobs.at(id)->m_stage == scheduler::JobStage::Cancelled));
 }
+
+// Reads of much that was stored during a listing failed for ten seconds on end, each after 0.7 s. With 4 s for all reads, one lost answer
+// held up the list of workers for so long that tasks started on workers that were leaving (DRAIN 91).
+BOOST_AUTO_TEST_CASE(a_read_gets_more_time_after_each_that_fails)
+{
+    LoadingFixture fixture;
+    fixture.m_failingReads = 5;
+    fixture.answerPagesUntilLeading(600);
+    BOOST_REQUIRE((fixture.m_node->m_role == Role::Leading));
+    BOOST_REQUIRE(fixture.m_readMargins.size() >= 7U);
+    for (std::size_t i = 1; i < 6; ++i)
+        BOOST_TEST((fixture.m_readMargins[i] > fixture.m_readMargins[i - 1] || fixture.m_readMargins[i] == Duration { 4'000 }));
+    BOOST_TEST((fixture.m_readMargins[6] == fixture.m_readMargins[0])); // The sixth was answered.
+}
