--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -424,6 +424,25 @@
         await self.start()
         self.cell.record.line("fault: runner", self.id, "is up again")
 
+    async def be_replaced(self, down_s, is_dark):
+        """The process ends, or the machine falls silent; after a time a new incarnation, with another id and of another kind, answers at its address."""
+        former = self.id
+        self.cell.record.line("fault: runner", former, "goes dark;" if is_dark else "crashes;", "runs lost:", sorted(self.running))
+        self.is_up = False
+        if is_dark:
+            self.server.lose_power()
+        else:
+            await self.server.stop()
+        for task, run in list(self.running.items()):
+            self.cell.history.on_end(former, task, run.attempt, "crashed")
+        await asyncio.sleep(down_s)
+        self.id, self.kind = "i-%010x" % random.getrandbits(40), "c"
+        await self.start()
+        self.cell.record.line("fault: runner", self.id, "has started at the address of", former)
+        await asyncio.sleep(3 * HEARTBEAT_S - down_s)
+        if self.cell.store.mode == "up":
+            self.cell.store.put("keyed.servers", former, "")  # "It is removed [...] after three heartbeat intervals of silence."
+
     async def go_dark(self, down_s):
         """As crash(), but the machine falls silent: its connections are not reset while it is down."""
         self.cell.record.line("fault: runner", self.id, "goes dark; runs lost:", sorted(self.running))
