--- a/review/5/case.py
+++ b/review/5/case.py
@@ -58,4 +58,4 @@
         cell.record.breaks("LOST", "a task of", job, "that lasts does not run, with runners of its kind up and empty")
 
 
-standins.play(__file__, scenario, daemons=3, runners=14)
+standins.play(__file__, scenario, daemons=3, runners=15)
