--- a/src/connection/order_type.h
+++ b/src/connection/order_type.h
@@ -100,6 +100,12 @@
     std::string m_checkpoint; ///< Last checkpoint; empty when there is none.
 };
 
+/** Answer of a worker to a StartOrder. */
+struct StartAnswer {
+    OrderStatus m_status = OrderStatus::NoAnswer; ///< Outcome.
+    std::int64_t m_clockMs = 0; ///< Time on the worker's clock in milliseconds; 0 when not reported.
+};
+
 /** Answer of a worker to a SyncOrder. */
 struct SyncReport {
     std::int64_t m_clockMs = 0; ///< Time on the worker's clock in milliseconds.
@@ -141,7 +147,7 @@
 struct OrderReport {
     std::uint64_t m_number = 0; ///< Id of the order.
     OrderStatus m_status = OrderStatus::NoAnswer; ///< Outcome.
-    SyncReport m_sync; ///< The worker's answer; only filled when a SyncOrder ended with Done.
+    SyncReport m_sync; ///< The worker's answer when a SyncOrder ended with Done; of other answers only the worker's clock, if they tell it.
 };
 
 } // namespace bulrushloft
--- a/src/platform/platform_adapter.cpp
+++ b/src/platform/platform_adapter.cpp
@@ -31,7 +31,7 @@
     ports.m_append = [this, post](const StoreAppend& append, Duration timeout, std::function<void(StoreAppendAnswer)> onAnswer) { m_store.append(append, timeout, makePostingCallback(post, std::move(onAnswer))); };
     ports.m_read = [this, post](const StoreRead& read, Duration timeout, std::function<void(StoreReadAnswer)> onAnswer) { m_store.read(read, timeout, makePostingCallback(post, std::move(onAnswer))); };
     ports.m_readNewest = [this, post](const StoreNewestRead& read, Duration timeout, std::function<void(StoreNewestAnswer)> onAnswer) { m_store.readNewest(read, timeout, makePostingCallback(post, std::move(onAnswer))); };
-    ports.m_start = [this, post](const auto& order, Duration timeout, std::function<void(OrderStatus)> onAnswer) { m_workers.start(order, timeout, makePostingCallback(post, std::move(onAnswer))); };
+    ports.m_start = [this, post](const auto& order, Duration timeout, std::function<void(const StartAnswer&)> onAnswer) { m_workers.start(order, timeout, makePostingCallback(post, std::move(onAnswer))); };
     ports.m_stop = [this, post](const auto& order, Duration timeout, std::function<void(OrderStatus)> onAnswer) { m_workers.stop(order, timeout, makePostingCallback(post, std::move(onAnswer))); };
     ports.m_pace = [this, post](const auto& order, Duration timeout, std::function<void(OrderStatus)> onAnswer) { m_workers.pace(order, timeout, makePostingCallback(post, std::move(onAnswer))); };
     ports.m_sync = [this, post](const auto& order, Duration timeout, std::function<void(OrderStatus, const SyncReport&)> onAnswer) {
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -132,14 +132,17 @@
 {
 }
 
-void WorkerClient::start(const AddressedOrder<StartOrder>& order, Duration timeout, std::function<void(OrderStatus)> onAnswer)
+void WorkerClient::start(const AddressedOrder<StartOrder>& order, Duration timeout, std::function<void(const StartAnswer&)> onAnswer)
 {
     Json body { { "task", format(order.m_order.m_task) }, { "attempt", order.m_order.m_attempt }, { "spec", order.m_order.m_payload }, { "deadline_ms", order.m_order.m_leaseUntilMs }, { "fencing_token", order.m_to.m_token } };
     if (!order.m_order.m_checkpoint.empty())
         body["checkpoint"] = order.m_order.m_checkpoint;
     if (!order.m_order.m_ticket.empty())
         body["ticket"] = order.m_order.m_ticket;
-    m_client.send(makeCall(order.m_to, "/bulrushloft/run-start", body, timeout), [onAnswer = std::move(onAnswer)](const HttpResult& result) { onAnswer(orderStatusOf(result)); });
+    m_client.send(makeCall(order.m_to, "/bulrushloft/run-start", body, timeout), [onAnswer = std::move(onAnswer)](const HttpResult& result) {
+        const std::int64_t clockMs = result ? readInt(parseJson(viewOf(result->m_body)), "clock_ms") : 0;
+        onAnswer({ .m_status = orderStatusOf(result), .m_clockMs = clockMs });
+    });
 }
 
 void WorkerClient::stop(const AddressedOrder<StopOrder>& order, Duration timeout, std::function<void(OrderStatus)> onAnswer)
--- a/src/platform/worker_client.h
+++ b/src/platform/worker_client.h
@@ -12,7 +12,7 @@
     /** @param maxIdleConnections Maximum idle connections to all workers together; applies separately to syncs and to other orders. */
     WorkerClient(EventLoop& loop, std::size_t maxIdleConnections);
 
-    void start(const AddressedOrder<StartOrder>& order, Duration timeout, std::function<void(OrderStatus)> onAnswer);
+    void start(const AddressedOrder<StartOrder>& order, Duration timeout, std::function<void(const StartAnswer&)> onAnswer);
     void stop(const AddressedOrder<StopOrder>& order, Duration timeout, std::function<void(OrderStatus)> onAnswer);
     void pace(const AddressedOrder<PaceOrder>& order, Duration timeout, std::function<void(OrderStatus)> onAnswer);
     void sync(const AddressedOrder<SyncOrder>& order, Duration timeout, std::function<void(OrderStatus, const SyncReport&)> onAnswer);
--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -47,7 +47,7 @@
     std::function<void(StoreRead, Duration timeout, std::function<void(StoreReadAnswer)>)> m_read;
     std::function<void(StoreNewestRead, Duration timeout, std::function<void(StoreNewestAnswer)>)> m_readNewest;
     std::function<void(const Address&, const PeerMessage&, Duration timeout, std::function<void(std::optional<PeerReply>)>)> m_callPeer;
-    std::function<void(const AddressedOrder<StartOrder>&, Duration timeout, std::function<void(OrderStatus)>)> m_start;
+    std::function<void(const AddressedOrder<StartOrder>&, Duration timeout, std::function<void(const StartAnswer&)>)> m_start;
     std::function<void(const AddressedOrder<StopOrder>&, Duration timeout, std::function<void(OrderStatus)>)> m_stop;
     std::function<void(const AddressedOrder<PaceOrder>&, Duration timeout, std::function<void(OrderStatus)>)> m_pace;
     std::function<void(const AddressedOrder<SyncOrder>&, Duration timeout, std::function<void(OrderStatus, const SyncReport&)>)> m_sync;
@@ -170,7 +170,7 @@
     std::function<void(const PeerQueryAnswer&)> m_onAnswer; ///< Called once.
 };
 
-/** Called with the outcome of an order, and after Unreported once more if a report still comes; the report is filled for a sync that is Done. */
+/** Called with the outcome of an order, and after Unreported once more if a report still comes; the report is filled as OrderReport::m_sync. */
 using OrderCallback = std::function<void(OrderStatus, const SyncReport&)>;
 
 /** An order that was sent through a peer and whose outcome has not been reported. */
--- a/src/process/cell/cell_relay.cpp
+++ b/src/process/cell/cell_relay.cpp
@@ -167,6 +167,15 @@
         return *std::max_element(peers.begin(), peers.end(), [&](const std::string& one, const std::string& other) { return stableHash(worker, stableHash(one)) < stableHash(worker, stableHash(other)); });
     }
 
+    void callWorker(CellNode& node, const RelayedOrder& order, const OrderCallback& onAnswer)
+    {
+        if (const auto* const start = std::get_if<StartOrder>(&order.m_order))
+            return node.m_ports.m_start({ order.m_to, *start, order.m_timeout }, order.m_timeout, [onAnswer](const StartAnswer& answer) { onAnswer(answer.m_status, { .m_clockMs = answer.m_clockMs }); });
+        if (const auto* const stop = std::get_if<StopOrder>(&order.m_order))
+            return node.m_ports.m_stop({ order.m_to, *stop, order.m_timeout }, order.m_timeout, [onAnswer](OrderStatus status) { onAnswer(status, {}); });
+        node.m_ports.m_sync({ order.m_to, std::get<SyncOrder>(order.m_order), order.m_timeout }, order.m_timeout, onAnswer);
+    }
+
     /** Sends one order of a leader to its worker; the result is reported to the leader in a batch. */
     void forwardOrder(CellNode& node, const Address& leader, const RelayedOrder& order)
     {
@@ -174,13 +183,7 @@
             ReportOutbox& outbox = node.m_relay.m_reports[{ leader, token }];
             outbox.m_reports.push_back({ .m_number = number, .m_status = status, .m_sync = sync });
         };
-        const auto onStatus = [report](OrderStatus status) { report(status, {}); };
-        if (const auto* const start = std::get_if<StartOrder>(&order.m_order))
-            node.m_ports.m_start({ order.m_to, *start, order.m_timeout }, order.m_timeout, onStatus);
-        else if (const auto* const stop = std::get_if<StopOrder>(&order.m_order))
-            node.m_ports.m_stop({ order.m_to, *stop, order.m_timeout }, order.m_timeout, onStatus);
-        else
-            node.m_ports.m_sync({ order.m_to, std::get<SyncOrder>(order.m_order), order.m_timeout }, order.m_timeout, report);
+        callWorker(node, order, report);
     }
 
     /** Keeps the reports of a failed message for the next one, for a limited time, as the leader may have ended. */
@@ -229,12 +232,7 @@
     const std::vector<std::string>& peers = selectRelays(node);
     if (peers.empty()) {
         const RelayedOrder direct { .m_number = 0, .m_to = to, .m_timeout = timeout, .m_order = std::move(order) };
-        const auto onStatus = [onAnswer](OrderStatus status) { onAnswer(status, {}); };
-        if (const auto* const start = std::get_if<StartOrder>(&direct.m_order))
-            return node.m_ports.m_start({ to, *start, timeout }, timeout, onStatus);
-        if (const auto* const stop = std::get_if<StopOrder>(&direct.m_order))
-            return node.m_ports.m_stop({ to, *stop, timeout }, timeout, onStatus);
-        return node.m_ports.m_sync({ to, std::get<SyncOrder>(direct.m_order), timeout }, timeout, onAnswer);
+        return callWorker(node, direct, onAnswer);
     }
     OrderRelay& relay = node.m_relay;
     const std::string& name = relayOf(peers, to.m_worker);
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -44,8 +44,8 @@
 
     void sendStart(CellNode& node, const AddressedOrder<StartOrder>& start)
     {
-        dispatchOrder(node, start.m_to, start.m_order, start.m_timeout, [&node, term = node.m_term, id = start.m_to.m_worker, task = start.m_order.m_task, attempt = start.m_order.m_attempt](OrderStatus status, const SyncReport&) {
-            handleAnswer(node, term, [&](scheduler::SchedulerEffects& effects) { scheduler::onStartAnswer(*node.m_scheduler, id, task, attempt, status, node.m_now, effects); });
+        dispatchOrder(node, start.m_to, start.m_order, start.m_timeout, [&node, term = node.m_term, id = start.m_to.m_worker, task = start.m_order.m_task, attempt = start.m_order.m_attempt](OrderStatus status, const SyncReport& report) {
+            handleAnswer(node, term, [&](scheduler::SchedulerEffects& effects) { scheduler::onStartAnswer(*node.m_scheduler, id, task, attempt, { .m_status = status, .m_clockMs = report.m_clockMs }, node.m_now, effects); });
         });
     }
 
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -58,6 +58,7 @@
     bool m_isCallPending = false; ///< A start or stop call has not been answered yet.
     TimePoint m_startSentAt; ///< Time of the latest start call.
     bool m_mayHaveArrived = false; ///< An unanswered start call may still be executed by the worker.
+    TimePoint m_otherProcessUntil; ///< Until then the current attempt may have been started by a process of the worker that has made no report; zero when the process that reported has started it.
     bool m_isKnownDone = false; ///< An earlier attempt has ended as done; the task is resolved as soon as it has no attempt.
     bool m_hasStarted = false; ///< A worker has confirmed the start of at least one attempt.
     bool m_isStopAcknowledged = false; ///< The worker has accepted the stop.
@@ -245,6 +246,7 @@
     TimePoint m_answeredAt; ///< Time of the latest answer.
     std::uint64_t m_highestSeenEnd = 0; ///< Number of the latest end that has been processed; 0 for none.
     std::uint64_t m_ackedEndNumber = 0; ///< Ends up to this number are durable and can be acknowledged.
+    bool m_hasOtherProcess = false; ///< Its process may have started again since its latest report; its clock and leases are unknown until the next one.
     bool m_isProcessConfirmed = false; ///< No call has failed since the latest sync answer, so the process that numbered the ends still runs.
     std::deque<PendingEnd> m_pendingEnds; ///< Ends that have been processed and are not durable yet.
     TimePoint m_drainingSince; ///< Time at which the worker first announced that it is draining.
--- a/src/process/scheduler/scheduler_detail.h
+++ b/src/process/scheduler/scheduler_detail.h
@@ -56,6 +56,9 @@
  */
 void markTasksLost(Scheduler& scheduler, WorkerIndex index, std::string_view cause, TimePoint now);
 
+/** Marks an attempt as lost. @param cause Reason for the log. */
+void markTaskLost(Scheduler& scheduler, const TaskRef& ref, std::string_view cause, TimePoint now);
+
 /** @return The lease deadline to send, in milliseconds on the worker's clock; 0 when its clock is unknown. */
 std::int64_t leaseDeadline(const Scheduler& scheduler, const Worker& worker, TimePoint now);
 
@@ -96,6 +99,17 @@
 /** Slows down best-effort tasks that share a worker with serving tasks near or above their latency target, and speeds them up again. */
 void stepPacing(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects);
 
+/**
+ * Tells whether the process that made the worker's latest report has answered an order. A worker that starts again under
+ * its id counts its clock anew, and the answer to a start names no process.
+ * @param clockMs The worker's clock in the answer; 0 when not reported.
+ * @return False also when the clock doesn't tell.
+ */
+bool isReportingProcess(const Scheduler& scheduler, const Worker& worker, std::int64_t clockMs, TimePoint now);
+
+/** Has the worker report at once, also beside a sync that is open, as its process may have started again. */
+void requestReport(Worker& worker, TimePoint now);
+
 /** Updates the worker's health and speed with the outcome of an attempt. */
 void countOutcome(Scheduler& scheduler, const TaskRef& ref, bool isDone, TimePoint now);
 
--- a/src/process/scheduler/scheduler_func.h
+++ b/src/process/scheduler/scheduler_func.h
@@ -55,7 +55,7 @@
 void onSyncAnswer(Scheduler& scheduler, const std::string& id, OrderStatus status, const SyncReport& report, TimePoint sentAt, TimePoint now, SchedulerEffects& effects);
 
 /** Handles the answer to a start. */
-void onStartAnswer(Scheduler& scheduler, const std::string& worker, const TaskName& name, std::uint32_t attempt, OrderStatus status, TimePoint now, SchedulerEffects& effects);
+void onStartAnswer(Scheduler& scheduler, const std::string& worker, const TaskName& name, std::uint32_t attempt, const StartAnswer& answer, TimePoint now, SchedulerEffects& effects);
 
 /** Handles the answer to a stop. */
 void onStopAnswer(Scheduler& scheduler, const std::string& worker, const TaskName& name, std::uint32_t attempt, OrderStatus status, TimePoint now, SchedulerEffects& effects);
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -36,6 +36,7 @@
         task.m_checkpointAtStart = task.m_checkpoint;
         task.m_isCallPending = false;
         task.m_mayHaveArrived = false;
+        task.m_otherProcessUntil = {};
         task.m_isStopAcknowledged = false;
         task.m_hasPassedProbation = false;
         task.m_isIsolated = false;
@@ -117,15 +118,19 @@
             stopTask(scheduler, { ref.m_run, i }, now);
     }
 
+    void markTaskLost(Scheduler& scheduler, const TaskRef& ref, std::string_view cause, TimePoint now)
+    {
+        const Task& task = ref.task();
+        logEvent(LogLevel::Warning, "task-lost", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(task.m_worker)].m_announcement.m_id }, { "cause", cause } });
+        ++scheduler.m_counters.m_lost;
+        detachTask(scheduler, ref, now);
+    }
+
     void markTasksLost(Scheduler& scheduler, WorkerIndex index, std::string_view cause, TimePoint now)
     {
-        Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
-        const std::vector<TaskRef> lost = worker.m_tasks;
-        for (const TaskRef& ref : lost) {
-            logEvent(LogLevel::Warning, "task-lost", { { "task", format(nameOf(ref)) }, { "attempt", ref.task().m_attempt }, { "worker", worker.m_announcement.m_id }, { "cause", cause } });
-            ++scheduler.m_counters.m_lost;
-            detachTask(scheduler, ref, now);
-        }
+        const std::vector<TaskRef> lost = scheduler.m_workers[static_cast<std::size_t>(index)].m_tasks;
+        for (const TaskRef& ref : lost)
+            markTaskLost(scheduler, ref, cause, now);
     }
 
 } // namespace detail
@@ -160,6 +165,20 @@
         }
     }
 
+    /** Notes whether the process that has reported has started an attempt. If it may be another one, the worker is asked for a report. */
+    void noteStarter(Scheduler& scheduler, const TaskRef& ref, std::int64_t clockMs, TimePoint now)
+    {
+        Task& task = ref.task();
+        Worker& worker = scheduler.m_workers[static_cast<std::size_t>(task.m_worker)];
+        const bool isKnown = isReportingProcess(scheduler, worker, clockMs, now);
+        task.m_otherProcessUntil = isKnown ? TimePoint {} : now;
+        const bool isReportOpen = worker.m_hasOtherProcess && worker.m_isSyncPending && worker.m_syncSentAt >= task.m_startSentAt;
+        if (isKnown || isReportOpen)
+            return;
+        logEvent(LogLevel::Info, "start-by-unknown-process", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "worker", worker.m_announcement.m_id }, { "clock_ms", clockMs }, { "reported_clock_ms", worker.m_clock.m_ms }, { "report_requested_ms_ago", (now - worker.m_reportedSyncSentAt).m_ms } });
+        requestReport(worker, now);
+    }
+
     /** Requeues a task whose refused start can't be executed later. */
     void requeueTask(Scheduler& scheduler, const TaskRef& ref, std::string_view cause, TimePoint now)
     {
@@ -265,6 +284,7 @@
             }
             Task& task = ref.task();
             task.m_missedSyncs = 0;
+            task.m_otherProcessUntil = {};
             if (task.m_phase == RunPhase::Starting)
                 confirmStart(scheduler, ref, now);
             noteListed(scheduler, ref, now);
@@ -386,6 +406,7 @@
         worker.m_pendingEnds.clear();
         worker.m_leaseUntilMs = 0;
     }
+    worker.m_hasOtherProcess = worker.m_hasOtherProcess && isLate;
     worker.m_isProcessConfirmed = worker.m_isProcessConfirmed || !isLate; // The process that made a late report may have ended since.
     worker.m_processStartMs = report.m_processStartMs;
     updateClock(scheduler, worker, { .m_ms = report.m_clockMs, .m_readAt = now }, isLate && !hasRestarted);
@@ -413,8 +434,9 @@
     worker.m_nextSyncAt = worker.m_pendingEnds.empty() ? now : now + maxRecordingWait;
 }
 
-void onStartAnswer(Scheduler& scheduler, const std::string& worker, const TaskName& name, std::uint32_t attempt, OrderStatus status, TimePoint now, SchedulerEffects& effects)
+void onStartAnswer(Scheduler& scheduler, const std::string& worker, const TaskName& name, std::uint32_t attempt, const StartAnswer& answer, TimePoint now, SchedulerEffects& effects)
 {
+    const OrderStatus status = answer.m_status;
     const TaskRef ref = findCurrentAttempt(scheduler, worker, name, attempt);
     const auto index = scheduler.m_workerById.find(worker);
     if (index != scheduler.m_workerById.end() && status != OrderStatus::NotSent && status != OrderStatus::Unreported && status != OrderStatus::WrongInstance)
@@ -432,11 +454,13 @@
     switch (status) {
     case OrderStatus::Done:
     case OrderStatus::Superseded: // The attempt ran there and ended; the next sync reports its end or omits it.
+        noteStarter(scheduler, ref, answer.m_clockMs, now);
         confirmStart(scheduler, ref, now);
         return;
     case OrderStatus::NoAnswer:
     case OrderStatus::Unreported:
         task.m_mayHaveArrived = true;
+        task.m_otherProcessUntil = now;
         return;
     case OrderStatus::LeaseExpired: // The next sync refreshes the known clock of the worker, so a later deadline can be sent.
     case OrderStatus::NotSent:
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -42,12 +42,25 @@
         return worker.m_clock.m_readAt + Duration { static_cast<std::int64_t>(std::ceil(leftMs)) + 1 };
     }
 
-    /** @return Monotonic time of the leader by which all leases of the worker have run out. */
+    /** @return Monotonic time of the leader by which all leases have run out that the worker's reporting process holds. */
     TimePoint leaseEndBound(const Scheduler& scheduler, const Worker& worker)
     {
         return worker.m_clock.m_ms == 0 ? worker.m_earlierLeasesEndAt : latestPassingTime(scheduler, worker, worker.m_leaseUntilMs);
     }
 
+    /** @return Whether the current attempt may have been started by another process than the one that has reported. */
+    bool mayRunInOtherProcess(const Task& task)
+    {
+        return task.m_otherProcessUntil > TimePoint {};
+    }
+
+    /** @return Time by which the lease of an attempt has run out that another process may have started: that process shortens the lease to the longest one. */
+    TimePoint otherLeaseEndBound(const Scheduler& scheduler, const Task& task)
+    {
+        const double longestMs = static_cast<double>(scheduler.m_options.m_longestLease.m_ms) / (1.0 - scheduler.m_options.m_clockDrift);
+        return task.m_otherProcessUntil + Duration { static_cast<std::int64_t>(std::ceil(longestMs)) + 1 };
+    }
+
     void decay(WorkerHealth& health, TimePoint now)
     {
         const double factor = std::exp2(-static_cast<double>((now - health.m_decayedAt).m_ms) / healthHalfLifeMs);
@@ -118,6 +131,25 @@
         }
     }
 
+    bool isReportingProcess(const Scheduler& scheduler, const Worker& worker, std::int64_t clockMs, TimePoint now)
+    {
+        if (clockMs == 0 || worker.m_clock.m_ms == 0 || worker.m_hasOtherProcess)
+            return false;
+        // The process that reported ran after the report was requested. One that is older than the request is the same.
+        const auto sinceRequestMs = static_cast<double>((now - worker.m_reportedSyncSentAt).m_ms);
+        const bool isOlderThanRequest = static_cast<double>(clockMs) * (1.0 - scheduler.m_options.m_clockDrift) > sinceRequestMs;
+        const auto latestClockMs = worker.m_clock.m_ms + static_cast<std::int64_t>(std::ceil(sinceRequestMs * (1.0 + scheduler.m_options.m_clockDrift))) + 1;
+        return isOlderThanRequest && clockMs >= worker.m_clock.m_ms && clockMs <= latestClockMs;
+    }
+
+    void requestReport(Worker& worker, TimePoint now)
+    {
+        worker.m_hasOtherProcess = true;
+        worker.m_isProcessConfirmed = false;
+        worker.m_isSyncPending = false; // The process that holds it open may be gone.
+        worker.m_nextSyncAt = now;
+    }
+
     bool acceptsTasks(const Worker& worker, TimePoint now)
     {
         return worker.m_isAnnounced && worker.m_state == WorkerState::Adopted && !worker.m_announcement.m_isDraining && worker.m_unexpectedAttempts == 0 && worker.m_suspects == 0
@@ -224,17 +256,29 @@
             }
         }
 
+        /** Marks attempts on a worker whose lease has run out as lost. Those that another process may have started wait for its lease. */
+        void loseExpiredTasks(Scheduler& scheduler, const Worker& worker, TimePoint now)
+        {
+            const std::vector<TaskRef> tasks = worker.m_tasks;
+            for (const TaskRef& ref : tasks) {
+                if (!mayRunInOtherProcess(ref.task()) || now >= otherLeaseEndBound(scheduler, ref.task()))
+                    markTaskLost(scheduler, ref, "the worker's lease has run out", now);
+            }
+        }
+
         /** Marks a worker that does not answer as gone, and its attempts as lost, once its lease has run out. */
         void stepLeases(Scheduler& scheduler, WorkerIndex index, TimePoint now)
         {
             Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
-            if (worker.m_state == WorkerState::Gone || worker.m_unansweredCalls == 0)
+            if (worker.m_unansweredCalls == 0)
                 return;
+            if (worker.m_state == WorkerState::Gone)
+                return loseExpiredTasks(scheduler, worker, now);
             if (now < leaseEndBound(scheduler, worker))
                 return;
             logEvent(LogLevel::Warning, "worker-gone", { { "worker", worker.m_announcement.m_id }, { "cause", "its lease has run out" }, { "tasks", worker.m_tasks.size() }, { "has_answered", worker.m_clock.m_ms != 0 }, { "unanswered", worker.m_unansweredCalls }, { "answered_ms_ago", (now - worker.m_answeredAt).m_ms }, { "lease_until", worker.m_leaseUntilMs } });
-            markTasksLost(scheduler, index, "the worker's lease has run out", now);
             worker.m_state = WorkerState::Gone;
+            loseExpiredTasks(scheduler, worker, now);
         }
 
         /** @return Whether a worker is healthy and has neither attempts nor ends that await acknowledgement. */
@@ -265,7 +309,8 @@
             const bool isHealthy = worker.m_state == WorkerState::Adopted && worker.m_unansweredCalls == 0;
             SyncOrder order { .m_leaseUntilMs = std::nullopt, .m_ackedEndNumber = ackFor(worker), .m_wait = {} };
             const std::int64_t deadline = leaseDeadline(scheduler, worker, now);
-            if (deadline > 0) {
+            // A process that has started again would take the deadline of the former one's clock for the longest lease, each time.
+            if (deadline > 0 && worker.m_unansweredCalls == 0 && !worker.m_hasOtherProcess) {
                 order.m_leaseUntilMs = deadline;
                 worker.m_leaseUntilMs = deadline;
             }
@@ -314,9 +359,11 @@
             worker.m_leaseUntilMs = std::max(worker.m_leaseUntilMs, deadline);
             task.m_isCallPending = true;
             task.m_startSentAt = now;
+            const Duration timeout = startTimeoutOf(scheduler, task, now);
+            task.m_otherProcessUntil = now + timeout;
             ++task.m_tries;
             ++scheduler.m_counters.m_starts;
-            effects.m_starts.push_back({ targetOf(scheduler, worker), { .m_task = nameOf(ref), .m_attempt = task.m_attempt, .m_payload = ref.m_run->m_job->m_plan.m_payload, .m_leaseUntilMs = deadline, .m_checkpoint = task.m_checkpoint, .m_ticket = task.m_ticket }, startTimeoutOf(scheduler, task, now) });
+            effects.m_starts.push_back({ targetOf(scheduler, worker), { .m_task = nameOf(ref), .m_attempt = task.m_attempt, .m_payload = ref.m_run->m_job->m_plan.m_payload, .m_leaseUntilMs = deadline, .m_checkpoint = task.m_checkpoint, .m_ticket = task.m_ticket }, timeout });
         }
 
         void stepTaskCalls(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects)
@@ -327,7 +374,9 @@
                 if (task.m_isCallPending || now < task.m_nextCallAt)
                     continue;
                 Worker& worker = scheduler.m_workers[static_cast<std::size_t>(task.m_worker)];
-                if (task.m_phase == RunPhase::Starting && isWithinCapacity(worker)) {
+                // Each start may extend the lease of a process that has started again, so a worker that does not answer is asked for a report first.
+                const bool isStartDue = task.m_phase == RunPhase::Starting && isWithinCapacity(worker) && worker.m_unansweredCalls < unansweredCallsUntilSilent;
+                if (isStartDue) {
                     sendStart(scheduler, ref, now, effects);
                 } else if (task.m_phase == RunPhase::Stopping && !task.m_isStopAcknowledged) {
                     task.m_isCallPending = true;
@@ -365,6 +414,8 @@
         logEvent(LogLevel::Info, "worker-draining", { { "worker", announcement.m_id }, { "tasks", worker.m_tasks.size() }, { "leaves_in_ms", announcement.m_remainingDrainTime.m_ms } });
     }
     const bool hasRestarted = worker.m_processStartMs != 0 && announcement.m_processStartMs > worker.m_processStartMs;
+    if (hasRestarted && announcement.m_processStartMs != worker.m_announcement.m_processStartMs)
+        detail::requestReport(worker, now);
     const bool hasMoved = worker.m_announcement.m_address != announcement.m_address;
     if (isNew || hasRestarted || hasMoved || !worker.m_isAnnounced) {
         worker.m_nextSyncAt = now;
--- a/tests/approval_load_test.cpp
+++ b/tests/approval_load_test.cpp
@@ -126,7 +126,7 @@
         ++m_starts;
         m_waits.try_emplace(plan.m_id, m_now - m_scheduler.m_jobs.at(plan.m_id)->m_acceptedAt);
         SchedulerEffects effects;
-        onStartAnswer(m_scheduler, order.m_to.m_worker, order.m_order.m_task, order.m_order.m_attempt, OrderStatus::Done, m_now, effects);
+        onStartAnswer(m_scheduler, order.m_to.m_worker, order.m_order.m_task, order.m_order.m_attempt, { .m_status = OrderStatus::Done, .m_clockMs = 5'000 + m_now.m_ms }, m_now, effects);
     }
 
     void sync(const std::string& id, SimulatedWorker& worker)
--- a/tests/capacity_change_test.cpp
+++ b/tests/capacity_change_test.cpp
@@ -87,7 +87,7 @@
     void answerStart(const AddressedOrder<StartOrder>& start, OrderStatus status)
     {
         SchedulerEffects effects;
-        onStartAnswer(m_scheduler, start.m_to.m_worker, start.m_order.m_task, start.m_order.m_attempt, status, m_now, effects);
+        onStartAnswer(m_scheduler, start.m_to.m_worker, start.m_order.m_task, start.m_order.m_attempt, { .m_status = status, .m_clockMs = m_now.m_ms }, m_now, effects);
     }
 };
 
--- a/tests/cell_simulation.cpp
+++ b/tests/cell_simulation.cpp
@@ -332,9 +332,14 @@
                 deliverLater(node, alive, 1, [onAnswer, status] { onAnswer(status); });
             });
         };
-        ports.m_start = [this, &node, sendOrder](const AddressedOrder<StartOrder>& start, Duration timeout, const std::function<void(OrderStatus)>& onAnswer) {
+        ports.m_start = [this, &node, sendOrder](const AddressedOrder<StartOrder>& start, Duration timeout, const std::function<void(const StartAnswer&)>& onAnswer) {
+            auto clock = std::make_shared<std::int64_t>(0);
+            const auto perform = [this, start, clock](FakeLeaseWorker& worker) {
+                *clock = worker.clockAt(m_now);
+                return worker.start(start.m_order, start.m_to.m_token, randomBetween(200, 1'500), m_now);
+            };
             sendOrder(
-                start.m_to, timeout, onAnswer, [this, start](FakeLeaseWorker& worker) { return worker.start(start.m_order, start.m_to.m_token, randomBetween(200, 1'500), m_now); }, node.m_isAlive);
+                start.m_to, timeout, [onAnswer, clock](OrderStatus status) { onAnswer({ .m_status = status, .m_clockMs = *clock }); }, perform, node.m_isAlive);
         };
         ports.m_stop = [&node, sendOrder](const AddressedOrder<StopOrder>& stop, Duration timeout, const std::function<void(OrderStatus)>& onAnswer) {
             sendOrder(
--- a/tests/deadly_task_test.cpp
+++ b/tests/deadly_task_test.cpp
@@ -170,7 +170,7 @@
         SchedulerEffects answers;
         for (const auto& start : effects.m_starts) {
             const OrderStatus status = deliverStart(start, workerAtAddressOf(start.m_to.m_worker));
-            onStartAnswer(*m_scheduler, start.m_to.m_worker, start.m_order.m_task, start.m_order.m_attempt, status, now(), answers);
+            onStartAnswer(*m_scheduler, start.m_to.m_worker, start.m_order.m_task, start.m_order.m_attempt, { .m_status = status, .m_clockMs = workerAtAddressOf(start.m_to.m_worker).clockAt(m_nowMs) }, now(), answers);
         }
         for (const auto& stop : effects.m_stops) {
             test::FakeLeaseWorker& worker = workerAtAddressOf(stop.m_to.m_worker);
--- a/tests/fakes/answer_fixture.h
+++ b/tests/fakes/answer_fixture.h
@@ -88,7 +88,7 @@
     {
         for (const auto& start : std::exchange(m_starts, {})) {
             SchedulerEffects effects;
-            onStartAnswer(m_scheduler, start.m_to.m_worker, start.m_order.m_task, start.m_order.m_attempt, OrderStatus::Done, m_now, effects);
+            onStartAnswer(m_scheduler, start.m_to.m_worker, start.m_order.m_task, start.m_order.m_attempt, { .m_status = OrderStatus::Done, .m_clockMs = m_now.m_ms }, m_now, effects);
         }
     }
 };
--- a/tests/hand_over_test.cpp
+++ b/tests/hand_over_test.cpp
@@ -66,10 +66,10 @@
         ports.m_callPeer = [this](const Address&, const PeerMessage& message, Duration, const std::function<void(std::optional<PeerReply>)>&) { // Never answered.
             m_takeOverRequests += std::holds_alternative<PeerTakeOver>(message) ? 1 : 0;
         };
-        ports.m_start = [this](const AddressedOrder<StartOrder>& order, Duration, const std::function<void(OrderStatus)>& onAnswer) {
+        ports.m_start = [this](const AddressedOrder<StartOrder>& order, Duration, const std::function<void(const StartAnswer&)>& onAnswer) {
             ++m_orders;
             m_startedOn.insert(order.m_to.m_worker);
-            m_answers.push_back([onAnswer] { onAnswer(OrderStatus::Done); });
+            m_answers.push_back([onAnswer, clock = m_now.m_ms] { onAnswer({ .m_status = OrderStatus::Done, .m_clockMs = clock }); });
         };
         ports.m_stop = [this](const AddressedOrder<StopOrder>&, Duration, const std::function<void(OrderStatus)>&) { ++m_orders; };
         ports.m_pace = [](const AddressedOrder<PaceOrder>&, Duration, const std::function<void(OrderStatus)>&) { /* Not of interest. */ };
--- a/tests/malformed_input_test.cpp
+++ b/tests/malformed_input_test.cpp
@@ -111,7 +111,7 @@
         ports.m_read = [this, deliverLater](const StoreRead& read, Duration, const std::function<void(StoreReadAnswer)>& onAnswer) { deliverLater(onAnswer, m_store.read(read)); };
         ports.m_readNewest = [this, deliverLater](const StoreNewestRead& newest, Duration, const std::function<void(StoreNewestAnswer)>& onAnswer) { deliverLater(onAnswer, m_store.newest(newest)); };
         ports.m_callPeer = [](const Address&, const PeerMessage&, Duration, const std::function<void(std::optional<PeerReply>)>&) { /* Never answered. */ };
-        ports.m_start = [](const AddressedOrder<StartOrder>&, Duration, const std::function<void(OrderStatus)>&) { /* Never answered. */ };
+        ports.m_start = [](const AddressedOrder<StartOrder>&, Duration, const std::function<void(const StartAnswer&)>&) { /* Never answered. */ };
         ports.m_stop = [](const AddressedOrder<StopOrder>&, Duration, const std::function<void(OrderStatus)>&) { /* Never answered. */ };
         ports.m_pace = [](const AddressedOrder<PaceOrder>&, Duration, const std::function<void(OrderStatus)>&) { /* Never answered. */ };
         ports.m_sync = [](const AddressedOrder<SyncOrder>&, Duration, const std::function<void(OrderStatus, const SyncReport&)>&) { /* Never answered. */ };
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -86,7 +86,9 @@
     void answerStart(const AddressedOrder<StartOrder>& start, OrderStatus status)
     {
         SchedulerEffects effects;
-        onStartAnswer(m_scheduler, start.m_to.m_worker, start.m_order.m_task, start.m_order.m_attempt, status, m_now, effects);
+        const ClockReading clock = m_scheduler.m_workers[static_cast<std::size_t>(m_scheduler.m_workerById.at(start.m_to.m_worker))].m_clock;
+        const std::int64_t clockMs = clock.m_ms + (m_now - clock.m_readAt).m_ms;
+        onStartAnswer(m_scheduler, start.m_to.m_worker, start.m_order.m_task, start.m_order.m_attempt, { .m_status = status, .m_clockMs = clockMs }, m_now, effects);
     }
 
     Task& task(std::uint32_t stepIndex, std::uint32_t index, const std::string& id = jobId)
--- a/tests/worker_restart_test.cpp
+++ b/tests/worker_restart_test.cpp
@@ -70,13 +70,14 @@
         onSyncAnswer(m_scheduler, "w", OrderStatus::NoAnswer, {}, m_now, m_now, effects);
     }
 
-    void answerStart(OrderStatus status = OrderStatus::Done)
+    /** @param clockMs The worker's clock in the answer; by default that of all processes here, which is the scheduler's. */
+    void answerStart(OrderStatus status = OrderStatus::Done, std::optional<std::int64_t> clockMs = {})
     {
         BOOST_REQUIRE(!m_starts.empty());
         const StartOrder order = m_starts.front().m_order;
         m_starts.clear();
         SchedulerEffects effects;
-        onStartAnswer(m_scheduler, "w", order.m_task, order.m_attempt, status, m_now, effects);
+        onStartAnswer(m_scheduler, "w", order.m_task, order.m_attempt, { .m_status = status, .m_clockMs = clockMs.value_or(m_now.m_ms) }, m_now, effects);
     }
 
     void answerStop()
@@ -88,6 +89,8 @@
         onStopAnswer(m_scheduler, "w", order.m_task, order.m_attempt, OrderStatus::Done, m_now, effects);
     }
 
+    Task& taskAt(const std::string& job) { return m_scheduler.m_jobs.at(job)->m_runs.front()->m_tasks.front(); }
+
     /** Runs a task on the worker's first process until its end is ready to be acknowledged. */
     void completeFirstJob()
     {
@@ -159,3 +162,77 @@
     BOOST_REQUIRE(!fixture.m_starts.empty());
     BOOST_TEST(fixture.m_starts.front().m_order.m_attempt == 2U);
 }
+
+// TWICE (review/3): the worker has started again and its new process shortens the deadline of the former one's clock to the longest
+// lease, from the arrival of the start. The task was started elsewhere when the lease on the former clock had run out, a second too early.
+BOOST_AUTO_TEST_CASE(a_task_that_an_unreported_process_has_started_is_lost_after_the_longest_lease)
+{
+    RestartFixture fixture;
+    fixture.run({ 3'000 });
+    fixture.answerSync(firstProcess, {}, {});
+    fixture.submit(firstJob);
+    fixture.run({ 30 });
+    constexpr std::int64_t clockOfNewProcess = 200;
+    fixture.m_syncs.clear();
+    fixture.answerStart(OrderStatus::Done, clockOfNewProcess);
+    const TimePoint startedAt = fixture.m_now;
+    fixture.run({ 20 });
+    BOOST_REQUIRE(!fixture.m_syncs.empty()); // Its report would tell, so it is asked for at once,
+    BOOST_TEST(!fixture.m_syncs.back().m_leaseUntilMs); // and must not extend the lease of a process whose clock is unknown.
+    const Duration longestLease = fixture.m_scheduler.m_options.m_longestLease;
+    while (fixture.m_now < startedAt + longestLease) {
+        BOOST_TEST_INFO(fixture.m_now.m_ms);
+        BOOST_REQUIRE(fixture.taskAt(firstJob).m_phase == RunPhase::Running);
+        fixture.failSync();
+        fixture.run({ 100 });
+        for (const SyncOrder& sync : fixture.m_syncs)
+            BOOST_TEST(!sync.m_leaseUntilMs);
+    }
+    fixture.failSync();
+    fixture.run(longestLease * 3 / 100); // Its clock may be 2% slow.
+    BOOST_TEST((fixture.taskAt(firstJob).m_phase == RunPhase::None));
+}
+
+// As above; the answer to the start was lost, so that only its time tells how long the task may run. Repeats would prolong the lease.
+BOOST_AUTO_TEST_CASE(a_task_whose_start_may_have_reached_another_process_is_lost_after_the_longest_lease)
+{
+    RestartFixture fixture;
+    fixture.run({ 3'000 });
+    fixture.answerSync(firstProcess, {}, {});
+    fixture.submit(firstJob);
+    fixture.run({ 30 });
+    fixture.answerStart(OrderStatus::NoAnswer);
+    fixture.failSync();
+    fixture.run({ 30 });
+    fixture.failSync();
+    const TimePoint silentAt = fixture.m_now;
+    fixture.m_starts.clear();
+    const Duration longestLease = fixture.m_scheduler.m_options.m_longestLease;
+    while (fixture.m_now < silentAt + longestLease - Duration { 200 }) {
+        BOOST_REQUIRE(fixture.taskAt(firstJob).m_phase == RunPhase::Starting);
+        fixture.failSync();
+        fixture.run({ 100 });
+        BOOST_TEST(fixture.m_starts.empty());
+    }
+    fixture.failSync();
+    fixture.run(longestLease * 10 / 100);
+    BOOST_TEST((fixture.taskAt(firstJob).m_phase == RunPhase::None));
+}
+
+// The wait for the longest lease is only for starts that another process may have carried out.
+BOOST_AUTO_TEST_CASE(a_task_that_the_reporting_process_has_started_is_lost_when_its_lease_has_run_out)
+{
+    RestartFixture fixture;
+    fixture.run({ 3'000 });
+    fixture.answerSync(firstProcess, {}, {});
+    fixture.submit(firstJob);
+    fixture.run({ 30 });
+    fixture.answerStart();
+    const TimePoint startedAt = fixture.m_now;
+    const Duration lease = fixture.m_scheduler.m_options.m_lease;
+    while (fixture.m_now < startedAt + lease * 106 / 100 && fixture.taskAt(firstJob).m_phase == RunPhase::Running) {
+        fixture.failSync();
+        fixture.run({ 100 });
+    }
+    BOOST_TEST((fixture.taskAt(firstJob).m_phase == RunPhase::None));
+}
