Entries of workers with numbers out of range name no worker

Reported by other operators of systems like ours: one odd entry among those of the workers ended the processes that read the list, or they stopped following it. Looked at here with 65 odd entries: deep nesting and ports out of range are refused; numbers that are too large, negative or of another type were taken, and a number beyond 64 bits was converted without a defined result.

Change: capacity, start time and remaining time of an entry are checked against bounds; integers of the platform's JSON are converted by one function that refuses what doesn't fit, in the reports of workers as well.

No process was seen to end.

--- a/src/platform/json_read.h
+++ b/src/platform/json_read.h
@@ -3,17 +3,37 @@
 
 #include "core/error_type.h"
 
+#include <optional>
+
 #include <nlohmann/json.hpp>
 
 namespace bulrushloft::platform {
 
-/** @return The field as an integer, with any fraction dropped, or the fallback if it is missing or not a number. */
+/** @return A JSON number as an integer, with any fraction dropped; nothing if it is not a number or too large. */
+inline std::optional<std::int64_t> toInt(const nlohmann::json& value)
+{
+    if (value.is_number_float()) {
+        constexpr double limit = 9.2e18; // Somewhat below the largest integer; converting a larger number has no defined result.
+        const double number = value.get<double>();
+        return number > -limit && number < limit ? std::optional(static_cast<std::int64_t>(number)) : std::nullopt;
+    }
+    const bool isTooLarge = value.is_number_unsigned() && value.get<std::uint64_t>() > static_cast<std::uint64_t>(INT64_MAX);
+    return value.is_number() && !isTooLarge ? std::optional(value.get<std::int64_t>()) : std::nullopt;
+}
+
+/** @return The field as an integer, with any fraction dropped, or the fallback if it is missing, not a number or too large. */
 inline std::int64_t readInt(const nlohmann::json& object, const char* field, std::int64_t fallback = 0)
 {
     const auto found = object.find(field);
-    if (found == object.end() || !found->is_number())
-        return fallback;
-    return found->is_number_float() ? static_cast<std::int64_t>(found->get<double>()) : found->get<std::int64_t>();
+    return found == object.end() ? fallback : toInt(*found).value_or(fallback);
+}
+
+/** @return The field as an integer from 0 to the maximum, 0 if it is missing; nothing if it has another type or lies outside. */
+inline std::optional<std::int64_t> readBounded(const nlohmann::json& object, const char* field, std::int64_t maximum)
+{
+    const auto found = object.find(field);
+    const auto value = found == object.end() ? std::optional<std::int64_t>(0) : toInt(*found);
+    return value && *value >= 0 && *value <= maximum ? value : std::nullopt;
 }
 
 /** @return The field as a floating-point number, or the fallback if it is missing or not a number. */
--- a/src/platform/operator_codec.cpp
+++ b/src/platform/operator_codec.cpp
@@ -69,9 +69,14 @@
         return !id.empty() && std::all_of(id.begin(), id.end(), [](char c) { return c > ' ' && c <= '~'; });
     }
 
-    Resources decodeCapacity(const Json& row)
+    /** @return Nothing if an amount is not a number or so large that sums of a few could overflow. */
+    std::optional<Resources> decodeCapacity(const Json& row)
     {
-        return { .m_cpuMilli = readInt(row, "cpu"), .m_memoryMb = readInt(row, "mem_mb"), .m_gpus = readInt(row, "gpu") };
+        constexpr std::int64_t maxAmount = 1'000'000'000;
+        const auto cpu = readBounded(row, "cpu", maxAmount);
+        const auto memory = readBounded(row, "mem_mb", maxAmount);
+        const auto gpus = readBounded(row, "gpu", maxAmount);
+        return cpu && memory && gpus ? std::optional(Resources { .m_cpuMilli = *cpu, .m_memoryMb = *memory, .m_gpus = *gpus }) : std::nullopt;
     }
 
 } // namespace
@@ -97,8 +102,13 @@
         return std::nullopt;
     const std::string state = readString(entry, "state");
     const auto address = parseAddress(readString(entry, "addr"));
-    const auto capacity = entry.find("capacity");
-    const bool isUsable = (state == "ready" || state == "draining") && address && !readString(entry, "service").empty() && capacity != entry.end() && capacity->is_object();
+    const auto row = entry.find("capacity");
+    const auto capacity = row != entry.end() && row->is_object() ? decodeCapacity(*row) : std::nullopt;
+    constexpr std::int64_t maxDrainMs = 1'000'000'000;
+    constexpr std::int64_t maxUnixMs = 1'000'000'000'000'000;
+    const auto drainMs = readBounded(entry, "remaining_ms", maxDrainMs);
+    const auto processStartMs = readBounded(entry, "born", maxUnixMs);
+    const bool isUsable = (state == "ready" || state == "draining") && address && !readString(entry, "service").empty() && capacity && drainMs && processStartMs;
     if (!isUsable)
         return std::nullopt;
     WorkerAnnouncement announcement { .m_id = id,
@@ -106,11 +116,11 @@
         .m_address = *address,
         .m_zone = readString(entry, "zone"),
         .m_machine = readString(entry, "machine"),
-        .m_capacity = decodeCapacity(*capacity),
+        .m_capacity = *capacity,
         .m_labels = {},
         .m_isDraining = state == "draining",
-        .m_remainingDrainTime = { readInt(entry, "remaining_ms") },
-        .m_processStartMs = readInt(entry, "born") };
+        .m_remainingDrainTime = { *drainMs },
+        .m_processStartMs = *processStartMs };
     if (const auto labels = entry.find("labels"); labels != entry.end() && labels->is_array()) {
         for (const Json& label : *labels) {
             if (label.is_string())
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -5,8 +5,10 @@
 #include "platform/json_read.h"
 #include "request/plan_func.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <climits>
 
 namespace bulrushloft::platform {
 
@@ -76,14 +78,20 @@
         return parsed.ec == std::errc() && parsed.ptr == part.data() + part.size();
     }
 
+    /** @return A number as an int, at most the largest one; 0 if it is none. */
+    int toSmallInt(const Json& value)
+    {
+        return static_cast<int>(std::clamp<std::int64_t>(toInt(value).value_or(0), INT_MIN, INT_MAX));
+    }
+
     RunningAttempt decodeRunningAttempt(const Json& row)
     {
         RunningAttempt running;
         running.m_task = decodeTaskName(row.at(0).get<std::string>()).value_or(TaskName {});
         running.m_attempt = row.at(1);
         running.m_checkpoint = row.at(2);
-        running.m_percent = static_cast<int>(row.at(3).get<double>());
-        running.m_loadMetric = row.size() > 4 ? static_cast<int>(row.at(4).get<double>()) : 0;
+        running.m_percent = toSmallInt(row.at(3));
+        running.m_loadMetric = row.size() > 4 ? toSmallInt(row.at(4)) : 0;
         return running;
     }
 
--- a/tests/malformed_input_test.cpp
+++ b/tests/malformed_input_test.cpp
@@ -159,6 +159,44 @@
         BOOST_TEST(!platform::decodeWorkerEntry(id, entry).has_value());
 }
 
+// Reported by other operators: one odd entry among those of the workers ended the processes that read the list again and again, or they stopped following it.
+BOOST_AUTO_TEST_CASE(odd_worker_entries_name_no_worker_and_do_not_hide_the_others)
+{
+    constexpr std::size_t maxRecordBytes = 262'144; // As on the users' platform.
+    const std::string nested = std::string(maxRecordBytes / 2 - 200, '[') + std::string(maxRecordBytes / 2 - 200, ']');
+    const auto entry = [](const std::string& address, const std::string& capacity, const std::string& further) {
+        return R"({"service":"p","state":"ready","addr":")" + address + R"(","capacity":)" + capacity + further + "}";
+    };
+    const std::string sound = entry("127.0.0.1:8080", R"({"cpu":16000,"mem_mb":64000})", R"(,"born":1790000000000)");
+    std::vector<std::string> odd { nested, entry("127.0.0.1:8080", nested, ""), std::string(maxRecordBytes, '{') };
+    for (const char* const number : { "1e300", "-1e300", "1e400", "9223372036854775807", "9223372036854775808", "99999999999999999999", "-9223372036854775808", "-1", "true", "\"8\"", "[[[8]]]" }) {
+        for (const char* const field : { "cpu", "mem_mb", "gpu" })
+            odd.push_back(entry("127.0.0.1:8080", std::string("{\"") + field + "\":" + number + "}", ""));
+        for (const char* const field : { "born", "remaining_ms" })
+            odd.push_back(entry("127.0.0.1:8080", "{\"cpu\":16000}", std::string(",\"") + field + "\":" + number));
+    }
+    for (const char* const address : { "127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:99999999999999999999", "127.0.0.1:-1", "127.0.0.1:", "127.0.0.1", "" })
+        odd.push_back(entry(address, "{\"cpu\":16000}", ""));
+    LeaderFixture fixture;
+    const std::uint64_t term = fixture.m_node->m_term;
+    const auto write = [&](const std::string& id, const std::string& value) { fixture.m_store.append({ .m_partition = { .m_topic = "workers" }, .m_records = { { .m_key = id, .m_value = value } }, .m_writer = {}, .m_expectedEnd = {} }); };
+    const auto isKnown = [&](const std::string& id) { return fixture.m_node->m_scheduler && fixture.m_node->m_scheduler->m_workerById.contains(id); };
+    for (std::size_t i = 0; i < odd.size(); ++i) {
+        BOOST_TEST(!platform::decodeWorkerEntry("w", odd[i]).has_value(), odd[i].substr(0, 120));
+        write("odd-" + std::to_string(i), odd[i]);
+        write("sound-" + std::to_string(i), sound);
+        for (int j = 0; j < 10 && !isKnown("sound-" + std::to_string(i)); ++j) // The list is read at intervals.
+            BOOST_REQUIRE_NO_THROW(fixture.run({ 100 }));
+        BOOST_TEST(isKnown("sound-" + std::to_string(i)));
+        BOOST_TEST(!isKnown("odd-" + std::to_string(i)));
+    }
+    BOOST_TEST(fixture.m_node->m_term == term);
+    abandonTerm(*fixture.m_node); // A daemon that begins with the whole list comes through as well.
+    BOOST_REQUIRE_NO_THROW(fixture.run({ 3'000 }));
+    BOOST_TEST((fixture.m_node->m_role == Role::Leading));
+    BOOST_TEST(fixture.m_node->m_scheduler->m_workers.size() == odd.size()); // One sound worker for each odd entry.
+}
+
 BOOST_AUTO_TEST_CASE(jobs_that_would_exhaust_the_memory_or_overflow_are_refused)
 {
     const auto isRefused = [](const JobPlan& plan) { return !validatePlan(plan) && !decodePlan(encodePlan(plan)); };
