append-slow tells the time since the first attempt and the number of attempts

Cause: a record whose answers were lost looked quick in the log, as took_ms counts from the latest attempt; a second answer to a confirmed append could log a second line. Change: PipelinedAppend counts its attempts; a confirmation keeps the time since the first attempt of its oldest append; the line is written when that exceeds 0.2 s, once a confirmation.

--- a/src/process/cell/append_pipeline.cpp
+++ b/src/process/cell/append_pipeline.cpp
@@ -38,6 +38,8 @@
     /** Removes the confirmed appends. Once fencingAppend() is stored, the store accepts sequence numbers in order only, so a confirmation covers all earlier appends too. */
     void confirm(AppendPipeline& pipeline, std::uint64_t sequence, TimePoint now)
     {
+        pipeline.m_lastTotal = now - pipeline.m_queue.front().m_firstSentAt;
+        pipeline.m_lastAttempts = pipeline.m_queue.front().m_attempts;
         while (!pipeline.m_queue.empty() && pipeline.m_queue.front().m_append.m_writer->m_sequence <= sequence) {
             const PipelinedAppend& front = pipeline.m_queue.front();
             pipeline.m_lastLatency = now - front.m_sentAt;
@@ -99,6 +101,7 @@
         return nullptr;
     next->m_firstSentAt = next->m_isSent ? next->m_firstSentAt : now;
     next->m_sentAt = now;
+    ++next->m_attempts;
     next->m_isSent = true;
     next->m_isInFlight = true;
     pipeline.m_lastSentAt = now;
--- a/src/process/cell/append_pipeline.h
+++ b/src/process/cell/append_pipeline.h
@@ -13,6 +13,7 @@
     std::uint64_t m_batch = 0; ///< Number of the batch whose last part this is; 0 when more parts follow.
     TimePoint m_firstSentAt; ///< Time of the first attempt.
     TimePoint m_sentAt; ///< Time of the latest attempt.
+    std::uint32_t m_attempts = 0; ///< How often it was sent.
     bool m_isSent = false; ///< It was sent at least once.
     bool m_isInFlight = false; ///< The latest attempt is neither answered nor presumed lost.
 };
@@ -25,6 +26,8 @@
     TimePoint m_retryAt; ///< Earliest time of the next repeat.
     std::uint32_t m_refusals = 0; ///< How often the store has refused the oldest append (StoreStatus::NotDone); 0 after each confirmation.
     Duration m_lastLatency; ///< Time from the latest attempt to the confirmation, for the latest confirmed append.
+    Duration m_lastTotal; ///< Time from the first attempt to the confirmation, for the oldest append of the latest confirmation.
+    std::uint32_t m_lastAttempts = 0; ///< Attempts of that append.
     std::uint64_t m_confirmedBatch = 0; ///< Number of the latest batch that the store has confirmed; 0 for none.
 };
 
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -13,7 +13,7 @@
     constexpr Duration approvalTimeout { 2'500 };
     constexpr Duration deleteTimeout { 800 };
     constexpr std::size_t maxAppendBytes = 1024 * 1024;
-    constexpr Duration slowAppendThreshold { 200 }; ///< Slower appends are logged.
+    constexpr Duration slowAppendThreshold { 200 }; ///< Appends that take longer from their first attempt on are logged.
 
     /** @return Whether an answer belongs to the current term. */
     bool isCurrentTerm(const CellNode& node, std::uint64_t term)
@@ -130,13 +130,15 @@
     {
         const bool isAnswered = answer.m_status == StoreStatus::Done || answer.m_status == StoreStatus::Fenced || answer.m_status == StoreStatus::OutOfSequence;
         updateStoreReachability(node, isAnswered);
+        const std::size_t unconfirmed = node.m_writer.m_queue.size();
         const AppendOutcome outcome = onAppendAnswer(node.m_writer, sequence, answer.m_status, node.m_now);
         if (outcome != AppendOutcome::Proceed)
             return stepDown(node, outcome == AppendOutcome::Fenced ? "fenced by the store: a later term exists" : "the store expects another sequence number");
         if (answer.m_status != StoreStatus::Done)
             return;
-        if (node.m_writer.m_lastLatency > slowAppendThreshold)
-            logEvent(LogLevel::Info, "append-slow", { { "took_ms", node.m_writer.m_lastLatency.m_ms }, { "sequence", sequence }, { "unconfirmed", node.m_writer.m_queue.size() }, { "token", node.m_term }, { "batch", node.m_writer.m_confirmedBatch } });
+        const bool isConfirmation = node.m_writer.m_queue.size() < unconfirmed; // Not the answer to another attempt of an append that is confirmed already.
+        if (isConfirmation && node.m_writer.m_lastTotal > slowAppendThreshold)
+            logEvent(LogLevel::Info, "append-slow", { { "took_ms", node.m_writer.m_lastLatency.m_ms }, { "total_ms", node.m_writer.m_lastTotal.m_ms }, { "attempts", node.m_writer.m_lastAttempts }, { "sequence", sequence }, { "unconfirmed", node.m_writer.m_queue.size() }, { "token", node.m_term }, { "batch", node.m_writer.m_confirmedBatch } });
         scheduler::onRecorded(*node.m_scheduler, node.m_writer.m_confirmedBatch, node.m_now);
         notifyRecordWaiters(node);
     }
--- a/tests/append_pipeline_test.cpp
+++ b/tests/append_pipeline_test.cpp
@@ -84,6 +84,24 @@
     BOOST_TEST(pipeline.m_confirmedBatch == 1U);
 }
 
+// A record that waits through several lost answers must not look quick because its last attempt was.
+BOOST_AUTO_TEST_CASE(a_confirmation_tells_the_time_since_the_first_attempt)
+{
+    AppendPipeline pipeline = makePipeline();
+    pushAppend(pipeline, makeAppend(1), 1);
+    beginSend(pipeline, {}, { 1'000 });
+    BOOST_REQUIRE(beginSend(pipeline, { 1'400 }, { 1'500 }));
+    onAppendAnswer(pipeline, first, StoreStatus::Done, { 1'510 });
+    BOOST_TEST(pipeline.m_lastLatency.m_ms == 10);
+    BOOST_TEST(pipeline.m_lastTotal.m_ms == 510);
+    BOOST_TEST(pipeline.m_lastAttempts == 2U);
+    pushAppend(pipeline, makeAppend(2), 2);
+    beginSend(pipeline, { 1'510 }, { 1'600 });
+    onAppendAnswer(pipeline, first + 1, StoreStatus::Done, { 1'612 });
+    BOOST_TEST(pipeline.m_lastTotal.m_ms == 12);
+    BOOST_TEST(pipeline.m_lastAttempts == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_confirmation_confirms_all_earlier_appends)
 {
     AppendPipeline pipeline = makePipeline();
