The leader reports what long-waiting steps wait for, and starts that waited for their record

Change: wait_report judges the cause from plain facts. Once a second, while a task has waited over 2 s, five lines for the longest waits and one with counts by cause; on a confirmation one line for starts whose record took over 0.3 s, with those whose ticket is no longer valid. Nothing per task otherwise.

--- a/src/process/scheduler/scheduler.cpp
+++ b/src/process/scheduler/scheduler.cpp
@@ -3,6 +3,7 @@
 #include "process/scheduler/crash_record.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
+#include "process/scheduler/wait_report.h"
 
 #include <algorithm>
 
@@ -69,6 +70,7 @@
         placeWaiting(scheduler, now, effects);
     stepWatch(scheduler, now);
     stepPacing(scheduler, now, effects);
+    stepWaitReport(scheduler, now);
     expireEndedJobs(scheduler, now);
 }
 
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -5,6 +5,7 @@
 #include "connection/peer_type.h"
 #include "connection/store_type.h"
 #include "process/scheduler/urgency.h"
+#include "process/scheduler/wait_type.h"
 #include "request/plan_type.h"
 #include "version/cluster_type.h"
 
@@ -79,6 +80,7 @@
     TimePoint m_placedAt; ///< Time at which the current attempt was placed.
     TimePoint m_confirmedAt; ///< Time at which the worker confirmed the start, or accepted the stop.
     TimePoint m_nextCallAt; ///< Earliest time of the next start or stop call.
+    TimePoint m_stopRequestedAt; ///< When the current attempt was to be stopped; only in the phase Stopping.
     TimePoint m_waitingSince; ///< Time since which the task has been waiting for a worker.
     int m_percent = -1; ///< Latest reported progress in percent; -1 when none was reported.
     int m_loadMetric = 0; ///< Latest tail latency or CPU usage; see RunningAttempt.
@@ -348,6 +350,8 @@
     TimePoint m_placedAt; ///< Time of the latest placement pass.
     TimePoint m_fullPassAt; ///< Time of the latest full placement pass.
     std::vector<WorkerIndex> m_changedWorkers; ///< Workers on which room may have appeared since the latest placement pass.
+    TimePoint m_nextWaitReportAt; ///< Time of the next report on steps that wait long.
+    WaitSummary m_waitSummary; ///< Result of the latest report.
     SchedulerCounters m_counters;
 };
 
--- a/src/process/scheduler/scheduler_detail.h
+++ b/src/process/scheduler/scheduler_detail.h
@@ -62,6 +62,9 @@
 /** @return The lease deadline to send, in milliseconds on the worker's clock; 0 when its clock is unknown. */
 std::int64_t leaseDeadline(const Scheduler& scheduler, const Worker& worker, TimePoint now);
 
+/** @return Monotonic time of the leader by which all leases have run out that the worker's reporting process holds. */
+TimePoint leaseEndBound(const Scheduler& scheduler, const Worker& worker);
+
 OrderTarget targetOf(const Scheduler& scheduler, const Worker& worker);
 
 /**
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -5,6 +5,7 @@
 #include "process/scheduler/crash_record.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
+#include "process/scheduler/wait_report.h"
 #include "request/plan_func.h"
 #include "table/scheduler_table.h"
 
@@ -105,6 +106,7 @@
         if (task.m_phase == RunPhase::Running)
             scheduler.m_startingOrStopping.push_back(ref);
         task.m_phase = RunPhase::Stopping;
+        task.m_stopRequestedAt = now;
         task.m_isCallPending = false;
         task.m_isStopAcknowledged = false;
         task.m_nextCallAt = now;
@@ -509,6 +511,7 @@
 void onRecorded(Scheduler& scheduler, std::uint64_t batch, TimePoint now)
 {
     scheduler.m_confirmedBatch = batch;
+    reportRecordWaits(scheduler, batch, now);
     std::vector<TaskRef> remaining;
     for (const TaskRef& ref : scheduler.m_recording) {
         Task& task = ref.task();
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -42,12 +42,6 @@
         return worker.m_clock.m_readAt + Duration { static_cast<std::int64_t>(std::ceil(leftMs)) + 1 };
     }
 
-    /** @return Monotonic time of the leader by which all leases have run out that the worker's reporting process holds. */
-    TimePoint leaseEndBound(const Scheduler& scheduler, const Worker& worker)
-    {
-        return worker.m_clock.m_ms == 0 ? worker.m_earlierLeasesEndAt : latestPassingTime(scheduler, worker, worker.m_leaseUntilMs);
-    }
-
     /** @return Whether the current attempt may have been started by another process than the one that has reported. */
     bool mayRunInOtherProcess(const Task& task)
     {
@@ -73,6 +67,11 @@
 
 namespace detail {
 
+    TimePoint leaseEndBound(const Scheduler& scheduler, const Worker& worker)
+    {
+        return worker.m_clock.m_ms == 0 ? worker.m_earlierLeasesEndAt : latestPassingTime(scheduler, worker, worker.m_leaseUntilMs);
+    }
+
     OrderTarget targetOf(const Scheduler& scheduler, const Worker& worker)
     {
         return { .m_worker = worker.m_announcement.m_id, .m_address = worker.m_announcement.m_address, .m_token = scheduler.m_options.m_token };
--- a/src/table/scheduler_table.h
+++ b/src/table/scheduler_table.h
@@ -29,6 +29,34 @@
     { WorkerState::Gone, "gone" },
 } };
 
+constexpr std::array<EnumName<UrgencyClass>, 4> urgencyClassNames { {
+    { UrgencyClass::LongRunning, "long-running" },
+    { UrgencyClass::InTime, "in-time" },
+    { UrgencyClass::Late, "late" },
+    { UrgencyClass::Overdue, "overdue" },
+} };
+
+constexpr std::array<EnumName<WaitCause>, waitCauseCount> waitCauseNames { {
+    { WaitCause::RecordNotDurable, "record-not-durable" },
+    { WaitCause::StartUnconfirmed, "start-unconfirmed" },
+    { WaitCause::AttemptStopping, "attempt-stopping" },
+    { WaitCause::WorkerSilent, "worker-silent" },
+    { WaitCause::GangEnding, "gang-ending" },
+    { WaitCause::NoWorker, "no-worker" },
+    { WaitCause::WorkersNotAccepting, "workers-not-accepting" },
+    { WaitCause::NoVmForRequest, "no-vm-for-request" },
+    { WaitCause::ApprovalUnanswered, "approval-unanswered" },
+    { WaitCause::NoApprovedWorker, "no-approved-worker" },
+    { WaitCause::NoValidTicket, "no-valid-ticket" },
+    { WaitCause::NoRoom, "no-room" },
+    { WaitCause::NoRoomOnApproved, "no-room-on-approved" },
+    { WaitCause::Reserved, "reserved" },
+    { WaitCause::HeldForSuspect, "held-for-suspect" },
+    { WaitCause::SuspectNotIsolated, "suspect-not-isolated" },
+    { WaitCause::GangShortOfRoom, "gang-short-of-room" },
+    { WaitCause::RoomAvailable, "room-available" },
+} };
+
 constexpr std::array<EnumName<AttemptEnd>, 6> attemptEndNames { {
     { AttemptEnd::Done, "done" },
     { AttemptEnd::Failed, "failed" },
