A takeover that takes long tells what it waits for

Cause: after a loss of all VMs no line told whether the configuration, the claims, the claim, the fence, the records or the workers were waited for. Change: one line a second on a VM that wants to lead or loads, not before a second has passed; in the first 15 s of leading one line a second while workers have not answered, with the time by which their leases have run out. Measured: leadership_wait_test, 4 cases, passes.

--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -269,6 +269,9 @@
     std::vector<PendingSubmission> m_pendingSubmissions; ///< Submissions that are not part of an append yet.
     std::vector<RecordWaiter> m_recordWaiters; ///< Callers that wait until a batch is durable.
     LoadState m_load;
+    TimePoint m_claimSentAt; ///< When the latest claim was sent.
+    TimePoint m_loadedAt; ///< When the records of earlier terms were loaded, of the latest own term.
+    TimePoint m_nextWaitReportAt; ///< When it is next logged what the takeover waits for.
     std::uint64_t m_term = 0; ///< Fencing token of the current own term, 0 for none; answers for other terms are dropped.
 
     bool m_isTerminating = false; ///< Whether SIGTERM was received.
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -3,6 +3,7 @@
 #include "process/cell/cell_detail.h"
 #include "process/cell/leader_choice.h"
 #include "process/cell/leader_codec.h"
+#include "process/cell/leadership_wait.h"
 #include "process/scheduler/scheduler_func.h"
 
 #include <algorithm>
@@ -17,11 +18,9 @@
     constexpr Duration suspensionThreshold { 600 }; ///< After a suspension of at least this length another daemon may lead.
     constexpr Duration handOverInterval { 400 }; ///< Time before the next candidates are asked to take over.
 
-    /** @return Reason for this daemon to claim the leadership, as logged; empty when there is none. */
-    std::string_view claimCause(const CellNode& node)
+    /** @return Why a new leader is needed, as logged; empty when none is. */
+    std::string_view causeForNewLeader(const CellNode& node)
     {
-        if (!node.m_isStoreReached || !node.m_leaderTail.m_isListingComplete || node.m_isTerminating || !node.m_cluster)
-            return {};
         if (node.m_leader.m_token == 0)
             return "no leader is known";
         if (isOwnClaim(node))
@@ -40,6 +39,13 @@
         return {};
     }
 
+    /** @return Reason for this daemon to claim the leadership, as logged; empty when there is none. */
+    std::string_view claimCause(const CellNode& node)
+    {
+        const bool canClaim = node.m_isStoreReached && node.m_leaderTail.m_isListingComplete && !node.m_isTerminating && node.m_cluster;
+        return canClaim ? causeForNewLeader(node) : std::string_view();
+    }
+
     void stepClaim(CellNode& node)
     {
         const std::string_view cause = claimCause(node);
@@ -203,6 +209,7 @@
 void claimLeadership(CellNode& node, std::string_view cause)
 {
     node.m_role = Role::Claiming;
+    node.m_claimSentAt = node.m_now;
     ++node.m_counters.m_claims;
     logEvent(LogLevel::Info, "claim", { { "cause", cause }, { "previous_leader", node.m_leader.m_member.m_name }, { "previous_token", node.m_leader.m_token }, { "last_contact_ms_ago", (node.m_now - node.m_leaderMonitor.m_answeredAt).m_ms } });
     StoreAppend append { .m_partition = node.m_leaderTail.m_partition, .m_records = { { .m_key = claimKey, .m_value = encodeClaim(node.m_options.m_self) } }, .m_writer = {}, .m_expectedEnd = node.m_leaderTail.m_nextOffset };
@@ -245,6 +252,7 @@
     checkIsolation(node);
     stepClaim(node);
     stepHandOver(node);
+    reportLeadershipWait(node, !causeForNewLeader(node).empty());
 }
 
 } // namespace bulrushloft::cell::detail
--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -145,6 +145,7 @@
         logEvent(LogLevel::Info, "term-loaded", { { "token", node.m_term }, { "jobs", node.m_scheduler->m_jobs.size() }, { "progress", node.m_load.m_progress.size() }, { "workers_with_tasks", node.m_scheduler->m_workers.size() }, { "took_ms", (node.m_now - node.m_load.m_startedAt).m_ms } });
         node.m_load = {};
         node.m_role = Role::Leading;
+        node.m_loadedAt = node.m_now;
         finishInitialLoad(node);
     }
 
--- /dev/null
+++ b/src/process/cell/leadership_wait.cpp
@@ -0,0 +1,95 @@
+/** @file leadership_wait.cpp Log lines about a takeover that takes long. */
+#include "process/cell/leadership_wait.h"
+
+#include "core/log_func.h"
+#include "process/scheduler/wait_report.h"
+#include "table/cell_table.h"
+
+#include <algorithm>
+
+namespace bulrushloft::cell {
+
+namespace {
+
+    constexpr Duration reportInterval { 1'000 };
+    constexpr Duration adoptionWatch { 15'000 }; ///< How long after a takeover workers without an answer are reported; longer than any lease of an earlier term.
+
+    LeadershipWait loadingWaitOf(const CellNode& node)
+    {
+        const LoadState& load = node.m_load;
+        if (!load.m_isFenced)
+            return LeadershipWait::FenceUnanswered;
+        const bool isRead = !load.m_ranges.empty() && std::all_of(load.m_ranges.begin(), load.m_ranges.end(), [](const LoadRange& range) { return range.m_isRead; });
+        return isRead ? LeadershipWait::JobsNotCaughtUp : LeadershipWait::PagesOutstanding;
+    }
+
+    LeadershipWait followerWaitOf(const CellNode& node)
+    {
+        if (!node.m_cluster)
+            return LeadershipWait::ConfigurationUnknown;
+        if (!node.m_isStoreReached)
+            return LeadershipWait::StoreNotReached;
+        return node.m_leaderTail.m_isListingComplete ? LeadershipWait::ClaimNotDue : LeadershipWait::LeaderTopicNotListed;
+    }
+
+    /** @return When the daemon began to wait for a leader, or for the answer to its claim, or to load. */
+    TimePoint waitingSince(const CellNode& node)
+    {
+        if (node.m_role == Role::Claiming)
+            return node.m_claimSentAt;
+        return node.m_role == Role::Loading ? node.m_load.m_startedAt : node.m_leaderMonitor.m_answeredAt;
+    }
+
+    void logWait(const CellNode& node, LeadershipWait wait)
+    {
+        const LoadState& load = node.m_load;
+        const auto outstanding = std::count_if(load.m_ranges.begin(), load.m_ranges.end(), [](const LoadRange& range) { return !range.m_isRead; });
+        std::uint32_t unanswered = load.m_isFenced ? 0 : load.m_fence.m_inFlight;
+        for (const LoadRange& range : load.m_ranges)
+            unanswered += range.m_call.m_inFlight;
+        logEvent(LogLevel::Info, "leadership-waits", { { "for", findName(leadershipWaitNames, wait) }, { "waited_ms", (node.m_now - waitingSince(node)).m_ms }, { "token", node.m_term }, { "known_token", node.m_leader.m_token }, { "claims", node.m_counters.m_claims }, { "unanswered_calls", unanswered }, { "ranges_outstanding", outstanding }, { "records_read", load.m_progress.size() }, { "store_last_answer_ms_ago", (node.m_now - node.m_storeLastContactAt).m_ms } });
+    }
+
+    /** @return Whether a leader waits for workers, which is then logged if due. */
+    bool reportAdoption(const CellNode& node, bool isDue)
+    {
+        if (node.m_role != Role::Leading || node.m_now - node.m_loadedAt > adoptionWatch)
+            return false;
+        const scheduler::AdoptionState state = scheduler::findAdoptionState(*node.m_scheduler);
+        if (node.m_workersTail.m_isListingComplete && state.m_new + state.m_silent == 0)
+            return false;
+        if (isDue)
+            logEvent(LogLevel::Info, "workers-not-adopted", { { "token", node.m_term }, { "loaded_ms_ago", (node.m_now - node.m_loadedAt).m_ms }, { "are_listed", node.m_workersTail.m_isListingComplete }, { "workers", node.m_scheduler->m_workers.size() }, { "new", state.m_new }, { "silent", state.m_silent }, { "tasks", state.m_tasks }, { "leases_end_in_ms", state.m_tasks > 0 ? (state.m_leasesEndAt - node.m_now).m_ms : 0 } });
+        return true;
+    }
+
+} // namespace
+
+LeadershipWait leadershipWaitOf(const CellNode& node, bool isLeaderWanted)
+{
+    switch (node.m_role) {
+    case Role::Follower:
+        return isLeaderWanted && !node.m_isTerminating ? followerWaitOf(node) : LeadershipWait::None;
+    case Role::Claiming:
+        return LeadershipWait::ClaimUnanswered;
+    case Role::Loading:
+        return loadingWaitOf(node);
+    case Role::Leading:
+        return LeadershipWait::None;
+    }
+    return LeadershipWait::None;
+}
+
+void reportLeadershipWait(CellNode& node, bool isLeaderWanted)
+{
+    const LeadershipWait wait = leadershipWaitOf(node, isLeaderWanted);
+    const bool isFirst = node.m_nextWaitReportAt.m_ms == 0;
+    const bool isDue = !isFirst && node.m_now >= node.m_nextWaitReportAt;
+    const bool isWaiting = wait != LeadershipWait::None || reportAdoption(node, isDue);
+    if (isDue && wait != LeadershipWait::None)
+        logWait(node, wait);
+    if (isDue || isFirst || !isWaiting) // What lasts less than an interval is not reported.
+        node.m_nextWaitReportAt = node.m_now + reportInterval;
+}
+
+} // namespace bulrushloft::cell
