Metrics of unconfirmed appends and of steps that wait long

Cause: the log shows them only to those who read it. Change: gauges of unconfirmed appends with the age of the oldest, of long-waiting steps with the longest wait, and counts by cause. Measured: builds; not read from a running daemon.

--- a/src/process/cell/cell_metrics.cpp
+++ b/src/process/cell/cell_metrics.cpp
@@ -1,6 +1,8 @@
 /** @file cell_metrics.cpp Rendering of metrics with prometheus-cpp. */
 #include "process/cell/cell_metrics.h"
 
+#include "table/scheduler_table.h"
+
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 
@@ -60,6 +62,9 @@
         builder.add("config-version", node.m_cluster ? static_cast<double>(node.m_cluster->m_version) : 0);
         builder.add("store-reached", node.m_isStoreReached ? 1 : 0);
         builder.add("peers", static_cast<double>(node.m_peers.size()));
+        const auto oldest = oldestUnconfirmedSince(node.m_writer);
+        builder.add("appends-unconfirmed", static_cast<double>(node.m_writer.m_queue.size()));
+        builder.add("oldest-append-ms", oldest ? static_cast<double>((node.m_now - *oldest).m_ms) : 0);
         return builder.family();
     }
 
@@ -69,6 +74,8 @@
         builder.add("jobs", static_cast<double>(scheduler.m_jobs.size()));
         builder.add("workers", static_cast<double>(scheduler.m_workers.size()));
         builder.add("steps-waiting", static_cast<double>(scheduler.m_waitingSteps.size()));
+        builder.add("steps-waiting-long", scheduler.m_waitSummary.m_steps);
+        builder.add("oldest-wait-ms", static_cast<double>(scheduler.m_waitSummary.m_oldest.m_ms));
         builder.add("placements", static_cast<double>(scheduler.m_counters.m_placements));
         builder.add("starts", static_cast<double>(scheduler.m_counters.m_starts));
         builder.add("syncs", static_cast<double>(scheduler.m_counters.m_syncs));
@@ -80,13 +87,23 @@
         return builder.family();
     }
 
+    MetricFamily collectWaitGauges(const scheduler::WaitSummary& summary)
+    {
+        MetricFamilyBuilder builder("bulrush_scheduler_waits", "Steps that wait long, by cause", MetricType::Gauge);
+        for (const auto& [cause, name] : scheduler::waitCauseNames)
+            builder.add(std::string(name), summary.m_byCause[static_cast<std::size_t>(cause)]);
+        return builder.family();
+    }
+
 } // namespace
 
 std::string renderMetrics(const CellNode& node)
 {
     std::vector<MetricFamily> families { collectCounters(node), collectGauges(node) };
-    if (node.m_scheduler)
+    if (node.m_scheduler) {
         families.push_back(collectSchedulerGauges(*node.m_scheduler));
+        families.push_back(collectWaitGauges(node.m_scheduler->m_waitSummary));
+    }
     return prometheus::TextSerializer().Serialize(families);
 }
 
