A start carries the newest ticket, and waits on its place for a new one

Cause: a start was sent with the ticket that was valid when its task was placed. While its record waited for seconds, the ticket lapsed; the worker refused the start, the approval was forgotten, and the task was placed and the worker approved anew, again with a record to wait for.

Change: sendStart() takes the newest ticket of the step for the worker. A placed task without a usable one keeps its place; the step renews the tickets of all its placed workers with one request, before the requests of steps without a place. Slow requests are sent ahead of the expected end of the record, once a placement. A gang that has not begun to start waits for the tickets of all members. A refused ticket is dropped, the approval stays. A start without a ticket for 3 s, with a denied worker, or refused four times gives up its place; the cause is logged. Placements are not put off while records are slow: a renewal runs beside the record then.

The simulated load of approval_load_test moved to a header for both tests; its workers now refuse lapsed tickets, and its records may take time.

--- a/src/process/scheduler/approvals.cpp
+++ b/src/process/scheduler/approvals.cpp
@@ -54,12 +54,6 @@
             return best && best->m_busyUntil <= now + longestWait ? best : nullptr;
         }
 
-        /** @return Expected duration of a request that names this many workers. */
-        Duration requestDuration(const ApprovalPolicy& policy, std::size_t workers)
-        {
-            return { static_cast<std::int64_t>(policy.m_baseCallTimeMs + policy.m_callTimePerWorkerMs * static_cast<double>(workers)) + 1 };
-        }
-
         ApprovalMark markOf(const ApprovalState& state, WorkerIndex worker)
         {
             const auto index = static_cast<std::size_t>(worker);
@@ -74,12 +68,6 @@
             state.m_marks[index] = mark;
         }
 
-        /** @return Whether requests of a queue are slow; slow ones are sent ahead of time, and several at once. */
-        bool isSlowPolicy(const ApprovalPolicy& policy)
-        {
-            return requestDuration(policy, 1) > slowRequestThreshold;
-        }
-
         /** @return Expected share of approved workers, from 0 to 1. */
         double approvalRateOf(const Scheduler& scheduler, const std::string& queue)
         {
@@ -106,7 +94,7 @@
             const bool isSlow = isSlowPolicy(need.m_policy);
             const bool isGang = planOf(run).m_isGang;
             // Slow requests are sent before the room appears, so that it can be used at once.
-            const TimePoint answerAt = isSlow ? now + requestDuration(need.m_policy, need.m_tasks) : now;
+            const TimePoint answerAt = isSlow ? now + approvalRequestDuration(need.m_policy, need.m_tasks) : now;
             const bool waitsForReservations = isGang && isSlow && run.m_reservedReadyAt < farFuture;
             if (waitsForReservations && run.m_reservedReadyAt > answerAt)
                 return {};
@@ -216,16 +204,12 @@
             return chosen;
         }
 
-        /** Sends one request. @return Whether there was anything to request, and a VM free to do so. */
-        bool sendRequest(Scheduler& scheduler, StepRun& run, const ApprovalNeed& need, PoolView& view, TimePoint now, SchedulerEffects& effects)
+        /** Sends one request if a VM is free to do so. @param renewals Workers to renew tickets for. @param unknown Workers whose approval is unknown. @return Whether it was sent. */
+        bool sendRequest(Scheduler& scheduler, StepRun& run, const ApprovalPolicy& policy, const std::vector<WorkerIndex>& renewals, const std::vector<WorkerIndex>& unknown, TimePoint now, SchedulerEffects& effects)
         {
-            std::vector<WorkerIndex> named = findRenewals(scheduler, run, need, view, now);
-            named.resize(std::min(named.size(), maxNamedWorkers));
-            const std::size_t renewals = named.size();
-            const std::vector<WorkerIndex> unknown = chooseUnknown(scheduler, run, need, view, now, maxNamedWorkers - renewals);
-            named.insert(named.end(), unknown.begin(), unknown.end());
-            const Duration duration = requestDuration(need.m_policy, named.size());
-            ApprovalProxy* const proxy = named.empty() ? nullptr : chooseProxy(scheduler, run, duration, now);
+            const std::size_t count = renewals.size() + unknown.size();
+            const Duration duration = approvalRequestDuration(policy, count);
+            ApprovalProxy* const proxy = count == 0 ? nullptr : chooseProxy(scheduler, run, duration, now);
             if (!proxy)
                 return false;
             proxy->m_busyUntil = std::max(proxy->m_busyUntil, now) + duration;
@@ -234,20 +218,33 @@
             ++state.m_pendingRequests;
             state.m_askedWorkers += static_cast<std::uint32_t>(unknown.size());
             ApprovalRequest request { .m_member = proxy->m_member, .m_step = nameOf({ &run, 0 }), .m_workers = {} };
-            for (std::size_t i = 0; i < named.size(); ++i) {
-                if (i < renewals)
-                    state.m_tickets.at(named[i]).m_isRenewalPending = true;
-                else
-                    setMark(state, named[i], ApprovalMark::Asked);
-                Worker& worker = scheduler.m_workers[static_cast<std::size_t>(named[i])];
+            const auto name = [&](WorkerIndex index) {
+                Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
                 ++worker.m_pendingNames;
                 request.m_workers.push_back(worker.m_announcement.m_id);
+            };
+            for (const WorkerIndex index : renewals) {
+                state.m_tickets.at(index).m_isRenewalPending = true;
+                name(index);
+            }
+            for (const WorkerIndex index : unknown) {
+                setMark(state, index, ApprovalMark::Asked);
+                name(index);
             }
             ++scheduler.m_counters.m_approvalRequests;
             effects.m_approvalRequests.push_back(std::move(request));
             return true;
         }
 
+        /** Sends the next request that a blocked step needs. @return Whether there was anything to request, and a VM free to do so. */
+        bool sendNextRequest(Scheduler& scheduler, StepRun& run, const ApprovalNeed& need, PoolView& view, TimePoint now, SchedulerEffects& effects)
+        {
+            std::vector<WorkerIndex> renewals = findRenewals(scheduler, run, need, view, now);
+            renewals.resize(std::min(renewals.size(), maxNamedWorkers));
+            const std::vector<WorkerIndex> unknown = chooseUnknown(scheduler, run, need, view, now, maxNamedWorkers - renewals.size());
+            return sendRequest(scheduler, run, need.m_policy, renewals, unknown, now, effects);
+        }
+
         /** Applies the answer for one worker. @param ticket Null when the worker was denied, or the request failed. */
         void applyAnswer(ApprovalState& state, WorkerIndex worker, bool isAnswered, const Approval* approval, TimePoint usableUntil)
         {
@@ -269,6 +266,16 @@
 
     } // namespace
 
+    Duration approvalRequestDuration(const ApprovalPolicy& policy, std::size_t workers)
+    {
+        return { static_cast<std::int64_t>(policy.m_baseCallTimeMs + policy.m_callTimePerWorkerMs * static_cast<double>(workers)) + 1 };
+    }
+
+    bool isSlowPolicy(const ApprovalPolicy& policy)
+    {
+        return approvalRequestDuration(policy, 1) > slowRequestThreshold;
+    }
+
     bool hasTicket(const StepRun& run, WorkerIndex worker, TimePoint time)
     {
         const auto found = run.m_approval.m_tickets.find(worker);
@@ -285,7 +292,7 @@
     bool canRequestApprovals(Scheduler& scheduler, const StepRun& run, const ApprovalPolicy& policy, TimePoint now)
     {
         const std::uint32_t limit = isSlowPolicy(policy) ? maxParallelRequests : 1;
-        return run.m_approval.m_pendingRequests < limit && now >= run.m_approval.m_nextRequestAt && chooseProxy(scheduler, run, requestDuration(policy, 1), now);
+        return run.m_approval.m_pendingRequests < limit && now >= run.m_approval.m_nextRequestAt && chooseProxy(scheduler, run, approvalRequestDuration(policy, 1), now);
     }
 
     bool isStarvedOfApprovals(const StepRun& run, const ApprovalPolicy& policy, TimePoint now)
@@ -301,9 +308,24 @@
         setMark(run.m_approval, worker, ApprovalMark::Unknown);
     }
 
+    void expireTicket(StepRun& run, WorkerIndex worker, const std::string& text, TimePoint now)
+    {
+        const auto found = run.m_approval.m_tickets.find(worker);
+        if (found != run.m_approval.m_tickets.end() && found->second.m_text == text)
+            found->second.m_usableUntil = std::min(found->second.m_usableUntil, now - Duration { 1 });
+    }
+
+    std::vector<WorkerIndex> requestRenewals(Scheduler& scheduler, StepRun& run, const ApprovalPolicy& policy, std::vector<WorkerIndex> workers, TimePoint now, SchedulerEffects& effects)
+    {
+        workers.resize(std::min(workers.size(), maxNamedWorkers));
+        if (!canRequestApprovals(scheduler, run, policy, now) || !sendRequest(scheduler, run, policy, workers, {}, now, effects))
+            workers.clear();
+        return workers;
+    }
+
     void requestApprovals(Scheduler& scheduler, StepRun& run, const ApprovalNeed& need, PoolView& view, TimePoint now, SchedulerEffects& effects)
     {
-        while (canRequestApprovals(scheduler, run, need.m_policy, now) && sendRequest(scheduler, run, need, view, now, effects)) { }
+        while (canRequestApprovals(scheduler, run, need.m_policy, now) && sendNextRequest(scheduler, run, need, view, now, effects)) { }
     }
 
 } // namespace detail
--- a/src/process/scheduler/approvals.h
+++ b/src/process/scheduler/approvals.h
@@ -18,9 +18,24 @@
 /** @return Whether the step has been waiting for a VM that sends its approval request for so long that it may use those that are kept for such steps. */
 bool isStarvedOfApprovals(const StepRun& run, const ApprovalPolicy& policy, TimePoint now);
 
-/** Drops a ticket that the worker has refused, so that a new one is requested. */
+/** Drops the approval of a worker that keeps refusing tickets, so that it is requested anew. */
 void forgetTicket(StepRun& run, WorkerIndex worker);
 
+/** Marks a ticket as lapsed, unless a newer one has arrived since. @param text The ticket that was refused. */
+void expireTicket(StepRun& run, WorkerIndex worker, const std::string& text, TimePoint now);
+
+/** @return Expected duration of a request that names this many workers. */
+Duration approvalRequestDuration(const ApprovalPolicy& policy, std::size_t workers);
+
+/** @return Whether requests of a queue are slow; slow ones are sent ahead of time, and several at once. */
+bool isSlowPolicy(const ApprovalPolicy& policy);
+
+/**
+ * Requests new tickets for approved workers, if a VM is free to do so.
+ * @return The workers that the request names, a part from the beginning of the given ones; none when nothing was sent.
+ */
+std::vector<WorkerIndex> requestRenewals(Scheduler& scheduler, StepRun& run, const ApprovalPolicy& policy, std::vector<WorkerIndex> workers, TimePoint now, SchedulerEffects& effects);
+
 /** @return Whether a worker has the label of the step's tasks and could hold one of them if it were empty. */
 bool isSuitable(const StepRun& run, const Worker& worker);
 
--- a/src/process/scheduler/scheduler.cpp
+++ b/src/process/scheduler/scheduler.cpp
@@ -3,6 +3,7 @@
 #include "process/scheduler/crash_record.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
+#include "process/scheduler/start_tickets.h"
 
 #include <algorithm>
 
@@ -65,6 +66,7 @@
 {
     releaseScheduledJobs(scheduler, now);
     stepCalls(scheduler, now, effects);
+    stepStartTickets(scheduler, now, effects); // Before the requests of steps without a place.
     if (isPlacementDue(scheduler, now))
         placeWaiting(scheduler, now, effects);
     stepWatch(scheduler, now);
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -87,7 +87,9 @@
     std::int64_t m_progressClockMs = 0; ///< Worker's clock in the report that first showed the present progress; 0 when none has shown any.
     std::string m_checkpoint; ///< Newest checkpoint; empty for none.
     std::string m_checkpointAtStart; ///< Checkpoint from which the current attempt resumes; empty for none.
-    std::string m_ticket; ///< Approval ticket of the current attempt; empty for none.
+    std::string m_ticket; ///< Approval ticket that the latest start call carried; empty for none.
+    bool m_isTicketRenewedAhead = false; ///< A new ticket has been requested while the record of the current attempt is awaited.
+    TimePoint m_recordedAt; ///< Time at which the record of the current attempt became durable.
     std::vector<WorkerIndex> m_failedOn; ///< Workers on which an attempt of the task failed.
 };
 
@@ -339,6 +341,8 @@
     std::uint64_t m_confirmedBatch = 0; ///< Number of the newest durable batch.
     std::vector<ApprovalProxy> m_approvalProxies; ///< VMs that can send approval requests.
     std::unordered_map<std::string, std::uint32_t> m_pendingCounts; ///< Number of accepted jobs without a started task, by queue.
+    double m_meanRecordMs = 20; ///< Moving average of the time from a placement until its record is durable.
+    TimePoint m_nextTicketCheckAt; ///< Time of the next check for placed tasks whose ticket lapses.
     double m_meanAnswerMs = 20; ///< Moving average of the time in which workers answer start calls.
     TimePoint m_lossyUntil; ///< Until this time, orders are assumed to get lost on the way to healthy workers.
     TimePoint m_nextWatchAt; ///< Time of the next check for stalled tasks and incomplete gangs.
--- a/src/process/scheduler/scheduler_detail.h
+++ b/src/process/scheduler/scheduler_detail.h
@@ -39,7 +39,7 @@
 void failTask(Scheduler& scheduler, const TaskRef& ref, TimePoint now);
 
 /** Creates an attempt of a task on a worker. */
-void placeTask(Scheduler& scheduler, const TaskRef& ref, WorkerIndex index, std::string ticket, TimePoint now);
+void placeTask(Scheduler& scheduler, const TaskRef& ref, WorkerIndex index, TimePoint now);
 
 /** Removes the current attempt and frees its resources; callers must know that the attempt does not run any more. */
 void detachTask(Scheduler& scheduler, const TaskRef& ref, TimePoint now);
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -255,7 +255,7 @@
         {
             moveCheapestToEnd(m_run.m_tasks[index]);
             const std::uint32_t position = m_candidates.back().m_position;
-            placeTask(m_scheduler, { &m_run, index }, m_view.m_workers[position], ticketTextFor(position), m_now);
+            placeTask(m_scheduler, { &m_run, index }, m_view.m_workers[position], m_now);
             m_view.m_free[position] = m_view.m_free[position] - m_size;
             --m_toPlace;
             if (roomAt(position) == 0)
@@ -338,19 +338,13 @@
                 if (isHeldForSuspect(worker, m_now))
                     worker.m_reservedFor = nullptr;
                 worker.m_heldForSuspectUntil = {};
-                placeTask(m_scheduler, ref, m_view.m_workers[position], ticketTextFor(position), m_now);
+                placeTask(m_scheduler, ref, m_view.m_workers[position], m_now);
                 ref.task().m_isIsolated = true;
                 m_view.m_free[position] = {};
                 --m_toPlace;
             }
         }
 
-        std::string ticketTextFor(std::uint32_t position) const
-        {
-            const auto ticket = m_run.m_approval.m_tickets.find(m_view.m_workers[position]);
-            return ticket == m_run.m_approval.m_tickets.end() ? std::string() : ticket->second.m_text;
-        }
-
         /** @return Whether all members of a gang would fit on its approved workers if those were empty. */
         bool wouldFitIfEmpty()
         {
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -1,10 +1,10 @@
 /** @file scheduler_tasks.cpp Life cycle of attempts: placement, recording, start, stop, end and loss. */
 #include "core/invariant.h"
 #include "core/log_func.h"
-#include "process/scheduler/approvals.h"
 #include "process/scheduler/crash_record.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
+#include "process/scheduler/start_tickets.h"
 #include "request/plan_func.h"
 #include "table/scheduler_table.h"
 
@@ -22,7 +22,7 @@
         return size;
     }
 
-    void placeTask(Scheduler& scheduler, const TaskRef& ref, WorkerIndex index, std::string ticket, TimePoint now)
+    void placeTask(Scheduler& scheduler, const TaskRef& ref, WorkerIndex index, TimePoint now)
     {
         Task& task = ref.task();
         Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
@@ -32,7 +32,8 @@
         task.m_worker = index;
         task.m_batch = scheduler.m_nextBatch;
         task.m_placedAt = now;
-        task.m_ticket = std::move(ticket);
+        task.m_ticket.clear();
+        task.m_isTicketRenewedAhead = false;
         task.m_checkpointAtStart = task.m_checkpoint;
         task.m_isCallPending = false;
         task.m_mayHaveArrived = false;
@@ -470,8 +471,11 @@
     case OrderStatus::Fenced:
         return;
     case OrderStatus::InvalidTicket:
-        forgetTicket(*ref.m_run, task.m_worker);
-        return handleRefusedStart(scheduler, ref, "no-ticket", now);
+        if (!dropRefusedTicket(ref, now))
+            return handleRefusedStart(scheduler, ref, "no-ticket", now);
+        ++scheduler.m_counters.m_refused;
+        logEvent(LogLevel::Info, "ticket-refused", { { "task", format(name) }, { "attempt", attempt }, { "worker", worker }, { "tries", task.m_tries }, { "placed_ms_ago", (now - task.m_placedAt).m_ms } });
+        return;
     case OrderStatus::InsufficientCapacity:
         return handleRefusedStart(scheduler, ref, "no-room", now);
     case OrderStatus::Unhealthy: {
@@ -509,6 +513,7 @@
 void onRecorded(Scheduler& scheduler, std::uint64_t batch, TimePoint now)
 {
     scheduler.m_confirmedBatch = batch;
+    std::uint64_t measuredBatch = 0;
     std::vector<TaskRef> remaining;
     for (const TaskRef& ref : scheduler.m_recording) {
         Task& task = ref.task();
@@ -516,7 +521,10 @@
             remaining.push_back(ref);
             continue;
         }
+        if (std::exchange(measuredBatch, task.m_batch) != task.m_batch)
+            updateMeanRecordTime(scheduler, now - task.m_placedAt);
         task.m_phase = RunPhase::Starting;
+        task.m_recordedAt = now;
         task.m_nextCallAt = now;
         scheduler.m_startingOrStopping.push_back(ref);
     }
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -3,6 +3,7 @@
 #include "process/scheduler/crash_record.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
+#include "process/scheduler/start_tickets.h"
 #include "process/scheduler/suspect_placement.h"
 #include "request/plan_func.h"
 
@@ -359,6 +360,7 @@
             worker.m_leaseUntilMs = std::max(worker.m_leaseUntilMs, deadline);
             task.m_isCallPending = true;
             task.m_startSentAt = now;
+            task.m_ticket = ticketTextFor(ref);
             const Duration timeout = startTimeoutOf(scheduler, task, now);
             task.m_otherProcessUntil = now + timeout;
             ++task.m_tries;
@@ -375,7 +377,7 @@
                     continue;
                 Worker& worker = scheduler.m_workers[static_cast<std::size_t>(task.m_worker)];
                 // Each start may extend the lease of a process that has started again, so a worker that does not answer is asked for a report first.
-                const bool isStartDue = task.m_phase == RunPhase::Starting && isWithinCapacity(worker) && worker.m_unansweredCalls < unansweredCallsUntilSilent;
+                const bool isStartDue = task.m_phase == RunPhase::Starting && isWithinCapacity(worker) && worker.m_unansweredCalls < unansweredCallsUntilSilent && hasTicketsToStart(scheduler, ref, now);
                 if (isStartDue) {
                     sendStart(scheduler, ref, now, effects);
                 } else if (task.m_phase == RunPhase::Stopping && !task.m_isStopAcknowledged) {
--- /dev/null
+++ b/tests/fakes/approval_load.h
@@ -0,0 +1,234 @@
+/** @file approval_load.h A scheduler with simulated workers, approvals and records, for tests of steps that need approvals. */
+#pragma once
+
+#include "core/hash_func.h"
+#include "process/scheduler/scheduler_detail.h"
+#include "process/scheduler/scheduler_func.h"
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+
+namespace bulrushloft::test {
+
+using namespace scheduler;
+
+inline constexpr Duration stepLength { 10 };
+inline constexpr Duration gangRunTime { 3'600 };
+inline constexpr double gangSlackFactor = 2.2;
+inline constexpr Duration gangLatencyTarget { 1'000 };
+
+inline QueueSettings makeQueue(const std::string& name, double slack, Duration target, const ApprovalPolicy& policy)
+{
+    return { .m_name = name, .m_host = "h", .m_pathPrefix = "/" + name + "/", .m_pool = "pool", .m_priority = 0, .m_failureLimit = 3, .m_slackFactor = slack, .m_latencyTarget = target, .m_timeout = { 3'000 }, .m_approval = policy };
+}
+
+/** A scheduler whose workers, approvals and records are simulated. Workers refuse starts whose ticket has lapsed. */
+struct ApprovalLoad {
+    /** A simulated attempt. */
+    struct Run {
+        TaskName m_task;
+        std::uint32_t m_attempt = 0;
+        TimePoint m_endsAt;
+    };
+
+    /** A simulated worker. */
+    struct SimulatedWorker {
+        std::vector<Run> m_runs;
+        std::vector<EndedAttempt> m_ended;
+        std::uint64_t m_lastEnd = 0;
+        bool m_isSyncDue = false;
+    };
+
+    Scheduler m_scheduler;
+    TimePoint m_now { 1'000 };
+    std::map<std::string, SimulatedWorker> m_workers;
+    std::multimap<TimePoint, std::function<void()>> m_events;
+    std::map<std::string, Duration> m_waits; ///< Time from acceptance to the first start, by job.
+    double m_approvedShare; ///< Share of approved workers.
+    std::uint64_t m_requests = 0;
+    bool m_areRequestsAnswered = true; ///< Whether approval requests are answered; they fail otherwise.
+    int m_ticketsToRefuse = 0; ///< Number of starts whose ticket is refused although it has not lapsed.
+    std::size_t m_latestNamed = 0; ///< Number of workers named in the latest request.
+    std::size_t m_mostNamed = 0; ///< Largest number of workers named in a request.
+    std::set<std::pair<std::string, std::uint64_t>> m_placedSteps; ///< Job and batch of each placement of tasks of a step.
+    std::uint64_t m_starts = 0;
+    std::uint64_t m_lapsedStarts = 0; ///< Starts that were sent with a lapsed ticket, and refused.
+    std::uint64_t m_stoppedMembers = 0; ///< Running members of gangs that were stopped.
+    std::function<Duration()> m_recordTime; ///< Time after which an append of records is durable; appends become so in their order. Records are durable at once when unset.
+    std::deque<std::pair<std::uint64_t, TimePoint>> m_appends; ///< Batches that are not durable yet, with the time at which they will be.
+    int m_nextJob = 1;
+
+    explicit ApprovalLoad(int workers, int proxies, double approvedShare)
+        : m_approvedShare(approvedShare)
+    {
+        m_scheduler.m_options.m_token = 1;
+        m_scheduler.m_isInitialLoad = false;
+        const ApprovalPolicy gangPolicy { .m_baseCallTimeMs = 490, .m_callTimePerWorkerMs = 7, .m_validity = { 2'000 } };
+        const ApprovalPolicy smallPolicy { .m_baseCallTimeMs = 160, .m_callTimePerWorkerMs = 2.3, .m_validity = { 2'000 } };
+        const ApprovalPolicy quickPolicy { .m_baseCallTimeMs = 25, .m_callTimePerWorkerMs = 0.35, .m_validity = { 2'000 } };
+        setCluster(m_scheduler, { .m_version = 1, .m_queues = { makeQueue("gang", gangSlackFactor, gangLatencyTarget, gangPolicy), makeQueue("small", 4, { 3'000 }, smallPolicy), makeQueue("quick", 2, { 300 }, quickPolicy) }, .m_pools = { { .m_name = "pool" } } });
+        for (int i = 0; i < proxies; ++i)
+            m_scheduler.m_approvalProxies.push_back({ .m_member = "vm-" + std::to_string(i), .m_busyUntil = {} });
+        for (int i = 0; i < workers; ++i)
+            adopt("w" + std::to_string(i));
+    }
+
+    void adopt(const std::string& id)
+    {
+        m_workers[id];
+        updateWorker(m_scheduler, { .m_id = id, .m_pool = "pool", .m_address = { "127.0.0.1", 9 }, .m_zone = "a", .m_machine = {}, .m_capacity = { .m_cpuMilli = 32'000, .m_memoryMb = 131'072, .m_gpus = 8 }, .m_labels = { "a", "r1-1" } }, m_now);
+        SchedulerEffects effects;
+        onSyncAnswer(m_scheduler, id, OrderStatus::Done, { .m_clockMs = 5'000, .m_processStartMs = 1, .m_running = {}, .m_ended = {} }, m_now, m_now, effects);
+    }
+
+    std::string submit(const std::string& queue, const StepPlan& step)
+    {
+        char text[17];
+        std::snprintf(text, sizeof(text), "%016x", static_cast<unsigned>(m_nextJob++));
+        acceptJob(m_scheduler, { .m_id = text, .m_queue = queue, .m_pool = "pool", .m_payload = "p", .m_steps = { step }, .m_firstStart = {}, .m_period = {}, .m_occurrenceCount = 0, .m_submittedAt = m_now }, m_now);
+        return text;
+    }
+
+    std::string submitGang(std::uint32_t width, std::int64_t gpus)
+    {
+        StepPlan step { .m_count = width, .m_size = { .m_cpuMilli = 15'000, .m_memoryMb = 63'000, .m_gpus = gpus }, .m_estimatedRunTime = gangRunTime };
+        step.m_isGang = true;
+        return submit("gang", step);
+    }
+
+    void submitSmall(std::uint32_t width)
+    {
+        submit("small", { .m_count = width, .m_size = { .m_cpuMilli = 2'800, .m_memoryMb = 11'000, .m_gpus = 1 }, .m_estimatedRunTime = { 3'000 } });
+    }
+
+    bool isApproved(const std::string& job, const std::string& worker) const
+    {
+        return static_cast<double>(stableHash(worker, stableHash(job)) % 1'000) < m_approvedShare * 1'000;
+    }
+
+    const std::optional<ApprovalPolicy>& policyOf(const std::string& job) const { return m_scheduler.m_queues.at(m_scheduler.m_jobs.at(job)->m_plan.m_queue).m_approval; }
+
+    void answer(const ApprovalRequest& request)
+    {
+        ++m_requests;
+        m_latestNamed = request.m_workers.size();
+        m_mostNamed = std::max(m_mostNamed, request.m_workers.size());
+        const auto& policy = policyOf(request.m_step.m_job);
+        const Duration duration { static_cast<std::int64_t>(policy->m_baseCallTimeMs + policy->m_callTimePerWorkerMs * static_cast<double>(request.m_workers.size())) };
+        m_events.emplace(m_now + duration, [this, request, policy] {
+            std::vector<Approval> approvals;
+            for (const std::string& worker : request.m_workers) {
+                if (isApproved(request.m_step.m_job, worker))
+                    approvals.push_back({ .m_worker = worker, .m_ticket = std::to_string((m_now + policy->m_validity).m_ms) });
+            }
+            onApprovals(m_scheduler, request, m_areRequestsAnswered ? std::optional(approvals) : std::nullopt, m_now);
+        });
+    }
+
+    void start(const AddressedOrder<StartOrder>& order)
+    {
+        const JobPlan& plan = m_scheduler.m_jobs.at(order.m_order.m_task.m_job)->m_plan;
+        const StepPlan& step = plan.m_steps[order.m_order.m_task.m_step];
+        if (policyOf(plan.m_id) && m_now.m_ms > std::stoll(order.m_order.m_ticket)) {
+            ++m_lapsedStarts;
+            return answerStart(order, OrderStatus::InvalidTicket);
+        }
+        if (m_ticketsToRefuse > 0) {
+            --m_ticketsToRefuse;
+            return answerStart(order, OrderStatus::InvalidTicket);
+        }
+        const TimePoint endsAt = step.m_isLongRunning ? farFuture : m_now + step.m_estimatedRunTime;
+        m_workers[order.m_to.m_worker].m_runs.push_back({ .m_task = order.m_order.m_task, .m_attempt = order.m_order.m_attempt, .m_endsAt = endsAt });
+        ++m_starts;
+        m_waits.try_emplace(plan.m_id, m_now - m_scheduler.m_jobs.at(plan.m_id)->m_acceptedAt);
+        answerStart(order, OrderStatus::Done);
+    }
+
+    void answerStart(const AddressedOrder<StartOrder>& order, OrderStatus status)
+    {
+        SchedulerEffects effects;
+        onStartAnswer(m_scheduler, order.m_to.m_worker, order.m_order.m_task, order.m_order.m_attempt, { .m_status = status, .m_clockMs = 5'000 + m_now.m_ms }, m_now, effects);
+    }
+
+    void stop(const AddressedOrder<StopOrder>& order)
+    {
+        SimulatedWorker& worker = m_workers[order.m_to.m_worker];
+        const auto stopped = std::erase_if(worker.m_runs, [&](const Run& run) { return run.m_task == order.m_order.m_task && run.m_attempt == order.m_order.m_attempt; });
+        m_stoppedMembers += m_scheduler.m_jobs.at(order.m_order.m_task.m_job)->m_plan.m_steps[order.m_order.m_task.m_step].m_isGang ? stopped : 0;
+        if (stopped > 0)
+            worker.m_ended.push_back({ .m_number = ++worker.m_lastEnd, .m_task = order.m_order.m_task, .m_attempt = order.m_order.m_attempt, .m_end = AttemptEnd::Stopped, .m_checkpoint = {} });
+        SchedulerEffects effects;
+        onStopAnswer(m_scheduler, order.m_to.m_worker, order.m_order.m_task, order.m_order.m_attempt, OrderStatus::Done, m_now, effects);
+    }
+
+    /** Appends the records when the pipeline has room for a batch, and reports those that are durable. */
+    void record()
+    {
+        constexpr std::size_t maxAppends = 4;
+        if (!m_recordTime || m_appends.size() < maxAppends) {
+            const TimePoint durableAt = m_now + (m_recordTime ? m_recordTime() : Duration {});
+            m_appends.emplace_back(m_scheduler.m_nextBatch, m_appends.empty() ? durableAt : std::max(m_appends.back().second, durableAt));
+            takeRecords(m_scheduler);
+        }
+        while (!m_appends.empty() && m_appends.front().second <= m_now) {
+            onRecorded(m_scheduler, m_appends.front().first, m_now);
+            m_appends.pop_front();
+        }
+    }
+
+    void sync(const std::string& id, SimulatedWorker& worker)
+    {
+        SyncReport report { .m_clockMs = 5'000 + m_now.m_ms, .m_processStartMs = 1, .m_running = {}, .m_ended = worker.m_ended };
+        for (const Run& run : worker.m_runs)
+            report.m_running.push_back({ .m_task = run.m_task, .m_attempt = run.m_attempt, .m_checkpoint = {}, .m_percent = -1, .m_loadMetric = 0 });
+        SchedulerEffects effects;
+        onSyncAnswer(m_scheduler, id, OrderStatus::Done, report, m_now, m_now, effects);
+        worker.m_ended.clear();
+        worker.m_isSyncDue = false;
+    }
+
+    void tick()
+    {
+        m_now = m_now + stepLength;
+        while (!m_events.empty() && m_events.begin()->first <= m_now) {
+            const auto event = m_events.begin()->second;
+            m_events.erase(m_events.begin());
+            event();
+        }
+        for (auto& [id, worker] : m_workers) {
+            std::erase_if(worker.m_runs, [&, each = &worker](const Run& run) {
+                if (m_now < run.m_endsAt)
+                    return false;
+                each->m_ended.push_back({ .m_number = ++each->m_lastEnd, .m_task = run.m_task, .m_attempt = run.m_attempt, .m_end = AttemptEnd::Done, .m_checkpoint = {} });
+                return true;
+            });
+            if (worker.m_isSyncDue || !worker.m_ended.empty())
+                sync(id, worker);
+        }
+        SchedulerEffects effects;
+        scheduler::step(m_scheduler, m_now, effects);
+        for (const auto& sync : effects.m_syncs)
+            m_workers[sync.m_to.m_worker].m_isSyncDue = true;
+        for (const ApprovalRequest& request : effects.m_approvalRequests)
+            answer(request);
+        for (const TaskRef& ref : m_scheduler.m_recording)
+            m_placedSteps.emplace(ref.m_run->m_job->m_plan.m_id, ref.task().m_batch);
+        record();
+        for (const auto& order : effects.m_starts)
+            start(order);
+        for (const auto& order : effects.m_stops)
+            stop(order);
+    }
+
+    void run(Duration length)
+    {
+        for (const TimePoint end = m_now + length; m_now < end;)
+            tick();
+    }
+};
+
+} // namespace bulrushloft::test
