--- a/src/process/scheduler/wait_report.cpp
+++ b/src/process/scheduler/wait_report.cpp
@@ -235,11 +235,8 @@
             continue;
         ++result.m_starts;
         result.m_longest = std::max(result.m_longest, waited);
-        if (task.m_ticket.empty())
-            continue;
-        const auto ticket = ref.m_run->m_approval.m_tickets.find(task.m_worker);
-        const bool isValid = ticket != ref.m_run->m_approval.m_tickets.end() && ticket->second.m_text == task.m_ticket && now <= ticket->second.m_usableUntil;
-        result.m_withoutTicket += isValid ? 0 : 1;
+        const bool needsTicket = queueOf(scheduler, *ref.m_run->m_job).m_approval.has_value();
+        result.m_withoutTicket += needsTicket && !hasTicket(*ref.m_run, task.m_worker, now) ? 1 : 0;
     }
     return result;
 }
--- a/src/process/scheduler/wait_report.h
+++ b/src/process/scheduler/wait_report.h
@@ -34,7 +34,7 @@
 /** Starts whose record took unusually long to become durable. */
 struct RecordWait {
     std::uint32_t m_starts = 0; ///< Placements that waited for longer than the threshold.
-    std::uint32_t m_withoutTicket = 0; ///< Those that need a ticket and have one that has expired, is about to, or has been replaced.
+    std::uint32_t m_withoutTicket = 0; ///< Those that need a ticket and have none that is valid.
     Duration m_longest; ///< Longest time from placement to confirmation.
 };
 
