A step asks for other workers when the room forecast on its approved ones does not come

Cause: a step asked for no further workers while twice as many approved ones as it wants were forecast to have room within 3 s. Attempts that wait for their record are forecast to end one run time from now, for as long as they wait. Change: when a task has waited, and the step has sent no request, for longer than the 3 s of the forecasts, it asks for workers that have room now.

--- a/src/process/scheduler/approvals.cpp
+++ b/src/process/scheduler/approvals.cpp
@@ -19,6 +19,7 @@
         constexpr Duration slowRequestThreshold { 100 }; ///< A request that is expected to take longer is slow; it does not use the VMs that are reserved for quick requests.
         constexpr Duration maxQuickRequestWait { 60 }; ///< How long a quick request may wait for its VM; a slow one is sent only if a VM is free.
         constexpr Duration ticketExpiryMargin { 200 }; ///< Tickets are not used for this long before they expire.
+        constexpr Duration roomHorizon { 3'000 }; ///< A step relies on approved workers that are expected to have room within this time.
         constexpr std::uint32_t maxParallelRequests = 3; ///< Slow requests of a step that may be under way at the same time.
 
         /** @return Number of VMs that are reserved for quick requests and for steps that have waited long to send one. */
@@ -139,14 +140,24 @@
             return limit == 0 ? UINT32_MAX : limit - std::min(limit, existing);
         }
 
+        /**
+         * Load: the store confirms the leader's records late, and the attempts that wait for theirs are forecast to end soon all that time.
+         * On a full pool more urgent steps take the room that was forecast, hundreds of steps wait, and each must ask rarely.
+         * @return Whether a task of the step has waited, and the step has sent no request, for longer than the forecasts reach on which it relies.
+         */
+        bool hasForecastFailed(const StepRun& run, TimePoint now)
+        {
+            const auto hasWaited = [&](const Task& task) { return task.m_resolution == TaskResolution::Open && task.m_phase == RunPhase::None && now - task.m_waitingSince > roomHorizon; };
+            return now - run.m_approvalRequestedAt > roomHorizon && std::any_of(run.m_tasks.begin(), run.m_tasks.end(), hasWaited);
+        }
+
         /** @return Number of approved workers on which a task of the step may soon start. Others have left, are full for long, or have reached the step's limit. */
         std::size_t countUsableApprovals(const Scheduler& scheduler, const StepRun& run, PoolView& view, TimePoint now)
         {
-            constexpr Duration horizon { 3'000 };
             return static_cast<std::size_t>(std::count_if(run.m_approval.m_tickets.begin(), run.m_approval.m_tickets.end(), [&](const auto& entry) {
                 const auto position = findPosition(scheduler, view, entry.first);
                 const bool isOpen = position && (!view.m_reservedFor[*position] || view.m_reservedFor[*position] == &run);
-                return isOpen && remainingLimit(run, entry.first) > 0 && expectedRoomAt(scheduler, view, *position, grantOf(run), now) <= now + horizon;
+                return isOpen && remainingLimit(run, entry.first) > 0 && expectedRoomAt(scheduler, view, *position, grantOf(run), now) <= now + roomHorizon;
             }));
         }
 
@@ -165,12 +176,15 @@
             std::size_t m_withRoom = 0; ///< Number of those that have room now.
         };
 
-        UnknownWorkers findUnknown(const Scheduler& scheduler, const StepRun& run, const ApprovalNeed& need, PoolView& view, TimePoint now)
+        /** @param isRoomNeeded Whether workers without room for a task now are left out. */
+        UnknownWorkers findUnknown(const Scheduler& scheduler, const StepRun& run, const ApprovalNeed& need, PoolView& view, bool isRoomNeeded, TimePoint now)
         {
             constexpr Duration delayPerName { 300 };
             constexpr double costPerName = 1.0;
             UnknownWorkers unknown;
             for (std::uint32_t i = 0; i < view.m_workers.size(); ++i) {
+                if (isRoomNeeded && !fitsInto(grantOf(run), view.m_free[i]))
+                    continue;
                 const WorkerIndex index = view.m_workers[i];
                 const Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
                 const bool isFree = !view.m_reservedFor[i] || view.m_reservedFor[i] == &run;
@@ -203,9 +217,10 @@
             const std::size_t usable = countUsableApprovals(scheduler, run, view, now);
             const double expected = static_cast<double>(usable) + run.m_approval.m_askedWorkers * rate;
             const bool isShort = expected < static_cast<double>(wanted);
-            if (!isShort && (run.m_approval.m_askedWorkers > 0 || usable >= wanted * ampleMultiple))
+            const bool isAmple = usable >= wanted * ampleMultiple;
+            if (!isShort && (run.m_approval.m_askedWorkers > 0 || (isAmple && !hasForecastFailed(run, now))))
                 return {};
-            UnknownWorkers unknown = findUnknown(scheduler, run, need, view, now);
+            UnknownWorkers unknown = findUnknown(scheduler, run, need, view, !isShort && isAmple, now);
             const double missing = isShort ? static_cast<double>(wanted) - expected : static_cast<double>(wanted);
             const std::size_t sufficient = isSlowPolicy(need.m_policy) ? std::max(static_cast<std::size_t>(missing / rate) + spareNames, cheapNames(need.m_policy)) : maxNamedWorkers;
             const std::size_t count = std::min({ limit, isShort ? unknown.m_workers.size() : unknown.m_withRoom, sufficient });
--- a/tests/approval_load_test.cpp
+++ b/tests/approval_load_test.cpp
@@ -54,6 +54,7 @@
     std::size_t m_mostNamed = 0; ///< Largest number of workers named in a request.
     std::uint64_t m_starts = 0;
     int m_nextJob = 1;
+    bool m_areRecordsHeld = false; ///< The store confirms no records.
 
     explicit ApprovalLoad(int workers, int proxies, double approvedShare)
         : m_approvedShare(approvedShare)
@@ -166,9 +167,11 @@
             m_workers[sync.m_to.m_worker].m_isSyncDue = true;
         for (const ApprovalRequest& request : effects.m_approvalRequests)
             answer(request);
-        const std::uint64_t batch = m_scheduler.m_nextBatch;
-        takeRecords(m_scheduler);
-        onRecorded(m_scheduler, batch, m_now);
+        if (!m_areRecordsHeld) {
+            const std::uint64_t batch = m_scheduler.m_nextBatch;
+            takeRecords(m_scheduler);
+            onRecorded(m_scheduler, batch, m_now);
+        }
         for (const auto& order : effects.m_starts)
             start(order);
     }
@@ -281,6 +284,27 @@
     BOOST_TEST(detail::countUnplaced(run) == 0U);
 }
 
+// After a takeover on a store that loses answers, a step of five tasks waited 11 s for its 26 approved workers, on which tasks waited for their
+// records and were forecast to end soon all that time. It asked for none of the 43 other workers that had room.
+BOOST_AUTO_TEST_CASE(a_step_asks_for_other_workers_when_the_room_forecast_on_its_approved_ones_does_not_come)
+{
+    constexpr int workers = 60;
+    constexpr int newWorkers = 20;
+    constexpr std::uint32_t tasks = 5;
+    const StepPlan wholeWorker { .m_count = workers, .m_size = { .m_cpuMilli = 32'000, .m_memoryMb = 1'000, .m_gpus = 0 }, .m_estimatedRunTime = { 600 } };
+    ApprovalLoad load(workers, 8, 1);
+    load.m_areRecordsHeld = true;
+    const std::string unrecorded = load.submit("quick", wholeWorker);
+    load.run({ 1'000 });
+    BOOST_REQUIRE(detail::countUnplaced(*load.m_scheduler.m_jobs.at(unrecorded)->m_runs.front()) == 0U);
+    const std::string waiting = load.submit("quick", { .m_count = tasks, .m_size = wholeWorker.m_size, .m_estimatedRunTime = { 600 } });
+    load.run({ 1'000 });
+    for (int i = 0; i < newWorkers; ++i)
+        load.adopt("w" + std::to_string(workers + i));
+    load.run({ 4'000 });
+    BOOST_TEST(detail::countUnplaced(*load.m_scheduler.m_jobs.at(waiting)->m_runs.front()) == 0U);
+}
+
 // A step asked for a few workers at a time and again for one or two more, each time for half a second, while the VMs that send requests were short.
 BOOST_AUTO_TEST_CASE(a_slow_request_names_the_workers_that_prolong_it_by_little)
 {
