hand-over-requested tells why

Cause: in a traced takeover a leader whose append was 0.64 s old asked for a successor, and no line told whether the store refused its records or was silent. Change: fields with the judgement and its inputs.

--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -161,9 +161,11 @@
         std::sort(candidates.begin(), candidates.end(), [&](const PeerState* one, const PeerState* other) { return preference(one) > preference(other); });
         candidates.resize(std::min(candidates.size(), candidatesPerRound));
         node.m_askedSuccessors.clear();
+        const auto unconfirmedSince = oldestUnconfirmedSince(node.m_writer);
+        const std::int64_t appendAgeMs = unconfirmedSince ? (node.m_now - *unconfirmedSince).m_ms : 0;
         for (const PeerState* peer : candidates) {
             node.m_askedSuccessors.push_back(peer->m_member.m_name);
-            logEvent(LogLevel::Info, "hand-over-requested", { { "to", peer->m_member.m_name }, { "token", node.m_term }, { "is_terminating", node.m_isTerminating } });
+            logEvent(LogLevel::Info, "hand-over-requested", { { "to", peer->m_member.m_name }, { "token", node.m_term }, { "is_terminating", node.m_isTerminating }, { "is_writer_stalled", isWriterStalled(node) }, { "refusals", node.m_writer.m_refusals }, { "oldest_append_ms", appendAgeMs }, { "store_last_answer_ms_ago", (node.m_now - node.m_storeLastContactAt).m_ms } });
             node.m_ports.m_callPeer(peer->m_member.m_address, PeerTakeOver { .m_token = node.m_term }, takeOverTimeout, [](const std::optional<PeerReply>&) { /* The outcome shows as a claim in the store. */ });
         }
     }
