--- a/src/process/scheduler/wait_report.cpp
+++ b/src/process/scheduler/wait_report.cpp
@@ -124,6 +124,7 @@
             return;
         }
         ++facts.m_approved;
+        facts.m_approvedWithRoom += room > 0 ? 1 : 0;
         if (facts.m_needsApproval && !hasTicket(run, index, now))
             return;
         ++facts.m_ticketed;
@@ -178,11 +179,9 @@
         return text;
     }
 
-    /** @return What a step waits for that has approvals of workers, or needs none. */
+    /** @return What a step waits for although workers with room and a valid ticket, if it needs one, exist. */
     WaitCause roomCauseOf(const StepWaitFacts& facts)
     {
-        if (facts.m_withRoom == 0)
-            return facts.m_withRoomUnapproved > 0 ? WaitCause::NoRoomOnApproved : WaitCause::NoRoom;
         if (facts.m_open == 0)
             return facts.m_held > 0 ? WaitCause::HeldForSuspect : WaitCause::Reserved;
         if (facts.m_isGang && facts.m_places < facts.m_unplaced)
@@ -198,13 +197,17 @@
             return WaitCause::NoWorker;
         if (facts.m_accepting == 0)
             return WaitCause::WorkersNotAccepting;
-        if (facts.m_ticketed > 0)
+        if (facts.m_withRoom > 0)
             return roomCauseOf(facts);
+        if (facts.m_approvedWithRoom + facts.m_withRoomUnapproved == 0)
+            return WaitCause::NoRoom;
         if (facts.m_pendingRequests > 0)
             return WaitCause::ApprovalUnanswered;
         if (facts.m_isRequestDelayed)
             return WaitCause::NoVmForRequest;
-        return facts.m_approved > 0 ? WaitCause::NoValidTicket : WaitCause::NoApprovedWorker;
+        if (facts.m_approved == 0)
+            return WaitCause::NoApprovedWorker;
+        return facts.m_approvedWithRoom > 0 ? WaitCause::NoValidTicket : WaitCause::NoRoomOnApproved;
     }
 
 } // namespace
--- a/src/process/scheduler/wait_report.h
+++ b/src/process/scheduler/wait_report.h
@@ -20,6 +20,7 @@
     std::uint32_t m_workers = 0; ///< Announced workers.
     std::uint32_t m_accepting = 0; ///< Those that accept tasks.
     std::uint32_t m_approved = 0; ///< Those of m_accepting that are approved, or all when the step needs no approval.
+    std::uint32_t m_approvedWithRoom = 0; ///< Those of m_approved with room for a task, whether their ticket is valid or not.
     std::uint32_t m_ticketed = 0; ///< Those of m_approved whose ticket is valid.
     std::uint32_t m_withRoom = 0; ///< Those of m_ticketed with room for a task.
     std::uint32_t m_held = 0; ///< Those of m_withRoom that are held for a suspect of another step.
--- a/src/process/scheduler/wait_type.h
+++ b/src/process/scheduler/wait_type.h
@@ -20,7 +20,7 @@
     NoVmForRequest, ///< No approval is known or valid, and no VM is free to request one.
     ApprovalUnanswered, ///< No approval is known or valid, and a request for one is unanswered.
     NoApprovedWorker, ///< No approved worker accepts tasks, and no request is under way.
-    NoValidTicket, ///< Approved workers accept tasks, but none has a valid ticket, and no request is under way.
+    NoValidTicket, ///< Approved workers have room, but none of those has a valid ticket, and no request is under way.
     NoRoom, ///< No worker that accepts tasks of the step has room.
     NoRoomOnApproved, ///< No approved worker has room, but workers without approval do.
     Reserved, ///< Workers with room are reserved for other steps.
--- a/tests/wait_report_test.cpp
+++ b/tests/wait_report_test.cpp
@@ -18,7 +18,7 @@
 /** @return A step of one task whose workers all accept tasks, are approved and have room. */
 StepWaitFacts makeFacts()
 {
-    return { .m_unplaced = 1, .m_workers = 4, .m_accepting = 4, .m_approved = 4, .m_ticketed = 4, .m_withRoom = 4, .m_open = 4, .m_places = 4 };
+    return { .m_unplaced = 1, .m_workers = 4, .m_accepting = 4, .m_approved = 4, .m_approvedWithRoom = 4, .m_ticketed = 4, .m_withRoom = 4, .m_open = 4, .m_places = 4 };
 }
 
 /** @return The same, with approvals required and none known. */
@@ -117,6 +117,7 @@
     StepWaitFacts facts = makeUnapproved();
     checkCause(facts, WaitCause::NoApprovedWorker);
     facts.m_approved = 2;
+    facts.m_approvedWithRoom = 2;
     checkCause(facts, WaitCause::NoValidTicket);
     facts.m_isRequestDelayed = true;
     checkCause(facts, WaitCause::NoVmForRequest);
@@ -127,12 +128,24 @@
 BOOST_AUTO_TEST_CASE(a_step_waits_for_room)
 {
     StepWaitFacts facts = makeFacts();
+    facts.m_approvedWithRoom = 0;
     facts.m_withRoom = 0;
     facts.m_open = 0;
     facts.m_places = 0;
     checkCause(facts, WaitCause::NoRoom);
     facts.m_withRoomUnapproved = 1;
     checkCause(facts, WaitCause::NoRoomOnApproved);
+    facts.m_ticketed = 0; // A ticket for a worker without room would not help.
+    checkCause(facts, WaitCause::NoRoomOnApproved);
+}
+
+// A step whose approved workers are all full was said to lack tickets, which it asks for only when there is room.
+BOOST_AUTO_TEST_CASE(a_step_on_a_full_pool_waits_for_room_not_for_an_approval)
+{
+    StepWaitFacts facts = makeUnapproved();
+    facts.m_withRoomUnapproved = 0;
+    facts.m_isRequestDelayed = true;
+    checkCause(facts, WaitCause::NoRoom);
 }
 
 BOOST_AUTO_TEST_CASE(a_step_waits_for_room_that_is_kept_for_others)
