--- a/src/process/scheduler/wait_report.cpp
+++ b/src/process/scheduler/wait_report.cpp
@@ -119,22 +119,21 @@
             return;
         ++facts.m_accepting;
         const std::uint32_t room = roomOn(run, worker, index);
+        const bool isReserved = worker.m_reservedFor && worker.m_reservedFor != &run;
+        const bool isOpen = room > 0 && !isReserved;
+        facts.m_reserved += room > 0 && isReserved ? 1 : 0;
+        facts.m_held += room > 0 && isReserved && isHeldForSuspect(worker, now) ? 1 : 0;
         if (facts.m_needsApproval && !run.m_approval.m_tickets.contains(index)) {
-            facts.m_withRoomUnapproved += room > 0 ? 1 : 0;
+            facts.m_unapprovedOpen += isOpen ? 1 : 0;
             return;
         }
         ++facts.m_approved;
-        facts.m_approvedWithRoom += room > 0 ? 1 : 0;
+        facts.m_approvedOpen += isOpen ? 1 : 0;
         if (facts.m_needsApproval && !hasTicket(run, index, now))
             return;
         ++facts.m_ticketed;
-        if (room == 0)
-            return;
-        ++facts.m_withRoom;
-        const bool isForOthers = worker.m_reservedFor && worker.m_reservedFor != &run;
-        facts.m_held += isForOthers && isHeldForSuspect(worker, now) ? 1 : 0;
-        facts.m_open += isForOthers ? 0 : 1;
-        facts.m_places += isForOthers ? 0 : room;
+        facts.m_open += isOpen ? 1 : 0;
+        facts.m_places += isOpen ? room : 0;
     }
 
     StepWaitFacts factsOf(const Scheduler& scheduler, const LongestWait& wait, TimePoint now)
@@ -166,7 +165,7 @@
     {
         const StepRun& run = *wait.m_run;
         const StepPlan& plan = planOf(run);
-        logEvent(LogLevel::Info, "step-waits", { { "step", format(TaskName { .m_job = run.m_job->m_plan.m_id, .m_occurrence = run.m_occurrence, .m_step = run.m_step, .m_index = wait.m_index }) }, { "cause", findName(waitCauseNames, cause) }, { "waited_ms", (now - wait.m_since).m_ms }, { "urgency", findName(urgencyClassNames, urgencyOf(run.m_urgencyInput, now).m_class) }, { "unplaced", facts.m_unplaced }, { "attempts", facts.m_activeAttempts }, { "gang", facts.m_isGang }, { "cpu", plan.m_size.m_cpuMilli }, { "gpus", plan.m_size.m_gpus }, { "requests", facts.m_pendingRequests }, { "workers", facts.m_workers }, { "accepting", facts.m_accepting }, { "approved", facts.m_approved }, { "ticketed", facts.m_ticketed }, { "with_room", facts.m_withRoom }, { "open", facts.m_open }, { "with_room_unapproved", facts.m_withRoomUnapproved } });
+        logEvent(LogLevel::Info, "step-waits", { { "step", format(TaskName { .m_job = run.m_job->m_plan.m_id, .m_occurrence = run.m_occurrence, .m_step = run.m_step, .m_index = wait.m_index }) }, { "cause", findName(waitCauseNames, cause) }, { "waited_ms", (now - wait.m_since).m_ms }, { "urgency", findName(urgencyClassNames, urgencyOf(run.m_urgencyInput, now).m_class) }, { "unplaced", facts.m_unplaced }, { "attempts", facts.m_activeAttempts }, { "gang", facts.m_isGang }, { "cpu", plan.m_size.m_cpuMilli }, { "gpus", plan.m_size.m_gpus }, { "requests", facts.m_pendingRequests }, { "workers", facts.m_workers }, { "accepting", facts.m_accepting }, { "approved", facts.m_approved }, { "ticketed", facts.m_ticketed }, { "open", facts.m_open }, { "approved_open", facts.m_approvedOpen }, { "unapproved_open", facts.m_unapprovedOpen }, { "reserved", facts.m_reserved } });
     }
 
     std::string formatCauses(const WaitSummary& summary)
@@ -179,16 +178,26 @@
         return text;
     }
 
-    /** @return What a step waits for although workers with room and a valid ticket, if it needs one, exist. */
-    WaitCause roomCauseOf(const StepWaitFacts& facts)
+    /** @return What a step waits for although there is room for it on workers that it may use. */
+    WaitCause openRoomCauseOf(const StepWaitFacts& facts)
     {
-        if (facts.m_open == 0)
-            return facts.m_held > 0 ? WaitCause::HeldForSuspect : WaitCause::Reserved;
         if (facts.m_isGang && facts.m_places < facts.m_unplaced)
             return WaitCause::GangShortOfRoom;
         return facts.m_isSuspect ? WaitCause::SuspectNotIsolated : WaitCause::RoomAvailable;
     }
 
+    /** @return What a step waits for that could use room if it had the approval, or a valid ticket. */
+    WaitCause approvalCauseOf(const StepWaitFacts& facts)
+    {
+        if (facts.m_pendingRequests > 0)
+            return WaitCause::ApprovalUnanswered;
+        if (facts.m_isRequestDelayed)
+            return WaitCause::NoVmForRequest;
+        if (facts.m_approved == 0)
+            return WaitCause::NoApprovedWorker;
+        return facts.m_approvedOpen > 0 ? WaitCause::NoValidTicket : WaitCause::NoRoomOnApproved;
+    }
+
     WaitCause placementCauseOf(const StepWaitFacts& facts)
     {
         if (facts.m_isGang && facts.m_activeAttempts > 0)
@@ -197,17 +206,13 @@
             return WaitCause::NoWorker;
         if (facts.m_accepting == 0)
             return WaitCause::WorkersNotAccepting;
-        if (facts.m_withRoom > 0)
-            return roomCauseOf(facts);
-        if (facts.m_approvedWithRoom + facts.m_withRoomUnapproved == 0)
-            return WaitCause::NoRoom;
-        if (facts.m_pendingRequests > 0)
-            return WaitCause::ApprovalUnanswered;
-        if (facts.m_isRequestDelayed)
-            return WaitCause::NoVmForRequest;
-        if (facts.m_approved == 0)
-            return WaitCause::NoApprovedWorker;
-        return facts.m_approvedWithRoom > 0 ? WaitCause::NoValidTicket : WaitCause::NoRoomOnApproved;
+        if (facts.m_open > 0)
+            return openRoomCauseOf(facts);
+        if (facts.m_approvedOpen + facts.m_unapprovedOpen > 0)
+            return approvalCauseOf(facts);
+        if (facts.m_held > 0)
+            return WaitCause::HeldForSuspect;
+        return facts.m_reserved > 0 ? WaitCause::Reserved : WaitCause::NoRoom;
     }
 
 } // namespace
--- a/src/process/scheduler/wait_report.h
+++ b/src/process/scheduler/wait_report.h
@@ -20,13 +20,13 @@
     std::uint32_t m_workers = 0; ///< Announced workers.
     std::uint32_t m_accepting = 0; ///< Those that accept tasks.
     std::uint32_t m_approved = 0; ///< Those of m_accepting that are approved, or all when the step needs no approval.
-    std::uint32_t m_approvedWithRoom = 0; ///< Those of m_approved with room for a task, whether their ticket is valid or not.
     std::uint32_t m_ticketed = 0; ///< Those of m_approved whose ticket is valid.
-    std::uint32_t m_withRoom = 0; ///< Those of m_ticketed with room for a task.
-    std::uint32_t m_held = 0; ///< Those of m_withRoom that are held for a suspect of another step.
-    std::uint32_t m_open = 0; ///< Those of m_withRoom that are neither held nor reserved for another step.
+    std::uint32_t m_open = 0; ///< Those of m_ticketed with room for a task that is not reserved for another step.
     std::uint32_t m_places = 0; ///< Tasks of the step that fit on the workers in m_open.
-    std::uint32_t m_withRoomUnapproved = 0; ///< Those of m_accepting that are not approved and have room for a task.
+    std::uint32_t m_approvedOpen = 0; ///< Those of m_approved with such room, whether their ticket is valid or not.
+    std::uint32_t m_unapprovedOpen = 0; ///< Those of m_accepting with such room that are not approved.
+    std::uint32_t m_reserved = 0; ///< Those of m_accepting with room for a task that is reserved for another step.
+    std::uint32_t m_held = 0; ///< Those of m_reserved that are held for a suspect.
 };
 
 /** @return What a step waits for. */
--- a/tests/wait_report_test.cpp
+++ b/tests/wait_report_test.cpp
@@ -18,13 +18,13 @@
 /** @return A step of one task whose workers all accept tasks, are approved and have room. */
 StepWaitFacts makeFacts()
 {
-    return { .m_unplaced = 1, .m_workers = 4, .m_accepting = 4, .m_approved = 4, .m_approvedWithRoom = 4, .m_ticketed = 4, .m_withRoom = 4, .m_open = 4, .m_places = 4 };
+    return { .m_unplaced = 1, .m_workers = 4, .m_accepting = 4, .m_approved = 4, .m_ticketed = 4, .m_open = 4, .m_places = 4, .m_approvedOpen = 4 };
 }
 
 /** @return The same, with approvals required and none known. */
 StepWaitFacts makeUnapproved()
 {
-    return { .m_needsApproval = true, .m_unplaced = 1, .m_workers = 4, .m_accepting = 4, .m_withRoomUnapproved = 4 };
+    return { .m_needsApproval = true, .m_unplaced = 1, .m_workers = 4, .m_accepting = 4, .m_unapprovedOpen = 4 };
 }
 
 void checkCause(const StepWaitFacts& facts, WaitCause expected)
@@ -117,7 +117,7 @@
     StepWaitFacts facts = makeUnapproved();
     checkCause(facts, WaitCause::NoApprovedWorker);
     facts.m_approved = 2;
-    facts.m_approvedWithRoom = 2;
+    facts.m_approvedOpen = 2;
     checkCause(facts, WaitCause::NoValidTicket);
     facts.m_isRequestDelayed = true;
     checkCause(facts, WaitCause::NoVmForRequest);
@@ -128,12 +128,11 @@
 BOOST_AUTO_TEST_CASE(a_step_waits_for_room)
 {
     StepWaitFacts facts = makeFacts();
-    facts.m_approvedWithRoom = 0;
-    facts.m_withRoom = 0;
+    facts.m_approvedOpen = 0;
     facts.m_open = 0;
     facts.m_places = 0;
     checkCause(facts, WaitCause::NoRoom);
-    facts.m_withRoomUnapproved = 1;
+    facts.m_unapprovedOpen = 1;
     checkCause(facts, WaitCause::NoRoomOnApproved);
     facts.m_ticketed = 0; // A ticket for a worker without room would not help.
     checkCause(facts, WaitCause::NoRoomOnApproved);
@@ -143,16 +142,17 @@
 BOOST_AUTO_TEST_CASE(a_step_on_a_full_pool_waits_for_room_not_for_an_approval)
 {
     StepWaitFacts facts = makeUnapproved();
-    facts.m_withRoomUnapproved = 0;
+    facts.m_unapprovedOpen = 0;
     facts.m_isRequestDelayed = true;
     checkCause(facts, WaitCause::NoRoom);
 }
 
+// The same with room that is reserved for other steps: no approval would open it.
 BOOST_AUTO_TEST_CASE(a_step_waits_for_room_that_is_kept_for_others)
 {
-    StepWaitFacts facts = makeFacts();
-    facts.m_open = 0;
-    facts.m_places = 0;
+    StepWaitFacts facts = makeUnapproved();
+    facts.m_unapprovedOpen = 0;
+    facts.m_reserved = 2;
     checkCause(facts, WaitCause::Reserved);
     facts.m_held = 1;
     checkCause(facts, WaitCause::HeldForSuspect);
