A new leader forecasts the ends of running attempts from their estimate and progress

Cause: the predicted run time is set when a task is placed, so after a takeover it was zero for all running attempts, and progress made in an earlier term counted as made since the takeover. All of them were expected to end at once: steps relied on room, and workers were reserved, that did not become free. Change: the prediction is made when the records are restored; the rest of an attempt of an earlier term is judged by the percentage that is missing. Measured: the new case of scheduler_test fails without the change (forecast 0 ms instead of 500, and 7 instead of 200 at 60%) and passes with it; 20 cases pass.

--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -263,6 +263,11 @@
         worker.m_answeredAt = now;
         worker.m_unansweredCalls = 1; // Leases expire only while calls are unanswered, and this worker may never answer one.
         worker.m_nextSyncAt = now;
+        for (const TaskRef& ref : worker.m_tasks) { // Not earlier: the prediction needs the learned run times.
+            StepRun& run = *ref.m_run;
+            if (run.m_expectedRunTime == Duration {})
+                run.m_expectedRunTime = detail::predictRunTime(scheduler, *run.m_job, run.m_step);
+        }
     }
     for (const auto& [id, job] : scheduler.m_jobs) {
         if (scheduler.m_cancelledEarly.contains(id))
--- a/src/process/scheduler/worker_forecast.cpp
+++ b/src/process/scheduler/worker_forecast.cpp
@@ -9,23 +9,32 @@
 
 namespace {
 
+    /** @return Whether an earlier term placed the attempt, so that it is not known when it started. */
+    bool isOfEarlierTerm(const Task& task)
+    {
+        return task.m_placedAt == TimePoint {};
+    }
+
     /** @return When an attempt is expected to end: from its progress where the worker reports it, else from the predicted run time. */
     TimePoint expectedEndOf(const Worker& worker, const TaskRef& ref, TimePoint now)
     {
         constexpr int minUsefulPercent = 10; ///< Less progress says little about the whole run time.
-        constexpr int completePercent = 100;
+        constexpr std::int64_t completePercent = 100;
         const StepRun& run = *ref.m_run;
         const Task& task = ref.task();
         if (planOf(run).m_isLongRunning)
             return farFuture;
         if (task.m_phase == RunPhase::Stopping)
             return now;
+        const Duration runTime { static_cast<std::int64_t>(static_cast<double>(run.m_expectedRunTime.m_ms) * slowdownOf(worker)) };
+        if (isOfEarlierTerm(task))
+            return task.m_progressAt + runTime * (completePercent - std::clamp<std::int64_t>(task.m_percent, 0, completePercent)) / completePercent;
         // A start that waits for its record or its confirmation is expected to wait as long again.
         const TimePoint startedAt = task.m_phase == RunPhase::Running ? task.m_confirmedAt : now + (now - task.m_placedAt);
         const bool isProgressUseful = task.m_phase == RunPhase::Running && task.m_percent >= minUsefulPercent && task.m_percent <= completePercent && task.m_checkpointAtStart.empty();
         if (isProgressUseful)
             return startedAt + (task.m_progressAt - startedAt) * completePercent / task.m_percent;
-        return startedAt + Duration { static_cast<std::int64_t>(static_cast<double>(run.m_expectedRunTime.m_ms) * slowdownOf(worker)) };
+        return startedAt + runTime;
     }
 
 } // namespace
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -5,6 +5,7 @@
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
 #include "process/scheduler/urgency.h"
+#include "process/scheduler/worker_forecast.h"
 
 using namespace bulrushloft;
 using namespace bulrushloft::scheduler;
@@ -137,6 +138,28 @@
     BOOST_TEST(fixture.step().m_starts.size() == 1U);
 }
 
+// After a takeover all running attempts were expected to end at once, so that steps relied on room, and workers were reserved, that did not become free.
+BOOST_AUTO_TEST_CASE(the_end_of_an_attempt_of_an_earlier_term_is_forecast_from_its_estimate_and_progress)
+{
+    constexpr std::int64_t estimateMs = 500; // See makeStep().
+    Fixture former(1);
+    former.adoptWorker("w1");
+    acceptJob(former.m_scheduler, makePlan({ makeStep(1) }), former.m_now);
+    former.step();
+    const std::string progress = progressOf(former.record(), jobId);
+    const SchedulerEffects effects = former.step();
+    BOOST_REQUIRE(effects.m_starts.size() == 1U);
+    Fixture later(2);
+    restore(later, makePlan({ makeStep(1) }), progress);
+    finishRestoring(later.m_scheduler, later.m_now);
+    const auto forecast = [&] { return detail::expectedEndsOf(later.m_scheduler.m_workers.front(), later.m_now).front().m_at - later.m_now; };
+    BOOST_TEST(std::abs(forecast().m_ms - estimateMs) <= 1);
+    RunningAttempt running = makeRunning(effects.m_starts.front());
+    running.m_percent = 60;
+    later.adoptWorker("w1", { .m_clockMs = 9'000, .m_running = { running } });
+    BOOST_TEST(std::abs(forecast().m_ms - estimateMs * 40 / 100) <= 1);
+}
+
 BOOST_AUTO_TEST_CASE(ends_are_acknowledged_and_completion_reported_only_when_recorded)
 {
     Fixture fixture;
