--- a/tests/approval_load_test.cpp
+++ b/tests/approval_load_test.cpp
@@ -4,6 +4,7 @@
 
 #include "approval_load.h"
 #include "process/scheduler/reservation.h"
+#include "process/scheduler/worker_forecast.h"
 
 #include <array>
 #include <iostream>
@@ -112,6 +113,43 @@
     BOOST_TEST(detail::countUnplaced(run) == 0U);
 }
 
+// After a takeover on a store that loses answers, a step of five tasks waited 11 s for its 26 approved workers, on which tasks waited for their
+// records and were forecast to end soon all that time. It asked for none of the 43 other workers that had room.
+BOOST_AUTO_TEST_CASE(a_step_asks_for_other_workers_when_the_room_forecast_on_its_approved_ones_does_not_come)
+{
+    constexpr int workers = 60;
+    constexpr int newWorkers = 20;
+    constexpr std::uint32_t tasks = 5;
+    const StepPlan wholeWorker { .m_count = workers, .m_size = { .m_cpuMilli = 32'000, .m_memoryMb = 1'000, .m_gpus = 0 }, .m_estimatedRunTime = { 600 } };
+    ApprovalLoad load(workers, 8, 1);
+    load.holdRecords();
+    const std::string unrecorded = load.submit("quick", wholeWorker);
+    load.run({ 1'000 });
+    BOOST_REQUIRE(detail::countUnplaced(*load.m_scheduler.m_jobs.at(unrecorded)->m_runs.front()) == 0U);
+    const std::string waiting = load.submit("quick", { .m_count = tasks, .m_size = wholeWorker.m_size, .m_estimatedRunTime = { 600 } });
+    load.run({ 1'000 });
+    for (int i = 0; i < newWorkers; ++i)
+        load.adopt("w" + std::to_string(workers + i));
+    load.run({ 4'000 });
+    BOOST_TEST(detail::countUnplaced(*load.m_scheduler.m_jobs.at(waiting)->m_runs.front()) == 0U);
+}
+
+// While a store confirmed records 1 to 3 s late, attempts that waited for theirs were forecast to end one run time from now all that time.
+// Steps relied on room that did not come, and workers were reserved for gangs that were not free for long.
+BOOST_AUTO_TEST_CASE(a_start_that_waits_for_its_record_is_expected_to_wait_as_long_again)
+{
+    ApprovalLoad load(1, 1, 1);
+    load.holdRecords();
+    load.submit("quick", { .m_count = 1, .m_size = { .m_cpuMilli = 32'000, .m_memoryMb = 1'000, .m_gpus = 0 }, .m_estimatedRunTime = { 600 } });
+    load.run({ 2'000 });
+    const Worker& worker = load.m_scheduler.m_workers.front();
+    BOOST_REQUIRE(worker.m_tasks.size() == 1U);
+    const Duration waited = load.m_now - worker.m_tasks.front().task().m_placedAt;
+    BOOST_TEST(waited.m_ms > 1'500);
+    const Duration expected = detail::expectedEndsOf(worker, load.m_now).front().m_at - load.m_now;
+    BOOST_TEST(expected.m_ms == (waited + worker.m_tasks.front().m_run->m_expectedRunTime).m_ms);
+}
+
 // A step asked for a few workers at a time and again for one or two more, each time for half a second, while the VMs that send requests were short.
 BOOST_AUTO_TEST_CASE(a_slow_request_names_the_workers_that_prolong_it_by_little)
 {
--- a/tests/fakes/approval_load.h
+++ b/tests/fakes/approval_load.h
@@ -165,6 +165,12 @@
         onStopAnswer(m_scheduler, order.m_to.m_worker, order.m_order.m_task, order.m_order.m_attempt, OrderStatus::Done, m_now, effects);
     }
 
+    /** From now on the store confirms no records. */
+    void holdRecords()
+    {
+        m_recordTime = [] { return Duration { 3'600'000 }; };
+    }
+
     /** Appends the records when the pipeline has room for a batch, and reports those that are durable. */
     void record()
     {
