A refused ticket no longer leaves its worker counted as asked

Cause: forgetTicket() set the mark of a worker to Unknown also while a request that named it was under way. The answer then found no mark Asked and did not count it back. chooseUnknown() expects a part of the asked workers to be approved, and sends no request while it expects enough: a step with such a leak waits for approvals that nobody was asked for.

Change: only an approval is forgotten; a worker that is asked for stays so until the answer. isConsistent() compares the count with the marks.

--- a/src/process/scheduler/approvals.cpp
+++ b/src/process/scheduler/approvals.cpp
@@ -305,7 +305,8 @@
     void forgetTicket(StepRun& run, WorkerIndex worker)
     {
         run.m_approval.m_tickets.erase(worker);
-        setMark(run.m_approval, worker, ApprovalMark::Unknown);
+        if (markOf(run.m_approval, worker) == ApprovalMark::Approved) // Otherwise the answer to a request under way tells, and ends its count.
+            setMark(run.m_approval, worker, ApprovalMark::Unknown);
     }
 
     void expireTicket(StepRun& run, WorkerIndex worker, const std::string& text, TimePoint now)
--- a/src/process/scheduler/scheduler.cpp
+++ b/src/process/scheduler/scheduler.cpp
@@ -93,6 +93,9 @@
             const auto done = std::count_if(run->m_tasks.begin(), run->m_tasks.end(), [](const Task& task) { return task.m_resolution == TaskResolution::Done; });
             const auto active = std::count_if(run->m_tasks.begin(), run->m_tasks.end(), [](const Task& task) { return task.m_phase != RunPhase::None; });
             const auto unplaced = std::count_if(run->m_tasks.begin(), run->m_tasks.end(), [](const Task& task) { return task.m_resolution == TaskResolution::Open && task.m_phase == RunPhase::None; });
+            const auto asked = std::count(run->m_approval.m_marks.begin(), run->m_approval.m_marks.end(), ApprovalMark::Asked);
+            if (static_cast<std::uint32_t>(asked) != run->m_approval.m_askedWorkers)
+                return false;
             const bool isUnplacedRight = isFinal(job->m_stage) || static_cast<std::uint32_t>(unplaced) == countUnplaced(*run);
             if (static_cast<std::uint32_t>(done) != run->m_doneCount || static_cast<std::uint32_t>(active) != run->m_activeAttempts || !isUnplacedRight)
                 return false;
--- a/tests/fakes/approval_load.h
+++ b/tests/fakes/approval_load.h
@@ -41,6 +41,11 @@
         std::vector<EndedAttempt> m_ended;
         std::uint64_t m_lastEnd = 0;
         bool m_isSyncDue = false;
+        TimePoint m_syncSentAt; ///< When the sync was sent that has no answer yet; zero for none.
+        std::int64_t m_process = 1; ///< Start of its process; a later one knows nothing of the former one's attempts and tickets.
+        TimePoint m_startedAt { -5'000 }; ///< When its process started, from which its clock counts.
+        TimePoint m_silentUntil; ///< Until then it is out of reach; what it runs goes on.
+        bool m_isGone = false; ///< It has left for good, with all that it ran.
     };
 
     Scheduler m_scheduler;
@@ -80,11 +85,16 @@
     void adopt(const std::string& id)
     {
         m_workers[id];
-        updateWorker(m_scheduler, { .m_id = id, .m_pool = "pool", .m_address = { "127.0.0.1", 9 }, .m_zone = "a", .m_machine = {}, .m_capacity = { .m_cpuMilli = 32'000, .m_memoryMb = 131'072, .m_gpus = 8 }, .m_labels = { "a", "r1-1" } }, m_now);
+        announce(id);
         SchedulerEffects effects;
         onSyncAnswer(m_scheduler, id, OrderStatus::Done, { .m_clockMs = 5'000, .m_processStartMs = 1, .m_running = {}, .m_ended = {} }, m_now, m_now, effects);
     }
 
+    void announce(const std::string& id, bool isDraining = false)
+    {
+        updateWorker(m_scheduler, { .m_id = id, .m_pool = "pool", .m_address = { "127.0.0.1", 9 }, .m_zone = "a", .m_machine = {}, .m_capacity = { .m_cpuMilli = 32'000, .m_memoryMb = 131'072, .m_gpus = 8 }, .m_labels = { "a", "r1-1" }, .m_isDraining = isDraining, .m_remainingDrainTime = { isDraining ? 4'500 : 0 }, .m_processStartMs = m_workers.at(id).m_process }, m_now);
+    }
+
     std::string submit(const std::string& queue, const StepPlan& step)
     {
         char text[17];
@@ -123,7 +133,7 @@
             std::vector<Approval> approvals;
             for (const std::string& worker : request.m_workers) {
                 if (isApproved(request.m_step.m_job, worker))
-                    approvals.push_back({ .m_worker = worker, .m_ticket = std::to_string((m_now + policy->m_validity).m_ms) });
+                    approvals.push_back({ .m_worker = worker, .m_ticket = std::to_string((m_now + policy->m_validity).m_ms) + " " + std::to_string(m_workers.at(worker).m_process) });
             }
             onApprovals(m_scheduler, request, m_areRequestsAnswered ? std::optional(approvals) : std::nullopt, m_now);
         });
@@ -131,18 +141,27 @@
 
     void start(const AddressedOrder<StartOrder>& order)
     {
+        if (!isReachable(order.m_to.m_worker)) {
+            m_events.emplace(m_now + order.m_timeout, [this, order] { answerStart(order, OrderStatus::NoAnswer); });
+            return;
+        }
         const JobPlan& plan = m_scheduler.m_jobs.at(order.m_order.m_task.m_job)->m_plan;
         const StepPlan& step = plan.m_steps[order.m_order.m_task.m_step];
+        SimulatedWorker& worker = m_workers[order.m_to.m_worker];
+        const bool isThere = std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&](const Run& run) { return run.m_task == order.m_order.m_task && run.m_attempt == order.m_order.m_attempt; });
+        if (isThere)
+            return answerStart(order, OrderStatus::Done);
         if (policyOf(plan.m_id) && m_now.m_ms > std::stoll(order.m_order.m_ticket)) {
             ++m_lapsedStarts;
             return answerStart(order, OrderStatus::InvalidTicket);
         }
-        if (m_ticketsToRefuse > 0) {
-            --m_ticketsToRefuse;
+        const bool isOfOtherProcess = policyOf(plan.m_id) && !order.m_order.m_ticket.ends_with(" " + std::to_string(worker.m_process));
+        if (isOfOtherProcess || m_ticketsToRefuse > 0) {
+            m_ticketsToRefuse -= isOfOtherProcess ? 0 : 1;
             return answerStart(order, OrderStatus::InvalidTicket);
         }
         const TimePoint endsAt = step.m_isLongRunning ? farFuture : m_now + step.m_estimatedRunTime;
-        m_workers[order.m_to.m_worker].m_runs.push_back({ .m_task = order.m_order.m_task, .m_attempt = order.m_order.m_attempt, .m_endsAt = endsAt });
+        worker.m_runs.push_back({ .m_task = order.m_order.m_task, .m_attempt = order.m_order.m_attempt, .m_endsAt = endsAt });
         ++m_starts;
         m_waits.try_emplace(plan.m_id, m_now - m_scheduler.m_jobs.at(plan.m_id)->m_acceptedAt);
         answerStart(order, OrderStatus::Done);
@@ -151,18 +170,27 @@
     void answerStart(const AddressedOrder<StartOrder>& order, OrderStatus status)
     {
         SchedulerEffects effects;
-        onStartAnswer(m_scheduler, order.m_to.m_worker, order.m_order.m_task, order.m_order.m_attempt, { .m_status = status, .m_clockMs = 5'000 + m_now.m_ms }, m_now, effects);
+        onStartAnswer(m_scheduler, order.m_to.m_worker, order.m_order.m_task, order.m_order.m_attempt, { .m_status = status, .m_clockMs = status == OrderStatus::NoAnswer ? 0 : clockOf(m_workers[order.m_to.m_worker]) }, m_now, effects);
     }
 
     void stop(const AddressedOrder<StopOrder>& order)
     {
         SimulatedWorker& worker = m_workers[order.m_to.m_worker];
+        if (!isReachable(order.m_to.m_worker)) {
+            m_events.emplace(m_now + order.m_timeout, [this, order] { answerStop(order, OrderStatus::NoAnswer); });
+            return;
+        }
         const auto stopped = std::erase_if(worker.m_runs, [&](const Run& run) { return run.m_task == order.m_order.m_task && run.m_attempt == order.m_order.m_attempt; });
         m_stoppedMembers += m_scheduler.m_jobs.at(order.m_order.m_task.m_job)->m_plan.m_steps[order.m_order.m_task.m_step].m_isGang ? stopped : 0;
         if (stopped > 0)
             worker.m_ended.push_back({ .m_number = ++worker.m_lastEnd, .m_task = order.m_order.m_task, .m_attempt = order.m_order.m_attempt, .m_end = AttemptEnd::Stopped, .m_checkpoint = {} });
+        answerStop(order, OrderStatus::Done);
+    }
+
+    void answerStop(const AddressedOrder<StopOrder>& order, OrderStatus status)
+    {
         SchedulerEffects effects;
-        onStopAnswer(m_scheduler, order.m_to.m_worker, order.m_order.m_task, order.m_order.m_attempt, OrderStatus::Done, m_now, effects);
+        onStopAnswer(m_scheduler, order.m_to.m_worker, order.m_order.m_task, order.m_order.m_attempt, status, m_now, effects);
     }
 
     /** Appends the records when the pipeline has room for a batch, and reports those that are durable. */
@@ -180,15 +208,46 @@
         }
     }
 
+    std::int64_t clockOf(const SimulatedWorker& worker) const { return (m_now - worker.m_startedAt).m_ms; }
+
+    bool isReachable(const std::string& id) const { return !m_workers.at(id).m_isGone && m_now >= m_workers.at(id).m_silentUntil; }
+
+    /** Kills the process of a worker, with all that it runs. */
+    void kill(SimulatedWorker& worker) const
+    {
+        worker.m_runs.clear();
+        worker.m_ended.clear();
+        worker.m_lastEnd = 0;
+        worker.m_startedAt = m_now;
+        ++worker.m_process;
+    }
+
     void sync(const std::string& id, SimulatedWorker& worker)
     {
-        SyncReport report { .m_clockMs = 5'000 + m_now.m_ms, .m_processStartMs = 1, .m_running = {}, .m_ended = worker.m_ended };
+        SyncReport report { .m_clockMs = clockOf(worker), .m_processStartMs = worker.m_process, .m_running = {}, .m_ended = worker.m_ended };
         for (const Run& run : worker.m_runs)
             report.m_running.push_back({ .m_task = run.m_task, .m_attempt = run.m_attempt, .m_checkpoint = {}, .m_percent = -1, .m_loadMetric = 0 });
         SchedulerEffects effects;
         onSyncAnswer(m_scheduler, id, OrderStatus::Done, report, m_now, m_now, effects);
         worker.m_ended.clear();
         worker.m_isSyncDue = false;
+        worker.m_syncSentAt = {};
+    }
+
+    /** Has a worker answer a sync at its next chance; one that is out of reach until the call times out does not. */
+    void sendSync(const AddressedOrder<SyncOrder>& sync)
+    {
+        SimulatedWorker& worker = m_workers[sync.m_to.m_worker];
+        worker.m_isSyncDue = isReachable(sync.m_to.m_worker);
+        worker.m_syncSentAt = m_now;
+        m_events.emplace(m_now + sync.m_timeout, [this, id = sync.m_to.m_worker, sentAt = m_now] {
+            SimulatedWorker& each = m_workers[id];
+            if (each.m_syncSentAt != sentAt)
+                return;
+            each.m_isSyncDue = false;
+            SchedulerEffects effects;
+            onSyncAnswer(m_scheduler, id, OrderStatus::NoAnswer, {}, sentAt, m_now, effects);
+        });
     }
 
     void tick()
@@ -206,13 +265,13 @@
                 each->m_ended.push_back({ .m_number = ++each->m_lastEnd, .m_task = run.m_task, .m_attempt = run.m_attempt, .m_end = AttemptEnd::Done, .m_checkpoint = {} });
                 return true;
             });
-            if (worker.m_isSyncDue || !worker.m_ended.empty())
+            if ((worker.m_isSyncDue || !worker.m_ended.empty()) && isReachable(id))
                 sync(id, worker);
         }
         SchedulerEffects effects;
         scheduler::step(m_scheduler, m_now, effects);
         for (const auto& sync : effects.m_syncs)
-            m_workers[sync.m_to.m_worker].m_isSyncDue = true;
+            sendSync(sync);
         for (const ApprovalRequest& request : effects.m_approvalRequests)
             answer(request);
         for (const TaskRef& ref : m_scheduler.m_recording)
