A drain withdraws whole gangs before their start, not one member

Cause: evacuateDraining() dropped the placed member of a gang whose start had not been sent. Nothing told the other members: they were started, and waited on their workers for the missing one until the gang time-out (3 s) ended them; only then was the gang placed anew.

Change: the whole gang is withdrawn, or stopped if it can't end in time.

--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -202,13 +202,13 @@
                 const StepPlan& plan = planOf(*ref.m_run);
                 Task& task = ref.task();
                 if (task.m_phase == RunPhase::Starting || plan.m_isLongRunning) {
-                    stopTask(scheduler, ref, now);
+                    stopTaskAndGang(scheduler, ref, now);
                     continue;
                 }
                 const Duration remainingRunTime = plan.m_estimatedRunTime * (100 - std::clamp(task.m_percent, 0, 100)) / 100;
                 constexpr Duration margin { 300 };
                 if (task.m_phase == RunPhase::Running && remainingRunTime + margin > timeLeft && plan.m_isCheckpointing)
-                    stopTask(scheduler, ref, now);
+                    stopTaskAndGang(scheduler, ref, now);
             }
         }
 
--- a/tests/waiting_step_test.cpp
+++ b/tests/waiting_step_test.cpp
@@ -168,3 +168,43 @@
     BOOST_TEST(run.m_approval.m_askedWorkers == 0U);
     BOOST_TEST(load.m_starts == 1U);
 }
+
+namespace {
+
+constexpr Duration recordTime { 1'500 };
+
+/** A gang of four that is placed and waits for its record. */
+struct PlacedGang {
+    ApprovalLoad m_load { 10, 7, 1.0 };
+    StepRun& m_run;
+
+    PlacedGang()
+        : m_run(*m_load.m_scheduler.m_jobs.at(m_load.submitGang(4, 8))->m_runs.front())
+    {
+        m_load.m_recordTime = [] { return recordTime; };
+        while (m_run.m_activeAttempts == 0)
+            m_load.tick();
+    }
+
+    std::string workerOf(std::uint32_t member) const { return m_load.m_scheduler.m_workers[static_cast<std::size_t>(m_run.m_tasks[member].m_worker)].m_announcement.m_id; }
+
+    /** Runs until all that was placed before would have been started, and the gang has been placed anew. */
+    void finish()
+    {
+        m_load.run(recordTime * 2);
+        m_load.m_recordTime = nullptr;
+        m_load.run(longestWait);
+    }
+};
+
+} // namespace
+
+// A member was withdrawn from a worker that drained, and the others were started all the same: they waited on their workers until the gang time-out.
+BOOST_AUTO_TEST_CASE(a_gang_that_loses_a_place_to_a_drain_before_its_start_starts_nowhere_until_it_is_complete)
+{
+    PlacedGang gang;
+    gang.m_load.announce(gang.workerOf(1), true);
+    gang.finish();
+    BOOST_TEST(gang.m_load.m_starts == 4U);
+    BOOST_TEST(gang.m_run.m_tasks[0].m_attempt == 2U);
+}
