The loss of a gang's member withdraws the others at once

Cause: a member that was lost with its worker (crash or expired lease) was detached alone. Members whose start had not been sent yet were started afterwards and waited for the lost one until the gang time-out.

Change: markTaskLost() stops the other members, as an end or a missing report of a member does already.

--- a/src/process/scheduler/scheduler_detail.h
+++ b/src/process/scheduler/scheduler_detail.h
@@ -50,13 +50,16 @@
 /** Ends the current attempt of a task, or those of its whole gang, as with stopTask(). */
 void stopTaskAndGang(Scheduler& scheduler, const TaskRef& ref, TimePoint now);
 
+/** Stops the other members of a gang when one member has ended or is lost, because they only run together. */
+void stopOtherMembers(Scheduler& scheduler, const TaskRef& ref, TimePoint now);
+
 /**
  * Marks all attempts on a worker as lost, because its lease has run out or another worker answers at its address.
  * @param cause Reason for the log.
  */
 void markTasksLost(Scheduler& scheduler, WorkerIndex index, std::string_view cause, TimePoint now);
 
-/** Marks an attempt as lost. @param cause Reason for the log. */
+/** Marks an attempt as lost, and stops the other members of its gang. @param cause Reason for the log. */
 void markTaskLost(Scheduler& scheduler, const TaskRef& ref, std::string_view cause, TimePoint now);
 
 /** @return The lease deadline to send, in milliseconds on the worker's clock; 0 when its clock is unknown. */
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -120,12 +120,25 @@
             stopTask(scheduler, { ref.m_run, i }, now);
     }
 
+    void stopOtherMembers(Scheduler& scheduler, const TaskRef& ref, TimePoint now)
+    {
+        if (!planOf(*ref.m_run).m_isGang)
+            return;
+        for (std::uint32_t i = 0; i < ref.m_run->m_tasks.size(); ++i) {
+            if (i != ref.m_index)
+                stopTask(scheduler, { ref.m_run, i }, now);
+        }
+    }
+
     void markTaskLost(Scheduler& scheduler, const TaskRef& ref, std::string_view cause, TimePoint now)
     {
         const Task& task = ref.task();
+        if (task.m_phase == RunPhase::None) // It was withdrawn with another lost member of its gang.
+            return;
         logEvent(LogLevel::Warning, "task-lost", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(task.m_worker)].m_announcement.m_id }, { "cause", cause } });
         ++scheduler.m_counters.m_lost;
         detachTask(scheduler, ref, now);
+        stopOtherMembers(scheduler, ref, now);
     }
 
     void markTasksLost(Scheduler& scheduler, WorkerIndex index, std::string_view cause, TimePoint now)
@@ -141,17 +154,6 @@
 
     using namespace detail;
 
-    /** Stops the other members of a gang when one member has ended, because they only run together. */
-    void stopOtherMembers(Scheduler& scheduler, const TaskRef& ref, TimePoint now)
-    {
-        if (!planOf(*ref.m_run).m_isGang)
-            return;
-        for (std::uint32_t i = 0; i < ref.m_run->m_tasks.size(); ++i) {
-            if (i != ref.m_index)
-                stopTask(scheduler, { ref.m_run, i }, now);
-        }
-    }
-
     void confirmStart(Scheduler& scheduler, const TaskRef& ref, TimePoint now)
     {
         Task& task = ref.task();
--- a/tests/waiting_step_test.cpp
+++ b/tests/waiting_step_test.cpp
@@ -208,3 +208,17 @@
     BOOST_TEST(gang.m_load.m_starts == 4U);
     BOOST_TEST(gang.m_run.m_tasks[0].m_attempt == 2U);
 }
+
+// A member was lost to a crash of its worker while the records of the gang were awaited, and the others were started all the same.
+BOOST_AUTO_TEST_CASE(a_gang_that_loses_a_place_to_a_crash_before_its_start_starts_nowhere_until_it_is_complete)
+{
+    PlacedGang gang;
+    const std::string id = gang.workerOf(1);
+    gang.m_load.m_workers.at(id).m_isGone = true;
+    removeWorker(gang.m_load.m_scheduler, id, gang.m_load.m_now);
+    SchedulerEffects effects;
+    onSyncAnswer(gang.m_load.m_scheduler, id, OrderStatus::WrongInstance, {}, gang.m_load.m_now, gang.m_load.m_now, effects);
+    gang.finish();
+    BOOST_TEST(gang.m_load.m_starts == 4U);
+    BOOST_TEST(gang.m_run.m_tasks[0].m_attempt == 2U);
+}
