A start that was never sent leaves a silent worker

Cause: a task whose record was awaited, or whose start was held back as its worker did not answer, kept its place until the worker's lease had run out, 5 s and more, although it could not be running there.

Change: once a worker is silent (two unanswered calls) and has not answered for 1 s, the placements whose start was never sent are withdrawn, gangs whole. The log line start-withdrawn names the cause. Starts that may have arrived still wait for the lease.

The simulated VMs come back when the trouble of the load ends.

--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -282,6 +282,28 @@
             loseExpiredTasks(scheduler, worker, now);
         }
 
+        /** @return Whether a placed task's start has certainly never been sent. */
+        bool isStartUnsent(const Task& task)
+        {
+            return task.m_phase == RunPhase::Recording || (task.m_phase == RunPhase::Starting && !task.m_isCallPending && !task.m_mayHaveArrived);
+        }
+
+        /** Withdraws the placed tasks whose start has not been sent from a worker that has not answered for a while. The others have to wait for its lease to run out. */
+        void withdrawUnsentStarts(Scheduler& scheduler, Worker& worker, TimePoint now)
+        {
+            constexpr Duration maxSilence { 1'000 }; ///< Longer than lost calls to a healthy worker take.
+            if (worker.m_state == WorkerState::Adopted || worker.m_unansweredCalls < unansweredCallsUntilSilent || now - worker.m_answeredAt < maxSilence)
+                return;
+            const std::vector<TaskRef> tasks = worker.m_tasks;
+            for (const TaskRef& ref : tasks) {
+                const Task& task = ref.task();
+                if (!isStartUnsent(task))
+                    continue;
+                logEvent(LogLevel::Info, "start-withdrawn", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "worker", worker.m_announcement.m_id }, { "cause", "the worker does not answer" }, { "may_have_arrived", false }, { "answered_ms_ago", (now - worker.m_answeredAt).m_ms } });
+                stopTaskAndGang(scheduler, ref, now);
+            }
+        }
+
         /** @return Whether a worker is healthy and has neither attempts nor ends that await acknowledgement. */
         bool isIdle(const Worker& worker)
         {
@@ -398,6 +420,7 @@
                 evacuateDraining(scheduler, worker, now);
             if (!isWithinCapacity(worker))
                 withdrawExcessStarts(scheduler, worker, now);
+            withdrawUnsentStarts(scheduler, worker, now);
             stepSync(scheduler, worker, now, effects);
         }
         stepTaskCalls(scheduler, now, effects);
--- a/tests/waiting_step_test.cpp
+++ b/tests/waiting_step_test.cpp
@@ -19,7 +19,8 @@
 /** A load during which workers, approvals, VMs and records fail. */
 struct TroubledLoad {
     static constexpr int workers = 60;
-    ApprovalLoad m_load { workers, 7, 0.4 };
+    static constexpr int proxies = 7;
+    ApprovalLoad m_load { workers, proxies, 0.4 };
     std::mt19937_64 m_random;
     std::mt19937_64 m_recordRandom;
     std::vector<std::string> m_present; ///< Workers that have not left.
@@ -88,7 +89,7 @@
         auto& all = m_load.m_scheduler.m_approvalProxies;
         if (happens(5) && all.size() > 2)
             all.erase(all.begin() + static_cast<std::ptrdiff_t>(m_random() % all.size()));
-        if (happens(8) && all.size() < 7)
+        if (happens(8) && all.size() < proxies)
             all.push_back({ .m_member = "vm-again", .m_busyUntil = {} });
     }
 
@@ -103,6 +104,7 @@
         }
         m_load.m_recordTime = nullptr;
         m_load.m_areRequestsAnswered = true;
+        m_load.m_scheduler.m_approvalProxies.resize(proxies, { .m_member = "vm-again", .m_busyUntil = {} });
         for (auto& [id, worker] : m_load.m_workers)
             worker.m_silentUntil = {};
     }
@@ -222,3 +224,20 @@
     BOOST_TEST(gang.m_load.m_starts == 4U);
     BOOST_TEST(gang.m_run.m_tasks[0].m_attempt == 2U);
 }
+
+// A task whose start had never been sent kept its place on a worker that had fallen silent until the worker's lease had run out.
+BOOST_AUTO_TEST_CASE(a_start_that_was_never_sent_does_not_wait_for_the_lease_of_a_silent_worker)
+{
+    ApprovalLoad load(10, 7, 1.0);
+    const std::string job = load.submit("gang", { .m_count = 1, .m_size = { .m_cpuMilli = 1'000, .m_memoryMb = 1'000, .m_gpus = 1 }, .m_estimatedRunTime = { 1'000 } });
+    const Task& task = load.m_scheduler.m_jobs.at(job)->m_runs.front()->m_tasks.front();
+    load.m_recordTime = [] { return Duration { 3'000 }; };
+    while (task.m_phase == RunPhase::None)
+        load.tick();
+    const std::string id = load.m_scheduler.m_workers[static_cast<std::size_t>(task.m_worker)].m_announcement.m_id;
+    load.m_workers.at(id).m_silentUntil = farFuture;
+    load.m_recordTime = [] { return Duration { 500 }; };
+    load.run({ 2'500 }); // Two calls to the worker time out.
+    load.run(longestWait);
+    BOOST_TEST(load.m_starts == 1U);
+}
