No tickets are renewed for a worker that does not answer

Cause: a start that a worker had not answered waits for the worker's lease; the renewal of its ticket, which came with the waiting starts, was requested each time that the ticket lapsed, and kept VMs busy that send requests for steps that can start.

Change: placed tasks on workers that do not answer are left to the lease.

Test: before, 3 requests for one placement; now 1.

--- a/src/process/scheduler/start_tickets.cpp
+++ b/src/process/scheduler/start_tickets.cpp
@@ -110,7 +110,8 @@
     {
         for (const TaskRef& ref : tasks) {
             const auto& policy = policyOf(scheduler, *ref.m_run);
-            if (!policy || !isStartOpen(ref.task()))
+            const bool isWorkerReachable = isStartOpen(ref.task()) && scheduler.m_workers[static_cast<std::size_t>(ref.task().m_worker)].m_state == WorkerState::Adopted;
+            if (!policy || !isWorkerReachable) // No start is sent to a worker that does not answer.
                 continue;
             withdrawWithoutTicket(scheduler, ref, now);
             if (canRequestApprovals(scheduler, *ref.m_run, *policy, now) && isRenewalDue(scheduler, ref, *policy, now))
--- a/tests/waiting_step_test.cpp
+++ b/tests/waiting_step_test.cpp
@@ -241,3 +241,18 @@
     load.run(longestWait);
     BOOST_TEST(load.m_starts == 1U);
 }
+
+// A start that a worker had not answered waited for the worker's lease, and its ticket was renewed over and over meanwhile.
+BOOST_AUTO_TEST_CASE(tickets_are_not_renewed_for_a_worker_that_does_not_answer)
+{
+    ApprovalLoad load(10, 7, 1.0);
+    const std::string job = load.submit("gang", { .m_count = 1, .m_size = { .m_cpuMilli = 1'000, .m_memoryMb = 1'000, .m_gpus = 1 }, .m_estimatedRunTime = { 1'000 } });
+    const Task& task = load.m_scheduler.m_jobs.at(job)->m_runs.front()->m_tasks.front();
+    load.m_recordTime = [] { return Duration { 100 }; };
+    while (task.m_phase == RunPhase::None)
+        load.tick();
+    load.m_workers.at(load.m_scheduler.m_workers[static_cast<std::size_t>(task.m_worker)].m_announcement.m_id).m_silentUntil = farFuture;
+    load.run({ 4'500 }); // The lease ends after 5 s.
+    BOOST_TEST((task.m_phase == RunPhase::Starting));
+    BOOST_TEST(load.m_requests == 1U);
+}
