Unanswered appends of the leader are hedged by sequence number

Cause: an unanswered append was repeated only when nothing else was in flight, after 150 ms at least and only if the store had answered another call since; appends that followed it were refused as out of sequence or lost, and held their timeout of 0.8 to 4 s. Change: the oldest append is sent again beside its unanswered attempts. The delay doubles and three are in flight at most, so that a slow or silent store gets few copies; once a later attempt was answered before an earlier one, it is constant, with twelve at most, and twenty attempts open in all. OutOfSequence counts only for attempts sent after the append became the oldest. Latencies are those of the answered attempt itself; timeouts allow for the attempts that wait before it.

--- a/src/process/cell/append_pipeline.cpp
+++ b/src/process/cell/append_pipeline.cpp
@@ -14,25 +14,85 @@
     constexpr Duration minTimeout { 800 };
     constexpr Duration maxTimeout { 4'000 };
     constexpr Duration retryDelay { 100 };
-    constexpr Duration minRepeatDelay { 150 };
-    constexpr std::int64_t latencyMultiple = 3; ///< Timeouts are this multiple of the latest append's latency.
+    constexpr std::int64_t latencyMultiple = 3; ///< Timeouts and hedges wait for this multiple of the usual latency, and once more for each attempt without an answer.
+    constexpr Duration minHedgeDelay { 30 }; ///< An append usually takes about 10 ms; with 45% of the answers lost, 95% of the appends take four attempts or fewer.
+    constexpr Duration initialHedgeDelay { 100 }; ///< Before the first confirmation the latency is not known.
+    constexpr std::size_t maxLatencies = 5; ///< Latencies that are kept.
+    constexpr std::size_t maxInFlight = 3; ///< Attempts of the oldest append in flight at a time; one more when the store has answered another call since.
+    constexpr std::size_t maxInFlightWhenLossy = 12; ///< The same while answers are lost: with 45% all twelve are lost once in 14,000 appends.
+    constexpr std::uint32_t maxOpenAttempts = 20; ///< No hedges beyond it: the client has 32 connections to the store, and reads need some.
+    constexpr Duration lossMemory { 2'000 }; ///< Answers count as being lost for this long after the latest proof.
 
-    bool isAnyInFlight(const AppendPipeline& pipeline)
+    /** @return Whether an append has failed and has to be repeated before a later one is sent. */
+    bool isRepeatNeeded(const AppendPipeline& pipeline)
     {
-        return std::any_of(pipeline.m_queue.begin(), pipeline.m_queue.end(), [](const PipelinedAppend& each) { return each.m_isInFlight; });
+        return std::any_of(pipeline.m_queue.begin(), pipeline.m_queue.end(), [](const PipelinedAppend& each) { return each.m_attempts > 0 && each.m_inFlight.empty(); });
     }
 
-    /** @return Whether an append has failed and has to be repeated before a later one is sent. */
-    bool isRepeatNeeded(const AppendPipeline& pipeline)
+    /** @return Whether an attempt was lately overtaken by a later one: the store loses answers, it is not merely slow. */
+    bool isLossKnown(const AppendPipeline& pipeline, TimePoint now)
+    {
+        return pipeline.m_lossSeenAt && now - *pipeline.m_lossSeenAt <= lossMemory;
+    }
+
+    /**
+     * While answers are lost, the shortest of the latest latencies counts, as some answers may be held back and attempts without an answer
+     * delay nothing. Otherwise the partition carries out one append at a time, so that those without an answer come first.
+     * @return Time before the first hedge.
+     */
+    Duration firstHedgeDelay(const AppendPipeline& pipeline, TimePoint now)
     {
-        return std::any_of(pipeline.m_queue.begin(), pipeline.m_queue.end(), [](const PipelinedAppend& each) { return each.m_isSent && !each.m_isInFlight; });
+        if (pipeline.m_lastLatency == Duration {})
+            return initialHedgeDelay;
+        if (isLossKnown(pipeline, now))
+            return std::max(minHedgeDelay, *std::min_element(pipeline.m_latencies.begin(), pipeline.m_latencies.end()) * (latencyMultiple + 1));
+        return std::max(minHedgeDelay, pipeline.m_lastLatency * (latencyMultiple + pipeline.m_openAttempts));
     }
 
-    /** @return Whether the oldest append has waited unusually long for its answer while the store answered other calls, so that its answer or its connection is presumed lost. */
-    bool isPresumedLost(const AppendPipeline& pipeline, TimePoint lastStoreReplyAt, TimePoint now)
+    /** @return Whether another attempt of the oldest append is to be sent beside those in flight. */
+    bool isHedgeDue(const AppendPipeline& pipeline, TimePoint lastStoreReplyAt, TimePoint now)
     {
-        const PipelinedAppend& front = pipeline.m_queue.front();
-        return front.m_isInFlight && lastStoreReplyAt > front.m_sentAt && now - front.m_sentAt >= std::max(minRepeatDelay, pipeline.m_lastLatency * latencyMultiple);
+        constexpr std::uint32_t maxDoublings = 5;
+        const PipelinedAppend& oldest = pipeline.m_queue.front();
+        const bool hasReplied = lastStoreReplyAt > oldest.m_latest.m_sentAt;
+        const std::size_t limit = isLossKnown(pipeline, now) ? maxInFlightWhenLossy : maxInFlight + (hasReplied ? 1 : 0);
+        if (pipeline.m_openAttempts >= maxOpenAttempts || oldest.m_inFlight.size() >= limit)
+            return false;
+        const Duration delay = firstHedgeDelay(pipeline, now);
+        const Duration grownDelay = std::max(delay, std::min(delay * (std::int64_t { 1 } << std::min(oldest.m_hedges, maxDoublings)), minTimeout));
+        return now - oldest.m_latest.m_sentAt >= (hasReplied || isLossKnown(pipeline, now) ? delay : grownDelay);
+    }
+
+    /** @return Whether an attempt of the oldest append is due. */
+    bool isOldestDue(const AppendPipeline& pipeline, TimePoint lastStoreReplyAt, TimePoint now)
+    {
+        const PipelinedAppend& oldest = pipeline.m_queue.front();
+        return now >= oldest.m_notBefore && (oldest.m_inFlight.empty() || isHedgeDue(pipeline, lastStoreReplyAt, now));
+    }
+
+    /** @return The first append that was not sent yet, if it may be sent beside the earlier ones, else null. */
+    PipelinedAppend* findOverlapping(AppendPipeline& pipeline, TimePoint now)
+    {
+        // Two appends sent at the same moment could overtake each other.
+        if (isRepeatNeeded(pipeline) || now - pipeline.m_lastSentAt < overlapDelay)
+            return nullptr;
+        const auto unsent = std::find_if(pipeline.m_queue.begin(), pipeline.m_queue.end(), [](const PipelinedAppend& each) { return each.m_attempts == 0; });
+        const bool isWithinWindow = unsent - pipeline.m_queue.begin() < static_cast<std::ptrdiff_t>(maxUnconfirmed);
+        return unsent != pipeline.m_queue.end() && isWithinWindow ? &*unsent : nullptr;
+    }
+
+    /** Records the latency of an attempt, and whether it was answered before an earlier attempt of the same append. */
+    void measure(AppendPipeline& pipeline, const PipelinedAppend& append, const AppendAttempt& attempt, TimePoint now)
+    {
+        pipeline.m_lastLatency = now - attempt.m_sentAt;
+        pipeline.m_latencies.push_back(pipeline.m_lastLatency);
+        if (pipeline.m_latencies.size() > maxLatencies)
+            pipeline.m_latencies.pop_front();
+        ++pipeline.m_confirmations;
+        if (append.m_inFlight.front().m_number < attempt.m_number)
+            pipeline.m_lossSeenAt = now;
+        else if (append.m_inFlight.size() > 1) // The hedges were needless: the store is slow.
+            pipeline.m_lossSeenAt.reset();
     }
 
     /** Removes the confirmed appends. Once fencingAppend() is stored, the store accepts sequence numbers in order only, so a confirmation covers all earlier appends too. */
@@ -40,12 +100,25 @@
     {
         while (!pipeline.m_queue.empty() && pipeline.m_queue.front().m_append.m_writer->m_sequence <= sequence) {
             const PipelinedAppend& front = pipeline.m_queue.front();
-            pipeline.m_lastLatency = now - front.m_sentAt;
+            pipeline.m_lastConfirmation = { .m_age = now - front.m_firstSentAt, .m_attempts = front.m_attempts };
             if (front.m_batch > 0)
                 pipeline.m_confirmedBatch = front.m_batch;
             pipeline.m_queue.pop_front();
         }
         pipeline.m_refusals = 0;
+        pipeline.m_attemptsBeforeOldest = pipeline.m_attempts;
+    }
+
+    /** Processes an attempt that has failed. @param append The attempt's append, of which it is no longer in flight. */
+    AppendOutcome onFailure(AppendPipeline& pipeline, PipelinedAppend& append, const AppendAttempt& attempt, StoreStatus status, TimePoint now)
+    {
+        const bool isOldest = &append == &pipeline.m_queue.front();
+        if (status == StoreStatus::OutOfSequence) // An attempt that was sent before the append became the oldest may have arrived before its predecessor.
+            return isOldest && attempt.m_number > pipeline.m_attemptsBeforeOldest ? AppendOutcome::SequenceMismatch : AppendOutcome::Proceed;
+        if (status == StoreStatus::NotDone || append.m_inFlight.empty())
+            append.m_notBefore = now + retryDelay;
+        pipeline.m_refusals += status == StoreStatus::NotDone && isOldest && append.m_inFlight.empty() ? 1 : 0;
+        return AppendOutcome::Proceed;
     }
 
 } // namespace
@@ -68,70 +141,58 @@
         return true;
     const bool isDue = now - pipeline.m_lastSentAt >= overlapDelay;
     const bool isStoreResponsive = pipeline.m_lastLatency >= overlapDelay || lastStoreReplyAt > pipeline.m_lastSentAt;
-    return isDue && isStoreResponsive && pipeline.m_queue.back().m_isInFlight && !isRepeatNeeded(pipeline) && pipeline.m_queue.size() < maxUnconfirmed;
+    return isDue && isStoreResponsive && !pipeline.m_queue.back().m_inFlight.empty() && !isRepeatNeeded(pipeline) && pipeline.m_queue.size() < maxUnconfirmed;
 }
 
 void pushAppend(AppendPipeline& pipeline, StoreAppend append, std::uint64_t batch)
 {
     ++pipeline.m_writer.m_sequence;
     append.m_writer = pipeline.m_writer;
-    pipeline.m_queue.push_back({ .m_append = std::move(append), .m_batch = batch, .m_firstSentAt = {}, .m_sentAt = {} });
+    pipeline.m_queue.push_back({ .m_append = std::move(append), .m_batch = batch, .m_firstSentAt = {}, .m_latest = {}, .m_inFlight = {}, .m_notBefore = {} });
 }
 
 const PipelinedAppend* beginSend(AppendPipeline& pipeline, TimePoint lastStoreReplyAt, TimePoint now)
 {
-    if (!pipeline.m_queue.empty() && isPresumedLost(pipeline, lastStoreReplyAt, now))
-        pipeline.m_queue.front().m_isInFlight = false;
-    PipelinedAppend* next = nullptr;
-    if (isRepeatNeeded(pipeline)) {
-        // A repeat is sent with nothing else in flight, so that answers to earlier attempts cannot be taken for its own.
-        if (!isAnyInFlight(pipeline) && now >= pipeline.m_retryAt)
-            next = &pipeline.m_queue.front();
-    } else {
-        const auto unsent = std::find_if(pipeline.m_queue.begin(), pipeline.m_queue.end(), [](const PipelinedAppend& each) { return !each.m_isSent; });
-        // Two appends sent at the same moment could overtake each other.
-        const bool isOverlapAllowed = !isAnyInFlight(pipeline) || now - pipeline.m_lastSentAt >= overlapDelay;
-        const bool isWithinWindow = unsent - pipeline.m_queue.begin() < static_cast<std::ptrdiff_t>(maxUnconfirmed);
-        if (unsent != pipeline.m_queue.end() && isOverlapAllowed && isWithinWindow)
-            next = &*unsent;
-    }
+    if (pipeline.m_queue.empty())
+        return nullptr;
+    PipelinedAppend* const next = isOldestDue(pipeline, lastStoreReplyAt, now) ? &pipeline.m_queue.front() : findOverlapping(pipeline, now);
     if (!next)
         return nullptr;
-    next->m_firstSentAt = next->m_isSent ? next->m_firstSentAt : now;
-    next->m_sentAt = now;
-    next->m_isSent = true;
-    next->m_isInFlight = true;
+    next->m_latest = { .m_sequence = next->m_append.m_writer->m_sequence, .m_number = ++pipeline.m_attempts, .m_sentAt = now };
+    next->m_firstSentAt = next->m_attempts++ == 0 ? now : next->m_firstSentAt;
+    next->m_hedges += next->m_inFlight.empty() ? 0 : 1;
+    next->m_inFlight.push_back(next->m_latest);
+    ++pipeline.m_openAttempts;
     pipeline.m_lastSentAt = now;
     return next;
 }
 
-AppendOutcome onAppendAnswer(AppendPipeline& pipeline, std::uint64_t sequence, StoreStatus status, TimePoint now)
+AppendOutcome onAppendAnswer(AppendPipeline& pipeline, const AppendAttempt& attempt, StoreStatus status, TimePoint now)
 {
+    --pipeline.m_openAttempts;
     if (status == StoreStatus::Fenced)
         return AppendOutcome::Fenced;
-    const auto found = std::find_if(pipeline.m_queue.begin(), pipeline.m_queue.end(), [&](const PipelinedAppend& each) { return each.m_append.m_writer->m_sequence == sequence; });
+    const auto found = std::find_if(pipeline.m_queue.begin(), pipeline.m_queue.end(), [&](const PipelinedAppend& each) { return each.m_append.m_writer->m_sequence == attempt.m_sequence; });
     if (found == pipeline.m_queue.end())
         return AppendOutcome::Proceed;
     if (status == StoreStatus::Done) {
-        confirm(pipeline, sequence, now);
+        measure(pipeline, *found, attempt, now);
+        confirm(pipeline, attempt.m_sequence, now);
         return AppendOutcome::Proceed;
     }
-    if (status == StoreStatus::OutOfSequence && found == pipeline.m_queue.begin())
-        return AppendOutcome::SequenceMismatch;
-    found->m_isInFlight = false;
-    pipeline.m_retryAt = now + retryDelay;
-    pipeline.m_refusals += status == StoreStatus::NotDone && found == pipeline.m_queue.begin() ? 1 : 0;
-    return AppendOutcome::Proceed;
+    std::erase_if(found->m_inFlight, [&](const AppendAttempt& each) { return each.m_number == attempt.m_number; });
+    return onFailure(pipeline, *found, attempt, status, now);
 }
 
 Duration appendTimeout(const AppendPipeline& pipeline)
 {
-    return std::clamp(pipeline.m_lastLatency * latencyMultiple, minTimeout, maxTimeout);
+    // The partition carries out one append at a time, so those without an answer come first.
+    return std::clamp(pipeline.m_lastLatency * (latencyMultiple + pipeline.m_openAttempts), minTimeout, maxTimeout);
 }
 
 std::optional<TimePoint> oldestUnconfirmedSince(const AppendPipeline& pipeline)
 {
-    if (pipeline.m_queue.empty() || !pipeline.m_queue.front().m_isSent)
+    if (pipeline.m_queue.empty() || pipeline.m_queue.front().m_attempts == 0)
         return std::nullopt;
     return pipeline.m_queue.front().m_firstSentAt;
 }
--- a/src/process/cell/append_pipeline.h
+++ b/src/process/cell/append_pipeline.h
@@ -4,17 +4,33 @@
 #include "connection/store_type.h"
 
 #include <deque>
+#include <vector>
 
 namespace bulrushloft::cell {
 
+/** One call to the store for an append. */
+struct AppendAttempt {
+    std::uint64_t m_sequence = 0; ///< Sequence number of the append.
+    std::uint64_t m_number = 0; ///< Counts the attempts of a pipeline, from 1.
+    TimePoint m_sentAt; ///< When it was sent.
+};
+
 /** An append that the store has not confirmed yet. */
 struct PipelinedAppend {
     StoreAppend m_append; ///< The records, with the writer and its sequence number.
     std::uint64_t m_batch = 0; ///< Number of the batch whose last part this is; 0 when more parts follow.
     TimePoint m_firstSentAt; ///< Time of the first attempt.
-    TimePoint m_sentAt; ///< Time of the latest attempt.
-    bool m_isSent = false; ///< It was sent at least once.
-    bool m_isInFlight = false; ///< The latest attempt is neither answered nor presumed lost.
+    AppendAttempt m_latest; ///< The latest attempt; its number is 0 when none was sent.
+    std::uint32_t m_attempts = 0; ///< Number of attempts so far.
+    std::uint32_t m_hedges = 0; ///< Number of attempts that were sent beside unanswered ones.
+    std::vector<AppendAttempt> m_inFlight; ///< Attempts without an answer, the earliest first.
+    TimePoint m_notBefore; ///< Earliest time of the next attempt after a failed one.
+};
+
+/** How the latest append came to be confirmed; for the log. */
+struct AppendConfirmation {
+    Duration m_age; ///< Time from its first attempt to its confirmation.
+    std::uint32_t m_attempts = 0; ///< Number of its attempts.
 };
 
 /** The unconfirmed appends of a writer, in the order of their sequence numbers. */
@@ -22,9 +38,15 @@
     FencedWriter m_writer; ///< Name, epoch, and the sequence number of the latest append.
     std::deque<PipelinedAppend> m_queue; ///< Unconfirmed appends, the oldest first.
     TimePoint m_lastSentAt; ///< Time of the latest attempt of any append.
-    TimePoint m_retryAt; ///< Earliest time of the next repeat.
-    std::uint32_t m_refusals = 0; ///< How often the store has refused the oldest append (StoreStatus::NotDone); 0 after each confirmation.
-    Duration m_lastLatency; ///< Time from the latest attempt to the confirmation, for the latest confirmed append.
+    std::uint64_t m_attempts = 0; ///< Number of the latest attempt of any append.
+    std::uint64_t m_attemptsBeforeOldest = 0; ///< Value of m_attempts when the oldest append became the oldest.
+    std::uint32_t m_openAttempts = 0; ///< Attempts without an answer, also those of confirmed appends; each holds a connection.
+    std::uint32_t m_refusals = 0; ///< How often the store has refused the oldest append (StoreStatus::NotDone) with no other attempt in flight; 0 after each confirmation.
+    Duration m_lastLatency; ///< Time from an attempt to its own answer, for the latest attempt that confirmed an append.
+    std::deque<Duration> m_latencies; ///< The latest values of m_lastLatency, the newest last.
+    std::uint64_t m_confirmations = 0; ///< Number of answers that have confirmed an append.
+    std::optional<TimePoint> m_lossSeenAt; ///< When an attempt was last answered before an earlier attempt of the same append.
+    AppendConfirmation m_lastConfirmation; ///< Of the latest confirmed append.
     std::uint64_t m_confirmedBatch = 0; ///< Number of the latest batch that the store has confirmed; 0 for none.
 };
 
@@ -59,20 +81,23 @@
 void pushAppend(AppendPipeline& pipeline, StoreAppend append, std::uint64_t batch);
 
 /**
- * Selects the append to send now, either the next one or a repeat of the oldest, and marks it as in flight.
- * @param lastStoreReplyAt When the store last answered any call; an append without an answer is repeated when other calls have been answered since.
- * @return The append to send, or null when none is due; valid until the next call that changes the pipeline.
+ * Selects the append to send now, and marks it as in flight: the next one, one that has failed, or a hedge of the oldest one.
+ * An append is idempotent by its sequence number, so the oldest one is sent again beside its unanswered attempts after a few
+ * times the usual latency. The delay doubles with each attempt, so that a store that is slow or silent gets few of them, unless
+ * an attempt has lately been overtaken by a later one or the store has answered another call since: then answers are lost.
+ * @param lastStoreReplyAt When the store last answered any call.
+ * @return The append to send, whose m_latest is the attempt, or null when none is due; valid until the next call that changes the pipeline.
  */
 const PipelinedAppend* beginSend(AppendPipeline& pipeline, TimePoint lastStoreReplyAt, TimePoint now);
 
 /**
- * Processes the answer to an append and advances m_confirmedBatch when batches are confirmed.
- * @param sequence Sequence number of the append. @param status Result of the attempt.
+ * Processes the answer to an attempt and advances m_confirmedBatch when batches are confirmed. Each attempt gets exactly one answer.
+ * @param status Result of the attempt; Unknown when its time is over.
  * @return What the writer has to do next.
  */
-AppendOutcome onAppendAnswer(AppendPipeline& pipeline, std::uint64_t sequence, StoreStatus status, TimePoint now);
+AppendOutcome onAppendAnswer(AppendPipeline& pipeline, const AppendAttempt& attempt, StoreStatus status, TimePoint now);
 
-/** @return Timeout of the next append, derived from the latency of the latest one. */
+/** @return Timeout of the next append, derived from the latency of the latest one and the number of attempts without an answer. */
 Duration appendTimeout(const AppendPipeline& pipeline);
 
 /** @return When the oldest unconfirmed append was first sent; nothing when there is none or it has not been sent. */
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -126,17 +126,18 @@
         pushAppend(node.m_writer, std::move(part), batch);
     }
 
-    void onAppendCompleted(CellNode& node, std::uint64_t sequence, const StoreAppendAnswer& answer)
+    void onAppendCompleted(CellNode& node, const AppendAttempt& attempt, const StoreAppendAnswer& answer)
     {
         const bool isAnswered = answer.m_status == StoreStatus::Done || answer.m_status == StoreStatus::Fenced || answer.m_status == StoreStatus::OutOfSequence;
         updateStoreReachability(node, isAnswered);
-        const AppendOutcome outcome = onAppendAnswer(node.m_writer, sequence, answer.m_status, node.m_now);
+        const std::uint64_t confirmations = node.m_writer.m_confirmations;
+        const AppendOutcome outcome = onAppendAnswer(node.m_writer, attempt, answer.m_status, node.m_now);
         if (outcome != AppendOutcome::Proceed)
             return stepDown(node, outcome == AppendOutcome::Fenced ? "fenced by the store: a later term exists" : "the store expects another sequence number");
-        if (answer.m_status != StoreStatus::Done)
+        if (node.m_writer.m_confirmations == confirmations)
             return;
-        if (node.m_writer.m_lastLatency > slowAppendThreshold)
-            logEvent(LogLevel::Info, "append-slow", { { "took_ms", node.m_writer.m_lastLatency.m_ms }, { "sequence", sequence }, { "unconfirmed", node.m_writer.m_queue.size() }, { "token", node.m_term }, { "batch", node.m_writer.m_confirmedBatch } });
+        if (const AppendConfirmation& confirmation = node.m_writer.m_lastConfirmation; confirmation.m_age > slowAppendThreshold)
+            logEvent(LogLevel::Info, "append-slow", { { "took_ms", confirmation.m_age.m_ms }, { "attempts", confirmation.m_attempts }, { "latency_ms", node.m_writer.m_lastLatency.m_ms }, { "sequence", attempt.m_sequence }, { "unconfirmed", node.m_writer.m_queue.size() }, { "token", node.m_term }, { "batch", node.m_writer.m_confirmedBatch } });
         scheduler::onRecorded(*node.m_scheduler, node.m_writer.m_confirmedBatch, node.m_now);
         notifyRecordWaiters(node);
     }
@@ -195,9 +196,9 @@
     if (!next)
         return;
     ++node.m_counters.m_appends;
-    node.m_ports.m_append(next->m_append, appendTimeout(writer), [&node, term = node.m_term, sequence = next->m_append.m_writer->m_sequence](const StoreAppendAnswer& answer) {
+    node.m_ports.m_append(next->m_append, appendTimeout(writer), [&node, term = node.m_term, attempt = next->m_latest](const StoreAppendAnswer& answer) {
         if (isCurrentTerm(node, term))
-            onAppendCompleted(node, sequence, answer);
+            onAppendCompleted(node, attempt, answer);
     });
 }
 
--- a/tests/append_pipeline_test.cpp
+++ b/tests/append_pipeline_test.cpp
@@ -30,15 +30,22 @@
     return append.m_append.m_writer->m_sequence;
 }
 
+/** Answers an attempt that the pipeline has just selected. */
+AppendOutcome answerTo(AppendPipeline& pipeline, const PipelinedAppend* sent, StoreStatus status, TimePoint now)
+{
+    return onAppendAnswer(pipeline, sent->m_latest, status, now);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(a_fast_store_gets_one_append_at_a_time)
 {
     AppendPipeline pipeline = makePipeline();
     pushAppend(pipeline, makeAppend(1), 1);
-    BOOST_REQUIRE(beginSend(pipeline, {}, { 1'000 }));
+    const PipelinedAppend* const sent = beginSend(pipeline, {}, { 1'000 });
+    BOOST_REQUIRE(sent);
     BOOST_TEST(!acceptsAppend(pipeline, { 1'000 }, { 1'010 }));
-    BOOST_CHECK(onAppendAnswer(pipeline, first, StoreStatus::Done, { 1'012 }) == AppendOutcome::Proceed);
+    BOOST_CHECK(answerTo(pipeline, sent, StoreStatus::Done, { 1'012 }) == AppendOutcome::Proceed);
     BOOST_TEST(pipeline.m_confirmedBatch == 1U);
     BOOST_TEST(acceptsAppend(pipeline, { 1'012 }, { 1'012 }));
 }
@@ -75,55 +82,94 @@
 {
     AppendPipeline pipeline = makePipeline();
     pushAppend(pipeline, makeAppend(1), 1);
-    beginSend(pipeline, {}, { 1'000 });
-    BOOST_TEST(!beginSend(pipeline, { 990 }, { 1'500 }));
-    const PipelinedAppend* const repeat = beginSend(pipeline, { 1'400 }, { 1'500 });
+    for (std::int64_t now = 1'000; now < 1'700; now += 10)
+        beginSend(pipeline, { 990 }, { now });
+    BOOST_TEST(pipeline.m_attempts == 3U); // The delay grows, and there is a limit.
+    BOOST_TEST(!beginSend(pipeline, { 990 }, { 1'750 }));
+    const PipelinedAppend* const repeat = beginSend(pipeline, { 1'740 }, { 1'750 });
     BOOST_REQUIRE(repeat);
     BOOST_TEST(sequenceOf(*repeat) == first);
-    onAppendAnswer(pipeline, first, StoreStatus::Done, { 1'510 });
+    answerTo(pipeline, repeat, StoreStatus::Done, { 1'760 });
     BOOST_TEST(pipeline.m_confirmedBatch == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(a_confirmation_confirms_all_earlier_appends)
 {
     AppendPipeline pipeline = makePipeline();
+    pipeline.m_lastLatency = { 600 };
     pushAppend(pipeline, makeAppend(1), 1);
-    beginSend(pipeline, {}, { 1'000 });
+    const AppendAttempt earlier = beginSend(pipeline, {}, { 1'000 })->m_latest;
     pushAppend(pipeline, makeAppend(2), 2);
-    beginSend(pipeline, {}, { 1'200 });
-    onAppendAnswer(pipeline, first + 1, StoreStatus::Done, { 1'700 });
+    answerTo(pipeline, beginSend(pipeline, {}, { 1'200 }), StoreStatus::Done, { 1'700 });
     BOOST_TEST(pipeline.m_confirmedBatch == 2U);
     BOOST_TEST(pipeline.m_queue.empty());
-    BOOST_CHECK(onAppendAnswer(pipeline, first, StoreStatus::Unknown, { 1'800 }) == AppendOutcome::Proceed);
+    BOOST_CHECK(onAppendAnswer(pipeline, earlier, StoreStatus::Unknown, { 1'800 }) == AppendOutcome::Proceed);
 }
 
 BOOST_AUTO_TEST_CASE(a_refused_append_is_repeated_before_later_ones)
 {
     AppendPipeline pipeline = makePipeline();
+    pipeline.m_lastLatency = { 600 };
     pushAppend(pipeline, makeAppend(1), 1);
-    beginSend(pipeline, {}, { 1'000 });
+    const AppendAttempt refused = beginSend(pipeline, {}, { 1'000 })->m_latest;
     pushAppend(pipeline, makeAppend(2), 2);
-    beginSend(pipeline, {}, { 1'200 });
-    onAppendAnswer(pipeline, first, StoreStatus::NotDone, { 1'300 });
-    BOOST_TEST(!beginSend(pipeline, {}, { 1'500 })); // The later append has no answer yet.
-    onAppendAnswer(pipeline, first + 1, StoreStatus::OutOfSequence, { 1'600 });
-    BOOST_TEST(!acceptsAppend(pipeline, { 1'600 }, { 1'650 }));
-    const PipelinedAppend* const repeat = beginSend(pipeline, {}, { 1'800 });
+    const AppendAttempt later = beginSend(pipeline, {}, { 1'200 })->m_latest;
+    BOOST_TEST(later.m_sequence == first + 1);
+    onAppendAnswer(pipeline, refused, StoreStatus::NotDone, { 1'300 });
+    BOOST_TEST(!acceptsAppend(pipeline, { 1'300 }, { 1'350 }));
+    BOOST_TEST(!beginSend(pipeline, {}, { 1'350 }));
+    const PipelinedAppend* const repeat = beginSend(pipeline, {}, { 1'500 }); // Although the later append has no answer yet.
     BOOST_REQUIRE(repeat);
     BOOST_TEST(sequenceOf(*repeat) == first);
-    onAppendAnswer(pipeline, first, StoreStatus::Done, { 1'810 });
-    const PipelinedAppend* const next = beginSend(pipeline, {}, { 2'000 });
+    answerTo(pipeline, repeat, StoreStatus::Done, { 1'510 });
+    onAppendAnswer(pipeline, later, StoreStatus::OutOfSequence, { 1'600 });
+    const PipelinedAppend* const next = beginSend(pipeline, {}, { 1'600 });
     BOOST_REQUIRE(next);
     BOOST_TEST(sequenceOf(*next) == first + 1);
 }
 
+// An answer to an attempt that reached the store before the preceding append was stored must not end the term; one to a later attempt must.
+BOOST_AUTO_TEST_CASE(only_attempts_sent_after_the_preceding_confirmation_tell_a_mismatch)
+{
+    AppendPipeline pipeline = makePipeline();
+    pipeline.m_lastLatency = { 600 };
+    pushAppend(pipeline, makeAppend(1), 1);
+    const AppendAttempt predecessor = beginSend(pipeline, {}, { 1'000 })->m_latest;
+    pushAppend(pipeline, makeAppend(2), 2);
+    const AppendAttempt early = beginSend(pipeline, {}, { 1'200 })->m_latest;
+    onAppendAnswer(pipeline, predecessor, StoreStatus::Done, { 1'300 });
+    const PipelinedAppend* const hedge = beginSend(pipeline, { 1'300 }, { 5'000 });
+    BOOST_REQUIRE(hedge);
+    const AppendAttempt late = hedge->m_latest;
+    BOOST_CHECK(onAppendAnswer(pipeline, early, StoreStatus::OutOfSequence, { 5'010 }) == AppendOutcome::Proceed);
+    BOOST_CHECK(onAppendAnswer(pipeline, late, StoreStatus::OutOfSequence, { 5'020 }) == AppendOutcome::SequenceMismatch);
+}
+
+// Several copies refused at once are one refusal: with three in a row the leadership is handed over.
+BOOST_AUTO_TEST_CASE(refused_copies_count_as_one_refusal)
+{
+    AppendPipeline pipeline = makePipeline();
+    pushAppend(pipeline, makeAppend(1), 1);
+    std::vector<AppendAttempt> copies;
+    for (std::int64_t now = 1'000; now < 1'700; now += 10) {
+        if (const PipelinedAppend* const sent = beginSend(pipeline, {}, { now }))
+            copies.push_back(sent->m_latest);
+    }
+    BOOST_REQUIRE(copies.size() == 3U);
+    for (const AppendAttempt& copy : copies)
+        onAppendAnswer(pipeline, copy, StoreStatus::NotDone, { 1'700 });
+    BOOST_TEST(pipeline.m_refusals == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(an_out_of_sequence_or_fenced_writer_ends)
 {
     AppendPipeline pipeline = makePipeline();
     pushAppend(pipeline, makeAppend(1), 1);
-    beginSend(pipeline, {}, { 1'000 });
-    BOOST_CHECK(onAppendAnswer(pipeline, first, StoreStatus::OutOfSequence, { 1'010 }) == AppendOutcome::SequenceMismatch);
-    BOOST_CHECK(onAppendAnswer(pipeline, first, StoreStatus::Fenced, { 1'010 }) == AppendOutcome::Fenced);
+    const AppendAttempt sent = beginSend(pipeline, {}, { 1'000 })->m_latest;
+    BOOST_CHECK(onAppendAnswer(pipeline, sent, StoreStatus::OutOfSequence, { 1'010 }) == AppendOutcome::SequenceMismatch);
+    pipeline = makePipeline();
+    pushAppend(pipeline, makeAppend(1), 1);
+    BOOST_CHECK(answerTo(pipeline, beginSend(pipeline, {}, { 1'000 }), StoreStatus::Fenced, { 1'010 }) == AppendOutcome::Fenced);
 }
 
 // TWICE, LOST (review/1): the first append of a term was done late, the second one was accepted before it and confirmed it,
@@ -134,16 +180,20 @@
     AppendPipeline pipeline = makePipeline();
     store.append(fencingAppend(pipeline, { .m_topic = "keyed.progress" }));
     pushAppend(pipeline, makeAppend(1), 1);
-    const StoreAppend late = beginSend(pipeline, {}, { 1'000 })->m_append;
+    pipeline.m_lastLatency = { 600 };
+    const PipelinedAppend* const sent = beginSend(pipeline, {}, { 1'000 });
+    const StoreAppend late = sent->m_append;
+    const AppendAttempt lateAttempt = sent->m_latest;
     pushAppend(pipeline, makeAppend(2), 2);
     const PipelinedAppend* const overlapping = beginSend(pipeline, { 1'000 }, { 1'120 });
     BOOST_REQUIRE(overlapping);
-    onAppendAnswer(pipeline, first + 1, store.append(overlapping->m_append).m_status, { 1'130 });
+    BOOST_REQUIRE(sequenceOf(*overlapping) == first + 1);
+    answerTo(pipeline, overlapping, store.append(overlapping->m_append).m_status, { 1'130 });
     BOOST_TEST(pipeline.m_confirmedBatch == 0U);
-    onAppendAnswer(pipeline, first, StoreStatus::Unknown, { 1'800 });
+    onAppendAnswer(pipeline, lateAttempt, StoreStatus::Unknown, { 1'800 });
     for (std::int64_t now = 1'900; now < 2'500; now += 10) {
         if (const PipelinedAppend* const next = beginSend(pipeline, { now }, { now }))
-            onAppendAnswer(pipeline, sequenceOf(*next), store.append(next->m_append).m_status, { now });
+            answerTo(pipeline, next, store.append(next->m_append).m_status, { now });
     }
     store.append(late);
     BOOST_TEST(pipeline.m_confirmedBatch == 2U);
@@ -175,10 +225,10 @@
             const PipelinedAppend* const next = beginSend(pipeline, lastContactAt, { now });
             if (!next)
                 continue;
-            const auto answer = [&, sequence = sequenceOf(*next)](StoreStatus status) {
+            const auto answer = [&, attempt = next->m_latest](StoreStatus status) {
                 if (status == StoreStatus::Done)
                     lastContactAt = { now };
-                BOOST_REQUIRE(onAppendAnswer(pipeline, sequence, status, { now }) == AppendOutcome::Proceed);
+                BOOST_REQUIRE(onAppendAnswer(pipeline, attempt, status, { now }) == AppendOutcome::Proceed);
             };
             const std::int64_t fault = draw(0, 9);
             const std::int64_t delay = draw(5, 700);
