--- a/src/process/cell/append_pipeline.cpp
+++ b/src/process/cell/append_pipeline.cpp
@@ -67,7 +67,7 @@
     bool isOldestDue(const AppendPipeline& pipeline, TimePoint lastStoreReplyAt, TimePoint now)
     {
         const PipelinedAppend& oldest = pipeline.m_queue.front();
-        return oldest.m_inFlight.empty() ? now >= oldest.m_notBefore : isHedgeDue(pipeline, lastStoreReplyAt, now);
+        return now >= oldest.m_notBefore && (oldest.m_inFlight.empty() || isHedgeDue(pipeline, lastStoreReplyAt, now));
     }
 
     /** @return The first append that was not sent yet, if it may be sent beside the earlier ones, else null. */
@@ -115,7 +115,8 @@
         const bool isOldest = &append == &pipeline.m_queue.front();
         if (status == StoreStatus::OutOfSequence) // An attempt that was sent before the append became the oldest may have arrived before its predecessor.
             return isOldest && attempt.m_number > pipeline.m_attemptsBeforeOldest ? AppendOutcome::SequenceMismatch : AppendOutcome::Proceed;
-        append.m_notBefore = now + retryDelay;
+        if (status == StoreStatus::NotDone || append.m_inFlight.empty())
+            append.m_notBefore = now + retryDelay;
         pipeline.m_refusals += status == StoreStatus::NotDone && isOldest && append.m_inFlight.empty() ? 1 : 0;
         return AppendOutcome::Proceed;
     }
--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -117,6 +117,13 @@
     TimePoint m_startedAt; ///< When loading started.
 };
 
+/** A claim of the leadership that has been sent. Its copies are under the same condition, so the store accepts one of them at most. */
+struct SentClaim {
+    StoreAppend m_append; ///< The claim and its condition.
+    HedgedCall m_call; ///< Its attempts.
+    TimePoint m_firstSentAt; ///< When the first attempt was sent.
+};
+
 /** Known state of a peer. */
 struct PeerState {
     PeerMember m_member; ///< The peer's identity and address.
@@ -135,6 +142,15 @@
     std::function<void(StoreStatus)> m_onComplete; ///< Called once with Done, NotDone or Unknown.
 };
 
+/** An append whose records may be stored more than once, and its attempts; see sendHedged(). */
+struct HedgedAppend {
+    StoreAppend m_append; ///< Records without writer or condition.
+    TimePoint m_until; ///< When it is given up.
+    HedgedCall m_call; ///< Its attempts.
+    bool m_mayBeStored = false; ///< Whether an attempt went unanswered.
+    std::function<void(StoreAppendAnswer)> m_onAnswer; ///< Called once; empty afterwards.
+};
+
 /** A callback that runs at a given time. */
 struct DeferredCall {
     TimePoint m_dueAt;
@@ -238,6 +254,7 @@
     TopicTail m_jobsTail; ///< Reader of submissions; active on the leader only.
     TopicTail m_workersTail; ///< Reader of worker announcements; active on the leader only.
     TimePoint m_storeLastContactAt; ///< When the store last answered a call.
+    Duration m_appendLatency; ///< Time from an attempt to its own answer, for the latest append of another kind than the leader's records; zero for none.
     bool m_isStoreReached = false; ///< Whether the store answers this daemon.
     TimePoint m_storeRecoveredAt; ///< When the store last answered again after an outage.
     std::map<std::string, TimePoint> m_pendingRemovals; ///< Workers to remove unless they are announced again by the given time, by id.
@@ -252,6 +269,7 @@
     TimePoint m_nextHeartbeatAt; ///< When the next heartbeat is due.
     std::uint32_t m_seedIndex = 0; ///< Index of the next seed to contact while no leader is known.
     std::uint32_t m_probeIndex = 0; ///< Index of the next daemon to ask about a silent leader.
+    SentClaim m_sentClaim; ///< The latest own claim; in flight while m_role is Claiming.
     std::optional<TimePoint> m_claimAt; ///< When this daemon claims the leadership, unless the leader answers first.
     std::map<std::string, PeerState> m_peers; ///< Other daemons, by name.
     std::uint64_t m_membersVersion = 0; ///< Version of m_advertisedMembers; a follower holds the version it last received.
@@ -269,7 +287,6 @@
     std::vector<PendingSubmission> m_pendingSubmissions; ///< Submissions that are not part of an append yet.
     std::vector<RecordWaiter> m_recordWaiters; ///< Callers that wait until a batch is durable.
     LoadState m_load;
-    TimePoint m_claimSentAt; ///< When the latest claim was sent.
     TimePoint m_loadedAt; ///< When the records of earlier terms were loaded, of the latest own term.
     TimePoint m_nextWaitReportAt; ///< When it is next logged what the takeover waits for.
     std::uint64_t m_term = 0; ///< Fencing token of the current own term, 0 for none; answers for other terms are dropped.
@@ -278,6 +295,8 @@
     TimePoint m_nextHandOverAt; ///< Earliest time at which the next candidates are asked to take over.
     std::vector<std::string> m_askedSuccessors; ///< Names of the peers that were asked last.
     DirectWriter m_directWriter; ///< Writer to the topic of jobs.
+    std::vector<std::shared_ptr<HedgedAppend>> m_hedgedAppends; ///< Unanswered appends to the topic of jobs, also those for peers.
+    std::uint32_t m_openHedgedAttempts = 0; ///< Their attempts without an answer, also those of appends that have been answered.
     std::vector<DeferredCall> m_deferredCalls; ///< Callbacks scheduled for later, such as retries.
     OrderRelay m_relay;
     RetrySchedule m_retrySchedule; ///< When refused clients are told to call again.
--- a/src/process/cell/leadership_wait.cpp
+++ b/src/process/cell/leadership_wait.cpp
@@ -36,7 +36,7 @@
     TimePoint waitingSince(const CellNode& node)
     {
         if (node.m_role == Role::Claiming)
-            return node.m_claimSentAt;
+            return node.m_sentClaim.m_firstSentAt;
         return node.m_role == Role::Loading ? node.m_load.m_startedAt : node.m_leaderMonitor.m_answeredAt;
     }
 
