Reads of the store that fail or take long are logged, and what a loading leader has read of the topic of jobs

Cause: in plays with a slow store that loses answers a new leader never finished loading; the reports said only that it waits for the end of the topic of jobs. Change: read-slow, once a second for each topic; leadership-waits tells the offset, the open calls and the age of the latest one.

--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -162,6 +162,19 @@
         return std::min(readMargin * (std::int64_t { 1 } << std::min(tail.m_failedReads, maxDoublings)), maxReadMargin);
     }
 
+    /** Logs a read that failed or took long, once a second for each topic. @param wait How long the store was allowed to hold the answer. */
+    void reportSlowRead(const CellNode& node, TopicTail& tail, StoreStatus status, TimePoint sentAt, Duration wait)
+    {
+        constexpr Duration slowThreshold { 1'000 };
+        constexpr Duration reportInterval { 1'000 };
+        const bool isDone = status == StoreStatus::Done;
+        const Duration took = node.m_now - sentAt - wait;
+        if ((isDone && took < slowThreshold) || node.m_now < tail.m_nextReportAt)
+            return;
+        tail.m_nextReportAt = node.m_now + reportInterval;
+        logEvent(LogLevel::Info, "read-slow", { { "topic", tail.m_partition.m_topic }, { "took_ms", took.m_ms }, { "is_answered", isDone }, { "is_listing", tail.m_isListing }, { "in_flight", tail.m_call.m_inFlight }, { "failed_reads", tail.m_failedReads }, { "next_offset", tail.m_nextOffset }, { "up_to_date_ms_ago", (node.m_now - tail.m_upToDateAt).m_ms } });
+    }
+
     void stepTail(CellNode& node, TopicTail& tail)
     {
         // A lost store is polled without a wait, so that its recovery is noticed soon; so is one that may have more than was listed.
@@ -170,8 +183,9 @@
             return;
         ++node.m_counters.m_reads;
         // Updates the store's reachability and tells whether the answer belongs to the current call.
-        const auto checkAnswer = [&node, &tail, callNumber = beginAttempt(tail.m_call, node.m_now)](StoreStatus status) {
+        const auto checkAnswer = [&node, &tail, wait, sentAt = node.m_now, callNumber = beginAttempt(tail.m_call, node.m_now)](StoreStatus status) {
             updateStoreReachability(node, status == StoreStatus::Done || status == StoreStatus::Expired);
+            reportSlowRead(node, tail, status, sentAt, wait);
             return isAnswerToCall(tail.m_call, callNumber);
         };
         if (tail.m_isListing) {
--- a/src/process/cell/leadership_wait.cpp
+++ b/src/process/cell/leadership_wait.cpp
@@ -47,7 +47,7 @@
         std::uint32_t unanswered = load.m_isFenced ? 0 : load.m_fence.m_inFlight;
         for (const LoadRange& range : load.m_ranges)
             unanswered += range.m_call.m_inFlight;
-        logEvent(LogLevel::Info, "leadership-waits", { { "for", findName(leadershipWaitNames, wait) }, { "waited_ms", (node.m_now - waitingSince(node)).m_ms }, { "token", node.m_term }, { "known_token", node.m_leader.m_token }, { "claims", node.m_counters.m_claims }, { "unanswered_calls", unanswered }, { "ranges_outstanding", outstanding }, { "records_read", load.m_progress.size() }, { "store_last_answer_ms_ago", (node.m_now - node.m_storeLastContactAt).m_ms } });
+        logEvent(LogLevel::Info, "leadership-waits", { { "for", findName(leadershipWaitNames, wait) }, { "waited_ms", (node.m_now - waitingSince(node)).m_ms }, { "token", node.m_term }, { "known_token", node.m_leader.m_token }, { "claims", node.m_counters.m_claims }, { "unanswered_calls", unanswered }, { "ranges_outstanding", outstanding }, { "records_read", load.m_progress.size() }, { "jobs_listed", node.m_jobsTail.m_isListingComplete }, { "jobs_next_offset", node.m_jobsTail.m_nextOffset }, { "jobs_calls_in_flight", node.m_jobsTail.m_call.m_inFlight }, { "jobs_last_call_ms_ago", (node.m_now - node.m_jobsTail.m_call.m_lastAttemptAt).m_ms }, { "store_last_answer_ms_ago", (node.m_now - node.m_storeLastContactAt).m_ms } });
     }
 
     /** @return Whether a leader waits for workers, which is then logged if due. */
