A new leader's fencing append is hedged like its records

Cause: an unanswered fencing append was sent again after 2.5 s only, as the store answered reads. Change: it is idempotent by its number, so it is sent again after 30 ms (four times the latency of the latest append, 100 ms while that is not known); from the third attempt on the delay doubles, twice only when the store has answered since. Eight in flight at most, 2.5 s each. Its latency is the first estimate for the leader's records. Bound: a twelfth of recovery_s, 12 s.

--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -22,6 +22,12 @@
  */
 Duration storeHedgeDelay(const CellNode& node, TimePoint lastAttemptAt);
 
+/**
+ * How long the latest attempt of a hedged append may stay unanswered. From the third attempt on it doubles, so that a slow or silent store
+ * gets few; only twice when the store has answered another call since, as the answer is then probably lost.
+ */
+Duration appendHedgeDelay(const CellNode& node, const HedgedCall& call);
+
 /**
  * Applies a configuration if it is newer than the current one.
  * @param text Key and value of the operator's record, separated by a newline.
--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -12,6 +12,7 @@
 namespace {
 
     constexpr Duration callTimeout { 4'000 }; ///< A page of many records may take long when the store is slow.
+    constexpr Duration fenceTimeout { 2'500 }; ///< The store refuses appends when more than 2 s is waiting.
     constexpr Duration retryDelay { 100 };
     constexpr const char* firstProgressKey = "0"; ///< No key of a progress record comes before this one.
     constexpr const char* lastPlanKey = "/"; ///< All keys of plans come before this one, and no other key does.
@@ -25,10 +26,11 @@
     void fenceEarlierTerms(CellNode& node)
     {
         HedgedCall& call = node.m_load.m_fence;
-        if (!isAttemptDue(call, storeHedgeDelay(node, call.m_lastAttemptAt), node.m_now))
+        constexpr std::uint32_t maxInFlight = 8; // They last until a store that was silent is noticed to answer again.
+        if (!isAttemptDue(call, appendHedgeDelay(node, call), node.m_now, maxInFlight))
             return;
         beginAttempt(call, node.m_now);
-        node.m_ports.m_append(fencingAppend(node.m_writer, { .m_topic = node.m_options.m_topics.m_progress }), callTimeout, [&node, term = node.m_term](const StoreAppendAnswer& answer) {
+        node.m_ports.m_append(fencingAppend(node.m_writer, { .m_topic = node.m_options.m_topics.m_progress }), fenceTimeout, [&node, term = node.m_term, sentAt = node.m_now](const StoreAppendAnswer& answer) {
             updateStoreReachability(node, answer.m_status == StoreStatus::Done || answer.m_status == StoreStatus::Fenced);
             if (!isStillLoading(node, term) || node.m_load.m_isFenced)
                 return;
@@ -37,6 +39,8 @@
             if (answer.m_status != StoreStatus::Done)
                 return failAttempt(node.m_load.m_fence, node.m_now + retryDelay);
             node.m_load.m_isFenced = true;
+            node.m_appendLatency = node.m_now - sentAt;
+            node.m_writer.m_lastLatency = node.m_appendLatency;
             resetTail(node.m_jobsTail, true); // Not earlier: until now a former leader may accept submissions that a listing has passed.
         });
     }
--- a/src/process/cell/hedged_call.cpp
+++ b/src/process/cell/hedged_call.cpp
@@ -3,17 +3,17 @@
 
 namespace bulrushloft::cell {
 
-bool isAttemptDue(const HedgedCall& call, Duration hedgeDelay, TimePoint now)
+bool isAttemptDue(const HedgedCall& call, Duration hedgeDelay, TimePoint now, std::uint32_t maxInFlight)
 {
-    constexpr std::uint32_t maxAttemptsInFlight = 6;
     if (now < call.m_notBefore)
         return false;
-    return call.m_inFlight == 0 || (call.m_inFlight < maxAttemptsInFlight && now - call.m_lastAttemptAt >= hedgeDelay);
+    return call.m_inFlight == 0 || (call.m_inFlight < maxInFlight && now - call.m_lastAttemptAt >= hedgeDelay);
 }
 
 std::uint64_t beginAttempt(HedgedCall& call, TimePoint now)
 {
     ++call.m_inFlight;
+    ++call.m_attempts;
     call.m_lastAttemptAt = now;
     return call.m_callNumber;
 }
@@ -27,6 +27,7 @@
 {
     ++call.m_callNumber;
     call.m_inFlight = 0;
+    call.m_attempts = 0;
     call.m_notBefore = nextAt;
 }
 
--- /dev/null
+++ b/tests/lost_write_answers_test.cpp
@@ -0,0 +1,181 @@
+/** @file lost_write_answers_test.cpp A daemon's writes other than the leader's records on a store that loses answers to appends or is slow. */
+#define BOOST_TEST_MODULE lost_write_answers
+#include <boost/test/unit_test.hpp>
+
+#include "fakes/fake_store.h"
+#include "process/cell/cell_func.h"
+#include "process/scheduler/scheduler_func.h"
+
+#include <functional>
+#include <random>
+
+using namespace bulrushloft;
+using namespace bulrushloft::cell;
+using bulrushloft::test::FakeStore;
+
+namespace {
+
+constexpr std::int64_t stepMs = 10; ///< The daemon's thread wakes at least this often.
+
+/** How the simulated store treats calls. */
+struct StoreBehaviour {
+    double m_lossShare = 0; ///< Share of the appends that get no answer and are carried out 1 to 6 s later.
+    std::int64_t m_appendMs = 4; ///< Time to the answer of an append in ms; the partition carries out one at a time.
+    bool m_isSilent = false; ///< No call is answered or carried out.
+};
+
+ClusterSettings makeCluster()
+{
+    return { .m_version = 1, .m_queues = { { .m_name = "q", .m_host = "h", .m_pathPrefix = "/q/", .m_pool = "pool", .m_priority = 0, .m_failureLimit = 3, .m_slackFactor = 2, .m_latencyTarget = { 1'000 }, .m_timeout = { 3'000 }, .m_approval = {} } }, .m_pools = { { .m_name = "pool" } } };
+}
+
+/** One daemon and the store, in simulated time. Reads are answered in 4 ms. */
+class Simulation {
+public:
+    explicit Simulation(const StoreBehaviour& behaviour, std::uint64_t seed)
+        : m_behaviour(behaviour)
+        , m_random(seed)
+    {
+        m_store.append({ .m_partition = { .m_topic = "op" }, .m_records = { { .m_key = "config", .m_value = "1" } }, .m_writer = {}, .m_expectedEnd = {} });
+        CellOptions options;
+        options.m_self = { .m_name = "n", .m_address = { "127.0.0.1", 1 }, .m_instance = 1, .m_strength = 50 };
+        options.m_topics = { .m_operator = "op", .m_workers = "workers" };
+        CellDecoders decoders;
+        decoders.m_operator = [](const std::string&, const std::string&) -> OperatorRecord { return makeCluster(); };
+        decoders.m_worker = [](const std::string&, const std::string&) { return std::optional<WorkerAnnouncement>(); };
+        decoders.m_plan = [](const std::string&) -> Expected<JobPlan> { return JobPlan { .m_payload = "p", .m_steps = { { .m_count = 1, .m_size = { .m_cpuMilli = 1'000, .m_memoryMb = 1, .m_gpus = 0 }, .m_estimatedRunTime = { 600 } } } }; };
+        m_node = makeCell(std::move(options), makePorts(), std::move(decoders), { m_now }, {});
+        m_node->m_lastBootTime = { m_now };
+    }
+
+    /** Runs until a condition holds. @return Time that it took in ms; limitMs if it does not hold by then. */
+    std::int64_t runUntil(const std::function<bool()>& condition, std::int64_t limitMs = 60'000)
+    {
+        const std::int64_t startedAt = m_now;
+        for (; !condition() && m_now - startedAt < limitMs; m_now += 1) {
+            bool hasEvent = false;
+            for (; !m_events.empty() && m_events.begin()->first <= m_now; hasEvent = true) {
+                advanceTime(*m_node, { m_now }, { m_now });
+                m_events.extract(m_events.begin()).mapped()();
+            }
+            if (hasEvent || m_now % stepMs == 0)
+                stepCell(*m_node, { m_now }, { m_now });
+        }
+        return m_now - startedAt;
+    }
+
+    StoreBehaviour m_behaviour;
+    std::mt19937_64 m_random;
+    FakeStore m_store;
+    std::unique_ptr<CellNode> m_node;
+    std::int64_t m_now = 10'000;
+    std::map<std::string, int> m_appends; ///< Appends that were sent, by topic.
+
+private:
+    static constexpr std::int64_t networkMs = 4; ///< Time to the answer of a read or a refusal.
+
+    template <typename Answer>
+    void fail(Duration timeout, const std::function<void(Answer)>& onAnswer)
+    {
+        m_events.emplace(m_now + timeout.m_ms, [onAnswer] { onAnswer(Answer {}); });
+    }
+
+    void append(const StoreAppend& append, Duration timeout, const std::function<void(StoreAppendAnswer)>& onAnswer)
+    {
+        ++m_appends[append.m_partition.m_topic];
+        if (m_behaviour.m_isSilent)
+            return fail(timeout, onAnswer);
+        if (std::uniform_real_distribution<double>(0, 1)(m_random) < m_behaviour.m_lossShare) {
+            m_events.emplace(m_now + std::uniform_int_distribution<std::int64_t>(1'000, 6'000)(m_random), [this, append] { m_store.append(append); });
+            return fail(timeout, onAnswer);
+        }
+        std::int64_t& freeAt = m_freeAt[append.m_partition.m_topic];
+        constexpr std::int64_t maxWaitingMs = 2'000; // With more waiting, the store refuses appends.
+        if (freeAt - m_now > maxWaitingMs) {
+            m_events.emplace(m_now + networkMs, [onAnswer] { onAnswer({ .m_status = StoreStatus::NotDone, .m_reason = {} }); });
+            return;
+        }
+        freeAt = std::max(freeAt, m_now) + m_behaviour.m_appendMs;
+        if (freeAt >= m_now + timeout.m_ms)
+            fail(timeout, onAnswer);
+        m_events.emplace(freeAt, [this, append, onAnswer, isInTime = freeAt < m_now + timeout.m_ms] {
+            const StoreAppendAnswer answer = m_store.append(append);
+            if (isInTime)
+                onAnswer(answer);
+        });
+    }
+
+    /** Answers a read at once if there is a record or it does not wait, else when its wait is over or a record has come. */
+    void read(const StoreRead& read, std::int64_t until, const std::function<void(StoreReadAnswer)>& onAnswer)
+    {
+        m_events.emplace(m_now + networkMs, [this, read, until, onAnswer] {
+            const StoreReadAnswer answer = m_store.read(read);
+            if (!answer.m_records.empty() || m_now >= until)
+                onAnswer(answer);
+            else
+                this->read(read, until, onAnswer);
+        });
+    }
+
+    CellPorts makePorts()
+    {
+        CellPorts ports;
+        ports.m_append = [this](const StoreAppend& call, Duration timeout, const std::function<void(StoreAppendAnswer)>& onAnswer) { append(call, timeout, onAnswer); };
+        ports.m_read = [this](const StoreRead& call, Duration timeout, const std::function<void(StoreReadAnswer)>& onAnswer) {
+            if (m_behaviour.m_isSilent)
+                return fail(timeout, onAnswer);
+            read(call, m_now + call.m_wait.m_ms, onAnswer);
+        };
+        ports.m_readNewest = [this](const StoreNewestRead& call, Duration timeout, const std::function<void(StoreNewestAnswer)>& onAnswer) {
+            if (m_behaviour.m_isSilent)
+                return fail(timeout, onAnswer);
+            m_events.emplace(m_now + networkMs, [this, call, onAnswer] { onAnswer(m_store.newest(call)); });
+        };
+        ports.m_callPeer = [this](const Address&, const PeerMessage&, Duration timeout, const std::function<void(std::optional<PeerReply>)>& onReply) { m_events.emplace(m_now + timeout.m_ms, [onReply] { onReply(std::nullopt); }); };
+        return ports;
+    }
+
+    std::multimap<std::int64_t, std::function<void()>> m_events; ///< By time.
+    std::map<std::string, std::int64_t> m_freeAt; ///< When a topic's partition has carried out all appends that have arrived.
+};
+
+constexpr int runs = 400;
+constexpr std::int64_t recoveryLimitMs = 12'000; ///< By then after a loss of all VMs a quarter of the requests must be served.
+constexpr std::int64_t stages = 12; ///< Claim, fence, listings, workers, approvals, starts and ends, some of them twice: each may take a twelfth of the limit.
+
+/** @return Upper bound of 95% of the values. */
+std::int64_t percentile95(std::vector<std::int64_t> values)
+{
+    std::sort(values.begin(), values.end());
+    return values[values.size() * 95 / 100];
+}
+
+} // namespace
+
+// After a loss of all VMs a new leader waited 2.5 s for each unanswered attempt to fence the earlier terms, as the store answered its reads.
+BOOST_AUTO_TEST_CASE(earlier_terms_are_fenced_in_time_while_answers_are_lost)
+{
+    std::vector<std::int64_t> durations;
+    for (std::uint64_t seed = 1; seed <= runs; ++seed) {
+        Simulation simulation({}, seed);
+        simulation.runUntil([&] { return simulation.m_node->m_role == Role::Claiming; }); // The claim is under way and will be answered.
+        simulation.m_behaviour.m_lossShare = 0.45;
+        simulation.runUntil([&] { return simulation.m_node->m_role == Role::Loading; });
+        durations.push_back(simulation.runUntil([&] { return simulation.m_node->m_load.m_isFenced || simulation.m_node->m_role == Role::Leading; }));
+    }
+
+    BOOST_TEST_MESSAGE("95% within " << percentile95(durations) << " ms, the longest " << *std::max_element(durations.begin(), durations.end()));
+    BOOST_TEST(percentile95(durations) <= recoveryLimitMs / stages);
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_or_silent_store_gets_few_copies_of_the_fence)
+{
+    for (const StoreBehaviour& behaviour : { StoreBehaviour { .m_appendMs = 600 }, StoreBehaviour { .m_isSilent = true } }) {
+        Simulation simulation({}, 1);
+        simulation.runUntil([&] { return simulation.m_node->m_role == Role::Claiming; }); // The claim is under way and will be answered.
+        simulation.m_behaviour = behaviour;
+        simulation.runUntil([&] { return simulation.m_node->m_role == Role::Leading; }, 2'500);
+        BOOST_TEST_MESSAGE(simulation.m_appends["keyed.progress"] << " attempts");
+        BOOST_TEST(simulation.m_appends["keyed.progress"] <= 8);
+    }
+}
