--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -117,6 +117,13 @@
     TimePoint m_startedAt; ///< When loading started.
 };
 
+/** A claim of the leadership that has been sent. Its copies are under the same condition, so the store accepts one of them at most. */
+struct SentClaim {
+    StoreAppend m_append; ///< The claim and its condition.
+    HedgedCall m_call; ///< Its attempts.
+    TimePoint m_firstSentAt; ///< When the first attempt was sent.
+};
+
 /** Known state of a peer. */
 struct PeerState {
     PeerMember m_member; ///< The peer's identity and address.
@@ -253,6 +260,7 @@
     TimePoint m_nextHeartbeatAt; ///< When the next heartbeat is due.
     std::uint32_t m_seedIndex = 0; ///< Index of the next seed to contact while no leader is known.
     std::uint32_t m_probeIndex = 0; ///< Index of the next daemon to ask about a silent leader.
+    SentClaim m_sentClaim; ///< The latest own claim; in flight while m_role is Claiming.
     std::optional<TimePoint> m_claimAt; ///< When this daemon claims the leadership, unless the leader answers first.
     std::map<std::string, PeerState> m_peers; ///< Other daemons, by name.
     std::uint64_t m_membersVersion = 0; ///< Version of m_advertisedMembers; a follower holds the version it last received.
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -40,8 +40,57 @@
         return {};
     }
 
+    void endClaim(CellNode& node, TimePoint nextAt)
+    {
+        node.m_role = Role::Follower;
+        endCall(node.m_sentClaim.m_call, nextAt);
+    }
+
+    /** Processes the answer to an attempt of a claim that the store has not accepted. */
+    void onClaimFailed(CellNode& node, const StoreAppendAnswer& answer)
+    {
+        constexpr Duration retryDelay { 100 };
+        logEvent(LogLevel::Info, "claim-failed", { { "status", static_cast<int>(answer.m_status) }, { "reason", answer.m_reason }, { "in_flight", node.m_sentClaim.m_call.m_inFlight - 1 } });
+        failAttempt(node.m_sentClaim.m_call, node.m_now + retryDelay);
+        // There is a record that this daemon has not read; it may be an unanswered attempt of this very claim.
+        if (answer.m_status == StoreStatus::EndMismatch)
+            endCall(node.m_leaderTail.m_call, node.m_now);
+        if (answer.m_status == StoreStatus::EndMismatch || node.m_sentClaim.m_call.m_inFlight == 0)
+            endClaim(node, node.m_now + retryDelay);
+    }
+
+    void sendClaim(CellNode& node)
+    {
+        const std::uint64_t callNumber = beginAttempt(node.m_sentClaim.m_call, node.m_now);
+        node.m_ports.m_append(node.m_sentClaim.m_append, claimTimeout, [&node, callNumber, sentAt = node.m_now](const StoreAppendAnswer& answer) {
+            updateStoreReachability(node, answer.m_status == StoreStatus::Done || answer.m_status == StoreStatus::EndMismatch);
+            const bool isCurrent = node.m_role == Role::Claiming && isAnswerToCall(node.m_sentClaim.m_call, callNumber);
+            if (answer.m_status != StoreStatus::Done) {
+                if (isCurrent)
+                    onClaimFailed(node, answer);
+                return;
+            }
+            node.m_appendLatency = node.m_now - sentAt;
+            if (node.m_role == Role::Claiming)
+                endClaim(node, node.m_now);
+            applyClaim(node, answer.m_offset + 1, node.m_options.m_self);
+        });
+    }
+
+    /** Sends an unanswered claim again beside its other attempts, until the topic has a further record or the claim is too old. */
+    void hedgeClaim(CellNode& node)
+    {
+        const SentClaim& claim = node.m_sentClaim;
+        if (node.m_leaderTail.m_nextOffset != claim.m_append.m_expectedEnd)
+            return endClaim(node, node.m_now);
+        if (node.m_now - claim.m_firstSentAt < claimTimeout && isAttemptDue(claim.m_call, appendHedgeDelay(node, claim.m_call), node.m_now))
+            sendClaim(node);
+    }
+
     void stepClaim(CellNode& node)
     {
+        if (node.m_role == Role::Claiming)
+            return hedgeClaim(node);
         const std::string_view cause = claimCause(node);
         if (cause.empty() || node.m_role != Role::Follower) {
             node.m_claimAt.reset();
@@ -54,7 +103,7 @@
             const Duration rankDelay = wasLeader ? Duration {} : node.m_options.m_claimDelayPerRank * rankOf(node.m_options.m_self, others, node.m_leader.m_token);
             node.m_claimAt = node.m_now + rankDelay + jitter + claimDelayOf(node.m_options.m_self, others);
         }
-        if (node.m_now < *node.m_claimAt)
+        if (node.m_now < std::max(*node.m_claimAt, node.m_sentClaim.m_call.m_notBefore))
             return;
         node.m_claimAt.reset();
         claimLeadership(node, cause);
@@ -205,16 +254,10 @@
     node.m_role = Role::Claiming;
     ++node.m_counters.m_claims;
     logEvent(LogLevel::Info, "claim", { { "cause", cause }, { "previous_leader", node.m_leader.m_member.m_name }, { "previous_token", node.m_leader.m_token }, { "last_contact_ms_ago", (node.m_now - node.m_leaderMonitor.m_answeredAt).m_ms } });
-    StoreAppend append { .m_partition = node.m_leaderTail.m_partition, .m_records = { { .m_key = claimKey, .m_value = encodeClaim(node.m_options.m_self) } }, .m_writer = {}, .m_expectedEnd = node.m_leaderTail.m_nextOffset };
-    node.m_ports.m_append(append, claimTimeout, [&node](const StoreAppendAnswer& answer) {
-        updateStoreReachability(node, answer.m_status == StoreStatus::Done || answer.m_status == StoreStatus::EndMismatch);
-        if (node.m_role == Role::Claiming)
-            node.m_role = Role::Follower;
-        if (answer.m_status == StoreStatus::Done)
-            return applyClaim(node, answer.m_offset + 1, node.m_options.m_self);
-        // If only the answer was lost, the leader topic shows whether the claim was stored.
-        logEvent(LogLevel::Info, "claim-failed", { { "status", static_cast<int>(answer.m_status) }, { "reason", answer.m_reason } });
-    });
+    endCall(node.m_sentClaim.m_call, node.m_now);
+    node.m_sentClaim.m_append = { .m_partition = node.m_leaderTail.m_partition, .m_records = { { .m_key = claimKey, .m_value = encodeClaim(node.m_options.m_self) } }, .m_writer = {}, .m_expectedEnd = node.m_leaderTail.m_nextOffset };
+    node.m_sentClaim.m_firstSentAt = node.m_now;
+    sendClaim(node);
 }
 
 void stepDown(CellNode& node, std::string_view cause)
--- a/tests/lost_write_answers_test.cpp
+++ b/tests/lost_write_answers_test.cpp
@@ -179,3 +179,42 @@
         BOOST_TEST(simulation.m_appends["keyed.progress"] <= 8);
     }
 }
+
+// An unanswered claim was repeated after a second only, by the same way as the first one.
+BOOST_AUTO_TEST_CASE(a_claim_is_accepted_in_time_while_answers_are_lost)
+{
+    std::vector<std::int64_t> durations;
+    for (std::uint64_t seed = 1; seed <= runs; ++seed) {
+        Simulation simulation({ .m_lossShare = 0.45 }, seed);
+        simulation.runUntil([&] { return simulation.m_node->m_role == Role::Claiming; });
+        durations.push_back(simulation.runUntil([&] { return simulation.m_node->m_role == Role::Loading; }));
+        BOOST_TEST(simulation.m_node->m_term == 1U, "seed " << seed); // The copies are one claim.
+    }
+    BOOST_TEST_MESSAGE("95% within " << percentile95(durations) << " ms, the longest " << *std::max_element(durations.begin(), durations.end()));
+    BOOST_TEST(percentile95(durations) <= recoveryLimitMs / stages);
+}
+
+// Copies of a claim that are carried out late must not begin further terms.
+BOOST_AUTO_TEST_CASE(late_copies_of_a_claim_begin_no_further_term)
+{
+    for (std::uint64_t seed = 1; seed <= runs; ++seed) {
+        Simulation simulation({ .m_lossShare = 0.7 }, seed);
+        simulation.runUntil([&] { return simulation.m_node->m_role == Role::Leading; });
+        simulation.m_behaviour.m_lossShare = 0;
+        simulation.runUntil([] { return false; }, 8'000);
+        BOOST_TEST(simulation.m_node->m_counters.m_terms == 1U, "seed " << seed);
+        BOOST_TEST(simulation.m_store.read({ .m_partition = { .m_topic = "keyed.leader" }, .m_from = 0, .m_wait = {} }).m_records.size() == 1U, "seed " << seed);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_or_silent_store_gets_few_copies_of_a_claim)
+{
+    for (const StoreBehaviour& behaviour : { StoreBehaviour { .m_appendMs = 600 }, StoreBehaviour { .m_isSilent = true } }) {
+        Simulation simulation({}, 1);
+        simulation.runUntil([&] { return simulation.m_node->m_claimAt.has_value(); });
+        simulation.m_behaviour = behaviour;
+        simulation.runUntil([&] { return simulation.m_node->m_role == Role::Loading; }, 3'000);
+        BOOST_TEST_MESSAGE(simulation.m_appends["keyed.leader"] << " attempts");
+        BOOST_TEST(simulation.m_appends["keyed.leader"] <= 6);
+    }
+}
