--- a/tests/lost_write_answers_test.cpp
+++ b/tests/lost_write_answers_test.cpp
@@ -79,7 +79,7 @@
     std::map<std::string, int> m_appends; ///< Appends that were sent, by topic.
 
 private:
-    static constexpr std::int64_t m_networkMs = 4; ///< Time to the answer of a read or a refusal.
+    static constexpr std::int64_t networkMs = 4; ///< Time to the answer of a read or a refusal.
 
     template <typename Answer>
     void fail(Duration timeout, const std::function<void(Answer)>& onAnswer)
@@ -99,7 +99,7 @@
         std::int64_t& freeAt = m_freeAt[append.m_partition.m_topic];
         constexpr std::int64_t maxWaitingMs = 2'000; // With more waiting, the store refuses appends.
         if (freeAt - m_now > maxWaitingMs) {
-            m_events.emplace(m_now + m_networkMs, [onAnswer] { onAnswer({ .m_status = StoreStatus::NotDone, .m_reason = {} }); });
+            m_events.emplace(m_now + networkMs, [onAnswer] { onAnswer({ .m_status = StoreStatus::NotDone, .m_reason = {} }); });
             return;
         }
         freeAt = std::max(freeAt, m_now) + m_behaviour.m_appendMs;
@@ -115,7 +115,7 @@
     /** Answers a read at once if there is a record or it does not wait, else when its wait is over or a record has come. */
     void read(const StoreRead& read, std::int64_t until, const std::function<void(StoreReadAnswer)>& onAnswer)
     {
-        m_events.emplace(m_now + m_networkMs, [this, read, until, onAnswer] {
+        m_events.emplace(m_now + networkMs, [this, read, until, onAnswer] {
             const StoreReadAnswer answer = m_store.read(read);
             if (!answer.m_records.empty() || m_now >= until)
                 onAnswer(answer);
@@ -136,7 +136,7 @@
         ports.m_readNewest = [this](const StoreNewestRead& call, Duration timeout, const std::function<void(StoreNewestAnswer)>& onAnswer) {
             if (m_behaviour.m_isSilent)
                 return fail(timeout, onAnswer);
-            m_events.emplace(m_now + m_networkMs, [this, call, onAnswer] { onAnswer(m_store.newest(call)); });
+            m_events.emplace(m_now + networkMs, [this, call, onAnswer] { onAnswer(m_store.newest(call)); });
         };
         ports.m_callPeer = [this](const Address&, const PeerMessage&, Duration timeout, const std::function<void(std::optional<PeerReply>)>& onReply) { m_events.emplace(m_now + timeout.m_ms, [onReply] { onReply(std::nullopt); }); };
         return ports;
