--- /dev/null
+++ b/tests/cell_simulation_base.h
@@ -0,0 +1,148 @@
+/** @file cell_simulation_base.h The state of a simulation of a cell; its functions are split into files along their jobs. */
+#pragma once
+
+#include "cell_simulation.h"
+
+#include "fake_lease_worker.h"
+#include "fake_store.h"
+#include "request/plan_func.h"
+
+#include <algorithm>
+
+namespace bulrushloft::test {
+
+constexpr const char* configKey = "config";
+constexpr Duration tickLength { 10 };
+constexpr Duration clientTimeout { 3'000 };
+constexpr Duration clientRetryDelay { 400 };
+constexpr Duration maxVisibilityDelay { 3'000 }; ///< The platform requires that every daemon knows an accepted job within this time.
+constexpr int maxClientTries = 8;
+constexpr Duration contactTime { 3'000 }; ///< A daemon or store without disruption for this long counts as in touch.
+constexpr Duration heartbeat { 1'500 }; ///< A worker announces a change at most this long after it.
+
+/** A daemon. Times are simulated milliseconds; an "until" in the past means that the condition is over. */
+struct SimulatedNode {
+    std::string m_name;
+    std::unique_ptr<cell::CellNode> m_cell; ///< Null while the process is down.
+    std::shared_ptr<bool> m_isAlive; ///< Shared with the callbacks of one process; false once it has ended, so that they do nothing.
+    std::int64_t m_suspendedUntil = 0; ///< Until then the process executes nothing.
+    std::int64_t m_suspendedMs = 0; ///< Total suspension of the process in ms, by which its steady clock lags.
+    std::int64_t m_downUntil = 0; ///< Time at which a new process starts; only used while the process is down.
+    std::int64_t m_busyUntil = 0; ///< Until then the decision thread works in long rounds.
+    std::int64_t m_roundEndsAt = 0; ///< End of the current long round, until which the daemon takes no step.
+    std::int64_t m_splitUntil = 0; ///< Until then only daemons of the same kind (split or not) reach each other.
+    std::int64_t m_heldOrdersUntil = 0; ///< Until then orders leave the daemon seconds after they were issued.
+    std::int64_t m_storeUnreachableUntil = 0; ///< Until then the network between daemon and store is down.
+    std::uint64_t m_startCount = 0; ///< Processes started so far; makes instance numbers unique.
+    std::deque<std::function<void()>> m_deferredDeliveries; ///< Messages and answers that arrived during a suspension; delivered at its end.
+};
+
+/** A job as its client sees it. Times are simulated milliseconds. */
+struct ClientJob {
+    std::string m_id;
+    int m_tries = 0; ///< Submissions tried, at most maxClientTries.
+    bool m_isAccepted = false; ///< A submission was acknowledged.
+    bool m_mayBeAccepted = false; ///< At least one submission timed out or was answered other than with NotDone, so the job may run.
+    bool m_isCancelRequested = false; ///< A cancellation was sent.
+    bool m_hasStarted = false; ///< A worker has started a task of the job.
+    bool m_isComplete = false; ///< A daemon has reported the job as complete.
+    std::int64_t m_cancelAckedAt = 0; ///< When a cancellation was first acknowledged; 0 before.
+    std::int64_t m_acceptedAt = 0; ///< When a submission was first acknowledged; 0 before.
+};
+
+/** The whole simulation. It is single-threaded and takes all random numbers from one generator, so that a run can be replayed from its seed. */
+struct CellSimulation {
+    explicit CellSimulation(const CellSimulationOptions& options);
+
+    CellSimulationResult run();
+    std::int64_t randomBetween(std::int64_t low, std::int64_t high) { return std::uniform_int_distribution<std::int64_t>(low, high)(m_random); }
+    bool randomBool(double probability) { return std::uniform_real_distribution<double>(0, 1)(m_random) < probability; }
+    /** Runs work after a delay in simulated ms, at least 1. */
+    void schedule(std::int64_t delay, std::function<void()> work) { m_events.emplace(m_now + std::max<std::int64_t>(delay, 1), std::move(work)); }
+    /**
+     * Records a violation, which ends the simulation.
+     * @param description Begins with the violated guarantee: TWICE (a task ran again or in two places), LIMIT (capacity exceeded),
+     * UNASKED (a task ran without a submitted job or after its cancellation), ORDER (a step started too early), LOST (an accepted
+     * job did not complete), REFUSED (a refused job ran). An inconsistent scheduler has no such prefix.
+     */
+    void reportViolation(const std::string& description) { m_result.m_violations.push_back(std::to_string(m_now) + " ms: " + description); }
+
+    void startNode(SimulatedNode& node);
+    /** Ends a daemon's process, if there is one; tick() starts the next one after downFor simulated ms. */
+    void stopNode(SimulatedNode& node, std::int64_t downFor);
+    cell::CellPorts makePorts(SimulatedNode& node);
+    std::int64_t steadyTimeOf(const SimulatedNode& node) const { return m_now - node.m_suspendedMs; }
+    /** Runs a callback in a daemon's process after a delay in simulated ms. It is deferred while the daemon is suspended and dropped once the process has ended. */
+    template <typename Callback>
+    void deliverLater(SimulatedNode& node, const std::shared_ptr<bool>& alive, std::int64_t delay, Callback callback);
+    /** Calls the store, subject to the delays, losses and outages in force. @param perform Carries out the call on m_store. */
+    template <typename Answer, typename Perform>
+    void callStore(SimulatedNode& node, Duration timeout, std::function<void(Answer)> onAnswer, Perform perform);
+    FakeLeaseWorker* findWorker(const std::string& id);
+    void makeWorker(int index);
+    /** Writes a worker's record to the workers topic. */
+    void announce(const FakeLeaseWorker& worker);
+    void submit(std::size_t index);
+    void cancel(std::size_t index, int tries);
+    void queryJob(std::size_t index);
+    void injectFault();
+    /** Injects one of the further faults of the options. @param victim The leader or a random daemon. */
+    void injectExtraFault(SimulatedNode& victim);
+    void restartWorkers(int count, int times);
+    void killLeaders(int times);
+    /** Makes about half of the workers unreachable for some seconds. */
+    void muteWorkers();
+    SimulatedNode* findLeader();
+    bool isInRound(const SimulatedNode& node) const { return m_now < node.m_roundEndsAt; }
+    std::int64_t peerDelay() { return m_now < m_slowPeersUntil ? randomBetween(1, 2'500) : 1; }
+    /** Shrinks the capacity of a worker for some seconds. */
+    void injectCapacityChange();
+    /** @return The CPU capacity that a start must not exceed. A smaller one counts only after the leader must have learned of it, and not for orders carried out late. */
+    std::int64_t countedCapacity(const FakeLeaseWorker& worker) const;
+    /** Counts an attempt that a worker is about to start, and checks the guarantees that must hold at that time. */
+    void checkStart(const FakeLeaseWorker& worker, const TaskName& task, std::uint32_t attempt);
+    void tick();
+    /** Stops all daemons, fills in the result and checks what must hold at the end. */
+    void finish();
+
+    CellSimulationOptions m_options;
+    std::mt19937_64 m_random;
+    std::int64_t m_now = 10'000; ///< Simulated time in ms.
+    std::multimap<std::int64_t, std::function<void()>> m_events; ///< Scheduled work by simulated time.
+    FakeStore m_store;
+    std::int64_t m_storeDownUntil = 0; ///< Until then the store is down and carries out no calls.
+    bool m_isStoreUnresponsive = false; ///< Calls to a store that is down time out instead of being refused.
+    std::int64_t m_storeSlowUntil = 0; ///< Until then calls take 40 times as long.
+    std::int64_t m_storeLossyUntil = 0; ///< Until then answers of the store may be lost.
+    std::int64_t m_slowPeersUntil = 0; ///< Until then messages between daemons take up to seconds.
+    std::int64_t m_disruptedUntil = 0; ///< End of the latest disruption of the store or a daemon.
+    bool m_isLateOrder = false; ///< The order that a worker is carrying out was held up for seconds.
+    std::deque<SimulatedNode> m_nodes;
+    std::deque<FakeLeaseWorker> m_workers;
+    std::vector<ClientJob> m_jobs;
+    std::map<std::string, std::size_t> m_jobById;
+    std::map<TaskName, std::string> m_workerByRunningTask; ///< Worker of each running task.
+    std::set<TaskName> m_acknowledgedDone; ///< Tasks whose completion the leader has acknowledged; they must not start again.
+    CellSimulationResult m_result;
+};
+
+template <typename Callback>
+void CellSimulation::deliverLater(SimulatedNode& node, const std::shared_ptr<bool>& alive, std::int64_t delay, Callback callback)
+{
+    schedule(delay, [this, &node, alive, callback] {
+        if (!*alive)
+            return;
+        const auto deliver = [this, &node, alive, callback] {
+            if (!*alive)
+                return;
+            advanceTime(*node.m_cell, { steadyTimeOf(node) }, { m_now });
+            callback();
+        };
+        if (m_now < node.m_suspendedUntil)
+            node.m_deferredDeliveries.push_back(deliver);
+        else
+            deliver();
+    });
+}
+
+} // namespace bulrushloft::test
--- /dev/null
+++ b/tests/cell_simulation_network.cpp
@@ -0,0 +1,137 @@
+/** @file cell_simulation_network.cpp Calls of the simulated daemons to the store, to each other and to workers. */
+#include "cell_simulation_base.h"
+
+namespace bulrushloft::test {
+
+template <typename Answer, typename Perform>
+void CellSimulation::callStore(SimulatedNode& node, Duration timeout, std::function<void(Answer)> onAnswer, Perform perform)
+{
+    const auto alive = node.m_isAlive;
+    const std::int64_t delay = randomBetween(2, 8) * (m_now < m_storeSlowUntil ? 40 : 1);
+    const bool isUnreachable = m_now < node.m_storeUnreachableUntil;
+    const bool isDown = m_now < m_storeDownUntil || isUnreachable;
+    if (isDown && (m_isStoreUnresponsive || isUnreachable)) {
+        Answer noAnswer {};
+        noAnswer.m_status = StoreStatus::Unknown;
+        return deliverLater(node, alive, timeout.m_ms, [onAnswer, noAnswer] { onAnswer(noAnswer); });
+    }
+    if (isDown) {
+        Answer refused {};
+        refused.m_status = StoreStatus::NotDone;
+        return deliverLater(node, alive, delay, [onAnswer, refused] { onAnswer(refused); });
+    }
+    const bool isLost = m_now < m_storeLossyUntil && randomBool(0.3);
+    // A call whose answer is lost may be carried out seconds after it was sent.
+    const std::int64_t extraDelay = isLost && randomBool(0.5) ? randomBetween(500, 4'000) : 0;
+    schedule(delay / 2 + extraDelay, [this, &node, alive, onAnswer, perform, delay, timeout, isLost] {
+        const Answer result = perform();
+        if (isLost || delay > timeout.m_ms)
+            return;
+        deliverLater(node, alive, delay / 2, [onAnswer, result] { onAnswer(result); });
+    });
+    if (isLost || delay > timeout.m_ms) {
+        Answer noAnswer {};
+        noAnswer.m_status = StoreStatus::Unknown;
+        deliverLater(node, alive, timeout.m_ms, [onAnswer, noAnswer] { onAnswer(noAnswer); });
+    }
+}
+
+cell::CellPorts CellSimulation::makePorts(SimulatedNode& node)
+{
+    cell::CellPorts ports;
+    ports.m_append = [this, &node](const StoreAppend& append, Duration timeout, std::function<void(StoreAppendAnswer)> onAnswer) {
+        callStore<StoreAppendAnswer>(node, timeout, std::move(onAnswer), [this, append] { return m_store.append(append); });
+    };
+    ports.m_read = [this, &node](const StoreRead& read, Duration timeout, std::function<void(StoreReadAnswer)> onAnswer) {
+        callStore<StoreReadAnswer>(node, timeout, std::move(onAnswer), [this, read] { return m_store.read(read); });
+    };
+    ports.m_readNewest = [this, &node](const StoreNewestRead& newest, Duration timeout, std::function<void(StoreNewestAnswer)> onAnswer) {
+        callStore<StoreNewestAnswer>(node, timeout, std::move(onAnswer), [this, newest] { return m_store.newest(newest); });
+    };
+    ports.m_callPeer = [this, &node](const Address& address, const PeerMessage& message, Duration timeout, const std::function<void(std::optional<PeerReply>)>& onReply) {
+        const auto alive = node.m_isAlive;
+        SimulatedNode& peer = m_nodes[address.m_port]; // startNode() uses the index of the node as its port.
+        if (!peer.m_cell)
+            return deliverLater(node, alive, 2, [onReply] { onReply(std::nullopt); });
+        const bool isSplit = (m_now < node.m_splitUntil) != (m_now < peer.m_splitUntil);
+        if (isSplit)
+            return deliverLater(node, alive, timeout.m_ms, [onReply] { onReply(std::nullopt); });
+        auto isAnswered = std::make_shared<bool>(false);
+        deliverLater(peer, peer.m_isAlive, peerDelay(), [this, &node, &peer, alive, message, onReply, isAnswered] {
+            onPeerMessage(*peer.m_cell, message, [this, &node, alive, onReply, isAnswered](const PeerReply& reply) {
+                deliverLater(node, alive, peerDelay(), [onReply, reply, isAnswered] {
+                    if (!std::exchange(*isAnswered, true))
+                        onReply(reply);
+                });
+            });
+        });
+        deliverLater(node, alive, timeout.m_ms, [onReply, isAnswered] {
+            if (!std::exchange(*isAnswered, true))
+                onReply(std::nullopt);
+        });
+    };
+    const auto sendOrder = [this, &node](const OrderTarget& to, Duration timeout, const std::function<void(OrderStatus)>& onAnswer, const std::function<OrderStatus(FakeLeaseWorker&)>& perform, const std::shared_ptr<bool>& alive) {
+        FakeLeaseWorker* const worker = findWorker(to.m_worker);
+        if (worker->m_isDown)
+            return deliverLater(node, alive, 2, [onAnswer] { onAnswer(OrderStatus::NotSent); });
+        if (m_now < node.m_heldOrdersUntil) {
+            // The order leaves late, on a connection to whichever process of the worker then runs.
+            schedule(randomBetween(50, 6'000), [worker, perform] {
+                if (!worker->m_isDown && !worker->m_isUnreachable)
+                    perform(*worker);
+            });
+            return deliverLater(node, alive, timeout.m_ms, [onAnswer] { onAnswer(OrderStatus::NoAnswer); });
+        }
+        const bool isLate = randomBool(m_options.m_lateOrderShare);
+        if (worker->m_isUnreachable || isLate) {
+            if (isLate) {
+                // An order in flight is lost with the connection when the worker's process ends.
+                schedule(randomBetween(2'000, 12'000), [this, worker, perform, processStartMs = worker->m_processStartMs] {
+                    m_isLateOrder = true;
+                    if (!worker->m_isDown && !worker->m_isUnreachable && worker->m_processStartMs == processStartMs)
+                        perform(*worker);
+                    m_isLateOrder = false;
+                });
+            }
+            return deliverLater(node, alive, timeout.m_ms, [onAnswer] { onAnswer(OrderStatus::NoAnswer); });
+        }
+        schedule(1, [this, &node, worker, perform, onAnswer, alive] {
+            const OrderStatus status = worker->m_isDown ? OrderStatus::NotSent : perform(*worker);
+            deliverLater(node, alive, 1, [onAnswer, status] { onAnswer(status); });
+        });
+    };
+    ports.m_start = [this, &node, sendOrder](const AddressedOrder<StartOrder>& start, Duration timeout, const std::function<void(const StartAnswer&)>& onAnswer) {
+        auto clock = std::make_shared<std::int64_t>(0);
+        const auto perform = [this, start, clock](FakeLeaseWorker& worker) {
+            *clock = worker.clockAt(m_now);
+            return worker.start(start.m_order, start.m_to.m_token, randomBetween(200, 1'500), m_now);
+        };
+        sendOrder(
+            start.m_to, timeout, [onAnswer, clock](OrderStatus status) { onAnswer({ .m_status = status, .m_clockMs = *clock }); }, perform, node.m_isAlive);
+    };
+    ports.m_stop = [&node, sendOrder](const AddressedOrder<StopOrder>& stop, Duration timeout, const std::function<void(OrderStatus)>& onAnswer) {
+        sendOrder(
+            stop.m_to, timeout, onAnswer, [stop](FakeLeaseWorker& worker) { return worker.stop(stop.m_order, stop.m_to.m_token); }, node.m_isAlive);
+    };
+    ports.m_pace = [](const AddressedOrder<PaceOrder>&, Duration, const std::function<void(OrderStatus)>&) {};
+    ports.m_sync = [this, &node, sendOrder](const AddressedOrder<SyncOrder>& sync, Duration timeout, const std::function<void(OrderStatus, const SyncReport&)>& onAnswer) {
+        auto report = std::make_shared<SyncReport>();
+        const auto perform = [this, sync, report](FakeLeaseWorker& worker) {
+            const auto result = worker.sync(sync.m_order, sync.m_to.m_token, m_now);
+            *report = result.value_or(SyncReport {});
+            return result ? OrderStatus::Done : OrderStatus::Fenced;
+        };
+        // Instead of holding its answer back until an attempt ends, the worker gets the order after a tenth of the maximum wait,
+        // or after a random part of it, so that answers arrive at any time of a long round.
+        const std::int64_t wait = (m_options.m_extraFaults & BusyFault) ? randomBetween(0, sync.m_order.m_wait.m_ms) : sync.m_order.m_wait.m_ms / 10;
+        schedule(wait, [sendOrder, sync, timeout, onAnswer, report, perform, alive = node.m_isAlive] {
+            if (*alive)
+                sendOrder(
+                    sync.m_to, timeout, [onAnswer, report](OrderStatus status) { onAnswer(status, *report); }, perform, alive);
+        });
+    };
+    ports.m_requestApprovals = [](const TaskName&, const std::vector<std::string>&, Duration, const std::function<void(std::optional<std::vector<Approval>>)>& onAnswer) { onAnswer(std::nullopt); };
+    return ports;
+}
+
+} // namespace bulrushloft::test
