Simulated cell: lossy writes under a loss of power, approvals, gangs, rack crashes

The simulation could not show the incident: no queue needed approvals, there were no gangs and no tasks of half or all of a worker, store losses were short, the daemons never lost power together under a backlog, and 40 s of calm followed. New options, off by default: a period in which a share of the writes gets no answer and is carried out 1 to 6 s later, a loss of power of all daemons under a backlog, crashes of a third of the workers, and queues with an approval service, tickets and gangs.

--- a/tests/cell_simulation.cpp
+++ b/tests/cell_simulation.cpp
@@ -5,23 +5,10 @@
 
 namespace bulrushloft::test {
 
-namespace {
-
-    /** @return A job of steps that run one after another, each of `width` tasks. */
-    JobPlan makePlan(std::int64_t steps, std::int64_t width)
-    {
-        JobPlan plan;
-        plan.m_payload = "p";
-        for (std::uint32_t i = 0; i < static_cast<std::uint32_t>(steps); ++i)
-            plan.m_steps.push_back({ .m_count = static_cast<std::uint32_t>(width), .m_size = { .m_cpuMilli = 1'000, .m_memoryMb = 1, .m_gpus = 0 }, .m_estimatedRunTime = { 600 }, .m_predecessors = i == 0 ? std::vector<std::uint32_t> {} : std::vector<std::uint32_t> { i - 1 } });
-        return plan;
-    }
-
-} // namespace
-
 CellSimulation::CellSimulation(const CellSimulationOptions& options)
     : m_options(options)
     , m_random(options.m_seed)
+    , m_queues(simulatedQueues(options.m_needsApprovals))
 {
     m_store.append({ .m_partition = { .m_topic = "op" }, .m_records = { { .m_key = configKey, .m_value = "1" } }, .m_writer = {}, .m_expectedEnd = {} });
     for (int i = 0; i < options.m_workers; ++i)
@@ -38,8 +25,18 @@
     FakeLeaseWorker& worker = m_workers.emplace_back();
     worker.m_id = "w" + std::to_string(index);
     worker.m_clockOriginMs = m_now - randomBetween(0, 5'000);
+    worker.m_capacityCpuMilli = simulatedCapacity(m_options.m_needsApprovals).m_cpuMilli;
+    if (m_options.m_needsApprovals) {
+        worker.m_isTicketValid = [this](const FakeLeaseWorker& asked, const StartOrder& order) {
+            const bool isValid = FakeApprovals::isValid(order.m_ticket, order.m_task, asked, m_now);
+            m_result.m_refusedTickets += isValid ? 0 : 1;
+            return isValid;
+        };
+    }
     worker.m_onStart = [this](const FakeLeaseWorker& startedOn, const TaskName& task, std::uint32_t attempt) { checkStart(startedOn, task, attempt); };
-    worker.m_onEnd = [this](const FakeLeaseWorker& endedOn, const TaskName& task, std::uint32_t, AttemptEnd) {
+    worker.m_onEnd = [this](const FakeLeaseWorker& endedOn, const TaskName& task, std::uint32_t, AttemptEnd end) {
+        if (end == AttemptEnd::Done)
+            m_endedDone.insert(task);
         const auto found = m_workerByRunningTask.find(task);
         if (found != m_workerByRunningTask.end() && found->second == endedOn.m_id)
             m_workerByRunningTask.erase(found);
@@ -72,16 +69,14 @@
     options.m_seeds = { { "127.0.0.1", 0 }, { "127.0.0.1", 1 } };
     options.m_topics = { .m_operator = "op", .m_workers = "workers" };
     cell::CellDecoders decoders;
-    decoders.m_operator = [](const std::string&, const std::string&) -> cell::OperatorRecord {
-        return ClusterSettings { .m_version = 1, .m_queues = { { .m_name = "q", .m_host = "h", .m_pathPrefix = "/q/", .m_pool = "pool", .m_priority = 0, .m_failureLimit = 3, .m_slackFactor = 3, .m_latencyTarget = { 500 }, .m_timeout = { 3'000 }, .m_approval = {} } }, .m_pools = { { .m_name = "pool" } } };
-    };
+    decoders.m_operator = [this](const std::string&, const std::string&) -> cell::OperatorRecord { return makeSettings(m_queues); };
     // The value of an announcement is the start of the process and the CPU capacity.
-    decoders.m_worker = [](const std::string& id, const std::string& value) -> std::optional<WorkerAnnouncement> {
-        const std::int64_t cpuMilli = std::stoll(value.substr(value.find(' ')));
-        return WorkerAnnouncement { .m_id = id, .m_pool = "pool", .m_address = { "127.0.0.2", 1 }, .m_zone = "a", .m_machine = {}, .m_capacity = { .m_cpuMilli = cpuMilli, .m_memoryMb = 1'000, .m_gpus = 0 }, .m_labels = {}, .m_isDraining = false, .m_remainingDrainTime = {}, .m_processStartMs = std::stoll(value) };
+    decoders.m_worker = [this](const std::string& id, const std::string& value) -> std::optional<WorkerAnnouncement> {
+        Resources capacity = simulatedCapacity(m_options.m_needsApprovals);
+        capacity.m_cpuMilli = std::stoll(value.substr(value.find(' ')));
+        return WorkerAnnouncement { .m_id = id, .m_pool = "pool", .m_address = { "127.0.0.2", 1 }, .m_zone = "a", .m_machine = {}, .m_capacity = capacity, .m_labels = m_options.m_needsApprovals ? std::vector<std::string> { "gpu", "r1-" + std::to_string(std::stoi(id.substr(1)) % rackCount) } : std::vector<std::string> {}, .m_isDraining = false, .m_remainingDrainTime = {}, .m_processStartMs = std::stoll(value) };
     };
-    // The body of a submission is two digits: the number of steps and the number of tasks in each step.
-    decoders.m_plan = [](const std::string& body) -> Expected<JobPlan> { return makePlan(body[0] - '0', body[1] - '0'); };
+    decoders.m_plan = [this](const std::string& body) -> Expected<JobPlan> { return makePlan(m_queues, body); };
     node.m_isAlive = std::make_shared<bool>(true);
     node.m_suspendedMs = 0;
     node.m_deferredDeliveries.clear();
@@ -107,6 +102,7 @@
 {
     for (FakeLeaseWorker& worker : m_workers)
         worker.tick(m_now);
+    tickGangs();
     for (SimulatedNode& node : m_nodes) {
         if (!node.m_cell) {
             if (m_now >= node.m_downUntil)
@@ -133,17 +129,12 @@
 
 CellSimulationResult CellSimulation::run()
 {
-    const std::int64_t loadStart = m_now + 1'500;
-    for (int i = 0; i < m_options.m_jobs; ++i) {
-        ClientJob job;
-        job.m_id = std::to_string(1'000'000'000'000'000ULL + static_cast<std::uint64_t>(i));
-        m_jobById[job.m_id] = m_jobs.size();
-        m_jobs.push_back(job);
-        const std::int64_t submitDelay = loadStart - m_now + randomBetween(0, m_options.m_loadDuration.m_ms);
-        schedule(submitDelay, [this, i] { submit(static_cast<std::size_t>(i)); });
-        if (randomBool(0.1))
-            schedule(submitDelay + randomBetween(100, 3'000), [this, i] { cancel(static_cast<std::size_t>(i), 0); });
-    }
+    m_loadStart = m_now + 1'500;
+    m_loadEnd = m_loadStart + m_options.m_loadDuration.m_ms;
+    const std::int64_t loadStart = m_loadStart;
+    for (int i = 0; i < m_options.m_jobs; ++i)
+        addJob(loadStart - m_now + randomBetween(0, m_options.m_loadDuration.m_ms));
+    scheduleOutages();
     for (int i = 0; i < m_options.m_faults; ++i)
         schedule(loadStart - m_now + randomBetween(0, m_options.m_loadDuration.m_ms), [this] { injectFault(); });
     for (int i = 0; i < m_options.m_capacityChanges; ++i)
@@ -165,6 +156,8 @@
             for (std::size_t i = 0; i < m_jobs.size(); ++i)
                 queryJob(i);
         }
+        if (m_options.m_finishTime.m_ms > 0)
+            checkStandstill();
     }
     if (m_result.m_violations.empty() || !m_options.m_stopsAtViolation)
         finish();
--- a/tests/cell_simulation.h
+++ b/tests/cell_simulation.h
@@ -21,6 +21,28 @@
     HeldOrdersFault = 64, ///< A daemon holds its orders back for seconds before they leave, so that they may reach a later process of the worker.
 };
 
+/** A period in which the store leaves a share of its writes unanswered and carries them out 1 to 6 s later; reads are answered. Times count from the start of the load. */
+struct LossyWrites {
+    double m_share = 0; ///< Share of the writes, 0 to 1; 0 for no such period.
+    Duration m_start; ///< Start of the period.
+    Duration m_length; ///< Its length; it may go on after the load.
+};
+
+/** A loss of power of all daemons under a backlog. Times count from the start of the load. */
+struct PowerLoss {
+    Duration m_at; ///< When all daemons stop; 0 for never.
+    Duration m_downTime { 1'300 }; ///< When they start again.
+    int m_backlogJobs = 0; ///< Further jobs, submitted shortly before.
+};
+
+/** Crashes of a third of the workers at a time. Times count from the start of the load. */
+struct RackWaves {
+    int m_count = 0; ///< Number of crashes.
+    Duration m_first; ///< Time of the first one.
+    Duration m_interval; ///< Time between two.
+    Duration m_downTime { 5'000 }; ///< When the workers start again.
+};
+
 /** Size, load and faults of a simulation. */
 struct CellSimulationOptions {
     std::uint64_t m_seed = 1; ///< Seed of all random choices.
@@ -33,6 +55,11 @@
     std::uint32_t m_extraFaults = 0; ///< Further kinds of faults to inject; bits of ExtraFault.
     std::int64_t m_minRoundMs = 100; ///< Shortest round of a busy decision thread, in ms.
     std::int64_t m_maxRoundMs = 590; ///< Longest round of a busy decision thread, in ms; from 600 ms on the daemon takes it for a suspension.
+    bool m_needsApprovals = false; ///< Whether starts need tickets of an approval service; the workers then are large, and there are large tasks and gangs.
+    LossyWrites m_lossyWrites; ///< Writes whose answers are lost.
+    PowerLoss m_powerLoss; ///< Loss of power of all daemons.
+    RackWaves m_rackWaves; ///< Crashes of workers.
+    Duration m_finishTime { 0 }; ///< This long after the load no job may stand still although it could run; 0 leaves that unchecked.
     bool m_stopsAtViolation = true; ///< Whether the first violation ends the simulation.
     Duration m_loadDuration { 20'000 }; ///< Period in which clients submit jobs and faults are injected.
     Duration m_recoveryDuration { 40'000 }; ///< Period after the load, without new faults, in which every accepted job must end.
@@ -47,6 +74,10 @@
     int m_refused = 0; ///< Jobs that were certainly not accepted: each submission was refused or never sent.
     std::uint64_t m_terms = 0; ///< Leader terms that were started.
     std::uint64_t m_startedAttempts = 0; ///< Task attempts that workers started.
+    std::uint64_t m_approvalCalls = 0; ///< Calls to the approval service.
+    std::uint64_t m_refusedTickets = 0; ///< Starts that workers refused for their ticket.
+    int m_lateJobs = 0; ///< Jobs that were submitted when the cell should have recovered from a loss of power.
+    int m_lateServed = 0; ///< Those of them that were served in time.
 };
 
 /**
--- a/tests/cell_simulation_base.h
+++ b/tests/cell_simulation_base.h
@@ -3,6 +3,8 @@
 
 #include "cell_simulation.h"
 
+#include "cell_simulation_load.h"
+#include "fake_approvals.h"
 #include "fake_lease_worker.h"
 #include "fake_store.h"
 #include "request/plan_func.h"
@@ -12,6 +14,7 @@
 namespace bulrushloft::test {
 
 constexpr const char* configKey = "config";
+constexpr int rackCount = 3;
 constexpr Duration tickLength { 10 };
 constexpr Duration clientTimeout { 3'000 };
 constexpr Duration clientRetryDelay { 400 };
@@ -40,6 +43,13 @@
 /** A job as its client sees it. Times are simulated milliseconds. */
 struct ClientJob {
     std::string m_id;
+    std::string m_body; ///< Body of its submission.
+    const SimulatedQueue* m_queue = nullptr; ///< Its queue.
+    JobPlan m_plan; ///< The plan in the body.
+    std::int64_t m_firstSentAt = 0; ///< When a submission was first sent; 0 before.
+    std::int64_t m_completeAt = 0; ///< When a daemon first reported the job as complete; 0 before.
+    std::int64_t m_stillSince = 0; ///< Since when it stands still although it could run; 0 if it doesn't.
+    bool m_isStillReported = false; ///< A violation was reported for that.
     int m_tries = 0; ///< Submissions tried, at most maxClientTries.
     bool m_isAccepted = false; ///< A submission was acknowledged.
     bool m_mayBeAccepted = false; ///< At least one submission timed out or was answered other than with NotDone, so the job may run.
@@ -63,7 +73,7 @@
      * Records a violation, which ends the simulation.
      * @param description Begins with the violated guarantee: TWICE (a task ran again or in two places), LIMIT (capacity exceeded),
      * UNASKED (a task ran without a submitted job or after its cancellation), ORDER (a step started too early), LOST (an accepted
-     * job did not complete), REFUSED (a refused job ran). An inconsistent scheduler has no such prefix.
+     * job did not complete or stands still), REFUSED (a refused job ran), RECOVER (too few are served after a loss of power). An inconsistent scheduler has no such prefix.
      */
     void reportViolation(const std::string& description) { m_result.m_violations.push_back(std::to_string(m_now) + " ms: " + description); }
 
@@ -71,6 +81,9 @@
     /** Ends a daemon's process, if there is one; tick() starts the next one after downFor simulated ms. */
     void stopNode(SimulatedNode& node, std::int64_t downFor);
     cell::CellPorts makePorts(SimulatedNode& node);
+    std::int64_t randomRunTime(const TaskName& task);
+    /** Calls the approval service on behalf of a daemon. */
+    void requestApprovals(SimulatedNode& node, const TaskName& step, const std::vector<std::string>& workers, Duration timeout, const std::function<void(std::optional<std::vector<Approval>>)>& onAnswer);
     std::int64_t steadyTimeOf(const SimulatedNode& node) const { return m_now - node.m_suspendedMs; }
     /** Runs a callback in a daemon's process after a delay in simulated ms. It is deferred while the daemon is suspended and dropped once the process has ended. */
     template <typename Callback>
@@ -82,6 +95,10 @@
     void makeWorker(int index);
     /** Writes a worker's record to the workers topic. */
     void announce(const FakeLeaseWorker& worker);
+    /** Adds a job, which is submitted after a delay. */
+    void addJob(std::int64_t submitDelay);
+    /** Chooses a queue and a size; the job fits twice into the workers that are approved for it. */
+    void chooseBody(ClientJob& job);
     void submit(std::size_t index);
     void cancel(std::size_t index, int tries);
     void queryJob(std::size_t index);
@@ -89,6 +106,12 @@
     /** Injects one of the further faults of the options. @param victim The leader or a random daemon. */
     void injectExtraFault(SimulatedNode& victim);
     void restartWorkers(int count, int times);
+    /** Schedules the loss of power and the crashes of racks in the options. */
+    void scheduleOutages();
+    /** Ends a worker's process; its ends that are not acknowledged are lost. */
+    void crashWorker(FakeLeaseWorker& worker);
+    /** Begins, breaks or gives up the gangs on the workers; the members work only while all of them run. */
+    void tickGangs();
     void killLeaders(int times);
     /** Makes about half of the workers unreachable for some seconds. */
     void muteWorkers();
@@ -101,6 +124,18 @@
     std::int64_t countedCapacity(const FakeLeaseWorker& worker) const;
     /** Counts an attempt that a worker is about to start, and checks the guarantees that must hold at that time. */
     void checkStart(const FakeLeaseWorker& worker, const TaskName& task, std::uint32_t attempt);
+    const ClientJob& jobOf(const TaskName& task) const { return m_jobs[m_jobById.at(task.m_job)]; }
+    const StepPlan& stepOf(const TaskName& task) const { return jobOf(task).m_plan.m_steps.at(task.m_step); }
+    /** @return The resources of all attempts on a worker. */
+    Resources usedBy(const FakeLeaseWorker& worker) const;
+    /** @return Number of tasks of a step that fit into the capacity, or what is free of it, of approved workers that run. */
+    std::int64_t countRoom(const ClientJob& job, std::uint32_t step, bool isFreeOnly) const;
+    /** @return The first step with tasks that have to run, and their number; nothing if all tasks are done. */
+    std::optional<std::pair<std::uint32_t, std::uint32_t>> openStepOf(const ClientJob& job) const;
+    /** Reports jobs that stand still although they could run (LOST). */
+    void checkStandstill();
+    /** Checks the share of requests that are served after the loss of power (RECOVER). */
+    void checkRecovery();
     void tick();
     /** Stops all daemons, fills in the result and checks what must hold at the end. */
     void finish();
@@ -109,6 +144,12 @@
     std::mt19937_64 m_random;
     std::int64_t m_now = 10'000; ///< Simulated time in ms.
     std::multimap<std::int64_t, std::function<void()>> m_events; ///< Scheduled work by simulated time.
+    const std::vector<SimulatedQueue>& m_queues;
+    std::int64_t m_loadStart = 0; ///< When the load starts.
+    std::int64_t m_loadEnd = 0; ///< When it ends.
+    FakeApprovals m_approvals;
+    std::set<std::tuple<std::string, std::uint32_t, std::uint32_t>> m_workingGangs; ///< Job, step and attempt of the gangs of which all members have run.
+    std::set<TaskName> m_endedDone; ///< Tasks that have ended as done at a worker that has not lost that end.
     FakeStore m_store;
     std::int64_t m_storeDownUntil = 0; ///< Until then the store is down and carries out no calls.
     bool m_isStoreUnresponsive = false; ///< Calls to a store that is down time out instead of being refused.
--- a/tests/cell_simulation_checks.cpp
+++ b/tests/cell_simulation_checks.cpp
@@ -12,15 +12,16 @@
     if (m_acknowledgedDone.contains(task))
         reportViolation("TWICE: " + attemptName + " started after the completion of the task was acknowledged");
     m_workerByRunningTask[task] = worker.m_id;
-    const auto usedCpuMilli = static_cast<std::int64_t>(worker.m_running.size() + 1) * worker.m_taskCpuMilli;
-    if (usedCpuMilli > countedCapacity(worker))
-        reportViolation("LIMIT: " + attemptName + " exceeds the worker's CPU capacity of " + std::to_string(countedCapacity(worker)));
     const auto job = m_jobById.find(task.m_job);
     if (job == m_jobById.end())
         return reportViolation("UNASKED: " + attemptName + " belongs to no submitted job");
+    Resources capacity = simulatedCapacity(m_options.m_needsApprovals);
+    capacity.m_cpuMilli = countedCapacity(worker);
+    if (!fitsInto(usedBy(worker) + stepOf(task).m_size, capacity))
+        reportViolation("LIMIT: " + attemptName + " exceeds the worker's capacity, of CPU " + std::to_string(capacity.m_cpuMilli));
     m_jobs[job->second].m_hasStarted = true;
     if (task.m_step > 0) {
-        // Steps have at most 6 tasks (see submit()), so that these indices cover every task of the previous step.
+        // Steps have at most 9 tasks (see makePlan()), so that these indices cover every task of the previous step.
         for (std::uint32_t i = 0; i < 64; ++i) {
             const TaskName previous { .m_job = task.m_job, .m_occurrence = 0, .m_step = task.m_step - 1, .m_index = i };
             if (m_workerByRunningTask.contains(previous))
@@ -33,13 +34,112 @@
 {
     const bool isAnnounced = m_now >= worker.m_shrunkAtMs + heartbeat.m_ms + contactTime.m_ms;
     const bool isInTouch = m_now >= m_disruptedUntil + contactTime.m_ms;
-    return isAnnounced && isInTouch && !m_isLateOrder ? worker.m_capacityCpuMilli : FakeLeaseWorker::fullCpuMilli;
+    return isAnnounced && isInTouch && !m_isLateOrder ? worker.m_capacityCpuMilli : simulatedCapacity(m_options.m_needsApprovals).m_cpuMilli;
+}
+
+Resources CellSimulation::usedBy(const FakeLeaseWorker& worker) const
+{
+    Resources used;
+    for (const auto& [task, run] : worker.m_running)
+        used = used + stepOf(task).m_size;
+    return used;
+}
+
+std::int64_t CellSimulation::countRoom(const ClientJob& job, std::uint32_t step, bool isFreeOnly) const
+{
+    constexpr std::int64_t maxPerWorker = 64;
+    const Resources& size = job.m_plan.m_steps.at(step).m_size;
+    std::int64_t room = 0;
+    for (const FakeLeaseWorker& worker : m_workers) {
+        const bool isUsable = !worker.m_isDown && !worker.m_isUnreachable;
+        if (!isUsable || !FakeApprovals::isApproved({ .m_job = job.m_id, .m_occurrence = 0, .m_step = step, .m_index = 0 }, worker.m_id, job.m_queue->m_approvedShare))
+            continue;
+        Resources free = simulatedCapacity(m_options.m_needsApprovals);
+        if (isFreeOnly)
+            free = free - usedBy(worker);
+        for (std::int64_t i = 0; i < maxPerWorker && fitsInto(size, free); ++i) {
+            free = free - size;
+            ++room;
+        }
+    }
+    return room;
+}
+
+std::optional<std::pair<std::uint32_t, std::uint32_t>> CellSimulation::openStepOf(const ClientJob& job) const
+{
+    for (std::uint32_t step = 0; step < job.m_plan.m_steps.size(); ++step) {
+        std::uint32_t open = 0;
+        for (std::uint32_t i = 0; i < job.m_plan.m_steps[step].m_count; ++i)
+            open += m_endedDone.contains({ .m_job = job.m_id, .m_occurrence = 0, .m_step = step, .m_index = i }) ? 0 : 1;
+        if (open > 0)
+            return std::pair { step, open };
+    }
+    return std::nullopt;
+}
+
+void CellSimulation::checkStandstill()
+{
+    constexpr std::int64_t standstill = 3'000;
+    if (m_now < m_loadEnd)
+        return;
+    Resources used;
+    Resources capacity;
+    for (const FakeLeaseWorker& worker : m_workers) {
+        if (worker.m_isDown)
+            continue;
+        used = used + usedBy(worker);
+        capacity = capacity + simulatedCapacity(m_options.m_needsApprovals);
+    }
+    const bool isHalfFree = used.m_cpuMilli * 2 < capacity.m_cpuMilli && used.m_gpus * 2 <= capacity.m_gpus;
+    std::set<std::string> running;
+    for (const auto& [task, worker] : m_workerByRunningTask)
+        running.insert(task.m_job);
+    for (ClientJob& job : m_jobs) {
+        const bool isOwed = job.m_isAccepted && !job.m_isCancelRequested && !job.m_isComplete && !running.contains(job.m_id);
+        const auto open = isOwed && isHalfFree ? openStepOf(job) : std::nullopt;
+        const std::int64_t needed = open && job.m_queue->m_isGang ? open->second : 1;
+        if (!open || countRoom(job, open->first, true) < 2 * needed) {
+            job.m_stillSince = 0;
+            continue;
+        }
+        if (job.m_stillSince == 0)
+            job.m_stillSince = m_now;
+        if (m_now - job.m_stillSince >= standstill && m_now >= m_loadEnd + m_options.m_finishTime.m_ms && !std::exchange(job.m_isStillReported, true))
+            reportViolation("LOST: job " + job.m_id + " of queue " + job.m_queue->m_name + " could run and has stood still since " + std::to_string(job.m_stillSince) + " ms, submitted at " + std::to_string(job.m_firstSentAt) + " ms");
+    }
+}
+
+void CellSimulation::checkRecovery()
+{
+    constexpr std::int64_t recoveryTime = 12'000; // The platform's bound, from the end of the fault.
+    constexpr std::int64_t latenessFactor = 3; // A result is of some use up to this multiple of its objective.
+    constexpr int leastShare = 4; // A quarter is to be served.
+    const std::int64_t lostAt = m_loadStart + m_options.m_powerLoss.m_at.m_ms;
+    const std::int64_t recoveredAt = lostAt + m_options.m_powerLoss.m_downTime.m_ms + recoveryTime;
+    int earlyJobs = 0;
+    int earlyServed = 0;
+    for (const ClientJob& job : m_jobs) {
+        const std::int64_t usefulUntil = job.m_firstSentAt + latenessFactor * objectiveOf(*job.m_queue, job.m_plan).m_ms;
+        const bool isServed = job.m_isComplete && job.m_completeAt <= usefulUntil;
+        const bool isEarly = usefulUntil < lostAt;
+        const bool isLate = job.m_firstSentAt >= recoveredAt;
+        if (job.m_isCancelRequested || job.m_firstSentAt == 0)
+            continue;
+        earlyJobs += isEarly ? 1 : 0;
+        earlyServed += isEarly && isServed ? 1 : 0;
+        m_result.m_lateJobs += isLate ? 1 : 0;
+        m_result.m_lateServed += isLate && isServed ? 1 : 0;
+    }
+    if (earlyServed * leastShare >= earlyJobs && m_result.m_lateServed * leastShare < m_result.m_lateJobs)
+        reportViolation("RECOVER: " + std::to_string(m_result.m_lateServed) + " of " + std::to_string(m_result.m_lateJobs) + " jobs that were submitted later than 12 s after the daemons were back were served");
 }
 
 void CellSimulation::finish()
 {
     for (SimulatedNode& node : m_nodes)
         stopNode(node, 0);
+    if (m_options.m_powerLoss.m_at.m_ms > 0)
+        checkRecovery();
     for (const ClientJob& job : m_jobs) {
         m_result.m_accepted += job.m_isAccepted ? 1 : 0;
         m_result.m_complete += job.m_isComplete ? 1 : 0;
--- a/tests/cell_simulation_clients.cpp
+++ b/tests/cell_simulation_clients.cpp
@@ -5,16 +5,57 @@
 
 using scheduler::JobStage;
 
+void CellSimulation::addJob(std::int64_t submitDelay)
+{
+    const std::size_t index = m_jobs.size();
+    ClientJob job;
+    job.m_id = std::to_string(1'000'000'000'000'000ULL + index);
+    m_jobById[job.m_id] = index;
+    job.m_body = std::to_string(1 + index % 3) + std::to_string(1 + index % 6) + "0";
+    if (m_options.m_needsApprovals)
+        chooseBody(job);
+    job.m_queue = &m_queues.at(static_cast<std::size_t>(job.m_body[2] - '0'));
+    job.m_plan = makePlan(m_queues, job.m_body);
+    m_jobs.push_back(job);
+    schedule(submitDelay, [this, index] { submit(index); });
+    if (randomBool(0.1))
+        schedule(submitDelay + randomBetween(100, 3'000), [this, index] { cancel(index, 0); });
+}
+
+void CellSimulation::chooseBody(ClientJob& job)
+{
+    int weights = 0;
+    for (const SimulatedQueue& queue : m_queues)
+        weights += queue.m_weight;
+    std::size_t index = 0;
+    for (std::int64_t draw = randomBetween(0, weights - 1); draw >= m_queues[index].m_weight; ++index)
+        draw -= m_queues[index].m_weight;
+    job.m_queue = &m_queues[index];
+    const std::int64_t steps = randomBetween(1, job.m_queue->m_maxSteps);
+    for (std::int64_t width = randomBetween(1, job.m_queue->m_maxWidth); width > 0; --width) {
+        job.m_body = std::to_string(steps) + std::to_string(width) + std::to_string(index);
+        job.m_plan = makePlan(m_queues, job.m_body);
+        bool fits = true;
+        for (std::uint32_t step = 0; step < steps; ++step)
+            fits = fits && countRoom(job, step, false) >= 2 * width;
+        if (fits)
+            return;
+    }
+    job.m_body = "110"; // Too few workers are approved; a task of the first queue takes its place.
+}
+
 void CellSimulation::submit(std::size_t index)
 {
     ClientJob& job = m_jobs[index];
     if (job.m_isAccepted || ++job.m_tries > maxClientTries)
         return;
+    if (job.m_firstSentAt == 0)
+        job.m_firstSentAt = m_now;
     SimulatedNode& node = m_nodes[static_cast<std::size_t>(randomBetween(0, m_options.m_nodes - 1))];
     const auto retry = [this, index] { schedule(clientRetryDelay.m_ms, [this, index] { submit(index); }); };
     if (!node.m_cell)
         return retry();
-    const ClientCall call { .m_verb = ClientVerb::Submit, .m_host = "h", .m_path = "/q/" + job.m_id, .m_body = std::to_string(1 + index % 3) + std::to_string(1 + index % 6), .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
+    const ClientCall call { .m_verb = ClientVerb::Submit, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = job.m_body, .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
     auto isAnswered = std::make_shared<bool>(false);
     schedule(clientTimeout.m_ms, [this, index, isAnswered, retry] {
         if (std::exchange(*isAnswered, true))
@@ -44,7 +85,7 @@
     SimulatedNode& node = m_nodes[static_cast<std::size_t>(randomBetween(0, m_options.m_nodes - 1))];
     if (!node.m_cell)
         return;
-    const ClientCall call { .m_verb = ClientVerb::Cancel, .m_host = "h", .m_path = "/q/" + job.m_id, .m_body = {}, .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
+    const ClientCall call { .m_verb = ClientVerb::Cancel, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = {}, .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
     deliverLater(node, node.m_isAlive, 1, [this, &node, call, index] {
         onClientCall(*node.m_cell, call, [this, index](const ClientReply& reply) {
             if (reply.m_status == ClientStatus::Cancelled && m_jobs[index].m_cancelAckedAt == 0)
@@ -61,7 +102,7 @@
     SimulatedNode& node = m_nodes[static_cast<std::size_t>(randomBetween(0, m_options.m_nodes - 1))];
     if (!node.m_cell)
         return;
-    const ClientCall call { .m_verb = ClientVerb::Query, .m_host = "h", .m_path = "/q/" + job.m_id, .m_body = {}, .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
+    const ClientCall call { .m_verb = ClientVerb::Query, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = {}, .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
     deliverLater(node, node.m_isAlive, 1, [this, &node, call, index] {
         onClientCall(*node.m_cell, call, [this, index](const ClientReply& reply) {
             ClientJob& queriedJob = m_jobs[index];
@@ -71,8 +112,8 @@
             const auto stage = static_cast<JobStage>(reply.m_stage);
             if (reply.m_status != ClientStatus::Known)
                 return;
-            if (stage == JobStage::Complete)
-                queriedJob.m_isComplete = true;
+            if (stage == JobStage::Complete && !std::exchange(queriedJob.m_isComplete, true))
+                queriedJob.m_completeAt = m_now;
             if (stage == JobStage::Failed || (stage == JobStage::Cancelled && !queriedJob.m_isCancelRequested))
                 reportViolation("LOST: job " + queriedJob.m_id + " is reported as failed, or as cancelled although its client sent no cancellation");
         });
--- a/tests/cell_simulation_faults.cpp
+++ b/tests/cell_simulation_faults.cpp
@@ -14,7 +14,7 @@
     for (FakeLeaseWorker& worker : m_workers) {
         if (count-- <= 0 || worker.m_isDown)
             continue;
-        worker.crash();
+        crashWorker(worker);
         schedule(randomBetween(20, 800), [this, &worker] {
             if (!worker.m_isDown)
                 return;
@@ -26,6 +26,46 @@
         schedule(randomBetween(400, 2'500), [this, times] { restartWorkers(m_options.m_workers / 3, times - 1); });
 }
 
+void CellSimulation::crashWorker(FakeLeaseWorker& worker)
+{
+    for (const EndedAttempt& ended : worker.m_ended) {
+        if (!m_acknowledgedDone.contains(ended.m_task))
+            m_endedDone.erase(ended.m_task);
+    }
+    worker.crash();
+}
+
+void CellSimulation::scheduleOutages()
+{
+    constexpr std::int64_t backlogTime = 1'500; // The leader can't run that many in this time.
+    const PowerLoss& loss = m_options.m_powerLoss;
+    const std::int64_t untilLoss = m_loadStart - m_now + loss.m_at.m_ms;
+    for (int i = 0; i < loss.m_backlogJobs; ++i)
+        addJob(untilLoss - randomBetween(0, backlogTime));
+    if (loss.m_at.m_ms > 0) {
+        schedule(untilLoss, [this, &loss] {
+            for (SimulatedNode& node : m_nodes)
+                stopNode(node, loss.m_downTime.m_ms);
+            m_disruptedUntil = std::max(m_disruptedUntil, m_now + loss.m_downTime.m_ms);
+        });
+    }
+    const RackWaves& waves = m_options.m_rackWaves;
+    for (int wave = 0; wave < waves.m_count; ++wave) {
+        schedule(m_loadStart - m_now + waves.m_first.m_ms + wave * waves.m_interval.m_ms, [this, &waves, wave] {
+            for (std::size_t i = 0; i < m_workers.size(); ++i) {
+                FakeLeaseWorker& worker = m_workers[i];
+                if (static_cast<int>(i) % rackCount != wave % rackCount || worker.m_isDown)
+                    continue;
+                crashWorker(worker);
+                schedule(waves.m_downTime.m_ms, [this, &worker] {
+                    worker.restart(m_now);
+                    announce(worker);
+                });
+            }
+        });
+    }
+}
+
 void CellSimulation::muteWorkers()
 {
     for (FakeLeaseWorker& worker : m_workers) {
@@ -115,7 +155,7 @@
         schedule(randomBetween(1'000, 9'000), [&worker] { worker.m_isUnreachable = false; });
         return;
     case 7:
-        worker.crash();
+        crashWorker(worker);
         schedule(randomBetween(300, 5'000), [this, &worker] {
             worker.restart(m_now);
             announce(worker);
@@ -133,13 +173,13 @@
 void CellSimulation::injectCapacityChange()
 {
     FakeLeaseWorker& worker = m_workers[static_cast<std::size_t>(randomBetween(0, m_options.m_workers - 1))];
-    if (worker.m_capacityCpuMilli < FakeLeaseWorker::fullCpuMilli)
+    if (worker.m_capacityCpuMilli < simulatedCapacity(m_options.m_needsApprovals).m_cpuMilli)
         return;
     worker.m_capacityCpuMilli = randomBetween(0, 3) * worker.m_taskCpuMilli;
     worker.m_shrunkAtMs = m_now;
     schedule(randomBetween(0, heartbeat.m_ms), [this, &worker] { announce(worker); });
     schedule(randomBetween(5'000, 12'000), [this, &worker] {
-        worker.m_capacityCpuMilli = FakeLeaseWorker::fullCpuMilli;
+        worker.m_capacityCpuMilli = simulatedCapacity(m_options.m_needsApprovals).m_cpuMilli;
         announce(worker);
     });
     if (!randomBool(0.5))
--- a/tests/cell_simulation_network.cpp
+++ b/tests/cell_simulation_network.cpp
@@ -20,9 +20,15 @@
         refused.m_status = StoreStatus::NotDone;
         return deliverLater(node, alive, delay, [onAnswer, refused] { onAnswer(refused); });
     }
-    const bool isLost = m_now < m_storeLossyUntil && randomBool(0.3);
+    const LossyWrites& lossy = m_options.m_lossyWrites;
+    const std::int64_t lossyFrom = m_loadStart + lossy.m_start.m_ms;
+    const bool mayLoseWrite = lossy.m_share > 0 && std::is_same_v<Answer, StoreAppendAnswer> && m_now >= lossyFrom && m_now < lossyFrom + lossy.m_length.m_ms;
+    const bool isWriteLost = mayLoseWrite && randomBool(lossy.m_share);
+    const bool isLost = isWriteLost || (m_now < m_storeLossyUntil && randomBool(0.3));
     // A call whose answer is lost may be carried out seconds after it was sent.
-    const std::int64_t extraDelay = isLost && randomBool(0.5) ? randomBetween(500, 4'000) : 0;
+    std::int64_t extraDelay = isLost && randomBool(0.5) ? randomBetween(500, 4'000) : 0;
+    if (isWriteLost)
+        extraDelay = randomBetween(1'000, 6'000);
     schedule(delay / 2 + extraDelay, [this, &node, alive, onAnswer, perform, delay, timeout, isLost] {
         const Answer result = perform();
         if (isLost || delay > timeout.m_ms)
@@ -104,7 +110,7 @@
         auto clock = std::make_shared<std::int64_t>(0);
         const auto perform = [this, start, clock](FakeLeaseWorker& worker) {
             *clock = worker.clockAt(m_now);
-            return worker.start(start.m_order, start.m_to.m_token, randomBetween(200, 1'500), m_now);
+            return worker.start(start.m_order, start.m_to.m_token, randomRunTime(start.m_order.m_task), m_now);
         };
         sendOrder(
             start.m_to, timeout, [onAnswer, clock](OrderStatus status) { onAnswer({ .m_status = status, .m_clockMs = *clock }); }, perform, node.m_isAlive);
@@ -130,8 +136,37 @@
                     sync.m_to, timeout, [onAnswer, report](OrderStatus status) { onAnswer(status, *report); }, perform, alive);
         });
     };
-    ports.m_requestApprovals = [](const TaskName&, const std::vector<std::string>&, Duration, const std::function<void(std::optional<std::vector<Approval>>)>& onAnswer) { onAnswer(std::nullopt); };
+    ports.m_requestApprovals = [this, &node](const TaskName& step, const std::vector<std::string>& workers, Duration timeout, const std::function<void(std::optional<std::vector<Approval>>)>& onAnswer) { requestApprovals(node, step, workers, timeout, onAnswer); };
     return ports;
 }
 
+std::int64_t CellSimulation::randomRunTime(const TaskName& task)
+{
+    const SimulatedQueue& queue = *jobOf(task).m_queue;
+    if (queue.m_isGang) // It works only once all members run; see tickGangs().
+        return maxPlanTime.m_ms;
+    return randomBetween(queue.m_shortestRunTime.m_ms, queue.m_longestRunTime.m_ms);
+}
+
+void CellSimulation::requestApprovals(SimulatedNode& node, const TaskName& step, const std::vector<std::string>& workers, Duration timeout, const std::function<void(std::optional<std::vector<Approval>>)>& onAnswer)
+{
+    const SimulatedQueue& queue = *jobOf(step).m_queue;
+    if (!queue.m_approval)
+        return onAnswer(std::nullopt);
+    ++m_result.m_approvalCalls;
+    const std::optional<std::int64_t> answeredAt = m_approvals.admit(node.m_name, *queue.m_approval, workers.size(), m_now);
+    if (!answeredAt)
+        return deliverLater(node, node.m_isAlive, 1, [onAnswer] { onAnswer(std::nullopt); });
+    if (*answeredAt - m_now > timeout.m_ms)
+        return deliverLater(node, node.m_isAlive, timeout.m_ms, [onAnswer] { onAnswer(std::nullopt); });
+    deliverLater(node, node.m_isAlive, *answeredAt - m_now, [this, &queue, step, workers, onAnswer] {
+        std::vector<Approval> approvals;
+        for (const std::string& id : workers) {
+            if (FakeApprovals::isApproved(step, id, queue.m_approvedShare))
+                approvals.push_back({ .m_worker = id, .m_ticket = FakeApprovals::makeTicket(step, *findWorker(id), queue.m_approval->m_validity, m_now) });
+        }
+        onAnswer(approvals);
+    });
+}
+
 } // namespace bulrushloft::test
--- a/tests/cell_soak_test.cpp
+++ b/tests/cell_soak_test.cpp
@@ -9,11 +9,7 @@
 #define BOOST_TEST_MODULE cell_soak
 #include <boost/test/unit_test.hpp>
 
-#include "cell_simulation.h"
-#include "core/log_func.h"
-
-#include <cstdlib>
-#include <iostream>
+#include "cell_worlds.h"
 
 using namespace bulrushloft;
 using namespace bulrushloft::test;
@@ -23,36 +19,11 @@
 constexpr std::uint64_t defaultSimulationCount = 25;
 constexpr std::uint64_t defaultSeed = 20261204;
 
-std::uint64_t fromEnvironment(const char* name, std::uint64_t fallback)
-{
-    const char* const text = std::getenv(name);
-    return text ? std::strtoull(text, nullptr, 10) : fallback;
-}
-
-void runSimulations(std::uint64_t seed, std::uint64_t count, CellSimulationOptions options)
-{
-    openLog({ .m_level = std::getenv("CELL_LOG") ? LogLevel::Info : LogLevel::Off, .m_process = "cell" });
-    std::uint64_t attempts = 0;
-    std::uint64_t terms = 0;
-    int accepted = 0;
-    for (std::uint64_t i = 0; i < count; ++i) {
-        options.m_seed = seed + i;
-        const CellSimulationResult result = runCellSimulation(options);
-        attempts += result.m_startedAttempts;
-        terms += result.m_terms;
-        accepted += result.m_accepted;
-        for (const std::string& violation : result.m_violations)
-            BOOST_ERROR("CELL_SEED=" << options.m_seed << " CELL_WORLDS=1: " << violation);
-    }
-    std::cout << count << " simulations from seed " << seed << ": " << accepted << " jobs accepted, " << attempts << " attempts, " << terms << " terms\n";
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_CASE(guarantees_hold_under_random_faults)
 {
     CellSimulationOptions options;
-    const auto intFromEnvironment = [](const char* name, int fallback) { return static_cast<int>(fromEnvironment(name, static_cast<std::uint64_t>(fallback))); };
     options.m_extraFaults = static_cast<std::uint32_t>(fromEnvironment("CELL_EXTRA", 0));
     options.m_stopsAtViolation = !std::getenv("CELL_GO_ON");
     options.m_faults = intFromEnvironment("CELL_FAULTS", options.m_faults);
--- a/tests/fakes/fake_lease_worker.h
+++ b/tests/fakes/fake_lease_worker.h
@@ -16,6 +16,7 @@
         std::uint32_t m_attempt = 0; ///< Attempt number.
         std::int64_t m_endsAtMs = 0; ///< Planned end on the worker's clock.
         bool m_isStopping = false; ///< A stop order has arrived; the attempt ends at the next tick.
+        std::int64_t m_startedAtMs = 0; ///< Start on the worker's clock.
     };
 
     std::string m_id; ///< Stays the same across restarts.
@@ -35,6 +36,7 @@
     std::uint64_t m_lastEndBeforeExpiry = 0; ///< Number of the latest end before the last tick with an expired lease; ends up to it count as not acknowledged, so m_onAck is not called for them.
     bool m_isUnreachable = false; ///< Network partition: attempts keep running, but orders are not delivered.
     bool m_isDown = false; ///< The process is not running.
+    std::function<bool(const FakeLeaseWorker&, const StartOrder&)> m_isTicketValid; ///< Whether the ticket of a start is valid; unset if none is needed.
     std::function<void(const FakeLeaseWorker&, const TaskName&, std::uint32_t)> m_onStart; ///< Called before an attempt starts.
     std::function<void(const FakeLeaseWorker&, const TaskName&, std::uint32_t, AttemptEnd)> m_onEnd; ///< Called after an attempt has ended.
     std::function<void(const FakeLeaseWorker&, const EndedAttempt&)> m_onAck; ///< Called for each end that the leader acknowledges, except those up to m_lastEndBeforeExpiry.
@@ -92,8 +94,10 @@
         const auto ended = m_highestEndedAttempt.find(order.m_task);
         if (ended != m_highestEndedAttempt.end() && order.m_attempt <= ended->second)
             return OrderStatus::Superseded;
+        if (m_isTicketValid && !m_isTicketValid(*this, order))
+            return OrderStatus::InvalidTicket;
         m_onStart(*this, order.m_task, order.m_attempt);
-        m_running[order.m_task] = { .m_attempt = order.m_attempt, .m_endsAtMs = clockAt(now) + runMs, .m_isStopping = false };
+        m_running[order.m_task] = { .m_attempt = order.m_attempt, .m_endsAtMs = clockAt(now) + runMs, .m_isStopping = false, .m_startedAtMs = clockAt(now) };
         return OrderStatus::Done;
     }
 
