--- a/tests/cell_simulation_base.h
+++ b/tests/cell_simulation_base.h
@@ -56,6 +56,7 @@
     bool m_isCancelRequested = false; ///< A cancellation was sent.
     bool m_hasStarted = false; ///< A worker has started a task of the job.
     bool m_isComplete = false; ///< A daemon has reported the job as complete.
+    bool m_isGivenUp = false; ///< A daemon has reported the job as failed, and it might be given up.
     std::int64_t m_cancelAckedAt = 0; ///< When a cancellation was first acknowledged; 0 before.
     std::int64_t m_acceptedAt = 0; ///< When a submission was first acknowledged; 0 before.
 };
@@ -126,6 +127,10 @@
     void checkStart(const FakeLeaseWorker& worker, const TaskName& task, std::uint32_t attempt);
     const ClientJob& jobOf(const TaskName& task) const { return m_jobs[m_jobById.at(task.m_job)]; }
     const StepPlan& stepOf(const TaskName& task) const { return jobOf(task).m_plan.m_steps.at(task.m_step); }
+    /** @return Whether workers crashed twice soon after they had started a task of the job, so that it may be given up (issue 24). */
+    bool mayBeGivenUp(const ClientJob& job) const;
+    /** @return How long the attempts under which workers crashed had run; empty if there were none. */
+    std::string describeCrashes(const ClientJob& job) const;
     /** @return The resources of all attempts on a worker. */
     Resources usedBy(const FakeLeaseWorker& worker) const;
     /** @return Number of tasks of a step that fit into the capacity, or what is free of it, of approved workers that run. */
@@ -149,6 +154,7 @@
     std::int64_t m_loadEnd = 0; ///< When it ends.
     FakeApprovals m_approvals;
     std::set<std::tuple<std::string, std::uint32_t, std::uint32_t>> m_workingGangs; ///< Job, step and attempt of the gangs of which all members have run.
+    std::map<TaskName, std::vector<std::int64_t>> m_agesAtCrash; ///< How long attempts of a task had run when their workers crashed, in ms.
     std::set<TaskName> m_endedDone; ///< Tasks that have ended as done at a worker that has not lost that end.
     FakeStore m_store;
     std::int64_t m_storeDownUntil = 0; ///< Until then the store is down and carries out no calls.
--- a/tests/cell_simulation_faults.cpp
+++ b/tests/cell_simulation_faults.cpp
@@ -32,6 +32,8 @@
         if (!m_acknowledgedDone.contains(ended.m_task))
             m_endedDone.erase(ended.m_task);
     }
+    for (const auto& [task, run] : worker.m_running)
+        m_agesAtCrash[task].push_back(worker.clockAt(m_now) - run.m_startedAtMs);
     worker.crash();
 }
 
--- a/tests/cell_worlds.h
+++ b/tests/cell_worlds.h
@@ -46,4 +46,23 @@
     std::cout << "\n";
 }
 
+/** @return Options of simulations in which all daemons lose power under a backlog and racks of workers crash, with a load that fits the workers. */
+inline CellSimulationOptions makeOutageOptions()
+{
+    CellSimulationOptions options;
+    options.m_nodes = intFromEnvironment("CELL_NODES", 8);
+    options.m_workers = intFromEnvironment("CELL_WORKERS", 40);
+    options.m_jobs = intFromEnvironment("CELL_JOBS", 220);
+    options.m_faults = 0;
+    options.m_lateOrderShare = 0;
+    options.m_needsApprovals = true;
+    options.m_powerLoss = { .m_at = { 8'000 }, .m_downTime = { 1'300 }, .m_backlogJobs = intFromEnvironment("CELL_BACKLOG", 40) };
+    options.m_rackWaves = { .m_count = intFromEnvironment("CELL_WAVES", 3), .m_first = { 7'000 }, .m_interval = { 7'000 }, .m_downTime = { 5'000 } };
+    options.m_finishTime = { 14'000 }; // The platform's finish_s.
+    options.m_stopsAtViolation = !std::getenv("CELL_GO_ON");
+    options.m_loadDuration = { 26'000 }; // So that jobs are submitted later than 12 s after the daemons are back, for RECOVER.
+    options.m_recoveryDuration = { 30'000 };
+    return options;
+}
+
 } // namespace bulrushloft::test
