--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -32,6 +32,9 @@
 DEFINE_int32(seconds, 12, "length of the load, in seconds");
 DEFINE_bool(approvals, false, "whether jobs need approvals");
 DEFINE_bool(faults, true, "whether faults are injected");
+DEFINE_int32(power_loss_ms, 0, "when all daemons lose power, in ms of the load; 0 for never");
+DEFINE_double(late_write_share, 0.45, "share of the store's writes that stay unanswered and are carried out 1 to 6 s later, from 2 s before the loss of power to the end");
+DEFINE_int32(backlog, 60, "jobs submitted at once, just before the loss of power");
 DEFINE_int32(relay_from_workers, 1'000, "number of workers from which on orders go through peers");
 
 namespace bulrushloft::soak {
@@ -40,6 +43,7 @@
 
     constexpr Duration startTime { 1'500 }; ///< Time for the daemons to elect a leader before the load.
     constexpr Duration maxSettlingTime { 40'000 }; ///< After the load and the faults every accepted job must complete within this time.
+    constexpr Duration finishTime { 14'000 }; ///< This long after the load no job may stand still although it could run; the platform's finish_s.
     constexpr std::uint16_t storePort = 7'500;
     constexpr std::uint16_t approvalsPort = 7'501;
     constexpr std::uint16_t clientsPort = 7'400;
@@ -76,8 +80,8 @@
             : m_seed(seed)
             , m_directory(std::move(directory))
             , m_store(m_platformLoop, seed)
-            , m_approvals(m_platformLoop)
-            , m_workers(m_platformLoop, m_store, { .m_pool = "pool", .m_count = FLAGS_workers, .m_cpuMilli = FLAGS_task_slots * 1'000, .m_taskCpuMilli = 1'000 }, makeObserver(), seed + 1)
+            , m_workers(m_platformLoop, m_store, { .m_pool = "pool", .m_count = FLAGS_workers, .m_cpuMilli = FLAGS_task_slots * 1'000, .m_taskCpuMilli = 1'000, .m_needsTickets = FLAGS_approvals }, makeObserver(), seed + 1)
+            , m_approvals(m_platformLoop, m_workers)
         {
         }
 
@@ -104,8 +108,8 @@
         EventLoop m_clientLoop { "clients" };
         EventLoop m_proxyLoop { "proxies" };
         StandInStore m_store;
-        StandInApprovals m_approvals;
         StandInWorkers m_workers;
+        StandInApprovals m_approvals;
         std::vector<SoakDaemon> m_daemons;
     };
 
@@ -146,9 +150,13 @@
     void Soak::settle()
     {
         constexpr Duration pollInterval { 100 };
-        const TimePoint until = steadyNow() + maxSettlingTime;
-        while (!m_history.openJobs().empty() && steadyNow() < until)
+        const TimePoint loadEnd = steadyNow();
+        bool isChecked = false;
+        while (!m_history.openJobs().empty() && steadyNow() < loadEnd + maxSettlingTime) {
+            if (steadyNow() >= loadEnd + finishTime && !std::exchange(isChecked, true))
+                std::cout << "  after " << finishTime.m_ms << " ms: " << m_history.checkStandstill(static_cast<std::size_t>(FLAGS_workers * FLAGS_task_slots)) << std::endl;
             std::this_thread::sleep_for(std::chrono::milliseconds(pollInterval.m_ms));
+        }
         m_history.finish();
     }
 
@@ -174,8 +182,10 @@
         FaultInjector faults({ .m_platformLoop = m_platformLoop, .m_store = m_store, .m_workers = m_workers, .m_daemons = m_daemons, .m_clients = clients, .m_history = m_history, .m_workerCount = FLAGS_workers, .m_makeConfig = makeConfig }, m_seed + 3);
         clients.start();
         const Duration length { FLAGS_seconds * 1'000 };
-        if (FLAGS_faults)
-            faults.run(length);
+        if (FLAGS_power_loss_ms > 0)
+            faults.schedulePowerLoss({ FLAGS_power_loss_ms }, FLAGS_backlog, FLAGS_late_write_share);
+        if (FLAGS_faults || FLAGS_power_loss_ms > 0)
+            faults.run(length, FLAGS_faults);
         else
             std::this_thread::sleep_for(std::chrono::milliseconds(length.m_ms));
         clients.stop();
--- a/tests/soak/soak_clients.cpp
+++ b/tests/soak/soak_clients.cpp
@@ -64,6 +64,24 @@
 {
     if (m_isStopped)
         return;
+    submitJob();
+    const double meanGapMs = 1'000 / m_load.m_jobsPerSecond;
+    const auto gapMs = static_cast<std::int64_t>(std::exponential_distribution<double>(1 / meanGapMs)(m_random));
+    if (gapMs > 0)
+        return m_loop.runAfter({ gapMs }, [this] { submitNext(); });
+    m_loop.post([this] { submitNext(); });
+}
+
+void SoakClients::submitBacklog(int jobs)
+{
+    m_loop.post([this, jobs] {
+        for (int i = 0; i < jobs; ++i)
+            submitJob();
+    });
+}
+
+void SoakClients::submitJob()
+{
     char text[17];
     std::snprintf(text, sizeof(text), "%016llx", static_cast<unsigned long long>(m_random()));
     const std::string job = text;
@@ -82,11 +100,6 @@
     const bool isCancelled = std::uniform_real_distribution<double>(0, 1)(m_random) < m_load.m_cancelShare;
     if (isCancelled)
         m_loop.runAfter({ randomBetween(100, 1'500) }, [this, job] { cancel(job, 0); });
-    const double meanGapMs = 1'000 / m_load.m_jobsPerSecond;
-    const auto gapMs = static_cast<std::int64_t>(std::exponential_distribution<double>(1 / meanGapMs)(m_random));
-    if (gapMs > 0)
-        return m_loop.runAfter({ gapMs }, [this] { submitNext(); });
-    m_loop.post([this] { submitNext(); });
 }
 
 void SoakClients::submit(const std::string& job, const std::string& body, int tries, TimePoint deadline)
--- a/tests/soak/soak_clients.h
+++ b/tests/soak/soak_clients.h
@@ -31,11 +31,15 @@
     /** Ends the submissions; open jobs are still followed. May be called from any thread. */
     void stop();
 
+    /** Submits further jobs at once; may be called from any thread. */
+    void submitBacklog(int jobs);
+
     /** Sets whether a fault is in force or was shortly before. */
     void setDisturbed(bool isDisturbed) { m_isDisturbed = isDisturbed; }
 
 private:
     void submitNext();
+    void submitJob();
     void submit(const std::string& job, const std::string& body, int tries, TimePoint deadline);
     void query(const std::string& job);
     void cancel(const std::string& job, int tries);
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -47,7 +47,6 @@
     const Duration length { randomBetween(500, 4'000) };
     SoakDaemon& daemon = anyDaemon();
     const auto endAfter = [&](std::function<void()> action) { m_ends.push_back({ now + length, std::move(action) }); };
-    const auto applyStoreFaults = [this] { onPlatform([this, faults = m_storeFaults] { m_targets.m_store.setFaults(faults); }); };
     const int worker = static_cast<int>(randomBetween(0, m_targets.m_workerCount - 1));
     std::cout << "  fault " << static_cast<int>(kind) << " for " << length.m_ms << " ms at " << daemon.m_process->setup().m_name << std::endl;
     switch (kind) {
@@ -86,18 +85,18 @@
         m_storeFaults.m_isSilent = randomBetween(0, 1) == 1;
         applyStoreFaults();
         disturbAll(length);
-        return endAfter([this, applyStoreFaults] { m_storeFaults.m_isDown = false; applyStoreFaults(); });
+        return endAfter([this] { m_storeFaults.m_isDown = false; applyStoreFaults(); });
     case Kind::StoreSlow:
         m_storeFaults.m_delay = { randomBetween(50, 700) };
         applyStoreFaults();
         disturbAll(length);
-        return endAfter([this, applyStoreFaults] { m_storeFaults.m_delay = {}; applyStoreFaults(); });
+        return endAfter([this] { m_storeFaults.m_delay = {}; applyStoreFaults(); });
     case Kind::StoreLossy:
         m_storeFaults.m_lostAnswerShare = 0.3;
-        m_storeFaults.m_lateAppendShare = 0.1;
+        m_storeFaults.m_lateAppendShare = std::max(m_lastingLateShare, 0.1);
         applyStoreFaults();
         disturbAll(length + Duration { 4'000 });
-        return endAfter([this, applyStoreFaults] { m_storeFaults.m_lostAnswerShare = 0; m_storeFaults.m_lateAppendShare = 0; applyStoreFaults(); });
+        return endAfter([this] { m_storeFaults.m_lostAnswerShare = 0; m_storeFaults.m_lateAppendShare = m_lastingLateShare; applyStoreFaults(); });
     case Kind::Compact:
         return onPlatform([this] { m_targets.m_store.compact(); });
     case Kind::WorkerCrash:
@@ -108,11 +107,7 @@
         onPlatform([this] { m_targets.m_workers.setLateOrderShare(0.1); });
         return endAfter([this] { onPlatform([this] { m_targets.m_workers.setLateOrderShare(0); }); });
     case Kind::KillAll:
-        for (SoakDaemon& each : m_targets.m_daemons) {
-            each.m_isEndExpected = true;
-            each.m_process->signal(SIGKILL);
-            each.m_restartAt = now + Duration { randomBetween(200, 800) };
-        }
+        killAll({ 200 }, { 800 });
         return disturbAll(length);
     case Kind::ChangeConfig:
     case Kind::KindCount:
@@ -122,6 +117,36 @@
     }
 }
 
+void FaultInjector::killAll(Duration shortestDownTime, Duration longestDownTime)
+{
+    for (SoakDaemon& daemon : m_targets.m_daemons) {
+        daemon.m_isEndExpected = true;
+        daemon.m_process->signal(SIGKILL);
+        daemon.m_restartAt = steadyNow() + Duration { randomBetween(shortestDownTime.m_ms, longestDownTime.m_ms) };
+    }
+}
+
+void FaultInjector::schedulePowerLoss(Duration at, int backlog, double lateShare)
+{
+    constexpr Duration lossyBefore { 2'000 };
+    constexpr Duration backlogBefore { 500 };
+    constexpr Duration downTime { 1'300 };
+    constexpr Duration untilEnd { 600'000 };
+    const TimePoint lostAt = steadyNow() + at;
+    m_ends.push_back({ lostAt - lossyBefore, [this, lateShare, untilEnd] {
+                          m_lastingLateShare = lateShare;
+                          m_storeFaults.m_lateAppendShare = m_lastingLateShare;
+                          m_storeFaults.m_longestLateness = { 6'000 };
+                          applyStoreFaults();
+                          disturbAll(untilEnd);
+                      } });
+    m_ends.push_back({ lostAt - backlogBefore, [this, backlog] { m_targets.m_clients.submitBacklog(backlog); } });
+    m_ends.push_back({ lostAt, [this, downTime] {
+                          std::cout << "  power lost" << std::endl;
+                          killAll(downTime, downTime);
+                      } });
+}
+
 void FaultInjector::endDue(TimePoint now)
 {
     std::vector<End> due;
@@ -185,7 +210,7 @@
     }
 }
 
-void FaultInjector::run(Duration length)
+void FaultInjector::run(Duration length, bool hasRandomFaults)
 {
     const TimePoint end = steadyNow() + length;
     TimePoint nextFaultAt = steadyNow() + Duration { 500 };
@@ -193,7 +218,7 @@
         return m_ends.empty() && std::none_of(m_targets.m_daemons.begin(), m_targets.m_daemons.end(), [](const SoakDaemon& daemon) { return daemon.m_restartAt.m_ms > 0 || daemon.m_resumeAt.m_ms > 0; });
     };
     for (TimePoint now = steadyNow(); now < end || !isCalm(); now = steadyNow()) {
-        if (now >= nextFaultAt && now < end) {
+        if (hasRandomFaults && now >= nextFaultAt && now < end) {
             inject(static_cast<Kind>(randomBetween(0, static_cast<std::int64_t>(Kind::KindCount) - 1)));
             nextFaultAt = now + Duration { randomBetween(200, 1'800) };
         }
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -41,8 +41,18 @@
 public:
     FaultInjector(const FaultTargets& targets, std::uint64_t seed);
 
-    /** Injects faults for a time, then ends all of them; returns when all daemons run undisturbed. */
-    void run(Duration length);
+    /**
+     * Schedules a loss of power of all daemons under a backlog of jobs. From shortly before it to the end of the soak, the store leaves a
+     * share of its writes unanswered and carries them out seconds later.
+     * @param at Time from now. @param backlog Number of jobs. @param lateShare The share, 0 to 1.
+     */
+    void schedulePowerLoss(Duration at, int backlog, double lateShare);
+
+    /**
+     * Injects faults for a time, then ends all of them; returns when all daemons run.
+     * @param hasRandomFaults Whether there are others than a scheduled loss of power.
+     */
+    void run(Duration length, bool hasRandomFaults);
 
 private:
     /** Kinds of faults. */
@@ -73,6 +83,11 @@
     };
 
     void inject(Kind kind);
+    void killAll(Duration shortestDownTime, Duration longestDownTime);
+    void applyStoreFaults()
+    {
+        onPlatform([this, faults = m_storeFaults] { m_targets.m_store.setFaults(faults); });
+    }
     void endDue(TimePoint now);
     void superviseProcesses(TimePoint now);
     void checkConfig(TimePoint now);
@@ -86,6 +101,7 @@
     std::mt19937_64 m_random;
     std::vector<End> m_ends;
     StoreFaults m_storeFaults;
+    double m_lastingLateShare = 0; ///< Share of late appends outside of the faults that end.
     std::uint64_t m_configVersion = 1; ///< Newest version that the operator has written.
     TimePoint m_configWrittenAt;
     TimePoint m_nextConfigCheckAt;
--- a/tests/soak/soak_history.cpp
+++ b/tests/soak/soak_history.cpp
@@ -28,6 +28,7 @@
         return;
     history.m_isAccepted = true;
     history.m_acceptedAt = steadyNow();
+    history.m_idleSince = std::max(history.m_idleSince, history.m_acceptedAt);
     ++m_counts.m_accepted;
 }
 
@@ -111,6 +112,7 @@
         return reportLocked("UNASKED: " + name + " belongs to no submitted job");
     JobHistory& history = job->second;
     history.m_hasStarted = true;
+    ++history.m_runningTasks;
     if (history.m_isRefused)
         reportLocked("REFUSED: " + name + " starts, and its job was refused");
     if (history.m_cancelledAt.m_ms > 0 && steadyNow() - history.m_cancelledAt > cancelLimit)
@@ -126,9 +128,12 @@
     const std::lock_guard lock(m_mutex);
     m_workerByRunningTask.erase(task);
     --m_runningByWorker[worker];
-    if (end != AttemptEnd::Done || !m_done.insert(task).second)
+    const auto job = m_jobs.find(task.m_job);
+    if (job == m_jobs.end())
         return;
-    if (const auto job = m_jobs.find(task.m_job); job != m_jobs.end())
+    --job->second.m_runningTasks;
+    job->second.m_idleSince = steadyNow();
+    if (end == AttemptEnd::Done && m_done.insert(task).second)
         ++job->second.m_doneTasks;
 }
 
@@ -156,6 +161,23 @@
     return open;
 }
 
+std::string SoakHistory::checkStandstill(std::size_t slots)
+{
+    constexpr Duration standstill { 3'000 };
+    const std::vector<std::string> open = openJobs();
+    const std::lock_guard lock(m_mutex);
+    const bool isHalfFree = m_workerByRunningTask.size() * 2 < slots;
+    std::size_t endedJobs = 0;
+    for (const std::string& id : open) {
+        const JobHistory& job = m_jobs.at(id);
+        const bool hasOpenTasks = job.m_doneTasks < job.m_width * job.m_steps;
+        endedJobs += hasOpenTasks ? 0 : 1;
+        if (isHalfFree && hasOpenTasks && job.m_runningTasks == 0 && steadyNow() - job.m_idleSince >= standstill)
+            reportLocked("LOST: accepted job " + id + " could run and has stood still for " + std::to_string((steadyNow() - job.m_idleSince).m_ms) + " ms");
+    }
+    return std::to_string(open.size()) + " jobs open, " + std::to_string(endedJobs) + " of them with all tasks done, " + std::to_string(m_workerByRunningTask.size()) + " of " + std::to_string(slots) + " slots in use";
+}
+
 void SoakHistory::finish()
 {
     for (const std::string& job : openJobs())
--- a/tests/soak/soak_history.h
+++ b/tests/soak/soak_history.h
@@ -38,6 +38,8 @@
     bool m_isComplete = false; ///< The job was shown as complete.
     std::uint32_t m_doneTasks = 0; ///< Tasks that have ended done.
     bool m_hasStarted = false; ///< A task has started.
+    std::uint32_t m_runningTasks = 0; ///< Tasks that are running.
+    TimePoint m_idleSince; ///< When it was accepted, or its latest attempt ended.
 };
 
 /**
@@ -63,6 +65,13 @@
     /** Records a broken promise. */
     void report(const std::string& violation);
 
+    /**
+     * Checks that no accepted job has stood still for 3 s with most of the room free.
+     * @param slots Number of tasks that all workers can hold.
+     * @return A line on the accepted jobs that are open.
+     */
+    std::string checkStandstill(std::size_t slots);
+
     /** Checks at the end that every accepted job has completed or was cancelled. */
     void finish();
 
--- a/tests/soak/stand_in_store.cpp
+++ b/tests/soak/stand_in_store.cpp
@@ -14,7 +14,6 @@
 
     constexpr Duration pollInterval { 5 };
     constexpr std::int64_t minLateMs = 1'000;
-    constexpr std::int64_t maxLateMs = 4'000;
 
     /** @return Value of a query parameter, with %XX escapes decoded; empty when it is absent. */
     std::string parameterOf(const std::string& target, const std::string& name)
@@ -139,7 +138,7 @@
         return;
     }
     if (isDrawn(m_faults.m_lateAppendShare)) {
-        const Duration delay { std::uniform_int_distribution<std::int64_t>(minLateMs, maxLateMs)(m_random) };
+        const Duration delay { std::uniform_int_distribution<std::int64_t>(minLateMs, m_faults.m_longestLateness.m_ms)(m_random) };
         return m_loop.runAfter(delay, [this, request] { append(request); });
     }
     if (m_faults.m_delay.m_ms > 0)
--- a/tests/soak/stand_in_store.h
+++ b/tests/soak/stand_in_store.h
@@ -17,6 +17,7 @@
     Duration m_delay; ///< Added to the answer of each call.
     double m_lostAnswerShare = 0; ///< Share of appends, 0 to 1, that are carried out but not answered.
     double m_lateAppendShare = 0; ///< Share of appends, 0 to 1, that are carried out seconds later and not answered.
+    Duration m_longestLateness { 4'000 }; ///< How long after their arrival those are carried out at most; 1 s at least.
 };
 
 /** The store. All functions run on the thread of its event loop. */
--- a/tests/soak/stand_in_workers.cpp
+++ b/tests/soak/stand_in_workers.cpp
@@ -33,6 +33,8 @@
             return "old";
         case OrderStatus::LeaseExpired:
             return "late";
+        case OrderStatus::InvalidTicket:
+            return "ticket";
         default:
             return "room";
         }
@@ -118,6 +120,8 @@
         worker.m_clockOriginMs = steadyNow().m_ms - i * 1'000;
         worker.m_capacityCpuMilli = fleet.m_cpuMilli;
         worker.m_taskCpuMilli = fleet.m_taskCpuMilli;
+        if (fleet.m_needsTickets)
+            worker.m_isTicketValid = [](const test::FakeLeaseWorker& asked, const StartOrder& order) { return test::FakeApprovals::isValid(order.m_ticket, order.m_task, asked, steadyNow().m_ms); };
         worker.m_onStart = [this](const test::FakeLeaseWorker& started, const TaskName& task, std::uint32_t attempt) { m_observer.m_onStart(started.m_id, task, attempt); };
         worker.m_onEnd = [this](const test::FakeLeaseWorker& ended, const TaskName& task, std::uint32_t attempt, AttemptEnd end) { m_observer.m_onEnd(ended.m_id, task, attempt, end); };
         worker.m_onAck = [this](const test::FakeLeaseWorker& acknowledged, const EndedAttempt& end) { m_observer.m_onAck(acknowledged.m_id, end); };
@@ -209,7 +213,7 @@
     const TaskName task = platform::decodeTaskName(body.at("task").get<std::string>()).value();
     const auto attempt = body.at("attempt").get<std::uint32_t>();
     if (request.m_target == "/bulrushloft/run-start") {
-        const StartOrder order { .m_task = task, .m_attempt = attempt, .m_payload = body.at("spec"), .m_leaseUntilMs = body.at("deadline_ms"), .m_checkpoint = {}, .m_ticket = {} };
+        const StartOrder order { .m_task = task, .m_attempt = attempt, .m_payload = body.at("spec"), .m_leaseUntilMs = body.at("deadline_ms"), .m_checkpoint = {}, .m_ticket = body.value("ticket", std::string {}) };
         return respondStatus(worker.start(order, token, runTimeOf(order.m_payload), now));
     }
     respondStatus(worker.stop({ .m_task = task, .m_attempt = attempt }, token));
@@ -238,8 +242,22 @@
     m_loop.runAfter(tickInterval, [this] { tick(); });
 }
 
-StandInApprovals::StandInApprovals(EventLoop& loop)
+std::optional<std::string> StandInWorkers::approve(const std::string& step, const std::string& worker) const
+{
+    constexpr Duration validity { 2'000 }; // As in the configuration.
+    constexpr double approvedShare = 0.6;
+    const TaskName task = platform::decodeTaskName(step + ".0").value();
+    for (std::size_t i = 0; i < m_members.size(); ++i) {
+        const test::FakeLeaseWorker& asked = m_members[i]->m_worker;
+        if (asked.m_id == worker && (test::FakeApprovals::isApproved(task, worker, approvedShare) || i == stableHash(step) % m_members.size()))
+            return test::FakeApprovals::makeTicket(task, asked, validity, steadyNow().m_ms);
+    }
+    return std::nullopt;
+}
+
+StandInApprovals::StandInApprovals(EventLoop& loop, const StandInWorkers& workers)
     : m_loop(loop)
+    , m_workers(workers)
     , m_server(loop)
 {
 }
@@ -248,14 +266,15 @@
 {
     return m_server.listen({ .m_address = address }, [this](const HttpRequest& request, const HttpResponder& respond) {
         constexpr std::int64_t baseMs = 25;
-        constexpr std::uint64_t approvedOfTen = 6;
         const Json body = Json::parse(viewOf(request.m_body));
-        Json approved = Json::array();
-        for (const Json& worker : body.at("workers")) {
-            if (stableHash(worker.get<std::string>(), stableHash(body.at("step").get<std::string>())) % 10 < approvedOfTen)
-                approved.push_back(Json::array({ worker, "ticket" }));
-        }
-        m_loop.runAfter({ baseMs + static_cast<std::int64_t>(body.at("workers").size()) / 2 }, [respond, approved] { respond(jsonResponse(200, { { "approved", approved } })); });
+        m_loop.runAfter({ baseMs + static_cast<std::int64_t>(body.at("workers").size()) / 2 }, [this, respond, body] {
+            Json approved = Json::array();
+            for (const Json& worker : body.at("workers")) {
+                if (const auto ticket = m_workers.approve(body.at("step").get<std::string>(), worker.get<std::string>()))
+                    approved.push_back(Json::array({ worker, *ticket }));
+            }
+            respond(jsonResponse(200, { { "approved", approved } }));
+        });
     });
 }
 
--- a/tests/soak/stand_in_workers.h
+++ b/tests/soak/stand_in_workers.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "connection/http_server.h"
+#include "fake_approvals.h"
 #include "fake_lease_worker.h"
 #include "stand_in_store.h"
 
@@ -22,6 +23,7 @@
     int m_count = 8; ///< Number of workers; each listens on an address of its own.
     std::int64_t m_cpuMilli = 8'000; ///< Capacity of each worker in thousandths of a core.
     std::int64_t m_taskCpuMilli = 1'000; ///< CPU use of each task, for the check of the capacity.
+    bool m_needsTickets = false; ///< Whether starts need a ticket of the approval service.
     double m_lateOrderShare = 0; ///< Share of orders, 0 to 1, that are not answered and carried out seconds later.
 };
 
@@ -40,6 +42,9 @@
     /** A worker stops answering for a time; what it runs goes on. */
     void silence(int index, Duration length);
 
+    /** @return A ticket for a step on the present process of a worker; nothing if the worker is not approved for it, which never changes. At least one is approved. */
+    std::optional<std::string> approve(const std::string& step, const std::string& worker) const;
+
     /** Sets the share of orders that are carried out late. */
     void setLateOrderShare(double share) { m_fleet.m_lateOrderShare = share; }
 
@@ -60,16 +65,17 @@
     std::vector<std::unique_ptr<Member>> m_members;
 };
 
-/** Answers approval requests: a hash of step and worker decides, so that an answer never changes. */
+/** Answers approval requests. */
 class StandInApprovals {
 public:
-    explicit StandInApprovals(EventLoop& loop);
+    StandInApprovals(EventLoop& loop, const StandInWorkers& workers);
 
     /** Starts serving. @return An error when the address can't be bound. */
     Expected<void> listen(const Address& address);
 
 private:
     EventLoop& m_loop;
+    const StandInWorkers& m_workers;
     HttpServer m_server;
 };
 
