--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -154,7 +154,7 @@
         bool isChecked = false;
         while (!m_history.openJobs().empty() && steadyNow() < loadEnd + maxSettlingTime) {
             if (steadyNow() >= loadEnd + finishTime && !std::exchange(isChecked, true))
-                std::cout << "  after " << finishTime.m_ms << " ms: " << m_history.checkStandstill(static_cast<std::size_t>(FLAGS_workers * FLAGS_task_slots)) << std::endl;
+                std::cout << "  after " << finishTime.m_ms << " ms: " << m_history.checkStandstill(static_cast<std::size_t>(FLAGS_workers) * static_cast<std::size_t>(FLAGS_task_slots)) << std::endl;
             std::this_thread::sleep_for(std::chrono::milliseconds(pollInterval.m_ms));
         }
         m_history.finish();
