--- /dev/null
+++ b/tests/cell_worlds.h
@@ -0,0 +1,68 @@
+/** @file cell_worlds.h Runs of simulated cells with consecutive seeds, with settings from the environment. */
+#pragma once
+
+#include "cell_simulation.h"
+#include "core/log_func.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+namespace bulrushloft::test {
+
+inline std::uint64_t fromEnvironment(const char* name, std::uint64_t fallback)
+{
+    const char* const text = std::getenv(name);
+    return text ? std::strtoull(text, nullptr, 10) : fallback;
+}
+
+inline int intFromEnvironment(const char* name, int fallback)
+{
+    return static_cast<int>(fromEnvironment(name, static_cast<std::uint64_t>(fallback)));
+}
+
+/** Runs simulations; each violation is an error whose message begins with the settings that replay it. */
+inline void runSimulations(std::uint64_t seed, std::uint64_t count, CellSimulationOptions options)
+{
+    openLog({ .m_level = std::getenv("CELL_LOG") ? LogLevel::Info : LogLevel::Off, .m_process = "cell" });
+    CellSimulationResult total;
+    for (std::uint64_t i = 0; i < count; ++i) {
+        options.m_seed = seed + i;
+        const CellSimulationResult result = runCellSimulation(options);
+        total.m_startedAttempts += result.m_startedAttempts;
+        total.m_terms += result.m_terms;
+        total.m_accepted += result.m_accepted;
+        total.m_approvalCalls += result.m_approvalCalls;
+        total.m_refusedTickets += result.m_refusedTickets;
+        total.m_lateJobs += result.m_lateJobs;
+        total.m_lateServed += result.m_lateServed;
+        for (const std::string& violation : result.m_violations)
+            BOOST_ERROR("CELL_SEED=" << options.m_seed << " CELL_WORLDS=1: " << violation);
+    }
+    std::cout << count << " simulations from seed " << seed << ": " << total.m_accepted << " jobs accepted, " << total.m_startedAttempts << " attempts, " << total.m_terms << " terms";
+    if (options.m_needsApprovals)
+        std::cout << ", " << total.m_approvalCalls << " approval calls, " << total.m_refusedTickets << " refused tickets, " << total.m_lateServed << " of " << total.m_lateJobs << " served after recovery";
+    std::cout << "\n";
+}
+
+/** @return Options of simulations in which all daemons lose power under a backlog and racks of workers crash, with a load that fits the workers. */
+inline CellSimulationOptions makeOutageOptions()
+{
+    CellSimulationOptions options;
+    options.m_nodes = intFromEnvironment("CELL_NODES", 8);
+    options.m_workers = intFromEnvironment("CELL_WORKERS", 40);
+    options.m_jobs = intFromEnvironment("CELL_JOBS", 220);
+    options.m_faults = 0;
+    options.m_lateOrderShare = 0;
+    options.m_needsApprovals = true;
+    options.m_powerLoss = { .m_at = { 8'000 }, .m_downTime = { 1'300 }, .m_backlogJobs = intFromEnvironment("CELL_BACKLOG", 40) };
+    options.m_rackWaves = { .m_count = intFromEnvironment("CELL_WAVES", 3), .m_first = { 7'000 }, .m_interval = { 7'000 }, .m_downTime = { 5'000 } };
+    options.m_finishTime = { 14'000 }; // The platform's finish_s.
+    options.m_stopsAtViolation = !std::getenv("CELL_GO_ON");
+    options.m_loadDuration = { 26'000 }; // So that jobs are submitted later than 12 s after the daemons are back, for RECOVER.
+    options.m_recoveryDuration = { 30'000 };
+    return options;
+}
+
+} // namespace bulrushloft::test
