Copies of the fence and of claims don't wait for unanswered writes to the topic of jobs

Cause: the delay of a copy grew with the unanswered direct writes of the VM, which another partition carries out. Change: only direct and relayed writes, which share a partition, wait longer for one another. Test: unanswered_writes_to_the_topic_of_jobs_do_not_delay_the_copies_of_the_fence failed before (1 attempt in 2 s).

--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -25,8 +25,9 @@
 /**
  * How long the latest attempt of a hedged append may stay unanswered. From the third attempt on it doubles, so that a slow or silent store
  * gets few; only twice when the store has answered another call since, as the answer is then probably lost.
+ * @param openAttempts Unanswered attempts of other appends that the same partition may carry out before.
  */
-Duration appendHedgeDelay(const CellNode& node, const HedgedCall& call);
+Duration appendHedgeDelay(const CellNode& node, const HedgedCall& call, std::uint32_t openAttempts = 0);
 
 /**
  * Sends an append whose records may be stored more than once, and sends it again in parallel while it is unanswered.
--- a/src/process/cell/hedged_append.cpp
+++ b/src/process/cell/hedged_append.cpp
@@ -44,7 +44,7 @@
     std::erase_if(node.m_hedgedAppends, [](const std::shared_ptr<HedgedAppend>& append) { return !append->m_onAnswer; });
     const std::vector<std::shared_ptr<HedgedAppend>> unanswered = node.m_hedgedAppends; // Answers may begin further appends.
     for (const std::shared_ptr<HedgedAppend>& append : unanswered) {
-        if (append->m_until - node.m_now >= minTimeout && isAttemptDue(append->m_call, appendHedgeDelay(node, append->m_call), node.m_now, maxInFlight))
+        if (append->m_until - node.m_now >= minTimeout && isAttemptDue(append->m_call, appendHedgeDelay(node, append->m_call, node.m_openHedgedAttempts), node.m_now, maxInFlight))
             sendAttempt(node, append);
     }
 }
--- a/tests/lost_write_answers_test.cpp
+++ b/tests/lost_write_answers_test.cpp
@@ -187,6 +187,19 @@
     }
 }
 
+// After a loss of all VMs the copies of the fence waited for seconds, once for each unanswered write to the topic of jobs, which another partition carries out.
+BOOST_AUTO_TEST_CASE(unanswered_writes_to_the_topic_of_jobs_do_not_delay_the_copies_of_the_fence)
+{
+    Simulation simulation({}, 1);
+    simulation.runUntil([&] { return simulation.m_node->m_role == Role::Claiming; }); // The claim is under way and will be answered.
+    simulation.m_behaviour.m_isSilent = true;
+    simulation.runUntil([&] { return simulation.m_node->m_role == Role::Loading; });
+    simulation.m_node->m_appendLatency = { 240 };
+    simulation.m_node->m_openHedgedAttempts = 20;
+    simulation.runUntil([&] { return simulation.m_node->m_role == Role::Leading; }, 2'000);
+    BOOST_TEST(simulation.m_appends["keyed.progress"] >= 2);
+}
+
 // An unanswered claim was repeated after a second only, by the same way as the first one.
 BOOST_AUTO_TEST_CASE(a_claim_is_accepted_in_time_while_answers_are_lost)
 {
