A slow store that loses answers gets a copy before an attempt's time is over

Cause: on a slow store the delay of a copy equals the time-out of the attempt before, so the copy was never beside it. The loss was never noticed, and each lost answer cost the whole time-out. Change: once an attempt of an append has ended without an answer while the store answered other calls, or answers are known to be lost, a copy follows after half of the time-out. A store that is only slow gets none for it: its attempts end in time. Test: a_slow_store_that_loses_answers_gets_a_copy_before_the_time_is_over failed before (one attempt in the time).

--- a/src/process/cell/append_pipeline.cpp
+++ b/src/process/cell/append_pipeline.cpp
@@ -58,7 +58,8 @@
         const std::size_t limit = isLossKnown(pipeline, now) ? maxInFlightWhenLossy : maxInFlight + (hasReplied ? 1 : 0);
         if (pipeline.m_openAttempts >= maxOpenAttempts || oldest.m_inFlight.size() >= limit)
             return false;
-        const Duration delay = firstHedgeDelay(pipeline, now);
+        const bool isLossLikely = isLossKnown(pipeline, now) || (oldest.m_unanswered > 0 && hasReplied);
+        const Duration delay = isLossLikely ? std::min(firstHedgeDelay(pipeline, now), appendTimeout(pipeline) / 2) : firstHedgeDelay(pipeline, now);
         const Duration grownDelay = std::max(delay, std::min(delay * (std::int64_t { 1 } << std::min(oldest.m_hedges, maxDoublings)), minTimeout));
         return now - oldest.m_latest.m_sentAt >= (hasReplied || isLossKnown(pipeline, now) ? delay : grownDelay);
     }
@@ -115,6 +116,7 @@
         const bool isOldest = &append == &pipeline.m_queue.front();
         if (status == StoreStatus::OutOfSequence) // An attempt that was sent before the append became the oldest may have arrived before its predecessor.
             return isOldest && attempt.m_number > pipeline.m_attemptsBeforeOldest ? AppendOutcome::SequenceMismatch : AppendOutcome::Proceed;
+        append.m_unanswered += status == StoreStatus::Unknown ? 1 : 0;
         if (status == StoreStatus::NotDone || append.m_inFlight.empty())
             append.m_notBefore = now + retryDelay;
         pipeline.m_refusals += status == StoreStatus::NotDone && isOldest && append.m_inFlight.empty() ? 1 : 0;
--- a/src/process/cell/append_pipeline.h
+++ b/src/process/cell/append_pipeline.h
@@ -22,6 +22,7 @@
     TimePoint m_firstSentAt; ///< Time of the first attempt.
     AppendAttempt m_latest; ///< The latest attempt; its number is 0 when none was sent.
     std::uint32_t m_attempts = 0; ///< Number of attempts so far.
+    std::uint32_t m_unanswered = 0; ///< Number of attempts whose time was over without an answer.
     std::uint32_t m_hedges = 0; ///< Number of attempts that were sent beside unanswered ones.
     std::vector<AppendAttempt> m_inFlight; ///< Attempts without an answer, the earliest first.
     TimePoint m_notBefore; ///< Earliest time of the next attempt after a failed one.
--- a/tests/append_pipeline_test.cpp
+++ b/tests/append_pipeline_test.cpp
@@ -93,6 +93,25 @@
     BOOST_TEST(pipeline.m_confirmedBatch == 1U);
 }
 
+// On a slow store each copy was due only when the time of the attempt before was over, so that a lost answer cost that time in full, again and again.
+BOOST_AUTO_TEST_CASE(a_slow_store_that_loses_answers_gets_a_copy_before_the_time_is_over)
+{
+    AppendPipeline pipeline = makePipeline();
+    pipeline.m_lastLatency = { 300 };
+    pushAppend(pipeline, makeAppend(1), 1);
+    const AppendAttempt lost = beginSend(pipeline, {}, { 1'000 })->m_latest;
+    const TimePoint lostAt = TimePoint { 1'000 } + appendTimeout(pipeline);
+    onAppendAnswer(pipeline, lost, StoreStatus::Unknown, lostAt);
+    std::vector<AppendAttempt> copies;
+    for (TimePoint now = lostAt; now < lostAt + appendTimeout(pipeline); now = now + Duration { 10 }) {
+        if (const PipelinedAppend* const sent = beginSend(pipeline, now, now))
+            copies.push_back(sent->m_latest);
+    }
+    BOOST_REQUIRE(copies.size() >= 2U);
+    onAppendAnswer(pipeline, copies[1], StoreStatus::Done, copies[1].m_sentAt + Duration { 300 });
+    BOOST_TEST(pipeline.m_lossSeenAt.has_value());
+}
+
 // A record that waits through several lost answers must not look quick because its last attempt was.
 BOOST_AUTO_TEST_CASE(a_confirmation_tells_the_time_since_the_first_attempt)
 {
