--- a/src/process/cell/append_pipeline.cpp
+++ b/src/process/cell/append_pipeline.cpp
@@ -15,11 +15,11 @@
     constexpr Duration maxTimeout { 4'000 };
     constexpr Duration retryDelay { 100 };
     constexpr std::int64_t latencyMultiple = 3; ///< Timeouts and hedges wait for this multiple of the usual latency, and once more for each attempt without an answer.
-    constexpr Duration minHedgeDelay { 30 }; ///< An append usually takes about 10 ms; with 45% of the answers lost, 95% of the appends take four attempts or fewer.
+    constexpr Duration minHedgeDelay { 30 }; ///< Bound from below, so that a fast store does not get a copy for a short delay.
     constexpr Duration initialHedgeDelay { 100 }; ///< Before the first confirmation the latency is not known.
     constexpr std::size_t maxLatencies = 5; ///< Latencies that are kept.
     constexpr std::size_t maxInFlight = 3; ///< Attempts of the oldest append in flight at a time; one more when the store has answered another call since.
-    constexpr std::size_t maxInFlightWhenLossy = 12; ///< The same while answers are lost: with 45% all twelve are lost once in 14,000 appends.
+    constexpr std::size_t maxInFlightWhenLossy = 12; ///< The same while answers are lost; so many that hardly ever all of them are lost.
     constexpr std::uint32_t maxOpenAttempts = 20; ///< No hedges beyond it: the client has 32 connections to the store, and reads need some.
     constexpr Duration lossMemory { 2'000 }; ///< Answers count as being lost for this long after the latest proof.
 
--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -12,7 +12,7 @@
 namespace {
 
     constexpr Duration callTimeout { 4'000 }; ///< A page of many records may take long when the store is slow.
-    constexpr Duration fenceTimeout { 2'500 }; ///< The store refuses appends when more than 2 s is waiting.
+    constexpr Duration fenceTimeout { 2'500 }; ///< An append waits at the store for 2 s at most; beyond that the store refuses it.
     constexpr Duration retryDelay { 100 };
     constexpr const char* firstProgressKey = "0"; ///< No key of a progress record comes before this one.
     constexpr const char* lastPlanKey = "/"; ///< All keys of plans come before this one, and no other key does.
@@ -26,7 +26,7 @@
     void fenceEarlierTerms(CellNode& node)
     {
         HedgedCall& call = node.m_load.m_fence;
-        constexpr std::uint32_t maxInFlight = 8; // They last until a store that was silent is noticed to answer again.
+        constexpr std::uint32_t maxInFlight = 8;
         if (!isAttemptDue(call, appendHedgeDelay(node, call), node.m_now, maxInFlight))
             return;
         beginAttempt(call, node.m_now);
--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -234,8 +234,8 @@
 Duration appendHedgeDelay(const CellNode& node, const HedgedCall& call, std::uint32_t openAttempts)
 {
     constexpr Duration initialDelay { 100 }; // Before the first answer the latency is not known.
-    constexpr Duration minDelay { 30 }; // An append usually takes about 10 ms; with 45% of the answers lost, 95% of the appends take four attempts or fewer.
-    constexpr std::int64_t latencyMultiple = 4; // Once more for each attempt that the partition may carry out before.
+    constexpr Duration minDelay { 30 };
+    constexpr std::int64_t latencyMultiple = 4;
     constexpr std::uint32_t maxDoublings = 5;
     constexpr std::uint32_t maxDoublingsAfterReply = 2;
     const Duration delay = node.m_appendLatency == Duration {} ? initialDelay : std::max(minDelay, node.m_appendLatency * (latencyMultiple + openAttempts));
