--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -8,6 +8,7 @@
 #include "process/cell/hedged_call.h"
 #include "process/cell/leader_monitor.h"
 #include "process/cell/retry_advice.h"
+#include "process/cell/store_traffic.h"
 #include "process/scheduler/scheduler_base.h"
 #include "version/cluster_type.h"
 
@@ -302,6 +303,7 @@
     OrderRelay m_relay;
     RetrySchedule m_retrySchedule; ///< When refused clients are told to call again.
     CellCounters m_counters;
+    StoreTraffic m_storeTraffic; ///< Calls to the store, by partition.
 };
 
 } // namespace bulrushloft::cell
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -10,6 +10,15 @@
 /** Sends the reads of followed topics that are due; removes workers whose grace period has ended. */
 void stepTails(CellNode& node);
 
+/** Appends to the store and counts the attempt; all appends go through this function. @param onAnswer Called once, with StoreStatus::Unknown when the time is over. */
+void sendAppend(CellNode& node, const StoreAppend& append, Duration timeout, std::function<void(StoreAppendAnswer)> onAnswer);
+
+/** Reads consecutive records from the store and counts the call. @param onAnswer Called once, with StoreStatus::Unknown when the time is over. */
+void sendRead(CellNode& node, const StoreRead& read, Duration timeout, std::function<void(StoreReadAnswer)> onAnswer);
+
+/** Lists newest records from the store and counts the call. @param onAnswer Called once, with StoreStatus::Unknown when the time is over. */
+void sendListing(CellNode& node, const StoreNewestRead& read, Duration timeout, std::function<void(StoreNewestAnswer)> onAnswer);
+
 /** Restarts a reader with a new listing; answers to earlier calls are dropped. @param isFollowed Whether the topic is read from now on. */
 void resetTail(TopicTail& tail, bool isFollowed);
 
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -68,7 +68,7 @@
     void sendClaim(CellNode& node)
     {
         const std::uint64_t callNumber = beginAttempt(node.m_sentClaim.m_call, node.m_now);
-        node.m_ports.m_append(node.m_sentClaim.m_append, claimTimeout, [&node, callNumber, sentAt = node.m_now](const StoreAppendAnswer& answer) {
+        sendAppend(node, node.m_sentClaim.m_append, claimTimeout, [&node, callNumber, sentAt = node.m_now](const StoreAppendAnswer& answer) {
             updateStoreReachability(node, answer.m_status == StoreStatus::Done || answer.m_status == StoreStatus::EndMismatch);
             const bool isCurrent = node.m_role == Role::Claiming && isAnswerToCall(node.m_sentClaim.m_call, callNumber);
             if (answer.m_status != StoreStatus::Done) {
@@ -324,6 +324,7 @@
     detail::stepDirectWriter(node);
     detail::stepHedgedAppends(node);
     detail::answerHeldQueries(node);
+    reportTraffic(node.m_storeTraffic, node.m_now);
 }
 
 } // namespace bulrushloft::cell
--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -30,7 +30,7 @@
         if (!isAttemptDue(call, appendHedgeDelay(node, call), node.m_now, maxInFlight))
             return;
         beginAttempt(call, node.m_now);
-        node.m_ports.m_append(fencingAppend(node.m_writer, { .m_topic = node.m_options.m_topics.m_progress }), fenceTimeout, [&node, term = node.m_term, sentAt = node.m_now](const StoreAppendAnswer& answer) {
+        sendAppend(node, fencingAppend(node.m_writer, { .m_topic = node.m_options.m_topics.m_progress }), fenceTimeout, [&node, term = node.m_term, sentAt = node.m_now](const StoreAppendAnswer& answer) {
             updateStoreReachability(node, answer.m_status == StoreStatus::Done || answer.m_status == StoreStatus::Fenced);
             if (!isStillLoading(node, term) || node.m_load.m_isFenced)
                 return;
@@ -93,7 +93,7 @@
         if (range.m_isRead || !isAttemptDue(range.m_call, storeHedgeDelay(node, range.m_call.m_lastAttemptAt), node.m_now))
             return;
         const std::uint64_t callNumber = beginAttempt(range.m_call, node.m_now);
-        node.m_ports.m_readNewest({ .m_partition = { .m_topic = node.m_options.m_topics.m_progress }, .m_after = range.m_after }, callTimeout, [&node, index, callNumber, term = node.m_term](const StoreNewestAnswer& page) {
+        sendListing(node, { .m_partition = { .m_topic = node.m_options.m_topics.m_progress }, .m_after = range.m_after }, callTimeout, [&node, index, callNumber, term = node.m_term](const StoreNewestAnswer& page) {
             updateStoreReachability(node, page.m_status == StoreStatus::Done);
             if (!isStillLoading(node, term))
                 return;
--- a/src/process/cell/cell_metrics.cpp
+++ b/src/process/cell/cell_metrics.cpp
@@ -68,6 +68,34 @@
         return builder.family();
     }
 
+    /** Appends to each partition; the label is the topic and the outcome. */
+    MetricFamily collectAppends(const StoreTraffic& traffic)
+    {
+        MetricFamilyBuilder builder("bulrush_store_appends_total", "Attempts of appends, by topic and outcome", MetricType::Counter);
+        for (const auto& [partition, each] : traffic.m_partitions) {
+            const CallTraffic& appends = each.m_appends;
+            builder.add(partition.m_topic + "/sent", static_cast<double>(appends.m_sent));
+            builder.add(partition.m_topic + "/done", static_cast<double>(appends.m_done));
+            builder.add(partition.m_topic + "/refused", static_cast<double>(appends.m_refused));
+            builder.add(partition.m_topic + "/rejected", static_cast<double>(appends.m_rejected));
+            builder.add(partition.m_topic + "/unanswered", static_cast<double>(appends.m_unanswered));
+        }
+        return builder.family();
+    }
+
+    /** Calls that a partition may still have to carry out; the label is the topic and what they wait for. */
+    MetricFamily collectOpenCalls(const StoreTraffic& traffic)
+    {
+        MetricFamilyBuilder builder("bulrush_store_open", "Calls without an answer, by topic", MetricType::Gauge);
+        for (const auto& [partition, each] : traffic.m_partitions) {
+            builder.add(partition.m_topic + "/appends", static_cast<double>(each.m_appends.m_open.size()));
+            builder.add(partition.m_topic + "/appends-given-up", static_cast<double>(each.m_appends.m_givenUp.size()));
+            builder.add(partition.m_topic + "/reads", static_cast<double>(each.m_reads.m_open.size()));
+            builder.add(partition.m_topic + "/reads-given-up", static_cast<double>(each.m_reads.m_givenUp.size()));
+        }
+        return builder.family();
+    }
+
     MetricFamily collectSchedulerGauges(const scheduler::Scheduler& scheduler)
     {
         MetricFamilyBuilder builder("bulrush_scheduler", "Counts of the present term", MetricType::Gauge);
@@ -99,7 +127,7 @@
 
 std::string renderMetrics(const CellNode& node)
 {
-    std::vector<MetricFamily> families { collectCounters(node), collectGauges(node) };
+    std::vector<MetricFamily> families { collectCounters(node), collectGauges(node), collectAppends(node.m_storeTraffic), collectOpenCalls(node.m_storeTraffic) };
     if (node.m_scheduler) {
         families.push_back(collectSchedulerGauges(*node.m_scheduler));
         families.push_back(collectWaitGauges(node.m_scheduler->m_waitSummary));
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -154,7 +154,7 @@
             deletions.m_records.push_back({ .m_key = job, .m_value = {} });
             deletions.m_records.push_back({ .m_key = "!" + job, .m_value = {} });
         }
-        node.m_ports.m_append(deletions, deleteTimeout, [](const StoreAppendAnswer& answer) {
+        sendAppend(node, deletions, deleteTimeout, [](const StoreAppendAnswer& answer) {
             if (answer.m_status != StoreStatus::Done)
                 logEvent(LogLevel::Warning, "job-delete-failed", { { "reason", answer.m_reason } });
         });
@@ -196,7 +196,7 @@
     if (!next)
         return;
     ++node.m_counters.m_appends;
-    node.m_ports.m_append(next->m_append, appendTimeout(writer), [&node, term = node.m_term, attempt = next->m_latest](const StoreAppendAnswer& answer) {
+    sendAppend(node, next->m_append, appendTimeout(writer), [&node, term = node.m_term, attempt = next->m_latest](const StoreAppendAnswer& answer) {
         if (isCurrentTerm(node, term))
             onAppendCompleted(node, attempt, answer);
     });
--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -189,13 +189,13 @@
             return isAnswerToCall(tail.m_call, callNumber);
         };
         if (tail.m_isListing) {
-            node.m_ports.m_readNewest({ .m_partition = tail.m_partition, .m_after = tail.m_after }, listingTimeout, [&node, &tail, checkAnswer](const StoreNewestAnswer& page) {
+            sendListing(node, { .m_partition = tail.m_partition, .m_after = tail.m_after }, listingTimeout, [&node, &tail, checkAnswer](const StoreNewestAnswer& page) {
                 if (checkAnswer(page.m_status))
                     onPage(node, tail, page);
             });
             return;
         }
-        node.m_ports.m_read({ .m_partition = tail.m_partition, .m_from = tail.m_nextOffset, .m_wait = wait }, wait + marginOf(node, tail), [&node, &tail, checkAnswer](const StoreReadAnswer& answer) {
+        sendRead(node, { .m_partition = tail.m_partition, .m_from = tail.m_nextOffset, .m_wait = wait }, wait + marginOf(node, tail), [&node, &tail, checkAnswer](const StoreReadAnswer& answer) {
             if (checkAnswer(answer.m_status))
                 onRead(node, tail, answer);
         });
--- a/src/process/cell/hedged_append.cpp
+++ b/src/process/cell/hedged_append.cpp
@@ -9,7 +9,7 @@
     {
         beginAttempt(append->m_call, node.m_now);
         ++node.m_openHedgedAttempts;
-        node.m_ports.m_append(append->m_append, append->m_until - node.m_now, [&node, append, sentAt = node.m_now](const StoreAppendAnswer& answer) {
+        sendAppend(node, append->m_append, append->m_until - node.m_now, [&node, append, sentAt = node.m_now](const StoreAppendAnswer& answer) {
             --node.m_openHedgedAttempts;
             updateStoreReachability(node, answer.m_status == StoreStatus::Done);
             if (!append->m_onAnswer)
