Direct writes of all VMs no longer fill the partition of jobs with work for half a minute

Cause: without a leader each VM stores submissions itself, each append in up to five copies, three appends at a time, again through peers, given up after 0.6 s and sent anew. Nobody counted what the partition still had to carry out: attempts that were given up, and those of the other VMs. Nine VMs sent 100 to 180 attempts a second to a partition that carries out 8; the late ones are never refused and took 50 s of it. Change: writes without an outcome stay in one queue of their VM, and each append holds all that are due, new ones and repeats, so the number of appends depends neither on that of the writes nor on the losses. Between two appends passes at least the expected latency of the partition: that of the latest answer, longer with silence and with refusals. While the partition is slow, the VMs pass their writes to one of them, the leader (also one that is still loading) or the best candidate; one that has to append itself takes a share of the time only. A write that the partition has refused three times is refused at once, with advice when to return. Copies of single appends are gone.

--- a/src/connection/peer_codec.cpp
+++ b/src/connection/peer_codec.cpp
@@ -46,7 +46,7 @@
         Json records = Json::array();
         for (const KeyedRecord& record : message.m_append.m_records)
             records.push_back(Json::array({ record.m_key, encodeBytes(record.m_value) }));
-        return Json::array({ message.m_append.m_partition.m_topic, message.m_append.m_partition.m_partition, std::move(records) });
+        return Json::array({ message.m_append.m_partition.m_topic, message.m_append.m_partition.m_partition, std::move(records), message.m_timeout.m_ms });
     }
 
     Json encode(const PeerOrders& message)
@@ -107,6 +107,7 @@
             return PeerPendingJobsQuery { .m_queue = row.at(0) };
         case 3: {
             PeerAppend message { .m_append = { .m_partition = { .m_topic = row.at(0), .m_partition = row.at(1) }, .m_records = {}, .m_writer = {}, .m_expectedEnd = {} } };
+            message.m_timeout = { row.at(3) };
             for (const Json& record : row.at(2))
                 message.m_append.m_records.push_back({ .m_key = record.at(0), .m_value = decodeBytes(record.at(1)) });
             return message;
--- a/src/connection/peer_type.h
+++ b/src/connection/peer_type.h
@@ -100,6 +100,7 @@
 /** Asks a peer to append records on behalf of a daemon that gets no answers from the store. */
 struct PeerAppend {
     StoreAppend m_append; ///< The append.
+    Duration m_timeout { 500 }; ///< Time that the receiver has for its answer.
 };
 
 /** Answer to a PeerAppend. */
--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -140,17 +140,12 @@
     std::vector<KeyedRecord> m_records; ///< Records to write.
     TimePoint m_deadline; ///< When the client must have its answer.
     bool m_mayBeStored = false; ///< Whether an attempt went unanswered, so that the records may be stored already.
-    std::uint32_t m_attempts = 0; ///< Number of attempts so far.
-    std::function<void(StoreStatus)> m_onComplete; ///< Called once with Done, NotDone or Unknown.
-};
-
-/** An append whose records may be stored more than once, and its attempts; see sendHedged(). */
-struct HedgedAppend {
-    StoreAppend m_append; ///< Records without writer or condition.
-    TimePoint m_until; ///< When it is given up.
-    HedgedCall m_call; ///< Its attempts.
-    bool m_mayBeStored = false; ///< Whether an attempt went unanswered.
-    std::function<void(StoreAppendAnswer)> m_onAnswer; ///< Called once; empty afterwards.
+    bool m_isForPeer = false; ///< Whether a peer has asked for the write.
+    std::uint32_t m_relays = 0; ///< Number of times that the write was passed to a peer.
+    std::uint32_t m_refusals = 0; ///< Number of attempts that certainly had no effect.
+    std::uint32_t m_inFlight = 0; ///< Number of this daemon's appends that contain the records and are unanswered.
+    TimePoint m_lastSentAt; ///< When the latest of these appends was sent; zero before the first.
+    std::function<void(StoreStatus)> m_onComplete; ///< Called once with Done, NotDone or Unknown; empty afterwards.
 };
 
 /** A callback that runs at a given time. */
@@ -173,12 +168,14 @@
     std::function<void(WriteOutcome)> m_onComplete; ///< Called once.
 };
 
-/** Group commit of submissions and cancellations that the leader has not accepted. */
+/**
+ * Group commit of submissions and cancellations that the leader has not accepted. Each append holds all writes that are due, those
+ * that were sent before and are unconfirmed included, so that the number of appends doesn't depend on that of the writes.
+ */
 struct DirectWriter {
-    std::vector<std::shared_ptr<PendingWrite>> m_queue; ///< Writes that wait for the next append.
+    std::vector<std::shared_ptr<PendingWrite>> m_queue; ///< Writes without an outcome that this daemon appends, the oldest first.
     std::uint32_t m_appendsInFlight = 0; ///< Number of unanswered appends.
     TimePoint m_lastSentAt; ///< When the latest append was sent.
-    Duration m_lastAppendDuration; ///< Duration of the latest append that succeeded.
 };
 
 /** A query of an unfinished job, held for a short time in case the job ends. */
@@ -257,6 +254,7 @@
     TopicTail m_workersTail; ///< Reader of worker announcements; active on the leader only.
     TimePoint m_storeLastContactAt; ///< When the store last answered a call.
     Duration m_appendLatency; ///< Time from an attempt to its own answer, for the latest append of another kind than the leader's records; zero for none.
+    Duration m_storeLatency; ///< Time to the latest answer of a call that the store did not hold: an append or a page of a listing; zero before the first.
     bool m_isStoreReached = false; ///< Whether the store answers this daemon.
     TimePoint m_storeRecoveredAt; ///< When the store last answered again after an outage.
     std::map<std::string, TimePoint> m_pendingRemovals; ///< Workers to remove unless they are announced again by the given time, by id.
@@ -297,8 +295,6 @@
     TimePoint m_nextHandOverAt; ///< Earliest time at which the next candidates are asked to take over.
     std::vector<std::string> m_askedSuccessors; ///< Names of the peers that were asked last.
     DirectWriter m_directWriter; ///< Writer to the topic of jobs.
-    std::vector<std::shared_ptr<HedgedAppend>> m_hedgedAppends; ///< Unanswered appends to the topic of jobs, also those for peers.
-    std::uint32_t m_openHedgedAttempts = 0; ///< Their attempts without an answer, also those of appends that have been answered.
     std::vector<DeferredCall> m_deferredCalls; ///< Callbacks scheduled for later, such as retries.
     OrderRelay m_relay;
     RetrySchedule m_retrySchedule; ///< When refused clients are told to call again.
--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -256,11 +256,10 @@
 
     void relayAppend(CellNode& node, const PeerAppend& message, const std::function<void(PeerReply)>& respond)
     {
-        constexpr Duration relayTimeout { 500 };
         const bool isAllowed = message.m_append.m_partition.m_topic == node.m_options.m_topics.m_jobs;
         if (!isAllowed || !node.m_isStoreReached)
             return respond(PeerAppendAnswer { { .m_status = StoreStatus::NotDone, .m_reason = "not relayed: this VM can't reach the store, or the topic is not open to relaying" } });
-        sendHedged(node, message.m_append, relayTimeout, [respond](const StoreAppendAnswer& answer) { respond(PeerAppendAnswer { answer }); });
+        writeForPeer(node, message, [respond](const StoreAppendAnswer& answer) { respond(PeerAppendAnswer { answer }); });
     }
 
     void onTakeOverRequest(CellNode& node, const PeerTakeOver& message, const std::function<void(PeerReply)>& respond)
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -38,16 +38,6 @@
  */
 Duration appendHedgeDelay(const CellNode& node, const HedgedCall& call, std::uint32_t openAttempts = 0);
 
-/**
- * Sends an append whose records may be stored more than once, and sends it again in parallel while it is unanswered.
- * @param timeout When it is over, the append is given up; all attempts end with it.
- * @param onAnswer Called once, with the first success, or when no attempt is left: with Unknown unless all were certainly refused.
- */
-void sendHedged(CellNode& node, StoreAppend append, Duration timeout, std::function<void(StoreAppendAnswer)> onAnswer);
-
-/** Sends further attempts of hedged appends that are due. */
-void stepHedgedAppends(CellNode& node);
-
 /**
  * Applies a configuration if it is newer than the current one.
  * @param text Key and value of the operator's record, separated by a newline.
@@ -140,9 +130,21 @@
 /** Writes records to the topic of jobs, directly or through peers, with retries until the deadline. */
 void writeToJobsTopic(CellNode& node, PendingWrite write);
 
-/** Appends queued submissions and cancellations as one group commit. */
+/** Appends records to the topic of jobs from this daemon, with the next group commit and with retries until the deadline. */
+void enqueueDirectWrite(CellNode& node, std::shared_ptr<PendingWrite> write);
+
+/** Appends the queued submissions and cancellations that are due as one group commit; ends those whose deadline is over or that can't be stored. */
 void stepDirectWriter(CellNode& node);
 
+/** @return Estimated time to the answer of the next append to the topic of jobs. */
+Duration jobsAppendLatency(const CellNode& node);
+
+/** @return Whether appends to the topic of jobs take so long that the daemons should not each send their own. */
+bool isJobsPartitionSlow(const CellNode& node);
+
+/** Appends records for a peer with this daemon's next group commit. @param onAnswer Called once, before the message's timeout is over. */
+void writeForPeer(CellNode& node, const PeerAppend& message, const std::function<void(StoreAppendAnswer)>& onAnswer);
+
 /** @return Peers by their suitability to relay an append to the store, the best first. */
 std::vector<PeerState*> relayCandidates(CellNode& node);
 
--- a/src/process/cell/cell_direct.cpp
+++ b/src/process/cell/cell_direct.cpp
@@ -1,4 +1,4 @@
-/** @file cell_direct.cpp Storing of submissions and cancellations that the leader did not accept, directly or through a peer. */
+/** @file cell_direct.cpp Group commit of submissions and cancellations that the leader did not accept, to the topic of jobs. */
 #include "process/cell/admission.h"
 #include "process/cell/cell_detail.h"
 
@@ -9,140 +9,168 @@
 namespace {
 
     constexpr Duration minAppendTimeout { 600 };
-    constexpr Duration relayTimeout { 700 };
     constexpr Duration maxAppendTimeout { 2'500 };
-    constexpr Duration appendOverlapDelay { 250 }; ///< After this time the next append is sent although the previous one is unanswered.
-    constexpr std::uint32_t maxAppendsInFlight = 3;
+    constexpr std::uint32_t maxAppendsInFlight = 5; ///< Several appends may be unanswered, on a limited number of connections.
     constexpr std::size_t maxWritesPerAppend = 64;
-    constexpr Duration retryDelay { 60 };
-    constexpr std::uint32_t maxRefusedAttempts = 3; ///< A write that was certainly refused this often while the store is unreachable is given up; the client then retries later.
+    constexpr std::uint32_t maxRefusedAttempts = 3; ///< A write that was certainly refused this often is given up; the client then retries later.
+    constexpr Duration outcomeMargin { 20 }; ///< Writes end this long before their deadline, as the daemon's thread does not wake at every moment.
 
-    void attemptWrite(CellNode& node, const std::shared_ptr<PendingWrite>& write);
+    CallTraffic& jobsAppends(CellNode& node)
+    {
+        return node.m_storeTraffic.m_partitions[{ .m_topic = node.m_options.m_topics.m_jobs }].m_appends;
+    }
+
+    /** @return Estimated time to the answer of an append before the first one was answered: that of other calls to the store, with a margin as an append takes longer. */
+    Duration initialLatencyOf(const CellNode& node)
+    {
+        constexpr Duration unknownLatency { 100 };
+        return node.m_storeLatency == Duration {} ? unknownLatency : node.m_storeLatency * 3 / 2;
+    }
+
+    /** Ends a write; the writer then drops it from its queue. */
+    void complete(PendingWrite& write, StoreStatus status)
+    {
+        if (write.m_onComplete)
+            std::exchange(write.m_onComplete, nullptr)(status);
+    }
+
+    /** @return How often the time between appends is that of a single writer: while a slow store is written to by all daemons, each takes a share only. */
+    std::int64_t shareDivisor(const CellNode& node)
+    {
+        constexpr std::size_t concurrentWriters = 4; // So many can append at a time without the partition's queue growing.
+        constexpr std::size_t unknownCellSize = 8; // A daemon that knows no leader does not know its peers yet.
+        const std::vector<std::shared_ptr<PendingWrite>>& queue = node.m_directWriter.m_queue;
+        const bool writesForPeers = std::any_of(queue.begin(), queue.end(), [](const auto& write) { return write->m_isForPeer; });
+        if (isOwnClaim(node) || writesForPeers || !isJobsPartitionSlow(node))
+            return 1;
+        const std::size_t size = node.m_leader.m_token > 0 ? node.m_peers.size() + 1 : std::max(node.m_peers.size() + 1, unknownCellSize);
+        return static_cast<std::int64_t>(std::max(size / concurrentWriters, std::size_t { 1 }));
+    }
 
-    void finishAttempt(CellNode& node, const std::shared_ptr<PendingWrite>& write, StoreStatus status)
+    /** @return How long the latest append that contains a write may stay unanswered before the write is sent again. It doubles from the third unanswered append on, so that a silent store gets few. */
+    Duration resendDelay(CellNode& node)
     {
-        if (status == StoreStatus::Done)
-            return write->m_onComplete(StoreStatus::Done);
-        write->m_mayBeStored = write->m_mayBeStored || status != StoreStatus::NotDone;
-        node.m_deferredCalls.push_back({ node.m_now + retryDelay, [&node, write] { attemptWrite(node, write); } });
+        constexpr Duration minDelay { 30 };
+        constexpr std::uint32_t maxDoublings = 5;
+        constexpr std::uint32_t maxDoublingsAfterReply = 2;
+        const CallTraffic& appends = jobsAppends(node);
+        const bool hasReplied = node.m_storeLastContactAt > appends.m_lastSentAt; // The answer is probably lost.
+        const std::uint32_t doublings = appends.m_sentSinceAnswer > 2 ? std::min(appends.m_sentSinceAnswer - 2, hasReplied ? maxDoublingsAfterReply : maxDoublings) : 0;
+        const Duration latency = answeredLatency(appends, initialLatencyOf(node));
+        const std::int64_t appendsAhead = appends.m_sentSinceAnswer; // Earlier ones are overtaken, so their answers are lost.
+        const Duration delay = std::max(minDelay, latency / 2 + latency * std::max<std::int64_t>(appendsAhead, 1));
+        return std::max(delay, std::min(delay * (std::int64_t { 1 } << doublings), minAppendTimeout));
     }
 
-    void relayWrite(CellNode& node, const std::shared_ptr<PendingWrite>& write, const PeerState& peer)
+    /** @return Whether new writes may be appended. A silent store gets no further ones, so that queued writes can still be refused with certainty. */
+    bool mayStoreNewWrites(const CellNode& node)
     {
-        ++node.m_counters.m_relays;
-        const PeerAppend message { .m_append = { .m_partition = { .m_topic = node.m_options.m_topics.m_jobs }, .m_records = write->m_records, .m_writer = {}, .m_expectedEnd = {} } };
-        const Duration timeout = std::min(relayTimeout, write->m_deadline - node.m_now);
-        node.m_ports.m_callPeer(peer.m_member.m_address, message, timeout, [&node, write, name = peer.m_member.m_name](const std::optional<PeerReply>& reply) {
-            const auto* const answer = reply ? std::get_if<PeerAppendAnswer>(&*reply) : nullptr;
-            if (const auto found = node.m_peers.find(name); !answer && found != node.m_peers.end())
-                found->second.m_failedAt = node.m_now;
-            finishAttempt(node, write, answer ? answer->m_answer.m_status : StoreStatus::Unknown);
-        });
+        constexpr Duration slowLatency { 250 };
+        const DirectWriter& writer = node.m_directWriter;
+        return writer.m_appendsInFlight == 0 || jobsAppendLatency(node) >= slowLatency || node.m_storeLastContactAt > writer.m_lastSentAt;
     }
 
-    /** @return Whether any peer with recent contact has reported that it reaches the store. */
-    bool hasUsableRelay(const CellNode& node, const std::vector<PeerState*>& relays)
+    /** @return The writes that the next append holds: new ones, and those whose latest append has stayed unanswered for long. */
+    std::vector<std::shared_ptr<PendingWrite>> selectDueWrites(CellNode& node)
     {
-        constexpr Duration recentContactLimit { 3'000 };
-        return std::any_of(relays.begin(), relays.end(), [&](const PeerState* peer) { return peer->m_isStoreReached && node.m_now - peer->m_lastContactAt < recentContactLimit; });
+        const Duration delay = resendDelay(node);
+        const bool areNewAllowed = mayStoreNewWrites(node);
+        std::vector<std::shared_ptr<PendingWrite>> due;
+        for (const auto& write : node.m_directWriter.m_queue) {
+            const bool isNew = write->m_inFlight == 0 && !write->m_mayBeStored;
+            const bool isDue = isNew ? areNewAllowed : write->m_inFlight == 0 || node.m_now - write->m_lastSentAt >= delay;
+            if (isDue && due.size() < maxWritesPerAppend)
+                due.push_back(write);
+        }
+        return due;
     }
 
-    /**
-     * Attempts a write directly or through a peer: alternately while this daemon reaches the store, otherwise directly on
-     * every fourth attempt only. Retries may write the records of a key more than once.
-     */
-    void attemptWrite(CellNode& node, const std::shared_ptr<PendingWrite>& write)
+    void onAppendAnswer(CellNode& node, const std::vector<std::shared_ptr<PendingWrite>>& writes, StoreStatus status)
     {
-        if (node.m_now >= write->m_deadline)
-            return write->m_onComplete(write->m_mayBeStored ? StoreStatus::Unknown : StoreStatus::NotDone);
-        const std::vector<PeerState*> relays = relayCandidates(node);
-        const bool areRelaysExhausted = write->m_attempts >= maxRefusedAttempts || !hasUsableRelay(node, relays);
-        if (!node.m_isStoreReached && areRelaysExhausted && !write->m_mayBeStored)
-            return write->m_onComplete(StoreStatus::NotDone);
-        const std::uint32_t attempt = write->m_attempts++;
-        const bool usesOwnConnection = node.m_isStoreReached ? attempt % 2 == 0 : attempt % 4 == 3;
-        if (!usesOwnConnection && !relays.empty())
-            return relayWrite(node, write, *relays[(attempt / 2) % relays.size()]);
-        node.m_directWriter.m_queue.push_back(write);
+        const bool isDone = status == StoreStatus::Done;
+        updateStoreReachability(node, isDone);
+        --node.m_directWriter.m_appendsInFlight;
+        for (const auto& write : writes) {
+            --write->m_inFlight;
+            write->m_refusals += status == StoreStatus::NotDone ? 1 : 0;
+            write->m_mayBeStored = write->m_mayBeStored || (!isDone && status != StoreStatus::NotDone);
+            if (isDone)
+                complete(*write, StoreStatus::Done);
+        }
     }
 
-    /** @return Timeout of the next append; grows with the last duration and the attempts that the partition carries out before it, as retries would slow a slow store further. */
-    Duration directAppendTimeout(const CellNode& node)
+    void sendAppendOf(CellNode& node, const std::vector<std::shared_ptr<PendingWrite>>& writes)
     {
         constexpr std::int64_t timeoutFactor = 4;
-        return std::clamp(node.m_directWriter.m_lastAppendDuration * (timeoutFactor + node.m_openHedgedAttempts), minAppendTimeout, maxAppendTimeout);
+        StoreAppend append { .m_partition = { .m_topic = node.m_options.m_topics.m_jobs }, .m_records = {}, .m_writer = {}, .m_expectedEnd = {} };
+        for (const auto& write : writes) {
+            append.m_records.insert(append.m_records.end(), write->m_records.begin(), write->m_records.end());
+            ++write->m_inFlight;
+            write->m_lastSentAt = node.m_now;
+        }
+        ++node.m_directWriter.m_appendsInFlight;
+        node.m_directWriter.m_lastSentAt = node.m_now;
+        ++node.m_counters.m_appends;
+        const std::int64_t appendsAhead = jobsAppends(node).m_sentSinceAnswer;
+        const Duration timeout = std::clamp(jobsAppendLatency(node) * (timeoutFactor + appendsAhead), minAppendTimeout, maxAppendTimeout);
+        sendAppend(node, append, timeout, [&node, writes](const StoreAppendAnswer& answer) { onAppendAnswer(node, writes, answer.m_status); });
     }
 
-    /** @return Whether the queue may be appended. A silent store gets no further appends, so that queued writes can still be refused with certainty. */
-    bool canAppend(const CellNode& node)
+    /** @return Whether a write can't be stored soon and has certainly not been stored: the partition has refused it, or the store is silent or out of reach. */
+    bool isHopeless(CellNode& node, const PendingWrite& write)
     {
-        const DirectWriter& writer = node.m_directWriter;
-        if (writer.m_appendsInFlight == 0)
-            return true;
-        const bool isStoreResponding = writer.m_lastAppendDuration >= appendOverlapDelay || node.m_storeLastContactAt > writer.m_lastSentAt;
-        return isStoreResponding && writer.m_appendsInFlight < maxAppendsInFlight && node.m_now - writer.m_lastSentAt >= appendOverlapDelay;
+        if (write.m_mayBeStored || write.m_inFlight > 0)
+            return false;
+        const bool isOutOfReach = !node.m_isStoreReached && write.m_relays + write.m_refusals > 0;
+        const StoreHealth health { .m_oldestAppendSentAt = jobsAppends(node).m_unansweredSince, .m_lastContactAt = node.m_storeLastContactAt };
+        return write.m_refusals >= maxRefusedAttempts || isOutOfReach || decideAdmission(health, node.m_now) == Admission::Refuse;
     }
 
-    /** Refuses queued writes that are certainly not stored, once the store has been silent for too long. */
-    void refuseQueuedWrites(CellNode& node)
+    /** Ends the writes whose deadline is over or that can't be stored. */
+    void endWrites(CellNode& node)
     {
-        DirectWriter& writer = node.m_directWriter;
-        // A silent store gets no further appends, so the latest append is used; the time of the oldest is not kept.
-        const StoreHealth health { .m_oldestAppendSentAt = writer.m_appendsInFlight > 0 ? std::optional(writer.m_lastSentAt) : std::nullopt, .m_lastContactAt = node.m_storeLastContactAt };
-        if (decideAdmission(health, node.m_now) != Admission::Refuse)
-            return;
-        std::vector<std::shared_ptr<PendingWrite>> refused;
-        std::erase_if(writer.m_queue, [&](const std::shared_ptr<PendingWrite>& write) {
-            if (write->m_mayBeStored)
-                return false;
-            refused.push_back(write);
-            return true;
-        });
-        for (const auto& write : refused)
-            write->m_onComplete(StoreStatus::NotDone);
+        const std::vector<std::shared_ptr<PendingWrite>> queue = node.m_directWriter.m_queue; // Callers may begin further writes.
+        for (const auto& write : queue) {
+            const bool isUncertain = write->m_mayBeStored || write->m_inFlight > 0;
+            if (node.m_now + outcomeMargin >= write->m_deadline)
+                complete(*write, isUncertain ? StoreStatus::Unknown : StoreStatus::NotDone);
+            else if (isHopeless(node, *write))
+                complete(*write, StoreStatus::NotDone);
+        }
+        std::erase_if(node.m_directWriter.m_queue, [](const auto& write) { return !write->m_onComplete; });
     }
 
 } // namespace
 
-void stepDirectWriter(CellNode& node)
+Duration jobsAppendLatency(const CellNode& node)
 {
-    refuseQueuedWrites(node);
-    DirectWriter& writer = node.m_directWriter;
-    if (writer.m_queue.empty() || !canAppend(node))
-        return;
-    const std::size_t count = std::min(writer.m_queue.size(), maxWritesPerAppend);
-    const std::vector<std::shared_ptr<PendingWrite>> writes(writer.m_queue.begin(), writer.m_queue.begin() + static_cast<std::ptrdiff_t>(count));
-    writer.m_queue.erase(writer.m_queue.begin(), writer.m_queue.begin() + static_cast<std::ptrdiff_t>(count));
-    StoreAppend append { .m_partition = { .m_topic = node.m_options.m_topics.m_jobs }, .m_records = {}, .m_writer = {}, .m_expectedEnd = {} };
-    for (const auto& write : writes)
-        append.m_records.insert(append.m_records.end(), write->m_records.begin(), write->m_records.end());
-    ++writer.m_appendsInFlight;
-    writer.m_lastSentAt = node.m_now;
-    ++node.m_counters.m_appends;
-    sendHedged(node, std::move(append), directAppendTimeout(node), [&node, writes](const StoreAppendAnswer& answer) {
-        --node.m_directWriter.m_appendsInFlight;
-        if (answer.m_status == StoreStatus::Done)
-            node.m_directWriter.m_lastAppendDuration = node.m_appendLatency;
-        for (const auto& write : writes)
-            finishAttempt(node, write, answer.m_status);
-    });
+    const auto jobs = node.m_storeTraffic.m_partitions.find({ .m_topic = node.m_options.m_topics.m_jobs });
+    const Duration initial = initialLatencyOf(node);
+    return jobs == node.m_storeTraffic.m_partitions.end() ? initial : expectedLatency(jobs->second.m_appends, initial, node.m_now);
 }
 
-std::vector<PeerState*> relayCandidates(CellNode& node)
+bool isJobsPartitionSlow(const CellNode& node)
 {
-    std::vector<PeerState*> candidates;
-    for (auto& [name, peer] : node.m_peers)
-        candidates.push_back(&peer);
-    const auto preference = [&](const PeerState* peer) {
-        return std::tuple { !peer->m_isStoreReached, peer->m_failedAt, peer->m_member.m_name != node.m_leader.m_member.m_name };
-    };
-    std::sort(candidates.begin(), candidates.end(), [&](const PeerState* one, const PeerState* other) { return preference(one) < preference(other); });
-    return candidates;
+    constexpr Duration slowLatency { 100 };
+    return jobsAppendLatency(node) >= slowLatency;
 }
 
-void writeToJobsTopic(CellNode& node, PendingWrite write)
+void enqueueDirectWrite(CellNode& node, std::shared_ptr<PendingWrite> write)
 {
-    attemptWrite(node, std::make_shared<PendingWrite>(std::move(write)));
+    node.m_directWriter.m_queue.push_back(std::move(write));
+}
+
+void stepDirectWriter(CellNode& node)
+{
+    endWrites(node);
+    const DirectWriter& writer = node.m_directWriter;
+    // One append for each latency, whether earlier ones are answered or not: those that were given up may still occupy the partition.
+    const bool isDue = node.m_now - jobsAppends(node).m_lastSentAt >= jobsAppendLatency(node) * shareDivisor(node);
+    if (writer.m_queue.empty() || writer.m_appendsInFlight >= maxAppendsInFlight || !isDue)
+        return;
+    const std::vector<std::shared_ptr<PendingWrite>> due = selectDueWrites(node);
+    if (!due.empty())
+        sendAppendOf(node, due);
 }
 
 } // namespace bulrushloft::cell::detail
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -322,7 +322,6 @@
     detail::stepWriter(node);
     detail::stepRelay(node);
     detail::stepDirectWriter(node);
-    detail::stepHedgedAppends(node);
     detail::answerHeldQueries(node);
     reportTraffic(node.m_storeTraffic, node.m_now);
 }
--- /dev/null
+++ b/src/process/cell/cell_write_route.cpp
@@ -0,0 +1,117 @@
+/** @file cell_write_route.cpp The way of submissions and cancellations to the topic of jobs: by this daemon's own appends, or through a peer. */
+#include "process/cell/cell_detail.h"
+#include "process/cell/leader_choice.h"
+
+#include <algorithm>
+
+namespace bulrushloft::cell::detail {
+
+namespace {
+
+    constexpr Duration relayTimeout { 700 };
+    constexpr Duration relayMargin { 200 }; ///< Time for the two messages of a relayed write.
+    constexpr Duration retryDelay { 60 };
+    constexpr std::uint32_t maxRelays = 3;
+
+    void routeWrite(CellNode& node, const std::shared_ptr<PendingWrite>& write);
+
+    /** @return How long a relayed write may take; on a slow store most of its time, as this daemon's own appends would be as slow and delay those of the peer. */
+    Duration relayTimeoutOf(const CellNode& node, const PendingWrite& write)
+    {
+        const Duration remaining = write.m_deadline - node.m_now;
+        return std::min(isJobsPartitionSlow(node) ? std::max(relayTimeout, remaining * 2 / 3) : relayTimeout, remaining);
+    }
+
+    void relayWrite(CellNode& node, const std::shared_ptr<PendingWrite>& write, const PeerState& peer)
+    {
+        ++node.m_counters.m_relays;
+        ++write->m_relays;
+        const Duration timeout = relayTimeoutOf(node, *write);
+        const PeerAppend message { .m_append = { .m_partition = { .m_topic = node.m_options.m_topics.m_jobs }, .m_records = write->m_records, .m_writer = {}, .m_expectedEnd = {} }, .m_timeout = timeout - relayMargin };
+        node.m_ports.m_callPeer(peer.m_member.m_address, message, timeout, [&node, write, name = peer.m_member.m_name](const std::optional<PeerReply>& reply) {
+            const auto* const answer = reply ? std::get_if<PeerAppendAnswer>(&*reply) : nullptr;
+            if (!answer)
+                markPeerFailed(node, name);
+            const StoreStatus status = answer ? answer->m_answer.m_status : StoreStatus::Unknown;
+            if (status == StoreStatus::Done)
+                return std::exchange(write->m_onComplete, nullptr)(status);
+            write->m_mayBeStored = write->m_mayBeStored || status != StoreStatus::NotDone;
+            node.m_deferredCalls.push_back({ node.m_now + retryDelay, [&node, write] { routeWrite(node, write); } });
+        });
+    }
+
+    /** @return Whether a peer has lately been heard of and has reported that it reaches the store. */
+    bool isUsableRelay(const CellNode& node, const PeerState& peer)
+    {
+        constexpr Duration recentContactLimit { 3'000 };
+        return peer.m_isStoreReached && node.m_now - peer.m_lastContactAt < recentContactLimit;
+    }
+
+    /**
+     * Chooses the daemon that appends for all while the store is slow: the leader, also one that is still loading, or the best candidate. One
+     * group commit for the whole cell takes as long as one for each daemon, and the partition carries out one at a time.
+     * @return Null when it is this daemon, or no other one can be used.
+     */
+    const PeerState* findCommonWriter(const CellNode& node)
+    {
+        if (isOwnClaim(node))
+            return nullptr;
+        const auto leader = node.m_peers.find(node.m_leader.m_member.m_name);
+        if (node.m_leader.m_token > 0 && leader != node.m_peers.end() && isPeerUsable(node, leader->second) && leader->second.m_isStoreReached)
+            return &leader->second;
+        std::vector<PeerMember> members { node.m_options.m_self };
+        for (const auto& [name, peer] : node.m_peers) {
+            if (isPeerUsable(node, peer) && peer.m_isStoreReached)
+                members.push_back(peer.m_member);
+        }
+        sortByRank(members, node.m_leader.m_token);
+        const auto best = node.m_peers.find(members.front().m_name);
+        return best == node.m_peers.end() ? nullptr : &best->second;
+    }
+
+    /** Sends a write on its way: through a peer while the store does not answer this daemon, or while it is slow and another daemon appends for all. */
+    void routeWrite(CellNode& node, const std::shared_ptr<PendingWrite>& write)
+    {
+        if (node.m_now >= write->m_deadline)
+            return std::exchange(write->m_onComplete, nullptr)(write->m_mayBeStored ? StoreStatus::Unknown : StoreStatus::NotDone);
+        const bool hasTime = write->m_deadline - node.m_now > relayMargin * 2;
+        if (write->m_relays >= maxRelays || !hasTime)
+            return enqueueDirectWrite(node, write);
+        if (!node.m_isStoreReached) {
+            const std::vector<PeerState*> relays = relayCandidates(node);
+            const auto usable = std::find_if(relays.begin(), relays.end(), [&](const PeerState* peer) { return isUsableRelay(node, *peer); });
+            return usable == relays.end() ? enqueueDirectWrite(node, write) : relayWrite(node, write, **usable);
+        }
+        const PeerState* const writer = write->m_relays == 0 && isJobsPartitionSlow(node) ? findCommonWriter(node) : nullptr;
+        writer ? relayWrite(node, write, *writer) : enqueueDirectWrite(node, write);
+    }
+
+} // namespace
+
+std::vector<PeerState*> relayCandidates(CellNode& node)
+{
+    std::vector<PeerState*> candidates;
+    for (auto& [name, peer] : node.m_peers)
+        candidates.push_back(&peer);
+    const auto preference = [&](const PeerState* peer) {
+        return std::tuple { !peer->m_isStoreReached, peer->m_failedAt, peer->m_member.m_name != node.m_leader.m_member.m_name };
+    };
+    std::sort(candidates.begin(), candidates.end(), [&](const PeerState* one, const PeerState* other) { return preference(one) < preference(other); });
+    return candidates;
+}
+
+void writeToJobsTopic(CellNode& node, PendingWrite write)
+{
+    routeWrite(node, std::make_shared<PendingWrite>(std::move(write)));
+}
+
+void writeForPeer(CellNode& node, const PeerAppend& message, const std::function<void(StoreAppendAnswer)>& onAnswer)
+{
+    constexpr Duration maxTimeout { 10'000 };
+    const Duration timeout = std::clamp(message.m_timeout, Duration {}, maxTimeout);
+    PendingWrite write { .m_records = message.m_append.m_records, .m_deadline = node.m_now + timeout, .m_isForPeer = true };
+    write.m_onComplete = [onAnswer](StoreStatus status) { onAnswer({ .m_status = status, .m_reason = {} }); };
+    enqueueDirectWrite(node, std::make_shared<PendingWrite>(std::move(write)));
+}
+
+} // namespace bulrushloft::cell::detail
--- a/src/process/cell/store_calls.cpp
+++ b/src/process/cell/store_calls.cpp
@@ -16,11 +16,22 @@
         });
     }
 
+    /** Wraps a callback so that the time to the answer is noted. */
+    template <typename Answer>
+    std::function<void(Answer)> withLatency(CellNode& node, std::function<void(Answer)> onAnswer)
+    {
+        return [&node, sentAt = node.m_now, onAnswer = std::move(onAnswer)](const Answer& answer) {
+            if (answer.m_status == StoreStatus::Done)
+                node.m_storeLatency = node.m_now - sentAt;
+            onAnswer(answer);
+        };
+    }
+
 } // namespace
 
 void sendAppend(CellNode& node, const StoreAppend& append, Duration timeout, std::function<void(StoreAppendAnswer)> onAnswer)
 {
-    sendCounted<StoreAppend, StoreAppendAnswer>(node, node.m_ports.m_append, append, timeout, &PartitionTraffic::m_appends, std::move(onAnswer));
+    sendCounted<StoreAppend, StoreAppendAnswer>(node, node.m_ports.m_append, append, timeout, &PartitionTraffic::m_appends, withLatency<StoreAppendAnswer>(node, std::move(onAnswer)));
 }
 
 void sendRead(CellNode& node, const StoreRead& read, Duration timeout, std::function<void(StoreReadAnswer)> onAnswer)
@@ -30,7 +41,7 @@
 
 void sendListing(CellNode& node, const StoreNewestRead& read, Duration timeout, std::function<void(StoreNewestAnswer)> onAnswer)
 {
-    sendCounted<StoreNewestRead, StoreNewestAnswer>(node, node.m_ports.m_readNewest, read, timeout, &PartitionTraffic::m_reads, std::move(onAnswer));
+    sendCounted<StoreNewestRead, StoreNewestAnswer>(node, node.m_ports.m_readNewest, read, timeout, &PartitionTraffic::m_reads, withLatency<StoreNewestAnswer>(node, std::move(onAnswer)));
 }
 
 } // namespace bulrushloft::cell::detail
--- a/src/process/cell/store_traffic.cpp
+++ b/src/process/cell/store_traffic.cpp
@@ -17,6 +17,21 @@
             traffic.m_givenUp.pop_front();
     }
 
+    /** Notes that the store has answered a call, whatever its outcome. */
+    void onAnswer(CallTraffic& traffic, TimePoint sentAt)
+    {
+        const auto later = std::find_if(traffic.m_open.begin(), traffic.m_open.end(), [&](TimePoint open) { return open > sentAt; });
+        traffic.m_unansweredSince = later == traffic.m_open.end() ? std::nullopt : std::optional(*later);
+        traffic.m_sentSinceAnswer = static_cast<std::uint32_t>(traffic.m_open.end() - later);
+    }
+
+    void onCarriedOut(CallTraffic& traffic, TimePoint sentAt, TimePoint now)
+    {
+        traffic.m_latency = now - sentAt;
+        traffic.m_refusalsInRow = 0;
+        onAnswer(traffic, sentAt);
+    }
+
     void logPartition(const StorePartition& partition, const PartitionTraffic& traffic, TimePoint now)
     {
         const CallTraffic& appends = traffic.m_appends;
@@ -40,6 +55,9 @@
 void onCallSent(CallTraffic& traffic, TimePoint now)
 {
     ++traffic.m_sent;
+    ++traffic.m_sentSinceAnswer;
+    traffic.m_lastSentAt = now;
+    traffic.m_unansweredSince = traffic.m_unansweredSince.value_or(now);
     traffic.m_open.push_back(now);
 }
 
@@ -51,10 +69,11 @@
     switch (status) {
     case StoreStatus::Done:
         ++traffic.m_done;
-        traffic.m_latency = now - sentAt;
-        return;
+        return onCarriedOut(traffic, sentAt, now);
     case StoreStatus::NotDone:
         ++traffic.m_refused;
+        ++traffic.m_refusalsInRow;
+        onAnswer(traffic, sentAt);
         return;
     case StoreStatus::Unknown:
         ++traffic.m_unanswered;
@@ -65,10 +84,26 @@
     case StoreStatus::EndMismatch:
     case StoreStatus::Expired:
         ++traffic.m_rejected;
-        return;
+        return onCarriedOut(traffic, sentAt, now);
     }
 }
 
+Duration answeredLatency(const CallTraffic& appends, Duration initial)
+{
+    constexpr Duration refusalDelay { 50 };
+    constexpr std::uint32_t maxDoublings = 4;
+    const Duration answered = appends.m_latency == Duration {} ? initial : appends.m_latency;
+    const Duration afterRefusals = appends.m_refusalsInRow > 0 ? refusalDelay * (std::int64_t { 1 } << std::min(appends.m_refusalsInRow, maxDoublings)) : Duration {};
+    return std::max(answered, afterRefusals);
+}
+
+Duration expectedLatency(const CallTraffic& appends, Duration initial, TimePoint now)
+{
+    constexpr std::int64_t silenceDivisor = 3; // One or two answers in a row may be lost.
+    const Duration silence = appends.m_unansweredSince ? now - *appends.m_unansweredSince : Duration {};
+    return std::max(answeredLatency(appends, initial), silence / silenceDivisor);
+}
+
 void reportTraffic(StoreTraffic& traffic, TimePoint now)
 {
     constexpr Duration interval { 1'000 };
--- a/src/process/cell/store_traffic.h
+++ b/src/process/cell/store_traffic.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 
 namespace bulrushloft::cell {
 
@@ -18,7 +19,11 @@
     std::uint64_t m_unanswered = 0; ///< Calls given up without an answer; the store may still carry them out.
     std::deque<TimePoint> m_open; ///< When the calls were sent that are neither answered nor given up, the earliest first.
     std::deque<TimePoint> m_givenUp; ///< When the calls were sent that were lately given up without an answer, the earliest first.
-    Duration m_latency; ///< Time to the latest answer of a call that was carried out; zero before the first.
+    Duration m_latency; ///< Time to the latest answer of a call that was carried out or rejected; zero before the first.
+    TimePoint m_lastSentAt; ///< When the latest call was sent.
+    std::optional<TimePoint> m_unansweredSince; ///< When the earliest call was sent that nothing has answered since; empty when none is missing.
+    std::uint32_t m_sentSinceAnswer = 0; ///< Calls sent after the latest answer.
+    std::uint32_t m_refusalsInRow = 0; ///< Refusals since a call was last carried out or rejected.
 };
 
 /** Calls to one partition. */
@@ -41,6 +46,16 @@
 /** Counts the answer to a call, or that it was given up (StoreStatus::Unknown). @param sentAt When it was sent. */
 void onCallAnswered(CallTraffic& traffic, StoreStatus status, TimePoint sentAt, TimePoint now);
 
+/** @return Time to the latest answer of an append, longer with each refusal since, as a partition refuses what it can't carry out soon. @param initial Estimate before the first answer. */
+Duration answeredLatency(const CallTraffic& appends, Duration initial);
+
+/**
+ * Estimates the time to the answer of the next append to a partition, which carries out one at a time: answeredLatency(), or longer once
+ * appends have stayed unanswered for a multiple of it, as the partition may have to carry out many before. A sender that waits this long between two appends adds about one to the partition's queue, whatever becomes of the answers.
+ * @param initial Estimate before the first answer.
+ */
+Duration expectedLatency(const CallTraffic& appends, Duration initial, TimePoint now);
+
 /** Once a second logs the partitions whose calls are refused or left unanswered. */
 void reportTraffic(StoreTraffic& traffic, TimePoint now);
 
