A slow store that loses answers gets no more of the leader's attempts than its partition carries out

Cause: on a store 60 times slower with 35% of the writes carried out late, an unanswered append was sent again only after three latencies and one more for each open attempt; meanwhile new appends and their copies went out each 100 ms, and those sent beside an append that was lost were refused as out of order.

Change: on a slow store an attempt is sent only when the partition can carry it out: at most four in the time of one answer, and two while answers are lost, those whose time is over included. A lost answer is now also seen when a later append's answer overtakes it. While answers are lost one append is under way at a time, sent again after half of an answer's time; otherwise after two.

Four latencies instead of the three that were aimed at: a record waits for the append before.

--- a/src/process/cell/append_pipeline.cpp
+++ b/src/process/cell/append_pipeline.cpp
@@ -2,6 +2,7 @@
 #include "process/cell/append_pipeline.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace bulrushloft::cell {
 
@@ -15,13 +16,19 @@
     constexpr Duration maxTimeout { 4'000 };
     constexpr Duration retryDelay { 100 };
     constexpr std::int64_t latencyMultiple = 3; ///< Timeouts and hedges wait for this multiple of the usual latency, and once more for each attempt without an answer.
+    constexpr std::int64_t slowHedgeLatencies = 2; ///< On a slow store a hedge waits for this multiple of the longest of the latest latencies.
     constexpr Duration minHedgeDelay { 30 }; ///< Bound from below, so that a fast store does not get a copy for a short delay.
     constexpr Duration initialHedgeDelay { 100 }; ///< Before the first confirmation the latency is not known.
     constexpr std::size_t maxLatencies = 5; ///< Latencies that are kept.
     constexpr std::size_t maxInFlight = 3; ///< Attempts of the oldest append in flight at a time; one more when the store has answered another call since.
     constexpr std::size_t maxInFlightWhenLossy = 12; ///< The same while answers are lost; so many that hardly ever all of them are lost.
     constexpr std::uint32_t maxOpenAttempts = 20; ///< No hedges beyond it: the client has 32 connections to the store, and reads need some.
-    constexpr Duration lossMemory { 2'000 }; ///< Answers count as being lost for this long after the latest proof.
+    constexpr Duration lossMemory { 2'000 }; ///< Answers count as being lost for this long after the latest proof,
+    constexpr std::int64_t lossMemoryLatencies = 12; ///< and on a slow store for so many latencies,
+    constexpr std::uint32_t inOrderLimit = 14; ///< but not after so many answers in order; fewer would often come in a row while a third of them is lost.
+    constexpr Duration slowLatency { 100 }; ///< A store that takes at least this long is slow: attempts wait for each other in the partition.
+    constexpr std::size_t maxSendsPerLatency = 4; ///< Attempts of all appends within the time of one answer; all four appends may be sent.
+    constexpr std::int64_t lossySendsPerLatency = 2; ///< The same while answers are lost; attempts without an answer are carried out as well, only later.
 
     /** @return Whether an append has failed and has to be repeated before a later one is sent. */
     bool isRepeatNeeded(const AppendPipeline& pipeline)
@@ -32,18 +39,47 @@
     /** @return Whether an attempt was lately overtaken by a later one: the store loses answers, it is not merely slow. */
     bool isLossKnown(const AppendPipeline& pipeline, TimePoint now)
     {
-        return pipeline.m_lossSeenAt && now - *pipeline.m_lossSeenAt <= lossMemory;
+        return pipeline.m_lossSeenAt && now - *pipeline.m_lossSeenAt <= std::max(lossMemory, pipeline.m_lastLatency * lossMemoryLatencies);
+    }
+
+    /** @return Whether the store's answers take so long that attempts wait for each other in the partition, which carries out one at a time. */
+    bool isStoreSlow(const AppendPipeline& pipeline)
+    {
+        return pipeline.m_lastLatency >= slowLatency;
+    }
+
+    /**
+     * The latency is at least the time that an append occupies the partition, and grows with what waits there, so that a bound on the
+     * attempts in one latency bounds what waits. Attempts whose time is over are included, as the store may carry them out late.
+     * @return Whether a slow partition can carry out another attempt of any append.
+     */
+    bool isWithinBudget(const AppendPipeline& pipeline, TimePoint now)
+    {
+        if (!isStoreSlow(pipeline))
+            return true;
+        if (isLossKnown(pipeline, now))
+            return (now - pipeline.m_lastSentAt) * lossySendsPerLatency >= pipeline.m_lastLatency;
+        return pipeline.m_lastSends.size() < maxSendsPerLatency || now - pipeline.m_lastSends.front() >= pipeline.m_lastLatency;
+    }
+
+    /** @return The longest of the latest latencies; that of the fence before the first confirmation. */
+    Duration longestLatency(const AppendPipeline& pipeline)
+    {
+        return std::accumulate(pipeline.m_latencies.begin(), pipeline.m_latencies.end(), pipeline.m_lastLatency, [](Duration longest, Duration each) { return std::max(longest, each); });
     }
 
     /**
      * While answers are lost, the shortest of the latest latencies counts, as some answers may be held back and attempts without an answer
-     * delay nothing. Otherwise the partition carries out one append at a time, so that those without an answer come first.
+     * delay nothing. Otherwise the partition carries out one append at a time, so that those without an answer come first. On a slow
+     * store isWithinBudget() bounds the hedges, so that they need not wait for those that come first.
      * @return Time before the first hedge.
      */
     Duration firstHedgeDelay(const AppendPipeline& pipeline, TimePoint now)
     {
         if (pipeline.m_lastLatency == Duration {})
             return initialHedgeDelay;
+        if (isStoreSlow(pipeline))
+            return isLossKnown(pipeline, now) ? pipeline.m_lastLatency / lossySendsPerLatency : longestLatency(pipeline) * slowHedgeLatencies;
         if (isLossKnown(pipeline, now))
             return std::max(minHedgeDelay, *std::min_element(pipeline.m_latencies.begin(), pipeline.m_latencies.end()) * (latencyMultiple + 1));
         return std::max(minHedgeDelay, pipeline.m_lastLatency * (latencyMultiple + pipeline.m_openAttempts));
@@ -82,18 +118,34 @@
         return unsent != pipeline.m_queue.end() && isWithinWindow ? &*unsent : nullptr;
     }
 
+    /** Notes whether an attempt that has confirmed its append has overtaken an earlier one, of any append when the store is slow. */
+    void judgeLoss(AppendPipeline& pipeline, const PipelinedAppend& append, const AppendAttempt& attempt, TimePoint now)
+    {
+        const auto overtaken = std::erase_if(pipeline.m_pending, [&](const AppendAttempt& each) { return each.m_number < attempt.m_number; });
+        if (append.m_inFlight.front().m_number < attempt.m_number || (isStoreSlow(pipeline) && overtaken > 0)) {
+            pipeline.m_lossSeenAt = now;
+            pipeline.m_answeredInOrder = 0;
+        } else if (append.m_inFlight.size() > 1 && !isStoreSlow(pipeline)) { // The hedges were needless: the store has become slow.
+            pipeline.m_lossSeenAt.reset();
+        }
+    }
+
+    /** Counts an attempt that the store has carried out, also a needless one. After several that have overtaken none, answers no longer count as being lost. */
+    void countInOrder(AppendPipeline& pipeline)
+    {
+        if (++pipeline.m_answeredInOrder >= inOrderLimit && isStoreSlow(pipeline))
+            pipeline.m_lossSeenAt.reset();
+    }
+
     /** Records the latency of an attempt, and whether it was answered before an earlier attempt of the same append. */
     void measure(AppendPipeline& pipeline, const PipelinedAppend& append, const AppendAttempt& attempt, TimePoint now)
     {
+        judgeLoss(pipeline, append, attempt, now);
         pipeline.m_lastLatency = now - attempt.m_sentAt;
         pipeline.m_latencies.push_back(pipeline.m_lastLatency);
         if (pipeline.m_latencies.size() > maxLatencies)
             pipeline.m_latencies.pop_front();
         ++pipeline.m_confirmations;
-        if (append.m_inFlight.front().m_number < attempt.m_number)
-            pipeline.m_lossSeenAt = now;
-        else if (append.m_inFlight.size() > 1) // The hedges were needless: the store is slow.
-            pipeline.m_lossSeenAt.reset();
     }
 
     /** Removes the confirmed appends. Once fencingAppend() is stored, the store accepts sequence numbers in order only, so a confirmation covers all earlier appends too. */
@@ -142,6 +194,8 @@
     if (pipeline.m_queue.empty())
         return true;
     const bool isDue = now - pipeline.m_lastSentAt >= overlapDelay;
+    if (isStoreSlow(pipeline) && isLossKnown(pipeline, now)) // A later append would be refused as out of order whenever the earlier one is lost.
+        return false;
     const bool isStoreResponsive = pipeline.m_lastLatency >= overlapDelay || lastStoreReplyAt > pipeline.m_lastSentAt;
     return isDue && isStoreResponsive && !pipeline.m_queue.back().m_inFlight.empty() && !isRepeatNeeded(pipeline) && pipeline.m_queue.size() < maxUnconfirmed;
 }
@@ -158,7 +212,7 @@
     if (pipeline.m_queue.empty())
         return nullptr;
     PipelinedAppend* const next = isOldestDue(pipeline, lastStoreReplyAt, now) ? &pipeline.m_queue.front() : findOverlapping(pipeline, now);
-    if (!next)
+    if (!next || !isWithinBudget(pipeline, now))
         return nullptr;
     next->m_latest = { .m_sequence = next->m_append.m_writer->m_sequence, .m_number = ++pipeline.m_attempts, .m_sentAt = now };
     next->m_firstSentAt = next->m_attempts++ == 0 ? now : next->m_firstSentAt;
@@ -166,14 +220,21 @@
     next->m_inFlight.push_back(next->m_latest);
     ++pipeline.m_openAttempts;
     pipeline.m_lastSentAt = now;
+    pipeline.m_pending.push_back(next->m_latest);
+    pipeline.m_lastSends.push_back(now);
+    if (pipeline.m_lastSends.size() > maxSendsPerLatency)
+        pipeline.m_lastSends.pop_front();
     return next;
 }
 
 AppendOutcome onAppendAnswer(AppendPipeline& pipeline, const AppendAttempt& attempt, StoreStatus status, TimePoint now)
 {
     --pipeline.m_openAttempts;
+    std::erase_if(pipeline.m_pending, [&](const AppendAttempt& each) { return each.m_number == attempt.m_number; });
     if (status == StoreStatus::Fenced)
         return AppendOutcome::Fenced;
+    if (status == StoreStatus::Done)
+        countInOrder(pipeline);
     const auto found = std::find_if(pipeline.m_queue.begin(), pipeline.m_queue.end(), [&](const PipelinedAppend& each) { return each.m_append.m_writer->m_sequence == attempt.m_sequence; });
     if (found == pipeline.m_queue.end())
         return AppendOutcome::Proceed;
--- a/src/process/cell/append_pipeline.h
+++ b/src/process/cell/append_pipeline.h
@@ -41,12 +41,15 @@
     TimePoint m_lastSentAt; ///< Time of the latest attempt of any append.
     std::uint64_t m_attempts = 0; ///< Number of the latest attempt of any append.
     std::uint64_t m_attemptsBeforeOldest = 0; ///< Value of m_attempts when the oldest append became the oldest.
+    std::deque<TimePoint> m_lastSends; ///< When the latest attempts of any append were sent, the earliest first; a few are kept.
+    std::vector<AppendAttempt> m_pending; ///< Attempts of any append without an answer that have not been overtaken, the earliest first.
+    std::uint32_t m_answeredInOrder = 0; ///< Attempts that the store has carried out since an answer last overtook an earlier attempt.
     std::uint32_t m_openAttempts = 0; ///< Attempts without an answer, also those of confirmed appends; each holds a connection.
     std::uint32_t m_refusals = 0; ///< How often the store has refused the oldest append (StoreStatus::NotDone) with no other attempt in flight; 0 after each confirmation.
     Duration m_lastLatency; ///< Time from an attempt to its own answer, for the latest attempt that confirmed an append.
     std::deque<Duration> m_latencies; ///< The latest values of m_lastLatency, the newest last.
     std::uint64_t m_confirmations = 0; ///< Number of answers that have confirmed an append.
-    std::optional<TimePoint> m_lossSeenAt; ///< When an attempt was last answered before an earlier attempt of the same append.
+    std::optional<TimePoint> m_lossSeenAt; ///< When an attempt was last answered before an earlier one; empty after several in order.
     AppendConfirmation m_lastConfirmation; ///< Of the latest confirmed append.
     std::uint64_t m_confirmedBatch = 0; ///< Number of the latest batch that the store has confirmed; 0 for none.
 };
@@ -86,6 +89,7 @@
  * An append is idempotent by its sequence number, so the oldest one is sent again beside its unanswered attempts after a few
  * times the usual latency. The delay doubles with each attempt, so that a store that is slow or silent gets few of them, unless
  * an attempt has lately been overtaken by a later one or the store has answered another call since: then answers are lost.
+ * A slow store gets no more attempts in the time of one answer than its partition can carry out.
  * @param lastStoreReplyAt When the store last answered any call.
  * @return The append to send, whose m_latest is the attempt, or null when none is due; valid until the next call that changes the pipeline.
  */
--- a/tests/lost_append_answers_test.cpp
+++ b/tests/lost_append_answers_test.cpp
@@ -26,6 +26,7 @@
     std::int64_t m_networkMs = 2; ///< Time of the request and the answer on the network.
     std::int64_t m_silentFrom = 1'000'000; ///< From then on no call is answered.
     bool m_areReadsAnswered = true; ///< Whether reads are answered while the store is not silent.
+    bool m_doLateAppendsQueue = false; ///< Whether appends that are carried out late occupy the partition like all others; they are not refused however much waits.
 };
 
 /** A leader's pipeline and the store, in simulated time. */
@@ -78,6 +79,8 @@
     std::map<std::uint64_t, std::uint64_t> m_attempts; ///< Attempts sent, by sequence number.
     std::uint32_t m_open = 0; ///< Attempts without an answer.
     std::uint32_t m_maxOpen = 0; ///< Largest value of m_open.
+    std::map<std::int64_t, std::uint64_t> m_attemptsBySecond; ///< Attempts sent, by the second of their sending.
+    std::int64_t m_maxWaitingMs = 0; ///< Longest time that an append that arrived would have waited for the partition.
 
 private:
     std::int64_t draw(std::int64_t low, std::int64_t high) { return std::uniform_int_distribution<std::int64_t>(low, high)(m_random); }
@@ -97,11 +100,13 @@
     {
         ++m_attempts[next.m_append.m_writer->m_sequence];
         m_maxOpen = std::max(m_maxOpen, ++m_open);
+        ++m_attemptsBySecond[m_now / 1'000];
+        m_maxWaitingMs = std::max(m_maxWaitingMs, m_partitionFreeAt - m_now);
         const auto answer = [this, attempt = next.m_latest](StoreStatus status) { onAnswer(attempt, status); };
         const std::int64_t timeoutAt = m_now + appendTimeout(m_pipeline).m_ms;
         const bool isLost = m_now >= m_behaviour.m_silentFrom || std::uniform_real_distribution<double>(0, 1)(m_random) < m_behaviour.m_lossShare;
         if (isLost) {
-            m_events.emplace(m_now + draw(1'000, 6'000), [this, append = next.m_append] { m_store.append(append); });
+            m_events.emplace(m_now + draw(1'000, 6'000), [this, append = next.m_append] { carryOutLate(append); });
             m_events.emplace(timeoutAt, [answer] { answer(StoreStatus::Unknown); });
             return;
         }
@@ -121,6 +126,16 @@
         });
     }
 
+    void carryOutLate(const StoreAppend& append)
+    {
+        if (!m_behaviour.m_doLateAppendsQueue) {
+            m_store.append(append);
+            return;
+        }
+        m_partitionFreeAt = std::max(m_partitionFreeAt, m_now) + m_behaviour.m_appendMs;
+        m_events.emplace(m_partitionFreeAt, [this, append] { m_store.append(append); });
+    }
+
     void onAnswer(const AppendAttempt& attempt, StoreStatus status)
     {
         --m_open;
@@ -166,6 +181,34 @@
     }
 }
 
+// A store 60 times slower that carried out 35% of the appends late got 12 to 19 attempts in a second, more than its partition carries out, while an unanswered one was repeated after 1 to 2 s.
+BOOST_AUTO_TEST_CASE(a_slow_store_that_loses_answers_gets_no_more_than_it_carries_out_and_confirms_in_time)
+{
+    constexpr std::int64_t longestWaitMs = 1'500; // Four answers of 360 ms: a record waits for the append before, and a third of the attempts are lost.
+    constexpr std::uint64_t carriedOutInSecond = 8;
+    std::uint64_t mostInSecond = 0;
+    std::vector<std::int64_t> waits;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        Simulation simulation({}, seed);
+        simulation.run(5'000, 20, 100'000);
+        simulation.m_behaviour = { .m_lossShare = 0.35, .m_appendMs = 120, .m_networkMs = 120, .m_doLateAppendsQueue = true };
+        simulation.run(8'000, 20, 100'000); // The latency is not known at once.
+        simulation.m_waits.clear();
+        simulation.m_attemptsBySecond.clear();
+        simulation.m_maxWaitingMs = 0;
+        simulation.run(45'000, 20, 100'000);
+        for (const auto& [second, attempts] : simulation.m_attemptsBySecond)
+            mostInSecond = std::max(mostInSecond, attempts);
+        waits.insert(waits.end(), simulation.m_waits.begin(), simulation.m_waits.end());
+        BOOST_TEST_MESSAGE("seed " << seed << ": 95% within " << simulation.percentile(0.95) << " ms, half within " << simulation.percentile(0.5) << " ms, at most " << simulation.m_maxWaitingMs << " ms of work in the partition, " << simulation.m_maxOpen << " open");
+        BOOST_TEST(simulation.m_maxWaitingMs <= 1'000, "seed " << seed); // Half of what the store lets wait before it refuses appends.
+    }
+    std::sort(waits.begin(), waits.end());
+    BOOST_TEST_MESSAGE("95% of " << waits.size() << " records within " << waits[waits.size() * 95 / 100] << " ms, at most " << mostInSecond << " attempts in a second");
+    BOOST_TEST(waits[waits.size() * 95 / 100] <= longestWaitMs);
+    BOOST_TEST(mostInSecond <= carriedOutInSecond);
+}
+
 // Copies of an append must not slow a store further that has become slow: each takes as long as the append.
 BOOST_AUTO_TEST_CASE(a_store_that_becomes_slow_gets_few_copies)
 {
