A leader on a slow store that answers reads keeps its term

Cause: the leader took its store for silent, and handed over, when its oldest append was three latencies old and nothing was answered for 0.5 s. On a store 60 times slower the workers' announcements are answered about that far apart, so a few lost answers to appends were enough.

Change: silence is judged by what the store's answers to those reads take at present: three of them, 0.5 s at least.

--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -161,7 +161,14 @@
         }
     }
 
-    /** @return Whether the store has stopped accepting the leader's records: it is silent, or it refuses them repeatedly. */
+    /** @return How long the store's answers to reads take at present, from those of the workers' announcements, which the store does not hold back. */
+    Duration storeReadTime(const CellNode& node)
+    {
+        const auto workers = node.m_storeTraffic.m_partitions.find(node.m_workersTail.m_partition);
+        return workers == node.m_storeTraffic.m_partitions.end() ? Duration {} : workers->second.m_reads.m_latency;
+    }
+
+    /** @return Whether the store has stopped accepting the leader's records: it is silent for longer than its answers take, or it refuses them repeatedly. */
     bool isWriterStalled(const CellNode& node)
     {
         constexpr Duration minStalledAge { 600 };
@@ -171,7 +178,9 @@
         const auto since = oldestUnconfirmedSince(node.m_writer);
         if (!since)
             return false;
-        const bool isSilent = node.m_now - *since > std::max(minStalledAge, node.m_writer.m_lastLatency * latencyMultiple) && node.m_now - node.m_storeLastContactAt > minStoreSilence;
+        const Duration oldestAge = node.m_now - *since;
+        const Duration silence = node.m_now - node.m_storeLastContactAt;
+        const bool isSilent = oldestAge > std::max(minStalledAge, node.m_writer.m_lastLatency * latencyMultiple) && silence > std::max(minStoreSilence, storeReadTime(node) * latencyMultiple);
         return isSilent || node.m_writer.m_refusals >= refusalLimit;
     }
 
--- a/tests/hand_over_test.cpp
+++ b/tests/hand_over_test.cpp
@@ -8,6 +8,7 @@
 #include "request/plan_codec.h"
 
 #include <map>
+#include <random>
 #include <set>
 
 using namespace bulrushloft;
@@ -119,6 +120,86 @@
     return store;
 }
 
+/** A leader with a peer that reaches the store, while the store's answers take long and appends get lost. */
+struct LeaderOnSlowStore : LeaderWithWorkers {
+    std::mt19937_64 m_random;
+    double m_lossShare = 0; ///< Share of the appends that get no answer and are carried out 1 to 6 s later.
+    Duration m_networkTime; ///< Time of an answer without that of the partition.
+    Duration m_appendTime; ///< Time that each append occupies its partition, also a late one.
+    bool m_isSilent = false; ///< No call is answered or carried out.
+    bool m_isRefusing = false; ///< Appends are refused.
+    std::map<std::string, TimePoint> m_freeAt; ///< When a topic's partition has carried out all appends that have arrived.
+
+    LeaderOnSlowStore(FakeStore& store, std::uint64_t seed)
+        : LeaderWithWorkers(store, 1)
+        , m_random(seed)
+    {
+        CellPorts& ports = m_node->m_ports;
+        ports.m_append = [this](const StoreAppend& append, Duration timeout, const std::function<void(StoreAppendAnswer)>& onAnswer) { sendAppend(append, timeout, onAnswer); };
+        ports.m_read = [this](const StoreRead& read, Duration timeout, const std::function<void(StoreReadAnswer)>& onAnswer) {
+            const Duration wait = read.m_from < m_store.read(read).m_end ? Duration {} : read.m_wait;
+            sendCall<StoreReadAnswer>([this, read] { return m_store.read(read); }, m_now + m_networkTime + wait, m_now + timeout, onAnswer);
+        };
+        ports.m_readNewest = [this](const StoreNewestRead& newest, Duration timeout, const std::function<void(StoreNewestAnswer)>& onAnswer) { sendCall<StoreNewestAnswer>([this, newest] { return m_store.newest(newest); }, m_now + m_networkTime, m_now + timeout, onAnswer); };
+    }
+
+    /** Calls a function when a time has come. */
+    void callAt(TimePoint due, const std::function<void()>& function)
+    {
+        m_answers.push_back([this, due, function] {
+            if (m_now < due)
+                callAt(due, function);
+            else
+                function();
+        });
+    }
+
+    /** Carries out a call at a time and answers it, unless its time is over before. */
+    template <typename Answer>
+    void sendCall(const std::function<Answer()>& call, TimePoint doneAt, TimePoint timeoutAt, const std::function<void(Answer)>& onAnswer)
+    {
+        const bool isInTime = !m_isSilent && doneAt < timeoutAt;
+        if (!m_isSilent)
+            callAt(doneAt, [call, onAnswer, isInTime] {
+                const Answer answer = call();
+                if (isInTime)
+                    onAnswer(answer);
+            });
+        if (!isInTime)
+            callAt(timeoutAt, [onAnswer] { onAnswer(Answer {}); });
+    }
+
+    void sendAppend(const StoreAppend& append, Duration timeout, const std::function<void(StoreAppendAnswer)>& onAnswer)
+    {
+        if (m_isRefusing)
+            return callAt(m_now + m_networkTime, [onAnswer] { onAnswer({ .m_status = StoreStatus::NotDone, .m_reason = {} }); });
+        const bool isLost = std::uniform_real_distribution<double>(0, 1)(m_random) < m_lossShare;
+        const TimePoint arrivesAt = m_now + (isLost ? Duration { std::uniform_int_distribution<std::int64_t>(1'000, 6'000)(m_random) } : Duration {});
+        TimePoint& freeAt = m_freeAt[append.m_partition.m_topic];
+        if (isLost) {
+            callAt(m_now + timeout, [onAnswer] { onAnswer({}); });
+            callAt(arrivesAt, [this, append, &freeAt] {
+                freeAt = std::max(freeAt, m_now) + m_appendTime;
+                callAt(freeAt, [this, append] { m_store.append(append); });
+            });
+            return;
+        }
+        freeAt = std::max(freeAt, m_now) + m_appendTime;
+        sendCall<StoreAppendAnswer>([this, append] { return m_store.append(append); }, freeAt + m_networkTime, m_now + timeout, onAnswer);
+    }
+
+    /** Runs with a heartbeat of the peer and a submission each 100 ms. */
+    void runWithLoad(Duration length)
+    {
+        constexpr Duration interval { 100 };
+        const PeerHeartbeat heartbeat { .m_from = makeMember("other", 2, 7), .m_leader = m_node->m_leader, .m_configVersion = 1, .m_membersVersion = 0, .m_isStoreReached = true };
+        for (const TimePoint end = m_now + length; m_now < end; run(interval)) {
+            onPeerMessage(*m_node, heartbeat, [](const PeerReply&) { /* Not of interest. */ });
+            submit(std::to_string(1'000'000'000'000'000 + m_now.m_ms));
+        }
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(a_leader_that_learns_of_a_later_claim_gives_no_further_orders)
@@ -224,3 +305,43 @@
     BOOST_TEST(requests[3] == 0);
     BOOST_TEST(requests[4] == 0);
 }
+
+// A store that became 60 times slower and lost 35% of the answers to appends answered reads; the leader took it for silent and handed over, which cost seconds of loading.
+BOOST_AUTO_TEST_CASE(a_leader_on_a_slow_store_that_loses_answers_keeps_its_term)
+{
+    int terms = 0;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        FakeStore store = makeStore();
+        LeaderOnSlowStore leader(store, seed);
+        leader.runWithLoad({ 2'000 });
+        leader.m_lossShare = 0.35;
+        leader.m_networkTime = { 300 }; // With the workers' announcements read 250 ms after the last answer, there is none for over 500 ms.
+        leader.m_appendTime = { 120 };
+        leader.runWithLoad({ 20'000 });
+        terms += leader.m_takeOverRequests > 0 ? 1 : 0;
+    }
+    BOOST_TEST_MESSAGE(terms << " of 40 leaders have asked a peer to take over");
+    BOOST_TEST(terms == 0);
+}
+
+// What protects the leader on a slow store must not keep one that the store does not answer, or whose appends it refuses.
+BOOST_AUTO_TEST_CASE(a_leader_whose_store_falls_silent_or_refuses_its_appends_hands_over)
+{
+    for (const bool isSlow : { false, true }) {
+        for (const bool isSilent : { false, true }) {
+            FakeStore store = makeStore();
+            LeaderOnSlowStore leader(store, 1);
+            leader.m_networkTime = { isSlow ? 240 : 0 };
+            leader.m_appendTime = { isSlow ? 120 : 0 };
+            leader.runWithLoad({ 3'000 });
+            BOOST_REQUIRE(leader.m_takeOverRequests == 0);
+            leader.m_isSilent = isSilent;
+            leader.m_isRefusing = !isSilent;
+            const TimePoint startedAt = leader.m_now;
+            while (leader.m_takeOverRequests == 0 && leader.m_now - startedAt < Duration { 5'000 })
+                leader.runWithLoad({ 100 });
+            BOOST_TEST_MESSAGE((isSlow ? "slow, " : "fast, ") << (isSilent ? "silent" : "refusing") << ": handed over after " << (leader.m_now - startedAt).m_ms << " ms");
+            BOOST_TEST((leader.m_now - startedAt).m_ms <= (isSlow ? 2'000 : 1'000));
+        }
+    }
+}
