The pause between direct writes after an overload is bounded by a second

Cause: an append that an overfilled partition answered after 2 s counted as the latency of the next ones, so that a VM sent the next one 2 s later although the partition was free again. Change: the expected latency after an answer is at most 1 s.

--- a/src/process/cell/store_traffic.cpp
+++ b/src/process/cell/store_traffic.cpp
@@ -90,11 +90,12 @@
 
 Duration answeredLatency(const CallTraffic& appends, Duration initial)
 {
+    constexpr Duration maxPause { 1'000 }; // The end of an overload must be seen soon.
     constexpr Duration refusalDelay { 50 };
     constexpr std::uint32_t maxDoublings = 4;
     const Duration answered = appends.m_latency == Duration {} ? initial : appends.m_latency;
     const Duration afterRefusals = appends.m_refusalsInRow > 0 ? refusalDelay * (std::int64_t { 1 } << std::min(appends.m_refusalsInRow, maxDoublings)) : Duration {};
-    return std::max(answered, afterRefusals);
+    return std::max(std::min(answered, maxPause), afterRefusals);
 }
 
 Duration expectedLatency(const CallTraffic& appends, Duration initial, TimePoint now)
--- a/src/process/cell/store_traffic.h
+++ b/src/process/cell/store_traffic.h
@@ -46,7 +46,7 @@
 /** Counts the answer to a call, or that it was given up (StoreStatus::Unknown). @param sentAt When it was sent. */
 void onCallAnswered(CallTraffic& traffic, StoreStatus status, TimePoint sentAt, TimePoint now);
 
-/** @return Time to the latest answer of an append, longer with each refusal since, as a partition refuses what it can't carry out soon. @param initial Estimate before the first answer. */
+/** @return Time to the latest answer of an append, bounded, longer with each refusal since, as a partition refuses what it can't carry out soon. @param initial Estimate before the first answer. */
 Duration answeredLatency(const CallTraffic& appends, Duration initial);
 
 /**
