--- a/tests/cell_simulation.cpp
+++ b/tests/cell_simulation.cpp
@@ -158,6 +158,7 @@
         }
         if (m_options.m_finishTime.m_ms > 0)
             checkStandstill();
+        checkPartitions();
     }
     if (m_result.m_violations.empty() || !m_options.m_stopsAtViolation)
         finish();
--- a/tests/cell_simulation.h
+++ b/tests/cell_simulation.h
@@ -28,6 +28,14 @@
     Duration m_length; ///< Its length; it may go on after the load.
 };
 
+/** A period in which the store is slow and carries a share of its writes out 1 to 6 s late, without an answer. Times count from the start of the load. */
+struct SlowLossyStore {
+    std::int64_t m_slowFactor = 60; ///< Calls and appends take this many times as long.
+    double m_lateShare = 0.35; ///< Share of the writes, 0 to 1.
+    Duration m_start; ///< Start of the period.
+    Duration m_length; ///< Its length; 0 for no such period.
+};
+
 /** A loss of power of all daemons under a backlog. Times count from the start of the load. */
 struct PowerLoss {
     Duration m_at; ///< When all daemons stop; 0 for never.
@@ -57,6 +65,10 @@
     std::int64_t m_maxRoundMs = 590; ///< Longest round of a busy decision thread, in ms; from 600 ms on the daemon takes it for a suspension.
     bool m_needsApprovals = false; ///< Whether starts need tickets of an approval service; the workers then are large, and there are large tasks and gangs.
     LossyWrites m_lossyWrites; ///< Writes whose answers are lost.
+    SlowLossyStore m_slowLossyStore; ///< A store that is slow and lossy, and checks of its partitions and callers once it is sound.
+    std::vector<Duration> m_leaderKills; ///< When the leader is killed, if there is one; counts from the start of the load.
+    int m_maxTries = 8; ///< How often a client submits a job at most.
+    bool m_printsTraffic = false; ///< Whether to print, for each second, the attempts to append to each partition and its waiting time.
     PowerLoss m_powerLoss; ///< Loss of power of all daemons.
     RackWaves m_rackWaves; ///< Crashes of workers.
     Duration m_finishTime { 0 }; ///< This long after the load no job may stand still although it could run; 0 leaves that unchecked.
@@ -76,6 +88,9 @@
     std::uint64_t m_startedAttempts = 0; ///< Task attempts that workers started.
     std::uint64_t m_approvalCalls = 0; ///< Calls to the approval service.
     std::uint64_t m_refusedTickets = 0; ///< Starts that workers refused for their ticket.
+    std::int64_t m_longestWaitMs = 0; ///< Longest time that the work waiting in a partition takes, from 1 s after the store is sound.
+    int m_soundSubmissions = 0; ///< Submissions that were sent from 4 s after the store is sound.
+    int m_soundAccepted = 0; ///< Those of them that were accepted.
     int m_lateJobs = 0; ///< Jobs that were submitted when the cell should have recovered from a loss of power.
     int m_lateServed = 0; ///< Those of them that were served in time.
 };
--- a/tests/cell_simulation_base.h
+++ b/tests/cell_simulation_base.h
@@ -18,10 +18,12 @@
 constexpr int rackCount = 3;
 constexpr Duration tickLength { 10 };
 constexpr Duration appendTime { 2 }; ///< Time that an append occupies its partition of the store.
+constexpr Duration queueSettlingTime { 1'000 }; ///< This long after the store is sound, little may wait in its partitions.
+constexpr Duration callerSettlingTime { 4'000 }; ///< This long after the store is sound, callers must be served.
 constexpr Duration clientTimeout { 3'000 };
 constexpr Duration clientRetryDelay { 400 };
 constexpr Duration maxVisibilityDelay { 3'000 }; ///< The platform requires that every daemon knows an accepted job within this time.
-constexpr int maxClientTries = 8;
+constexpr int maxCancelTries = 32;
 constexpr Duration contactTime { 3'000 }; ///< A daemon or store without disruption for this long counts as in touch.
 constexpr Duration heartbeat { 1'500 }; ///< A worker announces a change at most this long after it.
 
@@ -52,7 +54,7 @@
     std::int64_t m_completeAt = 0; ///< When a daemon first reported the job as complete; 0 before.
     std::int64_t m_stillSince = 0; ///< Since when it stands still although it could run; 0 if it doesn't.
     bool m_isStillReported = false; ///< A violation was reported for that.
-    int m_tries = 0; ///< Submissions tried, at most maxClientTries.
+    int m_tries = 0; ///< Submissions tried, at most CellSimulationOptions::m_maxTries.
     bool m_isAccepted = false; ///< A submission was acknowledged.
     bool m_mayBeAccepted = false; ///< At least one submission timed out or was answered other than with NotDone, so the job may run.
     bool m_isCancelRequested = false; ///< A cancellation was sent.
@@ -76,7 +78,8 @@
      * Records a violation, which ends the simulation.
      * @param description Begins with the violated guarantee: TWICE (a task ran again or in two places), LIMIT (capacity exceeded),
      * UNASKED (a task ran without a submitted job or after its cancellation), ORDER (a step started too early), LOST (an accepted
-     * job did not complete or stands still), REFUSED (a refused job ran), RECOVER (too few are served after a loss of power). An inconsistent scheduler has no such prefix.
+     * job did not complete or stands still), REFUSED (a refused job ran), RECOVER (too few are served after a loss of power), QUEUE (too much waits in a partition of a sound store),
+     * REJECTED (too few submissions are accepted although the store is sound). An inconsistent scheduler has no such prefix.
      */
     void reportViolation(const std::string& description) { m_result.m_violations.push_back(std::to_string(m_now) + " ms: " + description); }
 
@@ -107,6 +110,9 @@
     /** Places a call that has arrived at its partition in the queue, and answers it. @param fail Ends the call without an answer when the daemon gives it up. */
     template <typename Answer>
     void arriveAtPartition(SimulatedNode& node, const std::shared_ptr<bool>& alive, const StoreCall<Answer>& call, const std::function<void(Answer)>& onAnswer, const std::function<void()>& fail);
+    /** @return When the store is sound again after the slow and lossy period; nothing if there is no such period. */
+    std::optional<std::int64_t> soundTime() const;
+    bool isSlowLossy() const { return soundTime() && m_now >= m_loadStart + m_options.m_slowLossyStore.m_start.m_ms && m_now < *soundTime(); }
     /** @return Factor by which the store is slower than usual. */
     std::int64_t storeSlowness() const;
     /** @return Share of the appends that get no answer and are carried out seconds later. */
@@ -160,6 +166,12 @@
     std::optional<std::pair<std::uint32_t, std::uint32_t>> openStepOf(const ClientJob& job) const;
     /** Reports jobs that stand still although they could run (LOST). */
     void checkStandstill();
+    /** Checks the work that waits in the partitions of a sound store (QUEUE). */
+    void checkPartitions();
+    /** Prints the attempts of the last second by partition. */
+    void printTraffic();
+    /** Checks the share of submissions that a sound store lets through (REJECTED). */
+    void checkSubmissions();
     /** Checks the share of requests that are served after the loss of power (RECOVER). */
     void checkRecovery();
     void tick();
@@ -178,6 +190,8 @@
     std::map<TaskName, std::vector<std::int64_t>> m_agesAtCrash; ///< How long attempts of a task had run when their workers crashed, in ms.
     std::set<TaskName> m_endedDone; ///< Tasks that have ended as done at a worker that has not lost that end.
     FakeStore m_store;
+    std::set<std::string> m_overfilledTopics; ///< Topics whose partition was reported as overfilled.
+    std::map<std::string, PartitionCounts> m_printedCounts; ///< Counts at the last printTraffic().
     std::map<std::string, PartitionQueue> m_partitionQueues; ///< By topic; each has one partition.
     std::int64_t m_storeDownUntil = 0; ///< Until then the store is down and carries out no calls.
     bool m_isStoreUnresponsive = false; ///< Calls to a store that is down time out instead of being refused.
--- a/tests/cell_simulation_checks.cpp
+++ b/tests/cell_simulation_checks.cpp
@@ -162,6 +162,7 @@
         stopNode(node, 0);
     if (m_options.m_powerLoss.m_at.m_ms > 0)
         checkRecovery();
+    checkSubmissions();
     for (const ClientJob& job : m_jobs) {
         m_result.m_accepted += job.m_isAccepted ? 1 : 0;
         m_result.m_complete += job.m_isComplete ? 1 : 0;
--- a/tests/cell_simulation_clients.cpp
+++ b/tests/cell_simulation_clients.cpp
@@ -47,7 +47,7 @@
 void CellSimulation::submit(std::size_t index)
 {
     ClientJob& job = m_jobs[index];
-    if (job.m_isAccepted || ++job.m_tries > maxClientTries)
+    if (job.m_isAccepted || ++job.m_tries > m_options.m_maxTries)
         return;
     if (job.m_firstSentAt == 0)
         job.m_firstSentAt = m_now;
@@ -56,6 +56,8 @@
     if (!node.m_cell)
         return retry();
     const ClientCall call { .m_verb = ClientVerb::Submit, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = job.m_body, .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
+    const bool isCounted = soundTime() && m_now >= *soundTime() + callerSettlingTime.m_ms;
+    m_result.m_soundSubmissions += isCounted ? 1 : 0;
     auto isAnswered = std::make_shared<bool>(false);
     schedule(clientTimeout.m_ms, [this, index, isAnswered, retry] {
         if (std::exchange(*isAnswered, true))
@@ -63,13 +65,16 @@
         m_jobs[index].m_mayBeAccepted = true;
         retry();
     });
-    deliverLater(node, node.m_isAlive, 1, [this, &node, call, index, isAnswered, retry] {
-        onClientCall(*node.m_cell, call, [this, index, isAnswered, retry](const ClientReply& reply) {
+    deliverLater(node, node.m_isAlive, 1, [this, &node, call, index, isAnswered, retry, isCounted] {
+        onClientCall(*node.m_cell, call, [this, index, isAnswered, retry, isCounted](const ClientReply& reply) {
             if (reply.m_status != ClientStatus::NotDone)
                 m_jobs[index].m_mayBeAccepted = true;
             if (reply.m_status == ClientStatus::Accepted && !std::exchange(m_jobs[index].m_isAccepted, true))
                 m_jobs[index].m_acceptedAt = m_now;
-            if (!std::exchange(*isAnswered, true) && reply.m_status != ClientStatus::Accepted)
+            if (std::exchange(*isAnswered, true))
+                return;
+            m_result.m_soundAccepted += isCounted && reply.m_status == ClientStatus::Accepted ? 1 : 0;
+            if (reply.m_status != ClientStatus::Accepted)
                 retry();
         });
     });
@@ -78,7 +83,7 @@
 void CellSimulation::cancel(std::size_t index, int tries)
 {
     ClientJob& job = m_jobs[index];
-    if (!job.m_isAccepted || job.m_cancelAckedAt > 0 || tries > maxClientTries * 4)
+    if (!job.m_isAccepted || job.m_cancelAckedAt > 0 || tries > maxCancelTries)
         return;
     job.m_isCancelRequested = true;
     schedule(clientRetryDelay.m_ms, [this, index, tries] { cancel(index, tries + 1); });
--- a/tests/cell_simulation_faults.cpp
+++ b/tests/cell_simulation_faults.cpp
@@ -51,6 +51,8 @@
             m_disruptedUntil = std::max(m_disruptedUntil, m_now + loss.m_downTime.m_ms);
         });
     }
+    for (const Duration at : m_options.m_leaderKills)
+        schedule(m_loadStart - m_now + at.m_ms, [this] { killLeaders(1); });
     const RackWaves& waves = m_options.m_rackWaves;
     for (int wave = 0; wave < waves.m_count; ++wave) {
         schedule(m_loadStart - m_now + waves.m_first.m_ms + wave * waves.m_interval.m_ms, [this, &waves, wave] {
--- a/tests/cell_simulation_network.cpp
+++ b/tests/cell_simulation_network.cpp
@@ -3,14 +3,24 @@
 
 namespace bulrushloft::test {
 
+std::optional<std::int64_t> CellSimulation::soundTime() const
+{
+    const SlowLossyStore& period = m_options.m_slowLossyStore;
+    return period.m_length.m_ms > 0 ? std::optional(m_loadStart + period.m_start.m_ms + period.m_length.m_ms) : std::nullopt;
+}
+
 std::int64_t CellSimulation::storeSlowness() const
 {
+    if (isSlowLossy())
+        return m_options.m_slowLossyStore.m_slowFactor;
     constexpr std::int64_t faultSlowness = 40;
     return m_now < m_storeSlowUntil ? faultSlowness : 1;
 }
 
 double CellSimulation::lossyWriteShare() const
 {
+    if (isSlowLossy())
+        return m_options.m_slowLossyStore.m_lateShare;
     const LossyWrites& lossy = m_options.m_lossyWrites;
     const std::int64_t lossyFrom = m_loadStart + lossy.m_start.m_ms;
     return m_now >= lossyFrom && m_now < lossyFrom + lossy.m_length.m_ms ? lossy.m_share : 0;
--- a/tests/cell_worlds.h
+++ b/tests/cell_worlds.h
@@ -35,6 +35,9 @@
         total.m_accepted += result.m_accepted;
         total.m_approvalCalls += result.m_approvalCalls;
         total.m_refusedTickets += result.m_refusedTickets;
+        total.m_soundSubmissions += result.m_soundSubmissions;
+        total.m_soundAccepted += result.m_soundAccepted;
+        total.m_longestWaitMs = std::max(total.m_longestWaitMs, result.m_longestWaitMs);
         total.m_lateJobs += result.m_lateJobs;
         total.m_lateServed += result.m_lateServed;
         for (const std::string& violation : result.m_violations)
@@ -43,6 +46,8 @@
     std::cout << count << " simulations from seed " << seed << ": " << total.m_accepted << " jobs accepted, " << total.m_startedAttempts << " attempts, " << total.m_terms << " terms";
     if (options.m_needsApprovals)
         std::cout << ", " << total.m_approvalCalls << " approval calls, " << total.m_refusedTickets << " refused tickets, " << total.m_lateServed << " of " << total.m_lateJobs << " served after recovery";
+    if (options.m_slowLossyStore.m_length.m_ms > 0)
+        std::cout << ", " << total.m_soundAccepted << " of " << total.m_soundSubmissions << " submissions accepted once the store is sound, at most " << total.m_longestWaitMs << " ms waiting in a partition";
     std::cout << "\n";
 }
 
