--- a/tests/cell_simulation_base.h
+++ b/tests/cell_simulation_base.h
@@ -7,6 +7,7 @@
 #include "fake_approvals.h"
 #include "fake_lease_worker.h"
 #include "fake_store.h"
+#include "partition_queue.h"
 #include "request/plan_func.h"
 
 #include <algorithm>
@@ -16,10 +17,13 @@
 constexpr const char* configKey = "config";
 constexpr int rackCount = 3;
 constexpr Duration tickLength { 10 };
+constexpr Duration appendTime { 2 }; ///< Time that an append occupies its partition of the store.
+constexpr Duration queueSettlingTime { 1'000 }; ///< This long after the store is sound, little may wait in its partitions.
+constexpr Duration callerSettlingTime { 4'000 }; ///< This long after the store is sound, callers must be served.
 constexpr Duration clientTimeout { 3'000 };
 constexpr Duration clientRetryDelay { 400 };
 constexpr Duration maxVisibilityDelay { 3'000 }; ///< The platform requires that every daemon knows an accepted job within this time.
-constexpr int maxClientTries = 8;
+constexpr int maxCancelTries = 32;
 constexpr Duration contactTime { 3'000 }; ///< A daemon or store without disruption for this long counts as in touch.
 constexpr Duration heartbeat { 1'500 }; ///< A worker announces a change at most this long after it.
 
@@ -50,7 +54,7 @@
     std::int64_t m_completeAt = 0; ///< When a daemon first reported the job as complete; 0 before.
     std::int64_t m_stillSince = 0; ///< Since when it stands still although it could run; 0 if it doesn't.
     bool m_isStillReported = false; ///< A violation was reported for that.
-    int m_tries = 0; ///< Submissions tried, at most maxClientTries.
+    int m_tries = 0; ///< Submissions tried, at most CellSimulationOptions::m_maxTries.
     bool m_isAccepted = false; ///< A submission was acknowledged.
     bool m_mayBeAccepted = false; ///< At least one submission timed out or was answered other than with NotDone, so the job may run.
     bool m_isCancelRequested = false; ///< A cancellation was sent.
@@ -74,7 +78,8 @@
      * Records a violation, which ends the simulation.
      * @param description Begins with the violated guarantee: TWICE (a task ran again or in two places), LIMIT (capacity exceeded),
      * UNASKED (a task ran without a submitted job or after its cancellation), ORDER (a step started too early), LOST (an accepted
-     * job did not complete or stands still), REFUSED (a refused job ran), RECOVER (too few are served after a loss of power). An inconsistent scheduler has no such prefix.
+     * job did not complete or stands still), REFUSED (a refused job ran), RECOVER (too few are served after a loss of power), QUEUE (too much waits in a partition of a sound store),
+     * REJECTED (too few submissions are accepted although the store is sound). An inconsistent scheduler has no such prefix.
      */
     void reportViolation(const std::string& description) { m_result.m_violations.push_back(std::to_string(m_now) + " ms: " + description); }
 
@@ -89,9 +94,31 @@
     /** Runs a callback in a daemon's process after a delay in simulated ms. It is deferred while the daemon is suspended and dropped once the process has ended. */
     template <typename Callback>
     void deliverLater(SimulatedNode& node, const std::shared_ptr<bool>& alive, std::int64_t delay, Callback callback);
+    /** A call to the store that is on its way. @tparam Answer Its answer. */
+    template <typename Answer>
+    struct StoreCall {
+        std::string m_topic; ///< Its partition is that of the topic.
+        std::function<Answer()> m_perform; ///< Carries out the call on m_store.
+        std::int64_t m_timeoutAt = 0; ///< When the daemon gives it up.
+        std::int64_t m_returnDelay = 0; ///< Time of the answer on the network in ms.
+        bool m_isLate = false; ///< Whether it arrives seconds after it was sent; a late append is never refused.
+        bool m_isGivenUp = false; ///< Whether it gets no answer; the daemon knows that from the time-out.
+    };
     /** Calls the store, subject to the delays, losses and outages in force. @param perform Carries out the call on m_store. */
-    template <typename Answer, typename Perform>
-    void callStore(SimulatedNode& node, Duration timeout, std::function<void(Answer)> onAnswer, Perform perform);
+    template <typename Answer>
+    void callStore(SimulatedNode& node, const StorePartition& partition, Duration timeout, std::function<void(Answer)> onAnswer, std::function<Answer()> perform);
+    /** Places a call that has arrived at its partition in the queue, and answers it. @param fail Ends the call without an answer when the daemon gives it up. */
+    template <typename Answer>
+    void arriveAtPartition(SimulatedNode& node, const std::shared_ptr<bool>& alive, const StoreCall<Answer>& call, const std::function<void(Answer)>& onAnswer, const std::function<void()>& fail);
+    /** @return When the store is sound again after the slow and lossy period; nothing if there is no such period. */
+    std::optional<std::int64_t> soundTime() const;
+    bool isSlowLossy() const { return soundTime() && m_now >= m_loadStart + m_options.m_slowLossyStore.m_start.m_ms && m_now < *soundTime(); }
+    /** @return Factor by which the store is slower than usual. */
+    std::int64_t storeSlowness() const;
+    /** @return Share of the appends that get no answer and are carried out seconds later. */
+    double lossyWriteShare() const;
+    /** @return The queue of a topic's only partition. */
+    PartitionQueue& queueOf(const std::string& topic) { return m_partitionQueues[topic]; }
     FakeLeaseWorker* findWorker(const std::string& id);
     void makeWorker(int index);
     /** Writes a worker's record to the workers topic. */
@@ -139,6 +166,12 @@
     std::optional<std::pair<std::uint32_t, std::uint32_t>> openStepOf(const ClientJob& job) const;
     /** Reports jobs that stand still although they could run (LOST). */
     void checkStandstill();
+    /** Checks the work that waits in the partitions of a sound store (QUEUE). */
+    void checkPartitions();
+    /** Prints the attempts of the last second by partition. */
+    void printTraffic();
+    /** Checks the share of submissions that a sound store lets through (REJECTED). */
+    void checkSubmissions();
     /** Checks the share of requests that are served after the loss of power (RECOVER). */
     void checkRecovery();
     void tick();
@@ -157,6 +190,9 @@
     std::map<TaskName, std::vector<std::int64_t>> m_agesAtCrash; ///< How long attempts of a task had run when their workers crashed, in ms.
     std::set<TaskName> m_endedDone; ///< Tasks that have ended as done at a worker that has not lost that end.
     FakeStore m_store;
+    std::set<std::string> m_overfilledTopics; ///< Topics whose partition was reported as overfilled.
+    std::map<std::string, PartitionCounts> m_printedCounts; ///< Counts at the last printTraffic().
+    std::map<std::string, PartitionQueue> m_partitionQueues; ///< By topic; each has one partition.
     std::int64_t m_storeDownUntil = 0; ///< Until then the store is down and carries out no calls.
     bool m_isStoreUnresponsive = false; ///< Calls to a store that is down time out instead of being refused.
     std::int64_t m_storeSlowUntil = 0; ///< Until then calls take 40 times as long.
