The fence on a slow store that loses answers is repeated within the time of an answer

Cause: a copy of the fence waited for four latencies, and twice as long from the third on, so that a new leader sent one in 1 to 3 s; it took the latency of appends to other partitions, with all that waits there.

Change: on a store known to be slow a copy is sent each three quarters of an answer's time in this partition (that of another one only before the first answer, and 0.5 s at most), twice as much from the third on when the store answers nothing.

--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -27,10 +27,11 @@
     {
         HedgedCall& call = node.m_load.m_fence;
         constexpr std::uint32_t maxInFlight = 8;
-        if (!isAttemptDue(call, appendHedgeDelay(node, call), node.m_now, maxInFlight))
+        const StorePartition partition { .m_topic = node.m_options.m_topics.m_progress };
+        if (!isAttemptDue(call, leaderWriteHedgeDelay(node, call, partition), node.m_now, maxInFlight))
             return;
         beginAttempt(call, node.m_now);
-        sendAppend(node, fencingAppend(node.m_writer, { .m_topic = node.m_options.m_topics.m_progress }), fenceTimeout, [&node, term = node.m_term, sentAt = node.m_now](const StoreAppendAnswer& answer) {
+        sendAppend(node, fencingAppend(node.m_writer, partition), fenceTimeout, [&node, term = node.m_term, sentAt = node.m_now](const StoreAppendAnswer& answer) {
             updateStoreReachability(node, answer.m_status == StoreStatus::Done || answer.m_status == StoreStatus::Fenced);
             if (!isStillLoading(node, term) || node.m_load.m_isFenced)
                 return;
--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -244,6 +244,21 @@
     return delay * (std::int64_t { 1 } << doublings);
 }
 
+Duration leaderWriteHedgeDelay(const CellNode& node, const HedgedCall& call, const StorePartition& partition)
+{
+    constexpr Duration slowLatency { 100 }; // Attempts that take at least this long wait for each other in the partition.
+    constexpr Duration maxLatency { 500 }; // Longer ones include the time that others' appends took, which may be over.
+    constexpr std::int64_t silenceLatencies = 4;
+    const auto traffic = node.m_storeTraffic.m_partitions.find(partition);
+    const Duration known = traffic == node.m_storeTraffic.m_partitions.end() ? Duration {} : traffic->second.m_appends.m_latency;
+    const Duration latency = std::min(known == Duration {} ? node.m_appendLatency : known, maxLatency);
+    if (latency < slowLatency)
+        return appendHedgeDelay(node, call);
+    const bool isStoreAnswering = node.m_now - node.m_storeLastContactAt <= latency * silenceLatencies;
+    const Duration delay = latency * 3 / 4; // Four attempts, one of which is nearly always answered, take little more than three latencies.
+    return isStoreAnswering || call.m_attempts <= 2 ? delay : delay * 2;
+}
+
 void resetTail(TopicTail& tail, bool isFollowed)
 {
     tail.m_isFollowed = isFollowed;
--- a/tests/lost_write_answers_test.cpp
+++ b/tests/lost_write_answers_test.cpp
@@ -22,7 +22,9 @@
 struct StoreBehaviour {
     double m_lossShare = 0; ///< Share of the appends that get no answer and are carried out 1 to 6 s later.
     std::int64_t m_appendMs = 4; ///< Time to the answer of an append in ms; the partition carries out one at a time.
+    std::int64_t m_answerMs = 0; ///< Time to an answer beside that; in it the partition carries out other appends.
     bool m_isSilent = false; ///< No call is answered or carried out.
+    bool m_doLateAppendsQueue = false; ///< Whether appends that are carried out late occupy the partition like all others; they are not refused however much waits.
 };
 
 ClusterSettings makeCluster()
@@ -93,7 +95,7 @@
         if (m_behaviour.m_isSilent)
             return fail(timeout, onAnswer);
         if (std::uniform_real_distribution<double>(0, 1)(m_random) < m_behaviour.m_lossShare) {
-            m_events.emplace(m_now + std::uniform_int_distribution<std::int64_t>(1'000, 6'000)(m_random), [this, append] { m_store.append(append); });
+            m_events.emplace(m_now + std::uniform_int_distribution<std::int64_t>(1'000, 6'000)(m_random), [this, append] { carryOutLate(append); });
             return fail(timeout, onAnswer);
         }
         std::int64_t& freeAt = m_freeAt[append.m_partition.m_topic];
@@ -103,19 +105,31 @@
             return;
         }
         freeAt = std::max(freeAt, m_now) + m_behaviour.m_appendMs;
-        if (freeAt >= m_now + timeout.m_ms)
+        const std::int64_t answerAt = freeAt + m_behaviour.m_answerMs;
+        if (answerAt >= m_now + timeout.m_ms)
             fail(timeout, onAnswer);
-        m_events.emplace(freeAt, [this, append, onAnswer, isInTime = freeAt < m_now + timeout.m_ms] {
+        m_events.emplace(freeAt, [this, append, onAnswer, answerAt, isInTime = answerAt < m_now + timeout.m_ms] {
             const StoreAppendAnswer answer = m_store.append(append);
             if (isInTime)
-                onAnswer(answer);
+                m_events.emplace(answerAt, [onAnswer, answer] { onAnswer(answer); });
         });
     }
 
+    void carryOutLate(const StoreAppend& append)
+    {
+        if (!m_behaviour.m_doLateAppendsQueue) {
+            m_store.append(append);
+            return;
+        }
+        std::int64_t& freeAt = m_freeAt[append.m_partition.m_topic];
+        freeAt = std::max(freeAt, m_now) + m_behaviour.m_appendMs;
+        m_events.emplace(freeAt, [this, append] { m_store.append(append); });
+    }
+
     /** Answers a read at once if there is a record or it does not wait, else when its wait is over or a record has come. */
     void read(const StoreRead& read, std::int64_t until, const std::function<void(StoreReadAnswer)>& onAnswer)
     {
-        m_events.emplace(m_now + networkMs, [this, read, until, onAnswer] {
+        m_events.emplace(m_now + networkMs + m_behaviour.m_answerMs, [this, read, until, onAnswer] {
             const StoreReadAnswer answer = m_store.read(read);
             if (!answer.m_records.empty() || m_now >= until)
                 onAnswer(answer);
@@ -136,7 +150,7 @@
         ports.m_readNewest = [this](const StoreNewestRead& call, Duration timeout, const std::function<void(StoreNewestAnswer)>& onAnswer) {
             if (m_behaviour.m_isSilent)
                 return fail(timeout, onAnswer);
-            m_events.emplace(m_now + networkMs, [this, call, onAnswer] { onAnswer(m_store.newest(call)); });
+            m_events.emplace(m_now + networkMs + m_behaviour.m_answerMs, [this, call, onAnswer] { onAnswer(m_store.newest(call)); });
         };
         ports.m_callPeer = [this](const Address&, const PeerMessage&, Duration timeout, const std::function<void(std::optional<PeerReply>)>& onReply) { m_events.emplace(m_now + timeout.m_ms, [onReply] { onReply(std::nullopt); }); };
         return ports;
@@ -175,6 +189,28 @@
     BOOST_TEST(percentile95(durations) <= recoveryLimitMs / stages);
 }
 
+// On a store 60 times slower a copy of the fence was sent in 1 to 2 s, and the new leader waited for its answer for 5 to 10 s.
+BOOST_AUTO_TEST_CASE(earlier_terms_are_fenced_in_time_on_a_slow_store_that_loses_answers)
+{
+    constexpr std::int64_t longestFenceMs = 1'500;
+    constexpr int carriedOutInSecond = 8;
+    for (const double lossShare : { 0.35, 0.45 }) {
+        std::vector<std::int64_t> durations;
+        int mostAttempts = 0;
+        for (std::uint64_t seed = 1; seed <= runs; ++seed) {
+            Simulation simulation({ .m_lossShare = lossShare, .m_appendMs = 120, .m_answerMs = 240, .m_doLateAppendsQueue = true }, seed);
+            simulation.runUntil([&] { return simulation.m_node->m_role == Role::Loading; });
+            const auto isFenced = [&] { return simulation.m_node->m_load.m_isFenced || simulation.m_node->m_role == Role::Leading; };
+            const std::int64_t firstPartMs = simulation.runUntil(isFenced, 1'000);
+            mostAttempts = std::max(mostAttempts, simulation.m_appends["keyed.progress"]);
+            durations.push_back(firstPartMs + simulation.runUntil(isFenced));
+        }
+        BOOST_TEST_MESSAGE(lossShare << " lost: 95% within " << percentile95(durations) << " ms, the longest " << *std::max_element(durations.begin(), durations.end()) << ", at most " << mostAttempts << " attempts in the first second");
+        BOOST_TEST(percentile95(durations) <= longestFenceMs);
+        BOOST_TEST(mostAttempts <= carriedOutInSecond);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_slow_or_silent_store_gets_few_copies_of_the_fence)
 {
     for (const StoreBehaviour& behaviour : { StoreBehaviour { .m_appendMs = 600 }, StoreBehaviour { .m_isSilent = true } }) {
