A leader that can't read the submissions serves what it knows without them

Cause: a new leader served nothing before it had read the topic of submissions (keyed.jobs) to its end. Until it has read the topic to its end: - jobs without recorded tasks, also those that it accepts now, are recorded and held, as an unread cancellation may be theirs; the record of a held job has no tasks, so a successor that can't read the topic either holds it too; - progress of unread jobs is kept, and joined with the submission when that is read; a copy of such a submission is acknowledged (a VM has stored it) and releases nothing; - attempts of unread jobs are not stopped, and nothing is placed beside them; their ends are kept unacknowledged; - unknown jobs are answered NotLeading, not "no such job", counts are not answered, ended jobs do not expire. It says so: leads-without-submissions, submissions-read, leadership-waits for=end-of-jobs-while-leading, metrics submissions-unread, progress-unmatched, ends-unmatched.

--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -87,6 +87,7 @@
     bool m_isListingComplete = false; ///< Whether a listing has completed since the last reset.
     bool m_isCaughtUp = false; ///< Whether a read has reached the end of the partition since then, so that nothing stored during the listing is missing.
     std::uint32_t m_failedReads = 0; ///< Consecutive reads without an answer in time; the next one gets more time.
+    TimePoint m_answeredAt; ///< When a listing or read was last answered.
     TimePoint m_upToDateAt; ///< When the reader last reached the end of the partition.
     TimePoint m_nextReportAt; ///< Earliest time at which a slow or failed read is next logged.
     Duration m_wait; ///< Long-poll timeout of reads; zero for reads that return at once.
@@ -98,7 +99,7 @@
     Follower, ///< Another daemon leads, or none does.
     Claiming, ///< A leadership claim has been sent and is unanswered.
     Loading, ///< Leads, but is still reading the records of earlier terms.
-    Leading, ///< Leads, with all records loaded.
+    Leading, ///< Leads, with all progress loaded; submissions that VMs have stored themselves may be unread, see Scheduler::m_areSubmissionsUnread.
 };
 
 /** A key range of the progress topic that is read in parallel with the others. */
@@ -117,6 +118,8 @@
     std::vector<LoadRange> m_ranges; ///< Key ranges to read.
     std::map<std::string, std::string> m_progress; ///< Progress records read so far, by key.
     TimePoint m_startedAt; ///< When loading started.
+    std::optional<TimePoint> m_readingSince; ///< When the earlier terms were fenced, so that reading could begin.
+    std::optional<TimePoint> m_progressReadAt; ///< When all progress had been read.
 };
 
 /** A claim of the leadership that has been sent. Its copies are under the same condition, so the store accepts one of them at most. */
--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -34,13 +34,13 @@
             return { .m_status = QueryStatus::NotLeading };
         if (const auto stage = scheduler::findStage(*node.m_scheduler, job))
             return { .m_status = QueryStatus::Known, .m_stage = static_cast<std::uint8_t>(*stage) };
-        const bool isFresh = node.m_now - node.m_jobsTail.m_upToDateAt <= node.m_options.m_maxJobsStaleness;
+        const bool isFresh = !node.m_scheduler->m_areSubmissionsUnread && node.m_now - node.m_jobsTail.m_upToDateAt <= node.m_options.m_maxJobsStaleness;
         return { .m_status = isFresh ? QueryStatus::NoSuchJob : QueryStatus::NotLeading };
     }
 
     PeerQueryAnswer countPendingJobs(const CellNode& node, const std::string& queue)
     {
-        if (!isActiveLeader(node))
+        if (!isActiveLeader(node) || node.m_scheduler->m_areSubmissionsUnread)
             return { .m_status = QueryStatus::NotLeading };
         return { .m_status = QueryStatus::Known, .m_stage = 0, .m_count = scheduler::countPending(*node.m_scheduler, queue) };
     }
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -126,6 +126,7 @@
         node.m_scheduler->m_options = node.m_options.m_scheduler;
         node.m_scheduler->m_options.m_token = node.m_term;
         node.m_scheduler->m_wallOffset = node.m_wallOffset;
+        node.m_scheduler->m_areSubmissionsUnread = true;
         scheduler::setCluster(*node.m_scheduler, *node.m_cluster);
         node.m_writer = makePipeline(writerName, node.m_term);
         node.m_load = { .m_startedAt = node.m_now };
--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -16,6 +16,9 @@
     constexpr Duration retryDelay { 100 };
     constexpr const char* firstProgressKey = "0"; ///< No key of a progress record comes before this one.
     constexpr const char* lastPlanKey = "/"; ///< All keys of plans come before this one, and no other key does.
+    constexpr Duration minPatience { 2'000 }; ///< Without an answer about submissions for so long, a leader goes on without them. Together with a claim and a fence it is shorter than the leases of workers.
+    constexpr Duration maxPatience { 8'000 }; ///< Leases have run out by then.
+    constexpr std::int64_t patienceMultiple = 4; ///< Times the reading of progress: where all reads are slow, the submissions are worth waiting for.
     constexpr Duration slowPageThreshold { 150 }; ///< When a page takes longer, the remaining ones are read in parallel.
 
     bool isStillLoading(const CellNode& node, std::uint64_t term)
@@ -146,23 +149,64 @@
                 restoreProgress(node, key, value);
         }
         scheduler::finishRestoring(*node.m_scheduler, node.m_now);
-        logEvent(LogLevel::Info, "term-loaded", { { "token", node.m_term }, { "jobs", node.m_scheduler->m_jobs.size() }, { "progress", node.m_load.m_progress.size() }, { "workers_with_tasks", node.m_scheduler->m_workers.size() }, { "took_ms", (node.m_now - node.m_load.m_startedAt).m_ms } });
+        logEvent(LogLevel::Info, "term-loaded", { { "token", node.m_term }, { "are_submissions_read", node.m_jobsTail.m_isCaughtUp }, { "jobs", node.m_scheduler->m_jobs.size() }, { "progress", node.m_load.m_progress.size() }, { "workers_with_tasks", node.m_scheduler->m_workers.size() }, { "took_ms", (node.m_now - node.m_load.m_startedAt).m_ms } });
         node.m_load = {};
         node.m_role = Role::Leading;
         node.m_loadedAt = node.m_now;
+        if (!node.m_jobsTail.m_isCaughtUp)
+            logEvent(LogLevel::Warning, "leads-without-submissions", { { "token", node.m_term }, { "unmatched_progress", node.m_scheduler->m_unmatchedProgress.size() }, { "jobs_answered_ms_ago", (node.m_now - node.m_jobsTail.m_answeredAt).m_ms }, { "are_jobs_listed", node.m_jobsTail.m_isListingComplete }, { "jobs_next_offset", node.m_jobsTail.m_nextOffset } });
         finishInitialLoad(node);
     }
 
+    /** @return How long a leader waits for an answer about submissions once it has read all progress. */
+    Duration patienceOf(const LoadState& load)
+    {
+        return std::clamp((*load.m_progressReadAt - *load.m_readingSince) * patienceMultiple, minPatience, maxPatience);
+    }
+
+    /** @return Whether the topic of submissions has answered nothing for too long, or still has not been read to its end after several times as long. */
+    bool isPatienceOver(const CellNode& node)
+    {
+        constexpr std::int64_t answeringMultiple = 4;
+        const Duration patience = patienceOf(node.m_load);
+        const TimePoint progressReadAt = *node.m_load.m_progressReadAt;
+        return node.m_now - std::max(progressReadAt, node.m_jobsTail.m_answeredAt) >= patience || node.m_now - progressReadAt >= patience * answeringMultiple;
+    }
+
+    /** Ends the loading once all has been read, or all but the submissions and the wait for these takes too long. */
+    void finishLoading(CellNode& node)
+    {
+        if (!node.m_load.m_progressReadAt)
+            node.m_load.m_progressReadAt = node.m_now;
+        if (node.m_jobsTail.m_isCaughtUp || isPatienceOver(node))
+            restoreAll(node);
+    }
+
+    /** Takes it up that a leader has read the submissions to their end. */
+    void stepSubmissions(CellNode& node)
+    {
+        scheduler::Scheduler& scheduler = *node.m_scheduler;
+        if (!scheduler.m_areSubmissionsUnread || !node.m_jobsTail.m_isCaughtUp)
+            return;
+        if (node.m_now > node.m_loadedAt)
+            logEvent(LogLevel::Info, "submissions-read", { { "token", node.m_term }, { "loaded_ms_ago", (node.m_now - node.m_loadedAt).m_ms }, { "jobs", scheduler.m_jobs.size() }, { "unmatched_progress", scheduler.m_unmatchedProgress.size() }, { "unmatched_ends", scheduler.m_unmatchedEnds.size() } });
+        scheduler::finishSubmissions(scheduler, node.m_now);
+    }
+
 } // namespace
 
 void stepLoading(CellNode& node)
 {
-    if (node.m_role != Role::Loading)
-        return;
-    if (!node.m_load.m_isFenced)
+    if (node.m_role == Role::Loading && !node.m_load.m_isFenced)
         return fenceEarlierTerms(node);
-    if (readProgress(node) && node.m_jobsTail.m_isCaughtUp)
-        restoreAll(node);
+    if (node.m_role == Role::Loading) {
+        if (!node.m_load.m_readingSince)
+            node.m_load.m_readingSince = node.m_now;
+        if (readProgress(node))
+            finishLoading(node);
+    }
+    if (node.m_role == Role::Leading)
+        stepSubmissions(node);
 }
 
 } // namespace bulrushloft::cell::detail
--- a/src/process/cell/cell_metrics.cpp
+++ b/src/process/cell/cell_metrics.cpp
@@ -101,6 +101,9 @@
         MetricFamilyBuilder builder("bulrush_scheduler", "Counts of the present term", MetricType::Gauge);
         builder.add("jobs", static_cast<double>(scheduler.m_jobs.size()));
         builder.add("workers", static_cast<double>(scheduler.m_workers.size()));
+        builder.add("submissions-unread", scheduler.m_areSubmissionsUnread ? 1 : 0);
+        builder.add("progress-unmatched", static_cast<double>(scheduler.m_unmatchedProgress.size()));
+        builder.add("ends-unmatched", static_cast<double>(scheduler.m_unmatchedEnds.size()));
         builder.add("steps-waiting", static_cast<double>(scheduler.m_waitingSteps.size()));
         builder.add("steps-waiting-long", scheduler.m_waitSummary.m_steps);
         builder.add("oldest-wait-ms", static_cast<double>(scheduler.m_waitSummary.m_oldest.m_ms));
--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -104,6 +104,7 @@
             return;
         }
         endCall(tail.m_call, node.m_now);
+        tail.m_answeredAt = node.m_now;
         if (!tail.m_listedEnd)
             tail.m_listedEnd = page.m_end;
         for (const KeyedRecord& record : page.m_records) {
@@ -141,6 +142,7 @@
             return;
         }
         tail.m_failedReads = 0;
+        tail.m_answeredAt = node.m_now;
         for (auto record = answer.m_records.begin(); record != answer.m_records.end(); ++record) {
             if (&tail != &node.m_operatorTail || !isSuperseded(record, answer.m_records.end()))
                 applyRecord(node, tail, *record);
--- a/src/process/cell/leadership_wait.cpp
+++ b/src/process/cell/leadership_wait.cpp
@@ -32,11 +32,18 @@
         return node.m_leaderTail.m_isListingComplete ? LeadershipWait::ClaimNotDue : LeadershipWait::LeaderTopicNotListed;
     }
 
-    /** @return When the daemon began to wait for a leader, or for the answer to its claim, or to load. */
+    LeadershipWait leadingWaitOf(const CellNode& node)
+    {
+        return node.m_scheduler && node.m_scheduler->m_areSubmissionsUnread ? LeadershipWait::SubmissionsUnread : LeadershipWait::None;
+    }
+
+    /** @return When the daemon began to wait for a leader, or for the answer to its claim, or to load, or to lead. */
     TimePoint waitingSince(const CellNode& node)
     {
         if (node.m_role == Role::Claiming)
             return node.m_sentClaim.m_firstSentAt;
+        if (node.m_role == Role::Leading)
+            return node.m_loadedAt;
         return node.m_role == Role::Loading ? node.m_load.m_startedAt : node.m_leaderMonitor.m_answeredAt;
     }
 
@@ -75,7 +82,7 @@
     case Role::Loading:
         return loadingWaitOf(node);
     case Role::Leading:
-        return LeadershipWait::None;
+        return leadingWaitOf(node);
     }
     return LeadershipWait::None;
 }
--- a/src/process/cell/leadership_wait.h
+++ b/src/process/cell/leadership_wait.h
@@ -1,13 +1,13 @@
-/** @file leadership_wait.h Tells what a daemon waits for that wants to lead, or leads and waits for its workers. */
+/** @file leadership_wait.h Tells what a daemon waits for that wants to lead, or leads and waits for its workers or for a topic. */
 #pragma once
 
 #include "process/cell/cell_base.h"
 
 namespace bulrushloft::cell {
 
-/** What a daemon waits for that could lead. */
+/** What a daemon waits for that could lead, or leads. */
 enum class LeadershipWait : std::uint8_t {
-    None, ///< It leads, or another daemon does.
+    None, ///< It leads and lacks nothing, or another daemon leads.
     ConfigurationUnknown, ///< No configuration is known.
     StoreNotReached, ///< The store does not answer this daemon.
     LeaderTopicNotListed, ///< The claims have not been listed.
@@ -16,6 +16,7 @@
     FenceUnanswered, ///< The append that fences earlier terms is unanswered.
     PagesOutstanding, ///< Records of earlier terms have not been read.
     JobsNotCaughtUp, ///< The topic of jobs has not been read to its end.
+    SubmissionsUnread, ///< It leads, but the topic of jobs has not been read to its end.
 };
 
 /** @return What a daemon waits for. @param isLeaderWanted Whether no leader is known, or the known one is suspected to have failed. */
--- a/src/process/scheduler/scheduler.cpp
+++ b/src/process/scheduler/scheduler.cpp
@@ -22,6 +22,8 @@
     /** Deletes jobs whose retention time has passed; at most one per call, so that no call takes long. */
     void expireEndedJobs(Scheduler& scheduler, TimePoint now)
     {
+        if (scheduler.m_areSubmissionsUnread) // The submission of a forgotten job would be taken for a new one when it is read.
+            return;
         if (scheduler.m_endedJobs.empty() || now - scheduler.m_endedJobs.front().first < scheduler.m_options.m_endedJobRetention)
             return;
         const std::string id = scheduler.m_endedJobs.front().second;
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -10,6 +10,7 @@
 #include "version/cluster_type.h"
 
 #include <deque>
+#include <limits>
 #include <memory>
 #include <set>
 #include <unordered_map>
@@ -22,6 +23,8 @@
 using WorkerIndex = std::int32_t;
 constexpr WorkerIndex noWorker = -1;
 
+constexpr std::uint64_t unknownBatch = std::numeric_limits<std::uint64_t>::max(); ///< No batch; later than all batches.
+
 /** Timeouts and limits of the scheduler. */
 struct SchedulerOptions {
     Duration m_lease { 5'000 }; ///< Duration of the leases granted to workers.
@@ -174,6 +177,7 @@
     std::uint64_t m_stageBatch = 0; ///< Record batch that makes a final stage durable.
     bool m_isDirty = false; ///< The job has changes that are not in a record batch yet.
     std::string m_planRecord; ///< Encoded plan that still has to be recorded; empty when it is recorded already or stored elsewhere.
+    bool m_isHeld = false; ///< None of its steps is released, as an unread record may cancel the job; see Scheduler::m_areSubmissionsUnread.
     bool m_isPlanInProgress = false; ///< The leader has recorded the plan itself; a plan that a VM stored is in the topic of jobs instead.
     bool m_isPlanShortened = false; ///< The recorded plan was replaced by a short one, as the job has ended.
     std::uint64_t m_planBatch = 0; ///< Record batch that makes the plan durable; 0 when the plan is stored elsewhere.
@@ -205,7 +209,13 @@
 /** The end of an attempt that has not been acknowledged to its worker yet. */
 struct PendingEnd {
     std::uint64_t m_number = 0; ///< Number of the end, assigned by the worker.
-    std::uint64_t m_batch = 0; ///< Record batch that makes the end durable.
+    std::uint64_t m_batch = 0; ///< Record batch that makes the end durable; unknownBatch while the job's submission is unread.
+};
+
+/** The end of an attempt of a job whose submission has not been read. It is not acknowledged until the job is known, or known not to exist. */
+struct UnmatchedEnd {
+    WorkerIndex m_worker = noWorker; ///< Worker that has reported it.
+    EndedAttempt m_ended; ///< The end as reported.
 };
 
 /** Recent failures and relative speed of a worker. */
@@ -326,6 +336,9 @@
     std::unordered_map<std::string, ApprovalRate> m_approvalRates; ///< Share of approved workers, by queue.
     std::unordered_map<std::string, RunTimeModel> m_runTimes; ///< Run time models, by queue.
     std::unordered_set<std::string> m_cancelledEarly; ///< Ids of jobs whose cancellation was read before their submission.
+    bool m_areSubmissionsUnread = false; ///< Submissions and cancellations that VMs have stored themselves have not all been read. Jobs without recorded tasks are held, and unknown attempts and ends are kept.
+    std::unordered_map<std::string, std::string> m_unmatchedProgress; ///< Progress records of jobs whose submission has not been read, by job id.
+    std::vector<UnmatchedEnd> m_unmatchedEnds; ///< Ends of attempts of such jobs.
     std::unordered_map<std::string, WorkerSpeed> m_restoredSpeeds; ///< Speeds learned in earlier terms, by worker id, of workers that have not been announced in this term.
     TimePoint m_learnedRecordedAt; ///< When learned run times were last recorded.
     std::uint32_t m_learnedSamples = 0; ///< Number of samples in that record.
--- a/src/process/scheduler/scheduler_detail.h
+++ b/src/process/scheduler/scheduler_detail.h
@@ -14,6 +14,18 @@
 /** @return Resources that a task reserves on its worker; best-effort tasks reserve no CPU. */
 Resources grantOf(const StepRun& run);
 
+/** Gives a job that has just been accepted the progress and the ends of attempts that were read before its submission. */
+void restoreUnmatched(Scheduler& scheduler, Job& job, TimePoint now);
+
+/** Handles an end of an attempt that a worker has reported. */
+void handleEnd(Scheduler& scheduler, WorkerIndex index, const EndedAttempt& ended, TimePoint now);
+
+/** Handles the ends of a job's attempts that were reported before its submission was read, so that they are acknowledged once recorded. */
+void handleUnmatchedEnds(Scheduler& scheduler, const std::string& job, TimePoint now);
+
+/** Marks the ends that are durable as to be acknowledged with the next sync. */
+void acknowledgeEnds(Scheduler& scheduler, TimePoint now);
+
 /** Schedules the job's progress to be recorded with the next batch. */
 void markDirty(Scheduler& scheduler, Job& job);
 
--- a/src/process/scheduler/scheduler_func.h
+++ b/src/process/scheduler/scheduler_func.h
@@ -20,7 +20,7 @@
 /**
  * Accepts a submission that is to be recorded with the next batch.
  * @param record The encoded plan, as the store keeps it.
- * @return The batch that makes the plan durable; 0 when it already is durable.
+ * @return The batch that makes the plan durable; 0 when it already is durable, also when only the job's progress has been read: then a VM has stored the plan.
  */
 std::uint64_t acceptAndRecord(Scheduler& scheduler, JobPlan plan, std::string record, TimePoint now);
 
@@ -34,14 +34,18 @@
 void cancelJob(Scheduler& scheduler, const std::string& id, TimePoint now);
 
 /**
- * Restores the progress of a job that an earlier term recorded; the job must have been accepted before.
- * @return An error when the job is unknown or the record can't be decoded.
+ * Restores the progress of a job that an earlier term recorded. While submissions are unread, the record of an unknown job is kept until
+ * the job is accepted.
+ * @return An error when the record can't be decoded, or the job is unknown and all submissions have been read.
  */
 Expected<void> restoreProgress(Scheduler& scheduler, const std::string& id, const std::string& record, TimePoint now);
 
 /** Ends the loading of an earlier term's records; sets the time by which earlier leases of workers that may hold tasks have run out. */
 void finishRestoring(Scheduler& scheduler, TimePoint now);
 
+/** Ends the time in which submissions are unread: releases the jobs held, acknowledges the ends of jobs that don't exist and drops their progress. */
+void finishSubmissions(Scheduler& scheduler, TimePoint now);
+
 /** Adds or updates a worker from its announcement. */
 void updateWorker(Scheduler& scheduler, const WorkerAnnouncement& announcement, TimePoint now);
 
--- a/src/process/scheduler/scheduler_jobs.cpp
+++ b/src/process/scheduler/scheduler_jobs.cpp
@@ -81,6 +81,8 @@
 
     void releaseReadySteps(Scheduler& scheduler, Job& job, TimePoint now)
     {
+        if (job.m_isHeld)
+            return;
         for (const auto& run : job.m_runs) {
             if (run->m_isReleased || !arePredecessorsDone(job, *run))
                 continue;
@@ -192,6 +194,19 @@
     scheduler.m_needsPlacing = true;
 }
 
+namespace {
+
+    /** Opens what is due of a new job. */
+    void openJob(Scheduler& scheduler, Job& job, TimePoint now)
+    {
+        if (job.m_plan.m_occurrenceCount == 0)
+            return detail::openOccurrence(scheduler, job, 0, now);
+        scheduler.m_scheduledJobs.push_back(&job);
+        detail::releaseDueOccurrences(scheduler, job, now);
+    }
+
+} // namespace
+
 void acceptJob(Scheduler& scheduler, JobPlan plan, TimePoint now)
 {
     if (scheduler.m_jobs.contains(plan.m_id))
@@ -199,6 +214,7 @@
     auto owned = std::make_unique<Job>();
     Job& job = *owned;
     job.m_plan = std::move(plan);
+    job.m_isHeld = scheduler.m_areSubmissionsUnread;
     constexpr Duration maxAge { 3'600'000 };
     const TimePoint accepted = job.m_plan.m_submittedAt - scheduler.m_wallOffset;
     job.m_acceptedAt = std::clamp(accepted, now - maxAge, now);
@@ -208,16 +224,17 @@
     if (!scheduler.m_isInitialLoad)
         logEvent(LogLevel::Info, "job-accepted", { { "job", job.m_plan.m_id }, { "queue", job.m_plan.m_queue }, { "steps", job.m_plan.m_steps.size() }, { "age_ms", (now - job.m_acceptedAt).m_ms }, { "critical_path_ms", job.m_criticalPath.m_ms } });
     if (scheduler.m_cancelledEarly.contains(job.m_plan.m_id))
-        return detail::endJob(scheduler, job, JobStage::Cancelled, now);
-    if (job.m_plan.m_occurrenceCount == 0)
-        return detail::openOccurrence(scheduler, job, 0, now);
-    scheduler.m_scheduledJobs.push_back(&job);
-    detail::releaseDueOccurrences(scheduler, job, now);
+        detail::endJob(scheduler, job, JobStage::Cancelled, now);
+    else
+        openJob(scheduler, job, now);
+    detail::restoreUnmatched(scheduler, job, now);
 }
 
 std::uint64_t acceptAndRecord(Scheduler& scheduler, JobPlan plan, std::string record, TimePoint now)
 {
     const std::string id = plan.m_id;
+    if (scheduler.m_unmatchedProgress.contains(id))
+        return 0;
     const bool isNew = !scheduler.m_jobs.contains(id);
     acceptJob(scheduler, std::move(plan), now);
     Job& job = *scheduler.m_jobs.at(id);
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -63,7 +63,7 @@
     std::string encodeProgress(const Scheduler& scheduler, const Job& job)
     {
         Json runs = Json::array();
-        const bool isShort = isSettled(job);
+        const bool isShort = isSettled(job) || job.m_isHeld; // Without tasks, a later term that can't read all submissions holds the job too.
         for (const auto& run : job.m_runs) {
             if (isShort)
                 break;
@@ -178,6 +178,22 @@
         }
     }
 
+    /** Sets the time by which leases of earlier terms have run out on a worker that has not answered this one. */
+    void expectEarlierLeases(const Scheduler& scheduler, Worker& worker, TimePoint now)
+    {
+        const double boundMs = static_cast<double>((scheduler.m_options.m_formerLeaderGrace + scheduler.m_options.m_longestLease).m_ms) / (1.0 - scheduler.m_options.m_clockDrift);
+        worker.m_earlierLeasesEndAt = now + Duration { static_cast<std::int64_t>(std::ceil(boundMs)) };
+        worker.m_answeredAt = now;
+        worker.m_unansweredCalls = 1; // Leases expire only while calls are unanswered, and this worker may never answer one.
+        worker.m_nextSyncAt = now;
+    }
+
+    void predictRestoredRunTime(Scheduler& scheduler, StepRun& run)
+    {
+        if (run.m_expectedRunTime == Duration {})
+            run.m_expectedRunTime = detail::predictRunTime(scheduler, *run.m_job, run.m_step);
+    }
+
     bool hasStarted(const Job& job)
     {
         return std::any_of(job.m_runs.begin(), job.m_runs.end(), [](const auto& run) {
@@ -195,6 +211,7 @@
         const auto recordedStage = decodeEnum(decoded.at(1), JobStage::Cancelled);
         // A cancellation that was read before the progress record takes precedence over it.
         const bool wasEnded = isFinal(job.m_stage);
+        job.m_isHeld = scheduler.m_areSubmissionsUnread && decoded.at(3).empty();
         const JobStage stage = wasEnded ? job.m_stage : recordedStage;
         const bool isPending = stage == JobStage::Pending && !hasStarted(job);
         if (job.m_stage == JobStage::Pending && !isPending)
@@ -239,35 +256,76 @@
     return records;
 }
 
+namespace {
+
+    Expected<void> decodeAndRestore(Scheduler& scheduler, Job& job, const std::string& record, TimePoint now)
+    {
+        const std::string& id = job.m_plan.m_id;
+        try {
+            const Json decoded = decodeCbor(record);
+            if (decoded.at(0) != recordFormat)
+                return fail(ErrorKind::InvalidInput, "progress record of job " + id + " has unsupported format version " + decoded.at(0).dump(), "run the same release on all daemons");
+            restoreJob(scheduler, job, decoded, now);
+        } catch (const std::exception& error) {
+            return fail(ErrorKind::InvalidInput, "progress record of job " + id + " can't be decoded: " + error.what(), "check whether another program writes to the topic");
+        }
+        return {};
+    }
+
+    Expected<void> failUnmatched(const std::string& id)
+    {
+        return fail(ErrorKind::UnknownName, "progress record of job " + id + " has no matching submission", "no action needed: the job has expired");
+    }
+
+    void logUnusable(const std::string& id, const Error& error)
+    {
+        logEvent(LogLevel::Error, "progress-unusable", { { "key", id }, { "error", describe(error) } });
+    }
+
+    /** Prepares workers and steps for attempts that were restored after the others. */
+    void finishRestoringLate(Scheduler& scheduler, const Job& job, TimePoint now)
+    {
+        for (const auto& run : job.m_runs) {
+            if (run->m_activeAttempts > 0)
+                predictRestoredRunTime(scheduler, *run);
+            for (const auto& [index, count] : run->m_attemptsByWorker) {
+                Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
+                if (worker.m_state == WorkerState::New && worker.m_earlierLeasesEndAt == farFuture)
+                    expectEarlierLeases(scheduler, worker, now);
+            }
+        }
+    }
+
+} // namespace
+
 Expected<void> restoreProgress(Scheduler& scheduler, const std::string& id, const std::string& record, TimePoint now)
 {
     const auto found = scheduler.m_jobs.find(id);
-    if (found == scheduler.m_jobs.end())
-        return fail(ErrorKind::UnknownName, "progress record of job " + id + " has no matching submission", "no action needed: the job has expired");
-    try {
-        const Json decoded = decodeCbor(record);
-        if (decoded.at(0) != recordFormat)
-            return fail(ErrorKind::InvalidInput, "progress record of job " + id + " has unsupported format version " + decoded.at(0).dump(), "run the same release on all daemons");
-        restoreJob(scheduler, *found->second, decoded, now);
-    } catch (const std::exception& error) {
-        return fail(ErrorKind::InvalidInput, "progress record of job " + id + " can't be decoded: " + error.what(), "check whether another program writes to the topic");
-    }
+    if (found != scheduler.m_jobs.end())
+        return decodeAndRestore(scheduler, *found->second, record, now);
+    if (!scheduler.m_areSubmissionsUnread)
+        return failUnmatched(id);
+    scheduler.m_unmatchedProgress.insert_or_assign(id, record);
     return {};
 }
 
+void detail::restoreUnmatched(Scheduler& scheduler, Job& job, TimePoint now)
+{
+    const auto unmatched = scheduler.m_unmatchedProgress.extract(job.m_plan.m_id);
+    if (unmatched.empty())
+        return;
+    if (const auto restored = decodeAndRestore(scheduler, job, unmatched.mapped(), now); !restored)
+        logUnusable(job.m_plan.m_id, restored.error());
+    finishRestoringLate(scheduler, job, now);
+    handleUnmatchedEnds(scheduler, job.m_plan.m_id, now);
+}
+
 void finishRestoring(Scheduler& scheduler, TimePoint now)
 {
-    const double earlierLeasesBoundMs = static_cast<double>((scheduler.m_options.m_formerLeaderGrace + scheduler.m_options.m_longestLease).m_ms) / (1.0 - scheduler.m_options.m_clockDrift);
     for (Worker& worker : scheduler.m_workers) {
-        worker.m_earlierLeasesEndAt = now + Duration { static_cast<std::int64_t>(std::ceil(earlierLeasesBoundMs)) };
-        worker.m_answeredAt = now;
-        worker.m_unansweredCalls = 1; // Leases expire only while calls are unanswered, and this worker may never answer one.
-        worker.m_nextSyncAt = now;
-        for (const TaskRef& ref : worker.m_tasks) { // Not earlier: the prediction needs the learned run times.
-            StepRun& run = *ref.m_run;
-            if (run.m_expectedRunTime == Duration {})
-                run.m_expectedRunTime = detail::predictRunTime(scheduler, *run.m_job, run.m_step);
-        }
+        expectEarlierLeases(scheduler, worker, now);
+        for (const TaskRef& ref : worker.m_tasks) // Not earlier: the prediction needs the learned run times.
+            predictRestoredRunTime(scheduler, *ref.m_run);
     }
     for (const auto& [id, job] : scheduler.m_jobs) {
         if (scheduler.m_cancelledEarly.contains(id))
@@ -275,4 +333,20 @@
     }
 }
 
+void finishSubmissions(Scheduler& scheduler, TimePoint now)
+{
+    scheduler.m_areSubmissionsUnread = false;
+    for (const auto& [id, record] : std::exchange(scheduler.m_unmatchedProgress, {}))
+        logUnusable(id, failUnmatched(id).error());
+    while (!scheduler.m_unmatchedEnds.empty())
+        detail::handleUnmatchedEnds(scheduler, std::string(scheduler.m_unmatchedEnds.front().m_ended.m_task.m_job), now);
+    detail::acknowledgeEnds(scheduler, now);
+    for (const auto& [id, job] : scheduler.m_jobs) {
+        if (!std::exchange(job->m_isHeld, false) || isFinal(job->m_stage))
+            continue;
+        detail::releaseReadySteps(scheduler, *job, now);
+        detail::releaseDueOccurrences(scheduler, *job, now);
+    }
+}
+
 } // namespace bulrushloft::scheduler
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -245,34 +245,38 @@
         logIgnoredEnd(scheduler, ref, index, ended);
     }
 
-    void handleEnd(Scheduler& scheduler, WorkerIndex index, const EndedAttempt& ended, TimePoint now)
+    /** @return Whether a job is unknown and its submission may be unread. */
+    bool mayBeUnread(const Scheduler& scheduler, const std::string& job)
     {
-        const TaskRef ref = findTask(scheduler, ended.m_task);
-        if (!ref.m_run) { // Of an ended job only the stage may be known.
-            if (!scheduler.m_jobs.contains(ended.m_task.m_job))
-                logEvent(LogLevel::Warning, "end-unknown", { { "task", format(ended.m_task) }, { "attempt", ended.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(index)].m_announcement.m_id }, { "end", findName(attemptEndNames, ended.m_end) } });
-            return;
+        return scheduler.m_areSubmissionsUnread && !scheduler.m_jobs.contains(job);
+    }
+
+    /** @return The batch with which all changes made so far are durable. */
+    std::uint64_t presentBatch(const Scheduler& scheduler)
+    {
+        return scheduler.m_dirtyJobs.empty() ? scheduler.m_confirmedBatch : scheduler.m_nextBatch;
+    }
+
+    /** Handles an end that a worker has reported, or keeps it if its job may be unread. */
+    void takeEnd(Scheduler& scheduler, WorkerIndex index, const EndedAttempt& ended, TimePoint now)
+    {
+        const bool isUnmatched = mayBeUnread(scheduler, ended.m_task.m_job);
+        if (isUnmatched)
+            scheduler.m_unmatchedEnds.push_back({ .m_worker = index, .m_ended = ended });
+        else
+            handleEnd(scheduler, index, ended, now);
+        Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
+        worker.m_highestSeenEnd = ended.m_number;
+        worker.m_pendingEnds.push_back({ .m_number = ended.m_number, .m_batch = isUnmatched ? unknownBatch : presentBatch(scheduler) });
+    }
+
+    /** Forgets the numbers of a worker's unmatched ends, as its new process numbers its ends anew. */
+    void forgetEndNumbers(Scheduler& scheduler, WorkerIndex index)
+    {
+        for (UnmatchedEnd& unmatched : scheduler.m_unmatchedEnds) {
+            if (unmatched.m_worker == index)
+                unmatched.m_ended.m_number = 0;
         }
-        Task& task = ref.task();
-        const bool isCurrent = task.m_worker == index && task.m_attempt == ended.m_attempt && task.m_phase != RunPhase::None && task.m_phase != RunPhase::Recording;
-        if (!isCurrent)
-            return handleLateEnd(scheduler, ref, index, ended, now);
-        if (!ended.m_checkpoint.empty())
-            task.m_checkpoint = ended.m_checkpoint;
-        if (task.m_phase == RunPhase::Starting)
-            confirmStart(scheduler, ref, now);
-        logEvent(LogLevel::Info, "attempt-ended", { { "task", format(ended.m_task) }, { "attempt", ended.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(index)].m_announcement.m_id }, { "end", findName(attemptEndNames, ended.m_end) }, { "ran_ms", (now - task.m_confirmedAt).m_ms }, { "estimate_ms", planOf(*ref.m_run).m_estimatedRunTime.m_ms }, { "image", planOf(*ref.m_run).m_image } });
-        if (ended.m_end == AttemptEnd::Done || ended.m_end == AttemptEnd::Failed)
-            countOutcome(scheduler, ref, ended.m_end == AttemptEnd::Done, now);
-        if (ended.m_end == AttemptEnd::Failed)
-            task.m_failedOn.push_back(index);
-        detachTask(scheduler, ref, now);
-        if (ended.m_end == AttemptEnd::Done && !planOf(*ref.m_run).m_isLongRunning)
-            return finishTask(scheduler, ref, now);
-        if (ended.m_end == AttemptEnd::Failed)
-            failTask(scheduler, ref, now);
-        if (task.m_resolution == TaskResolution::Open)
-            stopOtherMembers(scheduler, ref, now);
     }
 
     /** Updates tasks from the worker's list of running attempts and stops attempts that are not expected there. */
@@ -285,6 +289,8 @@
             const bool isExpected = ref.m_run && ref.task().m_worker == index && ref.task().m_attempt == running.m_attempt && ref.task().m_phase != RunPhase::None && ref.task().m_phase != RunPhase::Recording;
             if (!isExpected) {
                 ++worker.m_unexpectedAttempts;
+                if (mayBeUnread(scheduler, running.m_task.m_job)) // It may be wanted, and takes room of unknown size.
+                    continue;
                 logEvent(LogLevel::Warning, "unexpected-attempt", { { "task", format(running.m_task) }, { "attempt", running.m_attempt }, { "worker", worker.m_announcement.m_id } });
                 effects.m_stops.push_back({ targetOf(scheduler, worker), { .m_task = running.m_task, .m_attempt = running.m_attempt } });
                 continue;
@@ -372,6 +378,53 @@
 
 } // namespace
 
+void detail::handleEnd(Scheduler& scheduler, WorkerIndex index, const EndedAttempt& ended, TimePoint now)
+{
+    const TaskRef ref = findTask(scheduler, ended.m_task);
+    if (!ref.m_run) { // Of an ended job only the stage may be known.
+        if (!scheduler.m_jobs.contains(ended.m_task.m_job))
+            logEvent(LogLevel::Warning, "end-unknown", { { "task", format(ended.m_task) }, { "attempt", ended.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(index)].m_announcement.m_id }, { "end", findName(attemptEndNames, ended.m_end) } });
+        return;
+    }
+    Task& task = ref.task();
+    const bool isCurrent = task.m_worker == index && task.m_attempt == ended.m_attempt && task.m_phase != RunPhase::None && task.m_phase != RunPhase::Recording;
+    if (!isCurrent)
+        return handleLateEnd(scheduler, ref, index, ended, now);
+    if (!ended.m_checkpoint.empty())
+        task.m_checkpoint = ended.m_checkpoint;
+    if (task.m_phase == RunPhase::Starting)
+        confirmStart(scheduler, ref, now);
+    logEvent(LogLevel::Info, "attempt-ended", { { "task", format(ended.m_task) }, { "attempt", ended.m_attempt }, { "worker", scheduler.m_workers[static_cast<std::size_t>(index)].m_announcement.m_id }, { "end", findName(attemptEndNames, ended.m_end) }, { "ran_ms", (now - task.m_confirmedAt).m_ms }, { "estimate_ms", planOf(*ref.m_run).m_estimatedRunTime.m_ms }, { "image", planOf(*ref.m_run).m_image } });
+    if (ended.m_end == AttemptEnd::Done || ended.m_end == AttemptEnd::Failed)
+        countOutcome(scheduler, ref, ended.m_end == AttemptEnd::Done, now);
+    if (ended.m_end == AttemptEnd::Failed)
+        task.m_failedOn.push_back(index);
+    detachTask(scheduler, ref, now);
+    if (ended.m_end == AttemptEnd::Done && !planOf(*ref.m_run).m_isLongRunning)
+        return finishTask(scheduler, ref, now);
+    if (ended.m_end == AttemptEnd::Failed)
+        failTask(scheduler, ref, now);
+    if (task.m_resolution == TaskResolution::Open)
+        stopOtherMembers(scheduler, ref, now);
+}
+
+void detail::handleUnmatchedEnds(Scheduler& scheduler, const std::string& job, TimePoint now)
+{
+    std::vector<UnmatchedEnd> matched;
+    std::erase_if(scheduler.m_unmatchedEnds, [&](const UnmatchedEnd& unmatched) {
+        if (unmatched.m_ended.m_task.m_job == job)
+            matched.push_back(unmatched);
+        return unmatched.m_ended.m_task.m_job == job;
+    });
+    for (const auto& [index, ended] : matched) {
+        handleEnd(scheduler, index, ended, now);
+        for (PendingEnd& pending : scheduler.m_workers[static_cast<std::size_t>(index)].m_pendingEnds) {
+            if (pending.m_number == ended.m_number)
+                pending.m_batch = presentBatch(scheduler);
+        }
+    }
+}
+
 void onSyncAnswer(Scheduler& scheduler, const std::string& id, OrderStatus status, const SyncReport& report, TimePoint sentAt, TimePoint now, SchedulerEffects& effects)
 {
     const auto found = scheduler.m_workerById.find(id);
@@ -412,6 +465,7 @@
         worker.m_highestSeenEnd = 0;
         worker.m_ackedEndNumber = 0;
         worker.m_pendingEnds.clear();
+        forgetEndNumbers(scheduler, index);
         worker.m_leaseUntilMs = 0;
     }
     worker.m_hasOtherProcess = worker.m_hasOtherProcess && isLate;
@@ -428,11 +482,8 @@
     }
     worker.m_state = WorkerState::Adopted;
     for (const EndedAttempt& ended : report.m_ended) {
-        if (ended.m_number <= worker.m_highestSeenEnd)
-            continue;
-        handleEnd(scheduler, index, ended, now);
-        worker.m_highestSeenEnd = ended.m_number;
-        worker.m_pendingEnds.push_back({ .m_number = ended.m_number, .m_batch = scheduler.m_dirtyJobs.empty() ? scheduler.m_confirmedBatch : scheduler.m_nextBatch });
+        if (ended.m_number > worker.m_highestSeenEnd)
+            takeEnd(scheduler, index, ended, now);
     }
     handleRunning(scheduler, index, report, now, effects);
     constexpr std::size_t maxEndsPerReport = 500; ///< A report with this many ends may omit further ones, so an attempt that it does not list may have ended.
@@ -514,6 +565,17 @@
     task.m_confirmedAt = now;
 }
 
+void detail::acknowledgeEnds(Scheduler& scheduler, TimePoint now)
+{
+    for (Worker& worker : scheduler.m_workers) {
+        while (!worker.m_pendingEnds.empty() && worker.m_pendingEnds.front().m_batch <= scheduler.m_confirmedBatch) {
+            worker.m_ackedEndNumber = worker.m_pendingEnds.front().m_number;
+            worker.m_pendingEnds.pop_front();
+            worker.m_nextSyncAt = now;
+        }
+    }
+}
+
 void onRecorded(Scheduler& scheduler, std::uint64_t batch, TimePoint now)
 {
     scheduler.m_confirmedBatch = batch;
@@ -534,13 +596,7 @@
         scheduler.m_startingOrStopping.push_back(ref);
     }
     scheduler.m_recording = std::move(remaining);
-    for (Worker& worker : scheduler.m_workers) {
-        while (!worker.m_pendingEnds.empty() && worker.m_pendingEnds.front().m_batch <= batch) {
-            worker.m_ackedEndNumber = worker.m_pendingEnds.front().m_number;
-            worker.m_pendingEnds.pop_front();
-            worker.m_nextSyncAt = now;
-        }
-    }
+    acknowledgeEnds(scheduler, now);
 }
 
 } // namespace bulrushloft::scheduler
--- a/src/table/cell_table.h
+++ b/src/table/cell_table.h
@@ -6,7 +6,7 @@
 
 namespace bulrushloft::cell {
 
-constexpr std::array<EnumName<LeadershipWait>, 9> leadershipWaitNames { {
+constexpr std::array<EnumName<LeadershipWait>, 10> leadershipWaitNames { {
     { LeadershipWait::None, "nothing" },
     { LeadershipWait::ConfigurationUnknown, "configuration" },
     { LeadershipWait::StoreNotReached, "store" },
@@ -16,6 +16,7 @@
     { LeadershipWait::FenceUnanswered, "answer-to-fence" },
     { LeadershipWait::PagesOutstanding, "records" },
     { LeadershipWait::JobsNotCaughtUp, "end-of-jobs" },
+    { LeadershipWait::SubmissionsUnread, "end-of-jobs-while-leading" },
 } };
 
 } // namespace bulrushloft::cell
--- a/tests/leadership_wait_test.cpp
+++ b/tests/leadership_wait_test.cpp
@@ -54,6 +54,16 @@
     checkWait(node, LeadershipWait::JobsNotCaughtUp);
 }
 
+BOOST_AUTO_TEST_CASE(a_leader_that_has_not_read_all_submissions_waits_for_them)
+{
+    CellNode node;
+    node.m_role = Role::Leading;
+    node.m_scheduler = std::make_unique<scheduler::Scheduler>();
+    checkWait(node, LeadershipWait::None);
+    node.m_scheduler->m_areSubmissionsUnread = true;
+    checkWait(node, LeadershipWait::SubmissionsUnread);
+}
+
 BOOST_AUTO_TEST_CASE(a_wait_is_reported_once_a_second_and_not_within_the_first)
 {
     CellNode node;
