A leader says for as long as it lasts that it can't list the workers

Cause: a leader without the announcements of workers said so in the first 15 s only (workers-not-adopted); after that nothing told why it placed nothing. Change: leadership-waits for=listing-of-workers once a second. The behaviour stays: attempts go on at the addresses that their records name, and nothing is placed on workers that are not announced. docs/PLATFORM.md says why a term whose fence or progress stays unanswered is not replaced while its VM reaches the store. Result: leadership_wait_test has a case for it, which needs the new value and so was not run on the code before, where the wait was None; a case of partial_loading_test keeps what a leader does without the announcements (no change of behaviour, so it is no test of a fault). partial_loading_test, leadership_wait_test and cell_loading_test hold.

--- a/src/process/cell/leadership_wait.cpp
+++ b/src/process/cell/leadership_wait.cpp
@@ -34,7 +34,11 @@
 
     LeadershipWait leadingWaitOf(const CellNode& node)
     {
-        return node.m_scheduler && node.m_scheduler->m_areSubmissionsUnread ? LeadershipWait::SubmissionsUnread : LeadershipWait::None;
+        if (!node.m_scheduler)
+            return LeadershipWait::None;
+        if (node.m_scheduler->m_areSubmissionsUnread)
+            return LeadershipWait::SubmissionsUnread;
+        return node.m_scheduler->m_isInitialLoad ? LeadershipWait::WorkersNotListed : LeadershipWait::None;
     }
 
     /** @return When the daemon began to wait for a leader, or for the answer to its claim, or to load, or to lead. */
--- a/src/process/cell/leadership_wait.h
+++ b/src/process/cell/leadership_wait.h
@@ -17,6 +17,7 @@
     PagesOutstanding, ///< Records of earlier terms have not been read.
     JobsNotCaughtUp, ///< The topic of jobs has not been read to its end.
     SubmissionsUnread, ///< It leads, but the topic of jobs has not been read to its end.
+    WorkersNotListed, ///< It leads, but the announcements of workers have not been listed, so that it places nothing on workers that it does not know.
 };
 
 /** @return What a daemon waits for. @param isLeaderWanted Whether no leader is known, or the known one is suspected to have failed. */
--- a/src/table/cell_table.h
+++ b/src/table/cell_table.h
@@ -6,7 +6,7 @@
 
 namespace bulrushloft::cell {
 
-constexpr std::array<EnumName<LeadershipWait>, 10> leadershipWaitNames { {
+constexpr std::array<EnumName<LeadershipWait>, 11> leadershipWaitNames { {
     { LeadershipWait::None, "nothing" },
     { LeadershipWait::ConfigurationUnknown, "configuration" },
     { LeadershipWait::StoreNotReached, "store" },
@@ -17,6 +17,7 @@
     { LeadershipWait::PagesOutstanding, "records" },
     { LeadershipWait::JobsNotCaughtUp, "end-of-jobs" },
     { LeadershipWait::SubmissionsUnread, "end-of-jobs-while-leading" },
+    { LeadershipWait::WorkersNotListed, "listing-of-workers" },
 } };
 
 } // namespace bulrushloft::cell
--- a/tests/leadership_wait_test.cpp
+++ b/tests/leadership_wait_test.cpp
@@ -59,11 +59,23 @@
     CellNode node;
     node.m_role = Role::Leading;
     node.m_scheduler = std::make_unique<scheduler::Scheduler>();
+    node.m_scheduler->m_isInitialLoad = false;
     checkWait(node, LeadershipWait::None);
     node.m_scheduler->m_areSubmissionsUnread = true;
     checkWait(node, LeadershipWait::SubmissionsUnread);
 }
 
+// Once a leader had led for 15 s, no line said any more that it still knew no announcements.
+BOOST_AUTO_TEST_CASE(a_leader_that_has_not_listed_the_workers_waits_for_them)
+{
+    CellNode node;
+    node.m_role = Role::Leading;
+    node.m_scheduler = std::make_unique<scheduler::Scheduler>();
+    checkWait(node, LeadershipWait::WorkersNotListed);
+    node.m_scheduler->m_areSubmissionsUnread = true;
+    checkWait(node, LeadershipWait::SubmissionsUnread); // It comes first, as it holds up more.
+}
+
 BOOST_AUTO_TEST_CASE(a_wait_is_reported_once_a_second_and_not_within_the_first)
 {
     CellNode node;
--- a/tests/partial_loading_test.cpp
+++ b/tests/partial_loading_test.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr const char* jobsTopic = "keyed.jobs";
+constexpr const char* workersTopic = "workers";
 constexpr const char* knownJob = "a000000000000000"; ///< Submitted to the leader, which records its plan beside its progress.
 constexpr const char* directJob = "b000000000000000"; ///< Stored by a VM; only its progress is known to a leader that can't read submissions.
 constexpr const char* newJob = "c000000000000000";
@@ -48,6 +49,7 @@
     std::vector<std::function<void()>> m_answers; ///< Answers that are delivered at the next step.
     std::multimap<TimePoint, std::function<void()>> m_lateAnswers; ///< Answers that are delivered later, by time.
     bool m_areJobsSilent = false; ///< The partition of submissions answers nothing.
+    bool m_areWorkersSilent = false; ///< The partition of the workers' announcements answers nothing.
     Duration m_jobsDelay; ///< How long the partition of submissions takes for an answer.
     Duration m_retention = longRetention; ///< How long ended jobs are kept.
     std::unique_ptr<CellNode> m_node;
@@ -58,7 +60,7 @@
     {
         append("op", "config", "1");
         for (const auto& [id, worker] : m_workers)
-            append("workers", id, "1");
+            append(workersTopic, id, "1");
         startNode();
     }
 
@@ -74,7 +76,7 @@
         m_lateAnswers.clear();
         CellOptions options;
         options.m_self = { .m_name = "n", .m_address = { "127.0.0.1", 1 }, .m_instance = ++m_instance, .m_strength = 50 };
-        options.m_topics = { .m_operator = "op", .m_workers = "workers" };
+        options.m_topics = { .m_operator = "op", .m_workers = workersTopic };
         options.m_scheduler.m_endedJobRetention = m_retention;
         CellDecoders decoders;
         decoders.m_operator = [](const std::string&, const std::string&) -> OperatorRecord { return makeCluster(); };
@@ -97,9 +99,9 @@
     template <typename Answer>
     void answerRead(const std::string& topic, Duration timeout, const std::function<void(Answer)>& onAnswer, const std::function<Answer()>& perform)
     {
-        if (topic != jobsTopic)
+        if (topic != jobsTopic && !(m_areWorkersSilent && topic == workersTopic))
             return deliver(onAnswer, perform());
-        if (m_areJobsSilent || m_jobsDelay > timeout)
+        if (topic == workersTopic || m_areJobsSilent || m_jobsDelay > timeout)
             m_lateAnswers.emplace(m_now + timeout, [onAnswer] { onAnswer({ .m_status = StoreStatus::Unknown }); });
         else
             m_lateAnswers.emplace(m_now + m_jobsDelay, [onAnswer, perform] { onAnswer(perform()); });
@@ -445,3 +447,20 @@
     BOOST_TEST(m_node->m_jobsTail.m_isCaughtUp);
     BOOST_TEST((query(directJob).m_status == QueryStatus::Known));
 }
+
+// The announcements are another topic of their own: without them, attempts go on at the addresses that their records name.
+BOOST_FIXTURE_TEST_CASE(a_leader_that_cannot_list_workers_goes_on_with_the_tasks_it_knows, RunningJobsFixture)
+{
+    m_areWorkersSilent = true;
+    startNode();
+    stepUntilLeading();
+    step(300);
+    BOOST_TEST(m_stoppedJobs.empty());
+    finish(directJob);
+    BOOST_TEST((submit(newJob) == WriteOutcome::Recorded));
+    BOOST_TEST(isAtStage(directJob, scheduler::JobStage::Complete));
+    BOOST_TEST(startsOf(newJob) == 0U);
+    m_areWorkersSilent = false;
+    step(500);
+    BOOST_TEST(startsOf(newJob) == 1U);
+}
