A VM tells the leader of the cancellations that it has stored itself

Cause: a cancellation that a VM stored in the topic of jobs while no leader served reached the next leader by that topic only. Change: after such a write the VM sends the cancellation to the leader as well, 0.25 s later and again every 0.25 s, until the leader has recorded it or knows all jobs and not this one, for 10 s at most. A VM that ends before a leader serves can't tell it; then only the topic does.

--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -239,6 +239,24 @@
         });
     }
 
+    /**
+     * Tells the leader of a cancellation that this daemon has stored itself, as a leader may be slow or unable to read the topic of jobs.
+     * Repeated until the leader has recorded it, or knows all jobs and not this one.
+     */
+    void announceCancellation(CellNode& node, const std::string& job, TimePoint until)
+    {
+        constexpr Duration interval { 250 };
+        if (node.m_now >= until)
+            return;
+        node.m_deferredCalls.push_back({ node.m_now + interval, [&node, job, until] {
+                                            constexpr Duration timeout { 700 };
+                                            writeThroughLeader(node, PeerCancel { .m_job = job }, node.m_now + timeout, recordCancellation, [&node, job, until](WriteOutcome outcome) {
+                                                if (outcome != WriteOutcome::Recorded && outcome != WriteOutcome::NoSuchJob)
+                                                    announceCancellation(node, job, until);
+                                            });
+                                        } });
+    }
+
     /** Has the leader record a cancellation; without a leader it is stored in the topic of jobs. */
     void cancel(CellNode& node, const CallContext& context, const ClientResponder& respond)
     {
@@ -250,6 +268,12 @@
             if (outcome == WriteOutcome::NoSuchJob)
                 return respond({ .m_status = ClientStatus::NoSuchJob });
             write.m_mayBeStored = outcome == WriteOutcome::Unknown;
+            write.m_onComplete = [&node, job = write.m_records.front().m_key.substr(1), onComplete = std::move(write.m_onComplete)](StoreStatus status) {
+                constexpr Duration announcementPeriod { 10'000 }; // A leader is known again by then, and leads.
+                if (status == StoreStatus::Done)
+                    announceCancellation(node, job, node.m_now + announcementPeriod);
+                onComplete(status);
+            };
             writeToJobsTopic(node, std::move(write));
         });
     }
--- a/tests/partial_loading_test.cpp
+++ b/tests/partial_loading_test.cpp
@@ -49,6 +49,7 @@
     std::vector<std::function<void()>> m_answers; ///< Answers that are delivered at the next step.
     std::multimap<TimePoint, std::function<void()>> m_lateAnswers; ///< Answers that are delivered later, by time.
     bool m_areJobsSilent = false; ///< The partition of submissions answers nothing.
+    bool m_areJobsWritable = false; ///< It carries out and answers appends all the same.
     bool m_areWorkersSilent = false; ///< The partition of the workers' announcements answers nothing.
     Duration m_jobsDelay; ///< How long the partition of submissions takes for an answer.
     Duration m_retention = longRetention; ///< How long ended jobs are kept.
@@ -125,7 +126,7 @@
     {
         CellPorts ports;
         ports.m_append = [this](const StoreAppend& append, Duration, const std::function<void(StoreAppendAnswer)>& onAnswer) {
-            const bool isSilent = m_areJobsSilent && append.m_partition.m_topic == jobsTopic;
+            const bool isSilent = m_areJobsSilent && !m_areJobsWritable && append.m_partition.m_topic == jobsTopic;
             deliver(onAnswer, isSilent ? StoreAppendAnswer { .m_status = StoreStatus::Unknown } : m_store.append(append));
         };
         ports.m_read = [this](const StoreRead& read, Duration timeout, const std::function<void(StoreReadAnswer)>& onAnswer) {
@@ -382,6 +383,26 @@
     BOOST_TEST(stopsOf(knownJob) >= 1U);
 }
 
+// A VM has stored a cancellation and acknowledged it while no leader served; the next leader can't read it, and starts the job's task again (UNASKED).
+BOOST_FIXTURE_TEST_CASE(a_vm_tells_the_leader_of_the_cancellations_that_it_has_stored, RunningJobsFixture)
+{
+    m_areJobsSilent = true;
+    m_areJobsWritable = true;
+    startNode();
+    while (m_node->m_role != Role::Loading)
+        step();
+    std::optional<ClientStatus> status;
+    onClientCall(*m_node, { .m_verb = ClientVerb::Cancel, .m_host = "h", .m_path = std::string("/q/") + knownJob, .m_body = {}, .m_arrivedAt = m_now, .m_deadline = m_now + Duration { 1'000 } }, [&](const ClientReply& reply) { status = reply.m_status; });
+    step(50);
+    BOOST_TEST((status == ClientStatus::Cancelled));
+    stepUntilLeading();
+    step(100);
+    finish(knownJob, AttemptEnd::Failed);
+    step(100);
+    BOOST_TEST(startsOf(knownJob) == 1U);
+    BOOST_TEST(isAtStage(knownJob, scheduler::JobStage::Cancelled));
+}
+
 // A job that is in both topics and is forgotten while the topic of submissions is unread would be new when that is read (TWICE).
 BOOST_FIXTURE_TEST_CASE(ended_jobs_do_not_expire_while_submissions_are_unread, RunningJobsFixture)
 {
