Soak: the stand-in store carries out the appends of a partition one at a time

2 ms for an append, 4 ms for an answer, both times a factor of slowness; 503 when more than 2 s is waiting, but not for late appends, which hold their place; reads wait behind the appends that arrived before. Appends are counted by partition and printed at the end.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -99,7 +99,8 @@
         bool startPlatform();
         void startDaemons();
         void settle();
-        void printResult() const;
+        void printResult();
+        void printAppends();
 
         std::uint64_t m_seed;
         std::string m_directory;
@@ -160,8 +161,20 @@
         m_history.finish();
     }
 
-    void Soak::printResult() const
+    void Soak::printAppends()
     {
+        std::promise<std::map<StorePartition, AppendQueue>> promise;
+        m_platformLoop.post([&] { promise.set_value(m_store.queues()); });
+        for (const auto& [partition, queue] : promise.get_future().get()) {
+            const AppendCounts& counts = queue.m_counts;
+            std::cout << "  appends to " << partition.m_topic << "/" << partition.m_partition << ": sent " << counts.m_sent << ", carried out " << counts.m_done << ", refused " << counts.m_refused << ", late " << counts.m_late
+                      << ", waiting now " << waitOf(queue, steadyNow()).m_ms << " ms, longest wait " << queue.m_longestWait.m_ms << " ms\n";
+        }
+    }
+
+    void Soak::printResult()
+    {
+        printAppends();
         const SoakCounts counts = m_history.counts();
         std::cout << "seed " << m_seed << ": submitted " << counts.m_submitted << ", accepted " << counts.m_accepted << ", refused " << counts.m_refused << ", unknown " << counts.m_unknown << ", cancelled " << counts.m_cancelled
                   << ", complete " << counts.m_complete << ", starts " << counts.m_starts << ", queries " << counts.m_queries << "; logs in " << m_directory << "\n";
--- a/tests/soak/stand_in_store.cpp
+++ b/tests/soak/stand_in_store.cpp
@@ -14,6 +14,7 @@
 
     constexpr Duration pollInterval { 5 };
     constexpr std::int64_t minLateMs = 1'000;
+    constexpr std::size_t connectionLimit = 12'000; ///< Each unanswered call holds a connection to the end of the run.
 
     /** @return Value of a query parameter, with %XX escapes decoded; empty when it is absent. */
     std::string parameterOf(const std::string& target, const std::string& name)
@@ -112,7 +113,7 @@
 
 Expected<void> StandInStore::listen(const Address& address)
 {
-    auto listening = m_server.listen({ .m_address = address }, [this](const HttpRequest& request, const HttpResponder& respond) { handle(request, respond); });
+    auto listening = m_server.listen({ .m_address = address, .m_connectionLimit = connectionLimit }, [this](const HttpRequest& request, const HttpResponder& respond) { handle(request, respond); });
     if (listening)
         m_loop.post([this] { poll(); });
     return listening;
@@ -124,6 +125,12 @@
     answerWaiting();
 }
 
+void StandInStore::watchWaits()
+{
+    for (auto& [partition, queue] : m_queues)
+        watchWait(queue, steadyNow());
+}
+
 void StandInStore::handle(const HttpRequest& request, const HttpResponder& respond)
 {
     if (m_faults.m_isDown) {
@@ -133,28 +140,65 @@
     }
     const bool isAppend = request.m_target.starts_with("/bulrushloft/log-append");
     const auto isDrawn = [&](double share) { return isAppend && std::uniform_real_distribution<double>(0, 1)(m_random) < share; };
-    if (isDrawn(m_faults.m_lostAnswerShare)) {
-        append(request);
-        return;
-    }
-    if (isDrawn(m_faults.m_lateAppendShare)) {
-        const Duration delay { std::uniform_int_distribution<std::int64_t>(minLateMs, m_faults.m_longestLateness.m_ms)(m_random) };
-        return m_loop.runAfter(delay, [this, request] { append(request); });
-    }
+    if (isDrawn(m_faults.m_lostAnswerShare))
+        return queueAppend(request, [](const HttpResponse&) {});
+    if (isDrawn(m_faults.m_lateAppendShare))
+        return queueLateAppend(request);
+    const auto queueCall = [this, request, respond, isAppend] { isAppend ? queueAppend(request, respond) : queueRead(request, respond); };
     if (m_faults.m_delay.m_ms > 0)
-        return m_loop.runAfter(m_faults.m_delay, [this, request, respond] { perform(request, respond); });
-    perform(request, respond);
+        return m_loop.runAfter(m_faults.m_delay, queueCall);
+    queueCall();
+}
+
+void StandInStore::queueAppend(const HttpRequest& request, const HttpResponder& respond)
+{
+    const TimePoint now = steadyNow();
+    AppendQueue& queue = m_queues[partitionOf(request.m_target)];
+    ++queue.m_counts.m_sent;
+    if (isFull(queue, now)) {
+        ++queue.m_counts.m_refused;
+        return sendAnswer(respond, jsonResponse(503, Json::object()));
+    }
+    const TimePoint doneAt = enqueue(queue, now, m_faults.m_appendTime * m_faults.m_slowness);
+    m_loop.runAfter(doneAt - now, [this, request, respond, &queue] {
+        ++queue.m_counts.m_done;
+        sendAnswer(respond, append(request));
+    });
+}
+
+void StandInStore::queueLateAppend(const HttpRequest& request)
+{
+    const TimePoint now = steadyNow();
+    AppendQueue& queue = m_queues[partitionOf(request.m_target)];
+    ++queue.m_counts.m_sent;
+    ++queue.m_counts.m_late;
+    const TimePoint turnAt = enqueue(queue, now, m_faults.m_appendTime * m_faults.m_slowness);
+    const Duration lateness { std::uniform_int_distribution<std::int64_t>(minLateMs, m_faults.m_longestLateness.m_ms)(m_random) };
+    m_loop.runAfter(std::max(turnAt - now, lateness), [this, request, &queue] {
+        ++queue.m_counts.m_done;
+        append(request);
+    });
+}
+
+void StandInStore::queueRead(const HttpRequest& request, const HttpResponder& respond)
+{
+    const auto perform = [this, request, respond] {
+        if (request.m_target.starts_with("/bulrushloft/log-newest"))
+            return sendAnswer(respond, readNewest(request));
+        if (request.m_target.starts_with("/bulrushloft/log-read"))
+            return read(request, respond);
+        sendAnswer(respond, jsonResponse(404, Json::object()));
+    };
+    const auto queue = m_queues.find(partitionOf(request.m_target));
+    const Duration wait = queue == m_queues.end() ? Duration {} : waitOf(queue->second, steadyNow());
+    if (wait.m_ms > 0)
+        return m_loop.runAfter(wait, perform);
+    perform();
 }
 
-void StandInStore::perform(const HttpRequest& request, const HttpResponder& respond)
+void StandInStore::sendAnswer(const HttpResponder& respond, HttpResponse response)
 {
-    if (request.m_target.starts_with("/bulrushloft/log-append"))
-        return respond(append(request));
-    if (request.m_target.starts_with("/bulrushloft/log-newest"))
-        return respond(readNewest(request));
-    if (request.m_target.starts_with("/bulrushloft/log-read"))
-        return read(request, respond);
-    respond(jsonResponse(404, Json::object()));
+    m_loop.runAfter(m_faults.m_answerTime * m_faults.m_slowness, [respond, response = std::move(response)] { respond(response); });
 }
 
 HttpResponse StandInStore::append(const HttpRequest& request)
@@ -183,9 +227,9 @@
     const StoreRead read { .m_partition = partitionOf(request.m_target), .m_from = numberOf(request.m_target, "from"), .m_wait = { static_cast<std::int64_t>(numberOf(request.m_target, "wait_ms")) } };
     const StoreReadAnswer answer = m_store.read(read);
     if (answer.m_status == StoreStatus::Expired)
-        return respond(jsonResponse(410, { { "first", answer.m_end } }));
+        return sendAnswer(respond, jsonResponse(410, { { "first", answer.m_end } }));
     if (!answer.m_records.empty() || read.m_wait.m_ms == 0)
-        return respond(binaryOf(answer));
+        return sendAnswer(respond, binaryOf(answer));
     m_waiting.push_back({ .m_read = read, .m_until = steadyNow() + read.m_wait, .m_respond = respond });
 }
 
@@ -208,7 +252,7 @@
             continue;
         }
         if (!m_faults.m_isDown)
-            waiting->m_respond(answer.m_status == StoreStatus::Expired ? jsonResponse(410, Json::object()) : binaryOf(answer));
+            sendAnswer(waiting->m_respond, answer.m_status == StoreStatus::Expired ? jsonResponse(410, Json::object()) : binaryOf(answer));
         waiting = m_waiting.erase(waiting);
     }
 }
--- a/tests/soak/stand_in_store.h
+++ b/tests/soak/stand_in_store.h
@@ -1,11 +1,13 @@
 /** @file stand_in_store.h The platform's metadata store, played over HTTP for daemons on loopback. */
 #pragma once
 
+#include "append_queue.h"
 #include "connection/http_server.h"
 #include "fake_store.h"
 
 #include <deque>
 #include <list>
+#include <map>
 #include <random>
 
 namespace bulrushloft::soak {
@@ -14,13 +16,19 @@
 struct StoreFaults {
     bool m_isDown = false; ///< Calls are refused, or stay unanswered when m_isSilent is set.
     bool m_isSilent = false; ///< A store that is down does not answer at all.
-    Duration m_delay; ///< Added to the answer of each call.
+    Duration m_delay; ///< Added to the way of each call to the store.
+    int m_slowness = 1; ///< Factor of m_appendTime and m_answerTime.
+    Duration m_appendTime { 2 }; ///< Time that a partition needs for one append.
+    Duration m_answerTime { 4 }; ///< Time from the result of a call to its answer.
     double m_lostAnswerShare = 0; ///< Share of appends, 0 to 1, that are carried out but not answered.
     double m_lateAppendShare = 0; ///< Share of appends, 0 to 1, that are carried out seconds later and not answered.
-    Duration m_longestLateness { 4'000 }; ///< How long after their arrival those are carried out at most; 1 s at least.
+    Duration m_longestLateness { 4'000 }; ///< How long after their arrival those are carried out at most, unless others wait before them; 1 s at least.
 };
 
-/** The store. All functions run on the thread of its event loop. */
+/**
+ * The store. A partition carries out its appends one at a time, refuses further ones when more than maxAppendWait is waiting, and answers
+ * reads after the appends that arrived before them. All functions run on the thread of its event loop.
+ */
 class StandInStore {
 public:
     StandInStore(EventLoop& loop, std::uint64_t seed);
@@ -37,6 +45,12 @@
     /** Drops the history of all topics; the newest record of each key stays. */
     void compact() { m_store.compactTopics(); }
 
+    /** Begins to measure the longest wait of each partition anew. */
+    void watchWaits();
+
+    /** @return Queues by partition. */
+    const std::map<StorePartition, AppendQueue>& queues() const { return m_queues; }
+
 private:
     /** A read that waits for a record. */
     struct WaitingRead {
@@ -46,7 +60,10 @@
     };
 
     void handle(const HttpRequest& request, const HttpResponder& respond);
-    void perform(const HttpRequest& request, const HttpResponder& respond);
+    void queueAppend(const HttpRequest& request, const HttpResponder& respond);
+    void queueLateAppend(const HttpRequest& request);
+    void queueRead(const HttpRequest& request, const HttpResponder& respond);
+    void sendAnswer(const HttpResponder& respond, HttpResponse response);
     HttpResponse append(const HttpRequest& request);
     void read(const HttpRequest& request, const HttpResponder& respond);
     HttpResponse readNewest(const HttpRequest& request);
@@ -57,6 +74,7 @@
     HttpServer m_server;
     test::FakeStore m_store;
     StoreFaults m_faults;
+    std::map<StorePartition, AppendQueue> m_queues;
     std::list<WaitingRead> m_waiting;
     std::mt19937_64 m_random;
 };
