Soak: a store that is slow and loses writes, and checks that the cell serves again once it is sound

New checks: QUEUE, no partition has more than 3 s of appends waiting from 1 s after the store is sound; RECOVER, three quarters of the submissions are accepted from 4 to 9 s after the store is sound and the last daemon is back. Both bounds are chosen from the users' aim, not measured. A loss of power without late writes no longer counts as a disturbance to the end of the run.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -21,6 +21,7 @@
 DEFINE_string(directory, "", "directory for start-up files and logs; a new one under the temporary directory if empty");
 DEFINE_uint64(seed, 1, "first seed of the random choices");
 DEFINE_uint64(runs, 1, "number of runs, with consecutive seeds");
+DEFINE_int32(network, 0, "second number of the loopback addresses of daemons and platform, 0 to 9, and 10 less than that of the workers; runs at the same time need different ones");
 DEFINE_int32(daemons, 4, "number of daemons");
 DEFINE_int32(workers, 8, "number of workers");
 DEFINE_int32(task_slots, 8, "tasks that a worker can hold");
@@ -35,6 +36,10 @@
 DEFINE_int32(power_loss_ms, 0, "when all daemons lose power, in ms of the load; 0 for never");
 DEFINE_double(late_write_share, 0.45, "share of the store's writes that stay unanswered and are carried out 1 to 6 s later, from 2 s before the loss of power to the end");
 DEFINE_int32(backlog, 60, "jobs submitted at once, just before the loss of power");
+DEFINE_int32(slow_lossy_ms, 0, "when the store gets slow and lossy, in ms of the load; 0 for not at a fixed time");
+DEFINE_int32(slow_lossy_length_ms, 0, "length of that in ms; 0 for a random one");
+DEFINE_int32(store_slowness, 0, "factor of all times of the slow and lossy store; 0 for a random one");
+DEFINE_double(slow_lossy_late_share, 0, "share of the writes of the slow and lossy store that stay unanswered and are carried out 1 to 6 s later; 0 for a random one");
 DEFINE_int32(relay_from_workers, 1'000, "number of workers from which on orders go through peers");
 
 namespace bulrushloft::soak {
@@ -51,11 +56,17 @@
     constexpr std::uint16_t peersPort = 7'402;
     constexpr std::uint16_t advertisedPort = 7'403;
     constexpr std::uint16_t daemonStorePort = 7'404;
-    const std::string platformHost = "127.0.200.1";
+
+    constexpr int workersNetwork = 10;
+
+    std::string platformHost()
+    {
+        return "127." + std::to_string(FLAGS_network) + ".200.1";
+    }
 
     std::string hostOf(int daemon)
     {
-        return "127.0.201." + std::to_string(daemon + 1);
+        return "127." + std::to_string(FLAGS_network) + ".201." + std::to_string(daemon + 1);
     }
 
     /** @return The operator's configuration of a version; each version adds a queue, so that callers can tell which one is in force. */
@@ -80,7 +91,7 @@
             : m_seed(seed)
             , m_directory(std::move(directory))
             , m_store(m_platformLoop, seed)
-            , m_workers(m_platformLoop, m_store, { .m_pool = "pool", .m_count = FLAGS_workers, .m_cpuMilli = FLAGS_task_slots * 1'000, .m_taskCpuMilli = 1'000, .m_needsTickets = FLAGS_approvals }, makeObserver(), seed + 1)
+            , m_workers(m_platformLoop, m_store, { .m_pool = "pool", .m_count = FLAGS_workers, .m_network = workersNetwork + FLAGS_network, .m_cpuMilli = FLAGS_task_slots * 1'000, .m_taskCpuMilli = 1'000, .m_needsTickets = FLAGS_approvals }, makeObserver(), seed + 1)
             , m_approvals(m_platformLoop, m_workers)
         {
         }
@@ -99,6 +110,7 @@
         bool startPlatform();
         void startDaemons();
         void settle();
+        void checkServed(const std::vector<ServedWindow>& windows);
         void printResult();
         void printAppends();
 
@@ -116,7 +128,7 @@
 
     bool Soak::startPlatform()
     {
-        for (const Expected<void>& listening : { m_store.listen({ platformHost, storePort }), m_approvals.listen({ platformHost, approvalsPort }), m_workers.listen() }) {
+        for (const Expected<void>& listening : { m_store.listen({ platformHost(), storePort }), m_approvals.listen({ platformHost(), approvalsPort }), m_workers.listen() }) {
             if (listening)
                 continue;
             std::cerr << "cell_soak: " << describe(listening.error()) << "\n";
@@ -136,8 +148,8 @@
             const Address peers { hostOf(i), peersPort };
             const Address advertised { hostOf(i), advertisedPort };
             SoakDaemon daemon;
-            daemon.m_process = std::make_unique<DaemonProcess>(DaemonSetup { .m_program = FLAGS_daemon, .m_name = "n" + std::to_string(i + 1), .m_directory = m_directory, .m_clients = { hostOf(i), clientsPort }, .m_readiness = { hostOf(i), readinessPort }, .m_peers = peers, .m_advertisedPeers = advertised, .m_store = store, .m_approvals = { platformHost, approvalsPort }, .m_seeds = seeds, .m_relayMinWorkers = FLAGS_relay_from_workers });
-            daemon.m_storeProxy = std::make_unique<FaultProxy>(m_proxyLoop, store, Address { platformHost, storePort });
+            daemon.m_process = std::make_unique<DaemonProcess>(DaemonSetup { .m_program = FLAGS_daemon, .m_name = "n" + std::to_string(i + 1), .m_directory = m_directory, .m_clients = { hostOf(i), clientsPort }, .m_readiness = { hostOf(i), readinessPort }, .m_peers = peers, .m_advertisedPeers = advertised, .m_store = store, .m_approvals = { platformHost(), approvalsPort }, .m_seeds = seeds, .m_relayMinWorkers = FLAGS_relay_from_workers });
+            daemon.m_storeProxy = std::make_unique<FaultProxy>(m_proxyLoop, store, Address { platformHost(), storePort });
             daemon.m_peerProxy = std::make_unique<FaultProxy>(m_proxyLoop, advertised, peers);
             for (const Expected<void>& listening : { daemon.m_storeProxy->listen(), daemon.m_peerProxy->listen() }) {
                 if (!listening)
@@ -161,6 +173,16 @@
         m_history.finish();
     }
 
+    void Soak::checkServed(const std::vector<ServedWindow>& windows)
+    {
+        constexpr Duration answerTime { 3'500 }; ///< A client gives up a submission 3 s after it.
+        for (const ServedWindow& window : windows) {
+            while (steadyNow() < window.m_until + answerTime)
+                std::this_thread::sleep_for(std::chrono::milliseconds(50));
+            m_history.checkServed(window.m_from, window.m_until);
+        }
+    }
+
     void Soak::printAppends()
     {
         std::promise<std::map<StorePartition, AppendQueue>> promise;
@@ -197,12 +219,15 @@
         const Duration length { FLAGS_seconds * 1'000 };
         if (FLAGS_power_loss_ms > 0)
             faults.schedulePowerLoss({ FLAGS_power_loss_ms }, FLAGS_backlog, FLAGS_late_write_share);
-        if (FLAGS_faults || FLAGS_power_loss_ms > 0)
+        if (FLAGS_slow_lossy_ms > 0)
+            faults.scheduleSlowLossyStore({ .m_at = { FLAGS_slow_lossy_ms }, .m_length = { FLAGS_slow_lossy_length_ms }, .m_slowness = FLAGS_store_slowness, .m_lateShare = FLAGS_slow_lossy_late_share });
+        if (FLAGS_faults || FLAGS_power_loss_ms > 0 || FLAGS_slow_lossy_ms > 0)
             faults.run(length, FLAGS_faults);
         else
             std::this_thread::sleep_for(std::chrono::milliseconds(length.m_ms));
         clients.stop();
         settle();
+        checkServed(faults.servedWindows());
         printResult();
         const bool isKept = m_history.violations().empty();
         m_daemons.clear(); // Ends the processes before their platform goes.
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -18,6 +18,10 @@
     constexpr Duration configLimit { 2'000 }; ///< A configuration is in force within this time at an undisturbed daemon.
     constexpr Duration terminationLimit { 6'000 }; ///< Grace between SIGTERM and SIGKILL.
     constexpr Duration configCheckInterval { 400 };
+    constexpr Duration queueLimitFrom { 1'000 }; ///< So long after the store is sound, the bound on waiting appends begins to hold.
+    constexpr Duration queueLimit { 3'000 }; ///< Most work that a partition of a sound store may have waiting.
+    constexpr Duration servedFrom { 4'000 }; ///< So long after the store is sound, submissions must be accepted.
+    constexpr Duration servedLength { 5'000 }; ///< For how long submissions are observed from then on.
     constexpr unsigned statusNotFound = 404;
     constexpr unsigned statusOk = 200;
 
@@ -41,6 +45,15 @@
         disturb(daemon, length);
 }
 
+void FaultInjector::applyStoreFaults()
+{
+    constexpr Duration shortLateness { 4'000 };
+    constexpr Duration longLateness { 6'000 };
+    m_storeFaults.m_lateAppendShare = std::max({ m_lastingLateShare, m_lossyLateShare, m_slowLossyLateShare });
+    m_storeFaults.m_longestLateness = m_lastingLateShare > 0 || m_slowLossyLateShare > 0 ? longLateness : shortLateness;
+    onPlatform([this, faults = m_storeFaults] { m_targets.m_store.setFaults(faults); });
+}
+
 void FaultInjector::inject(Kind kind)
 {
     const TimePoint now = steadyNow();
@@ -93,10 +106,12 @@
         return endAfter([this] { m_storeFaults.m_delay = {}; applyStoreFaults(); });
     case Kind::StoreLossy:
         m_storeFaults.m_lostAnswerShare = 0.3;
-        m_storeFaults.m_lateAppendShare = std::max(m_lastingLateShare, 0.1);
+        m_lossyLateShare = 0.1;
         applyStoreFaults();
         disturbAll(length + Duration { 4'000 });
-        return endAfter([this] { m_storeFaults.m_lostAnswerShare = 0; m_storeFaults.m_lateAppendShare = m_lastingLateShare; applyStoreFaults(); });
+        return endAfter([this] { m_storeFaults.m_lostAnswerShare = 0; m_lossyLateShare = 0; applyStoreFaults(); });
+    case Kind::StoreSlowAndLossy:
+        return beginSlowLossyStore({});
     case Kind::Compact:
         return onPlatform([this] { m_targets.m_store.compact(); });
     case Kind::WorkerCrash:
@@ -117,6 +132,69 @@
     }
 }
 
+FaultInjector::Kind FaultInjector::drawKind()
+{
+    if (m_slowLossyPhase == SlowLossyPhase::Overlapped) {
+        const std::array kinds { Kind::Kill, Kind::Terminate, Kind::Suspend, Kind::Reload, Kind::KillAll };
+        return kinds[static_cast<std::size_t>(randomBetween(0, kinds.size() - 1))];
+    }
+    return static_cast<Kind>(randomBetween(0, static_cast<std::int64_t>(Kind::KindCount) - 1));
+}
+
+void FaultInjector::scheduleSlowLossyStore(const SlowLossyStore& fault)
+{
+    m_ends.push_back({ steadyNow() + fault.m_at, [this, fault] { beginSlowLossyStore(fault); } });
+}
+
+void FaultInjector::beginSlowLossyStore(const SlowLossyStore& fault)
+{
+    constexpr Duration longestLateness { 6'000 };
+    constexpr int shareOfAlone = 3; ///< One in so many is played without further faults.
+    if (m_slowLossyLateShare > 0)
+        return; // One that was drawn is still in force.
+    const Duration length = fault.m_length.m_ms > 0 ? fault.m_length : Duration { randomBetween(4'000, 14'000) };
+    m_storeFaults.m_slowness = fault.m_slowness > 0 ? fault.m_slowness : static_cast<int>(randomBetween(10, 60));
+    m_slowLossyLateShare = fault.m_lateShare > 0 ? fault.m_lateShare : std::uniform_real_distribution<double>(0.1, 0.45)(m_random);
+    m_slowLossyPhase = randomBetween(1, shareOfAlone) == 1 ? SlowLossyPhase::Alone : SlowLossyPhase::Overlapped;
+    std::cout << "  store slow by " << m_storeFaults.m_slowness << " with " << m_slowLossyLateShare << " of the appends late for " << length.m_ms << " ms" << std::endl;
+    applyStoreFaults();
+    disturbAll(length + longestLateness);
+    m_ends.push_back({ steadyNow() + length, [this] { endSlowLossyStore(); } });
+}
+
+void FaultInjector::endSlowLossyStore()
+{
+    std::cout << "  store sound" << std::endl;
+    m_storeFaults.m_slowness = 1;
+    m_slowLossyLateShare = 0;
+    applyStoreFaults();
+    const bool isSound = m_lastingLateShare == 0;
+    m_slowLossyPhase = isSound ? SlowLossyPhase::Recovery : SlowLossyPhase::None;
+    m_storeSoundAt = steadyNow();
+    if (isSound)
+        onPlatform([this] { m_targets.m_platformLoop.runAfter(queueLimitFrom, [this] { m_targets.m_store.watchWaits(); }); });
+}
+
+void FaultInjector::observeRecovery(TimePoint now, bool isCalm)
+{
+    if (m_slowLossyPhase != SlowLossyPhase::Recovery || !isCalm)
+        return;
+    const TimePoint from = std::max(m_storeSoundAt, m_lastResumedAt) + servedFrom;
+    if (now < from + servedLength)
+        return;
+    m_servedWindows.push_back({ .m_from = from, .m_until = from + servedLength });
+    m_slowLossyPhase = SlowLossyPhase::None;
+    onPlatform([this] { checkQueues(); });
+}
+
+void FaultInjector::checkQueues()
+{
+    for (const auto& [partition, queue] : m_targets.m_store.queues()) {
+        if (queue.m_longestWatchedWait > queueLimit)
+            m_targets.m_history.report("QUEUE: partition " + std::to_string(partition.m_partition) + " of " + partition.m_topic + " has " + std::to_string(queue.m_longestWatchedWait.m_ms) + " ms of appends waiting although the store has been sound for 1 s");
+    }
+}
+
 void FaultInjector::killAll(Duration shortestDownTime, Duration longestDownTime)
 {
     for (SoakDaemon& daemon : m_targets.m_daemons) {
@@ -135,15 +213,15 @@
     const TimePoint lostAt = steadyNow() + at;
     m_ends.push_back({ lostAt - lossyBefore, [this, lateShare, untilEnd] {
                           m_lastingLateShare = lateShare;
-                          m_storeFaults.m_lateAppendShare = m_lastingLateShare;
-                          m_storeFaults.m_longestLateness = { 6'000 };
                           applyStoreFaults();
-                          disturbAll(untilEnd);
+                          if (lateShare > 0)
+                              disturbAll(untilEnd);
                       } });
     m_ends.push_back({ lostAt - backlogBefore, [this, backlog] { m_targets.m_clients.submitBacklog(backlog); } });
     m_ends.push_back({ lostAt, [this, downTime] {
                           std::cout << "  power lost" << std::endl;
                           killAll(downTime, downTime);
+                          disturbAll(downTime);
                       } });
 }
 
@@ -166,6 +244,7 @@
         if (daemon.m_resumeAt.m_ms > 0 && now >= daemon.m_resumeAt) {
             daemon.m_process->signal(SIGCONT);
             daemon.m_resumeAt = {};
+            m_lastResumedAt = now;
             disturb(daemon, {});
         }
         const bool isRunning = daemon.m_process->isRunning();
@@ -183,6 +262,7 @@
         daemon.m_configSeen = 0;
         disturb(daemon, {});
         daemon.m_process->start();
+        m_lastResumedAt = now;
     }
 }
 
@@ -217,13 +297,15 @@
     const auto isCalm = [&] {
         return m_ends.empty() && std::none_of(m_targets.m_daemons.begin(), m_targets.m_daemons.end(), [](const SoakDaemon& daemon) { return daemon.m_restartAt.m_ms > 0 || daemon.m_resumeAt.m_ms > 0; });
     };
-    for (TimePoint now = steadyNow(); now < end || !isCalm(); now = steadyNow()) {
-        if (hasRandomFaults && now >= nextFaultAt && now < end) {
-            inject(static_cast<Kind>(randomBetween(0, static_cast<std::int64_t>(Kind::KindCount) - 1)));
+    const auto allowsFaults = [&] { return hasRandomFaults && m_slowLossyPhase != SlowLossyPhase::Alone && m_slowLossyPhase != SlowLossyPhase::Recovery; };
+    for (TimePoint now = steadyNow(); now < end || !isCalm() || m_slowLossyPhase != SlowLossyPhase::None; now = steadyNow()) {
+        if (allowsFaults() && now >= nextFaultAt && (now < end || m_slowLossyPhase == SlowLossyPhase::Overlapped)) {
+            inject(drawKind());
             nextFaultAt = now + Duration { randomBetween(200, 1'800) };
         }
         endDue(now);
         superviseProcesses(now);
+        observeRecovery(now, isCalm());
         checkConfig(now);
         const bool isDisturbed = std::any_of(m_targets.m_daemons.begin(), m_targets.m_daemons.end(), [&](const SoakDaemon& daemon) { return now < daemon.m_disturbedUntil; });
         m_targets.m_clients.setDisturbed(isDisturbed);
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -36,6 +36,20 @@
     std::function<std::string(std::uint64_t)> m_makeConfig; ///< Text of the configuration with a version.
 };
 
+/** A store that is slow and loses writes for a time. Values that are zero are drawn at random. */
+struct SlowLossyStore {
+    Duration m_at; ///< When it begins, from now.
+    Duration m_length; ///< How long it lasts.
+    int m_slowness = 0; ///< Factor of all times of the store.
+    double m_lateShare = 0; ///< Share of appends, 0 to 1, that stay unanswered and are carried out 1 to 6 s later.
+};
+
+/** Submissions that must be accepted, as the store is sound and no other fault is in force. */
+struct ServedWindow {
+    TimePoint m_from;
+    TimePoint m_until;
+};
+
 /** Injects random faults. */
 class FaultInjector {
 public:
@@ -48,12 +62,19 @@
      */
     void schedulePowerLoss(Duration at, int backlog, double lateShare);
 
+    /** Schedules a store that is slow and loses writes, alone or under random faults of the daemons' processes. */
+    void scheduleSlowLossyStore(const SlowLossyStore& fault);
+
     /**
      * Injects faults for a time, then ends all of them; returns when all daemons run.
-     * @param hasRandomFaults Whether there are others than a scheduled loss of power.
+     * After a slow and lossy store there are no further faults until the recovery has been observed, if need be beyond that time.
+     * @param hasRandomFaults Whether there are others than those that are scheduled.
      */
     void run(Duration length, bool hasRandomFaults);
 
+    /** @return Times in which submissions must be accepted. */
+    const std::vector<ServedWindow>& servedWindows() const { return m_servedWindows; }
+
 private:
     /** Kinds of faults. */
     enum class Kind : std::uint8_t {
@@ -67,6 +88,7 @@
         StoreDown,
         StoreSlow,
         StoreLossy,
+        StoreSlowAndLossy,
         Compact,
         WorkerCrash,
         WorkerSilent,
@@ -82,12 +104,22 @@
         std::function<void()> m_action;
     };
 
+    /** Phases of a slow and lossy store. */
+    enum class SlowLossyPhase : std::uint8_t {
+        None,
+        Alone, ///< In force, without further faults.
+        Overlapped, ///< In force, with faults of processes.
+        Recovery, ///< Over; the recovery is observed.
+    };
+
     void inject(Kind kind);
+    Kind drawKind();
+    void beginSlowLossyStore(const SlowLossyStore& fault);
+    void endSlowLossyStore();
+    void observeRecovery(TimePoint now, bool isCalm);
+    void checkQueues();
     void killAll(Duration shortestDownTime, Duration longestDownTime);
-    void applyStoreFaults()
-    {
-        onPlatform([this, faults = m_storeFaults] { m_targets.m_store.setFaults(faults); });
-    }
+    void applyStoreFaults();
     void endDue(TimePoint now);
     void superviseProcesses(TimePoint now);
     void checkConfig(TimePoint now);
@@ -102,6 +134,12 @@
     std::vector<End> m_ends;
     StoreFaults m_storeFaults;
     double m_lastingLateShare = 0; ///< Share of late appends outside of the faults that end.
+    double m_lossyLateShare = 0; ///< Share of late appends while the store is lossy.
+    double m_slowLossyLateShare = 0; ///< Share of late appends while the store is slow and lossy.
+    SlowLossyPhase m_slowLossyPhase = SlowLossyPhase::None;
+    TimePoint m_storeSoundAt; ///< When the latest slow and lossy store ended.
+    TimePoint m_lastResumedAt; ///< When a daemon was last started again or resumed.
+    std::vector<ServedWindow> m_servedWindows;
     std::uint64_t m_configVersion = 1; ///< Newest version that the operator has written.
     TimePoint m_configWrittenAt;
     TimePoint m_nextConfigCheckAt;
--- a/tests/soak/soak_history.cpp
+++ b/tests/soak/soak_history.cpp
@@ -16,7 +16,7 @@
 void SoakHistory::onSubmit(const std::string& job, std::uint32_t steps, std::uint32_t width)
 {
     const std::lock_guard lock(m_mutex);
-    m_jobs[job] = { .m_width = width, .m_steps = steps };
+    m_jobs[job] = { .m_width = width, .m_steps = steps, .m_submittedAt = steadyNow() };
     ++m_counts.m_submitted;
 }
 
@@ -178,6 +178,20 @@
     return std::to_string(open.size()) + " jobs open, " + std::to_string(endedJobs) + " of them with all tasks done, " + std::to_string(m_workerByRunningTask.size()) + " of " + std::to_string(slots) + " slots in use";
 }
 
+void SoakHistory::checkServed(TimePoint from, TimePoint until)
+{
+    const std::lock_guard lock(m_mutex);
+    std::size_t submitted = 0;
+    std::size_t accepted = 0;
+    for (const auto& [id, job] : m_jobs) {
+        const bool isCounted = job.m_submittedAt >= from && job.m_submittedAt < until;
+        submitted += isCounted ? 1 : 0;
+        accepted += isCounted && job.m_isAccepted ? 1 : 0;
+    }
+    if (accepted * 4 < submitted * 3)
+        reportLocked("RECOVER: " + std::to_string(accepted) + " of " + std::to_string(submitted) + " jobs were accepted from 4 to 9 s after the store was sound and the last fault over");
+}
+
 void SoakHistory::finish()
 {
     for (const std::string& job : openJobs())
--- a/tests/soak/soak_history.h
+++ b/tests/soak/soak_history.h
@@ -34,6 +34,7 @@
     bool m_isRefused = false; ///< All attempts were refused, and the client has given up.
     bool m_isCancelSent = false; ///< A cancellation was sent.
     TimePoint m_cancelledAt; ///< When a cancellation was acknowledged; zero before.
+    TimePoint m_submittedAt; ///< When the client first submitted it.
     TimePoint m_acceptedAt; ///< When a submission was first acknowledged.
     bool m_isComplete = false; ///< The job was shown as complete.
     std::uint32_t m_doneTasks = 0; ///< Tasks that have ended done.
@@ -44,7 +45,7 @@
 
 /**
  * Records and checks; used from several threads.
- * A violation is described with the promise it breaks: TWICE, LIMIT, UNASKED, ORDER, LOST, REFUSED, CONFIG, DRAIN or EXIT.
+ * A violation is described with the promise it breaks: TWICE, LIMIT, UNASKED, ORDER, LOST, REFUSED, CONFIG, RECOVER, QUEUE, DRAIN or EXIT.
  */
 class SoakHistory {
 public:
@@ -72,6 +73,12 @@
      */
     std::string checkStandstill(std::size_t slots);
 
+    /**
+     * Checks that callers were served in a time without faults: three quarters of the jobs submitted in it have been accepted.
+     * Called when these submissions are answered or given up.
+     */
+    void checkServed(TimePoint from, TimePoint until);
+
     /** Checks at the end that every accepted job has completed or was cancelled. */
     void finish();
 
--- a/tests/soak/stand_in_workers.cpp
+++ b/tests/soak/stand_in_workers.cpp
@@ -60,9 +60,9 @@
         return payload.starts_with(key) ? std::stoll(payload.substr(key.size())) : 100;
     }
 
-    Address addressOf(int index)
+    Address addressOf(int network, int index)
     {
-        return { "127.10." + std::to_string(index / hostsPerSubnet) + "." + std::to_string(index % hostsPerSubnet + 1), workerPort };
+        return { "127." + std::to_string(network) + "." + std::to_string(index / hostsPerSubnet) + "." + std::to_string(index % hostsPerSubnet + 1), workerPort };
     }
 
     Json reportOf(const SyncReport& report)
@@ -112,7 +112,7 @@
     const std::int64_t now = wallNow().m_ms;
     for (int i = 0; i < fleet.m_count; ++i) {
         auto member = std::make_unique<Member>(loop);
-        member->m_address = addressOf(i);
+        member->m_address = addressOf(fleet.m_network, i);
         member->m_rack = "r-" + std::to_string(i / workersPerRack);
         test::FakeLeaseWorker& worker = member->m_worker;
         worker.m_id = "i-" + std::to_string(i);
--- a/tests/soak/stand_in_workers.h
+++ b/tests/soak/stand_in_workers.h
@@ -21,6 +21,7 @@
 struct WorkerFleet {
     std::string m_pool = "pool"; ///< Pool of all workers.
     int m_count = 8; ///< Number of workers; each listens on an address of its own.
+    int m_network = 10; ///< Second number of their loopback addresses.
     std::int64_t m_cpuMilli = 8'000; ///< Capacity of each worker in thousandths of a core.
     std::int64_t m_taskCpuMilli = 1'000; ///< CPU use of each task, for the check of the capacity.
     bool m_needsTickets = false; ///< Whether starts need a ticket of the approval service.
