A partition that refuses the leader's append for long is asked less and less often

Cause: a refused append was repeated each 100 ms for as long as the partition had too much waiting, which a stand-in that queues late appends shows (186 copies of one append in 20 s), and spends the store's limit of calls. Change: from the fourth refusal in a row on, repeats wait 200, 400, then 800 ms, as long as the store answers other calls; a store that refuses all calls is asked as often as before, so that its return is seen soon, and the hand-over after three refusals is as quick as before. Evidence: append_pipeline_test, which failed before: 100 attempts in 10 s, now at most 20; confirmed within 1 s once appends are accepted.

--- a/src/process/cell/append_pipeline.cpp
+++ b/src/process/cell/append_pipeline.cpp
@@ -100,10 +100,28 @@
         return now - oldest.m_latest.m_sentAt >= (hasReplied || isLossKnown(pipeline, now) ? delay : grownDelay);
     }
 
+    /**
+     * A store that refuses appends but answers other calls has too much waiting in the partition: repeats come less and less often.
+     * One that refuses all calls is asked at the usual interval, so that its return is seen soon.
+     * @return Whether the time after the latest refusals is over.
+     */
+    bool isRefusalPauseOver(const AppendPipeline& pipeline, TimePoint lastStoreReplyAt, TimePoint now)
+    {
+        constexpr std::uint32_t freeRefusals = 3; // As many as make a leader hand over.
+        constexpr std::uint32_t maxDoublings = 3;
+        constexpr Duration replyMemory { 1'000 };
+        if (pipeline.m_refusalsInRow <= freeRefusals || now - lastStoreReplyAt > replyMemory)
+            return true;
+        const std::uint32_t doublings = std::min(pipeline.m_refusalsInRow - freeRefusals, maxDoublings);
+        return now - pipeline.m_lastSentAt >= retryDelay * (std::int64_t { 1 } << doublings);
+    }
+
     /** @return Whether an attempt of the oldest append is due. */
     bool isOldestDue(const AppendPipeline& pipeline, TimePoint lastStoreReplyAt, TimePoint now)
     {
         const PipelinedAppend& oldest = pipeline.m_queue.front();
+        if (!isRefusalPauseOver(pipeline, lastStoreReplyAt, now))
+            return false;
         return now >= oldest.m_notBefore && (oldest.m_inFlight.empty() || isHedgeDue(pipeline, lastStoreReplyAt, now));
     }
 
@@ -159,6 +177,7 @@
             pipeline.m_queue.pop_front();
         }
         pipeline.m_refusals = 0;
+        pipeline.m_refusalsInRow = 0;
         pipeline.m_attemptsBeforeOldest = pipeline.m_attempts;
     }
 
@@ -169,6 +188,7 @@
         if (status == StoreStatus::OutOfSequence) // An attempt that was sent before the append became the oldest may have arrived before its predecessor.
             return isOldest && attempt.m_number > pipeline.m_attemptsBeforeOldest ? AppendOutcome::SequenceMismatch : AppendOutcome::Proceed;
         append.m_unanswered += status == StoreStatus::Unknown ? 1 : 0;
+        pipeline.m_refusalsInRow += status == StoreStatus::NotDone ? 1 : 0;
         if (status == StoreStatus::NotDone || append.m_inFlight.empty())
             append.m_notBefore = now + retryDelay;
         pipeline.m_refusals += status == StoreStatus::NotDone && isOldest && append.m_inFlight.empty() ? 1 : 0;
--- a/src/process/cell/append_pipeline.h
+++ b/src/process/cell/append_pipeline.h
@@ -46,6 +46,7 @@
     std::uint32_t m_answeredInOrder = 0; ///< Attempts that the store has carried out since an answer last overtook an earlier attempt.
     std::uint32_t m_openAttempts = 0; ///< Attempts without an answer, also those of confirmed appends; each holds a connection.
     std::uint32_t m_refusals = 0; ///< How often the store has refused the oldest append (StoreStatus::NotDone) with no other attempt in flight; 0 after each confirmation.
+    std::uint32_t m_refusalsInRow = 0; ///< How often the store has refused an append since it last confirmed one.
     Duration m_lastLatency; ///< Time from an attempt to its own answer, for the latest attempt that confirmed an append.
     std::deque<Duration> m_latencies; ///< The latest values of m_lastLatency, the newest last.
     std::uint64_t m_confirmations = 0; ///< Number of answers that have confirmed an append.
--- a/tests/append_pipeline_test.cpp
+++ b/tests/append_pipeline_test.cpp
@@ -288,3 +288,34 @@
             BOOST_TEST(all.m_records[i + 1].m_value == std::to_string(i + 1), "seed " << seed);
     }
 }
+
+// An overfilled partition refuses for tens of seconds; the leader repeated the refused append about ten times a second.
+BOOST_AUTO_TEST_CASE(a_partition_that_refuses_for_long_is_asked_less_and_less_often)
+{
+    AppendPipeline pipeline = makePipeline("leader", 1);
+    pushAppend(pipeline, {}, 1);
+    TimePoint now { 10'000 };
+    const auto sendDue = [&](TimePoint lastReplyAt, StoreStatus status) {
+        const PipelinedAppend* const next = beginSend(pipeline, lastReplyAt, now);
+        if (!next)
+            return 0;
+        const AppendAttempt attempt = next->m_latest;
+        onAppendAnswer(pipeline, attempt, status, now);
+        return 1;
+    };
+    int attempts = 0;
+    for (; now < TimePoint { 20'000 }; now = now + Duration { 10 })
+        attempts += sendDue(now, StoreStatus::NotDone); // The store answers reads meanwhile.
+    BOOST_TEST(attempts <= 20);
+    const TimePoint acceptedFrom = now;
+    for (; pipeline.m_confirmedBatch == 0 && now - acceptedFrom < Duration { 5'000 }; now = now + Duration { 10 })
+        sendDue(now, StoreStatus::Done);
+    BOOST_TEST((now - acceptedFrom).m_ms <= 1'000);
+
+    pushAppend(pipeline, {}, 2);
+    const TimePoint refusedFrom = now;
+    const TimePoint lastReplyAt = now - Duration { 2'000 };
+    for (attempts = 0; now - refusedFrom < Duration { 2'000 }; now = now + Duration { 10 })
+        attempts += sendDue(lastReplyAt, StoreStatus::NotDone);
+    BOOST_TEST(attempts >= 15); // A store that refuses all calls is asked often, so that its return is seen.
+}
