--- a/src/process/cell/append_pipeline.cpp
+++ b/src/process/cell/append_pipeline.cpp
@@ -23,9 +23,9 @@
     constexpr std::size_t maxInFlight = 3; ///< Attempts of the oldest append in flight at a time; one more when the store has answered another call since.
     constexpr std::size_t maxInFlightWhenLossy = 12; ///< The same while answers are lost; so many that hardly ever all of them are lost.
     constexpr std::uint32_t maxOpenAttempts = 20; ///< No hedges beyond it: the client has 32 connections to the store, and reads need some.
-    constexpr Duration lossMemory { 2'000 }; ///< Answers count as being lost for this long after the latest proof,
-    constexpr std::int64_t lossMemoryLatencies = 12; ///< and on a slow store for so many latencies,
-    constexpr std::uint32_t inOrderLimit = 14; ///< but not after so many answers in order; fewer would often come in a row while a third of them is lost.
+    constexpr Duration lossMemory { 2'000 }; ///< Answers count as being lost for this long after the latest proof.
+    constexpr std::int64_t lossMemoryLatencies = 12; ///< The same on a slow store, as a multiple of the latency.
+    constexpr std::uint32_t inOrderLimit = 14; ///< After so many answers in order none counts as lost; fewer would often come in a row while a third of them is lost.
     constexpr Duration slowLatency { 100 }; ///< A store that takes at least this long is slow: attempts wait for each other in the partition.
     constexpr std::size_t maxSendsPerLatency = 4; ///< Attempts of all appends within the time of one answer; all four appends may be sent.
     constexpr std::int64_t lossySendsPerLatency = 2; ///< The same while answers are lost; attempts without an answer are carried out as well, only later.
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -32,16 +32,10 @@
 Duration storeHedgeDelay(const CellNode& node, TimePoint lastAttemptAt);
 
 /**
- * How long the latest attempt of a hedged append may stay unanswered. From the third attempt on it doubles, so that a slow or silent store
- * gets few; only twice when the store has answered another call since, as the answer is then probably lost.
- * @param openAttempts Unanswered attempts of other appends that the same partition may carry out before.
- */
-Duration appendHedgeDelay(const CellNode& node, const HedgedCall& call, std::uint32_t openAttempts = 0);
-
-/**
- * The same for fences and claims, each in its own partition. On a slow store it is a little shorter than the answer's time, so that a lost answer costs no more and
- * the attempts don't exceed what the partition carries out; twice that, from the third attempt on, for a silent store.
+ * @param call A fence or a claim.
  * @param partition Where it is appended.
+ * @return How long its latest attempt may stay unanswered before it is sent again in parallel. On a slow store that is a little less than the time of an
+ * answer, so that a lost answer costs no more and the attempts don't exceed what the partition carries out; twice that, from the third attempt on, for a silent store.
  */
 Duration leaderWriteHedgeDelay(const CellNode& node, const HedgedCall& call, const StorePartition& partition);
 
--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -226,6 +226,23 @@
         });
     }
 
+    /**
+     * How long the latest attempt of an append may stay unanswered on a store that answers fast. From the third attempt on it doubles, so that a silent
+     * store gets few; only twice when the store has answered another call since, as the answer is then probably lost.
+     */
+    Duration fastHedgeDelay(const CellNode& node, const HedgedCall& call)
+    {
+        constexpr Duration initialDelay { 100 }; // Before the first answer the latency is not known.
+        constexpr Duration minDelay { 30 };
+        constexpr std::int64_t latencyMultiple = 4;
+        constexpr std::uint32_t maxDoublings = 5;
+        constexpr std::uint32_t maxDoublingsAfterReply = 2;
+        const Duration delay = node.m_appendLatency == Duration {} ? initialDelay : std::max(minDelay, node.m_appendLatency * latencyMultiple);
+        const bool hasReplied = node.m_storeLastContactAt > call.m_lastAttemptAt;
+        const std::uint32_t doublings = call.m_attempts > 2 ? std::min(call.m_attempts - 2, hasReplied ? maxDoublingsAfterReply : maxDoublings) : 0;
+        return delay * (std::int64_t { 1 } << doublings);
+    }
+
 } // namespace
 
 Duration storeHedgeDelay(const CellNode& node, TimePoint lastAttemptAt)
@@ -235,19 +252,6 @@
     return node.m_storeLastContactAt > lastAttemptAt ? delayWhileAnswering : delayWhileSilent;
 }
 
-Duration appendHedgeDelay(const CellNode& node, const HedgedCall& call, std::uint32_t openAttempts)
-{
-    constexpr Duration initialDelay { 100 }; // Before the first answer the latency is not known.
-    constexpr Duration minDelay { 30 };
-    constexpr std::int64_t latencyMultiple = 4;
-    constexpr std::uint32_t maxDoublings = 5;
-    constexpr std::uint32_t maxDoublingsAfterReply = 2;
-    const Duration delay = node.m_appendLatency == Duration {} ? initialDelay : std::max(minDelay, node.m_appendLatency * (latencyMultiple + openAttempts));
-    const bool hasReplied = node.m_storeLastContactAt > call.m_lastAttemptAt;
-    const std::uint32_t doublings = call.m_attempts > 2 ? std::min(call.m_attempts - 2, hasReplied ? maxDoublingsAfterReply : maxDoublings) : 0;
-    return delay * (std::int64_t { 1 } << doublings);
-}
-
 Duration leaderWriteHedgeDelay(const CellNode& node, const HedgedCall& call, const StorePartition& partition)
 {
     constexpr Duration slowLatency { 100 }; // Attempts that take at least this long wait for each other in the partition.
@@ -257,7 +261,7 @@
     const Duration known = traffic == node.m_storeTraffic.m_partitions.end() ? Duration {} : traffic->second.m_appends.m_latency;
     const Duration latency = std::min(known == Duration {} ? node.m_appendLatency : known, maxLatency);
     if (latency < slowLatency)
-        return appendHedgeDelay(node, call);
+        return fastHedgeDelay(node, call);
     const bool isStoreAnswering = node.m_now - node.m_storeLastContactAt <= latency * silenceLatencies;
     const Duration delay = latency * 3 / 4; // Four attempts, one of which is nearly always answered, take little more than three latencies.
     return isStoreAnswering || call.m_attempts <= 2 ? delay : delay * 2;
