--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -179,6 +179,8 @@
     std::vector<std::shared_ptr<PendingWrite>> m_queue; ///< Writes without an outcome that this daemon appends, the oldest first.
     std::uint32_t m_appendsInFlight = 0; ///< Number of unanswered appends.
     TimePoint m_lastSentAt; ///< When the latest append was sent.
+    Duration m_relayedLatency; ///< How long appends take, as the peer said that has last answered a relayed write.
+    TimePoint m_relayedLatencyAt; ///< When it did; zero before the first.
 };
 
 /** A query of an unfinished job, held for a short time in case the job ends. */
@@ -291,6 +293,7 @@
     std::vector<RecordWaiter> m_recordWaiters; ///< Callers that wait until a batch is durable.
     LoadState m_load;
     TimePoint m_loadedAt; ///< When the records of earlier terms were loaded, of the latest own term.
+    TimePoint m_nextJobDeletionAt; ///< Leader: earliest time of the next append that deletes submissions of expired jobs.
     TimePoint m_nextWaitReportAt; ///< When it is next logged what the takeover waits for.
     std::uint64_t m_term = 0; ///< Fencing token of the current own term, 0 for none; answers for other terms are dropped.
 
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -145,8 +145,10 @@
     /** Deletes the submissions and cancellations of expired jobs from the topic of jobs. */
     void deleteExpiredJobs(CellNode& node)
     {
-        if (node.m_scheduler->m_expiredJobs.empty())
+        constexpr Duration interval { 1'000 }; // Many jobs may expire one after another, and the partition is that of submissions.
+        if (node.m_scheduler->m_expiredJobs.empty() || node.m_now < node.m_nextJobDeletionAt)
             return;
+        node.m_nextJobDeletionAt = node.m_now + interval;
         const std::vector<std::string> jobs = std::exchange(node.m_scheduler->m_expiredJobs, {});
         StoreAppend deletions { .m_partition = { .m_topic = node.m_options.m_topics.m_jobs }, .m_records = {}, .m_writer = {}, .m_expectedEnd = {} };
         for (const std::string& job : jobs) {
