A lost answer no longer stops the direct writes of a large cell

Cause (review): silence counted from the first unanswered append without bound, times the share of a daemon, so that the pause tripled with each append; from three shares on no second append came. Change: the estimate is bounded by 1 s, the pause by 2 s, and what was given up over 8 s ago no longer counts.

--- a/src/process/cell/store_traffic.cpp
+++ b/src/process/cell/store_traffic.cpp
@@ -11,6 +11,8 @@
 
     constexpr Duration lateLimit { 8'000 }; ///< The store may carry out a call seconds after it was sent; longer than that is not expected.
 
+    constexpr Duration maxLatency { 1'000 }; ///< Estimates are bounded, so that the end of an overload is seen soon.
+
     void forgetLate(CallTraffic& traffic, TimePoint now)
     {
         while (!traffic.m_givenUp.empty() && now - traffic.m_givenUp.front() > lateLimit)
@@ -28,6 +30,7 @@
     void onCarriedOut(CallTraffic& traffic, TimePoint sentAt, TimePoint now)
     {
         traffic.m_latency = now - sentAt;
+        traffic.m_answeredAt = now;
         traffic.m_refusalsInRow = 0;
         onAnswer(traffic, sentAt);
     }
@@ -90,19 +93,29 @@
 
 Duration answeredLatency(const CallTraffic& appends, Duration initial)
 {
-    constexpr Duration maxPause { 1'000 }; // The end of an overload must be seen soon.
     constexpr Duration refusalDelay { 50 };
     constexpr std::uint32_t maxDoublings = 4;
     const Duration answered = appends.m_latency == Duration {} ? initial : appends.m_latency;
     const Duration afterRefusals = appends.m_refusalsInRow > 0 ? refusalDelay * (std::int64_t { 1 } << std::min(appends.m_refusalsInRow, maxDoublings)) : Duration {};
-    return std::max(std::min(answered, maxPause), afterRefusals);
+    return std::max(std::min(answered, maxLatency), afterRefusals);
+}
+
+Duration silenceOf(const CallTraffic& appends, TimePoint now)
+{
+    const bool isForgotten = appends.m_open.empty() && now - appends.m_lastSentAt > lateLimit;
+    return appends.m_unansweredSince && !isForgotten ? now - *appends.m_unansweredSince : Duration {};
 }
 
 Duration expectedLatency(const CallTraffic& appends, Duration initial, TimePoint now)
 {
     constexpr std::int64_t silenceDivisor = 3; // One or two answers in a row may be lost.
-    const Duration silence = appends.m_unansweredSince ? now - *appends.m_unansweredSince : Duration {};
-    return std::max(answeredLatency(appends, initial), silence / silenceDivisor);
+    return std::max(answeredLatency(appends, initial), std::min(silenceOf(appends, now) / silenceDivisor, maxLatency));
+}
+
+Duration pauseBetweenAppends(const CallTraffic& appends, Duration initial, std::int64_t writers, TimePoint now)
+{
+    constexpr Duration maxPause { 2'000 }; // Callers wait for little longer.
+    return std::min(expectedLatency(appends, initial, now) * writers, maxPause);
 }
 
 void reportTraffic(StoreTraffic& traffic, TimePoint now)
--- a/src/process/cell/store_traffic.h
+++ b/src/process/cell/store_traffic.h
@@ -20,6 +20,7 @@
     std::deque<TimePoint> m_open; ///< When the calls were sent that are neither answered nor given up, the earliest first.
     std::deque<TimePoint> m_givenUp; ///< When the calls were sent that were lately given up without an answer, the earliest first.
     Duration m_latency; ///< Time to the latest answer of a call that was carried out or rejected; zero before the first.
+    TimePoint m_answeredAt; ///< When that answer came.
     TimePoint m_lastSentAt; ///< When the latest call was sent.
     std::optional<TimePoint> m_unansweredSince; ///< When the earliest call was sent that nothing has answered since; empty when none is missing.
     std::uint32_t m_sentSinceAnswer = 0; ///< Calls sent after the latest answer.
@@ -49,13 +50,23 @@
 /** @return Time to the latest answer of an append, bounded, longer with each refusal since, as a partition refuses what it can't carry out soon. @param initial Estimate before the first answer. */
 Duration answeredLatency(const CallTraffic& appends, Duration initial);
 
+/** @return For how long nothing has answered appends that the partition may still have to carry out; zero when none is missing. */
+Duration silenceOf(const CallTraffic& appends, TimePoint now);
+
 /**
  * Estimates the time to the answer of the next append to a partition, which carries out one at a time: answeredLatency(), or longer once
- * appends have stayed unanswered for a multiple of it, as the partition may have to carry out many before. A sender that waits this long between two appends adds about one to the partition's queue, whatever becomes of the answers.
+ * appends have stayed unanswered for a multiple of it, as the partition may have to carry out many before; a second at most.
  * @param initial Estimate before the first answer.
  */
 Duration expectedLatency(const CallTraffic& appends, Duration initial, TimePoint now);
 
+/**
+ * @param writers How many times as long as for a single writer.
+ * @return Time to leave between two appends, two seconds at most. A sender that waits for an answer's time between two appends adds about
+ * one to the partition's queue, whatever becomes of the answers.
+ */
+Duration pauseBetweenAppends(const CallTraffic& appends, Duration initial, std::int64_t writers, TimePoint now);
+
 /** Once a second logs the partitions whose calls are refused or left unanswered. */
 void reportTraffic(StoreTraffic& traffic, TimePoint now);
 
--- a/tests/store_traffic_test.cpp
+++ b/tests/store_traffic_test.cpp
@@ -65,3 +65,24 @@
     BOOST_TEST(answeredLatency(appends, initial).m_ms > 500);
     BOOST_TEST(answeredLatency(appends, initial).m_ms <= longestPause.m_ms);
 }
+
+// With the share of a large cell the pause tripled with each unanswered append, and a daemon's own writes stopped for good after a single lost answer.
+BOOST_AUTO_TEST_CASE(a_lost_answer_does_not_stop_the_appends_of_a_large_cell)
+{
+    for (const std::int64_t writers : { 1, 2, 7, 36 }) {
+        CallTraffic appends;
+        constexpr Duration longestPause { 2'000 }; // A caller waits for 3 s.
+        TimePoint now { 10'000 };
+        onCallSent(appends, now);
+        onCallAnswered(appends, StoreStatus::Unknown, now, now + Duration { 600 });
+        for (int i = 0; i < 20; ++i) {
+            const TimePoint lastSentAt = appends.m_lastSentAt;
+            for (now = lastSentAt; now - lastSentAt < pauseBetweenAppends(appends, { 100 }, writers, now); now = now + Duration { 10 }) { }
+            BOOST_TEST((now - lastSentAt).m_ms <= longestPause.m_ms);
+            onCallSent(appends, now);
+            onCallAnswered(appends, StoreStatus::Unknown, now, now + Duration { 600 });
+        }
+        constexpr Duration late { 10'000 };
+        BOOST_TEST(silenceOf(appends, now + late).m_ms == 0); // What was given up long ago is no longer waiting.
+    }
+}
