--- a/tests/fakes/partition_queue.h
+++ b/tests/fakes/partition_queue.h
@@ -1,4 +1,4 @@
-/** @file partition_queue.h Queue of a partition of the metadata store, which carries out its appends one at a time; in simulated time, without records. */
+/** @file partition_queue.h Queue of a partition of the metadata store, which carries out its appends one at a time; in the time of its user, without records. */
 #pragma once
 
 #include <algorithm>
@@ -16,11 +16,12 @@
     std::uint64_t m_late = 0; ///< Sent with an answer that is lost; the partition gets them seconds later.
     std::uint64_t m_waiting = 0; ///< Arrived and not yet carried out.
     std::int64_t m_longestWaitMs = 0; ///< Longest time from the arrival of an append to its end, in ms.
+    std::int64_t m_longestWatchedWaitMs = 0; ///< The same since the latest call of watchWait().
 };
 
 /**
  * The appends of a partition. An append takes as long as the store needs when it arrives, also if the store becomes faster while it waits.
- * All times are in ms of a simulated clock that does not go back.
+ * All times are in ms of a clock that does not go back.
  */
 class PartitionQueue {
 public:
@@ -61,6 +62,9 @@
     /** @return Time that the partition needs for the appends that have arrived, in ms. */
     std::int64_t waitingTime(std::int64_t now) const { return std::max<std::int64_t>(m_freeAt - now, 0); }
 
+    /** Begins a new measurement of m_longestWatchedWaitMs with what is waiting now. */
+    void watchWait(std::int64_t now) { m_counts.m_longestWatchedWaitMs = waitingTime(now); }
+
     /** @return The counts up to now. */
     const PartitionCounts& counts(std::int64_t now)
     {
@@ -76,6 +80,7 @@
         m_freeAt = std::max(m_freeAt, now) + m_appendMs;
         m_endTimes.push_back(m_freeAt);
         m_counts.m_longestWaitMs = std::max(m_counts.m_longestWaitMs, m_freeAt - now);
+        m_counts.m_longestWatchedWaitMs = std::max(m_counts.m_longestWatchedWaitMs, m_freeAt - now);
         return m_freeAt;
     }
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -185,12 +185,14 @@
 
     void Soak::printAppends()
     {
-        std::promise<std::map<StorePartition, AppendQueue>> promise;
+        std::promise<std::map<StorePartition, test::PartitionQueue>> promise;
         m_platformLoop.post([&] { promise.set_value(m_store.queues()); });
-        for (const auto& [partition, queue] : promise.get_future().get()) {
-            const AppendCounts& counts = queue.m_counts;
+        std::map<StorePartition, test::PartitionQueue> queues = promise.get_future().get();
+        for (auto& [partition, queue] : queues) {
+            const std::int64_t now = steadyNow().m_ms;
+            const test::PartitionCounts& counts = queue.counts(now);
             std::cout << "  appends to " << partition.m_topic << "/" << partition.m_partition << ": sent " << counts.m_sent << ", carried out " << counts.m_done << ", refused " << counts.m_refused << ", late " << counts.m_late
-                      << ", waiting now " << waitOf(queue, steadyNow()).m_ms << " ms, longest wait " << queue.m_longestWait.m_ms << " ms\n";
+                      << ", waiting now " << queue.waitingTime(now) << " ms, longest wait " << counts.m_longestWaitMs << " ms\n";
         }
     }
 
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -189,9 +189,10 @@
 
 void FaultInjector::checkQueues()
 {
-    for (const auto& [partition, queue] : m_targets.m_store.queues()) {
-        if (queue.m_longestWatchedWait > queueLimit)
-            m_targets.m_history.report("QUEUE: partition " + std::to_string(partition.m_partition) + " of " + partition.m_topic + " has " + std::to_string(queue.m_longestWatchedWait.m_ms) + " ms of appends waiting although the store has been sound for 1 s");
+    for (auto& [partition, queue] : m_targets.m_store.queues()) {
+        const std::int64_t longestWaitMs = queue.counts(steadyNow().m_ms).m_longestWatchedWaitMs;
+        if (longestWaitMs > queueLimit.m_ms)
+            m_targets.m_history.report("QUEUE: partition " + std::to_string(partition.m_partition) + " of " + partition.m_topic + " has " + std::to_string(longestWaitMs) + " ms of appends waiting although the store has been sound for 1 s");
     }
 }
 
--- a/tests/soak/stand_in_store.cpp
+++ b/tests/soak/stand_in_store.cpp
@@ -128,7 +128,7 @@
 void StandInStore::watchWaits()
 {
     for (auto& [partition, queue] : m_queues)
-        watchWait(queue, steadyNow());
+        queue.watchWait(steadyNow().m_ms);
 }
 
 void StandInStore::handle(const HttpRequest& request, const HttpResponder& respond)
@@ -150,34 +150,30 @@
     queueCall();
 }
 
+test::PartitionQueue& StandInStore::queueOf(const HttpRequest& request)
+{
+    test::PartitionQueue& queue = m_queues[partitionOf(request.m_target)];
+    queue.setAppendTime((m_faults.m_appendTime * m_faults.m_slowness).m_ms);
+    return queue;
+}
+
 void StandInStore::queueAppend(const HttpRequest& request, const HttpResponder& respond)
 {
-    const TimePoint now = steadyNow();
-    AppendQueue& queue = m_queues[partitionOf(request.m_target)];
-    ++queue.m_counts.m_sent;
-    if (isFull(queue, now)) {
-        ++queue.m_counts.m_refused;
+    const std::int64_t now = steadyNow().m_ms;
+    const std::optional<std::int64_t> doneAt = queueOf(request).append(now);
+    if (!doneAt)
         return sendAnswer(respond, jsonResponse(503, Json::object()));
-    }
-    const TimePoint doneAt = enqueue(queue, now, m_faults.m_appendTime * m_faults.m_slowness);
-    m_loop.runAfter(doneAt - now, [this, request, respond, &queue] {
-        ++queue.m_counts.m_done;
-        sendAnswer(respond, append(request));
-    });
+    m_loop.runAfter({ *doneAt - now }, [this, request, respond] { sendAnswer(respond, append(request)); });
 }
 
 void StandInStore::queueLateAppend(const HttpRequest& request)
 {
-    const TimePoint now = steadyNow();
-    AppendQueue& queue = m_queues[partitionOf(request.m_target)];
-    ++queue.m_counts.m_sent;
-    ++queue.m_counts.m_late;
-    const TimePoint turnAt = enqueue(queue, now, m_faults.m_appendTime * m_faults.m_slowness);
+    const std::int64_t now = steadyNow().m_ms;
+    test::PartitionQueue& queue = queueOf(request);
+    queue.sendLate();
+    const Duration turn { queue.arriveLate(now) - now };
     const Duration lateness { std::uniform_int_distribution<std::int64_t>(minLateMs, m_faults.m_longestLateness.m_ms)(m_random) };
-    m_loop.runAfter(std::max(turnAt - now, lateness), [this, request, &queue] {
-        ++queue.m_counts.m_done;
-        append(request);
-    });
+    m_loop.runAfter(std::max(turn, lateness), [this, request] { append(request); });
 }
 
 void StandInStore::queueRead(const HttpRequest& request, const HttpResponder& respond)
@@ -190,7 +186,7 @@
         sendAnswer(respond, jsonResponse(404, Json::object()));
     };
     const auto queue = m_queues.find(partitionOf(request.m_target));
-    const Duration wait = queue == m_queues.end() ? Duration {} : waitOf(queue->second, steadyNow());
+    const Duration wait { queue == m_queues.end() ? 0 : queue->second.waitingTime(steadyNow().m_ms) };
     if (wait.m_ms > 0)
         return m_loop.runAfter(wait, perform);
     perform();
--- a/tests/soak/stand_in_store.h
+++ b/tests/soak/stand_in_store.h
@@ -1,9 +1,9 @@
 /** @file stand_in_store.h The platform's metadata store, played over HTTP for daemons on loopback. */
 #pragma once
 
-#include "append_queue.h"
 #include "connection/http_server.h"
 #include "fake_store.h"
+#include "partition_queue.h"
 
 #include <deque>
 #include <list>
@@ -49,7 +49,7 @@
     void watchWaits();
 
     /** @return Queues by partition. */
-    const std::map<StorePartition, AppendQueue>& queues() const { return m_queues; }
+    std::map<StorePartition, test::PartitionQueue>& queues() { return m_queues; }
 
 private:
     /** A read that waits for a record. */
@@ -60,6 +60,8 @@
     };
 
     void handle(const HttpRequest& request, const HttpResponder& respond);
+    /** @return Queue of the partition that a call is for, with the present time of an append. */
+    test::PartitionQueue& queueOf(const HttpRequest& request);
     void queueAppend(const HttpRequest& request, const HttpResponder& respond);
     void queueLateAppend(const HttpRequest& request);
     void queueRead(const HttpRequest& request, const HttpResponder& respond);
@@ -74,7 +76,7 @@
     HttpServer m_server;
     test::FakeStore m_store;
     StoreFaults m_faults;
-    std::map<StorePartition, AppendQueue> m_queues;
+    std::map<StorePartition, test::PartitionQueue> m_queues;
     std::list<WaitingRead> m_waiting;
     std::mt19937_64 m_random;
 };
