Log on whose word a leader goes on without the store, and when it last renewed a lease

Change: leads-without-store, once a second while the store has been silent for 1 s; renewed_ms_ago there and in term-ends.

--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -295,6 +295,7 @@
     TimePoint m_loadedAt; ///< When the records of earlier terms were loaded, of the latest own term.
     TimePoint m_nextJobDeletionAt; ///< Leader: earliest time of the next append that deletes submissions of expired jobs.
     TimePoint m_nextWaitReportAt; ///< When it is next logged what the takeover waits for.
+    TimePoint m_nextContactReportAt; ///< Leader: when it is next logged on whose word it goes on without the store.
     std::uint64_t m_term = 0; ///< Fencing token of the current own term, 0 for none; answers for other terms are dropped.
 
     bool m_isTerminating = false; ///< Whether SIGTERM was received.
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -160,8 +160,32 @@
         resetTail(node.m_leaderTail, true);
     }
 
+    /** @return How long ago this leader last renewed the lease of a worker, in ms; -1 for never. */
+    std::int64_t renewalAgeMs(const CellNode& node)
+    {
+        const bool hasRenewed = node.m_scheduler && node.m_scheduler->m_leasesRenewedAt.m_ms > 0;
+        return hasRenewed ? (node.m_now - node.m_scheduler->m_leasesRenewedAt).m_ms : -1;
+    }
+
+    /** Logs, once a second, on whose word a leader goes on that the store does not answer. */
+    void reportContacts(CellNode& node)
+    {
+        constexpr Duration silenceThreshold { 1'000 };
+        constexpr Duration interval { 1'000 };
+        if (node.m_now - node.m_storeLastContactAt <= silenceThreshold || node.m_now < node.m_nextContactReportAt)
+            return;
+        node.m_nextContactReportAt = node.m_now + interval;
+        const auto earlier = [](const auto& one, const auto& other) { return one.second.m_lastContactAt < other.second.m_lastContactAt; };
+        const auto latest = std::max_element(node.m_peers.begin(), node.m_peers.end(), earlier);
+        const bool hasPeer = latest != node.m_peers.end();
+        const auto reachingStore = std::count_if(node.m_peers.begin(), node.m_peers.end(), [](const auto& entry) { return entry.second.m_isStoreReached; });
+        logEvent(LogLevel::Info, "leads-without-store", { { "token", node.m_term }, { "store_ms_ago", (node.m_now - node.m_storeLastContactAt).m_ms }, { "claims_read_ms_ago", (node.m_now - node.m_leaderTail.m_answeredAt).m_ms }, { "peers", node.m_peers.size() }, { "peers_reaching_store", reachingStore }, { "latest_peer", hasPeer ? latest->first : std::string() }, { "peer_ms_ago", hasPeer ? (node.m_now - latest->second.m_lastContactAt).m_ms : -1 }, { "gives_orders", !node.m_isAwaitingConfirmation }, { "renewed_ms_ago", renewalAgeMs(node) } });
+    }
+
     void checkIsolation(CellNode& node)
     {
+        if (node.m_role == Role::Leading)
+            reportContacts(node);
         if (node.m_role != Role::Leading || node.m_peers.empty())
             return;
         TimePoint lastContactAt = node.m_storeLastContactAt;
@@ -292,7 +316,7 @@
 
 void stepDown(CellNode& node, std::string_view cause)
 {
-    logEvent(LogLevel::Warning, "term-ends", { { "token", node.m_term }, { "cause", cause }, { "leader", node.m_leader.m_member.m_name } });
+    logEvent(LogLevel::Warning, "term-ends", { { "token", node.m_term }, { "cause", cause }, { "leader", node.m_leader.m_member.m_name }, { "renewed_ms_ago", renewalAgeMs(node) } });
     node.m_role = Role::Follower;
     for (const RecordWaiter& waiter : std::exchange(node.m_recordWaiters, {}))
         waiter.m_onComplete(WriteOutcome::Unknown);
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -358,6 +358,7 @@
     std::unordered_map<std::string, std::uint32_t> m_pendingCounts; ///< Number of accepted jobs without a started task, by queue.
     double m_meanRecordMs = 20; ///< Moving average of the time from a placement until its record is durable.
     TimePoint m_nextTicketCheckAt; ///< Time of the next check for placed tasks whose ticket lapses.
+    TimePoint m_leasesRenewedAt; ///< When a call that renews the lease of a worker was last sent; zero before the first.
     double m_meanAnswerMs = 20; ///< Moving average of the time in which workers answer start calls.
     TimePoint m_lossyUntil; ///< Until this time, orders are assumed to get lost on the way to healthy workers.
     TimePoint m_nextWatchAt; ///< Time of the next check for stalled tasks and incomplete gangs.
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -335,6 +335,7 @@
             if (deadline > 0 && worker.m_unansweredCalls == 0 && !worker.m_hasOtherProcess) {
                 order.m_leaseUntilMs = deadline;
                 worker.m_leaseUntilMs = deadline;
+                scheduler.m_leasesRenewedAt = now;
             }
             const bool isLossy = now < scheduler.m_lossyUntil;
             if (isHealthy && worker.m_pendingEnds.empty() && !isIdle(worker))
