--- a/tests/cell_simulation.cpp
+++ b/tests/cell_simulation.cpp
@@ -33,8 +33,13 @@
             return isValid;
         };
     }
-    worker.m_onStart = [this](const FakeLeaseWorker& startedOn, const TaskName& task, std::uint32_t attempt) { checkStart(startedOn, task, attempt); };
-    worker.m_onEnd = [this](const FakeLeaseWorker& endedOn, const TaskName& task, std::uint32_t, AttemptEnd end) {
+    worker.m_onStart = [this](const FakeLeaseWorker& startedOn, const TaskName& task, std::uint32_t attempt) {
+        checkStart(startedOn, task, attempt);
+        measureStart(task);
+    };
+    worker.m_onEnd = [this](const FakeLeaseWorker& endedOn, const TaskName& task, std::uint32_t attempt, AttemptEnd end) {
+        if (end == AttemptEnd::LeaseExpired)
+            checkLapse(endedOn, task, attempt);
         if (end == AttemptEnd::Done)
             m_endedDone.insert(task);
         const auto found = m_workerByRunningTask.find(task);
@@ -135,6 +140,9 @@
     for (int i = 0; i < m_options.m_jobs; ++i)
         addJob(loadStart - m_now + randomBetween(0, m_options.m_loadDuration.m_ms));
     scheduleOutages();
+    scheduleZoneCuts();
+    scheduleStoreOutage();
+    scheduleTakeOver();
     for (int i = 0; i < m_options.m_faults; ++i)
         schedule(loadStart - m_now + randomBetween(0, m_options.m_loadDuration.m_ms), [this] { injectFault(); });
     for (int i = 0; i < m_options.m_capacityChanges; ++i)
@@ -159,6 +167,7 @@
         if (m_options.m_finishTime.m_ms > 0)
             checkStandstill();
         checkPartitions();
+        observeLeaders();
     }
     if (m_result.m_violations.empty() || !m_options.m_stopsAtViolation)
         finish();
--- a/tests/cell_simulation.h
+++ b/tests/cell_simulation.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -51,6 +52,56 @@
     Duration m_downTime { 5'000 }; ///< When the workers start again.
 };
 
+/** Which messages pass between the daemons of a cut side and the others. */
+enum class CutDirection : std::uint8_t {
+    Both, ///< None.
+    FromOthers, ///< Those that the cut side sends; messages and answers of the others don't arrive.
+    ToOthers, ///< Those that the others send; messages and answers of the cut side don't arrive.
+};
+
+/** Which calls to the store a cut leaves unanswered on the cut side. */
+enum class StoreCut : std::uint8_t {
+    None, ///< None.
+    All, ///< All.
+    LeaderTopic, ///< Those on the topic of the leadership claims.
+};
+
+/** A cut of the leader, and possibly of further daemons, from the others. Half of the workers are reached from the cut side only, the others only from the others. Times count from the start of the load. */
+struct ZoneCut {
+    int m_count = 0; ///< Number of cuts, one after another; each hits whoever leads then.
+    Duration m_start { 8'000 }; ///< Start of the first cut.
+    Duration m_length { 22'000 }; ///< Length of a cut; longer than a new leader waits for leases of earlier terms.
+    Duration m_pause { 4'000 }; ///< Time between two cuts.
+    int m_companions = 1; ///< Further daemons on the leader's side.
+    CutDirection m_direction = CutDirection::Both; ///< Which messages between daemons are lost.
+    StoreCut m_store = StoreCut::All; ///< Which calls to the store are lost.
+    Duration m_restartLead; ///< This long before the cut all daemons are killed and start again; 0 for never.
+    Duration m_restartDownTime { 1'300 }; ///< How long they are down.
+    bool m_restartsLeader = false; ///< Whether the leader's process is killed and starts again within the cut from its peers; the store is cut off once it leads again.
+    int m_suspensions = 0; ///< Short suspensions of the cut leader during a cut.
+};
+
+/** An outage of the store for all daemons, which still reach each other and the workers. No attempt that runs when it begins may lapse. Times count from the start of the load. */
+struct StoreOutage {
+    Duration m_start { 8'000 }; ///< Start of the outage.
+    Duration m_length; ///< Its length; 0 for none.
+    bool m_isUnresponsive = true; ///< Whether calls time out; otherwise they are refused.
+    bool m_restartsFollower = false; ///< Whether a daemon that does not lead is killed at the start, and starts again within 1 s.
+};
+
+/** How the leader ends in a measurement of the time that a new leader takes. */
+enum class LeaderEnd : std::uint8_t {
+    Killed, ///< The process is killed and stays away.
+    Restarted, ///< The process is killed and starts again at once.
+    Terminated, ///< The process receives SIGTERM and ends 2 s later.
+};
+
+/** A measurement of the time from the end of the leader until tasks run again. Times count from the start of the load. */
+struct TakeOver {
+    Duration m_at; ///< When the leader ends; 0 for no measurement.
+    LeaderEnd m_end = LeaderEnd::Killed; ///< How it ends.
+};
+
 /** Size, load and faults of a simulation. */
 struct CellSimulationOptions {
     std::uint64_t m_seed = 1; ///< Seed of all random choices.
@@ -71,6 +122,11 @@
     bool m_printsTraffic = false; ///< Whether to print, for each second, the attempts to append to each partition and its waiting time.
     PowerLoss m_powerLoss; ///< Loss of power of all daemons.
     RackWaves m_rackWaves; ///< Crashes of workers.
+    ZoneCut m_zoneCut; ///< Cuts of the leader from other daemons.
+    StoreOutage m_storeOutage; ///< An outage of the store for all daemons.
+    TakeOver m_takeOver; ///< Measurement of the time that a new leader takes.
+    double m_longRunShare = 0; ///< Share of the attempts, 0 to 1, with the run time below; gangs excepted.
+    Duration m_longRunTime { 18'000 }; ///< Run time of these attempts.
     Duration m_finishTime { 0 }; ///< This long after the load no job may stand still although it could run; 0 leaves that unchecked.
     bool m_stopsAtViolation = true; ///< Whether the first violation ends the simulation.
     Duration m_loadDuration { 20'000 }; ///< Period in which clients submit jobs and faults are injected.
@@ -93,6 +149,13 @@
     int m_soundAccepted = 0; ///< Those of them that were accepted.
     int m_lateJobs = 0; ///< Jobs that were submitted when the cell should have recovered from a loss of power.
     int m_lateServed = 0; ///< Those of them that were served in time.
+    int m_cuts = 0; ///< Cuts of a leader that have begun.
+    int m_doubleTerms = 0; ///< Cuts in which two daemons led and gave orders at once, for any time.
+    int m_guardedAttempts = 0; ///< Attempts that ran when an outage of the store began.
+    int m_lapsedAttempts = 0; ///< Those of them whose lease ended on the worker.
+    std::optional<std::int64_t> m_newLeaderMs; ///< Time from the end of the leader until another term leads, in ms.
+    std::vector<std::int64_t> m_reachedRestartMs; ///< Time from the end of the leader until tasks of a worker that restarted at that time ran again, in ms; the new leader reaches it.
+    std::vector<std::int64_t> m_unreachedRestartMs; ///< The same for tasks of workers that nobody reaches from that time on.
 };
 
 /**
--- a/tests/cell_simulation_base.h
+++ b/tests/cell_simulation_base.h
@@ -40,6 +40,8 @@
     std::int64_t m_splitUntil = 0; ///< Until then only daemons of the same kind (split or not) reach each other.
     std::int64_t m_heldOrdersUntil = 0; ///< Until then orders leave the daemon seconds after they were issued.
     std::int64_t m_storeUnreachableUntil = 0; ///< Until then the network between daemon and store is down.
+    std::int64_t m_cutUntil = 0; ///< Until then the daemon is on the cut side of a ZoneCut.
+    std::int64_t m_storeCutUntil = 0; ///< Until then a ZoneCut leaves its calls to the store unanswered.
     std::uint64_t m_startCount = 0; ///< Processes started so far; makes instance numbers unique.
     std::deque<std::function<void()>> m_deferredDeliveries; ///< Messages and answers that arrived during a suspension; delivered at its end.
 };
@@ -79,7 +81,7 @@
      * @param description Begins with the violated guarantee: TWICE (a task ran again or in two places), LIMIT (capacity exceeded),
      * UNASKED (a task ran without a submitted job or after its cancellation), ORDER (a step started too early), LOST (an accepted
      * job did not complete or stands still), REFUSED (a refused job ran), RECOVER (too few are served after a loss of power), QUEUE (too much waits in a partition of a sound store),
-     * REJECTED (too few submissions are accepted although the store is sound). An inconsistent scheduler has no such prefix.
+     * REJECTED (too few submissions are accepted although the store is sound), LAPSED (a lease ended in an outage of the store). An inconsistent scheduler has no such prefix.
      */
     void reportViolation(const std::string& description) { m_result.m_violations.push_back(std::to_string(m_now) + " ms: " + description); }
 
@@ -144,6 +146,30 @@
     /** Makes about half of the workers unreachable for some seconds. */
     void muteWorkers();
     SimulatedNode* findLeader();
+    /** Schedules the cuts, the outage of the store and the measurement in the options. */
+    void scheduleZoneCuts();
+    void scheduleStoreOutage();
+    void scheduleTakeOver();
+    /** Cuts the leader and its companions off until the end of the cut; waits for a leader if there is none. */
+    void beginZoneCut(std::int64_t until);
+    /** Cuts a side off from the store, if the options say so, once its leader leads or at the latest at a given time. */
+    void cutFromStore(SimulatedNode& leader, std::int64_t latestAt);
+    /** Suspends a daemon several times during a cut, each time for less than a daemon takes for a suspension. */
+    void suspendShortly(SimulatedNode& node);
+    bool isCut(const SimulatedNode& node) const { return m_now < node.m_cutUntil; }
+    /** @return Whether messages from one daemon to another are lost in a cut. */
+    bool isCutBetween(const SimulatedNode& from, const SimulatedNode& to) const;
+    bool isStoreCut(const SimulatedNode& node, const std::string& topic) const;
+    /** @return Whether orders of a daemon don't reach a worker. */
+    bool isCutOff(const SimulatedNode& node, const FakeLeaseWorker& worker) const;
+    /** Counts the cuts in which two daemons lead and give orders at once, and takes the time until another term leads. */
+    void observeLeaders();
+    void beginStoreOutage();
+    /** Counts an attempt whose lease has ended, and reports it if it ran when the outage of the store began (LAPSED). */
+    void checkLapse(const FakeLeaseWorker& worker, const TaskName& task, std::uint32_t attempt);
+    void endLeader();
+    /** Takes the time at which an attempt is about to start, if it repeats one that the end of the leader was measured with. */
+    void measureStart(const TaskName& task);
     bool isInRound(const SimulatedNode& node) const { return m_now < node.m_roundEndsAt; }
     std::int64_t peerDelay() { return m_now < m_slowPeersUntil ? randomBetween(1, 2'500) : 1; }
     /** Shrinks the capacity of a worker for some seconds. */
@@ -199,6 +225,14 @@
     std::int64_t m_storeLossyUntil = 0; ///< Until then answers of the store may be lost.
     std::int64_t m_slowPeersUntil = 0; ///< Until then messages between daemons take up to seconds.
     std::int64_t m_disruptedUntil = 0; ///< End of the latest disruption of the store or a daemon.
+    std::int64_t m_workersCutUntil = 0; ///< Until then each worker is reached from one side of a cut only.
+    std::set<std::string> m_cutWorkers; ///< Workers that only the cut side reaches.
+    bool m_hasDoubleTerm = false; ///< Whether two daemons have led and given orders at once in the present cut.
+    std::set<std::pair<TaskName, std::uint32_t>> m_guardedAttempts; ///< Attempts that ran when the outage of the store began.
+    std::optional<std::int64_t> m_leaderEndedAt; ///< When the leader ended whose replacement is measured.
+    std::uint64_t m_endedTerm = 0; ///< Its term.
+    std::set<TaskName> m_reachedTasks; ///< Tasks that ran then on workers that restarted.
+    std::set<TaskName> m_unreachedTasks; ///< Tasks that ran then on workers that nobody reaches.
     bool m_isLateOrder = false; ///< The order that a worker is carrying out was held up for seconds.
     std::deque<SimulatedNode> m_nodes;
     std::deque<FakeLeaseWorker> m_workers;
--- a/tests/cell_simulation_network.cpp
+++ b/tests/cell_simulation_network.cpp
@@ -60,7 +60,7 @@
 {
     const auto alive = node.m_isAlive;
     const std::int64_t delay = randomBetween(2, 8) * storeSlowness();
-    const bool isUnreachable = m_now < node.m_storeUnreachableUntil;
+    const bool isUnreachable = m_now < node.m_storeUnreachableUntil || isStoreCut(node, partition.m_topic);
     const bool isDown = m_now < m_storeDownUntil || isUnreachable;
     const std::int64_t timeoutAt = m_now + timeout.m_ms;
     const auto fail = [this, &node, alive, timeoutAt, onAnswer] {
@@ -111,11 +111,13 @@
         if (!peer.m_cell)
             return deliverLater(node, alive, 2, [onReply] { onReply(std::nullopt); });
         const bool isSplit = (m_now < node.m_splitUntil) != (m_now < peer.m_splitUntil);
-        if (isSplit)
+        if (isSplit || isCutBetween(node, peer))
             return deliverLater(node, alive, timeout.m_ms, [onReply] { onReply(std::nullopt); });
         auto isAnswered = std::make_shared<bool>(false);
         deliverLater(peer, peer.m_isAlive, peerDelay(), [this, &node, &peer, alive, message, onReply, isAnswered] {
-            onPeerMessage(*peer.m_cell, message, [this, &node, alive, onReply, isAnswered](const PeerReply& reply) {
+            onPeerMessage(*peer.m_cell, message, [this, &node, &peer, alive, onReply, isAnswered](const PeerReply& reply) {
+                if (isCutBetween(peer, node))
+                    return; // The answer is lost.
                 deliverLater(node, alive, peerDelay(), [onReply, reply, isAnswered] {
                     if (!std::exchange(*isAnswered, true))
                         onReply(reply);
@@ -133,19 +135,19 @@
             return deliverLater(node, alive, 2, [onAnswer] { onAnswer(OrderStatus::NotSent); });
         if (m_now < node.m_heldOrdersUntil) {
             // The order leaves late, on a connection to whichever process of the worker then runs.
-            schedule(randomBetween(50, 6'000), [worker, perform] {
-                if (!worker->m_isDown && !worker->m_isUnreachable)
+            schedule(randomBetween(50, 6'000), [this, &node, worker, perform] {
+                if (!worker->m_isDown && !worker->m_isUnreachable && !isCutOff(node, *worker))
                     perform(*worker);
             });
             return deliverLater(node, alive, timeout.m_ms, [onAnswer] { onAnswer(OrderStatus::NoAnswer); });
         }
         const bool isLate = randomBool(m_options.m_lateOrderShare);
-        if (worker->m_isUnreachable || isLate) {
+        if (worker->m_isUnreachable || isCutOff(node, *worker) || isLate) {
             if (isLate) {
                 // An order in flight is lost with the connection when the worker's process ends.
-                schedule(randomBetween(2'000, 12'000), [this, worker, perform, processStartMs = worker->m_processStartMs] {
+                schedule(randomBetween(2'000, 12'000), [this, &node, worker, perform, processStartMs = worker->m_processStartMs] {
                     m_isLateOrder = true;
-                    if (!worker->m_isDown && !worker->m_isUnreachable && worker->m_processStartMs == processStartMs)
+                    if (!worker->m_isDown && !worker->m_isUnreachable && !isCutOff(node, *worker) && worker->m_processStartMs == processStartMs)
                         perform(*worker);
                     m_isLateOrder = false;
                 });
@@ -196,6 +198,8 @@
     const SimulatedQueue& queue = *jobOf(task).m_queue;
     if (queue.m_isGang) // It works only once all members run; see tickGangs().
         return maxPlanTime.m_ms;
+    if (m_options.m_longRunShare > 0 && randomBool(m_options.m_longRunShare))
+        return m_options.m_longRunTime.m_ms;
     return randomBetween(queue.m_shortestRunTime.m_ms, queue.m_longestRunTime.m_ms);
 }
 
--- a/tests/cell_worlds.h
+++ b/tests/cell_worlds.h
@@ -27,6 +27,7 @@
 {
     openLog({ .m_level = std::getenv("CELL_LOG") ? LogLevel::Info : LogLevel::Off, .m_process = "cell" });
     CellSimulationResult total;
+    int broken = 0;
     for (std::uint64_t i = 0; i < count; ++i) {
         options.m_seed = seed + i;
         const CellSimulationResult result = runCellSimulation(options);
@@ -40,6 +41,11 @@
         total.m_longestWaitMs = std::max(total.m_longestWaitMs, result.m_longestWaitMs);
         total.m_lateJobs += result.m_lateJobs;
         total.m_lateServed += result.m_lateServed;
+        total.m_cuts += result.m_cuts;
+        total.m_doubleTerms += result.m_doubleTerms;
+        total.m_guardedAttempts += result.m_guardedAttempts;
+        total.m_lapsedAttempts += result.m_lapsedAttempts;
+        broken += result.m_violations.empty() ? 0 : 1;
         for (const std::string& violation : result.m_violations)
             BOOST_ERROR("CELL_SEED=" << options.m_seed << " CELL_WORLDS=1: " << violation);
     }
@@ -48,9 +54,27 @@
         std::cout << ", " << total.m_approvalCalls << " approval calls, " << total.m_refusedTickets << " refused tickets, " << total.m_lateServed << " of " << total.m_lateJobs << " served after recovery";
     if (options.m_slowLossyStore.m_length.m_ms > 0)
         std::cout << ", " << total.m_soundAccepted << " of " << total.m_soundSubmissions << " submissions accepted once the store is sound, at most " << total.m_longestWaitMs << " ms waiting in a partition";
+    if (options.m_zoneCut.m_count > 0)
+        std::cout << ", " << total.m_cuts << " cuts, two leaders at once in " << total.m_doubleTerms << ", " << broken << " simulations broken";
+    if (options.m_storeOutage.m_length.m_ms > 0)
+        std::cout << ", " << total.m_lapsedAttempts << " of " << total.m_guardedAttempts << " attempts lapsed, " << broken << " simulations broken";
     std::cout << "\n";
 }
 
+/** @return Options of simulations without random faults, whose load has attempts that run for longer than a new leader waits for earlier leases. */
+inline CellSimulationOptions makeLongRunOptions()
+{
+    CellSimulationOptions options;
+    options.m_nodes = intFromEnvironment("CELL_NODES", 7);
+    options.m_workers = intFromEnvironment("CELL_WORKERS", 24);
+    options.m_jobs = intFromEnvironment("CELL_JOBS", 30);
+    options.m_faults = intFromEnvironment("CELL_FAULTS", 0);
+    options.m_lateOrderShare = static_cast<double>(fromEnvironment("CELL_LATE", 0)) / 100;
+    options.m_longRunShare = 0.15;
+    options.m_stopsAtViolation = !std::getenv("CELL_GO_ON");
+    return options;
+}
+
 /** @return Options of simulations in which all daemons lose power under a backlog and racks of workers crash, with a load that fits the workers. */
 inline CellSimulationOptions makeOutageOptions()
 {
