--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -9,6 +9,7 @@
 #include "process/cell/leader_monitor.h"
 #include "process/cell/retry_advice.h"
 #include "process/cell/store_traffic.h"
+#include "process/cell/term_lease.h"
 #include "process/scheduler/scheduler_base.h"
 #include "version/cluster_type.h"
 
@@ -65,7 +66,7 @@
     Duration m_suspectAfter { 900 }; ///< A leader without contact for longer is replaced.
     Duration m_claimDelayPerRank { 150 }; ///< Delay between the claims of successive candidates, so that they do not collide.
     Duration m_storeLostAfter { 1'000 }; ///< A leader that can't reach the store for longer is replaced.
-    Duration m_isolatedAfter { 3'000 }; ///< A leader that reaches neither the store nor any peer for longer stops sending orders.
+    TermLeaseOptions m_termLease; ///< How long a leader may go on without evidence that it still leads, and how long its successor waits for that.
     Duration m_longPollWait { 1'000 }; ///< Long-poll timeout: how long the store may hold a read until new records arrive.
     Duration m_workerPollInterval { 250 }; ///< Interval between reads of the workers' announcements.
     Duration m_workerRemovalGrace { 2'000 }; ///< Grace period after a store outage in which workers may renew announcements that expired during it.
@@ -122,6 +123,24 @@
     std::optional<TimePoint> m_progressReadAt; ///< When all progress had been read.
 };
 
+/** The leader's hold on its term; see term_lease.h. Times without a remark are of the monotonic clock. */
+struct TermLease {
+    TermEvidence m_evidence; ///< What shows that no later term has begun.
+    LeaderClaim m_former; ///< The claim known before the own one; its token is 0 when none was known.
+    TimePoint m_fencedAt; ///< When the store confirmed the fence of earlier terms.
+    std::optional<MemberList> m_loadedList; ///< The list of members that the store held then.
+    std::optional<TimePoint> m_formerStoppedAt; ///< When the former leader was seen to know this term or a later one, so that it renews no more leases.
+    TimePoint m_earlierStoppedAt = farFuture; ///< By then the leaders of all earlier terms have stopped renewing leases.
+    std::map<std::string, TimePoint> m_heardAt; ///< When members that are listed, or are to be, were last heard of.
+    MemberList m_storedList; ///< The list that the store is known to hold.
+    std::optional<MemberList> m_dueList; ///< A list that is to be written with the next batch.
+    std::optional<MemberList> m_sentList; ///< A list that is being written.
+    std::uint64_t m_sentBatch = 0; ///< The batch that holds it.
+    TimePoint m_nextAskAt; ///< When the members are next asked, if need be.
+    TimePoint m_nextListCheckAt; ///< When it is next checked whether the list has to change.
+    TimePoint m_nextReportAt; ///< When it is next logged on what the leader goes on without the store.
+};
+
 /** A claim of the leadership that has been sent. Its copies are under the same condition, so the store accepts one of them at most. */
 struct SentClaim {
     StoreAppend m_append; ///< The claim and its condition.
@@ -292,10 +311,10 @@
     std::vector<PendingSubmission> m_pendingSubmissions; ///< Submissions that are not part of an append yet.
     std::vector<RecordWaiter> m_recordWaiters; ///< Callers that wait until a batch is durable.
     LoadState m_load;
+    TermLease m_termLease; ///< Of the current own term.
     TimePoint m_loadedAt; ///< When the records of earlier terms were loaded, of the latest own term.
     TimePoint m_nextJobDeletionAt; ///< Leader: earliest time of the next append that deletes submissions of expired jobs.
     TimePoint m_nextWaitReportAt; ///< When it is next logged what the takeover waits for.
-    TimePoint m_nextContactReportAt; ///< Leader: when it is next logged on whose word it goes on without the store.
     std::uint64_t m_term = 0; ///< Fencing token of the current own term, 0 for none; answers for other terms are dropped.
 
     bool m_isTerminating = false; ///< Whether SIGTERM was received.
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -77,8 +77,38 @@
  */
 void applyClaim(CellNode& node, std::uint64_t token, const PeerMember& member);
 
-/** Resumes a leader that awaited confirmation, once a new listing of the claims has shown no later one. */
-void confirmLeadership(CellNode& node);
+/** Keeps a leader from sending orders and answers until a new listing of the claims has shown that no later term exists. */
+void requireConfirmation(CellNode& node);
+
+/** Resumes a leader that awaited confirmation, once a new listing of the claims has shown no later one. @param askedAt When the listing was sent, as in TermEvidence. */
+void confirmLeadership(CellNode& node, TimePoint askedAt);
+
+/** Begins the lease of a new own term. @param former The claim known before. */
+void beginTermLease(CellNode& node, const LeaderClaim& former);
+
+/** Restores the list of members that earlier leaders asked. */
+void restoreMemberList(CellNode& node, const std::string& record);
+
+/** Notes, once the records are loaded, how long the leaders of earlier terms may renew leases. @return When they have stopped. */
+TimePoint boundEarlierTerms(CellNode& node);
+
+/** Notes which term a daemon knows: a former leader that knows this one has stopped renewing leases. */
+void noteFormerLeader(CellNode& node, const PeerMember& from, std::uint64_t knownToken);
+
+/** Makes a leader stop that has no recent evidence that it still leads. */
+void checkTermLease(CellNode& node);
+
+/** Collects evidence from the members while the store shows none, and keeps their list. */
+void stepTermLease(CellNode& node);
+
+/** @return The list of members, if it has to be written. @param batch The batch that it is written with. */
+std::optional<KeyedRecord> takeMemberList(CellNode& node, std::uint64_t batch);
+
+/** @return How long ago this leader last renewed the lease of a worker, in ms; -1 for never. */
+std::int64_t renewalAgeMs(const CellNode& node);
+
+/** Sends a heartbeat beside those to the leader. @param onAnswer Called when it is answered. */
+void callMember(CellNode& node, const Address& address, const std::function<void(const PeerHeartbeatAnswer&)>& onAnswer);
 
 /** Appends a claim on the condition that the store holds no claim that this daemon has not read. @param cause Reason for the log. */
 void claimLeadership(CellNode& node, std::string_view cause);
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -1,4 +1,4 @@
-/** @file cell_leadership.cpp Leadership of the cell: claims, hand-over, suspension, isolation and the end of a term. */
+/** @file cell_leadership.cpp Leadership of the cell: claims, hand-over, suspension and the end of a term. */
 #include "core/log_func.h"
 #include "process/cell/cell_detail.h"
 #include "process/cell/leader_choice.h"
@@ -127,7 +127,7 @@
         claimLeadership(node, cause);
     }
 
-    void beginTerm(CellNode& node)
+    void beginTerm(CellNode& node, const LeaderClaim& former)
     {
         node.m_role = Role::Loading;
         node.m_term = node.m_leader.m_token;
@@ -142,6 +142,7 @@
         scheduler::setCluster(*node.m_scheduler, *node.m_cluster);
         node.m_writer = makePipeline(writerName, node.m_term);
         node.m_load = { .m_startedAt = node.m_now };
+        beginTermLease(node, former);
         resetTail(node.m_workersTail, true);
         logEvent(LogLevel::Info, "term-begins", { { "token", node.m_term }, { "config", node.m_cluster->m_version } });
     }
@@ -156,46 +157,7 @@
         if (gap < suspensionThreshold || (node.m_role != Role::Leading && node.m_role != Role::Loading))
             return;
         logEvent(LogLevel::Warning, "suspended", { { "suspension_ms", gap.m_ms }, { "token", node.m_term } });
-        node.m_isAwaitingConfirmation = true;
-        resetTail(node.m_leaderTail, true);
-    }
-
-    /** @return How long ago this leader last renewed the lease of a worker, in ms; -1 for never. */
-    std::int64_t renewalAgeMs(const CellNode& node)
-    {
-        const bool hasRenewed = node.m_scheduler && node.m_scheduler->m_leasesRenewedAt.m_ms > 0;
-        return hasRenewed ? (node.m_now - node.m_scheduler->m_leasesRenewedAt).m_ms : -1;
-    }
-
-    /** Logs, once a second, on whose word a leader goes on that the store does not answer. */
-    void reportContacts(CellNode& node)
-    {
-        constexpr Duration silenceThreshold { 1'000 };
-        constexpr Duration interval { 1'000 };
-        if (node.m_now - node.m_storeLastContactAt <= silenceThreshold || node.m_now < node.m_nextContactReportAt)
-            return;
-        node.m_nextContactReportAt = node.m_now + interval;
-        const auto earlier = [](const auto& one, const auto& other) { return one.second.m_lastContactAt < other.second.m_lastContactAt; };
-        const auto latest = std::max_element(node.m_peers.begin(), node.m_peers.end(), earlier);
-        const bool hasPeer = latest != node.m_peers.end();
-        const auto reachingStore = std::count_if(node.m_peers.begin(), node.m_peers.end(), [](const auto& entry) { return entry.second.m_isStoreReached; });
-        logEvent(LogLevel::Info, "leads-without-store", { { "token", node.m_term }, { "store_ms_ago", (node.m_now - node.m_storeLastContactAt).m_ms }, { "claims_read_ms_ago", (node.m_now - node.m_leaderTail.m_answeredAt).m_ms }, { "peers", node.m_peers.size() }, { "peers_reaching_store", reachingStore }, { "latest_peer", hasPeer ? latest->first : std::string() }, { "peer_ms_ago", hasPeer ? (node.m_now - latest->second.m_lastContactAt).m_ms : -1 }, { "gives_orders", !node.m_isAwaitingConfirmation }, { "renewed_ms_ago", renewalAgeMs(node) } });
-    }
-
-    void checkIsolation(CellNode& node)
-    {
-        if (node.m_role == Role::Leading)
-            reportContacts(node);
-        if (node.m_role != Role::Leading || node.m_peers.empty())
-            return;
-        TimePoint lastContactAt = node.m_storeLastContactAt;
-        for (const auto& [name, peer] : node.m_peers)
-            lastContactAt = std::max(lastContactAt, peer.m_lastContactAt);
-        if (!node.m_isAwaitingConfirmation && node.m_now - lastContactAt > node.m_options.m_isolatedAfter) {
-            logEvent(LogLevel::Warning, "isolated", { { "last_contact_ms_ago", (node.m_now - lastContactAt).m_ms } });
-            node.m_isAwaitingConfirmation = true;
-            resetTail(node.m_leaderTail, true);
-        }
+        requireConfirmation(node);
     }
 
     /** @return How long the store's answers to reads take at present, from those of the workers' announcements, which the store does not hold back. */
@@ -285,20 +247,29 @@
     if (token <= node.m_leader.m_token)
         return;
     watchNewLeader(node.m_leaderMonitor, node.m_leader.m_token > 0, node.m_now);
-    node.m_leader = { .m_token = token, .m_member = member };
+    const LeaderClaim former = std::exchange(node.m_leader, { .m_token = token, .m_member = member });
     node.m_isSuccessorWanted = false;
     node.m_isHeartbeatPending = false;
     logEvent(LogLevel::Info, "leader-known", { { "token", token }, { "leader", member.m_name }, { "instance", member.m_instance } });
     if (node.m_role == Role::Leading || node.m_role == Role::Loading)
         stepDown(node, "a later claim exists");
     if (isOwnClaim(node))
-        beginTerm(node);
+        beginTerm(node, former);
+}
+
+void requireConfirmation(CellNode& node)
+{
+    node.m_isAwaitingConfirmation = true;
+    resetTail(node.m_leaderTail, true);
 }
 
-void confirmLeadership(CellNode& node)
+void confirmLeadership(CellNode& node, TimePoint askedAt)
 {
     if (!node.m_isAwaitingConfirmation || !isOwnClaim(node))
         return;
+    noteStoreAnswer(node.m_termLease.m_evidence, askedAt);
+    if (node.m_role == Role::Leading && !mayRenewLeases(node.m_termLease.m_evidence, node.m_options.m_termLease, node.m_lastBootTime))
+        return resetTail(node.m_leaderTail, true); // The answer came too late.
     node.m_isAwaitingConfirmation = false;
     logEvent(LogLevel::Info, "leadership-confirmed", { { "token", node.m_leader.m_token } });
 }
@@ -339,7 +310,7 @@
 
 void stepLeadership(CellNode& node)
 {
-    checkIsolation(node);
+    stepTermLease(node);
     stepClaim(node);
     stepHandOver(node);
     reportLeadershipWait(node, !causeForNewLeader(node).empty());
@@ -353,6 +324,7 @@
 {
     node.m_now = now;
     detail::checkSuspension(node, bootNow);
+    detail::checkTermLease(node);
 }
 
 void stepCell(CellNode& node, TimePoint now, TimePoint bootNow)
--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -34,7 +34,9 @@
         if (!isAttemptDue(call, leaderWriteHedgeDelay(node, call, partition), node.m_now, maxInFlight))
             return;
         beginAttempt(call, node.m_now);
-        sendAppend(node, fencingAppend(node.m_writer, partition), fenceTimeout, [&node, term = node.m_term, sentAt = node.m_now](const StoreAppendAnswer& answer) {
+        const StoreAppend fence = fencingAppend(node.m_writer, partition);
+        noteAppendSent(node.m_termLease.m_evidence, fence.m_writer->m_sequence, node.m_lastBootTime);
+        sendAppend(node, fence, fenceTimeout, [&node, term = node.m_term, sentAt = node.m_now, sequence = fence.m_writer->m_sequence](const StoreAppendAnswer& answer) {
             updateStoreReachability(node, answer.m_status == StoreStatus::Done || answer.m_status == StoreStatus::Fenced);
             if (!isStillLoading(node, term) || node.m_load.m_isFenced)
                 return;
@@ -43,6 +45,8 @@
             if (answer.m_status != StoreStatus::Done)
                 return failAttempt(node.m_load.m_fence, node.m_now + retryDelay);
             node.m_load.m_isFenced = true;
+            node.m_termLease.m_fencedAt = node.m_now;
+            noteAppendConfirmed(node.m_termLease.m_evidence, sequence);
             node.m_appendLatency = node.m_now - sentAt;
             node.m_writer.m_lastLatency = node.m_appendLatency;
             resetTail(node.m_jobsTail, true); // Not earlier: until now a former leader may accept submissions that a listing has passed.
@@ -133,6 +137,8 @@
 
     void restoreProgress(CellNode& node, const std::string& key, const std::string& value)
     {
+        if (key == memberListKey)
+            return restoreMemberList(node, value);
         const auto restored = key == scheduler::learnedKey ? scheduler::restoreLearned(*node.m_scheduler, value) : scheduler::restoreProgress(*node.m_scheduler, key, value, node.m_now);
         if (!restored)
             logEvent(LogLevel::Error, "progress-unusable", { { "key", key }, { "error", describe(restored.error()) } });
@@ -149,7 +155,7 @@
             if (!value.empty() && !isPlan(key))
                 restoreProgress(node, key, value);
         }
-        scheduler::finishRestoring(*node.m_scheduler, node.m_now);
+        scheduler::finishRestoring(*node.m_scheduler, boundEarlierTerms(node), node.m_now);
         logEvent(LogLevel::Info, "term-loaded", { { "token", node.m_term }, { "are_submissions_read", node.m_jobsTail.m_isCaughtUp }, { "jobs", node.m_scheduler->m_jobs.size() }, { "progress", node.m_load.m_progress.size() }, { "workers_with_tasks", node.m_scheduler->m_workers.size() }, { "took_ms", (node.m_now - node.m_load.m_startedAt).m_ms } });
         node.m_load = {};
         node.m_role = Role::Leading;
@@ -157,6 +163,7 @@
         if (!node.m_jobsTail.m_isCaughtUp)
             logEvent(LogLevel::Warning, "leads-without-submissions", { { "token", node.m_term }, { "unmatched_progress", node.m_scheduler->m_unmatchedProgress.size() }, { "jobs_answered_ms_ago", (node.m_now - node.m_jobsTail.m_answeredAt).m_ms }, { "are_jobs_listed", node.m_jobsTail.m_isListingComplete }, { "jobs_next_offset", node.m_jobsTail.m_nextOffset } });
         finishInitialLoad(node);
+        checkTermLease(node); // The records may have taken longer to load than the evidence of the fence counts.
     }
 
     /** @return How long a leader waits for an answer about submissions once it has read all progress. */
--- a/src/process/cell/cell_peers.cpp
+++ b/src/process/cell/cell_peers.cpp
@@ -53,6 +53,7 @@
         noteConfigVersion(node.m_configFetch, answer.m_from, answer.m_configVersion, configVersionOf(node), node.m_now);
         if (answer.m_leader.m_token > 0)
             applyClaim(node, answer.m_leader.m_token, answer.m_leader.m_member);
+        noteFormerLeader(node, answer.m_from, answer.m_leader.m_token);
         const bool isFromLeader = answer.m_from.m_name == node.m_leader.m_member.m_name;
         if (!isFromLeader && answer.m_leaderAnswerAge && answer.m_leader.m_token == node.m_leader.m_token)
             onLeaderSeenByPeer(node.m_leaderMonitor, node.m_now - *answer.m_leaderAnswerAge);
@@ -134,10 +135,7 @@
         const std::vector<Address> targets = probeTargets(node);
         if (targets.empty())
             return;
-        node.m_ports.m_callPeer(targets[node.m_probeIndex++ % targets.size()], makeHeartbeat(node), heartbeatTimeout, [&node](const std::optional<PeerReply>& reply) {
-            if (const auto* const answer = reply ? std::get_if<PeerHeartbeatAnswer>(&*reply) : nullptr)
-                onHeartbeatAnswer(node, *answer);
-        });
+        callMember(node, targets[node.m_probeIndex++ % targets.size()], [](const PeerHeartbeatAnswer&) { /* Its contents have been taken up. */ });
     }
 
     /** Updates the list of VMs that can request approvals: this VM and the peers that are responsive. */
@@ -192,10 +190,7 @@
         for (const auto& [name, peer] : node.m_peers) {
             if (node.m_now - peer.m_lastContactAt <= announceAfterSilence && node.m_role == Role::Leading)
                 continue;
-            node.m_ports.m_callPeer(peer.m_member.m_address, makeHeartbeat(node), heartbeatTimeout, [&node](const std::optional<PeerReply>& reply) {
-                if (const auto* const answer = reply ? std::get_if<PeerHeartbeatAnswer>(&*reply) : nullptr)
-                    onHeartbeatAnswer(node, *answer);
-            });
+            callMember(node, peer.m_member.m_address, [](const PeerHeartbeatAnswer&) { /* Its contents have been taken up. */ });
         }
     }
 
@@ -238,6 +233,17 @@
 
 } // namespace
 
+void callMember(CellNode& node, const Address& address, const std::function<void(const PeerHeartbeatAnswer&)>& onAnswer)
+{
+    node.m_ports.m_callPeer(address, makeHeartbeat(node), heartbeatTimeout, [&node, onAnswer](const std::optional<PeerReply>& reply) {
+        const auto* const answer = reply ? std::get_if<PeerHeartbeatAnswer>(&*reply) : nullptr;
+        if (!answer)
+            return;
+        onHeartbeatAnswer(node, *answer);
+        onAnswer(*answer);
+    });
+}
+
 Duration contactLimit(const CellNode& node)
 {
     return node.m_peers.size() < fastFollowerCount ? node.m_options.m_suspectAfter : slowTiming.m_suspectAfter;
@@ -270,6 +276,7 @@
     noteConfigVersion(node.m_configFetch, heartbeat.m_from, heartbeat.m_configVersion, configVersionOf(node), node.m_now);
     if (heartbeat.m_leader.m_token > 0)
         applyClaim(node, heartbeat.m_leader.m_token, heartbeat.m_leader.m_member);
+    noteFormerLeader(node, heartbeat.m_from, heartbeat.m_leader.m_token);
     PeerHeartbeatAnswer answer { .m_from = node.m_options.m_self, .m_leader = node.m_leader, .m_isLeading = (node.m_role == Role::Leading || node.m_role == Role::Loading) && !node.m_isAwaitingConfirmation, .m_isLeaving = node.m_isTerminating, .m_isStoreReached = node.m_isStoreReached, .m_configVersion = configVersionOf(node), .m_membersVersion = node.m_membersVersion, .m_members = {}, .m_leaderAnswerAge = leaderAnswerAge(node) };
     if (answer.m_isLeading && heartbeat.m_membersVersion != node.m_membersVersion)
         answer.m_members = node.m_advertisedMembers;
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -98,8 +98,7 @@
     {
         if (effects.m_isFenced) {
             logEvent(LogLevel::Warning, "fenced-by-worker", { { "token", node.m_term } });
-            node.m_isAwaitingConfirmation = true;
-            resetTail(node.m_leaderTail, true);
+            requireConfirmation(node);
         }
         if (isActiveLeader(node))
             perform(node, effects);
@@ -114,6 +113,8 @@
         std::vector<KeyedRecord> records = scheduler::takeRecords(*node.m_scheduler);
         if (auto learned = scheduler::takeLearnedRecord(*node.m_scheduler, node.m_now))
             records.push_back(std::move(*learned));
+        if (auto members = takeMemberList(node, batch))
+            records.push_back(std::move(*members));
         for (KeyedRecord& record : records) {
             if (bytes + record.m_value.size() > maxAppendBytes) {
                 pushAppend(node.m_writer, part, 0);
@@ -134,6 +135,8 @@
         const AppendOutcome outcome = onAppendAnswer(node.m_writer, attempt, answer.m_status, node.m_now);
         if (outcome != AppendOutcome::Proceed)
             return stepDown(node, outcome == AppendOutcome::Fenced ? "fenced by the store: a later term exists" : "the store expects another sequence number");
+        if (answer.m_status == StoreStatus::Done)
+            noteAppendConfirmed(node.m_termLease.m_evidence, attempt.m_sequence);
         if (node.m_writer.m_confirmations == confirmations)
             return;
         if (const AppendConfirmation& confirmation = node.m_writer.m_lastConfirmation; confirmation.m_age > slowAppendThreshold)
@@ -192,12 +195,13 @@
     if (!isActiveLeader(node))
         return;
     AppendPipeline& writer = node.m_writer;
-    if (acceptsAppend(writer, node.m_storeLastContactAt, node.m_now) && scheduler::hasRecords(*node.m_scheduler))
+    if (acceptsAppend(writer, node.m_storeLastContactAt, node.m_now) && (scheduler::hasRecords(*node.m_scheduler) || node.m_termLease.m_dueList))
         enqueueBatch(node);
     const PipelinedAppend* const next = beginSend(writer, node.m_storeLastContactAt, node.m_now);
     if (!next)
         return;
     ++node.m_counters.m_appends;
+    noteAppendSent(node.m_termLease.m_evidence, next->m_latest.m_sequence, node.m_lastBootTime);
     sendAppend(node, next->m_append, appendTimeout(writer), [&node, term = node.m_term, attempt = next->m_latest](const StoreAppendAnswer& answer) {
         if (isCurrentTerm(node, term))
             onAppendCompleted(node, attempt, answer);
--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -97,7 +97,8 @@
         }
     }
 
-    void onPage(CellNode& node, TopicTail& tail, const StoreNewestAnswer& page)
+    /** @param askedAt When the page was requested, as in TermEvidence. */
+    void onPage(CellNode& node, TopicTail& tail, const StoreNewestAnswer& page, TimePoint askedAt)
     {
         if (page.m_status != StoreStatus::Done) {
             failAttempt(tail.m_call, node.m_now + retryDelay);
@@ -121,7 +122,7 @@
         tail.m_isListingComplete = true;
         tail.m_listedKeys.clear();
         if (&tail == &node.m_leaderTail)
-            confirmLeadership(node);
+            confirmLeadership(node, askedAt);
         if (&tail == &node.m_workersTail)
             finishInitialLoad(node);
     }
@@ -132,7 +133,8 @@
         return std::any_of(std::next(record), end, [&](const KeyedRecord& later) { return later.m_key == record->m_key; });
     }
 
-    void onRead(CellNode& node, TopicTail& tail, const StoreReadAnswer& answer)
+    /** @param askedAt When the records were requested, as in TermEvidence. */
+    void onRead(CellNode& node, TopicTail& tail, const StoreReadAnswer& answer, TimePoint askedAt)
     {
         if (answer.m_status == StoreStatus::Expired)
             return resetTail(tail, true);
@@ -152,6 +154,8 @@
         tail.m_isCaughtUp = tail.m_isCaughtUp || isCaughtUp;
         if (isCaughtUp)
             tail.m_upToDateAt = node.m_now;
+        if (isCaughtUp && &tail == &node.m_leaderTail && isOwnClaim(node))
+            noteStoreAnswer(node.m_termLease.m_evidence, askedAt);
         endCall(tail.m_call, isCaughtUp ? node.m_now + tail.m_pollDelay : node.m_now);
     }
 
@@ -177,11 +181,38 @@
         logEvent(LogLevel::Info, "read-slow", { { "topic", tail.m_partition.m_topic }, { "took_ms", took.m_ms }, { "is_answered", isDone }, { "is_listing", tail.m_isListing }, { "in_flight", tail.m_call.m_inFlight }, { "failed_reads", tail.m_failedReads }, { "next_offset", tail.m_nextOffset }, { "up_to_date_ms_ago", (node.m_now - tail.m_upToDateAt).m_ms } });
     }
 
-    void stepTail(CellNode& node, TopicTail& tail)
+    /** @return Whether a tail is that of the claims and this daemon leads, so that its answers show that it still does. */
+    bool isEvidenceTail(const CellNode& node, const TopicTail& tail)
+    {
+        return &tail == &node.m_leaderTail && node.m_role == Role::Leading;
+    }
+
+    /** @return How long the store may hold the answer to a tail's next read. */
+    Duration waitOf(const CellNode& node, const TopicTail& tail)
     {
         // A lost store is polled without a wait, so that its recovery is noticed soon; so is one that may have more than was listed.
-        const Duration wait = node.m_isStoreReached && tail.m_isCaughtUp ? tail.m_wait : Duration {};
-        if (!tail.m_isFollowed || !isAttemptDue(tail.m_call, wait + storeHedgeDelay(node, tail.m_call.m_lastAttemptAt), node.m_now))
+        if (!node.m_isStoreReached || !tail.m_isCaughtUp)
+            return {};
+        if (!isEvidenceTail(node, tail))
+            return tail.m_wait;
+        constexpr std::int64_t readsPerLimit = 6; // Evidence counts from the request, so two waits, and a lost answer, must pass within the limit.
+        const TermLeaseOptions& options = node.m_options.m_termLease;
+        const bool isOld = isStoreEvidenceOld(node.m_termLease.m_evidence, options, node.m_lastBootTime);
+        return isOld ? Duration {} : std::min(tail.m_wait, options.m_renewalLimit / readsPerLimit);
+    }
+
+    /** @return How long a tail's latest read may stay unanswered, beyond its wait, before it is sent again in parallel. */
+    Duration tailHedgeDelay(const CellNode& node, const TopicTail& tail)
+    {
+        constexpr Duration evidenceHedgeDelay { 300 };
+        const Duration delay = storeHedgeDelay(node, tail.m_call.m_lastAttemptAt);
+        return isEvidenceTail(node, tail) ? std::min(delay, evidenceHedgeDelay) : delay;
+    }
+
+    void stepTail(CellNode& node, TopicTail& tail)
+    {
+        const Duration wait = waitOf(node, tail);
+        if (!tail.m_isFollowed || !isAttemptDue(tail.m_call, wait + tailHedgeDelay(node, tail), node.m_now))
             return;
         ++node.m_counters.m_reads;
         // Updates the store's reachability and tells whether the answer belongs to the current call.
@@ -192,16 +223,17 @@
             reportSlowRead(node, tail, status, sentAt, wait);
             return isAnswerToCall(tail.m_call, callNumber);
         };
+        const TimePoint askedAt = node.m_lastBootTime;
         if (tail.m_isListing) {
-            sendListing(node, { .m_partition = tail.m_partition, .m_after = tail.m_after }, listingTimeout, [&node, &tail, checkAnswer](const StoreNewestAnswer& page) {
+            sendListing(node, { .m_partition = tail.m_partition, .m_after = tail.m_after }, listingTimeout, [&node, &tail, checkAnswer, askedAt](const StoreNewestAnswer& page) {
                 if (checkAnswer(page.m_status))
-                    onPage(node, tail, page);
+                    onPage(node, tail, page, askedAt);
             });
             return;
         }
-        sendRead(node, { .m_partition = tail.m_partition, .m_from = tail.m_nextOffset, .m_wait = wait }, wait + marginOf(node, tail), [&node, &tail, checkAnswer](const StoreReadAnswer& answer) {
+        sendRead(node, { .m_partition = tail.m_partition, .m_from = tail.m_nextOffset, .m_wait = wait }, wait + marginOf(node, tail), [&node, &tail, checkAnswer, askedAt](const StoreReadAnswer& answer) {
             if (checkAnswer(answer.m_status))
-                onRead(node, tail, answer);
+                onRead(node, tail, answer, askedAt);
         });
     }
 
--- /dev/null
+++ b/src/process/cell/cell_term.cpp
@@ -0,0 +1,206 @@
+/** @file cell_term.cpp The leader's term as a lease: asks members, keeps their list, and waits for earlier leaders to stop. */
+#include "core/log_func.h"
+#include "process/cell/cell_detail.h"
+#include "process/scheduler/scheduler_func.h"
+
+#include <algorithm>
+
+namespace bulrushloft::cell::detail {
+
+namespace {
+
+    constexpr Duration askInterval { 500 }; ///< Several questions fit into the time for which an answer counts.
+    constexpr Duration listCheckInterval { 200 };
+    constexpr Duration removalAfter { 10'000 }; ///< A member that is not heard of for so long leaves the list; longer than a restart takes.
+    constexpr Duration reportInterval { 1'000 };
+
+    /** @return Whether all earlier leaders have stopped renewing leases, so that the list may get members that they don't ask. */
+    bool areEarlierTermsSettled(const CellNode& node)
+    {
+        return node.m_now >= node.m_termLease.m_earlierStoppedAt;
+    }
+
+    /** @return Whether only one earlier leader may still renew leases, the one just before this one. */
+    bool isFormerLeaderAlone(const CellNode& node)
+    {
+        const TermLease& lease = node.m_termLease;
+        const bool isDirectPredecessor = lease.m_former.m_token + 1 == node.m_term;
+        return isDirectPredecessor && lease.m_loadedList && lease.m_loadedList->m_settledTerm == lease.m_former.m_token;
+    }
+
+    /** Asks all listed members whether they know a later term, while the store shows nothing. */
+    void askMembers(CellNode& node)
+    {
+        TermLease& lease = node.m_termLease;
+        if (node.m_now < lease.m_nextAskAt || !isStoreEvidenceOld(lease.m_evidence, node.m_options.m_termLease, node.m_lastBootTime))
+            return;
+        lease.m_nextAskAt = node.m_now + askInterval;
+        for (const auto& [name, askedAt] : lease.m_evidence.m_memberAskedAt) {
+            const auto peer = node.m_peers.find(name);
+            if (peer == node.m_peers.end())
+                continue;
+            callMember(node, peer->second.m_member.m_address, [&node, name = name, term = node.m_term, now = node.m_lastBootTime](const PeerHeartbeatAnswer& answer) {
+                if (node.m_term == term && answer.m_from.m_name == name && answer.m_leader.m_token <= term)
+                    noteMemberAnswer(node.m_termLease.m_evidence, name, now);
+            });
+        }
+    }
+
+    /** Logs, once a second, on what a leader goes on while the store shows nothing. */
+    void reportEvidence(CellNode& node)
+    {
+        TermLease& lease = node.m_termLease;
+        const TermEvidence& evidence = lease.m_evidence;
+        const TimePoint now = node.m_lastBootTime;
+        if (node.m_now < lease.m_nextReportAt || !isStoreEvidenceOld(evidence, node.m_options.m_termLease, now))
+            return;
+        lease.m_nextReportAt = node.m_now + reportInterval;
+        const auto earlier = [](const auto& one, const auto& other) { return one.second < other.second; };
+        const auto oldest = std::min_element(evidence.m_memberAskedAt.begin(), evidence.m_memberAskedAt.end(), earlier);
+        const bool hasMembers = oldest != evidence.m_memberAskedAt.end();
+        logEvent(LogLevel::Info, "leads-without-store", { { "token", node.m_term }, { "store_asked_ms_ago", (now - evidence.m_storeAskedAt).m_ms }, { "is_list_stored", evidence.m_isListStored }, { "members", evidence.m_memberAskedAt.size() }, { "oldest_member", hasMembers ? oldest->first : std::string() }, { "member_asked_ms_ago", hasMembers ? (now - oldest->second).m_ms : -1 }, { "gives_orders", !node.m_isAwaitingConfirmation }, { "renewed_ms_ago", renewalAgeMs(node) } });
+    }
+
+    /** Takes it up that the store has confirmed a list: members that are not on it need not be asked any more. */
+    void confirmMemberList(CellNode& node)
+    {
+        TermLease& lease = node.m_termLease;
+        if (!lease.m_sentList || node.m_writer.m_confirmedBatch < lease.m_sentBatch)
+            return;
+        lease.m_storedList = *std::exchange(lease.m_sentList, std::nullopt);
+        lease.m_evidence.m_isListStored = true;
+        const std::vector<std::string>& names = lease.m_storedList.m_names;
+        std::erase_if(lease.m_evidence.m_memberAskedAt, [&](const auto& entry) { return !std::binary_search(names.begin(), names.end(), entry.first); });
+        logEvent(LogLevel::Info, "members-listed", { { "token", node.m_term }, { "members", names.size() }, { "settled_term", lease.m_storedList.m_settledTerm } });
+    }
+
+    /** @return The list as it should be: this VM, the peers that have been heard of, and listed members unless they have been silent for long. */
+    MemberList makeMemberList(CellNode& node)
+    {
+        TermLease& lease = node.m_termLease;
+        for (const auto& [name, peer] : node.m_peers) {
+            if (peer.m_lastContactAt.m_ms > 0)
+                lease.m_heardAt[name] = peer.m_lastContactAt;
+        }
+        std::erase_if(lease.m_heardAt, [&](const auto& entry) { return node.m_now - entry.second > removalAfter; });
+        MemberList list { .m_settledTerm = node.m_term, .m_names = { node.m_options.m_self.m_name } };
+        for (const auto& [name, heardAt] : lease.m_heardAt)
+            list.m_names.push_back(name);
+        std::sort(list.m_names.begin(), list.m_names.end());
+        return list;
+    }
+
+    /** Has the list written when members have joined or left. Not before earlier leaders have stopped: they don't ask those that join. */
+    void updateMemberList(CellNode& node)
+    {
+        TermLease& lease = node.m_termLease;
+        confirmMemberList(node);
+        if (node.m_now < lease.m_nextListCheckAt || lease.m_sentList || !areEarlierTermsSettled(node))
+            return;
+        lease.m_nextListCheckAt = node.m_now + listCheckInterval;
+        MemberList list = makeMemberList(node);
+        if (list == lease.m_storedList)
+            lease.m_dueList.reset();
+        else
+            lease.m_dueList = std::move(list);
+    }
+
+} // namespace
+
+std::int64_t renewalAgeMs(const CellNode& node)
+{
+    const bool hasRenewed = node.m_scheduler && node.m_scheduler->m_leasesRenewedAt.m_ms > 0;
+    return hasRenewed ? (node.m_now - node.m_scheduler->m_leasesRenewedAt).m_ms : -1;
+}
+
+void beginTermLease(CellNode& node, const LeaderClaim& former)
+{
+    node.m_termLease = TermLease {};
+    node.m_termLease.m_former = former;
+    if (former.m_member.m_name == node.m_options.m_self.m_name) // An earlier process of this VM, or this one.
+        node.m_termLease.m_formerStoppedAt = node.m_now;
+}
+
+void restoreMemberList(CellNode& node, const std::string& record)
+{
+    TermLease& lease = node.m_termLease;
+    auto list = decodeMemberList(record);
+    if (!list) {
+        logEvent(LogLevel::Error, "member-list-unusable", { { "error", describe(list.error()) } });
+        lease.m_loadedList = MemberList {}; // This VM counts as not listed, and nobody is asked.
+        return;
+    }
+    for (const std::string& name : list->m_names) {
+        if (name == node.m_options.m_self.m_name)
+            continue;
+        lease.m_evidence.m_memberAskedAt.emplace(name, TimePoint {});
+        lease.m_heardAt.emplace(name, node.m_now);
+    }
+    lease.m_evidence.m_isListStored = true;
+    lease.m_storedList = *list;
+    lease.m_loadedList = std::move(*list);
+}
+
+TimePoint boundEarlierTerms(CellNode& node)
+{
+    TermLease& lease = node.m_termLease;
+    constexpr std::uint64_t firstTerm = 1;
+    const Duration wait = node.m_term == firstTerm ? Duration {} : earlierRenewalBound(lease.m_loadedList, node.m_options.m_self.m_name, node.m_options.m_termLease);
+    lease.m_earlierStoppedAt = lease.m_fencedAt + wait;
+    if (lease.m_formerStoppedAt && isFormerLeaderAlone(node))
+        lease.m_earlierStoppedAt = std::min(lease.m_earlierStoppedAt, *lease.m_formerStoppedAt);
+    logEvent(LogLevel::Info, "earlier-terms", { { "token", node.m_term }, { "former_token", lease.m_former.m_token }, { "former_leader", lease.m_former.m_member.m_name }, { "is_list_stored", lease.m_loadedList.has_value() }, { "listed", lease.m_loadedList ? lease.m_loadedList->m_names.size() : 0 }, { "bound_ms", wait.m_ms }, { "is_former_alone", isFormerLeaderAlone(node) }, { "has_former_stopped", lease.m_formerStoppedAt.has_value() }, { "stop_in_ms", (lease.m_earlierStoppedAt - node.m_now).m_ms } });
+    return lease.m_earlierStoppedAt;
+}
+
+void noteFormerLeader(CellNode& node, const PeerMember& from, std::uint64_t knownToken)
+{
+    TermLease& lease = node.m_termLease;
+    const bool hasTerm = node.m_role == Role::Leading || node.m_role == Role::Loading;
+    if (!hasTerm || lease.m_formerStoppedAt || from.m_name != lease.m_former.m_member.m_name || knownToken < node.m_term)
+        return;
+    lease.m_formerStoppedAt = node.m_now;
+    if (node.m_role != Role::Leading || !isFormerLeaderAlone(node) || areEarlierTermsSettled(node))
+        return;
+    logEvent(LogLevel::Info, "former-leader-stopped", { { "token", node.m_term }, { "former_leader", from.m_name }, { "earlier_by_ms", (lease.m_earlierStoppedAt - node.m_now).m_ms } });
+    lease.m_earlierStoppedAt = node.m_now;
+    scheduler::boundEarlierLeases(*node.m_scheduler, node.m_now);
+}
+
+void checkTermLease(CellNode& node)
+{
+    const TermEvidence& evidence = node.m_termLease.m_evidence;
+    const TimePoint now = node.m_lastBootTime;
+    if (node.m_role != Role::Leading || node.m_isAwaitingConfirmation || mayRenewLeases(evidence, node.m_options.m_termLease, now))
+        return;
+    logEvent(LogLevel::Warning, "term-lease-lapsed", { { "token", node.m_term }, { "store_asked_ms_ago", (now - evidence.m_storeAskedAt).m_ms }, { "proven_ms_ago", (now - provenAt(evidence, node.m_options.m_termLease)).m_ms }, { "members", evidence.m_memberAskedAt.size() }, { "renewed_ms_ago", renewalAgeMs(node) } });
+    requireConfirmation(node);
+}
+
+void stepTermLease(CellNode& node)
+{
+    if (node.m_role != Role::Leading)
+        return;
+    reportEvidence(node);
+    if (!isActiveLeader(node))
+        return;
+    askMembers(node);
+    updateMemberList(node);
+}
+
+std::optional<KeyedRecord> takeMemberList(CellNode& node, std::uint64_t batch)
+{
+    TermLease& lease = node.m_termLease;
+    if (!lease.m_dueList)
+        return std::nullopt;
+    lease.m_sentList = *std::exchange(lease.m_dueList, std::nullopt);
+    lease.m_sentBatch = batch;
+    // Asked from now on: the store may hold the list before it confirms it.
+    for (const std::string& name : lease.m_sentList->m_names) {
+        if (name != node.m_options.m_self.m_name)
+            lease.m_evidence.m_memberAskedAt.emplace(name, TimePoint {});
+    }
+    return KeyedRecord { .m_key = memberListKey, .m_value = encodeMemberList(*lease.m_sentList) };
+}
+
+} // namespace bulrushloft::cell::detail
--- /dev/null
+++ b/src/process/cell/term_lease.cpp
@@ -0,0 +1,98 @@
+/** @file term_lease.cpp Bounds of a term and the evidence that they rest on. */
+#include "process/cell/term_lease.h"
+
+#include "core/cbor.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bulrushloft::cell {
+
+using Json = nlohmann::json;
+
+namespace {
+
+    constexpr int listFormat = 1;
+
+    /** @return The earliest of the latest answers of all listed members; zero while one has not answered, or no list is stored. */
+    TimePoint allMembersAskedAt(const TermEvidence& evidence)
+    {
+        if (!evidence.m_isListStored)
+            return {};
+        TimePoint earliest = farFuture;
+        for (const auto& [name, askedAt] : evidence.m_memberAskedAt)
+            earliest = std::min(earliest, askedAt);
+        return earliest;
+    }
+
+} // namespace
+
+std::string encodeMemberList(const MemberList& list)
+{
+    const std::vector<std::uint8_t> bytes = Json::to_cbor(Json::array({ listFormat, list.m_settledTerm, list.m_names }));
+    return { bytes.begin(), bytes.end() };
+}
+
+Expected<MemberList> decodeMemberList(const std::string& record)
+{
+    try {
+        const Json root = decodeCbor(record);
+        if (root.at(0) != listFormat)
+            return fail(ErrorKind::InvalidInput, "the list of members has the unsupported format version " + root.at(0).dump(), "run the same release on all daemons");
+        return MemberList { .m_settledTerm = root.at(1).get<std::uint64_t>(), .m_names = root.at(2).get<std::vector<std::string>>() };
+    } catch (const std::exception& error) {
+        return fail(ErrorKind::InvalidInput, std::string("the list of members can't be decoded: ") + error.what(), "check whether another program writes to the topic");
+    }
+}
+
+void noteStoreAnswer(TermEvidence& evidence, TimePoint askedAt)
+{
+    evidence.m_storeAskedAt = std::max(evidence.m_storeAskedAt, askedAt);
+}
+
+void noteAppendSent(TermEvidence& evidence, std::uint64_t sequence, TimePoint now)
+{
+    evidence.m_appendedAt.try_emplace(sequence, now);
+}
+
+void noteAppendConfirmed(TermEvidence& evidence, std::uint64_t sequence)
+{
+    const auto found = evidence.m_appendedAt.find(sequence);
+    if (found == evidence.m_appendedAt.end())
+        return;
+    noteStoreAnswer(evidence, found->second);
+    evidence.m_appendedAt.erase(evidence.m_appendedAt.begin(), std::next(found));
+}
+
+void noteMemberAnswer(TermEvidence& evidence, const std::string& name, TimePoint askedAt)
+{
+    if (const auto found = evidence.m_memberAskedAt.find(name); found != evidence.m_memberAskedAt.end())
+        found->second = std::max(found->second, askedAt);
+}
+
+TimePoint provenAt(const TermEvidence& evidence, const TermLeaseOptions& options)
+{
+    const TimePoint latestByMembers = evidence.m_storeAskedAt + (options.m_outageLimit - options.m_renewalLimit);
+    return std::max(evidence.m_storeAskedAt, std::min(allMembersAskedAt(evidence), latestByMembers));
+}
+
+bool mayRenewLeases(const TermEvidence& evidence, const TermLeaseOptions& options, TimePoint now)
+{
+    if (now - evidence.m_storeAskedAt <= options.m_renewalLimit)
+        return true;
+    return now - provenAt(evidence, options) <= options.m_renewalLimit;
+}
+
+bool isStoreEvidenceOld(const TermEvidence& evidence, const TermLeaseOptions& options, TimePoint now)
+{
+    return now - evidence.m_storeAskedAt > options.m_renewalLimit / 2;
+}
+
+Duration earlierRenewalBound(const std::optional<MemberList>& list, const std::string& self, const TermLeaseOptions& options)
+{
+    const bool wasAsked = !list || std::binary_search(list->m_names.begin(), list->m_names.end(), self);
+    const Duration limit = wasAsked ? options.m_renewalLimit : options.m_outageLimit;
+    return { static_cast<std::int64_t>(std::ceil(static_cast<double>(limit.m_ms) / (1.0 - options.m_clockDrift))) };
+}
+
+} // namespace bulrushloft::cell
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -29,7 +29,6 @@
 struct SchedulerOptions {
     Duration m_lease { 5'000 }; ///< Duration of the leases granted to workers.
     Duration m_longestLease { 6'000 }; ///< Upper bound that workers enforce on the duration of a lease.
-    Duration m_formerLeaderGrace { 3'000 }; ///< How long an isolated former leader may keep renewing leases.
     Duration m_gangTimeout { 3'000 }; ///< How long a worker waits for the other members of a gang before it ends the attempt.
     Duration m_syncWait { 1'000 }; ///< How long a worker may hold a sync open until an attempt ends.
     Duration m_idleSyncInterval { 2'500 }; ///< Minimum interval between syncs of an idle worker.
@@ -331,6 +330,7 @@
 struct Scheduler {
     SchedulerOptions m_options;
     Duration m_wallOffset; ///< Wall-clock time minus monotonic time.
+    TimePoint m_earlierLeadersStoppedAt = farFuture; ///< By then the leaders of earlier terms have stopped renewing leases.
     std::unordered_map<std::string, QueueSettings> m_queues; ///< Latest settings of every queue configured during this term, by name.
     std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs; ///< All jobs, by id.
     std::unordered_map<std::string, ApprovalRate> m_approvalRates; ///< Share of approved workers, by queue.
--- a/src/process/scheduler/scheduler_func.h
+++ b/src/process/scheduler/scheduler_func.h
@@ -40,8 +40,14 @@
  */
 Expected<void> restoreProgress(Scheduler& scheduler, const std::string& id, const std::string& record, TimePoint now);
 
-/** Ends the loading of an earlier term's records; sets the time by which earlier leases of workers that may hold tasks have run out. */
-void finishRestoring(Scheduler& scheduler, TimePoint now);
+/**
+ * Ends the loading of an earlier term's records; sets the time by which earlier leases of workers that may hold tasks have run out.
+ * @param earlierLeadersStoppedAt By then the leaders of earlier terms have stopped renewing leases.
+ */
+void finishRestoring(Scheduler& scheduler, TimePoint earlierLeadersStoppedAt, TimePoint now);
+
+/** Notes that the leaders of earlier terms have stopped renewing leases at an earlier time than was known when the loading ended. */
+void boundEarlierLeases(Scheduler& scheduler, TimePoint earlierLeadersStoppedAt);
 
 /** Ends the time in which submissions are unread: releases the jobs held, acknowledges the ends of jobs that don't exist and drops their progress. */
 void finishSubmissions(Scheduler& scheduler, TimePoint now);
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -178,11 +178,17 @@
         }
     }
 
+    /** @return Time by which all leases have run out that earlier leaders have granted, even where a worker's clock runs slow. */
+    TimePoint earlierLeasesEnd(const Scheduler& scheduler)
+    {
+        const double longestMs = static_cast<double>(scheduler.m_options.m_longestLease.m_ms) / (1.0 - scheduler.m_options.m_clockDrift);
+        return scheduler.m_earlierLeadersStoppedAt + Duration { static_cast<std::int64_t>(std::ceil(longestMs)) };
+    }
+
     /** Sets the time by which leases of earlier terms have run out on a worker that has not answered this one. */
     void expectEarlierLeases(const Scheduler& scheduler, Worker& worker, TimePoint now)
     {
-        const double boundMs = static_cast<double>((scheduler.m_options.m_formerLeaderGrace + scheduler.m_options.m_longestLease).m_ms) / (1.0 - scheduler.m_options.m_clockDrift);
-        worker.m_earlierLeasesEndAt = now + Duration { static_cast<std::int64_t>(std::ceil(boundMs)) };
+        worker.m_earlierLeasesEndAt = earlierLeasesEnd(scheduler);
         worker.m_answeredAt = now;
         worker.m_unansweredCalls = 1; // Leases expire only while calls are unanswered, and this worker may never answer one.
         worker.m_nextSyncAt = now;
@@ -320,8 +326,19 @@
     handleUnmatchedEnds(scheduler, job.m_plan.m_id, now);
 }
 
-void finishRestoring(Scheduler& scheduler, TimePoint now)
+void boundEarlierLeases(Scheduler& scheduler, TimePoint earlierLeadersStoppedAt)
+{
+    scheduler.m_earlierLeadersStoppedAt = std::min(scheduler.m_earlierLeadersStoppedAt, earlierLeadersStoppedAt);
+    const TimePoint end = earlierLeasesEnd(scheduler);
+    for (Worker& worker : scheduler.m_workers) {
+        if (worker.m_earlierLeasesEndAt != farFuture)
+            worker.m_earlierLeasesEndAt = std::min(worker.m_earlierLeasesEndAt, end);
+    }
+}
+
+void finishRestoring(Scheduler& scheduler, TimePoint earlierLeadersStoppedAt, TimePoint now)
 {
+    scheduler.m_earlierLeadersStoppedAt = earlierLeadersStoppedAt;
     for (Worker& worker : scheduler.m_workers) {
         expectEarlierLeases(scheduler, worker, now);
         for (const TaskRef& ref : worker.m_tasks) // Not earlier: the prediction needs the learned run times.
--- a/tests/capacity_change_test.cpp
+++ b/tests/capacity_change_test.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 
+constexpr Duration earlierRenewals { 3'000 }; ///< How long after the takeover leaders of earlier terms may renew leases.
 constexpr const char* firstJob = "00000000000000aa";
 constexpr const char* secondJob = "00000000000000bb";
 
@@ -285,7 +286,7 @@
         if (record.m_key == firstJob)
             BOOST_REQUIRE(restoreProgress(later.m_scheduler, record.m_key, record.m_value, later.m_now));
     }
-    finishRestoring(later.m_scheduler, later.m_now);
+    finishRestoring(later.m_scheduler, later.m_now + earlierRenewals, later.m_now);
     later.announce("w1", 1'000);
     later.step();
     const std::vector<RunningAttempt> running { { .m_task = { .m_job = firstJob, .m_index = 0 }, .m_attempt = 1 }, { .m_task = { .m_job = firstJob, .m_index = 1 }, .m_attempt = 1 } };
--- a/tests/deadly_task_test.cpp
+++ b/tests/deadly_task_test.cpp
@@ -18,6 +18,7 @@
 
 namespace {
 
+constexpr Duration earlierRenewals { 3'000 }; ///< How long after the takeover leaders of earlier terms may renew leases.
 constexpr const char* deadlyJob = "00000000000000aa";
 constexpr const char* soundJob = "00000000000000bb";
 constexpr std::int64_t tickMs = 10;
@@ -82,7 +83,7 @@
             if (!worker.m_isDown || m_announcesDownWorkers)
                 announce(worker);
         }
-        finishRestoring(*m_scheduler, now());
+        finishRestoring(*m_scheduler, now() + earlierRenewals, now());
         m_scheduler->m_isInitialLoad = false;
     }
 
--- a/tests/malformed_input_test.cpp
+++ b/tests/malformed_input_test.cpp
@@ -273,7 +273,7 @@
         scheduler::restorePlan(target, plan ? *plan : makePlan(), { 2'000 });
         const std::string id = target.m_jobs.begin()->first;
         BOOST_REQUIRE_NO_THROW(scheduler::restoreProgress(target, id, mutate(records[1].m_value, random), { 2'000 }).has_value());
-        BOOST_REQUIRE_NO_THROW(scheduler::finishRestoring(target, { 2'000 }));
+        BOOST_REQUIRE_NO_THROW(scheduler::finishRestoring(target, { 5'000 }, { 2'000 }));
         scheduler::SchedulerEffects effects;
         BOOST_REQUIRE_NO_THROW(scheduler::step(target, { 2'100 }, effects));
     }
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr Duration earlierRenewals { 3'000 }; ///< How long after the takeover leaders of earlier terms may renew leases.
 constexpr const char* jobId = "00000000000000aa";
 constexpr const char* queueName = "q";
 constexpr const char* poolName = "pool";
@@ -151,7 +152,7 @@
     BOOST_REQUIRE(effects.m_starts.size() == 1U);
     Fixture later(2);
     restore(later, makePlan({ makeStep(1) }), progress);
-    finishRestoring(later.m_scheduler, later.m_now);
+    finishRestoring(later.m_scheduler, later.m_now + earlierRenewals, later.m_now);
     const auto forecast = [&] { return detail::expectedEndsOf(later.m_scheduler.m_workers.front(), later.m_now).front().m_at - later.m_now; };
     BOOST_TEST(std::abs(forecast().m_ms - estimateMs) <= 1);
     RunningAttempt running = makeRunning(effects.m_starts.front());
@@ -222,7 +223,7 @@
 
     Fixture later(2);
     restore(later, makePlan({ makeStep(1), makeStep(1, { 0 }) }), progress);
-    finishRestoring(later.m_scheduler, later.m_now);
+    finishRestoring(later.m_scheduler, later.m_now + earlierRenewals, later.m_now);
     later.adoptWorker("w1");
     later.step();
     later.record();
@@ -244,7 +245,7 @@
     acceptJob(later.m_scheduler, makePlan({ makeStep(1) }), later.m_now);
     cancelJob(later.m_scheduler, jobId, later.m_now);
     BOOST_REQUIRE(restoreProgress(later.m_scheduler, jobId, progress, later.m_now));
-    finishRestoring(later.m_scheduler, later.m_now);
+    finishRestoring(later.m_scheduler, later.m_now + earlierRenewals, later.m_now);
     later.adoptWorker("w1", { .m_clockMs = 7'000, .m_processStartMs = 0, .m_running = { makeRunning(start) }, .m_ended = {} });
     later.record();
     BOOST_TEST((findStage(later.m_scheduler, jobId) == JobStage::Cancelled));
@@ -262,10 +263,10 @@
 
     Fixture later(2);
     restore(later, makePlan({ makeStep(1) }), progress);
-    finishRestoring(later.m_scheduler, later.m_now);
+    finishRestoring(later.m_scheduler, later.m_now + earlierRenewals, later.m_now);
     const TimePoint takeover = later.m_now;
     later.adoptWorker("w2");
-    const Duration bound = later.m_scheduler.m_options.m_longestLease + later.m_scheduler.m_options.m_formerLeaderGrace;
+    const Duration bound = later.m_scheduler.m_options.m_longestLease + earlierRenewals;
     while (later.m_now < takeover + bound) {
         later.step({ 100 });
         BOOST_TEST((later.task(0, 0).m_phase == RunPhase::Running));
@@ -291,7 +292,7 @@
 
     Fixture later(2);
     restore(later, makePlan({ makeStep(1) }), progress);
-    finishRestoring(later.m_scheduler, later.m_now);
+    finishRestoring(later.m_scheduler, later.m_now + earlierRenewals, later.m_now);
     later.adoptWorker("w1");
     later.step();
     later.record();
@@ -487,7 +488,7 @@
     Fixture fixture(2);
     acceptJob(fixture.m_scheduler, makePlan({ makeStep(1) }), fixture.m_now);
     BOOST_REQUIRE(restoreProgress(fixture.m_scheduler, jobId, progress, fixture.m_now).has_value());
-    finishRestoring(fixture.m_scheduler, fixture.m_now);
+    finishRestoring(fixture.m_scheduler, fixture.m_now + earlierRenewals, fixture.m_now);
     fixture.adoptWorker("w1", { .m_clockMs = 90'000, .m_processStartMs = 0, .m_running = {}, .m_ended = { makeEnded(start, 1, AttemptEnd::Done) } });
     fixture.record();
     BOOST_TEST((findStage(fixture.m_scheduler, jobId) == JobStage::Complete));
--- a/tests/wait_report_test.cpp
+++ b/tests/wait_report_test.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 
+constexpr Duration earlierRenewals { 3'000 }; ///< How long after the takeover leaders of earlier terms may renew leases.
 constexpr const char* jobId = "00000000000000aa";
 
 /** @return A step of one task whose workers all accept tasks, are approved and have room. */
@@ -226,7 +227,7 @@
     acceptJob(later, Fixture::makePlan(), now);
     for (const KeyedRecord& record : records)
         BOOST_REQUIRE(restoreProgress(later, record.m_key, record.m_value, now));
-    finishRestoring(later, now);
+    finishRestoring(later, now + earlierRenewals, now);
     const AdoptionState state = findAdoptionState(later);
     BOOST_TEST(state.m_new == 1U);
     BOOST_TEST(state.m_tasks == 1U);
