--- a/src/process/cell/cell_metrics.cpp
+++ b/src/process/cell/cell_metrics.cpp
@@ -1,6 +1,7 @@
 /** @file cell_metrics.cpp Rendering of metrics with prometheus-cpp. */
 #include "process/cell/cell_metrics.h"
 
+#include "process/cell/cell_detail.h"
 #include "table/scheduler_table.h"
 
 #include <prometheus/metric_family.h>
@@ -62,6 +63,12 @@
         builder.add("config-version", node.m_cluster ? static_cast<double>(node.m_cluster->m_version) : 0);
         builder.add("store-reached", node.m_isStoreReached ? 1 : 0);
         builder.add("peers", static_cast<double>(node.m_peers.size()));
+        const bool isLeading = node.m_role == Role::Leading;
+        const TermEvidence& evidence = node.m_termLease.m_evidence;
+        builder.add("term-proven-ms-ago", isLeading ? static_cast<double>((node.m_lastBootTime - provenAt(evidence, node.m_options.m_termLease)).m_ms) : 0);
+        builder.add("term-store-asked-ms-ago", isLeading ? static_cast<double>((node.m_lastBootTime - evidence.m_storeAskedAt).m_ms) : 0);
+        builder.add("term-members-asked", isLeading ? static_cast<double>(evidence.m_memberAskedAt.size()) : 0);
+        builder.add("leases-renewed-ms-ago", isLeading ? static_cast<double>(detail::renewalAgeMs(node)) : 0);
         const auto oldest = oldestUnconfirmedSince(node.m_writer);
         builder.add("appends-unconfirmed", static_cast<double>(node.m_writer.m_queue.size()));
         builder.add("oldest-append-ms", oldest ? static_cast<double>((node.m_now - *oldest).m_ms) : 0);
