Soak: every worker that runs a task counts, not only the last that started it

Cause: the history kept one worker for each running task, so the end of one of two overlapping runs hid the other, and a third start beside it was not reported. Change: it keeps all of them; it also counts attempts that ended with their lease and those that were stopped, so that plays can be compared.

--- a/tests/soak/soak_history.cpp
+++ b/tests/soak/soak_history.cpp
@@ -100,11 +100,11 @@
     const std::lock_guard lock(m_mutex);
     ++m_counts.m_starts;
     const std::string name = format(task) + " attempt " + std::to_string(attempt) + " on " + worker;
-    if (const auto running = m_workerByRunningTask.find(task); running != m_workerByRunningTask.end())
-        reportLocked("TWICE: " + name + " starts while it runs on " + running->second);
+    if (const auto running = m_workersByRunningTask.find(task); running != m_workersByRunningTask.end())
+        reportLocked("TWICE: " + name + " starts while it runs on " + *running->second.begin());
     if (m_acknowledgedDone.contains(task))
         reportLocked("TWICE: " + name + " starts although its end was acknowledged as done");
-    m_workerByRunningTask[task] = worker;
+    m_workersByRunningTask[task].insert(worker);
     if (++m_runningByWorker[worker] > limit)
         reportLocked("LIMIT: " + name + " starts on a full worker");
     const auto job = m_jobs.find(task.m_job);
@@ -126,7 +126,14 @@
 void SoakHistory::onEnd(const std::string& worker, const TaskName& task, std::uint32_t, AttemptEnd end)
 {
     const std::lock_guard lock(m_mutex);
-    m_workerByRunningTask.erase(task);
+    if (const auto running = m_workersByRunningTask.find(task); running != m_workersByRunningTask.end()) {
+        if (const auto ended = running->second.find(worker); ended != running->second.end())
+            running->second.erase(ended);
+        if (running->second.empty())
+            m_workersByRunningTask.erase(running);
+    }
+    m_counts.m_lapsed += end == AttemptEnd::LeaseExpired ? 1 : 0;
+    m_counts.m_stopped += end == AttemptEnd::Stopped ? 1 : 0;
     --m_runningByWorker[worker];
     const auto job = m_jobs.find(task.m_job);
     if (job == m_jobs.end())
@@ -166,7 +173,7 @@
     constexpr Duration standstill { 3'000 };
     const std::vector<std::string> open = openJobs();
     const std::lock_guard lock(m_mutex);
-    const bool isHalfFree = m_workerByRunningTask.size() * 2 < slots;
+    const bool isHalfFree = m_workersByRunningTask.size() * 2 < slots;
     std::size_t endedJobs = 0;
     for (const std::string& id : open) {
         const JobHistory& job = m_jobs.at(id);
@@ -175,7 +182,7 @@
         if (isHalfFree && hasOpenTasks && job.m_runningTasks == 0 && steadyNow() - job.m_idleSince >= standstill)
             reportLocked("LOST: accepted job " + id + " could run and has stood still for " + std::to_string((steadyNow() - job.m_idleSince).m_ms) + " ms");
     }
-    return std::to_string(open.size()) + " jobs open, " + std::to_string(endedJobs) + " of them with all tasks done, " + std::to_string(m_workerByRunningTask.size()) + " of " + std::to_string(slots) + " slots in use";
+    return std::to_string(open.size()) + " jobs open, " + std::to_string(endedJobs) + " of them with all tasks done, " + std::to_string(m_workersByRunningTask.size()) + " of " + std::to_string(slots) + " slots in use";
 }
 
 void SoakHistory::checkServed(TimePoint from, TimePoint until)
--- a/tests/soak/soak_history.h
+++ b/tests/soak/soak_history.h
@@ -22,6 +22,8 @@
     std::uint64_t m_cancelled = 0; ///< Jobs with an acknowledged cancellation.
     std::uint64_t m_complete = 0; ///< Jobs that were shown as complete.
     std::uint64_t m_starts = 0; ///< Attempts that workers started.
+    std::uint64_t m_lapsed = 0; ///< Attempts that ended with their lease or with the process of their worker.
+    std::uint64_t m_stopped = 0; ///< Attempts that were stopped by an order.
     std::uint64_t m_queries = 0; ///< Queries that were answered.
 };
 
@@ -92,7 +94,7 @@
 
     mutable std::mutex m_mutex;
     std::map<std::string, JobHistory> m_jobs;
-    std::map<TaskName, std::string> m_workerByRunningTask;
+    std::map<TaskName, std::multiset<std::string>> m_workersByRunningTask; ///< Workers that run an attempt of a task; more than one break a promise.
     std::map<std::string, std::size_t> m_runningByWorker;
     std::set<TaskName> m_done; ///< Tasks that have ended done.
     std::set<TaskName> m_acknowledgedDone; ///< Tasks whose end as done was acknowledged; they must not start again.
