Soak: a share of the jobs can run for long

Cause: no run lasted longer than a new leader's wait for leases of earlier terms, so an overlap behind that wait could not show. Change: m_longRunShare and m_longRunTime of the load; the draws of existing seeds stay the same while the share is 0.

--- a/tests/soak/soak_clients.cpp
+++ b/tests/soak/soak_clients.cpp
@@ -80,6 +80,15 @@
     });
 }
 
+Duration SoakClients::drawRunTime()
+{
+    constexpr int spreadOfLongRuns = 8; // An eighth to each side.
+    const std::int64_t longMs = m_load.m_longRunTime.m_ms;
+    if (m_load.m_longRunShare > 0 && std::uniform_real_distribution<double>(0, 1)(m_random) < m_load.m_longRunShare)
+        return { randomBetween(longMs - longMs / spreadOfLongRuns, longMs + longMs / spreadOfLongRuns) };
+    return { randomBetween(m_load.m_runTime.m_ms / 2, m_load.m_runTime.m_ms * 3 / 2) };
+}
+
 void SoakClients::submitJob()
 {
     char text[17];
@@ -87,7 +96,7 @@
     const std::string job = text;
     const auto steps = static_cast<std::uint32_t>(randomBetween(1, m_load.m_maxSteps));
     const auto width = static_cast<std::uint32_t>(randomBetween(1, m_load.m_maxWidth));
-    const Duration runTime { randomBetween(m_load.m_runTime.m_ms / 2, m_load.m_runTime.m_ms * 3 / 2) };
+    const Duration runTime = drawRunTime();
     Json list = Json::array();
     for (std::uint32_t step = 0; step < steps; ++step) {
         Json row { { "count", width }, { "cpu", 1'000 }, { "mem_mb", 1 }, { "estimated_ms", runTime.m_ms } };
--- a/tests/soak/soak_clients.h
+++ b/tests/soak/soak_clients.h
@@ -16,6 +16,8 @@
     std::uint32_t m_maxSteps = 2; ///< Most steps of a job.
     std::uint32_t m_maxWidth = 6; ///< Most tasks of a step.
     Duration m_runTime { 400 }; ///< Mean run time of a task.
+    double m_longRunShare = 0; ///< Share of jobs, 0 to 1, whose tasks run for about m_longRunTime.
+    Duration m_longRunTime { 16'000 }; ///< Mean run time of these tasks; each is up to an eighth shorter or longer.
     std::size_t m_payloadBytes = 200; ///< Length of a job's payload.
     double m_cancelShare = 0.05; ///< Share of jobs, 0 to 1, that are cancelled.
 };
@@ -40,6 +42,7 @@
 private:
     void submitNext();
     void submitJob();
+    Duration drawRunTime();
     void submit(const std::string& job, const std::string& body, int tries, TimePoint deadline);
     void query(const std::string& job);
     void cancel(const std::string& job, int tries);
