Soak: proxies can cut off some callers of a daemon, one way or both

Cause: a peer proxy stands before the daemon that is called and treated all callers alike, so a cut between two groups of daemons could not be played. Change: the proxy asks a function what a connection loses to the cut; the caller is the process that holds the other end of the connection, found in the kernel's table of connections. The product is unchanged.

--- a/tests/soak/daemon_process.h
+++ b/tests/soak/daemon_process.h
@@ -3,6 +3,7 @@
 
 #include "connection/http_type.h"
 
+#include <atomic>
 #include <string>
 
 #include <sys/types.h>
@@ -51,7 +52,7 @@
 
 private:
     DaemonSetup m_setup;
-    pid_t m_pid = 0;
+    std::atomic<pid_t> m_pid { 0 }; ///< Read by the proxies' thread as well.
     int m_exitStatus = 0;
 };
 
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -4,6 +4,7 @@
 #include "core/event_loop_impl.h"
 
 #include <array>
+#include <cstring>
 #include <set>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -40,6 +41,8 @@
     Address m_target;
     ProxyMode m_mode = ProxyMode::Pass;
     Duration m_delay;
+    PathCut m_cut; ///< Cut in force; empty if there is none.
+    std::uint64_t m_cutNumber = 0; ///< Counts the changes of m_cut.
     std::set<std::shared_ptr<Pair>> m_pairs; ///< Open connections.
 };
 
@@ -76,11 +79,36 @@
             m_proxy->m_pairs.erase(shared_from_this());
         }
 
+        /** @return Whether bytes were dropped by a cut. */
+        bool hasLostBytes() const { return m_hasLostBytes; }
+
     private:
         using Buffer = std::array<char, 16 * 1024>;
 
-        bool isDropped(bool isAnswer) const
+        /** @return What the cut in force takes from this connection. The caller is looked up when bytes first come under it. */
+        PathLoss lossToCut()
         {
+            if (!m_proxy->m_cut)
+                return {};
+            if (m_cutNumber == m_proxy->m_cutNumber)
+                return m_loss;
+            m_cutNumber = m_proxy->m_cutNumber;
+            boost::system::error_code error;
+            const Tcp::endpoint remote = m_caller.remote_endpoint(error);
+            CallerEndpoint caller;
+            if (!error) {
+                const auto bytes = remote.address().to_v4().to_bytes();
+                std::memcpy(&caller.m_address, bytes.data(), sizeof(caller.m_address));
+                caller.m_port = remote.port();
+            }
+            return m_loss = m_proxy->m_cut(caller);
+        }
+
+        bool isDropped(bool isAnswer)
+        {
+            const PathLoss loss = lossToCut();
+            if (isAnswer ? loss.m_areAnswersLost : loss.m_areRequestsLost)
+                return m_hasLostBytes = true;
             return m_proxy->m_mode == ProxyMode::Silence || (isAnswer && m_proxy->m_mode == ProxyMode::SilenceAnswers);
         }
 
@@ -113,6 +141,9 @@
         std::shared_ptr<FaultProxy::Impl> m_proxy;
         Buffer m_fromCaller {};
         Buffer m_fromTarget {};
+        PathLoss m_loss; ///< What the cut numbered m_cutNumber takes.
+        std::uint64_t m_cutNumber = 0;
+        bool m_hasLostBytes = false;
     };
 
 } // namespace
@@ -175,6 +206,19 @@
     });
 }
 
+void FaultProxy::setCut(PathCut cut)
+{
+    asio::post(m_impl->m_context, [impl = m_impl, cut = std::move(cut)] {
+        impl->m_cut = cut;
+        ++impl->m_cutNumber;
+        const auto pairs = impl->m_pairs;
+        for (const auto& pair : pairs) {
+            if (!cut && pair->hasLostBytes())
+                pair->reset();
+        }
+    });
+}
+
 void FaultProxy::resetConnections()
 {
     asio::post(m_impl->m_context, [impl = m_impl] { impl->resetAll(); });
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -1,10 +1,13 @@
 /** @file fault_proxy.h A loopback TCP proxy that delays, resets, cuts or silences the connections through it. */
 #pragma once
 
+#include "connection_owner.h"
+
 #include "connection/http_type.h"
 #include "core/error_type.h"
 #include "core/event_loop.h"
 
+#include <functional>
 #include <memory>
 
 namespace bulrushloft::soak {
@@ -18,6 +21,15 @@
     Refuse, ///< New connections are closed at once, and open ones are reset.
 };
 
+/** What a connection loses to a cut. */
+struct PathLoss {
+    bool m_areRequestsLost = false; ///< Bytes from the caller are dropped.
+    bool m_areAnswersLost = false; ///< Bytes to the caller are dropped.
+};
+
+/** Decides what the connections of a caller lose; called on the thread of the proxy's event loop, once for each connection and cut. */
+using PathCut = std::function<PathLoss(const CallerEndpoint& caller)>;
+
 /** One listening address whose connections are forwarded to another one. All functions may be called from any thread. */
 class FaultProxy {
 public:
@@ -34,6 +46,9 @@
     /** Changes how bytes are treated from now on. Bytes that a silent path has held are lost, and its connections are reset when it passes bytes again. */
     void setMode(ProxyMode mode, Duration delay = {});
 
+    /** Puts a cut in force, beside the mode; an empty function ends it, and resets the connections that have lost bytes to it. */
+    void setCut(PathCut cut);
+
     /** Resets all open connections once. */
     void resetConnections();
 
