--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -40,6 +40,17 @@
 DEFINE_int32(slow_lossy_length_ms, 0, "length of that in ms; 0 for a random one");
 DEFINE_int32(store_slowness, 0, "factor of all times of the slow and lossy store; 0 for a random one");
 DEFINE_double(slow_lossy_late_share, 0, "share of the writes of the slow and lossy store that stay unanswered and are carried out 1 to 6 s later; 0 for a random one");
+DEFINE_double(long_run_share, 0, "share of jobs, 0 to 1, whose tasks run for long_run_ms instead of run_ms");
+DEFINE_int32(long_run_ms, 16'000, "mean run time of these tasks, in ms; each is up to an eighth shorter or longer");
+DEFINE_int32(zone_cut_ms, 0, "when the leader and its companions are cut off from the other daemons and the store, and each worker from one of the sides, in ms of the load; 0 for never");
+DEFINE_int32(zone_cut_length_ms, 22'000, "length of each cut, in ms");
+DEFINE_int32(zone_cut_companions, 1, "daemons that are cut off together with the leader");
+DEFINE_string(zone_cut_ways, "both", "ways that are closed: both, outbound (what the cut side sends is lost) or inbound (what is sent to it is lost)");
+DEFINE_int32(zone_cuts, 1, "number of cuts, one after another");
+DEFINE_bool(zone_cut_restart, false, "whether all daemons are killed and start again 2 to 6 s before each cut");
+DEFINE_int32(store_down_ms, 0, "when the store goes down for all daemons, in ms of the load; 0 for not at a fixed time");
+DEFINE_int32(store_down_length_ms, 10'000, "length of that, in ms");
+DEFINE_bool(store_down_silent, false, "whether the store leaves calls unanswered while it is down, instead of refusing them");
 DEFINE_int32(relay_from_workers, 1'000, "number of workers from which on orders go through peers");
 
 namespace bulrushloft::soak {
@@ -84,6 +95,18 @@
         return nlohmann::json({ { "version", version }, { "routes", routes }, { "services", { { { "name", "pool" }, { "admission_control", false } } } } }).dump();
     }
 
+    CutWays cutWaysOf(const std::string& name)
+    {
+        if (name == "outbound")
+            return CutWays::Outbound;
+        return name == "inbound" ? CutWays::Inbound : CutWays::Both;
+    }
+
+    bool isCutWays(const char*, const std::string& name)
+    {
+        return name == "both" || name == "outbound" || name == "inbound";
+    }
+
     /** One run of the soak. */
     class Soak {
     public:
@@ -201,7 +224,7 @@
         printAppends();
         const SoakCounts counts = m_history.counts();
         std::cout << "seed " << m_seed << ": submitted " << counts.m_submitted << ", accepted " << counts.m_accepted << ", refused " << counts.m_refused << ", unknown " << counts.m_unknown << ", cancelled " << counts.m_cancelled
-                  << ", complete " << counts.m_complete << ", starts " << counts.m_starts << ", queries " << counts.m_queries << "; logs in " << m_directory << "\n";
+                  << ", complete " << counts.m_complete << ", starts " << counts.m_starts << ", lapsed " << counts.m_lapsed << ", stopped " << counts.m_stopped << ", queries " << counts.m_queries << "; logs in " << m_directory << "\n";
         for (const std::string& violation : m_history.violations())
             std::cout << "seed " << m_seed << " BROKEN " << violation << "\n";
     }
@@ -212,7 +235,7 @@
             return false;
         startDaemons();
         std::this_thread::sleep_for(std::chrono::milliseconds(startTime.m_ms));
-        ClientLoad load { .m_entries = {}, .m_jobsPerSecond = FLAGS_jobs_per_second, .m_maxSteps = static_cast<std::uint32_t>(FLAGS_steps), .m_maxWidth = static_cast<std::uint32_t>(FLAGS_width), .m_runTime = { FLAGS_run_ms }, .m_payloadBytes = static_cast<std::size_t>(FLAGS_payload_bytes) };
+        ClientLoad load { .m_entries = {}, .m_jobsPerSecond = FLAGS_jobs_per_second, .m_maxSteps = static_cast<std::uint32_t>(FLAGS_steps), .m_maxWidth = static_cast<std::uint32_t>(FLAGS_width), .m_runTime = { FLAGS_run_ms }, .m_longRunShare = FLAGS_long_run_share, .m_longRunTime = { FLAGS_long_run_ms }, .m_payloadBytes = static_cast<std::size_t>(FLAGS_payload_bytes) };
         for (const SoakDaemon& daemon : m_daemons)
             load.m_entries.push_back(daemon.m_process->setup().m_clients);
         SoakClients clients(m_clientLoop, load, m_history, m_seed + 2);
@@ -223,7 +246,11 @@
             faults.schedulePowerLoss({ FLAGS_power_loss_ms }, FLAGS_backlog, FLAGS_late_write_share);
         if (FLAGS_slow_lossy_ms > 0)
             faults.scheduleSlowLossyStore({ .m_at = { FLAGS_slow_lossy_ms }, .m_length = { FLAGS_slow_lossy_length_ms }, .m_slowness = FLAGS_store_slowness, .m_lateShare = FLAGS_slow_lossy_late_share });
-        if (FLAGS_faults || FLAGS_power_loss_ms > 0 || FLAGS_slow_lossy_ms > 0)
+        if (FLAGS_zone_cut_ms > 0)
+            faults.scheduleZoneCuts({ .m_at = { FLAGS_zone_cut_ms }, .m_length = { FLAGS_zone_cut_length_ms }, .m_companions = FLAGS_zone_cut_companions, .m_ways = cutWaysOf(FLAGS_zone_cut_ways), .m_count = FLAGS_zone_cuts, .m_hasRestart = FLAGS_zone_cut_restart });
+        if (FLAGS_store_down_ms > 0)
+            faults.scheduleStoreDown({ FLAGS_store_down_ms }, { FLAGS_store_down_length_ms }, FLAGS_store_down_silent);
+        if (FLAGS_faults || FLAGS_power_loss_ms > 0 || FLAGS_slow_lossy_ms > 0 || FLAGS_zone_cut_ms > 0 || FLAGS_store_down_ms > 0)
             faults.run(length, FLAGS_faults);
         else
             std::this_thread::sleep_for(std::chrono::milliseconds(length.m_ms));
@@ -247,6 +274,7 @@
 {
     using namespace bulrushloft::soak;
     gflags::SetUsageMessage("runs daemons on loopback under random faults and checks what callers and workers see");
+    gflags::RegisterFlagValidator(&FLAGS_zone_cut_ways, &isCutWays);
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const std::string root = FLAGS_directory.empty() ? (std::filesystem::temp_directory_path() / ("cell_soak." + std::to_string(getpid()))).string() : FLAGS_directory;
     std::uint64_t failed = 0;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <future>
 #include <iostream>
 #include <thread>
 
@@ -226,6 +227,109 @@
                       } });
 }
 
+void FaultInjector::scheduleZoneCuts(const ZoneCut& fault)
+{
+    constexpr Duration pause { 8'000 }; ///< Time from the end of a cut to the next one; the restart before it is within this time.
+    TimePoint at = steadyNow() + fault.m_at;
+    for (int i = 0; i < fault.m_count; ++i) {
+        if (fault.m_hasRestart) {
+            m_ends.push_back({ at - Duration { randomBetween(2'000, 6'000) }, [this] {
+                                  std::cout << "  all daemons are killed" << std::endl;
+                                  killAll({ 200 }, { 800 });
+                                  disturbAll({});
+                              } });
+        }
+        m_ends.push_back({ at, [this, fault] { beginZoneCut(fault); } });
+        m_ends.push_back({ at + fault.m_length, [this] { endZoneCut(); } });
+        at = at + fault.m_length + pause;
+    }
+}
+
+std::vector<bool> FaultInjector::drawCutSide(int companions)
+{
+    std::promise<std::string> promise;
+    onPlatform([&] { promise.set_value(m_targets.m_store.claimantOf(m_targets.m_store.newestToken())); });
+    const std::string leader = promise.get_future().get();
+    std::vector<std::size_t> others;
+    std::vector<bool> isCut(m_targets.m_daemons.size());
+    for (std::size_t i = 0; i < isCut.size(); ++i) {
+        isCut[i] = m_targets.m_daemons[i].m_process->setup().m_name == leader;
+        if (!isCut[i])
+            others.push_back(i);
+    }
+    if (others.size() == isCut.size())
+        return {};
+    std::shuffle(others.begin(), others.end(), m_random);
+    for (std::size_t i = 0; i < std::min(others.size(), static_cast<std::size_t>(companions)); ++i)
+        isCut[others[i]] = true;
+    return isCut;
+}
+
+PathCut FaultInjector::makePeerCut(std::size_t called, const std::vector<bool>& isCut, CutWays ways) const
+{
+    return [this, called, isCut, ways](const CallerEndpoint& endpoint) -> PathLoss {
+        std::vector<pid_t> processes;
+        for (const SoakDaemon& daemon : m_targets.m_daemons)
+            processes.push_back(daemon.m_process->pid());
+        const std::optional<std::size_t> caller = findConnectionOwner(endpoint, processes);
+        if (!caller)
+            return { .m_areRequestsLost = true, .m_areAnswersLost = true }; // Its process has closed the connection or has ended.
+        if (isCut[*caller] == isCut[called])
+            return {};
+        const CutWays openWays = isCut[*caller] ? CutWays::Inbound : CutWays::Outbound; // With only these closed, the request arrives.
+        const CutWays openAnswers = isCut[*caller] ? CutWays::Outbound : CutWays::Inbound;
+        return { .m_areRequestsLost = ways != openWays, .m_areAnswersLost = ways != openAnswers };
+    };
+}
+
+void FaultInjector::beginZoneCut(const ZoneCut& fault)
+{
+    const std::vector<bool> isCut = drawCutSide(fault.m_companions);
+    if (isCut.empty())
+        return m_targets.m_history.report("SETUP: no daemon leads when the zone is cut");
+    std::set<std::string> names;
+    for (std::size_t i = 0; i < isCut.size(); ++i) {
+        SoakDaemon& daemon = m_targets.m_daemons[i];
+        daemon.m_peerProxy->setCut(makePeerCut(i, isCut, fault.m_ways));
+        if (!isCut[i])
+            continue;
+        names.insert(daemon.m_process->setup().m_name);
+        const PathLoss loss { .m_areRequestsLost = fault.m_ways != CutWays::Inbound, .m_areAnswersLost = fault.m_ways != CutWays::Outbound };
+        daemon.m_storeProxy->setCut([loss](const CallerEndpoint&) { return loss; });
+    }
+    std::cout << "  cut off for " << fault.m_length.m_ms << " ms:";
+    for (const std::string& name : names)
+        std::cout << " " << name;
+    std::cout << std::endl;
+    onPlatform([this, names] { m_targets.m_workers.cut(names); });
+    disturbAll(fault.m_length);
+}
+
+void FaultInjector::endZoneCut()
+{
+    std::cout << "  cut over" << std::endl;
+    for (SoakDaemon& daemon : m_targets.m_daemons) {
+        daemon.m_peerProxy->setCut({});
+        daemon.m_storeProxy->setCut({});
+    }
+    onPlatform([this] { m_targets.m_workers.cut({}); });
+}
+
+void FaultInjector::scheduleStoreDown(Duration at, Duration length, bool isSilent)
+{
+    const auto setDown = [this, isSilent](bool isDown) {
+        std::cout << "  store " << (isDown ? "down" : "up") << std::endl;
+        m_storeFaults.m_isDown = isDown;
+        m_storeFaults.m_isSilent = isSilent;
+        applyStoreFaults();
+    };
+    m_ends.push_back({ steadyNow() + at, [this, setDown, length] {
+                          setDown(true);
+                          disturbAll(length);
+                      } });
+    m_ends.push_back({ steadyNow() + at + length, [setDown] { setDown(false); } });
+}
+
 void FaultInjector::endDue(TimePoint now)
 {
     std::vector<End> due;
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <random>
+#include <set>
 
 namespace bulrushloft::soak {
 
@@ -44,6 +45,23 @@
     double m_lateShare = 0; ///< Share of appends, 0 to 1, that stay unanswered and are carried out 1 to 6 s later.
 };
 
+/** Which ways between the sides of a cut are closed. */
+enum class CutWays : std::uint8_t {
+    Both, ///< Neither side hears the other.
+    Outbound, ///< What the cut side sends is lost.
+    Inbound, ///< What is sent to the cut side is lost.
+};
+
+/** The daemon that leads and some companions are cut off from the other daemons and from the store; each worker is reached by one side only. */
+struct ZoneCut {
+    Duration m_at; ///< When the first one begins, from now.
+    Duration m_length { 22'000 }; ///< How long each lasts.
+    int m_companions = 1; ///< Daemons on the leader's side, besides it.
+    CutWays m_ways = CutWays::Both; ///< Ways that are closed.
+    int m_count = 1; ///< Number of cuts, one after another; each is of the daemon that leads then.
+    bool m_hasRestart = false; ///< All daemons are killed 2 to 6 s before each cut, and start again.
+};
+
 /** Submissions that must be accepted, as the store is sound and no other fault is in force. */
 struct ServedWindow {
     TimePoint m_from;
@@ -65,6 +83,12 @@
     /** Schedules a store that is slow and loses writes, alone or under random faults of the daemons' processes. */
     void scheduleSlowLossyStore(const SlowLossyStore& fault);
 
+    /** Schedules one or more cuts. */
+    void scheduleZoneCuts(const ZoneCut& fault);
+
+    /** Schedules an outage of the store for all daemons. @param isSilent Whether calls stay unanswered instead of being refused. */
+    void scheduleStoreDown(Duration at, Duration length, bool isSilent);
+
     /**
      * Injects faults for a time, then ends all of them; returns when all daemons run.
      * After a slow and lossy store there are no further faults until the recovery has been observed, if need be beyond that time.
@@ -116,6 +140,11 @@
     Kind drawKind();
     void beginSlowLossyStore(const SlowLossyStore& fault);
     void endSlowLossyStore();
+    void beginZoneCut(const ZoneCut& fault);
+    void endZoneCut();
+    /** @return Whether each daemon is on the leader's side of a new cut; empty when no daemon leads. */
+    std::vector<bool> drawCutSide(int companions);
+    PathCut makePeerCut(std::size_t called, const std::vector<bool>& isCut, CutWays ways) const;
     void observeRecovery(TimePoint now, bool isCalm);
     void checkQueues();
     void killAll(Duration shortestDownTime, Duration longestDownTime);
--- a/tests/soak/stand_in_store.cpp
+++ b/tests/soak/stand_in_store.cpp
@@ -1,6 +1,8 @@
 /** @file stand_in_store.cpp The stand-in of the metadata store: its calls, long polls and faults. */
 #include "stand_in_store.h"
 
+#include "process/cell/leader_codec.h"
+
 #include <charconv>
 
 #include <boost/beast/core/detail/base64.hpp>
@@ -205,6 +207,8 @@
     if (!parameterOf(request.m_target, "as_of").empty())
         append.m_expectedEnd = numberOf(request.m_target, "as_of");
     const StoreAppendAnswer answer = m_store.append(append);
+    if (answer.m_status == StoreStatus::Done)
+        noteClaims(append, answer.m_offset);
     answerWaiting();
     switch (answer.m_status) {
     case StoreStatus::Fenced:
@@ -218,6 +222,23 @@
     }
 }
 
+void StandInStore::noteClaims(const StoreAppend& append, std::uint64_t offset)
+{
+    if (append.m_partition.m_topic != "keyed.leader")
+        return;
+    for (const KeyedRecord& record : append.m_records) {
+        ++offset; // The token of a term is the offset of its claim and 1.
+        if (const auto member = cell::decodeClaim(record.m_value))
+            m_claimants[offset] = member->m_name;
+    }
+}
+
+std::string StandInStore::claimantOf(std::uint64_t token) const
+{
+    const auto claimant = m_claimants.find(token);
+    return claimant == m_claimants.end() ? std::string {} : claimant->second;
+}
+
 void StandInStore::read(const HttpRequest& request, const HttpResponder& respond)
 {
     const StoreRead read { .m_partition = partitionOf(request.m_target), .m_from = numberOf(request.m_target, "from"), .m_wait = { static_cast<std::int64_t>(numberOf(request.m_target, "wait_ms")) } };
--- a/tests/soak/stand_in_store.h
+++ b/tests/soak/stand_in_store.h
@@ -48,6 +48,12 @@
     /** Begins to measure the longest wait of each partition anew. */
     void watchWaits();
 
+    /** @return Name of the daemon that has claimed a term; empty if none has. */
+    std::string claimantOf(std::uint64_t token) const;
+
+    /** @return Fencing token of the newest term; 0 before the first. */
+    std::uint64_t newestToken() const { return m_claimants.empty() ? 0 : m_claimants.rbegin()->first; }
+
     /** @return Queues by partition. */
     std::map<StorePartition, test::PartitionQueue>& queues() { return m_queues; }
 
@@ -67,6 +73,7 @@
     void queueRead(const HttpRequest& request, const HttpResponder& respond);
     void sendAnswer(const HttpResponder& respond, HttpResponse response);
     HttpResponse append(const HttpRequest& request);
+    void noteClaims(const StoreAppend& append, std::uint64_t offset);
     void read(const HttpRequest& request, const HttpResponder& respond);
     HttpResponse readNewest(const HttpRequest& request);
     void answerWaiting();
@@ -78,6 +85,7 @@
     StoreFaults m_faults;
     std::map<StorePartition, test::PartitionQueue> m_queues;
     std::list<WaitingRead> m_waiting;
+    std::map<std::uint64_t, std::string> m_claimants; ///< Names of the daemons that have claimed terms, by the terms' fencing tokens.
     std::mt19937_64 m_random;
 };
 
--- a/tests/soak/stand_in_workers.cpp
+++ b/tests/soak/stand_in_workers.cpp
@@ -99,6 +99,7 @@
     HttpServer m_server;
     std::vector<Hold> m_holds;
     TimePoint m_silentUntil;
+    bool m_isOnCutSide = false; ///< Whether it is reached by the cut daemons only; unused while there is no cut.
 };
 
 StandInWorkers::StandInWorkers(EventLoop& loop, StandInStore& store, const WorkerFleet& fleet, WorkerObserver observer, std::uint64_t seed)
@@ -171,10 +172,26 @@
     member.m_holds.clear();
 }
 
+void StandInWorkers::cut(std::set<std::string> daemons)
+{
+    m_cutDaemons = std::move(daemons);
+    for (const auto& member : m_members) {
+        member->m_isOnCutSide = std::uniform_int_distribution<int>(0, 1)(m_random) == 1;
+        std::erase_if(member->m_holds, [&](const Member::Hold& hold) { return !isReachedBy(*member, hold.m_token); });
+    }
+}
+
+bool StandInWorkers::isReachedBy(const Member& member, std::uint64_t token) const
+{
+    return m_cutDaemons.empty() || m_cutDaemons.contains(m_store.claimantOf(token)) == member.m_isOnCutSide;
+}
+
 void StandInWorkers::handle(Member& member, const HttpRequest& request, const HttpResponder& respond)
 {
     if (member.m_worker.m_isDown || steadyNow() < member.m_silentUntil)
         return;
+    if (!m_cutDaemons.empty() && !isReachedBy(member, Json::parse(viewOf(request.m_body)).value("fencing_token", std::uint64_t {})))
+        return;
     if (findHeader(request.m_headers, "Expected-Instance") != member.m_worker.m_id)
         return respond(jsonResponse(421, Json::object()));
     if (std::uniform_real_distribution<double>(0, 1)(m_random) < m_fleet.m_lateOrderShare) {
--- a/tests/soak/stand_in_workers.h
+++ b/tests/soak/stand_in_workers.h
@@ -7,6 +7,7 @@
 #include "stand_in_store.h"
 
 #include <memory>
+#include <set>
 
 namespace bulrushloft::soak {
 
@@ -46,12 +47,19 @@
     /** @return A ticket for a step on the present process of a worker; nothing if the worker is not approved for it, which never changes. At least one is approved. */
     std::optional<std::string> approve(const std::string& step, const std::string& worker) const;
 
+    /**
+     * Cuts the workers off from one of two sides: about half of them receive only orders of terms that a cut daemon has claimed, the others only
+     * those of the other terms. What they run goes on. An empty set ends the cut.
+     */
+    void cut(std::set<std::string> daemons);
+
     /** Sets the share of orders that are carried out late. */
     void setLateOrderShare(double share) { m_fleet.m_lateOrderShare = share; }
 
 private:
     struct Member;
 
+    bool isReachedBy(const Member& member, std::uint64_t token) const;
     void handle(Member& member, const HttpRequest& request, const HttpResponder& respond);
     void perform(Member& member, const HttpRequest& request, const HttpResponder& respond);
     void answerHolds(Member& member, bool isForced);
@@ -64,6 +72,7 @@
     WorkerObserver m_observer;
     std::mt19937_64 m_random;
     std::vector<std::unique_ptr<Member>> m_members;
+    std::set<std::string> m_cutDaemons; ///< Daemons on the cut side; empty while there is no cut.
 };
 
 /** Answers approval requests. */
