--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -4,7 +4,6 @@
 #include "core/event_loop_impl.h"
 
 #include <array>
-#include <cstring>
 #include <set>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -12,6 +11,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <arpa/inet.h>
+
 namespace bulrushloft::soak {
 
 namespace asio = boost::asio;
@@ -48,6 +49,17 @@
 
 namespace {
 
+    /** @return Ends of an accepted connection; zeros if it has been closed. */
+    ConnectionEnds endsOf(const Tcp::socket& accepted)
+    {
+        boost::system::error_code error;
+        const Tcp::endpoint caller = accepted.remote_endpoint(error);
+        if (error)
+            return {};
+        const Tcp::endpoint called = accepted.local_endpoint(error);
+        return { .m_callerAddress = htonl(caller.address().to_v4().to_uint()), .m_callerPort = htons(caller.port()), .m_calledAddress = htonl(called.address().to_v4().to_uint()), .m_calledPort = htons(called.port()) };
+    }
+
     /** A caller's connection and the one to the target. */
     class Pair : public std::enable_shared_from_this<Pair> {
     public:
@@ -93,15 +105,7 @@
             if (m_cutNumber == m_proxy->m_cutNumber)
                 return m_loss;
             m_cutNumber = m_proxy->m_cutNumber;
-            boost::system::error_code error;
-            const Tcp::endpoint remote = m_caller.remote_endpoint(error);
-            CallerEndpoint caller;
-            if (!error) {
-                const auto bytes = remote.address().to_v4().to_bytes();
-                std::memcpy(&caller.m_address, bytes.data(), sizeof(caller.m_address));
-                caller.m_port = remote.port();
-            }
-            return m_loss = m_proxy->m_cut(caller);
+            return m_loss = m_proxy->m_cut(endsOf(m_caller));
         }
 
         bool isDropped(bool isAnswer)
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -28,7 +28,7 @@
 };
 
 /** Decides what the connections of a caller lose; called on the thread of the proxy's event loop, once for each connection and cut. */
-using PathCut = std::function<PathLoss(const CallerEndpoint& caller)>;
+using PathCut = std::function<PathLoss(const ConnectionEnds& ends)>;
 
 /** One listening address whose connections are forwarded to another one. All functions may be called from any thread. */
 class FaultProxy {
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -267,11 +267,11 @@
 
 PathCut FaultInjector::makePeerCut(std::size_t called, const std::vector<bool>& isCut, CutWays ways) const
 {
-    return [this, called, isCut, ways](const CallerEndpoint& endpoint) -> PathLoss {
+    return [this, called, isCut, ways](const ConnectionEnds& ends) -> PathLoss {
         std::vector<pid_t> processes;
         for (const SoakDaemon& daemon : m_targets.m_daemons)
             processes.push_back(daemon.m_process->pid());
-        const std::optional<std::size_t> caller = findConnectionOwner(endpoint, processes);
+        const std::optional<std::size_t> caller = findConnectionOwner(ends, processes);
         if (!caller)
             return { .m_areRequestsLost = true, .m_areAnswersLost = true }; // Its process has closed the connection or has ended.
         if (isCut[*caller] == isCut[called])
@@ -295,7 +295,7 @@
             continue;
         names.insert(daemon.m_process->setup().m_name);
         const PathLoss loss { .m_areRequestsLost = fault.m_ways != CutWays::Inbound, .m_areAnswersLost = fault.m_ways != CutWays::Outbound };
-        daemon.m_storeProxy->setCut([loss](const CallerEndpoint&) { return loss; });
+        daemon.m_storeProxy->setCut([loss](const ConnectionEnds&) { return loss; });
     }
     std::cout << "  cut off for " << fault.m_length.m_ms << " ms:";
     for (const std::string& name : names)
