Soak: a follower can be killed in an outage of the store

Cause: with the term as a lease, a leader goes on without the store while each listed member answers it; a member that dies in such an outage was not played at a fixed time.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -51,6 +51,7 @@
 DEFINE_int32(store_down_ms, 0, "when the store goes down for all daemons, in ms of the load; 0 for not at a fixed time");
 DEFINE_int32(store_down_length_ms, 10'000, "length of that, in ms");
 DEFINE_bool(store_down_silent, false, "whether the store leaves calls unanswered while it is down, instead of refusing them");
+DEFINE_bool(store_down_kill, false, "whether a daemon that does not lead is killed 1 s into that outage and starts again 6 s later");
 DEFINE_int32(relay_from_workers, 1'000, "number of workers from which on orders go through peers");
 
 namespace bulrushloft::soak {
@@ -249,7 +250,7 @@
         if (FLAGS_zone_cut_ms > 0)
             faults.scheduleZoneCuts({ .m_at = { FLAGS_zone_cut_ms }, .m_length = { FLAGS_zone_cut_length_ms }, .m_companions = FLAGS_zone_cut_companions, .m_ways = cutWaysOf(FLAGS_zone_cut_ways), .m_count = FLAGS_zone_cuts, .m_hasRestart = FLAGS_zone_cut_restart });
         if (FLAGS_store_down_ms > 0)
-            faults.scheduleStoreDown({ FLAGS_store_down_ms }, { FLAGS_store_down_length_ms }, FLAGS_store_down_silent);
+            faults.scheduleStoreDown({ .m_at = { FLAGS_store_down_ms }, .m_length = { FLAGS_store_down_length_ms }, .m_isSilent = FLAGS_store_down_silent, .m_hasKill = FLAGS_store_down_kill });
         if (FLAGS_faults || FLAGS_power_loss_ms > 0 || FLAGS_slow_lossy_ms > 0 || FLAGS_zone_cut_ms > 0 || FLAGS_store_down_ms > 0)
             faults.run(length, FLAGS_faults);
         else
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -315,19 +315,38 @@
     onPlatform([this] { m_targets.m_workers.cut({}); });
 }
 
-void FaultInjector::scheduleStoreDown(Duration at, Duration length, bool isSilent)
+void FaultInjector::killFollower()
 {
-    const auto setDown = [this, isSilent](bool isDown) {
+    constexpr Duration downTime { 6'000 };
+    const std::vector<bool> isLeader = drawCutSide(0);
+    const auto follower = std::find(isLeader.begin(), isLeader.end(), false);
+    if (follower == isLeader.end())
+        return m_targets.m_history.report("SETUP: no daemon leads when a follower is killed");
+    SoakDaemon& daemon = m_targets.m_daemons[static_cast<std::size_t>(follower - isLeader.begin())];
+    std::cout << "  " << daemon.m_process->setup().m_name << " is killed" << std::endl;
+    daemon.m_isEndExpected = true;
+    daemon.m_process->signal(SIGKILL);
+    daemon.m_restartAt = steadyNow() + downTime;
+    disturb(daemon, downTime);
+}
+
+void FaultInjector::scheduleStoreDown(const StoreOutage& fault)
+{
+    constexpr Duration untilKill { 1'000 };
+    const TimePoint from = steadyNow() + fault.m_at;
+    const auto setDown = [this, isSilent = fault.m_isSilent](bool isDown) {
         std::cout << "  store " << (isDown ? "down" : "up") << std::endl;
         m_storeFaults.m_isDown = isDown;
         m_storeFaults.m_isSilent = isSilent;
         applyStoreFaults();
     };
-    m_ends.push_back({ steadyNow() + at, [this, setDown, length] {
+    m_ends.push_back({ from, [this, setDown, length = fault.m_length] {
                           setDown(true);
                           disturbAll(length);
                       } });
-    m_ends.push_back({ steadyNow() + at + length, [setDown] { setDown(false); } });
+    m_ends.push_back({ from + fault.m_length, [setDown] { setDown(false); } });
+    if (fault.m_hasKill)
+        m_ends.push_back({ from + untilKill, [this] { killFollower(); } });
 }
 
 void FaultInjector::endDue(TimePoint now)
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -62,6 +62,14 @@
     bool m_hasRestart = false; ///< All daemons are killed 2 to 6 s before each cut, and start again.
 };
 
+/** The store is down for all daemons. */
+struct StoreOutage {
+    Duration m_at; ///< When it begins, from now.
+    Duration m_length { 10'000 }; ///< How long it lasts.
+    bool m_isSilent = false; ///< Whether calls stay unanswered instead of being refused.
+    bool m_hasKill = false; ///< Whether a daemon that does not lead is killed 1 s into the outage; it starts again 6 s later.
+};
+
 /** Submissions that must be accepted, as the store is sound and no other fault is in force. */
 struct ServedWindow {
     TimePoint m_from;
@@ -86,8 +94,8 @@
     /** Schedules one or more cuts. */
     void scheduleZoneCuts(const ZoneCut& fault);
 
-    /** Schedules an outage of the store for all daemons. @param isSilent Whether calls stay unanswered instead of being refused. */
-    void scheduleStoreDown(Duration at, Duration length, bool isSilent);
+    /** Schedules an outage of the store for all daemons. */
+    void scheduleStoreDown(const StoreOutage& fault);
 
     /**
      * Injects faults for a time, then ends all of them; returns when all daemons run.
@@ -140,6 +148,7 @@
     Kind drawKind();
     void beginSlowLossyStore(const SlowLossyStore& fault);
     void endSlowLossyStore();
+    void killFollower();
     void beginZoneCut(const ZoneCut& fault);
     void endZoneCut();
     /** @return Whether each daemon is on the leader's side of a new cut; empty when no daemon leads. */
