--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -396,6 +396,7 @@
         return;
     m_nextConfigCheckAt = now + configCheckInterval;
     for (SoakDaemon& daemon : m_targets.m_daemons) {
+        endDue(steadyNow()); // Each probe can take its whole time-out; faults end on time all the same.
         if (daemon.m_restartAt.m_ms > 0 || daemon.m_resumeAt.m_ms > 0)
             continue;
         const std::uint64_t version = m_configVersion;
