--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <arpa/inet.h>
+
 namespace bulrushloft::soak {
 
 namespace asio = boost::asio;
@@ -40,11 +42,24 @@
     Address m_target;
     ProxyMode m_mode = ProxyMode::Pass;
     Duration m_delay;
+    PathCut m_cut; ///< Cut in force; empty if there is none.
+    std::uint64_t m_cutNumber = 0; ///< Counts the changes of m_cut.
     std::set<std::shared_ptr<Pair>> m_pairs; ///< Open connections.
 };
 
 namespace {
 
+    /** @return Ends of an accepted connection; zeros if it has been closed. */
+    ConnectionEnds endsOf(const Tcp::socket& accepted)
+    {
+        boost::system::error_code error;
+        const Tcp::endpoint caller = accepted.remote_endpoint(error);
+        if (error)
+            return {};
+        const Tcp::endpoint called = accepted.local_endpoint(error);
+        return { .m_callerAddress = htonl(caller.address().to_v4().to_uint()), .m_callerPort = htons(caller.port()), .m_calledAddress = htonl(called.address().to_v4().to_uint()), .m_calledPort = htons(called.port()) };
+    }
+
     /** A caller's connection and the one to the target. */
     class Pair : public std::enable_shared_from_this<Pair> {
     public:
@@ -76,11 +91,28 @@
             m_proxy->m_pairs.erase(shared_from_this());
         }
 
+        /** @return Whether bytes were dropped by a cut. */
+        bool hasLostBytes() const { return m_hasLostBytes; }
+
     private:
         using Buffer = std::array<char, 16 * 1024>;
 
-        bool isDropped(bool isAnswer) const
+        /** @return What the cut in force takes from this connection. The caller is looked up when bytes first come under it. */
+        PathLoss lossToCut()
         {
+            if (!m_proxy->m_cut)
+                return {};
+            if (m_cutNumber == m_proxy->m_cutNumber)
+                return m_loss;
+            m_cutNumber = m_proxy->m_cutNumber;
+            return m_loss = m_proxy->m_cut(endsOf(m_caller));
+        }
+
+        bool isDropped(bool isAnswer)
+        {
+            const PathLoss loss = lossToCut();
+            if (isAnswer ? loss.m_areAnswersLost : loss.m_areRequestsLost)
+                return m_hasLostBytes = true;
             return m_proxy->m_mode == ProxyMode::Silence || (isAnswer && m_proxy->m_mode == ProxyMode::SilenceAnswers);
         }
 
@@ -113,6 +145,9 @@
         std::shared_ptr<FaultProxy::Impl> m_proxy;
         Buffer m_fromCaller {};
         Buffer m_fromTarget {};
+        PathLoss m_loss; ///< What the cut numbered m_cutNumber takes.
+        std::uint64_t m_cutNumber = 0;
+        bool m_hasLostBytes = false;
     };
 
 } // namespace
@@ -175,6 +210,19 @@
     });
 }
 
+void FaultProxy::setCut(PathCut cut)
+{
+    asio::post(m_impl->m_context, [impl = m_impl, cut = std::move(cut)] {
+        impl->m_cut = cut;
+        ++impl->m_cutNumber;
+        const auto pairs = impl->m_pairs;
+        for (const auto& pair : pairs) {
+            if (!cut && pair->hasLostBytes())
+                pair->reset();
+        }
+    });
+}
+
 void FaultProxy::resetConnections()
 {
     asio::post(m_impl->m_context, [impl = m_impl] { impl->resetAll(); });
