Repeat the deletion of expired jobs until it is stored, and drop their progress only then

Cause: the append that deletes the submissions of expired jobs was sent once, and its failure only logged, while the progress of the jobs was dropped with the next batch.

Change: an expired job stays known, with its progress, until its submission is deleted and the topic of jobs has been read beyond the deletion. A leader that finds progress of an ended job without a submission drops it, as an earlier one has ended between the two. The recorded plan is dropped before the progress, as a plan without progress would be a new job too.

Order: submission, then plan and progress. A leader that ends after any of them leaves either a job known as ended, or progress alone, which starts nothing. The other order, or a tombstone in the topic of progress, would need a third record that someone has to delete.

--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -183,6 +183,18 @@
     TimePoint m_relayedLatencyAt; ///< When it did; zero before the first.
 };
 
+/**
+ * Deletion of the submissions and cancellations of expired jobs from the topic of jobs, one append after another. Jobs are
+ * forgotten, and their progress is dropped, only when no read of the topic can show their submission any more.
+ */
+struct JobDeletions {
+    std::vector<std::string> m_jobs; ///< Ids of the jobs of the current append.
+    bool m_isInFlight = false; ///< Whether the append is unanswered.
+    std::uint32_t m_failuresInRow = 0; ///< Attempts without success since the latest one that succeeded.
+    TimePoint m_nextAt; ///< Earliest time of the next attempt.
+    std::optional<std::uint64_t> m_deletedEnd; ///< Offset after the append's records once it is stored.
+};
+
 /** A query of an unfinished job, held for a short time in case the job ends. */
 struct HeldQuery {
     std::string m_job; ///< Job id.
@@ -293,7 +305,7 @@
     std::vector<RecordWaiter> m_recordWaiters; ///< Callers that wait until a batch is durable.
     LoadState m_load;
     TimePoint m_loadedAt; ///< When the records of earlier terms were loaded, of the latest own term.
-    TimePoint m_nextJobDeletionAt; ///< Leader: earliest time of the next append that deletes submissions of expired jobs.
+    JobDeletions m_jobDeletions; ///< Leader: deletion of the submissions of expired jobs.
     TimePoint m_nextWaitReportAt; ///< When it is next logged what the takeover waits for.
     TimePoint m_nextContactReportAt; ///< Leader: when it is next logged on whose word it goes on without the store.
     std::uint64_t m_term = 0; ///< Fencing token of the current own term, 0 for none; answers for other terms are dropped.
--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -260,7 +260,7 @@
     /** Has the leader record a cancellation; without a leader it is stored in the topic of jobs. */
     void cancel(CellNode& node, const CallContext& context, const ClientResponder& respond)
     {
-        PendingWrite write { .m_records = { { .m_key = "!" + context.m_job, .m_value = "cancelled" } }, .m_deadline = context.m_deadline - replyMargin };
+        PendingWrite write { .m_records = { { .m_key = cancellationKey(context.m_job), .m_value = "cancelled" } }, .m_deadline = context.m_deadline - replyMargin };
         write.m_onComplete = [&node, context, respond](StoreStatus status) { replyToWrite(node, status, ClientStatus::Cancelled, context, respond); };
         writeThroughLeader(node, PeerCancel { .m_job = context.m_job }, write.m_deadline, recordCancellation, [&node, write, respond](WriteOutcome outcome) mutable {
             if (outcome == WriteOutcome::Recorded)
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -113,6 +113,18 @@
 /** Runs one step of the scheduler and sends the resulting orders. */
 void stepScheduler(CellNode& node);
 
+/** Leader: sends the deletion of expired jobs that is due, repeats it until the store confirms it, and has the scheduler forget the jobs afterwards. */
+void stepJobDeletions(CellNode& node);
+
+/** First character of a cancellation's key in the topic of jobs; the job's id follows. */
+inline constexpr char cancelPrefix = '!';
+
+/** @return The key of a job's cancellation in the topic of jobs. */
+inline std::string cancellationKey(const std::string& job)
+{
+    return cancelPrefix + job;
+}
+
 /** Answers held queries whose job has ended or whose hold time is over; all of them when this daemon is not the active leader. */
 void answerHeldQueries(CellNode& node);
 
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -142,6 +142,7 @@
         scheduler::setCluster(*node.m_scheduler, *node.m_cluster);
         node.m_writer = makePipeline(writerName, node.m_term);
         node.m_load = { .m_startedAt = node.m_now };
+        node.m_jobDeletions = {};
         resetTail(node.m_workersTail, true);
         logEvent(LogLevel::Info, "term-begins", { { "token", node.m_term }, { "config", node.m_cluster->m_version } });
     }
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -11,7 +11,6 @@
 namespace {
 
     constexpr Duration approvalTimeout { 2'500 };
-    constexpr Duration deleteTimeout { 800 };
     constexpr std::size_t maxAppendBytes = 1024 * 1024;
     constexpr Duration slowAppendThreshold { 200 }; ///< Appends that take longer from their first attempt on are logged.
 
@@ -142,26 +141,6 @@
         notifyRecordWaiters(node);
     }
 
-    /** Deletes the submissions and cancellations of expired jobs from the topic of jobs. */
-    void deleteExpiredJobs(CellNode& node)
-    {
-        constexpr Duration interval { 1'000 }; // Many jobs may expire one after another, and the partition is that of submissions.
-        if (node.m_scheduler->m_expiredJobs.empty() || node.m_now < node.m_nextJobDeletionAt)
-            return;
-        node.m_nextJobDeletionAt = node.m_now + interval;
-        const std::vector<std::string> jobs = std::exchange(node.m_scheduler->m_expiredJobs, {});
-        StoreAppend deletions { .m_partition = { .m_topic = node.m_options.m_topics.m_jobs }, .m_records = {}, .m_writer = {}, .m_expectedEnd = {} };
-        for (const std::string& job : jobs) {
-            // Plans that the leader recorded itself are in the progress topic and are deleted with its other records.
-            deletions.m_records.push_back({ .m_key = job, .m_value = {} });
-            deletions.m_records.push_back({ .m_key = "!" + job, .m_value = {} });
-        }
-        sendAppend(node, deletions, deleteTimeout, [](const StoreAppendAnswer& answer) {
-            if (answer.m_status != StoreStatus::Done)
-                logEvent(LogLevel::Warning, "job-delete-failed", { { "reason", answer.m_reason } });
-        });
-    }
-
 } // namespace
 
 void notifyRecordWaiters(CellNode& node)
@@ -184,7 +163,7 @@
     scheduler::SchedulerEffects effects;
     scheduler::step(*node.m_scheduler, node.m_now, effects);
     perform(node, effects);
-    deleteExpiredJobs(node);
+    stepJobDeletions(node);
 }
 
 void stepWriter(CellNode& node)
--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -18,9 +18,6 @@
     constexpr Duration retryDelay { 200 };
     constexpr Duration storeSilenceLimit { 1'200 }; ///< A store without an answer for longer is considered lost.
 
-    /** First character of a cancellation's key in the topic of jobs; the job's id follows. */
-    constexpr char cancelPrefix = '!';
-
     void applyOperatorRecord(CellNode& node, const KeyedRecord& record)
     {
         applyClusterText(node, record.m_key + '\n' + record.m_value, "store");
--- a/src/process/scheduler/scheduler.cpp
+++ b/src/process/scheduler/scheduler.cpp
@@ -19,7 +19,20 @@
         return !job.m_isDirty && std::all_of(job.m_runs.begin(), job.m_runs.end(), [](const auto& run) { return run->m_activeAttempts == 0; });
     }
 
-    /** Deletes jobs whose retention time has passed; at most one per call, so that no call takes long. */
+    /** Removes a job that can expire, and its progress and recorded plan from the store with the next batch. */
+    void eraseJob(Scheduler& scheduler, const std::string& id)
+    {
+        const auto found = scheduler.m_jobs.find(id);
+        Job* const job = found->second.get();
+        std::erase_if(scheduler.m_waitingSteps, [&](const StepRun* run) { return run->m_job == job; });
+        std::erase(scheduler.m_scheduledJobs, job);
+        scheduler.m_cancelledEarly.erase(id);
+        scheduler.m_droppedKeys.push_back(planKey(id)); // Before the progress: a plan without progress would be a new job.
+        scheduler.m_droppedKeys.push_back(id);
+        scheduler.m_jobs.erase(found);
+    }
+
+    /** Takes up a job whose retention time has passed; at most one per call, so that no call takes long. */
     void expireEndedJobs(Scheduler& scheduler, TimePoint now)
     {
         if (scheduler.m_areSubmissionsUnread) // The submission of a forgotten job would be taken for a new one when it is read.
@@ -35,15 +48,10 @@
             scheduler.m_endedJobs.emplace_back(now, id);
             return;
         }
-        Job* const job = found->second.get();
-        std::erase_if(scheduler.m_waitingSteps, [&](const StepRun* run) { return run->m_job == job; });
-        std::erase(scheduler.m_scheduledJobs, job);
-        scheduler.m_cancelledEarly.erase(id);
-        if (job->m_planBatch == 0)
-            scheduler.m_expiredJobs.push_back(id);
-        scheduler.m_droppedKeys.push_back(id);
-        scheduler.m_droppedKeys.push_back(planKey(id));
-        scheduler.m_jobs.erase(found);
+        if (found->second->m_planBatch == 0)
+            scheduler.m_expiredJobs.push_back(id); // It is known until its submission is deleted: a submission without progress is a new job to a later term.
+        else
+            eraseJob(scheduler, id);
     }
 
     void releaseScheduledJobs(Scheduler& scheduler, TimePoint now)
@@ -65,6 +73,17 @@
 
 } // namespace
 
+void forgetJob(Scheduler& scheduler, const std::string& id)
+{
+    const auto found = scheduler.m_jobs.find(id);
+    if (found == scheduler.m_jobs.end())
+        return;
+    if (canExpire(*found->second))
+        eraseJob(scheduler, id);
+    else
+        scheduler.m_expiredJobs.push_back(id);
+}
+
 void step(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects)
 {
     releaseScheduledJobs(scheduler, now);
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -350,7 +350,7 @@
     std::vector<Job*> m_dirtyJobs; ///< Jobs with changes that are not in a record batch yet.
     std::vector<Job*> m_scheduledJobs; ///< Jobs with future occurrences.
     std::deque<std::pair<TimePoint, std::string>> m_endedJobs; ///< Ids of ended jobs, by time of their end.
-    std::vector<std::string> m_expiredJobs; ///< Ids of jobs past their retention whose submissions still have to be deleted from the job topic.
+    std::vector<std::string> m_expiredJobs; ///< Ids of jobs past their retention whose submissions still have to be deleted from the topic of jobs, the earliest first; see forgetJob().
     std::vector<std::string> m_droppedKeys; ///< Keys to delete from the store with the next batch.
     std::uint64_t m_nextBatch = 1; ///< Number of the record batch that is being collected.
     std::uint64_t m_confirmedBatch = 0; ///< Number of the newest durable batch.
--- a/src/process/scheduler/scheduler_func.h
+++ b/src/process/scheduler/scheduler_func.h
@@ -43,7 +43,7 @@
 /** Ends the loading of an earlier term's records; sets the time by which earlier leases of workers that may hold tasks have run out. */
 void finishRestoring(Scheduler& scheduler, TimePoint now);
 
-/** Ends the time in which submissions are unread: releases the jobs held, acknowledges the ends of jobs that don't exist and drops their progress. */
+/** Ends the time in which submissions are unread: releases the jobs held, acknowledges the ends of jobs that don't exist and drops the progress of expired ones. */
 void finishSubmissions(Scheduler& scheduler, TimePoint now);
 
 /** Adds or updates a worker from its announcement. */
@@ -82,6 +82,9 @@
 /** Does the work that is due: releases, calls, placements, checks for stalled tasks, pacing and expiry of ended jobs. */
 void step(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects);
 
+/** Forgets an expired job, whose submission is no longer stored, and drops its progress; should it have changed meanwhile, it is listed in Scheduler::m_expiredJobs once more. */
+void forgetJob(Scheduler& scheduler, const std::string& id);
+
 /** @return The durable stage of a job, as it may be reported to callers; nothing when the job is unknown. */
 std::optional<JobStage> findStage(const Scheduler& scheduler, const std::string& id);
 
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -274,7 +274,18 @@
 
     Expected<void> failUnmatched(const std::string& id)
     {
-        return fail(ErrorKind::UnknownName, "progress record of job " + id + " has no matching submission", "no action needed: the job has expired");
+        return fail(ErrorKind::UnknownName, "progress record of job " + id + " has no matching submission", "check whether another program deletes records of the topic of jobs");
+    }
+
+    /** @return Whether a progress record says that its job has ended. */
+    bool isEndRecorded(const std::string& record)
+    {
+        try {
+            const Json decoded = decodeCbor(record);
+            return decoded.at(0) == recordFormat && isFinal(decodeEnum(decoded.at(1), JobStage::Cancelled));
+        } catch (const std::exception&) {
+            return false; // It is reported as unusable.
+        }
     }
 
     void logUnusable(const std::string& id, const Error& error)
@@ -336,8 +347,12 @@
 void finishSubmissions(Scheduler& scheduler, TimePoint now)
 {
     scheduler.m_areSubmissionsUnread = false;
-    for (const auto& [id, record] : std::exchange(scheduler.m_unmatchedProgress, {}))
-        logUnusable(id, failUnmatched(id).error());
+    for (const auto& [id, record] : std::exchange(scheduler.m_unmatchedProgress, {})) {
+        if (isEndRecorded(record)) // An earlier term has deleted the submission of the expired job, and ended before it had dropped the progress.
+            scheduler.m_droppedKeys.push_back(id);
+        else
+            logUnusable(id, failUnmatched(id).error());
+    }
     while (!scheduler.m_unmatchedEnds.empty())
         detail::handleUnmatchedEnds(scheduler, std::string(scheduler.m_unmatchedEnds.front().m_ended.m_task.m_job), now);
     detail::acknowledgeEnds(scheduler, now);
--- a/tests/fakes/one_vm_cell.h
+++ b/tests/fakes/one_vm_cell.h
@@ -58,6 +58,7 @@
     bool m_areJobsSilent = false; ///< The partition of submissions answers nothing.
     bool m_areJobsWritable = false; ///< It carries out and answers appends all the same.
     bool m_areWorkersSilent = false; ///< The partition of the workers' announcements answers nothing.
+    std::function<std::optional<StoreAppendAnswer>(const StoreAppend&)> m_onAppend; ///< If set, is asked before an append is carried out, and answers it in place of the store if it returns an answer.
     Duration m_jobsDelay; ///< How long the partition of submissions takes for an answer.
     Duration m_retention = longRetention; ///< How long ended jobs are kept.
     std::unique_ptr<CellNode> m_node;
@@ -134,6 +135,8 @@
         CellPorts ports;
         ports.m_append = [this](const StoreAppend& append, Duration, const std::function<void(StoreAppendAnswer)>& onAnswer) {
             const bool isSilent = m_areJobsSilent && !m_areJobsWritable && append.m_partition.m_topic == jobsTopic;
+            if (const auto answer = m_onAppend ? m_onAppend(append) : std::nullopt)
+                return deliver(onAnswer, *answer);
             deliver(onAnswer, isSilent ? StoreAppendAnswer { .m_status = StoreStatus::Unknown } : m_store.append(append));
         };
         ports.m_read = [this](const StoreRead& read, Duration timeout, const std::function<void(StoreReadAnswer)>& onAnswer) {
