Delete from the topic of jobs whatever was read there of an expired job

Cause: whether an expired job is deleted from the topic of jobs was decided by who had recorded its plan. A job that the leader has recorded and a VM has stored as well, as the leader's answer came late, stayed there and was a new job to the next leader (TWICE), and so did its cancellation, which the next leader would apply to a later job of the same id.

Change: the scheduler notes of which jobs the topic holds records, and up to which offset. These are deleted, the others dropped at once as before. A copy that is stored after the deletion is deleted with a further one. No job expires while the leader has not lately read the topic to its end, as a copy may be unread.

Measured: expired_job_test, on the code before: a_job_that_the_leader_recorded_and_a_vm_stored_is_deleted_from_both, a_copy_that_the_leader_reads_late_is_deleted_too, a_copy_that_is_stored_after_the_deletion_is_deleted_too (2 starts in place of 1 each) and cancellations_are_deleted_with_their_jobs failed; now all 10 cases pass, and partial_loading_test.

--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -113,6 +113,9 @@
 /** Runs one step of the scheduler and sends the resulting orders. */
 void stepScheduler(CellNode& node);
 
+/** @return Whether a leader may not have read a copy of a submission that was stored long before now. */
+bool isJobsTopicBehind(const CellNode& node);
+
 /** Leader: sends the deletion of expired jobs that is due, repeats it until the store confirms it, and has the scheduler forget the jobs afterwards. */
 void stepJobDeletions(CellNode& node);
 
--- a/src/process/cell/cell_expiry.cpp
+++ b/src/process/cell/cell_expiry.cpp
@@ -50,12 +50,19 @@
         if (!deletions.m_deletedEnd || node.m_jobsTail.m_isListing || node.m_jobsTail.m_nextOffset < *deletions.m_deletedEnd)
             return;
         for (const std::string& job : std::exchange(deletions.m_jobs, {}))
-            scheduler::forgetJob(*node.m_scheduler, job);
+            scheduler::forgetJob(*node.m_scheduler, job, *deletions.m_deletedEnd);
         deletions.m_deletedEnd.reset();
     }
 
 } // namespace
 
+bool isJobsTopicBehind(const CellNode& node)
+{
+    constexpr Duration maxReadingAge { 10'000 }; // Much less than the usual retention, and more than a read of a slow store takes.
+    const Duration maxAge = std::max(std::min(maxReadingAge, node.m_options.m_scheduler.m_endedJobRetention / 2), node.m_options.m_maxJobsStaleness);
+    return node.m_jobsTail.m_isListing || node.m_now - node.m_jobsTail.m_upToDateAt > maxAge;
+}
+
 void stepJobDeletions(CellNode& node)
 {
     forgetDeletedJobs(node);
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -161,6 +161,7 @@
     if (!isActiveLeader(node))
         return;
     scheduler::SchedulerEffects effects;
+    node.m_scheduler->m_isJobsTopicBehind = isJobsTopicBehind(node);
     scheduler::step(*node.m_scheduler, node.m_now, effects);
     perform(node, effects);
     stepJobDeletions(node);
--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -27,8 +27,11 @@
     {
         if (!node.m_scheduler || record.m_value.empty())
             return;
-        if (record.m_key.starts_with(cancelPrefix))
-            return scheduler::cancelJob(*node.m_scheduler, record.m_key.substr(1), node.m_now);
+        const bool isCancellation = record.m_key.starts_with(cancelPrefix);
+        const std::string id = isCancellation ? record.m_key.substr(1) : record.m_key;
+        scheduler::noteStored(*node.m_scheduler, id, record.m_offset + 1);
+        if (isCancellation)
+            return scheduler::cancelJob(*node.m_scheduler, id, node.m_now);
         auto plan = decodePlan(record.m_value);
         if (!plan) {
             logEvent(LogLevel::Error, "job-record-unreadable", { { "key", record.m_key }, { "error", describe(plan.error()) } });
--- a/src/process/scheduler/scheduler.cpp
+++ b/src/process/scheduler/scheduler.cpp
@@ -27,6 +27,7 @@
         std::erase_if(scheduler.m_waitingSteps, [&](const StepRun* run) { return run->m_job == job; });
         std::erase(scheduler.m_scheduledJobs, job);
         scheduler.m_cancelledEarly.erase(id);
+        scheduler.m_storedEnds.erase(id);
         scheduler.m_droppedKeys.push_back(planKey(id)); // Before the progress: a plan without progress would be a new job.
         scheduler.m_droppedKeys.push_back(id);
         scheduler.m_jobs.erase(found);
@@ -35,7 +36,7 @@
     /** Takes up a job whose retention time has passed; at most one per call, so that no call takes long. */
     void expireEndedJobs(Scheduler& scheduler, TimePoint now)
     {
-        if (scheduler.m_areSubmissionsUnread) // The submission of a forgotten job would be taken for a new one when it is read.
+        if (scheduler.m_areSubmissionsUnread || scheduler.m_isJobsTopicBehind) // The submission of a forgotten job would be taken for a new one when it is read.
             return;
         if (scheduler.m_endedJobs.empty() || now - scheduler.m_endedJobs.front().first < scheduler.m_options.m_endedJobRetention)
             return;
@@ -48,7 +49,7 @@
             scheduler.m_endedJobs.emplace_back(now, id);
             return;
         }
-        if (found->second->m_planBatch == 0)
+        if (scheduler.m_storedEnds.contains(id))
             scheduler.m_expiredJobs.push_back(id); // It is known until its submission is deleted: a submission without progress is a new job to a later term.
         else
             eraseJob(scheduler, id);
@@ -73,12 +74,18 @@
 
 } // namespace
 
-void forgetJob(Scheduler& scheduler, const std::string& id)
+void noteStored(Scheduler& scheduler, const std::string& id, std::uint64_t end)
+{
+    std::uint64_t& storedEnd = scheduler.m_storedEnds[id];
+    storedEnd = std::max(storedEnd, end);
+}
+
+void forgetJob(Scheduler& scheduler, const std::string& id, std::uint64_t deletedEnd)
 {
     const auto found = scheduler.m_jobs.find(id);
     if (found == scheduler.m_jobs.end())
         return;
-    if (canExpire(*found->second))
+    if (canExpire(*found->second) && scheduler.m_storedEnds[id] <= deletedEnd)
         eraseJob(scheduler, id);
     else
         scheduler.m_expiredJobs.push_back(id);
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -336,6 +336,8 @@
     std::unordered_map<std::string, ApprovalRate> m_approvalRates; ///< Share of approved workers, by queue.
     std::unordered_map<std::string, RunTimeModel> m_runTimes; ///< Run time models, by queue.
     std::unordered_set<std::string> m_cancelledEarly; ///< Ids of jobs whose cancellation was read before their submission.
+    std::unordered_map<std::string, std::uint64_t> m_storedEnds; ///< By job id, offset after the newest submission or cancellation that was read in the topic of jobs; also of unknown jobs.
+    bool m_isJobsTopicBehind = false; ///< The topic of jobs has not been read to its end lately, so that a copy of a submission may be unread. No job expires meanwhile.
     bool m_areSubmissionsUnread = false; ///< Submissions and cancellations that VMs have stored themselves have not all been read. Jobs without recorded tasks are held, and unknown attempts and ends are kept.
     std::unordered_map<std::string, std::string> m_unmatchedProgress; ///< Progress records of jobs whose submission has not been read, by job id.
     std::vector<UnmatchedEnd> m_unmatchedEnds; ///< Ends of attempts of such jobs.
--- a/src/process/scheduler/scheduler_func.h
+++ b/src/process/scheduler/scheduler_func.h
@@ -82,8 +82,15 @@
 /** Does the work that is due: releases, calls, placements, checks for stalled tasks, pacing and expiry of ended jobs. */
 void step(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects);
 
-/** Forgets an expired job, whose submission is no longer stored, and drops its progress; should it have changed meanwhile, it is listed in Scheduler::m_expiredJobs once more. */
-void forgetJob(Scheduler& scheduler, const std::string& id);
+/** Notes that the topic of jobs holds a submission or cancellation of a job, which has to be deleted when the job expires. @param end Offset after the record. */
+void noteStored(Scheduler& scheduler, const std::string& id, std::uint64_t end);
+
+/**
+ * Forgets an expired job and drops its progress, once its submission and cancellation are deleted from the topic of jobs. Should a copy
+ * have been stored since, or the job have changed, it is listed in Scheduler::m_expiredJobs once more.
+ * @param deletedEnd Offset after the deletion.
+ */
+void forgetJob(Scheduler& scheduler, const std::string& id, std::uint64_t deletedEnd);
 
 /** @return The durable stage of a job, as it may be reported to callers; nothing when the job is unknown. */
 std::optional<JobStage> findStage(const Scheduler& scheduler, const std::string& id);
--- a/tests/expired_job_test.cpp
+++ b/tests/expired_job_test.cpp
@@ -151,9 +151,66 @@
 }
 
 // Its plan is in the topic of progress; a VM has stored it too, as the leader's answer came late.
+BOOST_FIXTURE_TEST_CASE(a_job_that_the_leader_recorded_and_a_vm_stored_is_deleted_from_both, ExpiredJobFixture)
+{
+    append(jobsTopic, knownJob, encodeJob(knownJob));
+    step(50);
+    finishJobs();
+    step(retentionSteps + repetitionSteps);
+    changeLeader();
+    checkIsForgotten(knownJob);
+    checkIsForgotten(directJob);
+}
+
 // The same, and the copy is not read before the job is past its retention.
+BOOST_FIXTURE_TEST_CASE(a_copy_that_the_leader_reads_late_is_deleted_too, ExpiredJobFixture)
+{
+    finishJobs();
+    m_areJobsSilent = true;
+    m_areJobsWritable = true;
+    append(jobsTopic, knownJob, encodeJob(knownJob));
+    step(retentionSteps);
+    m_areJobsSilent = false;
+    step(repetitionSteps);
+    changeLeader();
+    checkIsForgotten(knownJob);
+    checkIsForgotten(directJob);
+}
+
 // A copy of the submission that is stored between the deletion and the deletion of the progress.
+BOOST_FIXTURE_TEST_CASE(a_copy_that_is_stored_after_the_deletion_is_deleted_too, ExpiredJobFixture)
+{
+    finishJobs();
+    answerDeletions([this](const StoreAppend& deletion) -> std::optional<StoreAppendAnswer> {
+        const StoreAppendAnswer answer = m_store.append(deletion);
+        if (m_deletions.size() == 1)
+            append(jobsTopic, directJob, encodeJob(directJob));
+        return answer;
+    });
+    step(retentionSteps + repetitionSteps);
+    changeLeader();
+    checkIsForgotten(directJob);
+}
+
 // A cancellation is deleted together with the submission: on its own, either would decide about the job in the next term.
+BOOST_FIXTURE_TEST_CASE(cancellations_are_deleted_with_their_jobs, ExpiredJobFixture)
+{
+    append(jobsTopic, std::string("!") + directJob, "cancelled");
+    append(jobsTopic, std::string("!") + knownJob, "cancelled");
+    step(100);
+    BOOST_REQUIRE(isAtStage(directJob, scheduler::JobStage::Cancelled));
+    BOOST_REQUIRE(isAtStage(knownJob, scheduler::JobStage::Cancelled));
+    refuseDeletions();
+    step(retentionSteps + outageSteps);
+    changeLeader();
+    BOOST_TEST(isAtStage(directJob, scheduler::JobStage::Cancelled));
+    carryOutDeletions();
+    step(retentionSteps + repetitionSteps);
+    changeLeader();
+    checkIsForgotten(directJob);
+    checkIsForgotten(knownJob);
+}
+
 // A submission must not be deleted while its job's end is not stored: the next term would know neither.
 // Deletions are not urgent, and the partition is that of submissions.
 BOOST_FIXTURE_TEST_CASE(deletions_are_few_while_they_are_refused, ExpiredJobFixture)
@@ -189,3 +246,5 @@
     for (const auto& [sentAt, records] : m_deletions)
         BOOST_TEST(records <= maxRecords);
 }
+
+// The leader's records wait for the store; the deletion of the forgotten job's records would follow those of the new one (LOST).
