Expire no job whose end is not stored yet

Cause: a job expired when no change of it was waiting for a batch; that the batch with its end is confirmed was not asked for. Had the store refused the leader's records for the whole retention, the submission would have been deleted, and the next leader would have known neither it nor the end (LOST).

--- a/src/process/scheduler/scheduler.cpp
+++ b/src/process/scheduler/scheduler.cpp
@@ -14,9 +14,10 @@
 
     using namespace detail;
 
-    bool canExpire(const Job& job)
+    /** @return Whether the end of the job is stored and nothing of it may be running any more. */
+    bool canExpire(const Scheduler& scheduler, const Job& job)
     {
-        return !job.m_isDirty && std::all_of(job.m_runs.begin(), job.m_runs.end(), [](const auto& run) { return run->m_activeAttempts == 0; });
+        return !job.m_isDirty && job.m_stageBatch <= scheduler.m_confirmedBatch && std::all_of(job.m_runs.begin(), job.m_runs.end(), [](const auto& run) { return run->m_activeAttempts == 0; });
     }
 
     /** Removes a job that can expire, and its progress and recorded plan from the store with the next batch. */
@@ -45,7 +46,7 @@
         const auto found = scheduler.m_jobs.find(id);
         if (found == scheduler.m_jobs.end())
             return;
-        if (!canExpire(*found->second)) {
+        if (!canExpire(scheduler, *found->second)) {
             scheduler.m_endedJobs.emplace_back(now, id);
             return;
         }
@@ -85,7 +86,7 @@
     const auto found = scheduler.m_jobs.find(id);
     if (found == scheduler.m_jobs.end())
         return;
-    if (canExpire(*found->second) && scheduler.m_storedEnds[id] <= deletedEnd)
+    if (canExpire(scheduler, *found->second) && scheduler.m_storedEnds[id] <= deletedEnd)
         eraseJob(scheduler, id);
     else
         scheduler.m_expiredJobs.push_back(id);
--- a/tests/expired_job_test.cpp
+++ b/tests/expired_job_test.cpp
@@ -212,6 +212,18 @@
 }
 
 // A submission must not be deleted while its job's end is not stored: the next term would know neither.
+BOOST_FIXTURE_TEST_CASE(a_job_whose_end_is_not_stored_does_not_expire, ExpiredJobFixture)
+{
+    m_onAppend = [](const StoreAppend& append) -> std::optional<StoreAppendAnswer> {
+        if (append.m_partition.m_topic == progressTopic && !append.m_records.empty() && append.m_records.front().m_key == directJob)
+            return StoreAppendAnswer { .m_status = StoreStatus::Unknown };
+        return std::nullopt;
+    };
+    finish(directJob);
+    step(retentionSteps);
+    BOOST_TEST(holds(jobsTopic, directJob));
+}
+
 // Deletions are not urgent, and the partition is that of submissions.
 BOOST_FIXTURE_TEST_CASE(deletions_are_few_while_they_are_refused, ExpiredJobFixture)
 {
