Put deletions of forgotten jobs before the other records of a batch

Cause: a batch ended with the deletions. While the store takes no records, a job may be forgotten and submitted again under its id within one batch; the deletion came after the new plan, which was acknowledged and then unknown to the next leader (LOST).

Measured: expired_job_test, a_forgotten_job_that_is_submitted_again_before_its_records_are_dropped_is_kept: failed before, now 12 of 12 cases pass; scheduler_test and partial_loading_test pass.

--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -236,7 +236,9 @@
 std::vector<KeyedRecord> takeRecords(Scheduler& scheduler)
 {
     std::vector<KeyedRecord> records;
-    records.reserve(scheduler.m_dirtyJobs.size());
+    records.reserve(scheduler.m_droppedKeys.size() + scheduler.m_dirtyJobs.size());
+    for (std::string& key : std::exchange(scheduler.m_droppedKeys, {})) // First: a forgotten job may have been submitted again.
+        records.push_back({ .m_key = std::move(key), .m_value = {} });
     for (Job* job : scheduler.m_dirtyJobs) {
         job->m_isDirty = false;
         if (!job->m_planRecord.empty())
@@ -249,9 +251,6 @@
         }
     }
     scheduler.m_dirtyJobs.clear();
-    for (std::string& key : scheduler.m_droppedKeys)
-        records.push_back({ .m_key = std::move(key), .m_value = {} });
-    scheduler.m_droppedKeys.clear();
     ++scheduler.m_nextBatch;
     return records;
 }
--- a/tests/expired_job_test.cpp
+++ b/tests/expired_job_test.cpp
@@ -260,3 +260,20 @@
 }
 
 // The leader's records wait for the store; the deletion of the forgotten job's records would follow those of the new one (LOST).
+BOOST_FIXTURE_TEST_CASE(a_forgotten_job_that_is_submitted_again_before_its_records_are_dropped_is_kept, ExpiredJobFixture)
+{
+    scheduler::Scheduler& scheduler = *m_node->m_scheduler;
+    finishJobs();
+    for (int i = 0; i < retentionSteps && scheduler.m_jobs.contains(knownJob); ++i) {
+        m_now = m_now + Duration { 10 };
+        scheduler::SchedulerEffects effects;
+        scheduler::step(scheduler, m_now, effects);
+    }
+    BOOST_REQUIRE(!scheduler.m_jobs.contains(knownJob));
+    scheduler::acceptAndRecord(scheduler, *decodePlan(encodeJob(knownJob)), encodeJob(knownJob), m_now);
+    std::map<std::string, std::string> newest;
+    for (const KeyedRecord& record : scheduler::takeRecords(scheduler))
+        newest[record.m_key] = record.m_value;
+    BOOST_TEST(!newest[knownJob].empty());
+    BOOST_TEST(!newest[scheduler::planKey(knownJob)].empty());
+}
