--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -18,9 +18,6 @@
     constexpr Duration retryDelay { 200 };
     constexpr Duration storeSilenceLimit { 1'200 }; ///< A store without an answer for longer is considered lost.
 
-    /** First character of a cancellation's key in the topic of jobs; the job's id follows. */
-    constexpr char cancelPrefix = '!';
-
     void applyOperatorRecord(CellNode& node, const KeyedRecord& record)
     {
         applyClusterText(node, record.m_key + '\n' + record.m_value, "store");
@@ -30,8 +27,11 @@
     {
         if (!node.m_scheduler || record.m_value.empty())
             return;
-        if (record.m_key.starts_with(cancelPrefix))
-            return scheduler::cancelJob(*node.m_scheduler, record.m_key.substr(1), node.m_now);
+        const bool isCancellation = record.m_key.starts_with(cancelPrefix);
+        const std::string id = isCancellation ? record.m_key.substr(1) : record.m_key;
+        scheduler::noteStored(*node.m_scheduler, id, record.m_offset + 1);
+        if (isCancellation)
+            return scheduler::cancelJob(*node.m_scheduler, id, node.m_now);
         auto plan = decodePlan(record.m_value);
         if (!plan) {
             logEvent(LogLevel::Error, "job-record-unreadable", { { "key", record.m_key }, { "error", describe(plan.error()) } });
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -336,6 +336,8 @@
     std::unordered_map<std::string, ApprovalRate> m_approvalRates; ///< Share of approved workers, by queue.
     std::unordered_map<std::string, RunTimeModel> m_runTimes; ///< Run time models, by queue.
     std::unordered_set<std::string> m_cancelledEarly; ///< Ids of jobs whose cancellation was read before their submission.
+    std::unordered_map<std::string, std::uint64_t> m_storedEnds; ///< By job id, offset after the newest submission or cancellation that was read in the topic of jobs; also of unknown jobs.
+    bool m_isJobsTopicBehind = false; ///< The topic of jobs has not been read to its end lately, so that a copy of a submission may be unread. No job expires meanwhile.
     bool m_areSubmissionsUnread = false; ///< Submissions and cancellations that VMs have stored themselves have not all been read. Jobs without recorded tasks are held, and unknown attempts and ends are kept.
     std::unordered_map<std::string, std::string> m_unmatchedProgress; ///< Progress records of jobs whose submission has not been read, by job id.
     std::vector<UnmatchedEnd> m_unmatchedEnds; ///< Ends of attempts of such jobs.
@@ -350,7 +352,7 @@
     std::vector<Job*> m_dirtyJobs; ///< Jobs with changes that are not in a record batch yet.
     std::vector<Job*> m_scheduledJobs; ///< Jobs with future occurrences.
     std::deque<std::pair<TimePoint, std::string>> m_endedJobs; ///< Ids of ended jobs, by time of their end.
-    std::vector<std::string> m_expiredJobs; ///< Ids of jobs past their retention whose submissions still have to be deleted from the job topic.
+    std::vector<std::string> m_expiredJobs; ///< Ids of jobs past their retention whose submissions still have to be deleted from the topic of jobs, the earliest first; see forgetJob().
     std::vector<std::string> m_droppedKeys; ///< Keys to delete from the store with the next batch.
     std::uint64_t m_nextBatch = 1; ///< Number of the record batch that is being collected.
     std::uint64_t m_confirmedBatch = 0; ///< Number of the newest durable batch.
--- a/src/process/scheduler/scheduler_func.h
+++ b/src/process/scheduler/scheduler_func.h
@@ -49,7 +49,7 @@
 /** Notes that the leaders of earlier terms have stopped renewing leases at an earlier time than was known when the loading ended. */
 void boundEarlierLeases(Scheduler& scheduler, TimePoint earlierLeadersStoppedAt);
 
-/** Ends the time in which submissions are unread: releases the jobs held, acknowledges the ends of jobs that don't exist and drops their progress. */
+/** Ends the time in which submissions are unread: releases the jobs held, acknowledges the ends of jobs that don't exist and drops the progress of expired ones. */
 void finishSubmissions(Scheduler& scheduler, TimePoint now);
 
 /** Adds or updates a worker from its announcement. */
@@ -88,6 +88,16 @@
 /** Does the work that is due: releases, calls, placements, checks for stalled tasks, pacing and expiry of ended jobs. */
 void step(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects);
 
+/** Notes that the topic of jobs holds a submission or cancellation of a job, which has to be deleted when the job expires. @param end Offset after the record. */
+void noteStored(Scheduler& scheduler, const std::string& id, std::uint64_t end);
+
+/**
+ * Forgets an expired job and drops its progress, once its submission and cancellation are deleted from the topic of jobs. Should a copy
+ * have been stored since, or the job have changed, it is listed in Scheduler::m_expiredJobs once more.
+ * @param deletedEnd Offset after the deletion.
+ */
+void forgetJob(Scheduler& scheduler, const std::string& id, std::uint64_t deletedEnd);
+
 /** @return The durable stage of a job, as it may be reported to callers; nothing when the job is unknown. */
 std::optional<JobStage> findStage(const Scheduler& scheduler, const std::string& id);
 
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -242,7 +242,9 @@
 std::vector<KeyedRecord> takeRecords(Scheduler& scheduler)
 {
     std::vector<KeyedRecord> records;
-    records.reserve(scheduler.m_dirtyJobs.size());
+    records.reserve(scheduler.m_droppedKeys.size() + scheduler.m_dirtyJobs.size());
+    for (std::string& key : std::exchange(scheduler.m_droppedKeys, {})) // First: a forgotten job may have been submitted again.
+        records.push_back({ .m_key = std::move(key), .m_value = {} });
     for (Job* job : scheduler.m_dirtyJobs) {
         job->m_isDirty = false;
         if (!job->m_planRecord.empty())
@@ -255,9 +257,6 @@
         }
     }
     scheduler.m_dirtyJobs.clear();
-    for (std::string& key : scheduler.m_droppedKeys)
-        records.push_back({ .m_key = std::move(key), .m_value = {} });
-    scheduler.m_droppedKeys.clear();
     ++scheduler.m_nextBatch;
     return records;
 }
@@ -280,7 +279,18 @@
 
     Expected<void> failUnmatched(const std::string& id)
     {
-        return fail(ErrorKind::UnknownName, "progress record of job " + id + " has no matching submission", "no action needed: the job has expired");
+        return fail(ErrorKind::UnknownName, "progress record of job " + id + " has no matching submission", "check whether another program deletes records of the topic of jobs");
+    }
+
+    /** @return Whether a progress record says that its job has ended. */
+    bool isEndRecorded(const std::string& record)
+    {
+        try {
+            const Json decoded = decodeCbor(record);
+            return decoded.at(0) == recordFormat && isFinal(decodeEnum(decoded.at(1), JobStage::Cancelled));
+        } catch (const std::exception&) {
+            return false; // It is reported as unusable.
+        }
     }
 
     void logUnusable(const std::string& id, const Error& error)
@@ -353,8 +363,12 @@
 void finishSubmissions(Scheduler& scheduler, TimePoint now)
 {
     scheduler.m_areSubmissionsUnread = false;
-    for (const auto& [id, record] : std::exchange(scheduler.m_unmatchedProgress, {}))
-        logUnusable(id, failUnmatched(id).error());
+    for (const auto& [id, record] : std::exchange(scheduler.m_unmatchedProgress, {})) {
+        if (isEndRecorded(record)) // An earlier term has deleted the submission of the expired job, and ended before it had dropped the progress.
+            scheduler.m_droppedKeys.push_back(id);
+        else
+            logUnusable(id, failUnmatched(id).error());
+    }
     while (!scheduler.m_unmatchedEnds.empty())
         detail::handleUnmatchedEnds(scheduler, std::string(scheduler.m_unmatchedEnds.front().m_ended.m_task.m_job), now);
     detail::acknowledgeEnds(scheduler, now);
