Stop unanswered starts at a worker's next process

Cause: a start without an answer may be carried out seconds later. The process that has run or refused the attempt meanwhile rejects it, but its next process, which has the same id and knows nothing of the attempt, starts it: the task runs again after its end was acknowledged, or beside its next attempt. The leader had one rule against that, only for the attempt that a task still had on the worker when it restarted.

Change: the leader keeps each start that ended without an answer, or whose peer did not report it, for 15 s after its call. When a report shows that the worker has restarted, it has the new process stop those attempts, and repeats each stop until it is answered. No task waits for that, and a restart without such starts costs no call.

--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -212,6 +212,15 @@
     std::uint64_t m_batch = 0; ///< Record batch that makes the end durable; unknownBatch while the job's submission is unread.
 };
 
+/** A start whose call ended without an answer, so that it may still be carried out. */
+struct LateStart {
+    TaskName m_task; ///< Name of the task.
+    std::uint32_t m_attempt = 0; ///< Number of the attempt.
+    TimePoint m_expiresAt; ///< From then on, the start is too old to be carried out.
+    bool m_isStopDue = false; ///< The worker has restarted since, and its new process has not answered a stop.
+    TimePoint m_nextStopAt; ///< When the stop is next sent, if it is due.
+};
+
 /** The end of an attempt of a job whose submission has not been read. It is not acknowledged until the job is known, or known not to exist. */
 struct UnmatchedEnd {
     WorkerIndex m_worker = noWorker; ///< Worker that has reported it.
@@ -266,6 +275,8 @@
     std::uint64_t m_ackedEndNumber = 0; ///< Ends up to this number are durable and can be acknowledged.
     bool m_hasOtherProcess = false; ///< Its process may have started again since its latest report; its clock and leases are unknown until the next one.
     bool m_isProcessConfirmed = false; ///< No call has failed since the latest sync answer, so the process that numbered the ends still runs.
+    std::vector<LateStart> m_lateStarts; ///< Starts without an answer that may still be carried out.
+    TimePoint m_restartNotedAt; ///< When a report last showed that its process had restarted; zero for never.
     std::deque<PendingEnd> m_pendingEnds; ///< Ends that have been processed and are not durable yet.
     TimePoint m_drainingSince; ///< Time at which the worker first announced that it is draining.
     std::uint32_t m_pendingNames = 0; ///< Unanswered approval requests that name the worker; their steps are going to use its room.
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -2,6 +2,7 @@
 #include "core/invariant.h"
 #include "core/log_func.h"
 #include "process/scheduler/crash_record.h"
+#include "process/scheduler/late_start.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
 #include "process/scheduler/start_tickets.h"
@@ -462,6 +463,7 @@
     const bool isFirstReport = hasRestarted || worker.m_state == WorkerState::New;
     if (hasRestarted) {
         noteRestart(scheduler, index, now);
+        stopLateStarts(worker, now);
         worker.m_highestSeenEnd = 0;
         worker.m_ackedEndNumber = 0;
         worker.m_pendingEnds.clear();
@@ -500,6 +502,8 @@
     const auto index = scheduler.m_workerById.find(worker);
     if (index != scheduler.m_workerById.end() && status != OrderStatus::NotSent && status != OrderStatus::Unreported && status != OrderStatus::WrongInstance)
         countAnswer(scheduler, index->second, status != OrderStatus::NoAnswer, now);
+    if (index != scheduler.m_workerById.end() && (status == OrderStatus::NoAnswer || status == OrderStatus::Unreported))
+        noteUnansweredStart(scheduler.m_workers[static_cast<std::size_t>(index->second)], name, attempt, now);
     if (status == OrderStatus::Fenced)
         effects.m_isFenced = true;
     if (!ref.m_run || ref.task().m_phase != RunPhase::Starting)
@@ -550,6 +554,8 @@
 {
     if (status == OrderStatus::Fenced)
         effects.m_isFenced = true;
+    if (const auto index = scheduler.m_workerById.find(worker); index != scheduler.m_workerById.end())
+        onLateStartStopped(scheduler.m_workers[static_cast<std::size_t>(index->second)], name, attempt, status, now);
     const TaskRef ref = findCurrentAttempt(scheduler, worker, name, attempt);
     if (!ref.m_run || ref.task().m_phase != RunPhase::Stopping)
         return;
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -1,6 +1,7 @@
 /** @file scheduler_workers.cpp Workers: announcements, leases, health, and the calls to them. */
 #include "core/log_func.h"
 #include "process/scheduler/crash_record.h"
+#include "process/scheduler/late_start.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
 #include "process/scheduler/start_tickets.h"
@@ -421,6 +422,7 @@
             if (!isWithinCapacity(worker))
                 withdrawExcessStarts(scheduler, worker, now);
             withdrawUnsentStarts(scheduler, worker, now);
+            stepLateStarts(scheduler, i, now, effects);
             stepSync(scheduler, worker, now, effects);
         }
         stepTaskCalls(scheduler, now, effects);
--- a/tests/worker_restart_test.cpp
+++ b/tests/worker_restart_test.cpp
@@ -89,6 +89,15 @@
         onStopAnswer(m_scheduler, "w", order.m_task, order.m_attempt, OrderStatus::Done, m_now, effects);
     }
 
+    void failStop()
+    {
+        BOOST_REQUIRE(!m_stops.empty());
+        const StopOrder order = m_stops.front();
+        m_stops.clear();
+        SchedulerEffects effects;
+        onStopAnswer(m_scheduler, "w", order.m_task, order.m_attempt, OrderStatus::NoAnswer, m_now, effects);
+    }
+
     Task& taskAt(const std::string& job) { return m_scheduler.m_jobs.at(job)->m_runs.front()->m_tasks.front(); }
 
     /** Runs a task on the worker's first process until its end is ready to be acknowledged. */
@@ -236,3 +245,90 @@
     }
     BOOST_TEST((fixture.taskAt(firstJob).m_phase == RunPhase::None));
 }
+
+namespace {
+
+/** A worker has run a task to its end. The first of two copies of the task's start was not answered, and may still be carried out. */
+struct LateStartFixture : RestartFixture {
+    LateStartFixture()
+    {
+        submit(firstJob);
+        run({ 50 });
+        answerStart(OrderStatus::NoAnswer);
+        run({ 50 });
+        answerStart();
+        run({ 500 });
+        answerSync(firstProcess, {}, { { .m_number = 1, .m_task = taskOf(firstJob), .m_attempt = 1, .m_end = AttemptEnd::Done, .m_checkpoint = {} } });
+        run({ 50 });
+        BOOST_REQUIRE((findStage(m_scheduler, firstJob) == JobStage::Complete));
+    }
+};
+
+} // namespace
+
+// TWICE (soak, seed 2036): a start was held in the network while a copy of it ran to its end. The worker's next process, which knew
+// nothing of that, carried it out 0.3 s after its first report.
+BOOST_FIXTURE_TEST_CASE(a_start_that_may_come_late_is_stopped_at_the_next_process, LateStartFixture)
+{
+    run({ 1'000 });
+    BOOST_TEST(m_stops.empty()); // The process that has run the attempt refuses the copy.
+    answerSync(secondProcess, {}, {});
+    run({ 20 });
+    BOOST_REQUIRE(!m_stops.empty());
+    BOOST_TEST((m_stops.front().m_task == taskOf(firstJob)));
+    BOOST_TEST(m_stops.front().m_attempt == 1U);
+    failStop();
+    run({ 300 });
+    BOOST_REQUIRE(!m_stops.empty()); // Repeated until it is answered.
+    answerStop();
+    run({ 3'000 });
+    BOOST_TEST(m_stops.empty());
+    constexpr std::int64_t thirdProcess = 20'000;
+    answerSync(thirdProcess, {}, {});
+    run({ 20 });
+    BOOST_TEST(m_stops.size() == 1U); // The third process knows nothing of the stop.
+}
+
+BOOST_FIXTURE_TEST_CASE(a_start_that_is_too_old_to_come_late_is_not_stopped, LateStartFixture)
+{
+    run({ 20'000 });
+    answerSync(secondProcess, {}, {});
+    run({ 20 });
+    BOOST_TEST(m_stops.empty());
+}
+
+// The outcome of a call to the former process may be known only after the report of the new one.
+BOOST_FIXTURE_TEST_CASE(a_start_that_is_given_up_after_the_restart_is_stopped_as_well, RestartFixture)
+{
+    submit(firstJob);
+    run({ 50 });
+    answerSync(firstProcess, { { .m_task = taskOf(firstJob), .m_attempt = 1, .m_checkpoint = {} } }, {});
+    run({ 50 });
+    answerSync(firstProcess, {}, { { .m_number = 1, .m_task = taskOf(firstJob), .m_attempt = 1, .m_end = AttemptEnd::Done, .m_checkpoint = {} } });
+    run({ 50 });
+    answerSync(secondProcess, {}, {});
+    answerStart(OrderStatus::Unreported);
+    run({ 20 });
+    BOOST_REQUIRE(m_stops.size() == 1U);
+    BOOST_TEST((m_stops.front().m_task == taskOf(firstJob)));
+}
+
+// Each start that is answered has been carried out or refused, so a restart costs no stops.
+BOOST_FIXTURE_TEST_CASE(an_answered_start_is_not_stopped_at_the_next_process, RestartFixture)
+{
+    completeFirstJob();
+    answerSync(secondProcess, {}, {});
+    run({ 500 });
+    BOOST_TEST(m_stops.empty());
+}
+
+// The attempt that a task has on a restarted worker is stopped by the rules for tasks, so no second stop is sent for its start.
+BOOST_FIXTURE_TEST_CASE(a_start_of_the_current_attempt_is_stopped_only_once, RestartFixture)
+{
+    submit(firstJob);
+    run({ 50 });
+    answerStart(OrderStatus::NoAnswer);
+    answerSync(secondProcess, {}, {});
+    run({ 50 });
+    BOOST_TEST(m_stops.size() == 1U);
+}
