Hold a task while a worker lists an earlier attempt of it

What users would see: two runs of one task (TWICE). Cause: an attempt that counts as lost or ended was stopped when a worker listed it, but its task went on to be placed at once. Change: the task's step waits until the worker's next report no longer lists the attempt, the worker's lease has run out, or two longest leases have passed; an attempt that has not been started yet is withdrawn.

--- a/src/process/cell/cell_term.cpp
+++ b/src/process/cell/cell_term.cpp
@@ -58,7 +58,7 @@
         const auto earlier = [](const auto& one, const auto& other) { return one.second < other.second; };
         const auto oldest = std::min_element(evidence.m_memberAskedAt.begin(), evidence.m_memberAskedAt.end(), earlier);
         const bool hasMembers = oldest != evidence.m_memberAskedAt.end();
-        logEvent(LogLevel::Info, "leads-without-store", { { "token", node.m_term }, { "store_asked_ms_ago", (now - evidence.m_storeAskedAt).m_ms }, { "is_list_stored", evidence.m_isListStored }, { "members", evidence.m_memberAskedAt.size() }, { "oldest_member", hasMembers ? oldest->first : std::string() }, { "member_asked_ms_ago", hasMembers ? (now - oldest->second).m_ms : -1 }, { "gives_orders", !node.m_isAwaitingConfirmation }, { "renewed_ms_ago", renewalAgeMs(node) } });
+        logEvent(LogLevel::Info, "leads-without-store", { { "token", node.m_term }, { "store_asked_ms_ago", (now - evidence.m_storeAskedAt).m_ms }, { "is_list_stored", evidence.m_isListStored }, { "members", evidence.m_memberAskedAt.size() }, { "oldest_member", hasMembers ? oldest->first : std::string() }, { "member_asked_ms_ago", hasMembers && oldest->second.m_ms > 0 ? (now - oldest->second).m_ms : -1 }, { "gives_orders", !node.m_isAwaitingConfirmation }, { "renewed_ms_ago", renewalAgeMs(node) } });
     }
 
     /** Takes it up that the store has confirmed a list: members that are not on it need not be asked any more. */
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -94,6 +94,7 @@
     std::string m_ticket; ///< Approval ticket that the latest start call carried; empty for none.
     bool m_isTicketRenewedAhead = false; ///< A new ticket has been requested while the record of the current attempt is awaited.
     TimePoint m_recordedAt; ///< Time at which the record of the current attempt became durable.
+    TimePoint m_strayUntil; ///< Until then no attempt is placed, as a worker has listed an earlier one; zero once that has ended.
     std::vector<WorkerIndex> m_failedOn; ///< Workers on which an attempt of the task failed.
 };
 
@@ -143,6 +144,7 @@
     TimePoint m_approvalRequestedAt; ///< When the latest approval request was sent, or the first one was delayed; zero for never.
     bool m_mayUseKeptProxies = false; ///< It has waited so long to send a request that this pass lets it use the VMs kept for such steps.
     bool m_isApprovalRequestDelayed = false; ///< An approval request was due and no VM was free to send it.
+    TimePoint m_strayUntil; ///< The latest Task::m_strayUntil of its tasks, or a later time.
     bool m_hasReservations = false; ///< Workers are reserved for the step.
     bool m_hadSuspects = false; ///< A task of the step was on probation when its worker crashed.
     UrgencyInput m_urgencyInput; ///< What the step's urgency was last computed from.
@@ -241,6 +243,7 @@
     bool m_isAnnounced = false; ///< The worker is currently announced.
     bool m_wasAccepting = false; ///< Whether it accepted tasks at the latest placement pass.
     std::uint32_t m_unexpectedAttempts = 0; ///< Attempts in its latest report that the scheduler did not expect there.
+    std::vector<TaskName> m_strays; ///< Tasks that are held for an attempt that its latest report lists.
     std::uint32_t m_suspects = 0; ///< Number of suspects among m_tasks; nothing else is placed beside them.
     std::uint32_t m_unansweredCalls = 0; ///< Consecutive calls without an answer.
     std::uint32_t m_viewPosition = 0; ///< Its position in the pool's view of the latest placement pass, if it accepted tasks then.
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -6,6 +6,7 @@
 #include "process/scheduler/pool_view.h"
 #include "process/scheduler/reservation.h"
 #include "process/scheduler/scheduler_detail.h"
+#include "process/scheduler/stray_attempt.h"
 #include "process/scheduler/suspect_placement.h"
 #include "process/scheduler/urgency.h"
 #include "request/plan_func.h"
@@ -420,7 +421,7 @@
             if (!run->m_isWaiting || !run->m_isReleased)
                 return !run->m_isWaiting;
             const auto view = views.find(run->m_job->m_plan.m_pool);
-            if (view != views.end() && (isFullPass || isPromising(scheduler, *run, view->second, now)))
+            if (view != views.end() && !isHeldForStray(*run, now) && (isFullPass || isPromising(scheduler, *run, view->second, now)))
                 ranked.push_back({ stepUrgency(scheduler, *run, now), run });
             return false;
         });
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -5,6 +5,7 @@
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
 #include "process/scheduler/start_tickets.h"
+#include "process/scheduler/stray_attempt.h"
 #include "process/scheduler/wait_report.h"
 #include "request/plan_func.h"
 #include "table/scheduler_table.h"
@@ -284,6 +285,7 @@
     {
         Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
         worker.m_unexpectedAttempts = 0;
+        forgetStrays(scheduler, worker);
         for (const RunningAttempt& running : report.m_running) {
             const TaskRef ref = findTask(scheduler, running.m_task);
             const bool isExpected = ref.m_run && ref.task().m_worker == index && ref.task().m_attempt == running.m_attempt && ref.task().m_phase != RunPhase::None && ref.task().m_phase != RunPhase::Recording;
@@ -292,6 +294,8 @@
                 if (mayBeUnread(scheduler, running.m_task.m_job)) // It may be wanted, and takes room of unknown size.
                     continue;
                 logEvent(LogLevel::Warning, "unexpected-attempt", { { "task", format(running.m_task) }, { "attempt", running.m_attempt }, { "worker", worker.m_announcement.m_id } });
+                if (ref.m_run)
+                    noteStray(scheduler, index, ref, now);
                 effects.m_stops.push_back({ targetOf(scheduler, worker), { .m_task = running.m_task, .m_attempt = running.m_attempt } });
                 continue;
             }
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -4,6 +4,7 @@
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
 #include "process/scheduler/start_tickets.h"
+#include "process/scheduler/stray_attempt.h"
 #include "process/scheduler/suspect_placement.h"
 #include "request/plan_func.h"
 
@@ -278,6 +279,7 @@
                 return;
             logEvent(LogLevel::Warning, "worker-gone", { { "worker", worker.m_announcement.m_id }, { "cause", "its lease has run out" }, { "tasks", worker.m_tasks.size() }, { "has_answered", worker.m_clock.m_ms != 0 }, { "unanswered", worker.m_unansweredCalls }, { "answered_ms_ago", (now - worker.m_answeredAt).m_ms }, { "lease_until", worker.m_leaseUntilMs } });
             worker.m_state = WorkerState::Gone;
+            forgetStrays(scheduler, worker);
             loseExpiredTasks(scheduler, worker, now);
         }
 
@@ -358,7 +360,7 @@
 
         void stepSync(Scheduler& scheduler, Worker& worker, TimePoint now, SchedulerEffects& effects)
         {
-            const bool isNeeded = worker.m_isAnnounced || !worker.m_tasks.empty();
+            const bool isNeeded = worker.m_isAnnounced || !worker.m_tasks.empty() || !worker.m_strays.empty();
             if (worker.m_isSyncPending || now < syncDueAt(scheduler, worker) || !isNeeded || worker.m_announcement.m_address.m_port == 0)
                 return;
             sendSync(scheduler, worker, now, effects);
--- /dev/null
+++ b/src/process/scheduler/stray_attempt.h
@@ -0,0 +1,23 @@
+/**
+ * @file stray_attempt.h Attempts that a worker still lists although they counted as ended or lost. Each report has them stopped; until they have
+ * ended, their tasks are not placed anywhere else.
+ */
+#pragma once
+
+#include "process/scheduler/scheduler_base.h"
+
+namespace bulrushloft::scheduler::detail {
+
+/** Releases the tasks whose stray attempts the worker's previous report has listed; called before its next report is read, and when its lease has run out. */
+void forgetStrays(Scheduler& scheduler, Worker& worker);
+
+/**
+ * Holds a task that still has to complete and has no started attempt, as an earlier attempt runs on a worker. An attempt that is not started yet is withdrawn.
+ * The hold ends with the worker's next report, or when its lease has run out.
+ */
+void noteStray(Scheduler& scheduler, WorkerIndex index, const TaskRef& ref, TimePoint now);
+
+/** @return Whether a task of a step is held, so that the step has to wait. */
+bool isHeldForStray(const StepRun& run, TimePoint now);
+
+} // namespace bulrushloft::scheduler::detail
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -473,6 +473,60 @@
     BOOST_TEST((findStage(fixture.m_scheduler, jobId) == JobStage::Complete));
 }
 
+// A leader placed the next attempt of a task 0.6 s after a worker had listed the one that it had given up, and both ran until the stop took effect.
+BOOST_AUTO_TEST_CASE(a_task_whose_lost_attempt_is_listed_again_is_not_placed_before_that_has_ended)
+{
+    Fixture fixture;
+    fixture.adoptWorker("w1");
+    acceptJob(fixture.m_scheduler, makePlan({ makeStep(1) }), fixture.m_now);
+    fixture.step();
+    fixture.record();
+    const auto start = fixture.step().m_starts.at(0);
+    fixture.answerStart(start, OrderStatus::Done);
+    detail::markTasksLost(fixture.m_scheduler, 0, "its lease has run out", fixture.m_now);
+    SyncReport listing { .m_clockMs = 90'000, .m_processStartMs = 0, .m_running = { { .m_task = start.m_order.m_task, .m_attempt = 1, .m_checkpoint = {} } }, .m_ended = {} };
+    BOOST_TEST(fixture.answerSync("w1", listing).m_stops.size() == 1U);
+    fixture.adoptWorker("w2");
+    for (int i = 0; i < 10; ++i) {
+        BOOST_TEST(fixture.step({ 50 }).m_starts.empty());
+        fixture.record();
+        listing.m_clockMs += 50;
+        fixture.answerSync("w1", listing);
+    }
+    listing.m_running.clear();
+    listing.m_ended = { makeEnded(start, 1, AttemptEnd::Stopped) };
+    fixture.answerSync("w1", listing);
+    fixture.step({ 50 });
+    fixture.record();
+    const auto starts = fixture.step({ 50 }).m_starts;
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST(starts[0].m_order.m_attempt == 2U);
+}
+
+// A worker that lists a lost attempt and then falls silent holds its task no longer than its lease lasts.
+BOOST_AUTO_TEST_CASE(a_task_whose_lost_attempt_was_listed_is_placed_when_the_lease_has_run_out)
+{
+    Fixture fixture;
+    fixture.adoptWorker("w1");
+    acceptJob(fixture.m_scheduler, makePlan({ makeStep(1) }), fixture.m_now);
+    fixture.step();
+    fixture.record();
+    const auto start = fixture.step().m_starts.at(0);
+    fixture.answerStart(start, OrderStatus::Done);
+    detail::markTasksLost(fixture.m_scheduler, 0, "its lease has run out", fixture.m_now);
+    fixture.answerSync("w1", { .m_clockMs = 90'000, .m_processStartMs = 0, .m_running = { { .m_task = start.m_order.m_task, .m_attempt = 1, .m_checkpoint = {} } }, .m_ended = {} });
+    fixture.adoptWorker("w2");
+    const TimePoint latest = fixture.m_now + fixture.m_scheduler.m_options.m_longestLease * 2;
+    std::size_t starts = 0;
+    while (starts == 0 && fixture.m_now < latest) {
+        starts = fixture.step({ 100 }).m_starts.size();
+        fixture.record();
+        fixture.answerSync("w1", {}, OrderStatus::NoAnswer);
+        fixture.answerSync("w2", { .m_clockMs = fixture.m_now.m_ms });
+    }
+    BOOST_TEST(starts == 1U);
+}
+
 // A successor did not know which worker had run a lost task, ignored that it had ended as done there, and started it again.
 BOOST_AUTO_TEST_CASE(a_task_that_was_lost_in_an_earlier_term_and_has_completed_does_not_run_again)
 {
