Resume a leader on the store's word alone

Cause (review): after a lapse the listing's age was compared together with members' answers, which say nothing about a term that has begun and ended in between; a listing older than the bound could resume the leader. Change: only the time at which the listing was asked for counts.

--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -269,8 +269,8 @@
     if (!node.m_isAwaitingConfirmation || !isOwnClaim(node))
         return;
     noteStoreAnswer(node.m_termLease.m_evidence, askedAt);
-    if (node.m_role == Role::Leading && !mayRenewLeases(node.m_termLease.m_evidence, node.m_options.m_termLease, node.m_lastBootTime))
-        return resetTail(node.m_leaderTail, true); // The answer came too late.
+    if (node.m_role == Role::Leading && node.m_lastBootTime - askedAt > node.m_options.m_termLease.m_renewalLimit)
+        return resetTail(node.m_leaderTail, true); // The answer came too late. Members' answers don't help: they say nothing about a term that has ended since.
     node.m_isAwaitingConfirmation = false;
     logEvent(LogLevel::Info, "leadership-confirmed", { { "token", node.m_leader.m_token } });
 }
