--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -133,8 +133,15 @@
         return std::any_of(std::next(record), end, [&](const KeyedRecord& later) { return later.m_key == record->m_key; });
     }
 
-    /** @param askedAt When the records were requested, as in TermEvidence. */
-    void onRead(CellNode& node, TopicTail& tail, const StoreReadAnswer& answer, TimePoint askedAt)
+    /** Notes that a read has shown no claim beyond those known; each attempt's answer counts, also after another attempt was answered. */
+    void noteClaimsRead(CellNode& node, const TopicTail& tail, const StoreReadAnswer& answer, TimePoint askedAt)
+    {
+        const bool showsAllKnown = answer.m_status == StoreStatus::Done && !tail.m_isListing && answer.m_end <= tail.m_nextOffset;
+        if (showsAllKnown && &tail == &node.m_leaderTail && isOwnClaim(node))
+            noteStoreAnswer(node.m_termLease.m_evidence, askedAt);
+    }
+
+    void onRead(CellNode& node, TopicTail& tail, const StoreReadAnswer& answer)
     {
         if (answer.m_status == StoreStatus::Expired)
             return resetTail(tail, true);
@@ -154,8 +161,6 @@
         tail.m_isCaughtUp = tail.m_isCaughtUp || isCaughtUp;
         if (isCaughtUp)
             tail.m_upToDateAt = node.m_now;
-        if (isCaughtUp && &tail == &node.m_leaderTail && isOwnClaim(node))
-            noteStoreAnswer(node.m_termLease.m_evidence, askedAt);
         endCall(tail.m_call, isCaughtUp ? node.m_now + tail.m_pollDelay : node.m_now);
     }
 
@@ -233,7 +238,8 @@
         }
         sendRead(node, { .m_partition = tail.m_partition, .m_from = tail.m_nextOffset, .m_wait = wait }, wait + marginOf(node, tail), [&node, &tail, checkAnswer, askedAt](const StoreReadAnswer& answer) {
             if (checkAnswer(answer.m_status))
-                onRead(node, tail, answer, askedAt);
+                onRead(node, tail, answer);
+            noteClaimsRead(node, tail, answer, askedAt);
         });
     }
 
