--- a/tests/cell_simulation_base.h
+++ b/tests/cell_simulation_base.h
@@ -99,7 +99,7 @@
     /** A call to the store that is on its way. @tparam Answer Its answer. */
     template <typename Answer>
     struct StoreCall {
-        std::string m_topic; ///< Its partition is that of the topic.
+        StorePartition m_partition; ///< The partition that it is for.
         std::function<Answer()> m_perform; ///< Carries out the call on m_store.
         std::int64_t m_timeoutAt = 0; ///< When the daemon gives it up.
         std::int64_t m_returnDelay = 0; ///< Time of the answer on the network in ms.
@@ -119,8 +119,7 @@
     std::int64_t storeSlowness() const;
     /** @return Share of the appends that get no answer and are carried out seconds later. */
     double lossyWriteShare() const;
-    /** @return The queue of a topic's only partition. */
-    PartitionQueue& queueOf(const std::string& topic) { return m_partitionQueues[topic]; }
+    PartitionQueue& queueOf(const StorePartition& partition) { return m_partitionQueues[partition]; }
     FakeLeaseWorker* findWorker(const std::string& id);
     void makeWorker(int index);
     /** Writes a worker's record to the workers topic. */
@@ -218,9 +217,9 @@
     std::map<TaskName, std::vector<std::int64_t>> m_agesAtCrash; ///< How long attempts of a task had run when their workers crashed, in ms.
     std::set<TaskName> m_endedDone; ///< Tasks that have ended as done at a worker that has not lost that end.
     FakeStore m_store;
-    std::set<std::string> m_overfilledTopics; ///< Topics whose partition was reported as overfilled.
-    std::map<std::string, PartitionCounts> m_printedCounts; ///< Counts at the last printTraffic().
-    std::map<std::string, PartitionQueue> m_partitionQueues; ///< By topic; each has one partition.
+    std::set<StorePartition> m_overfilledPartitions; ///< Partitions that were reported as overfilled.
+    std::map<StorePartition, PartitionCounts> m_printedCounts; ///< Counts at the last printTraffic().
+    std::map<StorePartition, PartitionQueue> m_partitionQueues; ///< Those that were appended to or read.
     std::int64_t m_storeDownUntil = 0; ///< Until then the store is down and carries out no calls.
     bool m_isStoreUnresponsive = false; ///< Calls to a store that is down time out instead of being refused.
     std::int64_t m_storeSlowUntil = 0; ///< Until then calls take 40 times as long.
--- a/tests/cell_simulation_network.cpp
+++ b/tests/cell_simulation_network.cpp
@@ -29,7 +29,7 @@
 template <typename Answer>
 void CellSimulation::arriveAtPartition(SimulatedNode& node, const std::shared_ptr<bool>& alive, const StoreCall<Answer>& call, const std::function<void(Answer)>& onAnswer, const std::function<void()>& fail)
 {
-    PartitionQueue& queue = queueOf(call.m_topic);
+    PartitionQueue& queue = queueOf(call.m_partition);
     queue.setAppendTime(appendTime.m_ms * storeSlowness());
     constexpr bool isAppend = std::is_same_v<Answer, StoreAppendAnswer>;
     std::optional<std::int64_t> doneAt = queue.readTime(m_now);
@@ -86,8 +86,8 @@
     const bool isLate = extraDelay > 0;
     const bool isGivenUp = isLost || delay > timeout.m_ms;
     if (isAppend && isLate)
-        queueOf(partition.m_topic).sendLate();
-    const StoreCall<Answer> call { .m_topic = partition.m_topic, .m_perform = std::move(perform), .m_timeoutAt = timeoutAt, .m_returnDelay = delay / 2, .m_isLate = isLate, .m_isGivenUp = isGivenUp };
+        queueOf(partition).sendLate();
+    const StoreCall<Answer> call { .m_partition = partition, .m_perform = std::move(perform), .m_timeoutAt = timeoutAt, .m_returnDelay = delay / 2, .m_isLate = isLate, .m_isGivenUp = isGivenUp };
     schedule(delay / 2 + extraDelay, [this, &node, alive, call, onAnswer, fail] { arriveAtPartition(node, alive, call, onAnswer, fail); });
     if (isGivenUp)
         fail();
--- a/tests/cell_simulation_partitions.cpp
+++ b/tests/cell_simulation_partitions.cpp
@@ -13,20 +13,20 @@
         printTraffic();
     if (!soundTime() || m_now < *soundTime() + queueSettlingTime.m_ms)
         return;
-    for (const auto& [topic, queue] : m_partitionQueues) {
+    for (const auto& [partition, queue] : m_partitionQueues) {
         const std::int64_t waiting = queue.waitingTime(m_now);
         m_result.m_longestWaitMs = std::max(m_result.m_longestWaitMs, waiting);
-        if (waiting > maxWaitingMs && m_overfilledTopics.insert(topic).second)
-            reportViolation("QUEUE: " + std::to_string(waiting) + " ms of appends wait in the partition of " + topic + ", and the store is sound since " + std::to_string(*soundTime()) + " ms");
+        if (waiting > maxWaitingMs && m_overfilledPartitions.insert(partition).second)
+            reportViolation("QUEUE: " + std::to_string(waiting) + " ms of appends wait in partition " + std::to_string(partition.m_partition) + " of " + partition.m_topic + ", and the store is sound since " + std::to_string(*soundTime()) + " ms");
     }
 }
 
 void CellSimulation::printTraffic()
 {
-    for (auto& [topic, queue] : m_partitionQueues) {
+    for (auto& [partition, queue] : m_partitionQueues) {
         const PartitionCounts& counts = queue.counts(m_now);
-        PartitionCounts& last = m_printedCounts[topic];
-        std::cout << m_now << " ms " << topic << ": sent " << counts.m_sent - last.m_sent << ", done " << counts.m_done - last.m_done << ", refused " << counts.m_refused - last.m_refused << ", late " << counts.m_late - last.m_late << ", waiting " << counts.m_waiting << " for " << queue.waitingTime(m_now) << " ms\n";
+        PartitionCounts& last = m_printedCounts[partition];
+        std::cout << m_now << " ms " << partition.m_topic << " " << partition.m_partition << ": sent " << counts.m_sent - last.m_sent << ", done " << counts.m_done - last.m_done << ", refused " << counts.m_refused - last.m_refused << ", late " << counts.m_late - last.m_late << ", waiting " << counts.m_waiting << " for " << queue.waitingTime(m_now) << " ms\n";
         last = counts;
     }
 }
--- a/tests/lost_write_answers_test.cpp
+++ b/tests/lost_write_answers_test.cpp
@@ -95,7 +95,7 @@
         ++m_appends[append.m_partition.m_topic];
         if (m_behaviour.m_isSilent)
             return fail(timeout, onAnswer);
-        PartitionQueue& queue = m_queues[append.m_partition.m_topic];
+        PartitionQueue& queue = m_queues[append.m_partition];
         if (std::uniform_real_distribution<double>(0, 1)(m_random) < m_behaviour.m_lossShare) {
             queue.sendLate();
             m_events.emplace(m_now + std::uniform_int_distribution<std::int64_t>(1'000, 6'000)(m_random), [this, append, &queue] { carryOutLate(append, queue); });
@@ -128,7 +128,7 @@
     /** Answers a read at once, after the appends before it, if there is a record or it does not wait, else when its wait is over or a record has come. */
     void read(const StoreRead& read, std::int64_t until, const std::function<void(StoreReadAnswer)>& onAnswer)
     {
-        m_events.emplace(m_queues[read.m_partition.m_topic].readTime(m_now) + networkMs + m_behaviour.m_answerMs, [this, read, until, onAnswer] {
+        m_events.emplace(m_queues[read.m_partition].readTime(m_now) + networkMs + m_behaviour.m_answerMs, [this, read, until, onAnswer] {
             const StoreReadAnswer answer = m_store.read(read);
             if (!answer.m_records.empty() || m_now >= until)
                 onAnswer(answer);
@@ -142,21 +142,21 @@
         CellPorts ports;
         ports.m_append = [this](const StoreAppend& call, Duration timeout, const std::function<void(StoreAppendAnswer)>& onAnswer) { append(call, timeout, onAnswer); };
         ports.m_read = [this](const StoreRead& call, Duration timeout, const std::function<void(StoreReadAnswer)>& onAnswer) {
-            if (m_behaviour.m_isSilent || m_queues[call.m_partition.m_topic].waitingTime(m_now) + networkMs >= timeout.m_ms)
+            if (m_behaviour.m_isSilent || m_queues[call.m_partition].waitingTime(m_now) + networkMs >= timeout.m_ms)
                 return fail(timeout, onAnswer);
             read(call, m_now + call.m_wait.m_ms, onAnswer);
         };
         ports.m_readNewest = [this](const StoreNewestRead& call, Duration timeout, const std::function<void(StoreNewestAnswer)>& onAnswer) {
-            if (m_behaviour.m_isSilent || m_queues[call.m_partition.m_topic].waitingTime(m_now) + networkMs >= timeout.m_ms)
+            if (m_behaviour.m_isSilent || m_queues[call.m_partition].waitingTime(m_now) + networkMs >= timeout.m_ms)
                 return fail(timeout, onAnswer);
-            m_events.emplace(m_queues[call.m_partition.m_topic].readTime(m_now) + networkMs + m_behaviour.m_answerMs, [this, call, onAnswer] { onAnswer(m_store.newest(call)); });
+            m_events.emplace(m_queues[call.m_partition].readTime(m_now) + networkMs + m_behaviour.m_answerMs, [this, call, onAnswer] { onAnswer(m_store.newest(call)); });
         };
         ports.m_callPeer = [this](const Address&, const PeerMessage&, Duration timeout, const std::function<void(std::optional<PeerReply>)>& onReply) { m_events.emplace(m_now + timeout.m_ms, [onReply] { onReply(std::nullopt); }); };
         return ports;
     }
 
     std::multimap<std::int64_t, std::function<void()>> m_events; ///< By time.
-    std::map<std::string, PartitionQueue> m_queues; ///< Of the partition of each topic.
+    std::map<StorePartition, PartitionQueue> m_queues;
 };
 
 constexpr int runs = 400;
