Log single partitions of the store that carry out nothing

Callers saw requests without an answer for 24 s while the store answered other calls. No line told a partition that is away from a store that is away, and leadership-waits did not say whether what it waits for is silent.

No decision depends on them.

--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -4,6 +4,7 @@
 #include "process/cell/leader_choice.h"
 #include "process/cell/leader_codec.h"
 #include "process/cell/leadership_wait.h"
+#include "process/cell/partition_silence.h"
 #include "process/scheduler/scheduler_func.h"
 
 #include <algorithm>
@@ -221,9 +222,11 @@
         node.m_askedSuccessors.clear();
         const auto unconfirmedSince = oldestUnconfirmedSince(node.m_writer);
         const std::int64_t appendAgeMs = unconfirmedSince ? (node.m_now - *unconfirmedSince).m_ms : 0;
+        const StorePartition progress { .m_topic = node.m_options.m_topics.m_progress };
+        const OtherPartitions others = otherPartitions(node.m_storeTraffic, progress, node.m_now);
         for (const PeerState* peer : candidates) {
             node.m_askedSuccessors.push_back(peer->m_member.m_name);
-            logEvent(LogLevel::Info, "hand-over-requested", { { "to", peer->m_member.m_name }, { "token", node.m_term }, { "is_terminating", node.m_isTerminating }, { "is_writer_stalled", isWriterStalled(node) }, { "refusals", node.m_writer.m_refusals }, { "oldest_append_ms", appendAgeMs }, { "store_last_answer_ms_ago", (node.m_now - node.m_storeLastContactAt).m_ms } });
+            logEvent(LogLevel::Info, "hand-over-requested", { { "to", peer->m_member.m_name }, { "token", node.m_term }, { "is_terminating", node.m_isTerminating }, { "is_writer_stalled", isWriterStalled(node) }, { "refusals", node.m_writer.m_refusals }, { "oldest_append_ms", appendAgeMs }, { "progress_silent_ms", partitionSilence(node.m_storeTraffic, progress, node.m_now).m_ms }, { "others_answering", others.m_answering }, { "others_silent", others.m_silent }, { "store_last_answer_ms_ago", (node.m_now - node.m_storeLastContactAt).m_ms } });
             node.m_ports.m_callPeer(peer->m_member.m_address, PeerTakeOver { .m_token = node.m_term }, takeOverTimeout, [](const std::optional<PeerReply>&) { /* The outcome shows as a claim in the store. */ });
         }
     }
@@ -343,6 +346,7 @@
     detail::stepDirectWriter(node);
     detail::answerHeldQueries(node);
     reportTraffic(node.m_storeTraffic, node.m_now);
+    reportSilence(node.m_storeTraffic, node.m_now);
 }
 
 } // namespace bulrushloft::cell
--- a/src/process/cell/cell_metrics.cpp
+++ b/src/process/cell/cell_metrics.cpp
@@ -2,6 +2,7 @@
 #include "process/cell/cell_metrics.h"
 
 #include "process/cell/cell_detail.h"
+#include "process/cell/partition_silence.h"
 #include "table/scheduler_table.h"
 
 #include <prometheus/metric_family.h>
@@ -103,6 +104,15 @@
         return builder.family();
     }
 
+    /** For how long partitions have carried out nothing although they were called; the label is the topic. */
+    MetricFamily collectSilence(const StoreTraffic& traffic, TimePoint now)
+    {
+        MetricFamilyBuilder builder("bulrush_store_partition_silent_ms", "Time in which a partition that is called has carried out nothing, in ms, by topic", MetricType::Gauge);
+        for (const auto& [partition, each] : traffic.m_partitions)
+            builder.add(partition.m_topic, static_cast<double>(partitionSilence(each, now).m_ms));
+        return builder.family();
+    }
+
     MetricFamily collectSchedulerGauges(const scheduler::Scheduler& scheduler)
     {
         MetricFamilyBuilder builder("bulrush_scheduler", "Counts of the present term", MetricType::Gauge);
@@ -137,7 +147,7 @@
 
 std::string renderMetrics(const CellNode& node)
 {
-    std::vector<MetricFamily> families { collectCounters(node), collectGauges(node), collectAppends(node.m_storeTraffic), collectOpenCalls(node.m_storeTraffic) };
+    std::vector<MetricFamily> families { collectCounters(node), collectGauges(node), collectAppends(node.m_storeTraffic), collectOpenCalls(node.m_storeTraffic), collectSilence(node.m_storeTraffic, node.m_now) };
     if (node.m_scheduler) {
         families.push_back(collectSchedulerGauges(*node.m_scheduler));
         families.push_back(collectWaitGauges(node.m_scheduler->m_waitSummary));
--- a/src/process/cell/leadership_wait.cpp
+++ b/src/process/cell/leadership_wait.cpp
@@ -2,6 +2,7 @@
 #include "process/cell/leadership_wait.h"
 
 #include "core/log_func.h"
+#include "process/cell/partition_silence.h"
 #include "process/scheduler/wait_report.h"
 #include "table/cell_table.h"
 
@@ -58,7 +59,9 @@
         std::uint32_t unanswered = load.m_isFenced ? 0 : load.m_fence.m_inFlight;
         for (const LoadRange& range : load.m_ranges)
             unanswered += range.m_call.m_inFlight;
-        logEvent(LogLevel::Info, "leadership-waits", { { "for", findName(leadershipWaitNames, wait) }, { "waited_ms", (node.m_now - waitingSince(node)).m_ms }, { "token", node.m_term }, { "known_token", node.m_leader.m_token }, { "claims", node.m_counters.m_claims }, { "unanswered_calls", unanswered }, { "ranges_outstanding", outstanding }, { "records_read", load.m_progress.size() }, { "jobs_listed", node.m_jobsTail.m_isListingComplete }, { "jobs_next_offset", node.m_jobsTail.m_nextOffset }, { "jobs_calls_in_flight", node.m_jobsTail.m_call.m_inFlight }, { "jobs_last_call_ms_ago", (node.m_now - node.m_jobsTail.m_call.m_lastAttemptAt).m_ms }, { "store_last_answer_ms_ago", (node.m_now - node.m_storeLastContactAt).m_ms } });
+        const StorePartition awaited = awaitedPartition(node, wait);
+        const OtherPartitions others = otherPartitions(node.m_storeTraffic, awaited, node.m_now);
+        logEvent(LogLevel::Info, "leadership-waits", { { "for", findName(leadershipWaitNames, wait) }, { "waited_ms", (node.m_now - waitingSince(node)).m_ms }, { "token", node.m_term }, { "known_token", node.m_leader.m_token }, { "claims", node.m_counters.m_claims }, { "unanswered_calls", unanswered }, { "ranges_outstanding", outstanding }, { "records_read", load.m_progress.size() }, { "jobs_listed", node.m_jobsTail.m_isListingComplete }, { "jobs_next_offset", node.m_jobsTail.m_nextOffset }, { "jobs_calls_in_flight", node.m_jobsTail.m_call.m_inFlight }, { "jobs_last_call_ms_ago", (node.m_now - node.m_jobsTail.m_call.m_lastAttemptAt).m_ms }, { "store_last_answer_ms_ago", (node.m_now - node.m_storeLastContactAt).m_ms }, { "topic", awaited.m_topic }, { "topic_silent_ms", partitionSilence(node.m_storeTraffic, awaited, node.m_now).m_ms }, { "others_answering", others.m_answering }, { "others_silent", others.m_silent }, { "peers", node.m_peers.size() }, { "peers_newest_config", node.m_configFetch.m_newestVersion } });
     }
 
     /** @return Whether a leader waits for workers, which is then logged if due. */
@@ -91,6 +94,30 @@
     return LeadershipWait::None;
 }
 
+StorePartition awaitedPartition(const CellNode& node, LeadershipWait wait)
+{
+    switch (wait) {
+    case LeadershipWait::ConfigurationUnknown:
+        return node.m_operatorTail.m_partition;
+    case LeadershipWait::LeaderTopicNotListed:
+    case LeadershipWait::ClaimUnanswered:
+        return node.m_leaderTail.m_partition;
+    case LeadershipWait::FenceUnanswered:
+    case LeadershipWait::PagesOutstanding:
+        return { .m_topic = node.m_options.m_topics.m_progress };
+    case LeadershipWait::JobsNotCaughtUp:
+    case LeadershipWait::SubmissionsUnread:
+        return node.m_jobsTail.m_partition;
+    case LeadershipWait::WorkersNotListed:
+        return node.m_workersTail.m_partition;
+    case LeadershipWait::None:
+    case LeadershipWait::StoreNotReached:
+    case LeadershipWait::ClaimNotDue:
+        return {};
+    }
+    return {};
+}
+
 void reportLeadershipWait(CellNode& node, bool isLeaderWanted)
 {
     const LeadershipWait wait = leadershipWaitOf(node, isLeaderWanted);
--- a/src/process/cell/leadership_wait.h
+++ b/src/process/cell/leadership_wait.h
@@ -23,6 +23,9 @@
 /** @return What a daemon waits for. @param isLeaderWanted Whether no leader is known, or the known one is suspected to have failed. */
 LeadershipWait leadershipWaitOf(const CellNode& node, bool isLeaderWanted);
 
+/** @return The partition of the store that a wait is for; its topic is empty when the wait is not for one. */
+StorePartition awaitedPartition(const CellNode& node, LeadershipWait wait);
+
 /** Logs, once a second, what a daemon without a leader waits for, and, for some time after a takeover, the workers that have not answered the new leader. */
 void reportLeadershipWait(CellNode& node, bool isLeaderWanted);
 
--- a/src/process/cell/store_traffic.cpp
+++ b/src/process/cell/store_traffic.cpp
@@ -19,16 +19,34 @@
             traffic.m_givenUp.pop_front();
     }
 
+    /** @return The first open call that was sent later than a given time. */
+    std::deque<TimePoint>::const_iterator firstOpenAfter(const CallTraffic& traffic, TimePoint sentAt)
+    {
+        return std::find_if(traffic.m_open.begin(), traffic.m_open.end(), [&](TimePoint open) { return open > sentAt; });
+    }
+
+    std::optional<TimePoint> timeOfOpen(const CallTraffic& traffic, std::deque<TimePoint>::const_iterator open)
+    {
+        return open == traffic.m_open.end() ? std::nullopt : std::optional(*open);
+    }
+
+    /** @return Whether the partition is no longer called, nor expected to carry out an earlier call. */
+    bool isForgotten(const CallTraffic& traffic, TimePoint now)
+    {
+        return traffic.m_open.empty() && now - traffic.m_lastSentAt > lateLimit;
+    }
+
     /** Notes that the store has answered a call, whatever its outcome. */
     void onAnswer(CallTraffic& traffic, TimePoint sentAt)
     {
-        const auto later = std::find_if(traffic.m_open.begin(), traffic.m_open.end(), [&](TimePoint open) { return open > sentAt; });
-        traffic.m_unansweredSince = later == traffic.m_open.end() ? std::nullopt : std::optional(*later);
+        const auto later = firstOpenAfter(traffic, sentAt);
+        traffic.m_unansweredSince = timeOfOpen(traffic, later);
         traffic.m_sentSinceAnswer = static_cast<std::uint32_t>(traffic.m_open.end() - later);
     }
 
     void onCarriedOut(CallTraffic& traffic, TimePoint sentAt, TimePoint now)
     {
+        traffic.m_undoneSince = timeOfOpen(traffic, firstOpenAfter(traffic, sentAt));
         traffic.m_latency = now - sentAt;
         traffic.m_answeredAt = now;
         traffic.m_refusalsInRow = 0;
@@ -61,6 +79,7 @@
     ++traffic.m_sentSinceAnswer;
     traffic.m_lastSentAt = now;
     traffic.m_unansweredSince = traffic.m_unansweredSince.value_or(now);
+    traffic.m_undoneSince = traffic.m_undoneSince.value_or(now);
     traffic.m_open.push_back(now);
 }
 
@@ -102,8 +121,12 @@
 
 Duration silenceOf(const CallTraffic& appends, TimePoint now)
 {
-    const bool isForgotten = appends.m_open.empty() && now - appends.m_lastSentAt > lateLimit;
-    return appends.m_unansweredSince && !isForgotten ? now - *appends.m_unansweredSince : Duration {};
+    return appends.m_unansweredSince && !isForgotten(appends, now) ? now - *appends.m_unansweredSince : Duration {};
+}
+
+Duration undoneTime(const CallTraffic& traffic, TimePoint now)
+{
+    return traffic.m_undoneSince && !isForgotten(traffic, now) ? now - *traffic.m_undoneSince : Duration {};
 }
 
 Duration expectedLatency(const CallTraffic& appends, Duration initial, TimePoint now)
--- a/tests/leadership_wait_test.cpp
+++ b/tests/leadership_wait_test.cpp
@@ -91,3 +91,30 @@
     reportLeadershipWait(node, true);
     BOOST_TEST(node.m_nextWaitReportAt.m_ms == 12'500);
 }
+
+BOOST_AUTO_TEST_CASE(each_wait_for_the_store_names_its_partition)
+{
+    CellNode node;
+    const CellTopics topics { .m_operator = "operator", .m_workers = "workers" };
+    node.m_options.m_topics = topics;
+    node.m_operatorTail.m_partition = { .m_topic = topics.m_operator };
+    node.m_leaderTail.m_partition = { .m_topic = topics.m_leader };
+    node.m_jobsTail.m_partition = { .m_topic = topics.m_jobs };
+    node.m_workersTail.m_partition = { .m_topic = topics.m_workers };
+    const std::vector<std::pair<LeadershipWait, std::string>> expected {
+        { LeadershipWait::None, "" },
+        { LeadershipWait::ConfigurationUnknown, topics.m_operator },
+        { LeadershipWait::StoreNotReached, "" },
+        { LeadershipWait::LeaderTopicNotListed, topics.m_leader },
+        { LeadershipWait::ClaimNotDue, "" },
+        { LeadershipWait::ClaimUnanswered, topics.m_leader },
+        { LeadershipWait::FenceUnanswered, topics.m_progress },
+        { LeadershipWait::PagesOutstanding, topics.m_progress },
+        { LeadershipWait::JobsNotCaughtUp, topics.m_jobs },
+        { LeadershipWait::SubmissionsUnread, topics.m_jobs },
+        { LeadershipWait::WorkersNotListed, topics.m_workers },
+    };
+    BOOST_TEST(expected.size() == leadershipWaitNames.size());
+    for (const auto& [wait, topic] : expected)
+        BOOST_TEST(awaitedPartition(node, wait).m_topic == topic);
+}
--- a/tests/store_traffic_test.cpp
+++ b/tests/store_traffic_test.cpp
@@ -86,3 +86,19 @@
         BOOST_TEST(silenceOf(appends, now + late).m_ms == 0); // What was given up long ago is no longer waiting.
     }
 }
+
+BOOST_AUTO_TEST_CASE(only_a_call_that_was_carried_out_ends_the_time_in_which_none_was)
+{
+    CallTraffic reads;
+    onCallSent(reads, { 1'000 });
+    onCallAnswered(reads, StoreStatus::NotDone, { 1'000 }, { 1'100 });
+    onCallSent(reads, { 1'200 });
+    onCallAnswered(reads, StoreStatus::Unknown, { 1'200 }, { 2'200 });
+    onCallSent(reads, { 2'300 });
+    BOOST_TEST(undoneTime(reads, { 3'000 }).m_ms == 2'000);
+    onCallSent(reads, { 2'500 });
+    onCallAnswered(reads, StoreStatus::Done, { 2'300 }, { 3'000 });
+    BOOST_TEST(undoneTime(reads, { 3'000 }).m_ms == 500); // The later call is open.
+    onCallAnswered(reads, StoreStatus::EndMismatch, { 2'500 }, { 3'100 });
+    BOOST_TEST(undoneTime(reads, { 4'000 }).m_ms == 0);
+}
