--- a/src/process/cell/store_traffic.cpp
+++ b/src/process/cell/store_traffic.cpp
@@ -25,7 +25,7 @@
         return std::find_if(traffic.m_open.begin(), traffic.m_open.end(), [&](TimePoint open) { return open > sentAt; });
     }
 
-    std::optional<TimePoint> timeOfOpen(const CallTraffic& traffic, std::deque<TimePoint>::const_iterator open)
+    std::optional<TimePoint> timeOfOpen(const CallTraffic& traffic, const std::deque<TimePoint>::const_iterator& open)
     {
         return open == traffic.m_open.end() ? std::nullopt : std::optional(*open);
     }
