Drop collected orders while the leadership awaits confirmation

What users would see: a leader whose evidence for its term had lapsed, or that had been suspended, still renewed leases and started tasks through its peers: the orders that it had collected before (for up to 40 ms) left at its next step. Change: while the leadership awaits confirmation, stepRelay() takes collected orders back; starts and stops count as not sent, syncs as unreported, so that the scheduler sends them anew once it leads again.

--- a/src/process/cell/cell_relay.cpp
+++ b/src/process/cell/cell_relay.cpp
@@ -108,6 +108,20 @@
         });
     }
 
+    /** Drops the collected orders of a leader whose hold on its term is in doubt: sent late, they would renew leases and start tasks without evidence. */
+    void dropCollectedOrders(CellNode& node)
+    {
+        std::vector<RelayedOrder> collected;
+        for (auto& [name, outbox] : node.m_relay.m_outboxes) {
+            std::move(outbox.m_orders.begin(), outbox.m_orders.end(), std::back_inserter(collected));
+            outbox.m_orders.clear();
+        }
+        if (!collected.empty())
+            logEvent(LogLevel::Info, "collected-orders-dropped", { { "orders", collected.size() }, { "token", node.m_term } });
+        for (const RelayedOrder& order : collected)
+            completeOrder(node, order.m_number, unsentStatus(order), {});
+    }
+
     void expireOrders(CellNode& node)
     {
         OrderRelay& relay = node.m_relay;
@@ -269,6 +283,8 @@
 
 void stepRelay(CellNode& node)
 {
+    if (node.m_isAwaitingConfirmation)
+        dropCollectedOrders(node);
     for (auto& [name, outbox] : node.m_relay.m_outboxes) {
         const bool isDue = node.m_now - outbox.m_lastSentAt >= ordersInterval || outbox.m_orders.size() >= fullOutboxSize;
         if (outbox.m_orders.empty() || !isDue)
--- a/tests/fakes/relay_fixture.h
+++ b/tests/fakes/relay_fixture.h
@@ -9,6 +9,7 @@
 #include "request/plan_codec.h"
 
 #include <map>
+#include <optional>
 #include <set>
 
 namespace bulrushloft::test {
@@ -37,6 +38,9 @@
     std::string m_slowPeer; ///< Peer that carries out orders and reports them, but acknowledges each message too late.
     bool m_doTasksEnd = false; ///< Tasks end as done as soon as they start; otherwise workers list nothing.
     Duration m_reportDelay; ///< Time from an order to its report.
+    Duration m_suspended; ///< Time that the leader has spent in suspensions.
+    bool m_areClaimsSilent = false; ///< The topic of claims answers nothing.
+    std::size_t m_unconfirmedOrders = 0; ///< Orders that left while the leadership awaited confirmation.
     std::map<std::string, std::uint32_t> m_starts; ///< Starts that reached a worker, by job.
     std::map<std::string, std::set<std::uint32_t>> m_attempts; ///< Attempts that a worker started, by job.
     std::map<std::string, std::vector<EndedAttempt>> m_ends; ///< Ends that have not been acknowledged, by worker.
@@ -79,7 +83,10 @@
         const auto deliverLater = [this](auto onAnswer, auto answer) { m_answers.push_back([onAnswer, answer] { onAnswer(answer); }); };
         ports.m_append = [this, deliverLater](const StoreAppend& append, Duration, const std::function<void(StoreAppendAnswer)>& onAnswer) { deliverLater(onAnswer, m_store.append(append)); };
         ports.m_read = [this, deliverLater](const StoreRead& read, Duration, const std::function<void(StoreReadAnswer)>& onAnswer) { deliverLater(onAnswer, m_store.read(read)); };
-        ports.m_readNewest = [this, deliverLater](const StoreNewestRead& newest, Duration, const std::function<void(StoreNewestAnswer)>& onAnswer) { deliverLater(onAnswer, m_store.newest(newest)); };
+        ports.m_readNewest = [this, deliverLater](const StoreNewestRead& newest, Duration, const std::function<void(StoreNewestAnswer)>& onAnswer) {
+            const bool isSilent = m_areClaimsSilent && newest.m_partition.m_topic == CellTopics {}.m_leader;
+            deliverLater(onAnswer, isSilent ? StoreNewestAnswer { .m_status = StoreStatus::Unknown } : m_store.newest(newest));
+        };
         ports.m_sync = [this](const AddressedOrder<SyncOrder>&, Duration, const std::function<void(OrderStatus, const SyncReport&)>& onAnswer) {
             m_answers.push_back([this, onAnswer] { onAnswer(OrderStatus::Done, { .m_clockMs = m_now.m_ms, .m_processStartMs = 1, .m_running = {}, .m_ended = {} }); });
         };
@@ -118,6 +125,7 @@
     /** Carries out orders; the reports are delivered unless the peer ends before. */
     void forward(const PeerOrders& message)
     {
+        m_unconfirmedOrders += m_node->m_isAwaitingConfirmation ? message.m_orders.size() : 0;
         PeerReports reports { .m_token = m_node->m_term, .m_reports = {} };
         for (const RelayedOrder& order : message.m_orders)
             reports.m_reports.push_back(execute(order));
@@ -152,7 +160,7 @@
                 if (isDue && peer.m_name != m_silentPeer)
                     onPeerMessage(*m_node, PeerHeartbeat { .m_from = peer, .m_leader = m_node->m_leader, .m_configVersion = 1, .m_membersVersion = 0, .m_isStoreReached = true }, [](const PeerReply&) { /* Not of interest. */ });
             }
-            stepCell(*m_node, m_now, m_now);
+            stepCell(*m_node, m_now, m_now + m_suspended);
         }
     }
 
@@ -163,6 +171,18 @@
         scheduler::acceptAndRecord(*m_node->m_scheduler, plan, encodePlan(plan), m_now);
     }
 
+    /** @return The job of a start that is collected for a peer and has not left. */
+    std::optional<std::string> findCollectedStart() const
+    {
+        for (const auto& [name, outbox] : m_node->m_relay.m_outboxes) {
+            for (const RelayedOrder& order : outbox.m_orders) {
+                if (const auto* const start = std::get_if<StartOrder>(&order.m_order))
+                    return start->m_task.m_job;
+            }
+        }
+        return std::nullopt;
+    }
+
     std::size_t countWorkers(scheduler::WorkerState state) const
     {
         const auto& workers = m_node->m_scheduler->m_workers;
--- a/tests/order_relay_test.cpp
+++ b/tests/order_relay_test.cpp
@@ -4,6 +4,8 @@
 
 #include "fakes/relay_fixture.h"
 
+#include <optional>
+
 using namespace bulrushloft;
 using namespace bulrushloft::cell;
 using bulrushloft::test::RelayFixture;
@@ -68,3 +70,30 @@
     fixture.run({ 4'500 });
     BOOST_TEST(fixture.m_node->m_scheduler->m_approvalProxies.size() == static_cast<std::size_t>(peers));
 }
+
+// Orders are collected for up to 40 ms. Those that a leader had collected before its hold on the term came into doubt left all the same, and renewed leases without evidence.
+BOOST_AUTO_TEST_CASE(collected_orders_do_not_leave_while_the_leadership_awaits_confirmation)
+{
+    RelayFixture fixture;
+    fixture.m_doTasksEnd = true;
+    std::optional<std::string> job;
+    for (int i = 10; !job && i < 10 + workerCount; ++i) { // A start leaves at once unless its peer was sent a message shortly before.
+        fixture.submit("00000000000000" + std::to_string(i));
+        fixture.run(relayStep);
+        job = fixture.findCollectedStart();
+    }
+    BOOST_REQUIRE(job.has_value());
+    const std::size_t startsBefore = fixture.m_starts.size();
+    fixture.m_areClaimsSilent = true;
+    fixture.m_suspended = { 1'200 }; // Another daemon may lead by now.
+    fixture.run({ 300 });
+    BOOST_TEST(fixture.m_node->m_isAwaitingConfirmation);
+    BOOST_TEST(fixture.m_unconfirmedOrders == 0U);
+    BOOST_TEST(fixture.m_starts.size() == startsBefore);
+    fixture.m_areClaimsSilent = false;
+    fixture.run({ 1'500 });
+    BOOST_TEST(!fixture.m_node->m_isAwaitingConfirmation);
+    BOOST_TEST(fixture.m_starts[*job] == 1U);
+    BOOST_TEST((fixture.m_node->m_scheduler->m_jobs.at(*job)->m_stage == scheduler::JobStage::Complete));
+    BOOST_TEST(fixture.countWorkers(scheduler::WorkerState::Silent) == 0U);
+}
