Hold only the task whose stray attempt is listed

What users would see: a step with one lost attempt that its worker still listed placed none of its other tasks for as long as the worker listed it. Cause: the hold was kept by task, but the placement passed over the whole step. Change: held tasks are left out of the tasks to place, of reservations and of approval requests; a gang is still held whole, as its members start together.

--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -86,7 +86,7 @@
             , m_size(grantOf(run))
             , m_policy(queueOf(scheduler, *run.m_job).m_approval)
             , m_speedWeight(speedWeightOf(queueOf(scheduler, *run.m_job), urgency))
-            , m_toPlace(countUnplaced(run))
+            , m_toPlace(countPlaceable(run, now))
         {
         }
 
@@ -236,7 +236,7 @@
             std::make_heap(m_candidates.begin(), m_candidates.end());
             for (std::uint32_t i = 0; i < m_run.m_tasks.size() && m_toPlace > 0 && !m_candidates.empty(); ++i) {
                 const Task& task = m_run.m_tasks[i];
-                if (isUnplaced(task) && std::find(m_suspects.begin(), m_suspects.end(), i) == m_suspects.end())
+                if (isToPlace(task) && std::find(m_suspects.begin(), m_suspects.end(), i) == m_suspects.end())
                     placeOnCheapest(i);
             }
         }
@@ -265,7 +265,7 @@
             std::push_heap(m_candidates.begin(), m_candidates.end());
         }
 
-        static bool isUnplaced(const Task& task) { return task.m_resolution == TaskResolution::Open && task.m_phase == RunPhase::None; }
+        bool isToPlace(const Task& task) const { return task.m_resolution == TaskResolution::Open && task.m_phase == RunPhase::None && !isHeldForStray(task, m_now); }
 
         /** Lists the suspects to place. A gang with more of them than workers can be isolated at once is placed as usual after a while. */
         void findSuspects()
@@ -273,7 +273,7 @@
             constexpr Duration maxGangWait { 2'000 };
             for (std::uint32_t i = 0; m_run.m_hadSuspects && i < m_run.m_tasks.size(); ++i) {
                 const Task& task = m_run.m_tasks[i];
-                if (!isUnplaced(task) || !isSuspect(task))
+                if (!isToPlace(task) || !isSuspect(task))
                     continue;
                 if (planOf(m_run).m_isGang && m_now - task.m_waitingSince > maxGangWait)
                     return m_suspects.clear();
@@ -393,7 +393,7 @@
         Resources m_size; ///< Resources that one task reserves.
         const std::optional<ApprovalPolicy>& m_policy;
         double m_speedWeight;
-        std::uint32_t m_toPlace; ///< Open tasks without an attempt.
+        std::uint32_t m_toPlace; ///< Open tasks without an attempt that are not held for an earlier one.
         std::vector<std::uint32_t> m_suspects; ///< Tasks to place apart from others; each index into the step's tasks.
         Isolation m_isolation; ///< Workers for them.
         std::vector<Candidate> m_candidates; ///< Workers on which tasks of the step may start now.
@@ -421,7 +421,7 @@
             if (!run->m_isWaiting || !run->m_isReleased)
                 return !run->m_isWaiting;
             const auto view = views.find(run->m_job->m_plan.m_pool);
-            if (view != views.end() && !isHeldForStray(*run, now) && (isFullPass || isPromising(scheduler, *run, view->second, now)))
+            if (view != views.end() && countPlaceable(*run, now) > 0 && (isFullPass || isPromising(scheduler, *run, view->second, now)))
                 ranked.push_back({ stepUrgency(scheduler, *run, now), run });
             return false;
         });
--- a/src/process/scheduler/stray_attempt.cpp
+++ b/src/process/scheduler/stray_attempt.cpp
@@ -36,9 +36,20 @@
         stopTaskAndGang(scheduler, ref, now);
 }
 
-bool isHeldForStray(const StepRun& run, TimePoint now)
+bool isHeldForStray(const Task& task, TimePoint now)
 {
-    return now < run.m_strayUntil && std::any_of(run.m_tasks.begin(), run.m_tasks.end(), [&](const Task& task) { return now < task.m_strayUntil; });
+    return now < task.m_strayUntil;
+}
+
+std::uint32_t countPlaceable(const StepRun& run, TimePoint now)
+{
+    const std::uint32_t unplaced = countUnplaced(run);
+    if (now >= run.m_strayUntil)
+        return unplaced;
+    const auto isHeld = [&](const Task& task) { return task.m_resolution == TaskResolution::Open && task.m_phase == RunPhase::None && isHeldForStray(task, now); };
+    const auto held = static_cast<std::uint32_t>(std::count_if(run.m_tasks.begin(), run.m_tasks.end(), isHeld));
+    const bool isAllHeld = held > 0 && planOf(run).m_isGang; // The members of a gang start together.
+    return isAllHeld || held >= unplaced ? 0 : unplaced - held;
 }
 
 } // namespace bulrushloft::scheduler::detail
--- a/src/process/scheduler/stray_attempt.h
+++ b/src/process/scheduler/stray_attempt.h
@@ -17,7 +17,10 @@
  */
 void noteStray(Scheduler& scheduler, WorkerIndex index, const TaskRef& ref, TimePoint now);
 
-/** @return Whether a task of a step is held, so that the step has to wait. */
-bool isHeldForStray(const StepRun& run, TimePoint now);
+/** @return Whether a task is held. */
+bool isHeldForStray(const Task& task, TimePoint now);
+
+/** @return Number of open tasks of a step that have no attempt and are not held; none of a gang while one of its tasks is held. */
+std::uint32_t countPlaceable(const StepRun& run, TimePoint now);
 
 } // namespace bulrushloft::scheduler::detail
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -503,6 +503,53 @@
     BOOST_TEST(starts[0].m_order.m_attempt == 2U);
 }
 
+/** Loses the attempts of a step on w1, which lists that of the first task again, and adopts w2. @return The starts of the next passes. */
+std::vector<AddressedOrder<StartOrder>> startBesideStray(Fixture& fixture, const StepPlan& step)
+{
+    fixture.adoptWorker("w1");
+    acceptJob(fixture.m_scheduler, makePlan({ step }), fixture.m_now);
+    fixture.step();
+    fixture.record();
+    for (const auto& start : fixture.step().m_starts)
+        fixture.answerStart(start, OrderStatus::Done);
+    detail::markTasksLost(fixture.m_scheduler, 0, "its lease has run out", fixture.m_now);
+    const TaskName first { .m_job = jobId, .m_occurrence = 0, .m_step = 0, .m_index = 0 };
+    SyncReport listing { .m_clockMs = 90'000, .m_processStartMs = 0, .m_running = { { .m_task = first, .m_attempt = 1, .m_checkpoint = {} } }, .m_ended = {} };
+    fixture.answerSync("w1", listing);
+    fixture.adoptWorker("w2");
+    std::vector<AddressedOrder<StartOrder>> starts;
+    for (int i = 0; i < 10; ++i) {
+        for (const auto& start : fixture.step({ 50 }).m_starts) {
+            fixture.answerStart(start, OrderStatus::Done);
+            starts.push_back(start);
+        }
+        fixture.record();
+        listing.m_clockMs += 50;
+        fixture.answerSync("w1", listing);
+    }
+    return starts;
+}
+
+// All tasks of a step waited for one of them whose lost attempt was listed again.
+BOOST_AUTO_TEST_CASE(a_listed_lost_attempt_holds_its_own_task_only)
+{
+    Fixture fixture;
+    const auto starts = startBesideStray(fixture, makeStep(2));
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST(starts.front().m_order.m_task.m_index == 1U);
+    BOOST_TEST(starts.front().m_order.m_attempt == 2U);
+    BOOST_TEST(starts.front().m_to.m_worker == "w2");
+}
+
+// The members of a gang start together, so all wait for the one that is held.
+BOOST_AUTO_TEST_CASE(a_listed_lost_attempt_holds_its_whole_gang)
+{
+    Fixture fixture;
+    StepPlan step = makeStep(2);
+    step.m_isGang = true;
+    BOOST_TEST(startBesideStray(fixture, step).empty());
+}
+
 // A worker that lists a lost attempt and then falls silent holds its task no longer than its lease lasts.
 BOOST_AUTO_TEST_CASE(a_task_whose_lost_attempt_was_listed_is_placed_when_the_lease_has_run_out)
 {
