--- a/tests/term_lease_test.cpp
+++ b/tests/term_lease_test.cpp
@@ -2,8 +2,13 @@
 #define BOOST_TEST_MODULE term_lease
 #include <boost/test/unit_test.hpp>
 
+#include "process/cell/cell_detail.h"
+#include "process/cell/cell_func.h"
 #include "process/cell/term_lease.h"
 
+#include <algorithm>
+#include <functional>
+
 using namespace bulrushloft;
 using namespace bulrushloft::cell;
 
@@ -31,6 +36,49 @@
     BOOST_TEST(waitOnSlowClock < static_cast<double>(limit.m_ms) + 1.0);
 }
 
+constexpr std::uint64_t ownTerm = 5;
+constexpr std::uint64_t formerTerm = ownTerm - 1;
+
+/** A leader of term 5 that follows one of term 4, which had settled all before it and is seen to have stopped. Each test changes one of these. */
+struct NewLeader {
+    std::unique_ptr<CellNode> m_node;
+    TimePoint m_fencedAt { 100'000 };
+
+    NewLeader()
+    {
+        CellOptions cellOptions;
+        cellOptions.m_self = makeMember("self", 1);
+        m_node = makeCell(std::move(cellOptions), {}, {}, m_fencedAt, {});
+        m_node->m_lastBootTime = m_fencedAt;
+        m_node->m_role = Role::Leading;
+        m_node->m_term = ownTerm;
+        m_node->m_leader = { .m_token = ownTerm, .m_member = m_node->m_options.m_self };
+        m_node->m_scheduler = std::make_unique<scheduler::Scheduler>();
+        detail::beginTermLease(*m_node, { .m_token = formerTerm, .m_member = makeMember("former", 2) });
+        TermLease& lease = m_node->m_termLease;
+        lease.m_fencedAt = m_fencedAt;
+        noteStoreAnswer(lease.m_evidence, m_fencedAt);
+        lease.m_loadedList = MemberList { .m_settledTerm = formerTerm, .m_members = { memberIdOf(makeMember("former", 2)), memberIdOf(makeMember("self", 1)) } };
+        lease.m_storedList = *lease.m_loadedList;
+    }
+
+    TermLease& lease() const { return m_node->m_termLease; }
+
+    /** The former leader answers with the term that it knows. */
+    void answerOfFormer(std::uint64_t knownToken) const { detail::noteFormerLeader(*m_node, makeMember("former", 2), knownToken); }
+
+    /** @return How long after the fence earlier leaders may go on. */
+    Duration boundAfterFence() const { return detail::boundEarlierTerms(*m_node) - m_fencedAt; }
+
+    void goTo(TimePoint now) const
+    {
+        m_node->m_now = now;
+        m_node->m_lastBootTime = now;
+        noteStoreAnswer(lease().m_evidence, now);
+        detail::stepTermLease(*m_node);
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(a_leader_renews_for_the_limit_after_the_store_was_asked)
@@ -121,3 +169,75 @@
     BOOST_TEST((*decoded == list));
     BOOST_TEST(!decodeMemberList("not a list").has_value());
 }
+
+// Earlier leaders don't ask members that join, so that these could begin a term unseen.
+BOOST_AUTO_TEST_CASE(the_list_gets_new_members_only_once_earlier_leaders_have_stopped)
+{
+    const NewLeader leader;
+    const TimePoint stopped = detail::boundEarlierTerms(*leader.m_node);
+    BOOST_REQUIRE((stopped > leader.m_fencedAt));
+    leader.m_node->m_peers["new"] = { .m_member = makeMember("new", 3), .m_lastContactAt = leader.m_fencedAt };
+    leader.goTo(stopped - moment);
+    BOOST_TEST(!leader.lease().m_dueList.has_value());
+    leader.goTo(stopped);
+    BOOST_REQUIRE(leader.lease().m_dueList.has_value());
+    const MemberList& due = *leader.lease().m_dueList;
+    BOOST_TEST(std::binary_search(due.m_members.begin(), due.m_members.end(), memberIdOf(makeMember("new", 3))));
+    BOOST_TEST(due.m_settledTerm == ownTerm);
+}
+
+BOOST_AUTO_TEST_CASE(a_former_leader_that_has_stopped_ends_the_wait_if_all_before_it_had_stopped)
+{
+    const NewLeader seenBefore;
+    seenBefore.answerOfFormer(ownTerm);
+    BOOST_TEST(seenBefore.boundAfterFence().m_ms == 0);
+    const NewLeader seenLater;
+    checkWait(seenLater.boundAfterFence(), options.m_renewalLimit);
+    seenLater.m_node->m_now = seenLater.m_fencedAt + 1'000_ms;
+    seenLater.answerOfFormer(ownTerm);
+    BOOST_TEST((seenLater.lease().m_earlierStoppedAt == seenLater.m_node->m_now));
+}
+
+BOOST_AUTO_TEST_CASE(a_former_leader_that_knows_an_earlier_term_only_may_go_on)
+{
+    const NewLeader leader;
+    leader.answerOfFormer(formerTerm);
+    checkWait(leader.boundAfterFence(), options.m_renewalLimit);
+}
+
+/** Checks that the stop of the leader of the term before does not shorten the wait, whether it is seen before the records are loaded or after that. */
+void checkStopIsNoProof(const std::function<void(TermLease&)>& change)
+{
+    const NewLeader seenBefore;
+    change(seenBefore.lease());
+    seenBefore.answerOfFormer(ownTerm);
+    checkWait(seenBefore.boundAfterFence(), options.m_renewalLimit);
+    const NewLeader seenLater;
+    change(seenLater.lease());
+    checkWait(seenLater.boundAfterFence(), options.m_renewalLimit);
+    const TimePoint stopped = seenLater.lease().m_earlierStoppedAt;
+    seenLater.m_node->m_now = seenLater.m_fencedAt + 1'000_ms;
+    seenLater.answerOfFormer(ownTerm);
+    BOOST_TEST((seenLater.lease().m_earlierStoppedAt == stopped));
+}
+
+// A leader of a term before that one may still renew leases: its term was not settled when the list was written.
+BOOST_AUTO_TEST_CASE(a_former_leader_is_not_alone_that_had_not_settled_its_own_term)
+{
+    checkStopIsNoProof([](TermLease& lease) { lease.m_loadedList->m_settledTerm = formerTerm - 1; });
+}
+
+// A term between that one and the own one has begun, which this daemon has not known.
+BOOST_AUTO_TEST_CASE(a_former_leader_is_not_alone_if_another_term_came_between)
+{
+    checkStopIsNoProof([](TermLease& lease) {
+        lease.m_former.m_token = formerTerm - 1;
+        lease.m_loadedList->m_settledTerm = formerTerm - 1;
+    });
+}
+
+// Nothing tells what had stopped when it led.
+BOOST_AUTO_TEST_CASE(a_former_leader_is_not_known_to_be_alone_without_a_list)
+{
+    checkStopIsNoProof([](TermLease& lease) { lease.m_loadedList.reset(); });
+}
