Count submissions as read from when the read was sent

What users would see: a job that a VM had stored itself and acknowledged was answered as unknown (LOST). Cause: a leader answers that it knows no such job if it has read the submissions to their end within 2.5 s. That time counted from the arrival of an answer, however long ago the store had given it, on a clock that stands still in a suspension. Change: it counts from when the read was sent, on the boot-time clock; after a suspension only reads count that were sent after it. As the time of a long poll counts too, the store holds a leader's reads of submissions for 0.5 s instead of 1 s, and not at all while the latest is older than 1.25 s.

--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -89,7 +89,7 @@
     bool m_isCaughtUp = false; ///< Whether a read has reached the end of the partition since then, so that nothing stored during the listing is missing.
     std::uint32_t m_failedReads = 0; ///< Consecutive reads without an answer in time; the next one gets more time.
     TimePoint m_answeredAt; ///< When a listing or read was last answered.
-    TimePoint m_upToDateAt; ///< When the reader last reached the end of the partition.
+    TimePoint m_upToDateAt; ///< When the read was sent that last reached the end of the partition, on the boot-time clock; what was stored later may be unread. Zero for none.
     TimePoint m_nextReportAt; ///< Earliest time at which a slow or failed read is next logged.
     Duration m_wait; ///< Long-poll timeout of reads; zero for reads that return at once.
     Duration m_pollDelay; ///< Delay before the next read once the end of the partition is reached.
--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -34,7 +34,7 @@
             return { .m_status = QueryStatus::NotLeading };
         if (const auto stage = scheduler::findStage(*node.m_scheduler, job))
             return { .m_status = QueryStatus::Known, .m_stage = static_cast<std::uint8_t>(*stage) };
-        const bool isFresh = !node.m_scheduler->m_areSubmissionsUnread && node.m_now - node.m_jobsTail.m_upToDateAt <= node.m_options.m_maxJobsStaleness;
+        const bool isFresh = !node.m_scheduler->m_areSubmissionsUnread && node.m_lastBootTime - node.m_jobsTail.m_upToDateAt <= node.m_options.m_maxJobsStaleness;
         return { .m_status = isFresh ? QueryStatus::NoSuchJob : QueryStatus::NotLeading };
     }
 
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -22,6 +22,9 @@
 /** Restarts a reader with a new listing; answers to earlier calls are dropped. @param isFollowed Whether the topic is read from now on. */
 void resetTail(TopicTail& tail, bool isFollowed);
 
+/** Has the submissions read anew after a suspension, in which peers may have stored some; answers to earlier reads don't count. */
+void requireJobsRead(CellNode& node);
+
 /** Records the outcome of a call to the store and detects outages. @param isReached Whether the store answered. */
 void updateStoreReachability(CellNode& node, bool isReached);
 
--- a/src/process/cell/cell_expiry.cpp
+++ b/src/process/cell/cell_expiry.cpp
@@ -60,7 +60,7 @@
 {
     constexpr Duration maxReadingAge { 10'000 }; // Much less than the usual retention, and more than a read of a slow store takes.
     const Duration maxAge = std::max(std::min(maxReadingAge, node.m_options.m_scheduler.m_endedJobRetention / 2), node.m_options.m_maxJobsStaleness);
-    return node.m_jobsTail.m_isListing || node.m_now - node.m_jobsTail.m_upToDateAt > maxAge;
+    return node.m_jobsTail.m_isListing || node.m_lastBootTime - node.m_jobsTail.m_upToDateAt > maxAge;
 }
 
 void stepJobDeletions(CellNode& node)
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -159,6 +159,7 @@
             return;
         logEvent(LogLevel::Warning, "suspended", { { "suspension_ms", gap.m_ms }, { "token", node.m_term } });
         requireConfirmation(node);
+        requireJobsRead(node);
     }
 
     /** @return How long the store's answers to reads take at present, from those of the workers' announcements, which the store does not hold back. */
--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -141,7 +141,8 @@
             noteStoreAnswer(node.m_termLease.m_evidence, askedAt);
     }
 
-    void onRead(CellNode& node, TopicTail& tail, const StoreReadAnswer& answer)
+    /** @param askedAt When the read was sent, as in TermEvidence. */
+    void onRead(CellNode& node, TopicTail& tail, const StoreReadAnswer& answer, TimePoint askedAt)
     {
         if (answer.m_status == StoreStatus::Expired)
             return resetTail(tail, true);
@@ -160,7 +161,7 @@
         const bool isCaughtUp = tail.m_nextOffset >= answer.m_end;
         tail.m_isCaughtUp = tail.m_isCaughtUp || isCaughtUp;
         if (isCaughtUp)
-            tail.m_upToDateAt = node.m_now;
+            tail.m_upToDateAt = askedAt;
         endCall(tail.m_call, isCaughtUp ? node.m_now + tail.m_pollDelay : node.m_now);
     }
 
@@ -183,7 +184,7 @@
         if ((isDone && took < slowThreshold) || node.m_now < tail.m_nextReportAt)
             return;
         tail.m_nextReportAt = node.m_now + reportInterval;
-        logEvent(LogLevel::Info, "read-slow", { { "topic", tail.m_partition.m_topic }, { "took_ms", took.m_ms }, { "is_answered", isDone }, { "is_listing", tail.m_isListing }, { "in_flight", tail.m_call.m_inFlight }, { "failed_reads", tail.m_failedReads }, { "next_offset", tail.m_nextOffset }, { "up_to_date_ms_ago", (node.m_now - tail.m_upToDateAt).m_ms } });
+        logEvent(LogLevel::Info, "read-slow", { { "topic", tail.m_partition.m_topic }, { "took_ms", took.m_ms }, { "is_answered", isDone }, { "is_listing", tail.m_isListing }, { "in_flight", tail.m_call.m_inFlight }, { "failed_reads", tail.m_failedReads }, { "next_offset", tail.m_nextOffset }, { "up_to_date_ms_ago", (node.m_lastBootTime - tail.m_upToDateAt).m_ms } });
     }
 
     /** @return Whether a tail is that of the claims and this daemon leads, so that its answers show that it still does. */
@@ -192,12 +193,24 @@
         return &tail == &node.m_leaderTail && node.m_role == Role::Leading;
     }
 
+    /** @return How long the store may hold the answer to a leader's next read of submissions: the time counts against m_maxJobsStaleness, and so does that of the read after it. */
+    Duration jobsWaitOf(const CellNode& node)
+    {
+        constexpr std::int64_t readsPerLimit = 5;
+        const TopicTail& tail = node.m_jobsTail;
+        const Duration limit = node.m_options.m_maxJobsStaleness;
+        const bool isOld = node.m_lastBootTime - tail.m_upToDateAt > limit / 2;
+        return isOld ? Duration {} : std::min(tail.m_wait, limit / readsPerLimit);
+    }
+
     /** @return How long the store may hold the answer to a tail's next read. */
     Duration waitOf(const CellNode& node, const TopicTail& tail)
     {
         // A lost store is polled without a wait, so that its recovery is noticed soon; so is one that may have more than was listed.
         if (!node.m_isStoreReached || !tail.m_isCaughtUp)
             return {};
+        if (&tail == &node.m_jobsTail)
+            return jobsWaitOf(node);
         if (!isEvidenceTail(node, tail))
             return tail.m_wait;
         constexpr std::int64_t readsPerLimit = 6; // Evidence counts from the request, so two waits, and a lost answer, must pass within the limit.
@@ -238,7 +251,7 @@
         }
         sendRead(node, { .m_partition = tail.m_partition, .m_from = tail.m_nextOffset, .m_wait = wait }, wait + marginOf(node, tail), [&node, &tail, checkAnswer, askedAt](const StoreReadAnswer& answer) {
             if (checkAnswer(answer.m_status))
-                onRead(node, tail, answer);
+                onRead(node, tail, answer, askedAt);
             noteClaimsRead(node, tail, answer, askedAt);
         });
     }
@@ -249,7 +262,7 @@
      */
     void relistConfig(CellNode& node)
     {
-        if (!node.m_operatorTail.m_isListing && node.m_now - node.m_operatorTail.m_upToDateAt > storeSilenceLimit)
+        if (!node.m_operatorTail.m_isListing && node.m_lastBootTime - node.m_operatorTail.m_upToDateAt > storeSilenceLimit)
             resetTail(node.m_operatorTail, true);
     }
 
@@ -317,6 +330,12 @@
     tail.m_listedKeys.clear();
 }
 
+void requireJobsRead(CellNode& node)
+{
+    node.m_jobsTail.m_upToDateAt = {};
+    endCall(node.m_jobsTail.m_call, node.m_now);
+}
+
 void updateStoreReachability(CellNode& node, bool isReached)
 {
     if (isReached) {
--- a/tests/fakes/one_vm_cell.h
+++ b/tests/fakes/one_vm_cell.h
@@ -60,6 +60,8 @@
     bool m_areWorkersSilent = false; ///< The partition of the workers' announcements answers nothing.
     std::function<std::optional<StoreAppendAnswer>(const StoreAppend&)> m_onAppend; ///< If set, is asked before an append is carried out, and answers it in place of the store if it returns an answer.
     Duration m_jobsDelay; ///< How long the partition of submissions takes for an answer.
+    bool m_areAnswersDelayed = false; ///< That time passes after the read is carried out, not before.
+    Duration m_suspended; ///< Time that the VM has spent in suspensions.
     Duration m_retention = longRetention; ///< How long ended jobs are kept.
     std::unique_ptr<CellNode> m_node;
     TimePoint m_now { 10'000 };
@@ -112,6 +114,8 @@
             return deliver(onAnswer, perform());
         if (topic == workersTopic || m_areJobsSilent || m_jobsDelay > timeout)
             m_lateAnswers.emplace(m_now + timeout, [onAnswer] { onAnswer({ .m_status = StoreStatus::Unknown }); });
+        else if (m_areAnswersDelayed)
+            m_lateAnswers.emplace(m_now + m_jobsDelay, [onAnswer, answer = perform()] { onAnswer(answer); });
         else
             m_lateAnswers.emplace(m_now + m_jobsDelay, [onAnswer, perform] { onAnswer(perform()); });
     }
@@ -165,7 +169,7 @@
                 answer();
             while (!m_lateAnswers.empty() && m_lateAnswers.begin()->first <= m_now)
                 m_lateAnswers.extract(m_lateAnswers.begin()).mapped()();
-            stepCell(*m_node, m_now, m_now);
+            stepCell(*m_node, m_now, m_now + m_suspended);
         }
     }
 
