--- a/src/process/cell/append_pipeline.cpp
+++ b/src/process/cell/append_pipeline.cpp
@@ -231,8 +231,9 @@
 {
     if (pipeline.m_queue.empty())
         return nullptr;
-    PipelinedAppend* const next = isOldestDue(pipeline, lastStoreReplyAt, now) ? &pipeline.m_queue.front() : findOverlapping(pipeline, now);
-    if (!next || !isWithinBudget(pipeline, now))
+    const bool isRequested = std::exchange(pipeline.m_isAttemptRequested, false);
+    PipelinedAppend* const next = isRequested || isOldestDue(pipeline, lastStoreReplyAt, now) ? &pipeline.m_queue.front() : findOverlapping(pipeline, now);
+    if (!next || (!isRequested && !isWithinBudget(pipeline, now)))
         return nullptr;
     next->m_latest = { .m_sequence = next->m_append.m_writer->m_sequence, .m_number = ++pipeline.m_attempts, .m_sentAt = now };
     next->m_firstSentAt = next->m_attempts++ == 0 ? now : next->m_firstSentAt;
@@ -247,6 +248,11 @@
     return next;
 }
 
+void requestAttempt(AppendPipeline& pipeline)
+{
+    pipeline.m_isAttemptRequested = true;
+}
+
 AppendOutcome onAppendAnswer(AppendPipeline& pipeline, const AppendAttempt& attempt, StoreStatus status, TimePoint now)
 {
     --pipeline.m_openAttempts;
--- a/src/process/cell/append_pipeline.h
+++ b/src/process/cell/append_pipeline.h
@@ -52,6 +52,7 @@
     std::uint64_t m_confirmations = 0; ///< Number of answers that have confirmed an append.
     std::optional<TimePoint> m_lossSeenAt; ///< When an attempt was last answered before an earlier one; empty after several in order.
     AppendConfirmation m_lastConfirmation; ///< Of the latest confirmed append.
+    bool m_isAttemptRequested = false; ///< See requestAttempt().
     std::uint64_t m_confirmedBatch = 0; ///< Number of the latest batch that the store has confirmed; 0 for none.
 };
 
@@ -96,6 +97,9 @@
  */
 const PipelinedAppend* beginSend(AppendPipeline& pipeline, TimePoint lastStoreReplyAt, TimePoint now);
 
+/** Has the oldest append sent again at the next beginSend(), whatever its other attempts: it shows whether a partition that was silent answers again. */
+void requestAttempt(AppendPipeline& pipeline);
+
 /**
  * Processes the answer to an attempt and advances m_confirmedBatch when batches are confirmed. Each attempt gets exactly one answer.
  * @param status Result of the attempt; Unknown when its time is over.
--- a/src/process/cell/cell_admission.cpp
+++ b/src/process/cell/cell_admission.cpp
@@ -29,7 +29,7 @@
 
 void enqueueSubmission(CellNode& node, const PeerSubmit& message, const std::function<void(WriteOutcome)>& onComplete)
 {
-    if (!isActiveLeader(node))
+    if (!isActiveLeader(node) || isJournalStuck(node))
         return onComplete(WriteOutcome::NotAccepted);
     auto plan = decodePlan(message.m_plan);
     if (!plan) {
@@ -43,7 +43,7 @@
 {
     if (node.m_pendingSubmissions.empty())
         return;
-    if (!isActiveLeader(node))
+    if (!isActiveLeader(node) || isJournalStuck(node))
         return rejectPending(node, WriteOutcome::NotAccepted);
     const StoreHealth health { .m_oldestAppendSentAt = oldestUnconfirmedSince(node.m_writer), .m_lastContactAt = node.m_storeLastContactAt, .m_isReadyForAppend = isReadyToRecord(node) };
     switch (decideAdmission(health, node.m_now)) {
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -23,6 +23,9 @@
 /** Restarts a reader with a new listing; answers to earlier calls are dropped. @param isFollowed Whether the topic is read from now on. */
 void resetTail(TopicTail& tail, bool isFollowed);
 
+/** Has the submissions read anew after a suspension, in which peers may have stored some; answers to earlier reads don't count. */
+void requireJobsRead(CellNode& node);
+
 /** Records the outcome of a call to the store and detects outages. @param isReached Whether the store answered. */
 void updateStoreReachability(CellNode& node, bool isReached);
 
@@ -180,6 +183,9 @@
 /** Takes over which partitions hold the leader's records. @param record The newest record of the leader topic. */
 void applyJournalPointer(CellNode& node, const LeaderRecord& record);
 
+/** @return Whether the leader's records have been silent for so long that submissions are better stored by the VMs themselves. */
+bool isJournalStuck(const CellNode& node);
+
 /** @return Whether nothing new may be recorded, as all records are being written to another partition. */
 bool isRecordingPaused(const CellNode& node);
 
--- a/src/process/cell/cell_journal_move.cpp
+++ b/src/process/cell/cell_journal_move.cpp
@@ -224,6 +224,17 @@
         return isAsked && !isPointerPending(node) && node.m_now - target.m_answeredAt > std::max(patience, target.m_writer.m_lastLatency * latencies);
     }
 
+    /** Asks the partition written to once more: its earlier attempts may all be lost, although it answers by now. @return Whether it has had time to answer. */
+    bool isSilenceChecked(CellNode& node, JournalTarget& target)
+    {
+        constexpr Duration answerTime { 100 };
+        if (!target.m_checkedAt) {
+            target.m_checkedAt = node.m_now;
+            requestAttempt(node.m_writer);
+        }
+        return node.m_now - *target.m_checkedAt > std::max(answerTime, node.m_writer.m_lastLatency * 2);
+    }
+
     void stepTarget(CellNode& node, JournalTarget& target)
     {
         if (isTargetSilent(node, target)) {
@@ -233,7 +244,7 @@
         }
         if (!target.m_isListed)
             return listTarget(node, target);
-        const bool isDue = node.m_role == Role::Loading || isMoveDue(node);
+        const bool isDue = node.m_role == Role::Loading || (isMoveDue(node) && isSilenceChecked(node, target));
         if (!target.m_isSnapshotQueued && isDue && areClaimsAnswered(node))
             queueSnapshot(node, target);
         if (!target.m_isSnapshotQueued)
@@ -256,6 +267,12 @@
 
 } // namespace
 
+bool isJournalStuck(const CellNode& node)
+{
+    constexpr Duration recent { 500 }; // Shorter than the silence: others have answered meanwhile.
+    return isMoveDue(node) && node.m_now - node.m_storeLastContactAt <= recent;
+}
+
 bool isRecordingPaused(const CellNode& node)
 {
     return node.m_journalMove.m_target && node.m_journalMove.m_target->m_isSnapshotQueued;
--- a/src/process/cell/journal_move.h
+++ b/src/process/cell/journal_move.h
@@ -40,6 +40,7 @@
     HedgedCall m_listing; ///< The current page request.
     std::string m_after; ///< The next page starts after this key.
     std::vector<std::string> m_oldKeys; ///< Keys that earlier terms have left there.
+    std::optional<TimePoint> m_checkedAt; ///< When the partition written to was last asked once more.
     bool m_isListed = false; ///< Whether all keys are listed.
     bool m_isSnapshotQueued = false; ///< Whether the records are in m_writer; from then on nothing new is recorded until the change has ended.
     std::uint64_t m_coveredBatch = 0; ///< The newest batch that they cover.
