--- a/src/process/cell/append_pipeline.cpp
+++ b/src/process/cell/append_pipeline.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace bulrushloft::cell {
 
