Serve by a copy of the configuration while the operator's topic is silent

Callers got 503 from all VMs, and nobody led, when all power had been lost and the only partition of the operator's topic answered nothing afterwards while others did: a VM that starts knows no configuration, peers pass on only what one of them has, and a VM without one may not claim the leadership.

The leader copies the newest version to two partitions of keyed.config. A VM without a configuration reads them when the operator's topic has answered nothing for 1 s. The version is the epoch of the fenced writer and each epoch has one append, so that a version is stored once by whoever leads, and never after a later one. What the operator's topic answers takes precedence.

--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -4,6 +4,7 @@
 #include "connection/client_type.h"
 #include "connection/peer_type.h"
 #include "process/cell/append_pipeline.h"
+#include "process/cell/config_copy.h"
 #include "process/cell/config_fetch.h"
 #include "process/cell/hedged_call.h"
 #include "process/cell/leader_monitor.h"
@@ -24,13 +25,14 @@
 
 namespace bulrushloft::cell {
 
-/** Topics of the metadata store; each has one partition. */
+/** Topics of the metadata store; each has one partition, but where it says otherwise. */
 struct CellTopics {
     std::string m_operator; ///< Configuration and requests of the operator, by key.
     std::string m_workers; ///< Announcements of workers, by worker id.
     std::string m_leader = "keyed.leader"; ///< Leadership claims.
     std::string m_jobs = "keyed.jobs"; ///< Submissions and cancellations, by job id.
     std::string m_progress = "keyed.progress"; ///< Job progress, by job id; written by the leader only.
+    std::string m_config = "keyed.config"; ///< Copies of the newest configuration, in several partitions; see config_copy.h.
 };
 
 /** A decoded record of the operator's topic; std::monostate when the cell can't use it. */
@@ -283,6 +285,7 @@
     SharedCluster m_cluster; ///< Current configuration; null until the first one is known.
     std::string m_clusterText; ///< Key and text of the configuration as the operator wrote it; sent to peers.
     ConfigFetch m_configFetch; ///< Fetching of newer configurations from peers.
+    ConfigCopies m_configCopies; ///< Copies of the configuration in the store.
 
     TopicTail m_operatorTail; ///< Reader of the operator's topic.
     TopicTail m_leaderTail; ///< Reader of leadership claims.
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -42,10 +42,16 @@
 /**
  * Applies a configuration if it is newer than the current one.
  * @param text Key and value of the operator's record, separated by a newline.
- * @param source "store" or the name of the peer; used in the log.
+ * @param source "store", "copy" or the name of the peer; used in the log.
  */
 void applyClusterText(CellNode& node, const std::string& text, std::string_view source);
 
+/**
+ * Leader: writes copies of a configuration that is newer than they are. A daemon that has no configuration and gets no answer from the
+ * operator's topic reads them, and puts the newest one into force.
+ */
+void stepConfigCopies(CellNode& node);
+
 /** Sends heartbeats and announcements of the term that are due; updates the lists of peers, members and approval proxies. */
 void stepPeers(CellNode& node);
 
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -333,6 +333,7 @@
     advanceTime(node, now, bootNow);
     detail::runDueCalls(node);
     detail::stepTails(node);
+    detail::stepConfigCopies(node);
     detail::stepPeers(node);
     detail::stepLeadership(node);
     detail::stepLoading(node);
