Go on with copies of the announcements while the workers' topic is silent

Callers' jobs waited although workers had room: a leader whose term begins while the workers' topic, which has one partition, answers nothing knows only the workers of recorded tasks, and places nothing until it answers.

The leader's records now hold a copy of each worker's announcement, written with the next batch when what matters has changed. A leader that has had no answer about workers for 1 s since its term began announces them from the copies; the first complete listing replaces them. Orders name the worker, so another one at an outdated address refuses them. The process that announced the worker is left out of the copy, as reports of a later one would count as outdated. markWorkerCopiesDue() has all of them written again.

silent_workers_test: without the calls of the new functions the first, second and fourth case fail (5 failures, the last of which ends the program); all 11 hold now.

partial_loading_test: a_leader_that_cannot_list_workers_goes_on_... expected that nothing new is placed while the topic is silent, which is the fault. The case stands unchanged for records without copies, which it deletes first; the case with copies is in silent_workers_test.

A copy takes 91 bytes and a key of 35 for an announcement with ids of 16 hex digits (encodeWorkerCopy(), measured), once for each worker and change.

--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -11,6 +11,7 @@
 #include "process/cell/retry_advice.h"
 #include "process/cell/store_traffic.h"
 #include "process/cell/term_lease.h"
+#include "process/cell/worker_copy.h"
 #include "process/scheduler/scheduler_base.h"
 #include "version/cluster_type.h"
 
@@ -327,6 +328,7 @@
     std::vector<RecordWaiter> m_recordWaiters; ///< Callers that wait until a batch is durable.
     LoadState m_load;
     TermLease m_termLease; ///< Of the current own term.
+    WorkerCopies m_workerCopies; ///< Of the current own term.
     TimePoint m_loadedAt; ///< When the records of earlier terms were loaded, of the latest own term.
     JobDeletions m_jobDeletions; ///< Leader: deletion of the submissions of expired jobs.
     TimePoint m_nextWaitReportAt; ///< When it is next logged what the takeover waits for.
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -52,6 +52,24 @@
  */
 void stepConfigCopies(CellNode& node);
 
+/** Notes that a worker's announcement was read or has been removed: its copy is written with the next batch if it says something else. */
+void noteWorkerChanged(CellNode& node, const std::string& id);
+
+/** Has the copies of all announced workers written again, as the leader's records go to another partition from now on. Copies that were loaded stay usable. */
+void markWorkerCopiesDue(CellNode& node);
+
+/** @return Whether copies have waited for so long that they are written without other records. */
+bool areWorkerCopiesDue(const CellNode& node);
+
+/** @return The copies that are to be written with the next batch. */
+std::vector<KeyedRecord> takeWorkerCopies(CellNode& node);
+
+/** Restores the copy of a worker, which is used only if the workers' topic does not answer. */
+void restoreWorkerCopy(CellNode& node, const std::string& key, const std::string& record);
+
+/** Leader: keeps the copies up to date once the workers have been listed; uses them if their topic has not answered for some time since the term began. */
+void stepWorkerCopies(CellNode& node);
+
 /** Sends heartbeats and announcements of the term that are due; updates the lists of peers, members and approval proxies. */
 void stepPeers(CellNode& node);
 
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -143,6 +143,7 @@
         node.m_writer = makePipeline(writerName, node.m_term);
         node.m_load = { .m_startedAt = node.m_now };
         beginTermLease(node, former);
+        node.m_workerCopies = { .m_waitingSince = node.m_now };
         node.m_jobDeletions = {};
         resetTail(node.m_workersTail, true);
         logEvent(LogLevel::Info, "term-begins", { { "token", node.m_term }, { "config", node.m_cluster->m_version } });
@@ -337,6 +338,7 @@
     detail::stepPeers(node);
     detail::stepLeadership(node);
     detail::stepLoading(node);
+    detail::stepWorkerCopies(node);
     detail::stepAdmission(node);
     detail::stepScheduler(node);
     detail::stepWriter(node);
--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -139,6 +139,8 @@
     {
         if (key == memberListKey)
             return restoreMemberList(node, value);
+        if (key.starts_with(workerCopyPrefix))
+            return restoreWorkerCopy(node, key, value);
         const auto restored = key == scheduler::learnedKey ? scheduler::restoreLearned(*node.m_scheduler, value) : scheduler::restoreProgress(*node.m_scheduler, key, value, node.m_now);
         if (!restored)
             logEvent(LogLevel::Error, "progress-unusable", { { "key", key }, { "error", describe(restored.error()) } });
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -114,6 +114,8 @@
             records.push_back(std::move(*learned));
         if (auto members = takeMemberList(node, batch))
             records.push_back(std::move(*members));
+        for (KeyedRecord& copy : takeWorkerCopies(node))
+            records.push_back(std::move(copy));
         for (KeyedRecord& record : records) {
             if (bytes + record.m_value.size() > maxAppendBytes) {
                 pushAppend(node.m_writer, part, 0);
@@ -175,7 +177,7 @@
     if (!isActiveLeader(node))
         return;
     AppendPipeline& writer = node.m_writer;
-    if (acceptsAppend(writer, node.m_storeLastContactAt, node.m_now) && (scheduler::hasRecords(*node.m_scheduler) || node.m_termLease.m_dueList))
+    if (acceptsAppend(writer, node.m_storeLastContactAt, node.m_now) && (scheduler::hasRecords(*node.m_scheduler) || node.m_termLease.m_dueList || areWorkerCopiesDue(node)))
         enqueueBatch(node);
     const PipelinedAppend* const next = beginSend(writer, node.m_storeLastContactAt, node.m_now);
     if (!next)
--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -40,6 +40,12 @@
         scheduler::acceptJob(*node.m_scheduler, std::move(*plan), node.m_now);
     }
 
+    void withdrawWorker(CellNode& node, const std::string& id)
+    {
+        scheduler::removeWorker(*node.m_scheduler, id, node.m_now);
+        noteWorkerChanged(node, id);
+    }
+
     /** Removes a worker that is no longer announced; after a store outage only when the grace period ends, as its announcement may have expired during the outage. */
     void removeAfterGrace(CellNode& node, const std::string& id)
     {
@@ -47,7 +53,7 @@
         if (node.m_now < keptUntil)
             node.m_pendingRemovals.emplace(id, keptUntil);
         else
-            scheduler::removeWorker(*node.m_scheduler, id, node.m_now);
+            withdrawWorker(node, id);
     }
 
     void applyWorkerRecord(CellNode& node, const KeyedRecord& record)
@@ -59,10 +65,11 @@
         const auto announcement = node.m_decoders.m_worker(record.m_key, record.m_value);
         if (!announcement) {
             logEvent(LogLevel::Warning, "worker-record-unusable", { { "key", record.m_key.substr(0, 40) }, { "bytes", record.m_value.size() } });
-            return scheduler::removeWorker(*node.m_scheduler, record.m_key, node.m_now);
+            return withdrawWorker(node, record.m_key);
         }
         node.m_pendingRemovals.erase(record.m_key);
         scheduler::updateWorker(*node.m_scheduler, *announcement, node.m_now);
+        noteWorkerChanged(node, record.m_key);
     }
 
     void applyLeaderRecord(CellNode& node, const KeyedRecord& record)
@@ -259,7 +266,7 @@
             if (node.m_now < entry.second)
                 return false;
             if (node.m_scheduler)
-                scheduler::removeWorker(*node.m_scheduler, entry.first, node.m_now);
+                withdrawWorker(node, entry.first);
             return true;
         });
     }
--- a/tests/partial_loading_test.cpp
+++ b/tests/partial_loading_test.cpp
@@ -250,9 +250,11 @@
     BOOST_TEST((query(directJob).m_status == QueryStatus::Known));
 }
 
-// The announcements are another topic of their own: without them, attempts go on at the addresses that their records name.
+// The announcements are another topic of their own: without them and without copies of them (silent_workers_test has those), attempts go on at the addresses that their records name.
 BOOST_FIXTURE_TEST_CASE(a_leader_that_cannot_list_workers_goes_on_with_the_tasks_it_knows, RunningJobsFixture)
 {
+    for (const auto& [id, worker] : m_workers)
+        append("keyed.progress", "~worker:" + id, "");
     m_areWorkersSilent = true;
     startNode();
     stepUntilLeading();
