Read copies also while the claims are silent; keep four

A VM that starts reads two topics only, those of the operator and of the claims. With both silent it took the whole store to be out of reach and read no copy. It reads them now whatever else answers, with two listings open at most. And two copies are both silent with a share of 0.6 in a third of the cases; four are in an eighth. A large configuration is written one copy at a time.

--- a/src/process/cell/cell_config_copy.cpp
+++ b/src/process/cell/cell_config_copy.cpp
@@ -12,7 +12,7 @@
     constexpr Duration callTimeout { 4'000 }; ///< A configuration of 256 KB may take long on a slow link.
     constexpr Duration retryDelay { 1'000 };
     constexpr Duration operatorPatience { 1'000 }; ///< Without an answer of the operator's topic for so long, a daemon that has no configuration reads the copies.
-    constexpr Duration secondCopyPatience { 300 }; ///< How long it then waits for the other copy, which may be newer.
+    constexpr Duration otherCopiesPatience { 300 }; ///< How long it then waits for the other copies, which may be newer.
 
     StorePartition copyPartition(const CellNode& node, std::size_t index)
     {
@@ -45,12 +45,20 @@
             copy.m_storedVersion = std::max(copy.m_storedVersion, version);
     }
 
+    /** @return Whether an append of a copy must wait for others, so that the link has room for heartbeats: 256 KB take 0.2 s at 10 Mbit/s. */
+    bool isWriteHeldBack(const CellNode& node)
+    {
+        constexpr std::size_t largeText = 65'536; // Bytes.
+        const auto& copies = node.m_configCopies.m_copies;
+        return node.m_clusterText.size() > largeText && std::any_of(copies.begin(), copies.end(), [](const ConfigCopy& copy) { return copy.m_write.m_inFlight > 0; });
+    }
+
     /** Writes one copy, one append at a time: the next one holds the version that is the newest by then. */
     void writeCopy(CellNode& node, std::size_t index)
     {
         ConfigCopy& copy = node.m_configCopies.m_copies[index];
         const std::uint64_t version = configVersionOf(node);
-        if (copy.m_storedVersion >= version || copy.m_write.m_inFlight > 0 || node.m_now < copy.m_write.m_notBefore)
+        if (copy.m_storedVersion >= version || copy.m_write.m_inFlight > 0 || node.m_now < copy.m_write.m_notBefore || isWriteHeldBack(node))
             return;
         beginAttempt(copy.m_write, node.m_now);
         sendAppend(node, makeCopy(node, index), callTimeout, [&node, index, version, sentAt = node.m_now](const StoreAppendAnswer& answer) { onCopyAnswered(node, index, version, sentAt, answer); });
@@ -80,7 +88,8 @@
     void readCopy(CellNode& node, std::size_t index)
     {
         ConfigCopy& copy = node.m_configCopies.m_copies[index];
-        if (!isAttemptDue(copy.m_read, storeHedgeDelay(node, copy.m_read.m_lastAttemptAt), node.m_now))
+        constexpr std::uint32_t maxInFlight = 2; // The whole store may be silent, as the claims are the only other topic that such a daemon reads.
+        if (!isAttemptDue(copy.m_read, storeHedgeDelay(node, copy.m_read.m_lastAttemptAt), node.m_now, maxInFlight))
             return;
         const std::uint64_t callNumber = beginAttempt(copy.m_read, node.m_now);
         sendListing(node, { .m_partition = copyPartition(node, index), .m_after = {} }, callTimeout, [&node, index, callNumber](const StoreNewestAnswer& answer) {
@@ -90,12 +99,12 @@
         });
     }
 
-    /** Puts the newest copy into force once both are read, or one is and the other is late. An older one never replaces a newer one, see applyClusterText(). */
+    /** Puts the newest copy into force once all are read, or one is and others are late. An older one never replaces a newer one, see applyClusterText(). */
     void applyCopies(CellNode& node)
     {
         const ConfigCopies& copies = node.m_configCopies;
         const bool areAllRead = std::all_of(copies.m_copies.begin(), copies.m_copies.end(), [](const ConfigCopy& copy) { return copy.m_isRead; });
-        if (!areAllRead && (!copies.m_firstReadAt || node.m_now - *copies.m_firstReadAt < secondCopyPatience))
+        if (!areAllRead && (!copies.m_firstReadAt || node.m_now - *copies.m_firstReadAt < otherCopiesPatience))
             return;
         for (const ConfigCopy& copy : copies.m_copies)
             applyClusterText(node, copy.m_text, "copy");
@@ -109,7 +118,7 @@
             return;
         if (!copies.m_waitingSince)
             copies.m_waitingSince = node.m_now;
-        if (!node.m_isStoreReached || node.m_now - *copies.m_waitingSince < operatorPatience)
+        if (node.m_now - *copies.m_waitingSince < operatorPatience)
             return;
         for (std::size_t index = 0; index < copies.m_copies.size(); ++index)
             readCopy(node, index);
--- a/src/process/cell/config_copy.h
+++ b/src/process/cell/config_copy.h
@@ -10,7 +10,7 @@
 
 namespace bulrushloft::cell {
 
-constexpr std::uint32_t configCopyCount = 2; ///< One partition each, so that a silent one hides neither the operator's topic together with all copies nor all copies.
+constexpr std::uint32_t configCopyCount = 4; ///< One partition each: of a store that has lost 0.6 of its partitions, all are silent in an eighth of the cases; of two, in a third.
 
 /** One copy of the configuration. */
 struct ConfigCopy {
