--- a/src/process/cell/cell_journal_move.cpp
+++ b/src/process/cell/cell_journal_move.cpp
@@ -295,6 +295,7 @@
     node.m_writer = std::move(target.m_writer);
     node.m_writer.m_confirmedBatch = target.m_coveredBatch;
     node.m_termLease.m_evidence.m_appendedAt.clear(); // They are of the former partition.
+    markWorkerCopiesDue(node);
     if (node.m_role == Role::Loading)
         return leadWithoutSilent(node);
     scheduler::onRecorded(*node.m_scheduler, target.m_coveredBatch, node.m_now);
--- a/src/process/cell/cell_journal_pointer.cpp
+++ b/src/process/cell/cell_journal_pointer.cpp
@@ -62,6 +62,7 @@
     {
         TermLease& lease = node.m_termLease;
         scheduler::markAllDirty(*node.m_scheduler);
+        markWorkerCopiesDue(node);
         if (lease.m_evidence.m_isListStored && !lease.m_sentList && !lease.m_dueList)
             lease.m_dueList = lease.m_storedList;
         node.m_journalMove.m_foldBatch = node.m_scheduler->m_nextBatch;
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -147,6 +147,7 @@
         node.m_writerJournal = node.m_journals.back();
         node.m_journalMove = {};
         beginTermLease(node, former, node.m_leaderRecordsEnd);
+        node.m_workerCopies = { .m_waitingSince = node.m_now };
         node.m_jobDeletions = {};
         resetTail(node.m_workersTail, true);
         logEvent(LogLevel::Info, "term-begins", { { "token", node.m_term }, { "config", node.m_cluster->m_version } });
@@ -349,9 +350,11 @@
     advanceTime(node, now, bootNow);
     detail::runDueCalls(node);
     detail::stepTails(node);
+    detail::stepConfigCopies(node);
     detail::stepPeers(node);
     detail::stepLeadership(node);
     detail::stepLoading(node);
+    detail::stepWorkerCopies(node);
     detail::stepAdmission(node);
     detail::stepScheduler(node);
     detail::stepWriter(node);
--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -204,6 +204,10 @@
             restoreMemberList(node, value);
             return true;
         }
+        if (key.starts_with(workerCopyPrefix)) {
+            restoreWorkerCopy(node, key, value);
+            return true;
+        }
         if (key != scheduler::learnedKey)
             return false;
         if (const auto restored = scheduler::restoreLearned(*node.m_scheduler, value); !restored)
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -112,6 +112,8 @@
             records.push_back(std::move(*learned));
         if (auto members = takeMemberList(node, batch))
             records.push_back(std::move(*members));
+        for (KeyedRecord& copy : takeWorkerCopies(node))
+            records.push_back(std::move(copy));
         pushRecords(node.m_writer, { .m_topic = node.m_options.m_topics.m_progress, .m_partition = node.m_writerJournal }, std::move(records), batch);
     }
 
@@ -195,7 +197,7 @@
     if (!isActiveLeader(node))
         return;
     AppendPipeline& writer = node.m_writer;
-    if (isReadyToRecord(node) && (scheduler::hasRecords(*node.m_scheduler) || node.m_termLease.m_dueList))
+    if (isReadyToRecord(node) && (scheduler::hasRecords(*node.m_scheduler) || node.m_termLease.m_dueList || areWorkerCopiesDue(node)))
         enqueueBatch(node);
     const PipelinedAppend* const next = beginSend(writer, node.m_storeLastContactAt, node.m_now);
     if (!next)
