Simulate partitions of the store that don't answer

An option of the simulated cell: given partitions, the partition in use of given topics, or a share of all partitions that the seed draws don't answer for a time while all others do. Calls stay unanswered, are reset or refused, and are never carried out.

--- a/tests/cell_simulation.cpp
+++ b/tests/cell_simulation.cpp
@@ -40,8 +40,10 @@
     worker.m_onEnd = [this](const FakeLeaseWorker& endedOn, const TaskName& task, std::uint32_t attempt, AttemptEnd end) {
         if (end == AttemptEnd::LeaseExpired)
             checkLapse(endedOn, task, attempt);
-        if (end == AttemptEnd::Done)
+        if (end == AttemptEnd::Done) {
             m_endedDone.insert(task);
+            noteSilentEnd();
+        }
         const auto found = m_workerByRunningTask.find(task);
         if (found != m_workerByRunningTask.end() && found->second == endedOn.m_id)
             m_workerByRunningTask.erase(found);
@@ -143,6 +145,7 @@
     scheduleZoneCuts();
     scheduleStoreOutage();
     scheduleTakeOver();
+    scheduleSilence();
     for (int i = 0; i < m_options.m_faults; ++i)
         schedule(loadStart - m_now + randomBetween(0, m_options.m_loadDuration.m_ms), [this] { injectFault(); });
     for (int i = 0; i < m_options.m_capacityChanges; ++i)
@@ -167,6 +170,7 @@
         if (m_options.m_finishTime.m_ms > 0)
             checkStandstill();
         checkPartitions();
+        checkSilence();
         observeLeaders();
     }
     if (m_result.m_violations.empty() || !m_options.m_stopsAtViolation)
--- a/tests/cell_simulation.h
+++ b/tests/cell_simulation.h
@@ -90,6 +90,30 @@
     Duration m_followerLead; ///< It is killed this long before the start.
 };
 
+/** What becomes of a call to a silent partition; it is never carried out. */
+enum class PartitionSilence : std::uint8_t {
+    Unanswered, ///< It gets no answer.
+    Reset, ///< Its connection is reset at once, so that the caller can't know whether it was carried out.
+    Refused, ///< It is refused at once.
+};
+
+/** Periods in which some partitions of the store don't answer while all others do. Times count from the start of the load. */
+struct SilentPartitions {
+    std::vector<StorePartition> m_partitions; ///< Silent partitions.
+    std::vector<std::string> m_topics; ///< Further ones: of each topic the partition to which most was appended since the last such period.
+    double m_share = 0; ///< Share of all partitions, 0 to 1, that are silent too; the seed decides which.
+    Duration m_start { 8'000 }; ///< Start of the first period.
+    Duration m_length; ///< Length of a period; 0 for none.
+    int m_count = 1; ///< Number of periods.
+    Duration m_pause { 4'000 }; ///< Time between two.
+    PartitionSilence m_kind = PartitionSilence::Unanswered; ///< What becomes of the calls.
+    Duration m_leaderKillDelay; ///< This long after each start the leader's process is killed and stays away; 0 for never.
+    Duration m_followerDownTime; ///< A daemon that does not lead is killed at each start and starts again after this time; 0 for never.
+    Duration m_settlingTime { 3'000 }; ///< From this long after a start until the end, submissions are to be accepted.
+    bool m_mustTasksEnd = true; ///< Whether from then on tasks must keep ending.
+    bool m_mustLeasesHold = true; ///< Whether no attempt that runs at a start may lapse.
+};
+
 /** How the leader ends in a measurement of the time that a new leader takes. */
 enum class LeaderEnd : std::uint8_t {
     Killed, ///< The process is killed and stays away.
@@ -125,6 +149,7 @@
     RackWaves m_rackWaves; ///< Crashes of workers.
     ZoneCut m_zoneCut; ///< Cuts of the leader from other daemons.
     StoreOutage m_storeOutage; ///< An outage of the store for all daemons.
+    SilentPartitions m_silentPartitions; ///< Partitions of the store that don't answer.
     TakeOver m_takeOver; ///< Measurement of the time that a new leader takes.
     double m_longRunShare = 0; ///< Share of the attempts, 0 to 1, with the run time below; gangs excepted.
     Duration m_longRunTime { 18'000 }; ///< Run time of these attempts.
@@ -154,6 +179,10 @@
     int m_doubleTerms = 0; ///< Cuts in which two daemons led and gave orders at once, for any time.
     int m_guardedAttempts = 0; ///< Attempts that ran when an outage of the store began.
     int m_lapsedAttempts = 0; ///< Those of them whose lease ended on the worker.
+    int m_silentCount = 0; ///< Submissions that were sent, and were due for an answer, while partitions were silent and the cell had settled.
+    int m_silentAccepted = 0; ///< Those of them that were accepted.
+    int m_silentEnds = 0; ///< Tasks that ended as done while partitions were silent and the cell had settled.
+    std::int64_t m_longestSilentGapMs = 0; ///< Longest time without such an end.
     std::optional<std::int64_t> m_newLeaderMs; ///< Time from the end of the leader until another term leads, in ms.
     std::vector<std::int64_t> m_reachedRestartMs; ///< Time from the end of the leader until tasks of a worker that restarted at that time ran again, in ms; the new leader reaches it.
     std::vector<std::int64_t> m_unreachedRestartMs; ///< The same for tasks of workers that nobody reaches from that time on.
--- a/tests/cell_simulation_base.h
+++ b/tests/cell_simulation_base.h
@@ -25,6 +25,7 @@
 constexpr Duration maxVisibilityDelay { 3'000 }; ///< The platform requires that every daemon knows an accepted job within this time.
 constexpr int maxCancelTries = 32;
 constexpr Duration contactTime { 3'000 }; ///< A daemon or store without disruption for this long counts as in touch.
+constexpr Duration maxTaskGap { 3'000 }; ///< While partitions are silent and tasks must keep ending, this long without an end is too long.
 constexpr Duration heartbeat { 1'500 }; ///< A worker announces a change at most this long after it.
 
 /** A daemon. Times are simulated milliseconds; an "until" in the past means that the condition is over. */
@@ -81,7 +82,7 @@
      * @param description Begins with the violated guarantee: TWICE (a task ran again or in two places), LIMIT (capacity exceeded),
      * UNASKED (a task ran without a submitted job or after its cancellation), ORDER (a step started too early), LOST (an accepted
      * job did not complete or stands still), REFUSED (a refused job ran), RECOVER (too few are served after a loss of power), QUEUE (too much waits in a partition of a sound store),
-     * REJECTED (too few submissions are accepted although the store is sound), LAPSED (a lease ended in an outage of the store). An inconsistent scheduler has no such prefix.
+     * REJECTED (too few submissions are accepted although the store is sound or only some partitions are silent), LAPSED (a lease ended in an outage of the store or of partitions), STALLED (no task ends while partitions are silent). An inconsistent scheduler has no such prefix.
      */
     void reportViolation(const std::string& description) { m_result.m_violations.push_back(std::to_string(m_now) + " ms: " + description); }
 
@@ -164,10 +165,24 @@
     /** Counts the cuts in which two daemons lead and give orders at once, and takes the time until another term leads. */
     void observeLeaders();
     void beginStoreOutage();
-    /** Kills a daemon that does not lead. */
-    void killFollower();
+    /** Kills a daemon that does not lead; it starts again after downTime. */
+    void killFollower(Duration downTime);
     /** Counts an attempt whose lease has ended, and reports it if it ran when the outage of the store began (LAPSED). */
     void checkLapse(const FakeLeaseWorker& worker, const TaskName& task, std::uint32_t attempt);
+    /** Schedules the periods with silent partitions in the options. */
+    void scheduleSilence();
+    void beginSilence();
+    /** @return The partition of a topic to which most was appended since the latest period with silent partitions. */
+    StorePartition partitionInUse(const std::string& topic);
+    bool isSilent(const StorePartition& partition) const;
+    /** @return Whether partitions are silent and the cell has had time to settle. */
+    bool isSettledInSilence() const { return m_now >= m_silenceSettledAt && m_now < m_silentUntil; }
+    /** Counts a task that has ended as done. */
+    void noteSilentEnd();
+    /** Checks that tasks end while partitions are silent (STALLED). */
+    void checkSilence();
+    /** Checks the share of submissions that were accepted while partitions were silent (REJECTED). */
+    void checkSilentSubmissions();
     void endLeader();
     /** Takes the time at which an attempt is about to start, if it repeats one that the end of the leader was measured with. */
     void measureStart(const TaskName& task);
@@ -230,6 +245,15 @@
     std::set<std::string> m_cutWorkers; ///< Workers that only the cut side reaches.
     bool m_hasDoubleTerm = false; ///< Whether two daemons have led and given orders at once in the present cut.
     std::set<std::pair<TaskName, std::uint32_t>> m_guardedAttempts; ///< Attempts that ran when the outage of the store began.
+    std::set<StorePartition> m_silentPartitions; ///< Those of the present or latest period.
+    std::map<StorePartition, std::uint64_t> m_appendsBeforeSilence; ///< Attempts to append up to the end of the latest period.
+    bool m_mustTasksEndInSilence = false; ///< Whether tasks must keep ending in it.
+    bool m_mustAcceptInSilence = false; ///< Whether submissions are to be accepted in it.
+    std::int64_t m_silentFrom = 0; ///< Start of the present or latest period with silent partitions; 0 before the first.
+    std::int64_t m_silentUntil = 0; ///< Its end.
+    std::int64_t m_silenceSettledAt = 0; ///< When the cell must have settled in it.
+    std::int64_t m_latestSilentEndAt = 0; ///< When a task last ended in it; at first when the cell must have settled.
+    std::int64_t m_reportedSilentEndAt = 0; ///< Its value at the latest report that tasks don't end.
     std::optional<std::int64_t> m_leaderEndedAt; ///< When the leader ended whose replacement is measured.
     std::uint64_t m_endedTerm = 0; ///< Its term.
     std::set<TaskName> m_reachedTasks; ///< Tasks that ran then on workers that restarted.
--- a/tests/cell_simulation_checks.cpp
+++ b/tests/cell_simulation_checks.cpp
@@ -163,6 +163,7 @@
     if (m_options.m_powerLoss.m_at.m_ms > 0)
         checkRecovery();
     checkSubmissions();
+    checkSilentSubmissions();
     for (const ClientJob& job : m_jobs) {
         m_result.m_accepted += job.m_isAccepted ? 1 : 0;
         m_result.m_complete += job.m_isComplete ? 1 : 0;
--- a/tests/cell_simulation_clients.cpp
+++ b/tests/cell_simulation_clients.cpp
@@ -58,6 +58,8 @@
     const ClientCall call { .m_verb = ClientVerb::Submit, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = job.m_body, .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
     const bool isCounted = soundTime() && m_now >= *soundTime() + callerSettlingTime.m_ms;
     m_result.m_soundSubmissions += isCounted ? 1 : 0;
+    const bool isInSilence = isSettledInSilence() && m_mustAcceptInSilence && m_now + clientTimeout.m_ms <= m_silentUntil;
+    m_result.m_silentCount += isInSilence ? 1 : 0;
     auto isAnswered = std::make_shared<bool>(false);
     schedule(clientTimeout.m_ms, [this, index, isAnswered, retry] {
         if (std::exchange(*isAnswered, true))
@@ -65,14 +67,15 @@
         m_jobs[index].m_mayBeAccepted = true;
         retry();
     });
-    deliverLater(node, node.m_isAlive, 1, [this, &node, call, index, isAnswered, retry, isCounted] {
-        onClientCall(*node.m_cell, call, [this, index, isAnswered, retry, isCounted](const ClientReply& reply) {
+    deliverLater(node, node.m_isAlive, 1, [this, &node, call, index, isAnswered, retry, isCounted, isInSilence] {
+        onClientCall(*node.m_cell, call, [this, index, isAnswered, retry, isCounted, isInSilence](const ClientReply& reply) {
             if (reply.m_status != ClientStatus::NotDone)
                 m_jobs[index].m_mayBeAccepted = true;
             if (reply.m_status == ClientStatus::Accepted && !std::exchange(m_jobs[index].m_isAccepted, true))
                 m_jobs[index].m_acceptedAt = m_now;
             if (std::exchange(*isAnswered, true))
                 return;
+            m_result.m_silentAccepted += isInSilence && reply.m_status == ClientStatus::Accepted ? 1 : 0;
             m_result.m_soundAccepted += isCounted && reply.m_status == ClientStatus::Accepted ? 1 : 0;
             if (reply.m_status != ClientStatus::Accepted)
                 retry();
--- a/tests/cell_simulation_network.cpp
+++ b/tests/cell_simulation_network.cpp
@@ -75,6 +75,14 @@
         refused.m_status = StoreStatus::NotDone;
         return deliverLater(node, alive, delay, [onAnswer, refused] { onAnswer(refused); });
     }
+    if (isSilent(partition)) {
+        const PartitionSilence kind = m_options.m_silentPartitions.m_kind;
+        if (kind == PartitionSilence::Unanswered)
+            return fail();
+        Answer failed {};
+        failed.m_status = kind == PartitionSilence::Reset ? StoreStatus::Unknown : StoreStatus::NotDone;
+        return deliverLater(node, alive, delay, [onAnswer, failed] { onAnswer(failed); });
+    }
     constexpr bool isAppend = std::is_same_v<Answer, StoreAppendAnswer>;
     const double lossShare = isAppend ? lossyWriteShare() : 0;
     const bool isWriteLost = lossShare > 0 && randomBool(lossShare);
--- a/tests/cell_simulation_outages.cpp
+++ b/tests/cell_simulation_outages.cpp
@@ -19,15 +19,15 @@
     if (outage.m_length.m_ms > 0)
         schedule(m_loadStart - m_now + outage.m_start.m_ms, [this] { beginStoreOutage(); });
     if (outage.m_followerDownTime.m_ms > 0)
-        schedule(m_loadStart - m_now + (outage.m_start - outage.m_followerLead).m_ms, [this] { killFollower(); });
+        schedule(m_loadStart - m_now + (outage.m_start - outage.m_followerLead).m_ms, [this, &outage] { killFollower(outage.m_followerDownTime); });
 }
 
-void CellSimulation::killFollower()
+void CellSimulation::killFollower(Duration downTime)
 {
     const SimulatedNode* const leader = findLeader();
     const auto follower = std::find_if(m_nodes.begin(), m_nodes.end(), [&](const SimulatedNode& node) { return &node != leader && node.m_cell; });
     if (follower != m_nodes.end())
-        stopNode(*follower, m_options.m_storeOutage.m_followerDownTime.m_ms);
+        stopNode(*follower, downTime.m_ms);
 }
 
 void CellSimulation::beginStoreOutage()
--- a/tests/cell_worlds.h
+++ b/tests/cell_worlds.h
@@ -44,6 +44,10 @@
         total.m_cuts += result.m_cuts;
         total.m_doubleTerms += result.m_doubleTerms;
         total.m_guardedAttempts += result.m_guardedAttempts;
+        total.m_silentCount += result.m_silentCount;
+        total.m_silentAccepted += result.m_silentAccepted;
+        total.m_silentEnds += result.m_silentEnds;
+        total.m_longestSilentGapMs = std::max(total.m_longestSilentGapMs, result.m_longestSilentGapMs);
         total.m_lapsedAttempts += result.m_lapsedAttempts;
         broken += result.m_violations.empty() ? 0 : 1;
         for (const std::string& violation : result.m_violations)
@@ -58,6 +62,8 @@
         std::cout << ", " << total.m_cuts << " cuts, two leaders at once in " << total.m_doubleTerms << ", " << broken << " simulations broken";
     if (options.m_storeOutage.m_length.m_ms > 0)
         std::cout << ", " << total.m_lapsedAttempts << " of " << total.m_guardedAttempts << " attempts lapsed, " << broken << " simulations broken";
+    if (options.m_silentPartitions.m_length.m_ms > 0)
+        std::cout << ", " << total.m_silentAccepted << " of " << total.m_silentCount << " submissions accepted and " << total.m_silentEnds << " tasks ended while partitions were silent, at most " << total.m_longestSilentGapMs << " ms without an end, " << broken << " simulations broken";
     std::cout << "\n";
 }
 
