Silence partitions of the soak's store

The stand-in store could be down, slow or lossy as a whole only. Given partitions (--silent_partitions) or a share of all (--silent_share) leave their calls unanswered for a time now, and so does a random share among the random faults, so a seed no longer draws the faults that it drew before. The statistics name each silent partition with the number of its unanswered calls.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -9,9 +9,11 @@
 #include "stand_in_store.h"
 #include "stand_in_workers.h"
 
+#include <charconv>
 #include <filesystem>
 #include <future>
 #include <iostream>
+#include <sstream>
 #include <thread>
 
 #include <gflags/gflags.h>
@@ -52,6 +54,10 @@
 DEFINE_int32(store_down_length_ms, 10'000, "length of that, in ms");
 DEFINE_bool(store_down_silent, false, "whether the store leaves calls unanswered while it is down, instead of refusing them");
 DEFINE_bool(store_down_kill, false, "whether a daemon that does not lead is killed 1 s into that outage and starts again 6 s later");
+DEFINE_int32(silence_ms, 0, "when some partitions of the store fall silent, in ms of the load; 0 for not at a fixed time");
+DEFINE_int32(silence_length_ms, 10'000, "length of that, in ms");
+DEFINE_string(silent_partitions, "", "partitions that fall silent, each as TOPIC/NUMBER, separated by commas");
+DEFINE_double(silent_share, 0, "share of all partitions, 0 to 1, that fall silent too; the seed decides which");
 DEFINE_int32(relay_from_workers, 1'000, "number of workers from which on orders go through peers");
 
 namespace bulrushloft::soak {
@@ -108,6 +114,27 @@
         return name == "both" || name == "outbound" || name == "inbound";
     }
 
+    /** @return The partitions in a list of TOPIC/NUMBER; nothing if it is malformed. */
+    std::optional<std::set<StorePartition>> parsePartitions(const std::string& list)
+    {
+        std::set<StorePartition> partitions;
+        std::istringstream stream(list);
+        for (std::string item; std::getline(stream, item, ',');) {
+            const std::size_t slash = item.rfind('/');
+            std::uint32_t number = 0;
+            const char* const end = item.data() + item.size();
+            if (slash == std::string::npos || std::from_chars(item.data() + slash + 1, end, number).ptr != end)
+                return std::nullopt;
+            partitions.insert({ .m_topic = item.substr(0, slash), .m_partition = number });
+        }
+        return partitions;
+    }
+
+    bool isPartitionList(const char*, const std::string& list)
+    {
+        return parsePartitions(list).has_value();
+    }
+
     /** One run of the soak. */
     class Soak {
     public:
@@ -218,6 +245,10 @@
             std::cout << "  appends to " << partition.m_topic << "/" << partition.m_partition << ": sent " << counts.m_sent << ", carried out " << counts.m_done << ", refused " << counts.m_refused << ", late " << counts.m_late
                       << ", waiting now " << queue.waitingTime(now) << " ms, longest wait " << counts.m_longestWaitMs << " ms\n";
         }
+        std::promise<std::map<StorePartition, std::uint64_t>> unanswered;
+        m_platformLoop.post([&] { unanswered.set_value(m_store.unansweredCalls()); });
+        for (const auto& [partition, calls] : unanswered.get_future().get())
+            std::cout << "  unanswered calls while silent, " << partition.m_topic << "/" << partition.m_partition << ": " << calls << "\n";
     }
 
     void Soak::printResult()
@@ -251,7 +282,10 @@
             faults.scheduleZoneCuts({ .m_at = { FLAGS_zone_cut_ms }, .m_length = { FLAGS_zone_cut_length_ms }, .m_companions = FLAGS_zone_cut_companions, .m_ways = cutWaysOf(FLAGS_zone_cut_ways), .m_count = FLAGS_zone_cuts, .m_hasRestart = FLAGS_zone_cut_restart });
         if (FLAGS_store_down_ms > 0)
             faults.scheduleStoreDown({ .m_at = { FLAGS_store_down_ms }, .m_length = { FLAGS_store_down_length_ms }, .m_isSilent = FLAGS_store_down_silent, .m_hasKill = FLAGS_store_down_kill });
-        if (FLAGS_faults || FLAGS_power_loss_ms > 0 || FLAGS_slow_lossy_ms > 0 || FLAGS_zone_cut_ms > 0 || FLAGS_store_down_ms > 0)
+        if (FLAGS_silence_ms > 0)
+            faults.scheduleSilentPartitions({ .m_at = { FLAGS_silence_ms }, .m_length = { FLAGS_silence_length_ms }, .m_partitions = *parsePartitions(FLAGS_silent_partitions), .m_share = FLAGS_silent_share });
+        const bool hasScheduledFaults = FLAGS_power_loss_ms > 0 || FLAGS_slow_lossy_ms > 0 || FLAGS_zone_cut_ms > 0 || FLAGS_store_down_ms > 0 || FLAGS_silence_ms > 0;
+        if (FLAGS_faults || hasScheduledFaults)
             faults.run(length, FLAGS_faults);
         else
             std::this_thread::sleep_for(std::chrono::milliseconds(length.m_ms));
@@ -276,6 +310,7 @@
     using namespace bulrushloft::soak;
     gflags::SetUsageMessage("runs daemons on loopback under random faults and checks what callers and workers see");
     gflags::RegisterFlagValidator(&FLAGS_zone_cut_ways, &isCutWays);
+    gflags::RegisterFlagValidator(&FLAGS_silent_partitions, &isPartitionList);
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const std::string root = FLAGS_directory.empty() ? (std::filesystem::temp_directory_path() / ("cell_soak." + std::to_string(getpid()))).string() : FLAGS_directory;
     std::uint64_t failed = 0;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -125,6 +125,8 @@
     case Kind::KillAll:
         killAll({ 200 }, { 800 });
         return disturbAll(length);
+    case Kind::SilentPartitions:
+        return beginSilence({ .m_at = {}, .m_length = length, .m_partitions = {}, .m_share = std::uniform_real_distribution<double>(0.2, 0.6)(m_random) });
     case Kind::ChangeConfig:
     case Kind::KindCount:
         ++m_configVersion;
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -70,6 +70,14 @@
     bool m_hasKill = false; ///< Whether a daemon that does not lead is killed 1 s into the outage; it starts again 6 s later.
 };
 
+/** Some partitions of the store leave their calls unanswered while the others answer. */
+struct SilentPartitions {
+    Duration m_at; ///< When it begins, from now.
+    Duration m_length { 10'000 }; ///< How long it lasts.
+    std::set<StorePartition> m_partitions; ///< Silent partitions.
+    double m_share = 0; ///< Share of all partitions, 0 to 1, that are silent too; drawn at random.
+};
+
 /** Submissions that must be accepted, as the store is sound and no other fault is in force. */
 struct ServedWindow {
     TimePoint m_from;
@@ -97,6 +105,9 @@
     /** Schedules an outage of the store for all daemons. */
     void scheduleStoreDown(const StoreOutage& fault);
 
+    /** Schedules silent partitions. */
+    void scheduleSilentPartitions(const SilentPartitions& fault);
+
     /**
      * Injects faults for a time, then ends all of them; returns when all daemons run.
      * After a slow and lossy store there are no further faults until the recovery has been observed, if need be beyond that time.
@@ -126,6 +137,7 @@
         WorkerSilent,
         LateOrders,
         KillAll,
+        SilentPartitions,
         ChangeConfig,
         KindCount,
     };
@@ -149,6 +161,8 @@
     void beginSlowLossyStore(const SlowLossyStore& fault);
     void endSlowLossyStore();
     void killFollower();
+    void beginSilence(const SilentPartitions& fault);
+    void endSilence();
     void beginZoneCut(const ZoneCut& fault);
     void endZoneCut();
     /** @return Whether each daemon is on the leader's side of a new cut; empty when no daemon leads. */
--- a/tests/soak/stand_in_store.cpp
+++ b/tests/soak/stand_in_store.cpp
@@ -1,6 +1,7 @@
 /** @file stand_in_store.cpp The stand-in of the metadata store: its calls, long polls and faults. */
 #include "stand_in_store.h"
 
+#include "core/hash_func.h"
 #include "process/cell/leader_codec.h"
 
 #include <charconv>
@@ -133,6 +134,13 @@
         queue.watchWait(steadyNow().m_ms);
 }
 
+bool StandInStore::isSilent(const StorePartition& partition) const
+{
+    constexpr std::uint64_t scale = 1'000;
+    const std::uint64_t draw = stableHash(partition.m_topic, m_faults.m_silentDraw + partition.m_partition) % scale;
+    return m_faults.m_silentPartitions.contains(partition) || static_cast<double>(draw) < m_faults.m_silentShare * scale;
+}
+
 void StandInStore::handle(const HttpRequest& request, const HttpResponder& respond)
 {
     if (m_faults.m_isDown) {
@@ -140,6 +148,10 @@
             respond(jsonResponse(503, Json::object()));
         return; // The connection of an unanswered call stays open and silent.
     }
+    if (const StorePartition partition = partitionOf(request.m_target); isSilent(partition)) {
+        ++m_unansweredCalls[partition];
+        return;
+    }
     const bool isAppend = request.m_target.starts_with("/bulrushloft/log-append");
     const auto isDrawn = [&](double share) { return isAppend && std::uniform_real_distribution<double>(0, 1)(m_random) < share; };
     if (isDrawn(m_faults.m_lostAnswerShare))
@@ -268,7 +280,7 @@
             ++waiting;
             continue;
         }
-        if (!m_faults.m_isDown)
+        if (!m_faults.m_isDown && !isSilent(waiting->m_read.m_partition))
             sendAnswer(waiting->m_respond, answer.m_status == StoreStatus::Expired ? jsonResponse(410, Json::object()) : binaryOf(answer));
         waiting = m_waiting.erase(waiting);
     }
--- a/tests/soak/stand_in_store.h
+++ b/tests/soak/stand_in_store.h
@@ -9,6 +9,7 @@
 #include <list>
 #include <map>
 #include <random>
+#include <set>
 
 namespace bulrushloft::soak {
 
@@ -22,6 +23,9 @@
     Duration m_answerTime { 4 }; ///< Time from the result of a call to its answer.
     double m_lostAnswerShare = 0; ///< Share of appends, 0 to 1, that are carried out but not answered.
     double m_lateAppendShare = 0; ///< Share of appends, 0 to 1, that are carried out seconds later and not answered.
+    std::set<StorePartition> m_silentPartitions; ///< Partitions whose calls stay unanswered and are not carried out, while others answer.
+    double m_silentShare = 0; ///< Share of all partitions, 0 to 1, that are silent too.
+    std::uint64_t m_silentDraw = 0; ///< Decides which partitions that share holds.
     Duration m_longestLateness { 4'000 }; ///< How long after their arrival those are carried out at most, unless others wait before them; 1 s at least.
 };
 
@@ -57,6 +61,9 @@
     /** @return Queues by partition. */
     std::map<StorePartition, test::PartitionQueue>& queues() { return m_queues; }
 
+    /** @return Number of calls that silent partitions left unanswered, by partition. */
+    const std::map<StorePartition, std::uint64_t>& unansweredCalls() const { return m_unansweredCalls; }
+
 private:
     /** A read that waits for a record. */
     struct WaitingRead {
@@ -65,6 +72,7 @@
         HttpResponder m_respond;
     };
 
+    bool isSilent(const StorePartition& partition) const;
     void handle(const HttpRequest& request, const HttpResponder& respond);
     /** @return Queue of the partition that a call is for, with the present time of an append. */
     test::PartitionQueue& queueOf(const HttpRequest& request);
@@ -85,6 +93,7 @@
     StoreFaults m_faults;
     std::map<StorePartition, test::PartitionQueue> m_queues;
     std::list<WaitingRead> m_waiting;
+    std::map<StorePartition, std::uint64_t> m_unansweredCalls;
     std::map<std::uint64_t, std::string> m_claimants; ///< Names of the daemons that have claimed terms, by the terms' fencing tokens.
     std::mt19937_64 m_random;
 };
