Tests: the state of loading is kept by partition

The fixtures reach into the state of loading, which now holds a list of partitions; beginTermLease() is also told where the former leader's records of the leader topic end. No check is changed.

--- a/tests/lost_write_answers_test.cpp
+++ b/tests/lost_write_answers_test.cpp
@@ -81,6 +81,12 @@
     std::int64_t m_now = 10'000;
     std::map<std::string, int> m_appends; ///< Appends that were sent, by topic.
 
+    /** @return Whether the daemon has fenced earlier terms. */
+    bool isFenced() const
+    {
+        return m_node->m_role == Role::Leading || (!m_node->m_load.m_journals.empty() && m_node->m_load.m_journals.front().m_isFenced);
+    }
+
 private:
     static constexpr std::int64_t networkMs = 4; ///< Time to the answer of a read or a refusal.
 
@@ -118,12 +124,6 @@
         });
     }
 
-    /** @return Whether the daemon has fenced earlier terms. */
-    bool isFenced() const
-    {
-        return m_node->m_role == Role::Leading || (!m_node->m_load.m_journals.empty() && m_node->m_load.m_journals.front().m_isFenced);
-    }
-
     /** A late append holds its place in the partition's queue. */
     void carryOutLate(const StoreAppend& append, PartitionQueue& queue)
     {
--- a/tests/term_lease_test.cpp
+++ b/tests/term_lease_test.cpp
@@ -54,7 +54,7 @@
         m_node->m_term = ownTerm;
         m_node->m_leader = { .m_token = ownTerm, .m_member = m_node->m_options.m_self };
         m_node->m_scheduler = std::make_unique<scheduler::Scheduler>();
-        detail::beginTermLease(*m_node, { .m_token = formerTerm, .m_member = makeMember("former", 2) });
+        detail::beginTermLease(*m_node, { .m_token = formerTerm, .m_member = makeMember("former", 2) }, formerTerm);
         TermLease& lease = m_node->m_termLease;
         lease.m_fencedAt = m_fencedAt;
         noteStoreAnswer(lease.m_evidence, m_fencedAt);
