Keep a third of the VMs that send approval requests free of quick ones

Cause: a quick approval request might use any VM, and queue there for up to 60 ms; a slow one is sent only if a VM is free at that moment. After a standstill hundreds of steps of a queue with quick requests wait, each VM always has one queued, and slow requests for another pool find no free VM for seconds, while the workers of that pool stand idle. Change: the last third of the VMs sends no quick request. The first third still sends no slow one, except for steps that have waited long. Ruled out: to let slow requests queue as quick ones do; a slow one takes 0.2 to 0.6 s, and its tickets 1.5 s, so a queue of them makes each answer late. The stand-in for approvals gets pools, speeds and run times that differ from the estimate; its defaults are as before.

--- a/src/process/scheduler/approvals.cpp
+++ b/src/process/scheduler/approvals.cpp
@@ -36,6 +36,17 @@
             return reserved > 1 ? (reserved + keptDivisor - 1) / keptDivisor : 0;
         }
 
+        /**
+         * Load: after a standstill hundreds of steps whose requests are quick wait, and each VM always has a quick request queued. A slow
+         * request, which needs a free VM, found none for seconds, while the workers that it was for stood idle.
+         * @return Number of VMs that no quick request uses.
+         */
+        std::size_t countSlowProxies(const Scheduler& scheduler)
+        {
+            constexpr std::size_t slowDivisor = 3;
+            return scheduler.m_approvalProxies.size() / slowDivisor;
+        }
+
         /**
          * Chooses the VM that sends a request.
          * @param duration Expected duration of the request.
@@ -46,7 +57,8 @@
             const bool isSlow = duration > slowRequestThreshold;
             const std::size_t reserved = countReservedProxies(scheduler) - (run.m_mayUseKeptProxies ? countKeptProxies(scheduler) : 0);
             ApprovalProxy* best = nullptr;
-            for (std::size_t i = isSlow ? reserved : 0; i < scheduler.m_approvalProxies.size(); ++i) {
+            const std::size_t end = scheduler.m_approvalProxies.size() - (isSlow ? 0 : countSlowProxies(scheduler));
+            for (std::size_t i = isSlow ? reserved : 0; i < end; ++i) {
                 ApprovalProxy& proxy = scheduler.m_approvalProxies[i];
                 if (!best || proxy.m_busyUntil < best->m_busyUntil)
                     best = &proxy;
--- a/tests/fakes/approval_load.h
+++ b/tests/fakes/approval_load.h
@@ -46,6 +46,9 @@
         TimePoint m_startedAt { -5'000 }; ///< When its process started, from which its clock counts.
         TimePoint m_silentUntil; ///< Until then it is out of reach; what it runs goes on.
         bool m_isGone = false; ///< It has left for good, with all that it ran.
+        std::string m_pool = "pool"; ///< Pool that it announces.
+        Resources m_capacity { .m_cpuMilli = 32'000, .m_memoryMb = 131'072, .m_gpus = 8 }; ///< Capacity that it announces.
+        double m_slowdown = 1; ///< Run time on it divided by that on a worker of mean speed.
     };
 
     Scheduler m_scheduler;
@@ -54,6 +57,7 @@
     std::multimap<TimePoint, std::function<void()>> m_events;
     std::map<std::string, Duration> m_waits; ///< Time from acceptance to the first start, by job.
     double m_approvedShare; ///< Share of approved workers.
+    std::map<std::string, double> m_approvedShareByQueue; ///< Share of approved workers of the queues where it differs.
     std::uint64_t m_requests = 0;
     bool m_areRequestsAnswered = true; ///< Whether approval requests are answered; they fail otherwise.
     int m_ticketsToRefuse = 0; ///< Number of starts whose ticket is refused although it has not lapsed.
@@ -64,6 +68,7 @@
     std::uint64_t m_lapsedStarts = 0; ///< Starts that were sent with a lapsed ticket, and refused.
     std::uint64_t m_stoppedMembers = 0; ///< Running members of gangs that were stopped.
     std::function<Duration()> m_recordTime; ///< Time after which an append of records is durable; appends become so in their order. Records are durable at once when unset.
+    std::function<double(const TaskName&)> m_estimateError; ///< Run time of a task divided by the caller's estimate; 1 when unset.
     std::deque<std::pair<std::uint64_t, TimePoint>> m_appends; ///< Batches that are not durable yet, with the time at which they will be.
     int m_nextJob = 1;
 
@@ -92,14 +97,21 @@
 
     void announce(const std::string& id, bool isDraining = false)
     {
-        updateWorker(m_scheduler, { .m_id = id, .m_pool = "pool", .m_address = { "127.0.0.1", 9 }, .m_zone = "a", .m_machine = {}, .m_capacity = { .m_cpuMilli = 32'000, .m_memoryMb = 131'072, .m_gpus = 8 }, .m_labels = { "a", "r1-1" }, .m_isDraining = isDraining, .m_remainingDrainTime = { isDraining ? 4'500 : 0 }, .m_processStartMs = m_workers.at(id).m_process }, m_now);
+        updateWorker(m_scheduler, { .m_id = id, .m_pool = m_workers.at(id).m_pool, .m_address = { "127.0.0.1", 9 }, .m_zone = "a", .m_machine = {}, .m_capacity = m_workers.at(id).m_capacity, .m_labels = { "a", "r1-1" }, .m_isDraining = isDraining, .m_remainingDrainTime = { isDraining ? 4'500 : 0 }, .m_processStartMs = m_workers.at(id).m_process }, m_now);
     }
 
-    std::string submit(const std::string& queue, const StepPlan& step)
+    std::string nextJobId() const
     {
         char text[17];
-        std::snprintf(text, sizeof(text), "%016x", static_cast<unsigned>(m_nextJob++));
-        acceptJob(m_scheduler, { .m_id = text, .m_queue = queue, .m_pool = "pool", .m_payload = "p", .m_steps = { step }, .m_firstStart = {}, .m_period = {}, .m_occurrenceCount = 0, .m_submittedAt = m_now }, m_now);
+        std::snprintf(text, sizeof(text), "%016x", static_cast<unsigned>(m_nextJob));
+        return text;
+    }
+
+    std::string submit(const std::string& queue, const StepPlan& step)
+    {
+        std::string text = nextJobId();
+        ++m_nextJob;
+        acceptJob(m_scheduler, { .m_id = text, .m_queue = queue, .m_pool = m_scheduler.m_queues.at(queue).m_pool, .m_payload = "p", .m_steps = { step }, .m_firstStart = {}, .m_period = {}, .m_occurrenceCount = 0, .m_submittedAt = m_now }, m_now);
         return text;
     }
 
@@ -115,9 +127,16 @@
         submit("small", { .m_count = width, .m_size = { .m_cpuMilli = 2'800, .m_memoryMb = 11'000, .m_gpus = 1 }, .m_estimatedRunTime = { 3'000 } });
     }
 
+    bool isApprovedFor(const std::string& queue, const std::string& job, const std::string& worker) const
+    {
+        const auto found = m_approvedShareByQueue.find(queue);
+        const double share = found == m_approvedShareByQueue.end() ? m_approvedShare : found->second;
+        return static_cast<double>(stableHash(worker, stableHash(job)) % 1'000) < share * 1'000;
+    }
+
     bool isApproved(const std::string& job, const std::string& worker) const
     {
-        return static_cast<double>(stableHash(worker, stableHash(job)) % 1'000) < m_approvedShare * 1'000;
+        return isApprovedFor(m_scheduler.m_jobs.at(job)->m_plan.m_queue, job, worker);
     }
 
     const std::optional<ApprovalPolicy>& policyOf(const std::string& job) const { return m_scheduler.m_queues.at(m_scheduler.m_jobs.at(job)->m_plan.m_queue).m_approval; }
@@ -160,7 +179,8 @@
             m_ticketsToRefuse -= isOfOtherProcess ? 0 : 1;
             return answerStart(order, OrderStatus::InvalidTicket);
         }
-        const TimePoint endsAt = step.m_isLongRunning ? farFuture : m_now + step.m_estimatedRunTime;
+        const double runMs = static_cast<double>(step.m_estimatedRunTime.m_ms) * worker.m_slowdown * (m_estimateError ? m_estimateError(order.m_order.m_task) : 1);
+        const TimePoint endsAt = step.m_isLongRunning ? farFuture : m_now + Duration { static_cast<std::int64_t>(runMs) };
         worker.m_runs.push_back({ .m_task = order.m_order.m_task, .m_attempt = order.m_order.m_attempt, .m_endsAt = endsAt });
         ++m_starts;
         m_waits.try_emplace(plan.m_id, m_now - m_scheduler.m_jobs.at(plan.m_id)->m_acceptedAt);
