Ask once for what slow approval requests can tell

Cause: after a standstill the VMs that send slow requests were busy all the time, and reserved workers with room waited for a VM to renew a lapsed ticket. A step named no workers that were reserved for others at that moment, and asked for those later in a request of their own; and it renewed the ticket of one worker, and 0.5 s later that of the next, each in a request of its own. Change: a slow request also names workers that are reserved for others, as the approval stays known; a slow renewal also names the approved workers that are expected to have room while the new tickets are valid.

--- a/src/process/scheduler/approvals.cpp
+++ b/src/process/scheduler/approvals.cpp
@@ -111,22 +111,29 @@
             const bool waitsForReservations = isGang && isSlow && run.m_reservedReadyAt < farFuture;
             if (waitsForReservations && run.m_reservedReadyAt > answerAt)
                 return {};
+            // A name prolongs a slow request by little, so it also names workers that will have room while the new tickets are valid.
+            const TimePoint lastRoomAt = isSlow ? answerAt + need.m_policy.m_validity / 2 : answerAt;
             std::vector<WorkerIndex> chosen;
             std::int64_t room = 0;
+            bool isAnyDue = false;
             for (const auto& [worker, ticket] : run.m_approval.m_tickets) {
                 const auto position = findPosition(scheduler, view, worker);
                 const StepRun* const reservedFor = position ? view.m_reservedFor[*position] : nullptr;
                 const bool isOpen = reservedFor == &run || (!reservedFor && !waitsForReservations);
-                if (!position || !isOpen || expectedRoomAt(scheduler, view, *position, grantOf(run), now) > answerAt)
+                const TimePoint roomAt = position && isOpen ? expectedRoomAt(scheduler, view, *position, grantOf(run), now) : farFuture;
+                if (roomAt > lastRoomAt)
                     continue;
+                const bool isDue = roomAt <= answerAt;
                 const std::int64_t fitting = std::max<std::int64_t>(1, countFitting(grantOf(run), view.m_free[*position], need.m_tasks));
-                room += fitting;
+                room += isDue ? fitting : 0;
                 // More urgent steps with requests under way are going to use the room.
                 const bool isClaimed = !isSlow && scheduler.m_workers[static_cast<std::size_t>(worker)].m_pendingNames >= fitting;
-                if (!ticket.m_isRenewalPending && !isClaimed && !hasTicket(run, worker, answerAt))
-                    chosen.push_back(worker);
+                if (ticket.m_isRenewalPending || isClaimed || hasTicket(run, worker, answerAt))
+                    continue;
+                chosen.push_back(worker);
+                isAnyDue = isAnyDue || isDue;
             }
-            if (isGang && room < need.m_tasks) // It can't start then anyway.
+            if (!isAnyDue || (isGang && room < need.m_tasks)) // A gang can't start then anyway.
                 chosen.clear();
             return chosen;
         }
@@ -188,12 +195,13 @@
                 const WorkerIndex index = view.m_workers[i];
                 const Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
                 const bool isFree = !view.m_reservedFor[i] || view.m_reservedFor[i] == &run;
-                if (markOf(run.m_approval, index) != ApprovalMark::Unknown || !isFree || !isSuitable(run, worker))
+                // The approval stays known beyond the reservation of others; a further request would take the whole base time again.
+                if (markOf(run.m_approval, index) != ApprovalMark::Unknown || !(isFree || isSlowPolicy(need.m_policy)) || !isSuitable(run, worker))
                     continue;
                 const TimePoint readyAt = expectedRoomAt(scheduler, view, i, grantOf(run), now);
                 if (readyAt >= farFuture)
                     continue;
-                unknown.m_withRoom += readyAt <= now ? 1 : 0;
+                unknown.m_withRoom += isFree && readyAt <= now ? 1 : 0;
                 const Duration delay = isSlowPolicy(need.m_policy) ? delayPerName * worker.m_pendingNames : Duration {};
                 unknown.m_workers.push_back({ .m_readyAt = readyAt + delay, .m_cost = costOf(scheduler, run, index, need.m_speedWeight) + costPerName * worker.m_pendingNames, .m_worker = index });
             }
--- a/tests/backlog_test.cpp
+++ b/tests/backlog_test.cpp
@@ -62,6 +62,7 @@
             m_load.adopt(id);
         }
         m_load.m_recordTime = [this] { return Duration { static_cast<std::int64_t>(10 + m_recordRandom() % 60) }; };
+        m_load.m_isProgressReported = true;
         m_load.m_estimateError = [](const TaskName& task) {
             constexpr std::uint64_t range = 1'000;
             return 0.5 + 1.3 * static_cast<double>(stableHash(format(task)) % range) / range;
@@ -216,12 +217,18 @@
 BOOST_AUTO_TEST_CASE(steps_that_fit_run_while_most_of_the_pool_is_free)
 {
     constexpr Duration longestWait { 3'000 };
-    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    constexpr int seeds = 8;
+    constexpr double minGpuShare = 0.7;
+    double gpuShare = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         Backlog backlog(seed);
         backlog.run({ 60'000 });
         const BacklogResult& result = backlog.m_result;
         std::cout << "seed " << seed << ": " << backlog.m_jobs.size() << " jobs, " << result.m_open << " not ended, longest wait " << result.m_longestWait.m_ms << " ms (" << result.m_longestJob << "), " << result.m_violating << " over the bound, drained in " << result.m_drain.m_ms << " ms with " << result.m_gpuShareOfDrain << " of the GPUs and " << result.m_reservedShareOfDrain << " free on reserved workers, " << backlog.m_load.m_requests << " requests, " << backlog.m_load.m_lapsedStarts << " lapsed starts\n";
         BOOST_TEST(result.m_open == 0U);
         BOOST_TEST(result.m_longestWait.m_ms <= longestWait.m_ms);
+        gpuShare += result.m_gpuShareOfDrain / seeds;
     }
+    std::cout << gpuShare << " of the GPUs in use on the mean of the drains\n";
+    BOOST_TEST(gpuShare >= minGpuShare);
 }
--- a/tests/fakes/approval_load.h
+++ b/tests/fakes/approval_load.h
@@ -33,6 +33,7 @@
         TaskName m_task;
         std::uint32_t m_attempt = 0;
         TimePoint m_endsAt;
+        TimePoint m_startedAt {};
     };
 
     /** A simulated worker. */
@@ -68,6 +69,7 @@
     std::uint64_t m_lapsedStarts = 0; ///< Starts that were sent with a lapsed ticket, and refused.
     std::uint64_t m_stoppedMembers = 0; ///< Running members of gangs that were stopped.
     std::function<Duration()> m_recordTime; ///< Time after which an append of records is durable; appends become so in their order. Records are durable at once when unset.
+    bool m_isProgressReported = false; ///< Whether workers report the progress of what they run.
     std::function<double(const TaskName&)> m_estimateError; ///< Run time of a task divided by the caller's estimate; 1 when unset.
     std::deque<std::pair<std::uint64_t, TimePoint>> m_appends; ///< Batches that are not durable yet, with the time at which they will be.
     int m_nextJob = 1;
@@ -181,7 +183,7 @@
         }
         const double runMs = static_cast<double>(step.m_estimatedRunTime.m_ms) * worker.m_slowdown * (m_estimateError ? m_estimateError(order.m_order.m_task) : 1);
         const TimePoint endsAt = step.m_isLongRunning ? farFuture : m_now + Duration { static_cast<std::int64_t>(runMs) };
-        worker.m_runs.push_back({ .m_task = order.m_order.m_task, .m_attempt = order.m_order.m_attempt, .m_endsAt = endsAt });
+        worker.m_runs.push_back({ .m_task = order.m_order.m_task, .m_attempt = order.m_order.m_attempt, .m_endsAt = endsAt, .m_startedAt = m_now });
         ++m_starts;
         m_waits.try_emplace(plan.m_id, m_now - m_scheduler.m_jobs.at(plan.m_id)->m_acceptedAt);
         answerStart(order, OrderStatus::Done);
@@ -248,11 +250,16 @@
         ++worker.m_process;
     }
 
+    int percentOf(const Run& run) const
+    {
+        return run.m_endsAt == farFuture ? -1 : static_cast<int>((m_now - run.m_startedAt).m_ms * 100 / std::max<std::int64_t>(1, (run.m_endsAt - run.m_startedAt).m_ms));
+    }
+
     void sync(const std::string& id, SimulatedWorker& worker)
     {
         SyncReport report { .m_clockMs = clockOf(worker), .m_processStartMs = worker.m_process, .m_running = {}, .m_ended = worker.m_ended };
         for (const Run& run : worker.m_runs)
-            report.m_running.push_back({ .m_task = run.m_task, .m_attempt = run.m_attempt, .m_checkpoint = {}, .m_percent = -1, .m_loadMetric = 0 });
+            report.m_running.push_back({ .m_task = run.m_task, .m_attempt = run.m_attempt, .m_checkpoint = {}, .m_percent = m_isProgressReported ? percentOf(run) : -1, .m_loadMetric = 0 });
         SchedulerEffects effects;
         onSyncAnswer(m_scheduler, id, OrderStatus::Done, report, m_now, m_now, effects);
         worker.m_ended.clear();
