--- a/tests/fakes/approval_load.h
+++ b/tests/fakes/approval_load.h
@@ -33,6 +33,7 @@
         TaskName m_task;
         std::uint32_t m_attempt = 0;
         TimePoint m_endsAt;
+        TimePoint m_startedAt {};
     };
 
     /** A simulated worker. */
@@ -46,6 +47,9 @@
         TimePoint m_startedAt { -5'000 }; ///< When its process started, from which its clock counts.
         TimePoint m_silentUntil; ///< Until then it is out of reach; what it runs goes on.
         bool m_isGone = false; ///< It has left for good, with all that it ran.
+        std::string m_pool = "pool"; ///< Pool that it announces.
+        Resources m_capacity { .m_cpuMilli = 32'000, .m_memoryMb = 131'072, .m_gpus = 8 }; ///< Capacity that it announces.
+        double m_slowdown = 1; ///< Run time on it divided by that on a worker of mean speed.
     };
 
     Scheduler m_scheduler;
@@ -54,6 +58,7 @@
     std::multimap<TimePoint, std::function<void()>> m_events;
     std::map<std::string, Duration> m_waits; ///< Time from acceptance to the first start, by job.
     double m_approvedShare; ///< Share of approved workers.
+    std::map<std::string, double> m_approvedShareByQueue; ///< Share of approved workers of the queues where it differs.
     std::uint64_t m_requests = 0;
     bool m_areRequestsAnswered = true; ///< Whether approval requests are answered; they fail otherwise.
     int m_ticketsToRefuse = 0; ///< Number of starts whose ticket is refused although it has not lapsed.
@@ -64,6 +69,8 @@
     std::uint64_t m_lapsedStarts = 0; ///< Starts that were sent with a lapsed ticket, and refused.
     std::uint64_t m_stoppedMembers = 0; ///< Running members of gangs that were stopped.
     std::function<Duration()> m_recordTime; ///< Time after which an append of records is durable; appends become so in their order. Records are durable at once when unset.
+    bool m_isProgressReported = false; ///< Whether workers report the progress of what they run.
+    std::function<double(const TaskName&)> m_estimateError; ///< Run time of a task divided by the caller's estimate; 1 when unset.
     std::deque<std::pair<std::uint64_t, TimePoint>> m_appends; ///< Batches that are not durable yet, with the time at which they will be.
     int m_nextJob = 1;
 
@@ -92,14 +99,21 @@
 
     void announce(const std::string& id, bool isDraining = false)
     {
-        updateWorker(m_scheduler, { .m_id = id, .m_pool = "pool", .m_address = { "127.0.0.1", 9 }, .m_zone = "a", .m_machine = {}, .m_capacity = { .m_cpuMilli = 32'000, .m_memoryMb = 131'072, .m_gpus = 8 }, .m_labels = { "a", "r1-1" }, .m_isDraining = isDraining, .m_remainingDrainTime = { isDraining ? 4'500 : 0 }, .m_processStartMs = m_workers.at(id).m_process }, m_now);
+        updateWorker(m_scheduler, { .m_id = id, .m_pool = m_workers.at(id).m_pool, .m_address = { "127.0.0.1", 9 }, .m_zone = "a", .m_machine = {}, .m_capacity = m_workers.at(id).m_capacity, .m_labels = { "a", "r1-1" }, .m_isDraining = isDraining, .m_remainingDrainTime = { isDraining ? 4'500 : 0 }, .m_processStartMs = m_workers.at(id).m_process }, m_now);
     }
 
-    std::string submit(const std::string& queue, const StepPlan& step)
+    std::string nextJobId() const
     {
         char text[17];
-        std::snprintf(text, sizeof(text), "%016x", static_cast<unsigned>(m_nextJob++));
-        acceptJob(m_scheduler, { .m_id = text, .m_queue = queue, .m_pool = "pool", .m_payload = "p", .m_steps = { step }, .m_firstStart = {}, .m_period = {}, .m_occurrenceCount = 0, .m_submittedAt = m_now }, m_now);
+        std::snprintf(text, sizeof(text), "%016x", static_cast<unsigned>(m_nextJob));
+        return text;
+    }
+
+    std::string submit(const std::string& queue, const StepPlan& step)
+    {
+        std::string text = nextJobId();
+        ++m_nextJob;
+        acceptJob(m_scheduler, { .m_id = text, .m_queue = queue, .m_pool = m_scheduler.m_queues.at(queue).m_pool, .m_payload = "p", .m_steps = { step }, .m_firstStart = {}, .m_period = {}, .m_occurrenceCount = 0, .m_submittedAt = m_now }, m_now);
         return text;
     }
 
@@ -115,9 +129,16 @@
         submit("small", { .m_count = width, .m_size = { .m_cpuMilli = 2'800, .m_memoryMb = 11'000, .m_gpus = 1 }, .m_estimatedRunTime = { 3'000 } });
     }
 
+    bool isApprovedFor(const std::string& queue, const std::string& job, const std::string& worker) const
+    {
+        const auto found = m_approvedShareByQueue.find(queue);
+        const double share = found == m_approvedShareByQueue.end() ? m_approvedShare : found->second;
+        return static_cast<double>(stableHash(worker, stableHash(job)) % 1'000) < share * 1'000;
+    }
+
     bool isApproved(const std::string& job, const std::string& worker) const
     {
-        return static_cast<double>(stableHash(worker, stableHash(job)) % 1'000) < m_approvedShare * 1'000;
+        return isApprovedFor(m_scheduler.m_jobs.at(job)->m_plan.m_queue, job, worker);
     }
 
     const std::optional<ApprovalPolicy>& policyOf(const std::string& job) const { return m_scheduler.m_queues.at(m_scheduler.m_jobs.at(job)->m_plan.m_queue).m_approval; }
@@ -160,8 +181,9 @@
             m_ticketsToRefuse -= isOfOtherProcess ? 0 : 1;
             return answerStart(order, OrderStatus::InvalidTicket);
         }
-        const TimePoint endsAt = step.m_isLongRunning ? farFuture : m_now + step.m_estimatedRunTime;
-        worker.m_runs.push_back({ .m_task = order.m_order.m_task, .m_attempt = order.m_order.m_attempt, .m_endsAt = endsAt });
+        const double runMs = static_cast<double>(step.m_estimatedRunTime.m_ms) * worker.m_slowdown * (m_estimateError ? m_estimateError(order.m_order.m_task) : 1);
+        const TimePoint endsAt = step.m_isLongRunning ? farFuture : m_now + Duration { static_cast<std::int64_t>(runMs) };
+        worker.m_runs.push_back({ .m_task = order.m_order.m_task, .m_attempt = order.m_order.m_attempt, .m_endsAt = endsAt, .m_startedAt = m_now });
         ++m_starts;
         m_waits.try_emplace(plan.m_id, m_now - m_scheduler.m_jobs.at(plan.m_id)->m_acceptedAt);
         answerStart(order, OrderStatus::Done);
@@ -228,11 +250,16 @@
         ++worker.m_process;
     }
 
+    int percentOf(const Run& run) const
+    {
+        return run.m_endsAt == farFuture ? -1 : static_cast<int>((m_now - run.m_startedAt).m_ms * 100 / std::max<std::int64_t>(1, (run.m_endsAt - run.m_startedAt).m_ms));
+    }
+
     void sync(const std::string& id, SimulatedWorker& worker)
     {
         SyncReport report { .m_clockMs = clockOf(worker), .m_processStartMs = worker.m_process, .m_running = {}, .m_ended = worker.m_ended };
         for (const Run& run : worker.m_runs)
-            report.m_running.push_back({ .m_task = run.m_task, .m_attempt = run.m_attempt, .m_checkpoint = {}, .m_percent = -1, .m_loadMetric = 0 });
+            report.m_running.push_back({ .m_task = run.m_task, .m_attempt = run.m_attempt, .m_checkpoint = {}, .m_percent = m_isProgressReported ? percentOf(run) : -1, .m_loadMetric = 0 });
         SchedulerEffects effects;
         onSyncAnswer(m_scheduler, id, OrderStatus::Done, report, m_now, m_now, effects);
         worker.m_ended.clear();
