Keep the former log's threads until its periodic flush has ended

Cause: openLog() replaces spdlog's thread pool while the flush of the former log, once a second, may be due; it then finds no pool and aborts.

--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -68,6 +68,7 @@
 {
     constexpr std::size_t maxQueuedLines = 8'192;
     constexpr auto flushInterval = std::chrono::seconds(1);
+    const auto formerPool = spdlog::thread_pool(); // The former log's periodic flush may run until flush_every() below replaces it, and needs its pool.
     spdlog::init_thread_pool(maxQueuedLines, 1);
     auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
     auto logger = std::make_shared<spdlog::async_logger>(options.m_process, std::move(sink), spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
