Call no worker before all records are fenced and read

Cause (review, by reading): a leader that goes on without a partition renewed leases. An earlier leader that still reaches that partition, and not that worker, counts the lease as over and starts the task elsewhere (TWICE). Change: the scheduler takes no step while records are unread.

--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -183,7 +183,7 @@
 
 void stepScheduler(CellNode& node)
 {
-    if (!isActiveLeader(node))
+    if (!isActiveLeader(node) || node.m_scheduler->m_isProgressUnread)
         return;
     scheduler::SchedulerEffects effects;
     node.m_scheduler->m_isJobsTopicBehind = isJobsTopicBehind(node) || node.m_journals.size() > 1; // What is dropped from the present partition only would be found in an earlier one.
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -353,7 +353,7 @@
     std::unordered_map<std::string, std::uint64_t> m_storedEnds; ///< By job id, offset after the newest submission or cancellation that was read in the topic of jobs; also of unknown jobs.
     bool m_isJobsTopicBehind = false; ///< The topic of jobs has not been read to its end lately, so that a copy of a submission may be unread. No job expires meanwhile.
     bool m_areSubmissionsUnread = false; ///< Submissions and cancellations that VMs have stored themselves have not all been read. Jobs without recorded tasks are held, and unknown attempts and ends are kept.
-    bool m_isProgressUnread = false; ///< Records of earlier terms have not all been read, so that a job that counts as new may have run. All jobs are held, and attempts and ends of held jobs are kept. Implies m_areSubmissionsUnread.
+    bool m_isProgressUnread = false; ///< Records of earlier terms have not all been read, so that a job that counts as new may have run. All jobs are held, no worker is called, and attempts and ends of held jobs are kept. Implies m_areSubmissionsUnread.
     std::unordered_map<std::string, std::string> m_unmatchedProgress; ///< Progress records of jobs whose submission has not been read, by job id.
     std::vector<UnmatchedEnd> m_unmatchedEnds; ///< Ends of attempts of such jobs.
     std::unordered_map<std::string, WorkerSpeed> m_restoredSpeeds; ///< Speeds learned in earlier terms, by worker id, of workers that have not been announced in this term.
