Leave a tail that a record has had reset

Cause (review, by reading): applying a record can have the tail listed anew (checkTermLease); the page's end was then read although it was reset. Change: the rest of the answer is left. No test: it needs evidence over 3 s old.

--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -116,6 +116,7 @@
             return;
         }
         endCall(tail.m_call, node.m_now);
+        const std::uint64_t nextCall = tail.m_call.m_callNumber;
         tail.m_answeredAt = node.m_now;
         if (!tail.m_listedEnd)
             tail.m_listedEnd = page.m_end;
@@ -123,6 +124,8 @@
             applyRecord(node, tail, record);
             tail.m_listedKeys.push_back(record.m_key);
         }
+        if (!isAnswerToCall(tail.m_call, nextCall)) // A record has had the tail reset.
+            return;
         if (page.m_hasMore && !page.m_records.empty()) {
             tail.m_after = page.m_records.back().m_key;
             return;
@@ -164,10 +167,13 @@
         }
         tail.m_failedReads = 0;
         tail.m_answeredAt = node.m_now;
+        const std::uint64_t call = tail.m_call.m_callNumber;
         for (auto record = answer.m_records.begin(); record != answer.m_records.end(); ++record) {
             if (&tail != &node.m_operatorTail || !isSuperseded(record, answer.m_records.end()))
                 applyRecord(node, tail, *record);
         }
+        if (!isAnswerToCall(tail.m_call, call)) // A record has had the tail reset.
+            return;
         tail.m_nextOffset += answer.m_records.size();
         const bool isCaughtUp = tail.m_nextOffset >= answer.m_end;
         tail.m_isCaughtUp = tail.m_isCaughtUp || isCaughtUp;
