Never take a fold for a move, nor a partition twice in a term

Change: a fold that was sent comes first; the partitions used are kept for the term; each leader without the records takes a further partition. A leader hands over when the claims are silent as well.

--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -186,6 +186,9 @@
 /** Takes it up that the leader topic names the prepared partition: the leader writes to it from now on. */
 void finishJournalMove(CellNode& node);
 
+/** Gives up the preparation of a partition, as the one written to answers. */
+void abandonJournalMove(CellNode& node);
+
 /** Sends the attempts of a change of the leader topic that are due. */
 void stepPointer(CellNode& node);
 
@@ -213,7 +216,7 @@
 /** @return Whether nothing new may be recorded, as all records are being written to another partition. */
 bool isRecordingPaused(const CellNode& node);
 
-/** @return Whether another partition answers while the leader's is silent, so that another leader would fare no better. */
+/** @return Whether another partition and the claims answer while the leader's partition is silent, so that another leader would fare no better. */
 bool isJournalAtFault(const CellNode& node);
 
 /** @return Whether a change of the partition may have taken place that the store has not confirmed. */
--- a/src/process/cell/cell_journal_move.cpp
+++ b/src/process/cell/cell_journal_move.cpp
@@ -88,6 +88,7 @@
         JournalTarget target { .m_partition = partition, .m_writer = makePipeline(writerName, node.m_term), .m_answeredAt = node.m_now };
         target.m_writer.m_lastLatency = latency;
         move.m_target = std::move(target);
+        move.m_pointer.reset();
         move.m_probes.clear();
         logEvent(LogLevel::Info, "journal-target", { { "token", node.m_term }, { "journal", node.m_writerJournal }, { "target", partition }, { "silent_ms", silenceOfJournal(node).m_ms }, { "probing_ms", (node.m_now - *move.m_probingSince).m_ms } });
     }
@@ -173,11 +174,11 @@
         return records;
     }
 
-    /** @return The partitions that the leader topic is to name: a leader that has all records needs no other one than the target, and none that it has not read is given up. */
+    /** @return The partitions that the leader topic is to name: the target takes the place of the present one if the leader has all records. */
     std::vector<std::uint32_t> partitionsWith(const CellNode& node, std::uint32_t target)
     {
         std::vector<std::uint32_t> partitions = node.m_journals;
-        if (node.m_role == Role::Leading)
+        if (node.m_role == Role::Leading && !node.m_scheduler->m_isProgressUnread)
             partitions.back() = target;
         else
             partitions.push_back(target);
@@ -254,19 +255,18 @@
         stepPointer(node);
     }
 
-    /** Gives a change up because the partition written to has answered. */
-    void abandonMove(CellNode& node)
-    {
-        JournalMove& move = node.m_journalMove;
-        if (move.m_target)
-            logEvent(LogLevel::Info, "journal-answers", { { "token", node.m_term }, { "journal", node.m_writerJournal }, { "was_snapshot_queued", move.m_target->m_isSnapshotQueued } });
-        dropTarget(move);
-        move.m_probes.clear();
-        move.m_probingSince.reset();
-    }
-
 } // namespace
 
+void abandonJournalMove(CellNode& node)
+{
+    JournalMove& move = node.m_journalMove;
+    if (move.m_target)
+        logEvent(LogLevel::Info, "journal-answers", { { "token", node.m_term }, { "journal", node.m_writerJournal }, { "was_snapshot_queued", move.m_target->m_isSnapshotQueued } });
+    dropTarget(move);
+    move.m_probes.clear();
+    move.m_probingSince.reset();
+}
+
 bool isJournalStuck(const CellNode& node)
 {
     constexpr Duration recent { 500 }; // Shorter than the silence: others have answered meanwhile.
@@ -281,7 +281,7 @@
 bool isJournalAtFault(const CellNode& node)
 {
     constexpr Duration recent { 1'200 };
-    return node.m_journalMove.m_target && node.m_now - node.m_storeLastContactAt <= recent;
+    return node.m_journalMove.m_target && node.m_now - node.m_storeLastContactAt <= recent && areClaimsAnswered(node);
 }
 
 void finishJournalMove(CellNode& node)
@@ -315,9 +315,12 @@
     JournalMove& move = node.m_journalMove;
     if (!isActiveLeader(node))
         return;
+    const bool isFoldSent = !move.m_target && isPointerPending(node); // Its outcome decides which partitions count, so no other change begins meanwhile.
+    if (isFoldSent)
+        return stepFold(node);
     const bool hasAnswered = move.m_probingSince && node.m_writer.m_confirmations != move.m_confirmations;
     if (move.m_probingSince && hasAnswered && !isPointerPending(node))
-        return abandonMove(node);
+        return abandonJournalMove(node);
     if (move.m_target || isJournalSilent(node))
         stepJournalChange(node);
     else
--- a/src/process/cell/cell_journal_pointer.cpp
+++ b/src/process/cell/cell_journal_pointer.cpp
@@ -63,6 +63,7 @@
         TermLease& lease = node.m_termLease;
         scheduler::markAllDirty(*node.m_scheduler);
         markWorkerCopiesDue(node);
+        node.m_scheduler->m_learnedSamples = 0; // So that the record of what was learned is due as well.
         if (lease.m_evidence.m_isListStored && !lease.m_sentList && !lease.m_dueList)
             lease.m_dueList = lease.m_storedList;
         node.m_journalMove.m_foldBatch = node.m_scheduler->m_nextBatch;
--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -2,8 +2,8 @@
  * @file cell_loading.cpp Start of a term: fences earlier terms and loads the records that they have written.
  *
  * When a partition that holds records stays silent while the store answers otherwise, the leader goes on without it: it takes a further partition for
- * its own records, accepts submissions and holds them, as each of these jobs may be one that has run, and renews the leases of what runs. It orders no
- * start and acknowledges no end before it has fenced and read all partitions.
+ * its own records, accepts submissions and holds them, as each of these jobs may be one that has run. It calls no worker before it has fenced and read
+ * all partitions: until then an earlier leader may still write to a partition that only this VM does not reach, and count on leases that have run out.
  */
 #include "core/log_func.h"
 #include "process/cell/cell_detail.h"
@@ -256,7 +256,7 @@
         scheduler::finishRestoring(*node.m_scheduler, boundEarlierTerms(node), node.m_now);
         beginLeading(node);
         node.m_load = {};
-        node.m_journalMove = {}; // The preparation of a partition is needless now.
+        abandonJournalMove(node);
     }
 
     /** Restores the jobs that earlier leaders have accepted without the records that are unread now as well. All else waits for these. */
@@ -328,16 +328,15 @@
         return !isRead(journal) && isStoreAnswering && node.m_now - journal.m_answeredAt > std::max(patience, node.m_appendLatency * latencies);
     }
 
-    /** Goes on without the partitions that are silent, or has a partition prepared for this leader's own records first. */
+    /**
+     * Has a partition prepared for this leader's own records, to go on without those that are silent. One that an earlier leader has written without
+     * them is not written any more: what is known of its jobs must not be replaced by records that say less.
+     */
     void stepWithoutSilent(CellNode& node)
     {
         const std::vector<JournalLoad>& journals = node.m_load.m_journals;
         const bool isSomeSilent = std::any_of(journals.begin(), journals.end(), [&](const JournalLoad& each) { return isSilent(node, each); });
-        if (!isSomeSilent)
-            return;
-        if (isRead(journals.back()) && !isPointerPending(node))
-            leadWithoutSilent(node);
-        else
+        if (isSomeSilent || isPointerPending(node))
             stepJournalChange(node);
     }
 
--- a/tests/silent_journal_test.cpp
+++ b/tests/silent_journal_test.cpp
@@ -261,3 +261,88 @@
     BOOST_TEST((query(newJob).m_status == QueryStatus::Known));
     BOOST_TEST(m_startedJobs.size() == 2U);
 }
+
+// The answer about the fold came while another partition was prepared, and made that one, which was empty, the leader's (LOST, TWICE).
+BOOST_FIXTURE_TEST_CASE(a_fold_is_not_taken_for_a_move, SilentJournalFixture)
+{
+    silenceJournal();
+    restart();
+    BOOST_TEST((submit(newJob) == WriteOutcome::Recorded));
+    m_onAppend = [](const StoreAppend& append) { return append.m_partition == claims ? std::optional(StoreAppendAnswer { .m_status = StoreStatus::Unknown }) : std::nullopt; };
+    endSilence();
+    BOOST_REQUIRE(m_node->m_journals.size() == 2U);
+    silenceJournal();
+    finish(knownJob);
+    step(moveSteps);
+    m_onAppend = nullptr;
+    step(settleSteps);
+    m_silentPartitions.clear();
+    step(settleSteps);
+    BOOST_TEST(isAtStage(knownJob, scheduler::JobStage::Complete));
+    restart();
+    BOOST_TEST(isAtStage(knownJob, scheduler::JobStage::Complete));
+    BOOST_TEST(isOpen(directJob));
+    BOOST_TEST((query(newJob).m_status == QueryStatus::Known));
+    BOOST_TEST(m_startedJobs.size() == 3U);
+}
+
+// The store takes the first append of a second snapshot for a repeat of the first one's and stores nothing (LOST).
+BOOST_FIXTURE_TEST_CASE(a_partition_that_a_term_has_given_up_is_not_used_again, SilentJournalFixture)
+{
+    const StorePartition second { .m_topic = "keyed.progress", .m_partition = 1 };
+    m_store.append({ .m_partition = second, .m_records = { { .m_key = "e000000000000000", .m_value = "old" } }, .m_writer = {}, .m_expectedEnd = {} });
+    silenceJournal();
+    startNode();
+    bool isStored = false;
+    m_onAppend = [&](const StoreAppend& append) -> std::optional<StoreAppendAnswer> {
+        const bool isSnapshot = append.m_partition == second && append.m_records.front().m_key == "e000000000000000";
+        if (!isSnapshot)
+            return std::nullopt;
+        m_store.append(append);
+        isStored = true;
+        return StoreAppendAnswer { .m_status = StoreStatus::Unknown };
+    };
+    for (int i = 0; i < partialLoadingSteps && !isStored; ++i)
+        step();
+    BOOST_REQUIRE(isStored);
+    m_onAppend = nullptr;
+    m_silentPartitions.clear();
+    stepUntilLeading();
+    step(settleSteps);
+    BOOST_REQUIRE(m_node->m_writerJournal == firstJournal.m_partition);
+    silenceJournal();
+    finish(knownJob);
+    step(moveSteps);
+    BOOST_TEST(m_node->m_writerJournal != firstJournal.m_partition);
+    restart();
+    BOOST_TEST(isAtStage(knownJob, scheduler::JobStage::Complete));
+    BOOST_TEST(isOpen(directJob));
+    BOOST_TEST(m_startedJobs.size() == 2U);
+}
+
+// A later term without the records wrote less about a job over what an earlier one had noted, and its cancellation was forgotten (UNASKED).
+BOOST_FIXTURE_TEST_CASE(a_cancellation_outlives_a_later_term_without_the_records, SilentJournalFixture)
+{
+    silenceJournal();
+    restart();
+    BOOST_TEST((submit(newJob) == WriteOutcome::Recorded));
+    BOOST_TEST((cancel(newJob) == WriteOutcome::Recorded));
+    restart();
+    BOOST_TEST((submit(newJob) == WriteOutcome::Recorded));
+    m_silentPartitions.clear();
+    restart();
+    step(settleSteps);
+    BOOST_TEST(isAtStage(newJob, scheduler::JobStage::Cancelled));
+    BOOST_TEST(startsOf(newJob) == 0U);
+}
+
+// An earlier leader that still writes to the silent partition counts on leases that nobody else renews (TWICE).
+BOOST_FIXTURE_TEST_CASE(a_leader_without_the_records_renews_no_lease, SilentJournalFixture)
+{
+    silenceJournal();
+    restart();
+    BOOST_TEST(m_node->m_scheduler->m_leasesRenewedAt.m_ms == 0);
+    BOOST_TEST(m_node->m_scheduler->m_counters.m_syncs == 0U);
+    endSilence();
+    BOOST_TEST(m_node->m_scheduler->m_counters.m_syncs > 0U);
+}
