--- a/tests/silent_journal_test.cpp
+++ b/tests/silent_journal_test.cpp
@@ -13,6 +13,7 @@
 const StorePartition firstJournal { .m_topic = "keyed.progress", .m_partition = 0 };
 const StorePartition claims { .m_topic = "keyed.leader", .m_partition = 0 };
 constexpr int moveSteps = 150; ///< Of 10 ms; enough to notice the silence and to change the partition.
+constexpr int targetSteps = 45; ///< Enough to find another partition, too few to write to it.
 constexpr int settleSteps = 300; ///< Enough to read and to write all records once a partition answers again.
 
 /** Two jobs run, one known from the leader's records alone. */
@@ -273,7 +274,7 @@
     BOOST_REQUIRE(m_node->m_journals.size() == 2U);
     silenceJournal();
     finish(knownJob);
-    step(moveSteps);
+    step(targetSteps);
     m_onAppend = nullptr;
     step(settleSteps);
     m_silentPartitions.clear();
@@ -305,9 +306,9 @@
     for (int i = 0; i < partialLoadingSteps && !isStored; ++i)
         step();
     BOOST_REQUIRE(isStored);
-    m_onAppend = nullptr;
     m_silentPartitions.clear();
     stepUntilLeading();
+    m_onAppend = nullptr;
     step(settleSteps);
     BOOST_REQUIRE(m_node->m_writerJournal == firstJournal.m_partition);
     silenceJournal();
