--- a/src/process/cell/cell_journal_move.cpp
+++ b/src/process/cell/cell_journal_move.cpp
@@ -166,6 +166,7 @@
     std::vector<KeyedRecord> makeSnapshot(const CellNode& node, const std::vector<std::string>& oldKeys)
     {
         std::vector<KeyedRecord> records;
+        records.reserve(oldKeys.size());
         for (const std::string& key : oldKeys)
             records.push_back({ .m_key = key, .m_value = {} });
         if (node.m_role == Role::Loading) // It has no records to take along, and leaves those of the silent partitions where they are.
--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -289,7 +289,7 @@
         }
         node.m_scheduler->m_earlierLeadersStoppedAt = boundEarlierTerms(node);
         logEvent(LogLevel::Info, "records-read", { { "token", node.m_term }, { "loaded_ms_ago", (node.m_now - node.m_loadedAt).m_ms }, { "jobs", node.m_scheduler->m_jobs.size() }, { "plans", plans.size() }, { "progress", progress.size() } });
-        scheduler::restoreLate(*node.m_scheduler, std::move(plans), std::move(progress), node.m_now);
+        scheduler::restoreLate(*node.m_scheduler, std::move(plans), progress, node.m_now);
         node.m_load = {};
     }
 
--- a/src/process/scheduler/scheduler_func.h
+++ b/src/process/scheduler/scheduler_func.h
@@ -48,7 +48,7 @@
  * Restores records of earlier terms that could be read only after this term had accepted jobs. Jobs that are held get their progress.
  * @param plans Plans that earlier leaders have recorded. @param progress Progress records by job id.
  */
-void restoreLate(Scheduler& scheduler, std::vector<JobPlan> plans, std::map<std::string, std::string> progress, TimePoint now);
+void restoreLate(Scheduler& scheduler, std::vector<JobPlan> plans, const std::map<std::string, std::string>& progress, TimePoint now);
 
 /** Has the plans and the progress of all jobs recorded with the next batch. */
 void markAllDirty(Scheduler& scheduler);
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -361,10 +361,10 @@
     }
 }
 
-void restoreLate(Scheduler& scheduler, std::vector<JobPlan> plans, std::map<std::string, std::string> progress, TimePoint now)
+void restoreLate(Scheduler& scheduler, std::vector<JobPlan> plans, const std::map<std::string, std::string>& progress, TimePoint now)
 {
-    for (auto& [id, record] : progress)
-        scheduler.m_unmatchedProgress.insert_or_assign(id, std::move(record));
+    for (const auto& [id, record] : progress)
+        scheduler.m_unmatchedProgress.insert_or_assign(id, record);
     for (const auto& [id, job] : scheduler.m_jobs)
         detail::restoreUnmatched(scheduler, *job, now);
     for (JobPlan& plan : plans)
