Log and count how calls to workers end

Change: a failed call says how it ended, how long it took, whether its connection had carried an earlier call and how many others are open to the address. worker-calls-failed, at most one line a second for each worker, kind of call and end; the metric bulrush_worker_calls_failed_total. No change of logic.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -42,6 +42,18 @@
 
     class Connection;
 
+    /** @return How a call ended whose connection was open when the error occurred. */
+    CallEnd endOf(beast::error_code error)
+    {
+        if (error == beast::error::timeout)
+            return CallEnd::TimedOut;
+        if (error == http::error::end_of_stream || error == http::error::partial_message || error == asio::error::eof)
+            return CallEnd::Closed;
+        if (error == asio::error::connection_reset || error == asio::error::broken_pipe)
+            return CallEnd::Reset;
+        return CallEnd::Malformed;
+    }
+
     /** Connections to one address and the calls that wait for a free one. */
     struct Destination {
         std::vector<std::shared_ptr<Connection>> m_idle; ///< Idle connections, the most recently used last.
@@ -91,12 +103,13 @@
         void connectAndRun(PendingCall call)
         {
             m_current = std::move(call);
-            const Duration left = m_current->m_deadline - steadyNow();
+            m_takenAt = steadyNow();
+            const Duration left = m_current->m_deadline - m_takenAt;
             m_stream.expires_after(std::chrono::milliseconds(std::min(left, m_client->m_options.m_connectTimeout).m_ms));
             beast::error_code error;
             const auto host = asio::ip::make_address(m_address.m_host, error);
             if (error)
-                return finish(tl::unexpected(HttpFailure { CallProgress::NotSent, error.message() }));
+                return fail(CallProgress::NotSent, CallEnd::NotConnected, error);
             m_stream.async_connect(Tcp::endpoint(host, m_address.m_port),
                 [self = shared_from_this()](beast::error_code connectError) { self->onConnected(connectError); });
         }
@@ -104,6 +117,7 @@
         void run(PendingCall call)
         {
             m_current = std::move(call);
+            m_takenAt = steadyNow();
             writeRequest();
         }
 
@@ -127,8 +141,8 @@
         void onConnected(beast::error_code error)
         {
             if (error) {
-                const CallProgress progress = error == asio::error::connection_refused ? CallProgress::Refused : CallProgress::NotSent;
-                return finish(tl::unexpected(HttpFailure { progress, error.message() }));
+                const bool isRefused = error == asio::error::connection_refused;
+                return fail(isRefused ? CallProgress::Refused : CallProgress::NotSent, isRefused ? CallEnd::Refused : CallEnd::NotConnected, error);
             }
             beast::error_code ignored;
             m_stream.socket().set_option(Tcp::no_delay(true), ignored);
@@ -160,7 +174,7 @@
         void onWritten(beast::error_code error)
         {
             if (error)
-                return finish(tl::unexpected(HttpFailure { CallProgress::MaybeDelivered, error.message() }));
+                return fail(CallProgress::MaybeDelivered, endOf(error), error);
             m_parser.emplace();
             m_parser->body_limit(m_current->m_call.m_bodyLimitBytes);
             http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code readError, std::size_t) {
@@ -171,7 +185,7 @@
         void onRead(beast::error_code error)
         {
             if (error)
-                return finish(tl::unexpected(HttpFailure { CallProgress::MaybeDelivered, error.message() }));
+                return fail(CallProgress::MaybeDelivered, endOf(error), error);
             auto message = m_parser->release();
             HttpResponse response;
             response.m_status = message.result_int();
@@ -182,8 +196,15 @@
             finish(std::move(response));
         }
 
+        void fail(CallProgress progress, CallEnd end, beast::error_code error)
+        {
+            const std::size_t others = m_client->m_destinations[m_address].m_openCount - 1;
+            finish(tl::unexpected(HttpFailure { .m_progress = progress, .m_reason = error.message(), .m_end = end, .m_isKeptConnection = m_hasCarriedCall, .m_openConnections = others, .m_took = steadyNow() - m_takenAt }));
+        }
+
         void finish(HttpResult result)
         {
+            m_hasCarriedCall = true;
             auto onResult = std::move(m_current->m_onResult);
             m_current.reset();
             Destination& destination = m_client->m_destinations[m_address];
@@ -206,6 +227,8 @@
         http::request<http::span_body<const char>> m_message;
         std::optional<http::response_parser<http::string_body>> m_parser;
         bool m_keepAlive = false;
+        bool m_hasCarriedCall = false; ///< Whether a call on this connection has ended.
+        TimePoint m_takenAt; ///< When the current call took the connection, or began to open it.
     };
 
 } // namespace
@@ -255,9 +278,10 @@
 {
     const TimePoint now = steadyNow();
     while (!destination.m_waiting.empty() && destination.m_waiting.front().m_deadline <= now) {
-        auto onResult = std::move(destination.m_waiting.front().m_onResult);
+        const PendingCall expired = std::move(destination.m_waiting.front());
         destination.m_waiting.pop_front();
-        onResult(tl::unexpected(HttpFailure { CallProgress::NotSent, "timed out while waiting for a free connection" }));
+        const TimePoint sentAt = expired.m_deadline - expired.m_call.m_timeout;
+        expired.m_onResult(tl::unexpected(HttpFailure { .m_progress = CallProgress::NotSent, .m_reason = "timed out while waiting for a free connection", .m_end = CallEnd::NoFreeConnection, .m_isKeptConnection = false, .m_openConnections = destination.m_openCount, .m_took = now - sentAt }));
     }
 }
 
--- a/src/connection/http_type.h
+++ b/src/connection/http_type.h
@@ -43,10 +43,25 @@
     MaybeDelivered, ///< Some or all of the request may have been written; the server may have acted on it.
 };
 
+/** How a call without a complete response ended. */
+enum class CallEnd : std::uint8_t {
+    Refused, ///< The connection was refused.
+    NotConnected, ///< No connection could be opened.
+    NoFreeConnection, ///< All connections to the address were in use until the time limit.
+    TimedOut, ///< The connection was open, but the response was not complete in time.
+    Closed, ///< The server closed the connection.
+    Reset, ///< The connection was reset.
+    Malformed, ///< The response was not valid HTTP, or too large.
+};
+
 /** Why a call has no complete response. */
 struct HttpFailure {
     CallProgress m_progress = CallProgress::NotSent; ///< How far the call got.
     std::string m_reason; ///< Error text of the network layer.
+    CallEnd m_end = CallEnd::NotConnected; ///< How the call ended.
+    bool m_isKeptConnection = false; ///< Whether the connection had carried an earlier call.
+    std::size_t m_openConnections = 0; ///< Other connections of the client to the address.
+    Duration m_took; ///< Time since the connection was taken or its opening began; since send() if the call got none.
 };
 
 using HttpResult = tl::expected<HttpResponse, HttpFailure>;
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -140,6 +140,12 @@
 {
 }
 
+void WorkerClient::noteResult(const std::string& worker, WorkerCall call, const HttpResult& result)
+{
+    if (!result)
+        m_failures.note(worker, call, result.error());
+}
+
 void WorkerClient::start(const AddressedOrder<StartOrder>& order, Duration timeout, std::function<void(const StartAnswer&)> onAnswer)
 {
     Json body { { "task", format(order.m_order.m_task) }, { "attempt", order.m_order.m_attempt }, { "spec", order.m_order.m_payload }, { "deadline_ms", order.m_order.m_leaseUntilMs }, { "fencing_token", order.m_to.m_token } };
@@ -147,7 +153,8 @@
         body["checkpoint"] = order.m_order.m_checkpoint;
     if (!order.m_order.m_ticket.empty())
         body["ticket"] = order.m_order.m_ticket;
-    m_client.send(makeCall(order.m_to, "/bulrushloft/run-start", body, timeout), [onAnswer = std::move(onAnswer)](const HttpResult& result) {
+    m_client.send(makeCall(order.m_to, "/bulrushloft/run-start", body, timeout), [this, worker = order.m_to.m_worker, onAnswer = std::move(onAnswer)](const HttpResult& result) {
+        noteResult(worker, WorkerCall::Start, result);
         const std::int64_t clockMs = result ? readInt(parseJson(viewOf(result->m_body)), "clock_ms") : 0;
         onAnswer({ .m_status = orderStatusOf(result), .m_clockMs = clockMs });
     });
@@ -156,13 +163,19 @@
 void WorkerClient::stop(const AddressedOrder<StopOrder>& order, Duration timeout, std::function<void(OrderStatus)> onAnswer)
 {
     const Json body { { "task", format(order.m_order.m_task) }, { "attempt", order.m_order.m_attempt }, { "fencing_token", order.m_to.m_token } };
-    m_client.send(makeCall(order.m_to, "/bulrushloft/run-stop", body, timeout), [onAnswer = std::move(onAnswer)](const HttpResult& result) { onAnswer(orderStatusOf(result)); });
+    m_client.send(makeCall(order.m_to, "/bulrushloft/run-stop", body, timeout), [this, worker = order.m_to.m_worker, onAnswer = std::move(onAnswer)](const HttpResult& result) {
+        noteResult(worker, WorkerCall::Stop, result);
+        onAnswer(orderStatusOf(result));
+    });
 }
 
 void WorkerClient::pace(const AddressedOrder<PaceOrder>& order, Duration timeout, std::function<void(OrderStatus)> onAnswer)
 {
     const Json body { { "task", format(order.m_order.m_task) }, { "attempt", order.m_order.m_attempt }, { "percent", order.m_order.m_percent }, { "fencing_token", order.m_to.m_token } };
-    m_client.send(makeCall(order.m_to, "/bulrushloft/pace", body, timeout), [onAnswer = std::move(onAnswer)](const HttpResult& result) { onAnswer(orderStatusOf(result)); });
+    m_client.send(makeCall(order.m_to, "/bulrushloft/pace", body, timeout), [this, worker = order.m_to.m_worker, onAnswer = std::move(onAnswer)](const HttpResult& result) {
+        noteResult(worker, WorkerCall::Pace, result);
+        onAnswer(orderStatusOf(result));
+    });
 }
 
 void WorkerClient::sync(const AddressedOrder<SyncOrder>& order, Duration timeout, std::function<void(OrderStatus, const SyncReport&)> onAnswer)
@@ -172,7 +185,8 @@
         body["deadline_ms"] = *order.m_order.m_leaseUntilMs;
     if (order.m_order.m_wait.m_ms > 0)
         body["wait_ms"] = order.m_order.m_wait.m_ms;
-    m_syncClient.send(makeCall(order.m_to, "/bulrushloft/hold", body, timeout), [onAnswer = std::move(onAnswer)](const HttpResult& result) {
+    m_syncClient.send(makeCall(order.m_to, "/bulrushloft/hold", body, timeout), [this, worker = order.m_to.m_worker, onAnswer = std::move(onAnswer)](const HttpResult& result) {
+        noteResult(worker, WorkerCall::Sync, result);
         const OrderStatus status = orderStatusOf(result);
         if (status != OrderStatus::Done)
             return onAnswer(status, {});
--- a/src/platform/worker_client.h
+++ b/src/platform/worker_client.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "connection/http_client.h"
+#include "platform/call_failures.h"
 #include "process/scheduler/scheduler_base.h"
 
 namespace bulrushloft::platform {
@@ -29,7 +30,13 @@
     /** @return Number of request bytes written by all calls so far, headers included. */
     std::uint64_t countBytesSent() const { return m_client.countBytesSent() + m_syncClient.countBytesSent(); }
 
+    /** @return Calls to workers that had no complete answer. */
+    const CallFailures& failures() const { return m_failures; }
+
 private:
+    void noteResult(const std::string& worker, WorkerCall call, const HttpResult& result);
+
+    CallFailures m_failures; ///< Must outlive the clients, whose callbacks use it.
     HttpClient m_client; ///< For all orders but syncs, and for the approval service.
     HttpClient m_syncClient; ///< For syncs only: a worker may hold back the answer to a sync, which would block a connection that other orders need.
 };
--- a/src/process/cell/cell_daemon.cpp
+++ b/src/process/cell/cell_daemon.cpp
@@ -12,6 +12,7 @@
 #include "process/cell/cell_metrics.h"
 #include "process/cell/decision_round.h"
 #include "process/cell/leader_choice.h"
+#include "table/http_table.h"
 
 #include <atomic>
 #include <thread>
@@ -50,6 +51,14 @@
         return static_cast<std::uint64_t>(wallNow().m_ms) * 1'000 + static_cast<std::uint64_t>(steadyMicroseconds() % 1'000);
     }
 
+    FailedCalls countFailedCalls(const platform::CallFailures& failures)
+    {
+        FailedCalls counts;
+        for (const auto& [end, name] : callEndNames)
+            counts[end] = failures.count(end);
+        return counts;
+    }
+
 } // namespace
 
 struct CellDaemon::Impl {
@@ -212,7 +221,7 @@
 
 void CellDaemon::Impl::onMetrics(const HttpRequest&, const HttpResponder& respond)
 {
-    post([this, respond] { respond(plainResponse(200, renderMetrics(*m_node))); });
+    post([this, respond] { respond(plainResponse(200, renderMetrics(*m_node, countFailedCalls(m_link.workers().failures())))); });
 }
 
 CellDaemon::CellDaemon(const CellStartup& settings)
--- a/src/process/cell/cell_metrics.cpp
+++ b/src/process/cell/cell_metrics.cpp
@@ -3,6 +3,7 @@
 
 #include "process/cell/cell_detail.h"
 #include "process/cell/partition_silence.h"
+#include "table/http_table.h"
 #include "table/scheduler_table.h"
 
 #include <prometheus/metric_family.h>
@@ -149,11 +150,20 @@
         return builder.family();
     }
 
+    /** Calls to workers that had no complete answer; the label says how they ended. */
+    MetricFamily collectFailedCalls(const FailedCalls& failedCalls)
+    {
+        MetricFamilyBuilder builder("bulrush_worker_calls_failed_total", "Calls to workers without a complete answer, by how they ended", MetricType::Counter);
+        for (const auto& [end, count] : failedCalls)
+            builder.add(std::string(findName(callEndNames, end)), static_cast<double>(count));
+        return builder.family();
+    }
+
 } // namespace
 
-std::string renderMetrics(const CellNode& node)
+std::string renderMetrics(const CellNode& node, const FailedCalls& failedCalls)
 {
-    std::vector<MetricFamily> families { collectCounters(node), collectGauges(node), collectAppends(node.m_storeTraffic), collectOpenCalls(node.m_storeTraffic), collectSilence(node.m_storeTraffic, node.m_now) };
+    std::vector<MetricFamily> families { collectCounters(node), collectFailedCalls(failedCalls), collectGauges(node), collectAppends(node.m_storeTraffic), collectOpenCalls(node.m_storeTraffic), collectSilence(node.m_storeTraffic, node.m_now) };
     if (node.m_scheduler) {
         families.push_back(collectSchedulerGauges(*node.m_scheduler));
         families.push_back(collectWaitGauges(node.m_scheduler->m_waitSummary));
