Move starts that can't be delivered while syncs are answered

Each answered sync ended the count of unanswered calls, restarted the second after which an unsent start is withdrawn, let new tasks be placed there, and renewed the lease, for whose end a start that may have arrived waited.

Cause: one sign of life stood for all ways to a worker, and a wait could end only with a silence that renewals prevented.

Change: starts and stops have a health of their own (order_health.h). While they fail, nothing is placed on the worker but a probe at growing intervals, orders are tried four times a second, and starts that are not confirmed after a second are withdrawn. A withdrawn start is settled without an answer to its stop once a report of the same process, whose clock has passed the latest lease deadline that a start carried, does not list it: the worker refuses a later copy. A new process does not, so for it the age of a late start counts. A stop that is not delivered for 10 s while all orders fail ends with the lease, which is not renewed then.

--- a/src/process/scheduler/late_start.cpp
+++ b/src/process/scheduler/late_start.cpp
@@ -2,6 +2,7 @@
 #include "process/scheduler/late_start.h"
 
 #include "core/log_func.h"
+#include "process/scheduler/order_health.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
 #include "request/plan_func.h"
@@ -12,7 +13,6 @@
 
 namespace {
 
-    constexpr Duration lateStartLimit { 15'000 }; ///< How long after its call a start without an answer may still be carried out: seconds, with a margin.
     constexpr Duration longestStartCall { 2'000 }; ///< A start that ends without an answer was sent less than this long ago, also through a peer.
     constexpr Duration stopRepeatInterval { 1'000 }; ///< A stop without an answer is repeated after this time,
     constexpr Duration stopRetryDelay { 100 }; ///< and after a shorter one when its call has failed.
@@ -54,6 +54,14 @@
         logEvent(LogLevel::Info, "late-starts-stopped", { { "worker", worker.m_announcement.m_id }, { "starts", worker.m_lateStarts.size() } });
 }
 
+void requestLateStop(Worker& worker, const TaskName& task, std::uint32_t attempt, TimePoint now)
+{
+    const auto late = findLateStart(worker, task, attempt);
+    if (late == worker.m_lateStarts.end() || std::exchange(late->m_isStopDue, true))
+        return;
+    late->m_nextStopAt = now;
+}
+
 void onLateStartStopped(Worker& worker, const TaskName& task, std::uint32_t attempt, OrderStatus status, TimePoint now)
 {
     const auto late = findLateStart(worker, task, attempt);
@@ -72,7 +80,7 @@
         return;
     std::erase_if(worker.m_lateStarts, [&](const LateStart& late) { return now >= late.m_expiresAt; });
     for (LateStart& late : worker.m_lateStarts) {
-        if (!late.m_isStopDue || now < late.m_nextStopAt || isCurrentAttempt(scheduler, index, late))
+        if (!late.m_isStopDue || now < late.m_nextStopAt || isCurrentAttempt(scheduler, index, late) || !takeOrderTurn(worker, now))
             continue;
         late.m_nextStopAt = now + stopRepeatInterval;
         effects.m_stops.push_back({ targetOf(scheduler, worker), { .m_task = late.m_task, .m_attempt = late.m_attempt } });
--- a/src/process/scheduler/late_start.h
+++ b/src/process/scheduler/late_start.h
@@ -5,6 +5,8 @@
 
 namespace bulrushloft::scheduler::detail {
 
+constexpr Duration lateStartLimit { 15'000 }; ///< How long after its call a start without an answer may still be carried out: seconds, with a margin.
+
 /** Notes that a start sent to a worker has ended without an answer of the worker. */
 void noteUnansweredStart(Worker& worker, const TaskName& task, std::uint32_t attempt, TimePoint now);
 
@@ -14,6 +16,9 @@
  */
 void stopLateStarts(Worker& worker, TimePoint now);
 
+/** Has a start that was not answered stopped once its attempt is no longer the current one. The stops also show when orders reach the worker again. */
+void requestLateStop(Worker& worker, const TaskName& task, std::uint32_t attempt, TimePoint now);
+
 /** Notes the answer to a stop of an attempt. */
 void onLateStartStopped(Worker& worker, const TaskName& task, std::uint32_t attempt, OrderStatus status, TimePoint now);
 
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -60,6 +60,9 @@
     RunPhase m_phase = RunPhase::None; ///< Phase of the current attempt.
     bool m_isCallPending = false; ///< A start or stop call has not been answered yet.
     TimePoint m_startSentAt; ///< Time of the latest start call.
+    std::int64_t m_startLeaseUntilMs = 0; ///< Latest lease deadline in a start call of the current attempt, on the worker's clock; 0 when none was sent.
+    std::int64_t m_startProcessMs = 0; ///< Worker::m_processStartMs at the latest start call.
+    bool m_isStartedAnew = false; ///< Start calls of the current attempt carry deadlines of more than one process of the worker.
     bool m_mayHaveArrived = false; ///< An unanswered start call may still be executed by the worker.
     TimePoint m_otherProcessUntil; ///< Until then the current attempt may have been started by a process of the worker that has made no report; zero when the process that reported has started it.
     bool m_isKnownDone = false; ///< An earlier attempt has ended as done; the task is resolved as soon as it has no attempt.
@@ -228,6 +231,15 @@
     EndedAttempt m_ended; ///< The end as reported.
 };
 
+/** Whether starts and stops get answers from a worker; syncs don't count. See order_health.h. */
+struct OrderHealth {
+    std::uint32_t m_failures = 0; ///< Consecutive orders without an answer.
+    TimePoint m_failingSince; ///< When the first of them ended.
+    TimePoint m_nextTryAt; ///< Earliest time of the next order while orders fail.
+    TimePoint m_nextProbeAt; ///< From then on, tasks may be placed on the worker although its orders fail.
+    bool m_isReported = false; ///< It is logged that orders fail.
+};
+
 /** Recent failures and relative speed of a worker. */
 struct WorkerHealth {
     TimePoint m_quarantinedUntil; ///< No tasks are placed on the worker before this time.
@@ -260,6 +272,7 @@
     const StepRun* m_lastReservedFor = nullptr; ///< Step for which it was reserved before the latest full pass; only compared. Null for none.
     const StepRun* m_reservedFor = nullptr; ///< Blocked step for which the worker is reserved; only compared, as the step may be gone. Null for none.
     TimePoint m_heldForSuspectUntil; ///< Until then, the worker is kept for a suspect of the step in m_reservedFor.
+    OrderHealth m_orders; ///< Whether starts and stops get answers.
     WorkerHealth m_health; ///< Recent failures and speed.
     std::string m_rack; ///< Rack label; empty when the worker has none.
     std::vector<TaskRef> m_tasks; ///< Tasks whose current attempt may be on the worker.
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -3,6 +3,7 @@
 #include "core/log_func.h"
 #include "process/scheduler/crash_record.h"
 #include "process/scheduler/late_start.h"
+#include "process/scheduler/order_health.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
 #include "process/scheduler/start_tickets.h"
@@ -39,6 +40,9 @@
         task.m_isTicketRenewedAhead = false;
         task.m_checkpointAtStart = task.m_checkpoint;
         task.m_isCallPending = false;
+        task.m_startLeaseUntilMs = 0;
+        task.m_startProcessMs = 0;
+        task.m_isStartedAnew = false;
         task.m_mayHaveArrived = false;
         task.m_otherProcessUntil = {};
         task.m_isStopAcknowledged = false;
@@ -351,7 +355,7 @@
         const std::vector<TaskRef> tasks = scheduler.m_workers[static_cast<std::size_t>(index)].m_tasks;
         for (const TaskRef& ref : tasks) {
             Task& task = ref.task();
-            const bool isListingExpected = task.m_phase == RunPhase::Running || (task.m_phase == RunPhase::Stopping && task.m_isStopAcknowledged);
+            const bool isListingExpected = task.m_phase == RunPhase::Running || (task.m_phase == RunPhase::Stopping && task.m_isStopAcknowledged) || isStartRuledOut(task, report, now);
             if (!isListingExpected || task.m_confirmedAt >= sentAt || isListed(report, ref))
                 continue;
             ++task.m_missedSyncs;
@@ -375,6 +379,18 @@
         return sentAt < worker.m_reportedSyncSentAt || isOfOtherProcess;
     }
 
+    /** Counts the outcome of a start. While orders fail, a further failure says nothing of syncs, which are counted on their own. */
+    void countOrder(Scheduler& scheduler, WorkerIndex index, OrderStatus status, TimePoint now)
+    {
+        Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
+        const bool wereFailing = areOrdersFailing(worker, now);
+        noteOrderOutcome(worker, status, now);
+        const bool saysNothing = status == OrderStatus::NotSent || status == OrderStatus::Unreported || status == OrderStatus::WrongInstance;
+        if (saysNothing || (wereFailing && status == OrderStatus::NoAnswer))
+            return;
+        countAnswer(scheduler, index, status != OrderStatus::NoAnswer, now);
+    }
+
     TaskRef findCurrentAttempt(Scheduler& scheduler, const std::string& worker, const TaskName& name, std::uint32_t attempt)
     {
         const auto index = scheduler.m_workerById.find(worker);
@@ -507,8 +523,8 @@
     const OrderStatus status = answer.m_status;
     const TaskRef ref = findCurrentAttempt(scheduler, worker, name, attempt);
     const auto index = scheduler.m_workerById.find(worker);
-    if (index != scheduler.m_workerById.end() && status != OrderStatus::NotSent && status != OrderStatus::Unreported && status != OrderStatus::WrongInstance)
-        countAnswer(scheduler, index->second, status != OrderStatus::NoAnswer, now);
+    if (index != scheduler.m_workerById.end())
+        countOrder(scheduler, index->second, status, now);
     if (index != scheduler.m_workerById.end() && (status == OrderStatus::NoAnswer || status == OrderStatus::Unreported))
         noteUnansweredStart(scheduler.m_workers[static_cast<std::size_t>(index->second)], name, attempt, now);
     if (status == OrderStatus::Fenced)
@@ -561,8 +577,11 @@
 {
     if (status == OrderStatus::Fenced)
         effects.m_isFenced = true;
-    if (const auto index = scheduler.m_workerById.find(worker); index != scheduler.m_workerById.end())
-        onLateStartStopped(scheduler.m_workers[static_cast<std::size_t>(index->second)], name, attempt, status, now);
+    if (const auto index = scheduler.m_workerById.find(worker); index != scheduler.m_workerById.end()) {
+        Worker& addressee = scheduler.m_workers[static_cast<std::size_t>(index->second)];
+        noteOrderOutcome(addressee, status, now);
+        onLateStartStopped(addressee, name, attempt, status, now);
+    }
     const TaskRef ref = findCurrentAttempt(scheduler, worker, name, attempt);
     if (!ref.m_run || ref.task().m_phase != RunPhase::Stopping)
         return;
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -2,6 +2,7 @@
 #include "core/log_func.h"
 #include "process/scheduler/crash_record.h"
 #include "process/scheduler/late_start.h"
+#include "process/scheduler/order_health.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
 #include "process/scheduler/start_tickets.h"
@@ -155,7 +156,7 @@
     bool acceptsTasks(const Worker& worker, TimePoint now)
     {
         return worker.m_isAnnounced && worker.m_state == WorkerState::Adopted && !worker.m_announcement.m_isDraining && worker.m_unexpectedAttempts == 0 && worker.m_suspects == 0
-            && worker.m_unansweredCalls == 0 && worker.m_health.m_quarantinedUntil <= now;
+            && worker.m_unansweredCalls == 0 && worker.m_health.m_quarantinedUntil <= now && !isHeldOutForOrders(worker, now);
     }
 
     double slowdownOf(const Worker& worker)
@@ -284,28 +285,6 @@
             loseExpiredTasks(scheduler, worker, now);
         }
 
-        /** @return Whether a placed task's start has certainly never been sent. */
-        bool isStartUnsent(const Task& task)
-        {
-            return task.m_phase == RunPhase::Recording || (task.m_phase == RunPhase::Starting && !task.m_isCallPending && !task.m_mayHaveArrived);
-        }
-
-        /** Withdraws the placed tasks whose start has not been sent from a worker that has not answered for a while. The others have to wait for its lease to run out. */
-        void withdrawUnsentStarts(Scheduler& scheduler, Worker& worker, TimePoint now)
-        {
-            constexpr Duration maxSilence { 1'000 }; ///< Longer than lost calls to a healthy worker take.
-            if (worker.m_state == WorkerState::Adopted || worker.m_unansweredCalls < unansweredCallsUntilSilent || now - worker.m_answeredAt < maxSilence)
-                return;
-            const std::vector<TaskRef> tasks = worker.m_tasks;
-            for (const TaskRef& ref : tasks) {
-                const Task& task = ref.task();
-                if (!isStartUnsent(task))
-                    continue;
-                logEvent(LogLevel::Info, "start-withdrawn", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "worker", worker.m_announcement.m_id }, { "cause", "the worker does not answer" }, { "may_have_arrived", false }, { "answered_ms_ago", (now - worker.m_answeredAt).m_ms } });
-                stopTaskAndGang(scheduler, ref, now);
-            }
-        }
-
         /** @return Whether a worker is healthy and has neither attempts nor ends that await acknowledgement. */
         bool isIdle(const Worker& worker)
         {
@@ -335,7 +314,7 @@
             SyncOrder order { .m_leaseUntilMs = std::nullopt, .m_ackedEndNumber = ackFor(worker), .m_wait = {} };
             const std::int64_t deadline = leaseDeadline(scheduler, worker, now);
             // A process that has started again would take the deadline of the former one's clock for the longest lease, each time.
-            if (deadline > 0 && worker.m_unansweredCalls == 0 && !worker.m_hasOtherProcess) {
+            if (deadline > 0 && worker.m_unansweredCalls == 0 && !worker.m_hasOtherProcess && !isRenewalWithheld(worker, now)) {
                 order.m_leaseUntilMs = deadline;
                 worker.m_leaseUntilMs = deadline;
                 scheduler.m_leasesRenewedAt = now;
@@ -383,6 +362,7 @@
             Worker& worker = scheduler.m_workers[static_cast<std::size_t>(task.m_worker)];
             const std::int64_t deadline = leaseDeadline(scheduler, worker, now);
             worker.m_leaseUntilMs = std::max(worker.m_leaseUntilMs, deadline);
+            noteStartDeadline(task, worker, deadline);
             task.m_isCallPending = true;
             task.m_startSentAt = now;
             task.m_ticket = ticketTextFor(ref);
@@ -403,9 +383,12 @@
                 Worker& worker = scheduler.m_workers[static_cast<std::size_t>(task.m_worker)];
                 // Each start may extend the lease of a process that has started again, so a worker that does not answer is asked for a report first.
                 const bool isStartDue = task.m_phase == RunPhase::Starting && isWithinCapacity(worker) && worker.m_unansweredCalls < unansweredCallsUntilSilent && hasTicketsToStart(scheduler, ref, now);
+                const bool isStopDue = task.m_phase == RunPhase::Stopping && !task.m_isStopAcknowledged;
+                if ((!isStartDue && !isStopDue) || !takeOrderTurn(worker, now))
+                    continue;
                 if (isStartDue) {
                     sendStart(scheduler, ref, now, effects);
-                } else if (task.m_phase == RunPhase::Stopping && !task.m_isStopAcknowledged) {
+                } else {
                     task.m_isCallPending = true;
                     effects.m_stops.push_back({ targetOf(scheduler, worker), { .m_task = nameOf(ref), .m_attempt = task.m_attempt } });
                 }
@@ -423,7 +406,7 @@
                 evacuateDraining(scheduler, worker, now);
             if (!isWithinCapacity(worker))
                 withdrawExcessStarts(scheduler, worker, now);
-            withdrawUnsentStarts(scheduler, worker, now);
+            withdrawUndelivered(scheduler, i, now);
             stepLateStarts(scheduler, i, now, effects);
             stepSync(scheduler, worker, now, effects);
         }
--- a/src/process/scheduler/wait_report.cpp
+++ b/src/process/scheduler/wait_report.cpp
@@ -48,7 +48,7 @@
 
     bool isAnswering(const Worker& worker)
     {
-        return worker.m_state == WorkerState::Adopted;
+        return worker.m_state == WorkerState::Adopted && !worker.m_orders.m_isReported;
     }
 
     void noteUnplaced(LongestWaits& waits, const StepRun& run)
