End unexpected attempts whose stops can't be delivered

A task waits while a worker lists an earlier attempt of it.

Change: a worker whose reports have listed such an attempt for 10 s while no order was answered gets no further lease, as with stops of its own attempts.

--- a/src/process/scheduler/order_health.cpp
+++ b/src/process/scheduler/order_health.cpp
@@ -129,6 +129,8 @@
 {
     if (!haveOrdersFailedFor(worker, maxStopWait, now))
         return false;
+    if (worker.m_stopsUnexpectedSince && now - *worker.m_stopsUnexpectedSince >= maxStopWait)
+        return true;
     return std::any_of(worker.m_tasks.begin(), worker.m_tasks.end(), [&](const TaskRef& ref) {
         const Task& task = ref.task();
         return task.m_phase == RunPhase::Stopping && !task.m_isStopAcknowledged && now - task.m_stopRequestedAt >= maxStopWait;
--- a/tests/undelivered_order_test.cpp
+++ b/tests/undelivered_order_test.cpp
@@ -123,6 +123,8 @@
             const auto report = workerOf(sync.m_to.m_worker).sync(sync.m_order, sync.m_to.m_token, m_nowMs);
             onSyncAnswer(m_scheduler, sync.m_to.m_worker, OrderStatus::Done, *report, now(), now(), answers);
         }
+        if (!answers.m_stops.empty()) // Stops of attempts that a report has shown.
+            deliver({ .m_stops = answers.m_stops });
     }
 
     void tick()
@@ -262,6 +264,21 @@
     BOOST_TEST(!fixture.m_ranTwice);
 }
 
+// A task waits for the end of an attempt that an earlier leader has started; each sync prolonged the wait.
+BOOST_AUTO_TEST_CASE(an_unexpected_attempt_whose_stop_cannot_be_delivered_ends)
+{
+    SyncOnlyFixture fixture(2);
+    fixture.m_runMs = 600'000;
+    fixture.m_syncOnly = { "w0" };
+    test::FakeLeaseWorker& worker = fixture.workerOf("w0");
+    worker.start({ .m_task = { .m_job = job }, .m_attempt = 7, .m_payload = "x", .m_leaseUntilMs = worker.clockAt(fixture.m_nowMs) + 5'000, .m_checkpoint = {}, .m_ticket = {} }, 0, fixture.m_runMs, fixture.m_nowMs);
+    fixture.run(100);
+    fixture.submit(job, { .m_count = 1, .m_isLongRunning = true });
+    fixture.announce(fixture.m_workers.back());
+    BOOST_TEST(fixture.timeUntil([&] { return fixture.isRunningOn("w1"); }) <= secondsUntilStoppedMs);
+    BOOST_TEST(!fixture.m_ranTwice);
+}
+
 // Orders that get no answer now and then, as when some are carried out late, must cost no worker its lease.
 BOOST_AUTO_TEST_CASE(lost_orders_do_not_end_the_lease)
 {
