Forward no orders through a peer whose reports never arrive

Orders without a report ended as unreported, which says nothing of the worker, and were repeated through the same peer for ever.

Change: a peer whose orders have gone unreported for 2 s without a single report between them forwards none for 10 s; order-relay-excluded. With no peer left the leader calls its workers itself.

--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -254,11 +254,18 @@
     std::optional<TimePoint> m_failingSince; ///< Time of the first failure since a message has last reached the leader.
 };
 
+/** Whether the reports of a peer that forwards orders reach the leader. */
+struct RelayHealth {
+    std::optional<TimePoint> m_unreportedSince; ///< When an order was first given up for want of a report since the latest report.
+    TimePoint m_excludedUntil; ///< Until then it forwards no orders.
+};
+
 /** Forwarding of orders through peers, which offloads a leader of many workers. Holds the state of both sides. */
 struct OrderRelay {
     std::uint64_t m_lastNumber = 0; ///< Sequence number of the latest order.
     std::vector<std::string> m_peers; ///< Names of the peers that forward orders; empty when the leader calls workers itself.
     TimePoint m_nextSelectionAt; ///< When the peers are next selected.
+    std::map<std::string, RelayHealth> m_health; ///< Leader: health of the peers that forward orders, by name.
     std::map<std::string, OrderOutbox> m_outboxes; ///< Leader: orders to send, by peer name.
     std::unordered_map<std::uint64_t, OpenOrder> m_openOrders; ///< Leader: orders without a report, by sequence number.
     TimePoint m_nextExpiryAt; ///< When the open orders are next checked for expiry.
--- a/src/process/cell/cell_relay.cpp
+++ b/src/process/cell/cell_relay.cpp
@@ -5,6 +5,7 @@
 #include "process/cell/leader_choice.h"
 
 #include <algorithm>
+#include <set>
 
 namespace bulrushloft::cell::detail {
 
@@ -21,6 +22,8 @@
     constexpr Duration reportMargin { 500 }; ///< Added to an order's own timeout for the round trip to the peer.
     constexpr Duration lateReportLimit { 10'000 }; ///< A report that comes later after its order was given up is ignored.
     constexpr Duration expiryInterval { 50 };
+    constexpr Duration maxUnreportedTime { 2'000 }; ///< A peer whose orders go unreported for so long after the first forwards no more,
+    constexpr Duration exclusionTime { 10'000 }; ///< for this time.
     constexpr std::size_t workersPerRelay = 500;
     constexpr Duration postSuspensionPause { 300 }; ///< After a suspension a peer refuses orders for this time, as those that arrived meanwhile are outdated.
 
@@ -36,6 +39,15 @@
             order.m_onAnswer(status, report);
     }
 
+    void noteReported(CellNode& node, std::uint64_t number)
+    {
+        const auto order = node.m_relay.m_openOrders.find(number);
+        if (order == node.m_relay.m_openOrders.end())
+            return;
+        if (const auto health = node.m_relay.m_health.find(order->second.m_relay); health != node.m_relay.m_health.end())
+            health->second.m_unreportedSince.reset();
+    }
+
     /** @return Outcome of an order that was not sent to its peer; for a sync, nothing follows about the worker. */
     OrderStatus unsentStatus(const RelayedOrder& order)
     {
@@ -122,6 +134,20 @@
             completeOrder(node, order.m_number, unsentStatus(order), {});
     }
 
+    /** Notes that orders of a peer have gone unreported. Its acknowledgements and heartbeats don't show that its reports arrive. */
+    void noteUnreported(CellNode& node, const std::string& name)
+    {
+        RelayHealth& health = node.m_relay.m_health[name];
+        if (!health.m_unreportedSince)
+            health.m_unreportedSince = node.m_now;
+        const Duration unreported = node.m_now - *health.m_unreportedSince;
+        if (unreported < maxUnreportedTime || node.m_now < health.m_excludedUntil)
+            return;
+        health = { .m_unreportedSince = std::nullopt, .m_excludedUntil = node.m_now + exclusionTime };
+        logEvent(LogLevel::Warning, "order-relay-excluded", { { "peer", name }, { "unreported_ms", unreported.m_ms } });
+        failRelay(node, name);
+    }
+
     void expireOrders(CellNode& node)
     {
         OrderRelay& relay = node.m_relay;
@@ -130,20 +156,27 @@
         relay.m_nextExpiryAt = node.m_now + expiryInterval;
         std::erase_if(relay.m_openOrders, [&](const auto& entry) { return entry.second.m_isGivenUp && node.m_now >= entry.second.m_until; });
         std::vector<std::uint64_t> expired;
+        std::set<std::string> unreporting;
         for (const auto& [number, open] : relay.m_openOrders) {
-            if (!open.m_isGivenUp && node.m_now >= open.m_until)
-                expired.push_back(number);
+            if (open.m_isGivenUp || node.m_now < open.m_until)
+                continue;
+            expired.push_back(number);
+            unreporting.insert(open.m_relay);
         }
         if (!expired.empty())
             logEvent(LogLevel::Warning, "orders-unreported", { { "orders", expired.size() }, { "open", relay.m_openOrders.size() } });
         for (const std::uint64_t number : expired)
             giveUpOrder(node, number);
+        for (const std::string& name : unreporting)
+            noteUnreported(node, name);
     }
 
     /** @return Whether a peer may forward orders; it must be heard of often, as its failure leaves many orders without an outcome. */
     bool canRelay(const CellNode& node, const PeerState& peer)
     {
-        return peer.m_isResponsive && peer.m_lastContactAt >= peer.m_failedAt && node.m_now - peer.m_lastContactAt <= node.m_options.m_suspectAfter;
+        const auto health = node.m_relay.m_health.find(peer.m_member.m_name);
+        const bool isExcluded = health != node.m_relay.m_health.end() && node.m_now < health->second.m_excludedUntil;
+        return !isExcluded && peer.m_isResponsive && peer.m_lastContactAt >= peer.m_failedAt && node.m_now - peer.m_lastContactAt <= node.m_options.m_suspectAfter;
     }
 
     /** @return The peers that forward orders, chosen anew at intervals; none when the leader calls its workers directly. */
@@ -271,8 +304,10 @@
 {
     if (node.m_term != message.m_token)
         return { .m_isAccepted = false };
-    for (const OrderReport& report : message.m_reports)
+    for (const OrderReport& report : message.m_reports) {
+        noteReported(node, report.m_number);
         completeOrder(node, report.m_number, report.m_status, report.m_sync);
+    }
     return { .m_isAccepted = true };
 }
 
--- a/tests/fakes/relay_fixture.h
+++ b/tests/fakes/relay_fixture.h
@@ -35,6 +35,7 @@
     std::vector<PeerMember> m_peers;
     Duration m_heartbeatInterval; ///< Interval between the heartbeats of each peer.
     std::string m_silentPeer; ///< Peer that has ended: it neither answers nor reports.
+    std::string m_mutePeer; ///< Peer that acknowledges messages and carries out orders, but whose reports never arrive.
     std::string m_slowPeer; ///< Peer that carries out orders and reports them, but acknowledges each message too late.
     bool m_doTasksEnd = false; ///< Tasks end as done as soon as they start; otherwise workers list nothing.
     Duration m_reportDelay; ///< Time from an order to its report.
@@ -95,7 +96,7 @@
             if (peer->m_name == m_silentPeer)
                 return deliverLater(onReply, std::optional<PeerReply>());
             if (const auto* const orders = std::get_if<PeerOrders>(&message))
-                forward(*orders);
+                forward(*orders, peer->m_name == m_mutePeer);
             constexpr Duration callTimeout { 700 };
             if (peer->m_name == m_slowPeer && std::holds_alternative<PeerOrders>(message))
                 m_delayed.emplace(m_now + callTimeout, [onReply] { onReply(std::nullopt); });
@@ -122,13 +123,15 @@
         return report;
     }
 
-    /** Carries out orders; the reports are delivered unless the peer ends before. */
-    void forward(const PeerOrders& message)
+    /** Carries out orders; the reports are delivered unless the peer ends before, or is mute. */
+    void forward(const PeerOrders& message, bool isMute)
     {
         m_unconfirmedOrders += m_node->m_isAwaitingConfirmation ? message.m_orders.size() : 0;
         PeerReports reports { .m_token = m_node->m_term, .m_reports = {} };
         for (const RelayedOrder& order : message.m_orders)
             reports.m_reports.push_back(execute(order));
+        if (isMute)
+            return;
         const auto deliver = [this, reports, hadSilentPeer = !m_silentPeer.empty()] {
             if (m_silentPeer.empty() || hadSilentPeer)
                 onPeerMessage(*m_node, reports, [](const PeerReply&) { /* Not of interest. */ });
--- a/tests/order_relay_test.cpp
+++ b/tests/order_relay_test.cpp
@@ -59,6 +59,20 @@
     BOOST_TEST(fixture.m_node->m_peers.at(relay).m_failedAt.m_ms == 0);
 }
 
+// Acknowledgements and heartbeats of a peer stood for its reports: the workers behind it got no more tasks, and were never called another way.
+BOOST_AUTO_TEST_CASE(a_peer_whose_reports_never_arrive_forwards_no_more_orders)
+{
+    RelayFixture fixture;
+    fixture.m_mutePeer = fixture.m_node->m_relay.m_peers.front();
+    fixture.m_doTasksEnd = true;
+    fixture.submit("0000000000000010");
+    fixture.run({ 8'000 });
+    const auto& relays = fixture.m_node->m_relay.m_peers;
+    BOOST_TEST((std::find(relays.begin(), relays.end(), fixture.m_mutePeer) == relays.end()));
+    BOOST_TEST((fixture.m_node->m_scheduler->m_jobs.at("0000000000000010")->m_stage == scheduler::JobStage::Complete));
+    BOOST_TEST(fixture.m_attempts["0000000000000010"].size() == 1U);
+}
+
 // Approvals were requested through the 40 peers with frequent heartbeats only; at 38 requests under way on the mean, steps waited for a free one.
 BOOST_AUTO_TEST_CASE(peers_that_call_rarely_request_approvals_too)
 {
