Few connections to each worker, and calls that wait for the open ones

Each leader opened up to six connections to a worker for orders and two for syncs. One that loses power closes nothing, so that after ten such losses a worker with room for 64 rejected every new connection. The connection of the syncs went on; orders had a pool of their own, opened a new connection for each call and had it reset. One sign of life stood for all ways in.

Change: syncs and other orders share one pool of four connections a worker, of which neither kind takes all. Two are kept without use, the others closed after 10 s, and all of them when a VM stops leading (until now they stayed open). When a new connection is rejected, calls wait for the open ones, and another is tried after a pause that grows; a sync on the only connection is held for 0.1 s at most. A waiting call ends at its own time limit, not when another call to the address does. Idle connections are closed by a timer.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -1,12 +1,13 @@
 /** @file http_client.cpp HTTP client on Boost.Beast. */
 #include "connection/http_client.h"
 
+#include "connection/connection_limit.h"
 #include "core/event_loop_impl.h"
 
 #include <atomic>
-#include <deque>
 #include <future>
 #include <list>
+#include <mutex>
 #include <strings.h>
 #include <unordered_map>
 
@@ -58,29 +59,62 @@
     struct Destination {
         std::vector<std::shared_ptr<Connection>> m_idle; ///< Idle connections, the most recently used last.
         std::size_t m_openCount = 0; ///< Number of idle and busy connections.
-        std::deque<PendingCall> m_waiting; ///< Calls that wait for a free connection, the oldest first.
+        std::size_t m_workingCount = 0; ///< Number of open connections that have carried an answer.
+        std::size_t m_longPolls = 0; ///< Number of connections that carry a long poll.
+        ConnectionLimit m_limit; ///< How many connections the server accepts.
+        std::list<PendingCall> m_waiting; ///< Calls that wait for a free connection, the oldest first.
+        std::unique_ptr<asio::steady_timer> m_timer; ///< Next time limit of a waiting call, or when a connection may be opened for it.
     };
 
+    /** Which kinds of calls find no connection at a destination. */
+    struct BlockedKinds {
+        bool m_longPolls = false;
+        bool m_others = false;
+    };
+
+    void failInQueue(const PendingCall& call, const Destination& destination)
+    {
+        const TimePoint sentAt = call.m_deadline - call.m_call.m_timeout;
+        call.m_onResult(tl::unexpected(HttpFailure { .m_progress = CallProgress::NotSent, .m_reason = "timed out while waiting for a free connection", .m_end = CallEnd::NoFreeConnection, .m_isKeptConnection = false, .m_openConnections = destination.m_openCount, .m_took = steadyNow() - sentAt }));
+    }
+
 } // namespace
 
 struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl> {
     Impl(EventLoop& loop, const HttpClientOptions& options)
         : m_context(loop.impl().m_context)
         , m_options(options)
+        , m_sweepTimer(m_context)
     {
     }
 
-    void start(PendingCall call);
-    void startNext(const Address& address);
-    void failExpired(Destination& destination);
+    Destination& destinationOf(const Address& address);
+    void enqueue(PendingCall call);
+    void serveWaiting(const Address& address);
+    bool start(Destination& destination, PendingCall& call);
+    bool mayTakeConnection(const Destination& destination, bool isLongPoll) const;
+    void startTimer(const Address& address, Destination& destination);
     void addIdle(const std::shared_ptr<Connection>& connection);
+    void closeIdle(Connection& connection);
     std::shared_ptr<Connection> takeIdle(Destination& destination);
+    void noteClosed(const Connection& connection);
+    void noteAccepted(const Connection& connection);
+    void noteRejected(const Connection& connection);
+    void publishLimit(const Address& address, const ConnectionLimit& limit);
+    void retire();
+    void startSweep();
+    void sweep();
 
     asio::io_context& m_context;
     HttpClientOptions m_options;
     std::unordered_map<Address, Destination> m_destinations;
     std::list<Connection*> m_idleOrder; ///< Idle connections to all addresses, the longest idle first.
+    asio::steady_timer m_sweepTimer; ///< Next sweep of idle connections; runs while there are any.
+    bool m_isSweepPlanned = false;
+    std::uint64_t m_generation = 0; ///< Connections of an earlier one are closed after their calls.
     std::atomic<std::uint64_t> m_bytesSent { 0 };
+    mutable std::mutex m_limitedMutex;
+    std::unordered_map<Address, TimePoint> m_limitedToOneUntil; ///< Addresses with at most one connection, and when the next one is tried; under m_limitedMutex.
 };
 
 namespace {
@@ -92,6 +126,8 @@
             : m_client(std::move(client))
             , m_address(std::move(address))
             , m_stream(m_client->m_context)
+            , m_openedAt(steadyNow())
+            , m_generation(m_client->m_generation)
         {
         }
 
@@ -109,7 +145,7 @@
             beast::error_code error;
             const auto host = asio::ip::make_address(m_address.m_host, error);
             if (error)
-                return fail(CallProgress::NotSent, CallEnd::NotConnected, error);
+                return asio::post(m_client->m_context, [self = shared_from_this(), error] { self->fail(CallProgress::NotSent, CallEnd::NotConnected, error); });
             m_stream.async_connect(Tcp::endpoint(host, m_address.m_port),
                 [self = shared_from_this()](beast::error_code connectError) { self->onConnected(connectError); });
         }
@@ -121,7 +157,13 @@
             writeRequest();
         }
 
+        void close() { m_stream.close(); }
+
         const Address& address() const { return m_address; }
+        TimePoint openedAt() const { return m_openedAt; }
+
+        /** @return Whether the connection has carried an answer. */
+        bool isWorking() const { return m_isWorking; }
 
         TimePoint m_idleSince; ///< Monotonic time since which the connection has been idle.
         std::list<Connection*>::iterator m_idlePosition; ///< Position in m_idleOrder; valid only while idle.
@@ -196,26 +238,37 @@
             finish(std::move(response));
         }
 
+        /** @return Whether the server rejected this new connection, as a full one does: it ended before any part of an answer. */
+        bool isRejected(CallEnd end) const
+        {
+            const bool isEnded = end == CallEnd::Refused || end == CallEnd::NotConnected || end == CallEnd::Closed || end == CallEnd::Reset;
+            return isEnded && !m_isWorking && !(m_parser && m_parser->got_some());
+        }
+
         void fail(CallProgress progress, CallEnd end, beast::error_code error)
         {
-            const std::size_t others = m_client->m_destinations[m_address].m_openCount - 1;
-            finish(tl::unexpected(HttpFailure { .m_progress = progress, .m_reason = error.message(), .m_end = end, .m_isKeptConnection = m_hasCarriedCall, .m_openConnections = others, .m_took = steadyNow() - m_takenAt }));
+            if (isRejected(end))
+                m_client->noteRejected(*this);
+            const std::size_t others = m_client->destinationOf(m_address).m_openCount - 1;
+            finish(tl::unexpected(HttpFailure { .m_progress = progress, .m_reason = error.message(), .m_end = end, .m_isKeptConnection = m_isWorking, .m_openConnections = others, .m_took = steadyNow() - m_takenAt }));
         }
 
         void finish(HttpResult result)
         {
-            m_hasCarriedCall = true;
             auto onResult = std::move(m_current->m_onResult);
+            if (m_current->m_call.m_isLongPoll)
+                --m_client->destinationOf(m_address).m_longPolls;
             m_current.reset();
-            Destination& destination = m_client->m_destinations[m_address];
-            if (result && m_keepAlive) {
+            if (result && !std::exchange(m_isWorking, true))
+                m_client->noteAccepted(*this);
+            if (result && m_keepAlive && m_generation == m_client->m_generation) {
                 m_stream.expires_never();
                 m_client->addIdle(shared_from_this());
             } else {
-                m_stream.close();
-                --destination.m_openCount;
+                close();
+                m_client->noteClosed(*this);
             }
-            m_client->startNext(m_address);
+            m_client->serveWaiting(m_address);
             onResult(std::move(result));
         }
 
@@ -227,73 +280,208 @@
         http::request<http::span_body<const char>> m_message;
         std::optional<http::response_parser<http::string_body>> m_parser;
         bool m_keepAlive = false;
-        bool m_hasCarriedCall = false; ///< Whether a call on this connection has ended.
+        bool m_isWorking = false; ///< Whether the connection has carried an answer.
+        TimePoint m_openedAt; ///< When its opening began.
+        std::uint64_t m_generation; ///< The client's generation at that time.
         TimePoint m_takenAt; ///< When the current call took the connection, or began to open it.
     };
 
 } // namespace
 
+Destination& HttpClient::Impl::destinationOf(const Address& address)
+{
+    const auto [entry, isNew] = m_destinations.try_emplace(address);
+    if (isNew)
+        entry->second.m_limit.m_max = m_options.m_connectionsPerAddress;
+    return entry->second;
+}
+
 void HttpClient::Impl::addIdle(const std::shared_ptr<Connection>& connection)
 {
     connection->m_idleSince = steadyNow();
-    m_destinations[connection->address()].m_idle.push_back(connection);
+    destinationOf(connection->address()).m_idle.push_back(connection);
     connection->m_idlePosition = m_idleOrder.insert(m_idleOrder.end(), connection.get());
-    if (m_idleOrder.size() <= m_options.m_maxIdleConnections)
-        return;
-    // The idle connections of a destination are ordered in the same way, so the one that has been idle longest is the first of its destination.
-    Destination& destination = m_destinations[m_idleOrder.front()->address()];
-    m_idleOrder.pop_front();
-    destination.m_idle.erase(destination.m_idle.begin());
-    --destination.m_openCount;
+    if (m_idleOrder.size() > m_options.m_maxIdleConnections)
+        closeIdle(*m_idleOrder.front());
+    startSweep();
 }
 
-std::shared_ptr<Connection> HttpClient::Impl::takeIdle(Destination& destination)
+void HttpClient::Impl::closeIdle(Connection& connection)
 {
-    if (destination.m_idle.empty())
-        return nullptr;
-    auto connection = destination.m_idle.back();
-    destination.m_idle.pop_back();
-    m_idleOrder.erase(connection->m_idlePosition);
-    return connection;
+    const std::shared_ptr<Connection> kept = connection.shared_from_this();
+    std::erase(destinationOf(kept->address()).m_idle, kept);
+    m_idleOrder.erase(kept->m_idlePosition);
+    kept->close();
+    noteClosed(*kept);
 }
 
-void HttpClient::Impl::start(PendingCall call)
+std::shared_ptr<Connection> HttpClient::Impl::takeIdle(Destination& destination)
 {
-    Destination& destination = m_destinations[call.m_call.m_address];
-    while (const auto connection = takeIdle(destination)) {
-        if (connection->isUsable())
-            return connection->run(std::move(call));
-        --destination.m_openCount;
+    while (!destination.m_idle.empty()) {
+        auto connection = destination.m_idle.back();
+        if (!connection->isUsable()) {
+            closeIdle(*connection);
+            continue;
+        }
+        destination.m_idle.pop_back();
+        m_idleOrder.erase(connection->m_idlePosition);
+        return connection;
     }
-    if (destination.m_openCount >= m_options.m_connectionsPerAddress) {
-        destination.m_waiting.push_back(std::move(call));
+    return nullptr;
+}
+
+void HttpClient::Impl::noteClosed(const Connection& connection)
+{
+    Destination& destination = destinationOf(connection.address());
+    --destination.m_openCount;
+    if (connection.isWorking())
+        --destination.m_workingCount;
+}
+
+void HttpClient::Impl::noteAccepted(const Connection& connection)
+{
+    Destination& destination = destinationOf(connection.address());
+    ++destination.m_workingCount;
+    noteConnectionAccepted(destination.m_limit, connection.openedAt(), destination.m_workingCount);
+    publishLimit(connection.address(), destination.m_limit);
+}
+
+void HttpClient::Impl::noteRejected(const Connection& connection)
+{
+    if (!m_options.m_learnsLimit)
         return;
+    Destination& destination = destinationOf(connection.address());
+    noteConnectionRejected(destination.m_limit, connection.openedAt(), destination.m_workingCount, steadyNow());
+    publishLimit(connection.address(), destination.m_limit);
+}
+
+void HttpClient::Impl::publishLimit(const Address& address, const ConnectionLimit& limit)
+{
+    const std::scoped_lock lock(m_limitedMutex);
+    if (limit.m_learned && *limit.m_learned <= 1)
+        m_limitedToOneUntil[address] = limit.m_nextOpenAt;
+    else
+        m_limitedToOneUntil.erase(address);
+}
+
+bool HttpClient::Impl::mayTakeConnection(const Destination& destination, bool isLongPoll) const
+{
+    const std::size_t usable = usableConnections(destination.m_limit, steadyNow());
+    if (!m_options.m_sharesWithLongPolls || usable == 1)
+        return true;
+    const std::size_t others = destination.m_openCount - destination.m_idle.size() - destination.m_longPolls;
+    return (isLongPoll ? destination.m_longPolls : others) < usable - 1;
+}
+
+/** Runs a call on an idle or new connection. @return Whether there was one; otherwise the call is left as it was. */
+bool HttpClient::Impl::start(Destination& destination, PendingCall& call)
+{
+    const bool isLongPoll = call.m_call.m_isLongPoll;
+    if (!mayTakeConnection(destination, isLongPoll))
+        return false;
+    if (const auto connection = takeIdle(destination)) {
+        destination.m_longPolls += isLongPoll ? 1 : 0;
+        connection->run(std::move(call));
+        return true;
     }
+    const TimePoint now = steadyNow();
+    if (!mayOpenConnection(destination.m_limit, destination.m_openCount, now))
+        return false;
+    noteConnectionAttempt(destination.m_limit, destination.m_openCount, now);
     ++destination.m_openCount;
+    destination.m_longPolls += isLongPoll ? 1 : 0;
     auto connection = std::make_shared<Connection>(shared_from_this(), call.m_call.m_address);
     connection->connectAndRun(std::move(call));
+    return true;
+}
+
+void HttpClient::Impl::enqueue(PendingCall call)
+{
+    const Address address = call.m_call.m_address;
+    destinationOf(address).m_waiting.push_back(std::move(call));
+    serveWaiting(address);
 }
 
-void HttpClient::Impl::failExpired(Destination& destination)
+/** Starts the waiting calls that find a connection, the oldest of each kind first, and fails those whose time is up. */
+void HttpClient::Impl::serveWaiting(const Address& address)
 {
+    Destination& destination = destinationOf(address);
     const TimePoint now = steadyNow();
-    while (!destination.m_waiting.empty() && destination.m_waiting.front().m_deadline <= now) {
-        const PendingCall expired = std::move(destination.m_waiting.front());
-        destination.m_waiting.pop_front();
-        const TimePoint sentAt = expired.m_deadline - expired.m_call.m_timeout;
-        expired.m_onResult(tl::unexpected(HttpFailure { .m_progress = CallProgress::NotSent, .m_reason = "timed out while waiting for a free connection", .m_end = CallEnd::NoFreeConnection, .m_isKeptConnection = false, .m_openConnections = destination.m_openCount, .m_took = now - sentAt }));
+    BlockedKinds blocked;
+    for (auto call = destination.m_waiting.begin(); call != destination.m_waiting.end();) {
+        if (call->m_deadline <= now) {
+            const PendingCall expired = std::move(*call);
+            call = destination.m_waiting.erase(call);
+            failInQueue(expired, destination);
+            continue;
+        }
+        bool& isBlocked = call->m_call.m_isLongPoll ? blocked.m_longPolls : blocked.m_others;
+        isBlocked = isBlocked || !start(destination, *call);
+        call = isBlocked ? std::next(call) : destination.m_waiting.erase(call);
     }
+    startTimer(address, destination);
 }
 
-void HttpClient::Impl::startNext(const Address& address)
+/** Plans the next service of the waiting calls that doesn't follow from a call's end. */
+void HttpClient::Impl::startTimer(const Address& address, Destination& destination)
 {
-    Destination& destination = m_destinations[address];
-    failExpired(destination);
-    if (destination.m_waiting.empty())
+    if (destination.m_waiting.empty()) {
+        destination.m_timer.reset();
         return;
-    PendingCall call = std::move(destination.m_waiting.front());
-    destination.m_waiting.pop_front();
-    start(std::move(call));
+    }
+    const TimePoint now = steadyNow();
+    const auto isEarlier = [](const PendingCall& one, const PendingCall& other) { return one.m_deadline < other.m_deadline; };
+    TimePoint next = std::min_element(destination.m_waiting.begin(), destination.m_waiting.end(), isEarlier)->m_deadline;
+    if (destination.m_limit.m_nextOpenAt > now)
+        next = std::min(next, destination.m_limit.m_nextOpenAt);
+    destination.m_timer = std::make_unique<asio::steady_timer>(m_context, std::chrono::milliseconds((next - now).m_ms));
+    destination.m_timer->async_wait([weak = weak_from_this(), address](beast::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self)
+            self->serveWaiting(address);
+    });
+}
+
+void HttpClient::Impl::retire()
+{
+    ++m_generation;
+    while (!m_idleOrder.empty())
+        closeIdle(*m_idleOrder.front());
+}
+
+void HttpClient::Impl::startSweep()
+{
+    if (std::exchange(m_isSweepPlanned, true))
+        return;
+    constexpr Duration maxInterval { 1'000 };
+    const Duration interval = std::min({ maxInterval, m_options.m_idleTimeout, m_options.m_spareIdleTimeout });
+    m_sweepTimer.expires_after(std::chrono::milliseconds(interval.m_ms));
+    m_sweepTimer.async_wait([weak = weak_from_this()](beast::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self)
+            self->sweep();
+    });
+}
+
+/** Closes connections that have been idle for too long, and forgets addresses without connections and calls. */
+void HttpClient::Impl::sweep()
+{
+    m_isSweepPlanned = false;
+    const TimePoint now = steadyNow();
+    for (auto position = m_idleOrder.begin(); position != m_idleOrder.end();) {
+        Connection& connection = **position++;
+        const Duration idle = now - connection.m_idleSince;
+        if (idle < m_options.m_spareIdleTimeout && idle < m_options.m_idleTimeout)
+            break; // Those that follow have been idle for less.
+        const bool isSpare = destinationOf(connection.address()).m_openCount > m_options.m_keptConnectionsPerAddress;
+        if (isSpare || idle >= m_options.m_idleTimeout)
+            closeIdle(connection);
+    }
+    std::erase_if(m_destinations, [&](const auto& entry) { return entry.second.m_openCount == 0 && entry.second.m_waiting.empty() && now >= entry.second.m_limit.m_nextOpenAt; });
+    const std::scoped_lock lock(m_limitedMutex);
+    std::erase_if(m_limitedToOneUntil, [&](const auto& entry) { return now >= entry.second; });
+    if (!m_idleOrder.empty())
+        startSweep();
 }
 
 HttpClient::HttpClient(EventLoop& loop, const HttpClientOptions& options)
@@ -307,7 +495,19 @@
 {
     PendingCall pending { .m_call = std::move(call), .m_onResult = std::move(onResult), .m_deadline = {} };
     pending.m_deadline = steadyNow() + pending.m_call.m_timeout;
-    asio::post(m_impl->m_context, [impl = m_impl, pending = std::move(pending)]() mutable { impl->start(std::move(pending)); });
+    asio::post(m_impl->m_context, [impl = m_impl, pending = std::move(pending)]() mutable { impl->enqueue(std::move(pending)); });
+}
+
+void HttpClient::retireConnections()
+{
+    asio::post(m_impl->m_context, [impl = m_impl] { impl->retire(); });
+}
+
+bool HttpClient::isLimitedToOneConnection(const Address& address) const
+{
+    const std::scoped_lock lock(m_impl->m_limitedMutex);
+    const auto entry = m_impl->m_limitedToOneUntil.find(address);
+    return entry != m_impl->m_limitedToOneUntil.end() && steadyNow() < entry->second;
 }
 
 std::uint64_t HttpClient::countBytesSent() const
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -12,6 +12,7 @@
     HttpRequest m_request; ///< Request to send.
     Duration m_timeout { 10'000 }; ///< Time limit from send() until the whole response is read.
     std::size_t m_bodyLimitBytes = 64 * 1024 * 1024; ///< Larger response bodies fail the call.
+    bool m_isLongPoll = false; ///< Whether the server may hold the answer back; see HttpClientOptions::m_sharesWithLongPolls.
 };
 
 /** Connection limits of a client. */
@@ -19,7 +20,11 @@
     std::size_t m_connectionsPerAddress = 64; ///< Maximum number of open connections per address; further calls wait for a free one.
     Duration m_connectTimeout { 1'500 }; ///< Time limit for opening a connection.
     std::size_t m_maxIdleConnections = 4'096; ///< Maximum number of idle connections to all addresses; beyond it the one that has been idle longest is closed.
-    Duration m_idleTimeout { 60'000 }; ///< A connection that has been idle for longer is not reused.
+    Duration m_idleTimeout { 60'000 }; ///< A connection that has been idle for this time is closed.
+    std::size_t m_keptConnectionsPerAddress = 64; ///< Connections to an address beyond this number are closed after m_spareIdleTimeout already.
+    Duration m_spareIdleTimeout { 10'000 }; ///< Idle time after which connections beyond m_keptConnectionsPerAddress are closed.
+    bool m_sharesWithLongPolls = false; ///< Whether long polls and other calls each leave one connection to the other kind, as long as there is more than one.
+    bool m_learnsLimit = false; ///< Whether calls wait for the open connections to an address that rejects new ones.
 };
 
 /** Sends requests and reports each result exactly once, on the loop's thread. */
@@ -39,6 +44,12 @@
      */
     void send(HttpCall call, std::function<void(HttpResult)> onResult);
 
+    /** Closes idle connections, and the others after their current calls; later calls open new ones. May be used from any thread. */
+    void retireConnections();
+
+    /** @return Whether an address currently rejects new connections and at most one works, which all calls share; may be used from any thread. */
+    bool isLimitedToOneConnection(const Address& address) const;
+
     /** @return Request bytes written by all calls so far, headers included. */
     std::uint64_t countBytesSent() const;
 
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -43,6 +43,7 @@
     HttpServerOptions m_options; ///< Address and limits, set by listen().
     HttpHandler m_handler; ///< Called with each complete request.
     std::set<std::shared_ptr<Session>> m_sessions; ///< Open connections.
+    std::atomic<std::size_t> m_connections { 0 }; ///< Size of m_sessions, for other threads.
     std::atomic<std::size_t> m_inFlight { 0 }; ///< Requests whose responses have not been written yet.
     bool m_isDraining = false; ///< Whether each connection is closed after its next response.
     bool m_isClosing = false; ///< Whether connections are closed after their current response and no new ones are accepted.
@@ -168,6 +169,7 @@
             m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
             m_stream.close();
             m_server->m_sessions.erase(shared_from_this());
+            m_server->m_connections = m_server->m_sessions.size();
         }
 
         beast::tcp_stream m_stream;
@@ -204,6 +206,7 @@
             socket.set_option(Tcp::no_delay(true), ignored);
             auto session = std::make_shared<Session>(std::move(socket), self);
             self->m_sessions.insert(session);
+            self->m_connections = self->m_sessions.size();
             session->readNext();
         }
         self->accept();
@@ -258,4 +261,9 @@
     return m_impl->m_inFlight;
 }
 
+std::size_t HttpServer::countConnections() const
+{
+    return m_impl->m_connections;
+}
+
 } // namespace bulrushloft
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -46,6 +46,9 @@
     /** @return Number of requests passed to the handler whose responses have not been written yet. */
     std::size_t countInFlight() const;
 
+    /** @return Number of open connections. */
+    std::size_t countConnections() const;
+
 private:
     std::shared_ptr<Impl> m_impl;
 };
--- a/src/platform/platform_adapter.h
+++ b/src/platform/platform_adapter.h
@@ -11,7 +11,7 @@
 struct PlatformAddresses {
     Address m_store; ///< Address of the metadata store.
     Address m_approvals; ///< Address of the service that approves workers for tasks; port 0 if there is none.
-    std::size_t m_maxIdleConnections = 1'024; ///< Maximum idle connections to all workers together; applies separately to syncs and to other orders.
+    std::size_t m_maxIdleConnections = 1'024; ///< Maximum idle connections to all workers together.
 };
 
 /** Posts a function to the decision thread, which runs all logic of the cell. */
@@ -35,6 +35,9 @@
     /** @return The store topics, with the names that the platform gives them. */
     static cell::CellTopics makeTopics();
 
+    /** Closes the connections to workers; for a VM that stops leading. */
+    void retireWorkerConnections() { m_workers.retireConnections(); }
+
     const StoreClient& store() const { return m_store; }
     const WorkerClient& workers() const { return m_workers; }
 
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -33,6 +33,12 @@
         { AttemptEnd::GangIncomplete, "alone" },
     } };
 
+    constexpr std::size_t connectionsPerWorker = 4; ///< A worker accepts few, and keeps those of leaders that lost power: one for a sync, three for other orders.
+    constexpr std::size_t keptConnectionsPerWorker = 2; ///< One for syncs and one for other orders; more only while they are in use.
+    constexpr std::size_t connectionsToApprovals = 6;
+    constexpr Duration connectTimeout { 400 };
+    constexpr Duration maxWaitOnOnlyConnection { 100 }; ///< A sync that is held longer on the only connection would let a start run out of time.
+
     /** @return Status of an order, derived from the worker's answer or the failure of the call. */
     OrderStatus orderStatusOf(const HttpResult& result)
     {
@@ -135,8 +141,8 @@
 }
 
 WorkerClient::WorkerClient(EventLoop& loop, std::size_t maxIdleConnections)
-    : m_client(loop, { .m_connectionsPerAddress = 6, .m_connectTimeout = { 400 }, .m_maxIdleConnections = maxIdleConnections })
-    , m_syncClient(loop, { .m_connectionsPerAddress = 2, .m_connectTimeout = { 400 }, .m_maxIdleConnections = maxIdleConnections })
+    : m_client(loop, { .m_connectionsPerAddress = connectionsPerWorker, .m_connectTimeout = connectTimeout, .m_maxIdleConnections = maxIdleConnections, .m_keptConnectionsPerAddress = keptConnectionsPerWorker, .m_sharesWithLongPolls = true, .m_learnsLimit = true })
+    , m_approvalClient(loop, { .m_connectionsPerAddress = connectionsToApprovals, .m_connectTimeout = connectTimeout })
 {
 }
 
@@ -183,9 +189,13 @@
     Json body { { "fencing_token", order.m_to.m_token }, { "ack_seq", order.m_order.m_ackedEndNumber } };
     if (order.m_order.m_leaseUntilMs)
         body["deadline_ms"] = *order.m_order.m_leaseUntilMs;
-    if (order.m_order.m_wait.m_ms > 0)
-        body["wait_ms"] = order.m_order.m_wait.m_ms;
-    m_syncClient.send(makeCall(order.m_to, "/bulrushloft/hold", body, timeout), [this, worker = order.m_to.m_worker, onAnswer = std::move(onAnswer)](const HttpResult& result) {
+    const bool isLimited = m_client.isLimitedToOneConnection(order.m_to.m_address);
+    const Duration wait = isLimited ? std::min(order.m_order.m_wait, maxWaitOnOnlyConnection) : order.m_order.m_wait;
+    if (wait.m_ms > 0)
+        body["wait_ms"] = wait.m_ms;
+    HttpCall call = makeCall(order.m_to, "/bulrushloft/hold", body, timeout - (order.m_order.m_wait - wait));
+    call.m_isLongPoll = true;
+    m_client.send(std::move(call), [this, worker = order.m_to.m_worker, onAnswer = std::move(onAnswer)](const HttpResult& result) {
         noteResult(worker, WorkerCall::Sync, result);
         const OrderStatus status = orderStatusOf(result);
         if (status != OrderStatus::Done)
@@ -199,7 +209,7 @@
 {
     const Json body { { "step", step.m_job + "." + std::to_string(step.m_occurrence) + "." + std::to_string(step.m_step) }, { "workers", workers } };
     HttpCall call { .m_address = service, .m_request = { .m_method = "POST", .m_target = "/bulrushloft/advise", .m_headers = { { "Content-Type", "application/json" } }, .m_body = makeBody(body.dump()) }, .m_timeout = timeout };
-    m_client.send(std::move(call), [onAnswer = std::move(onAnswer)](const HttpResult& result) {
+    m_approvalClient.send(std::move(call), [onAnswer = std::move(onAnswer)](const HttpResult& result) {
         constexpr unsigned statusOk = 200;
         if (!result || result->m_status != statusOk)
             return onAnswer(std::nullopt);
--- a/src/platform/worker_client.h
+++ b/src/platform/worker_client.h
@@ -10,7 +10,7 @@
 /** Sends orders to workers. Each callback runs exactly once, on the loop's thread. */
 class WorkerClient {
 public:
-    /** @param maxIdleConnections Maximum idle connections to all workers together; applies separately to syncs and to other orders. */
+    /** @param maxIdleConnections Maximum idle connections to all workers together. */
     WorkerClient(EventLoop& loop, std::size_t maxIdleConnections);
 
     void start(const AddressedOrder<StartOrder>& order, Duration timeout, std::function<void(const StartAnswer&)> onAnswer);
@@ -27,8 +27,11 @@
      */
     void requestApprovals(const Address& service, const TaskName& step, const std::vector<std::string>& workers, Duration timeout, std::function<void(std::optional<std::vector<Approval>>)> onAnswer);
 
+    /** Closes the connections to workers, busy ones after their calls; for a VM that stops leading, as each worker accepts few. */
+    void retireConnections() { m_client.retireConnections(); }
+
     /** @return Number of request bytes written by all calls so far, headers included. */
-    std::uint64_t countBytesSent() const { return m_client.countBytesSent() + m_syncClient.countBytesSent(); }
+    std::uint64_t countBytesSent() const { return m_client.countBytesSent() + m_approvalClient.countBytesSent(); }
 
     /** @return Calls to workers that had no complete answer. */
     const CallFailures& failures() const { return m_failures; }
@@ -37,8 +40,8 @@
     void noteResult(const std::string& worker, WorkerCall call, const HttpResult& result);
 
     CallFailures m_failures; ///< Must outlive the clients, whose callbacks use it.
-    HttpClient m_client; ///< For all orders but syncs, and for the approval service.
-    HttpClient m_syncClient; ///< For syncs only: a worker may hold back the answer to a sync, which would block a connection that other orders need.
+    HttpClient m_client; ///< For workers; syncs are long polls.
+    HttpClient m_approvalClient; ///< For the approval service.
 };
 
 /** Decodes a worker's answer to a sync. @return The report, or std::nullopt if the body is malformed. */
--- a/src/process/cell/cell_daemon.cpp
+++ b/src/process/cell/cell_daemon.cpp
@@ -30,7 +30,7 @@
     constexpr Duration slowRoundThreshold { 100 }; ///< A slower round of the decision thread is logged, as it delays all pending decisions.
     constexpr Duration shutdownPollInterval { 20 };
     constexpr const char* peerPath = "/cell";
-    constexpr std::size_t idleConnectionsDivisor = 4; ///< Two HTTP clients call workers; together they may use half of the descriptors for idle connections.
+    constexpr std::size_t idleConnectionsDivisor = 2; ///< Idle connections to workers may use half of the descriptors.
 
     /** @return Time since the machine booted, including suspension. */
     TimePoint bootNow()
@@ -186,7 +186,9 @@
         if (roundEndedAt - roundStartedAt > slowRoundThreshold)
             logEvent(LogLevel::Warning, "round-slow", { { "items", count }, { "items_ms", (stepStartedAt - roundStartedAt).m_ms }, { "step_ms", (roundEndedAt - stepStartedAt).m_ms }, { "is_leading", m_isLeading.load() } });
         m_isReady = isReady(*m_node);
-        m_isLeading = m_node->m_role == Role::Leading;
+        const bool isLeading = m_node->m_role == Role::Leading;
+        if (m_isLeading.exchange(isLeading) && !isLeading)
+            m_link.retireWorkerConnections();
     }
 }
 
