Ask a restarted peer alone to take over from a leader that is being restarted

A rolling restart asks two peers at once; the one that has not been restarted yet often wins, is stopped seconds later, and its successor loads the records for 3 s from a slow store, where 5 to 6% of the requests are refused.

Change: a leader that terminates asks the peer that started at least 1.5 s after the next candidate alone first; the others follow after 0.4 s as before. The choice of successors has a function of its own.

--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -210,16 +210,20 @@
         });
     }
 
-    /** Asks peers to take over when this leader is terminating, cannot write to the store, or is much weaker than a peer that could lead. */
-    void stepHandOver(CellNode& node)
+    /** @return Whether a process started so much later than another that its VM is likely to have been restarted in turn already, and the other's not. */
+    bool isMuchYounger(const PeerMember& one, const PeerMember& other)
+    {
+        constexpr std::uint64_t instancesPerMs = 1'000; // See makeInstance().
+        constexpr Duration minDifference { 1'500 }; // VMs that start together do so within a fraction of this time.
+        return one.m_instance > other.m_instance + instancesPerMs * static_cast<std::uint64_t>(minDifference.m_ms);
+    }
+
+    /**
+     * Chooses the peers that are asked to take over. Two are asked at a time, as one of them may not reach the store either; the
+     * store accepts only one claim. A leader that is being restarted asks a peer that has been restarted alone first, as others may be next.
+     */
+    std::vector<const PeerState*> chooseSuccessors(const CellNode& node, bool isLeavingOrStalled)
     {
-        const bool hasTerm = node.m_role == Role::Leading || node.m_role == Role::Loading;
-        const bool isLeavingOrStalled = node.m_isTerminating || isWriterStalled(node);
-        const bool isHandOverWanted = isLeavingOrStalled || isStrongerPeerAvailable(node);
-        if (!hasTerm || !isHandOverWanted || node.m_now < node.m_nextHandOverAt)
-            return;
-        node.m_nextHandOverAt = node.m_now + handOverInterval;
-        // Two peers are asked at a time, as one of them may not reach the store either; the store accepts only one claim.
         constexpr std::size_t candidatesPerRound = 2;
         std::vector<const PeerState*> candidates;
         for (const auto& [name, peer] : node.m_peers) {
@@ -231,6 +235,21 @@
         const auto preference = [](const PeerState* peer) { return std::pair { peer->m_member.m_strength, peer->m_member.m_instance }; };
         std::sort(candidates.begin(), candidates.end(), [&](const PeerState* one, const PeerState* other) { return preference(one) > preference(other); });
         candidates.resize(std::min(candidates.size(), candidatesPerRound));
+        if (node.m_isTerminating && candidates.size() == candidatesPerRound && isMuchYounger(candidates.front()->m_member, candidates.back()->m_member))
+            candidates.pop_back();
+        return candidates;
+    }
+
+    /** Asks peers to take over when this leader is terminating, cannot write to the store, or is much weaker than a peer that could lead. */
+    void stepHandOver(CellNode& node)
+    {
+        const bool hasTerm = node.m_role == Role::Leading || node.m_role == Role::Loading;
+        const bool isLeavingOrStalled = node.m_isTerminating || isWriterStalled(node);
+        const bool isHandOverWanted = isLeavingOrStalled || isStrongerPeerAvailable(node);
+        if (!hasTerm || !isHandOverWanted || node.m_now < node.m_nextHandOverAt)
+            return;
+        node.m_nextHandOverAt = node.m_now + handOverInterval;
+        const std::vector<const PeerState*> candidates = chooseSuccessors(node, isLeavingOrStalled);
         node.m_askedSuccessors.clear();
         const auto unconfirmedSince = oldestUnconfirmedSince(node.m_writer);
         const std::int64_t appendAgeMs = unconfirmedSince ? (node.m_now - *unconfirmedSince).m_ms : 0;
--- a/tests/hand_over_test.cpp
+++ b/tests/hand_over_test.cpp
@@ -32,6 +32,7 @@
     std::set<std::string> m_startedOn; ///< Workers that were told to start a task.
     int m_orders = 0; ///< Starts, stops and syncs that were sent.
     int m_takeOverRequests = 0; ///< Requests to peers to take over.
+    std::vector<std::uint16_t> m_askedPorts; ///< Ports of the peers that were asked, in order.
     bool m_doesStoreAnswer = true;
     TimePoint m_now { 10'000 };
     TimePoint m_bootNow { 10'000 };
@@ -64,8 +65,11 @@
         ports.m_append = [this](const StoreAppend& append, Duration, const std::function<void(StoreAppendAnswer)>& onAnswer) { deliverLater(onAnswer, m_doesStoreAnswer ? m_store.append(append) : StoreAppendAnswer {}); };
         ports.m_read = [this](const StoreRead& read, Duration, const std::function<void(StoreReadAnswer)>& onAnswer) { deliverLater(onAnswer, m_store.read(read)); };
         ports.m_readNewest = [this](const StoreNewestRead& newest, Duration, const std::function<void(StoreNewestAnswer)>& onAnswer) { deliverLater(onAnswer, m_store.newest(newest)); };
-        ports.m_callPeer = [this](const Address&, const PeerMessage& message, Duration, const std::function<void(std::optional<PeerReply>)>&) { // Never answered.
-            m_takeOverRequests += std::holds_alternative<PeerTakeOver>(message) ? 1 : 0;
+        ports.m_callPeer = [this](const Address& peer, const PeerMessage& message, Duration, const std::function<void(std::optional<PeerReply>)>&) { // Never answered.
+            if (!std::holds_alternative<PeerTakeOver>(message))
+                return;
+            ++m_takeOverRequests;
+            m_askedPorts.push_back(peer.m_port);
         };
         ports.m_start = [this](const AddressedOrder<StartOrder>& order, Duration, const std::function<void(const StartAnswer&)>& onAnswer) {
             ++m_orders;
@@ -306,6 +310,27 @@
     BOOST_TEST(requests[4] == 0);
 }
 
+// VMs restarted in turn: of two peers that were asked, the one that was to be restarted next won, and the leadership moved again seconds later.
+BOOST_AUTO_TEST_CASE(a_leader_that_is_restarted_asks_a_peer_that_has_been_restarted_alone_first)
+{
+    constexpr std::uint64_t startedAt = 1'000'000'000;
+    constexpr std::uint64_t restartedAt = startedAt + 5'000'000;
+    constexpr std::uint16_t restartedPort = 3;
+    FakeStore store = makeStore();
+    LeaderWithWorkers leader(store, startedAt);
+    const std::vector<PeerMember> peers { makeMember("other", 2, startedAt + 200'000), makeMember("restarted", restartedPort, restartedAt), makeMember("third", 4, startedAt + 100'000) };
+    for (int i = 0; i < 12; ++i) {
+        for (const PeerMember& peer : peers)
+            onPeerMessage(*leader.m_node, PeerHeartbeat { .m_from = peer, .m_leader = leader.m_node->m_leader, .m_configVersion = 1, .m_membersVersion = 0, .m_isStoreReached = true }, [](const PeerReply&) { /* Not of interest. */ });
+        if (i == 1)
+            beginTermination(*leader.m_node);
+        leader.run({ 100 });
+        if (i == 2)
+            BOOST_TEST(leader.m_askedPorts == std::vector<std::uint16_t>({ restartedPort }), boost::test_tools::per_element());
+    }
+    BOOST_TEST(leader.m_askedPorts.size() >= 3U); // The others are asked when it does not take over.
+}
+
 // A store that became 60 times slower and lost 35% of the answers to appends answered reads; the leader took it for silent and handed over, which cost seconds of loading.
 BOOST_AUTO_TEST_CASE(a_leader_on_a_slow_store_that_loses_answers_keeps_its_term)
 {
