Close kept connections to VMs and the store that have gone silent together

Each kept one then cost a call its whole timeout, one after the other: up to 16 to a VM and 32 to the store.

Change: a timeout without any byte of an answer on a kept connection also closes those to the same address that have been idle since before that call. Not for workers: they leave single orders unanswered, and a full one would accept no new connection.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -96,6 +96,7 @@
     void startTimer(const Address& address, Destination& destination);
     void addIdle(const std::shared_ptr<Connection>& connection);
     void closeIdle(Connection& connection);
+    void closeIdleSince(const Address& address, TimePoint time);
     std::shared_ptr<Connection> takeIdle(Destination& destination);
     void noteClosed(const Connection& connection);
     void noteAccepted(const Connection& connection);
@@ -194,6 +195,7 @@
         void writeRequest()
         {
             const HttpRequest& request = m_current->m_call.m_request;
+            m_parser.reset();
             m_message = {};
             m_message.version(11);
             m_message.method_string(request.m_method);
@@ -249,6 +251,8 @@
         {
             if (isRejected(end))
                 m_client->noteRejected(*this);
+            if (end == CallEnd::TimedOut && m_isWorking && !(m_parser && m_parser->got_some()))
+                m_client->closeIdleSince(m_address, m_takenAt);
             const std::size_t others = m_client->destinationOf(m_address).m_openCount - 1;
             finish(tl::unexpected(HttpFailure { .m_progress = progress, .m_reason = error.message(), .m_end = end, .m_isKeptConnection = m_isWorking, .m_openConnections = others, .m_took = steadyNow() - m_takenAt }));
         }
@@ -315,6 +319,14 @@
     noteClosed(*kept);
 }
 
+/** Closes the connections to an address that have been idle since a time or longer, if the options say so. */
+void HttpClient::Impl::closeIdleSince(const Address& address, TimePoint time)
+{
+    const auto& idle = destinationOf(address).m_idle;
+    while (m_options.m_closesIdleOnTimeout && !idle.empty() && idle.front()->m_idleSince <= time)
+        closeIdle(*idle.front());
+}
+
 std::shared_ptr<Connection> HttpClient::Impl::takeIdle(Destination& destination)
 {
     while (!destination.m_idle.empty()) {
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -24,6 +24,7 @@
     std::size_t m_keptConnectionsPerAddress = 64; ///< Connections to an address beyond this number are closed after m_spareIdleTimeout already.
     Duration m_spareIdleTimeout { 10'000 }; ///< Idle time after which connections beyond m_keptConnectionsPerAddress are closed.
     bool m_sharesWithLongPolls = false; ///< Whether long polls and other calls each leave one connection to the other kind, as long as there is more than one.
+    bool m_closesIdleOnTimeout = false; ///< Whether a timeout on a kept connection closes those that have been idle since before that call: all may have gone silent together.
     bool m_learnsLimit = false; ///< Whether calls wait for the open connections to an address that rejects new ones.
 };
 
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -145,7 +145,7 @@
 
 StoreClient::StoreClient(EventLoop& loop, const Address& address)
     : m_address(address)
-    , m_client(loop, { .m_connectionsPerAddress = 32, .m_connectTimeout = { 500 } })
+    , m_client(loop, { .m_connectionsPerAddress = 32, .m_connectTimeout = { 500 }, .m_closesIdleOnTimeout = true })
 {
 }
 
--- a/src/process/cell/cell_daemon.cpp
+++ b/src/process/cell/cell_daemon.cpp
@@ -93,7 +93,7 @@
     HttpServer m_readinessServer { m_loop };
     HttpServer m_peerServer { m_loop };
     HttpServer m_metricsServer { m_loop };
-    HttpClient m_peerClient { m_loop, { .m_connectionsPerAddress = 16, .m_connectTimeout = { 300 } } };
+    HttpClient m_peerClient { m_loop, { .m_connectionsPerAddress = 16, .m_connectTimeout = { 300 }, .m_closesIdleOnTimeout = true } };
     platform::PlatformAdapter m_link;
     std::unique_ptr<CellNode> m_node; ///< Used by the decision thread only, once started.
     std::thread m_thread; ///< The decision thread.
