Give up a response that its client doesn't read

A client or VM that loses power, or doesn't read, left its connection, the response and the count of open requests, for which a shutdown waits, for as long as the kernel kept the connection.

Change: writing a response has the time limit of reading a request, 30 s; the connection is then closed.

Result: unread_response_test failed before (one request and one connection left after 1.5 s with a limit of 0.3 s), passes now.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -130,7 +130,6 @@
         void sendError(unsigned status, const std::string& text)
         {
             m_keepAlive = false;
-            m_stream.expires_after(std::chrono::milliseconds(m_server->m_options.m_readTimeout.m_ms));
             HttpResponse response { .m_status = status, .m_headers = { { "Content-Type", "application/json" } }, .m_body = nullptr };
             response.m_body = makeBody("{\"error\":{\"kind\":\"invalid-input\",\"message\":\"" + text + "\"}}\n");
             write(response, false);
@@ -149,6 +148,7 @@
             m_keepAlive = m_keepAlive && !m_server->m_isClosing && !m_server->m_isDraining;
             m_message.keep_alive(m_keepAlive);
             m_message.prepare_payload();
+            m_stream.expires_after(std::chrono::milliseconds(m_server->m_options.m_readTimeout.m_ms));
             http::async_write(m_stream, m_message, [self = shared_from_this(), isCounted](beast::error_code error, std::size_t) {
                 if (isCounted)
                     --self->m_server->m_inFlight;
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -10,7 +10,7 @@
 struct HttpServerOptions {
     Address m_address; ///< Address on which the server listens.
     std::size_t m_bodyLimitBytes = 8 * 1024 * 1024; ///< Larger request bodies are answered with status 413.
-    Duration m_readTimeout { 30'000 }; ///< Time limit for reading a request body after its header, and for sending an error about a malformed request.
+    Duration m_readTimeout { 30'000 }; ///< Time limit for reading a request body after its header, and for writing a response.
     Duration m_idleTimeout { 120'000 }; ///< Time limit for receiving the header of the next request, after which the connection is closed.
     std::size_t m_connectionLimit = 2048; ///< Maximum number of open connections; further ones are closed at once.
 };
