Three connections to a worker, the third closed after a second

Change: three at most, one for a sync and two for other orders; the third is closed after 1 s without use.

--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -33,8 +33,9 @@
         { AttemptEnd::GangIncomplete, "alone" },
     } };
 
-    constexpr std::size_t connectionsPerWorker = 4; ///< A worker accepts few, and keeps those of leaders that lost power: one for a sync, three for other orders.
+    constexpr std::size_t connectionsPerWorker = 3; ///< A worker accepts few, and keeps those of leaders that lost power: one for a sync, two for other orders.
     constexpr std::size_t keptConnectionsPerWorker = 2; ///< One for syncs and one for other orders; more only while they are in use.
+    constexpr Duration spareIdleTimeout { 1'000 }; ///< Short, so that a leader that loses power leaves few connections behind.
     constexpr std::size_t connectionsToApprovals = 6;
     constexpr Duration connectTimeout { 400 };
     constexpr Duration maxWaitOnOnlyConnection { 100 }; ///< A sync that is held longer on the only connection would let a start run out of time.
@@ -141,7 +142,7 @@
 }
 
 WorkerClient::WorkerClient(EventLoop& loop, std::size_t maxIdleConnections)
-    : m_client(loop, { .m_connectionsPerAddress = connectionsPerWorker, .m_connectTimeout = connectTimeout, .m_maxIdleConnections = maxIdleConnections, .m_keptConnectionsPerAddress = keptConnectionsPerWorker, .m_sharesWithLongPolls = true, .m_learnsLimit = true })
+    : m_client(loop, { .m_connectionsPerAddress = connectionsPerWorker, .m_connectTimeout = connectTimeout, .m_maxIdleConnections = maxIdleConnections, .m_keptConnectionsPerAddress = keptConnectionsPerWorker, .m_spareIdleTimeout = spareIdleTimeout, .m_sharesWithLongPolls = true, .m_learnsLimit = true })
     , m_approvalClient(loop, { .m_connectionsPerAddress = connectionsToApprovals, .m_connectTimeout = connectTimeout })
 {
 }
