Log on what evidence a crash of a worker is held against a task

Cause: worker-crashed and task-given-up did not tell when the worker had crashed, whether the attempt was known to run then, nor what other workers did.

Change: worker-crashed gives the time since the last answer and since the first failed call, how the open sync ended (broke or timed out) and how many workers crashed lately, with and without a suspect; task-given-up gives the time from the last answer that confirmed or listed the attempt to the first failed call and to the proof. No change of logic.

Result: deadly_task_test, scheduler_test, worker_restart_test and late_answer_test pass.

--- a/src/process/scheduler/crash_record.cpp
+++ b/src/process/scheduler/crash_record.cpp
@@ -16,6 +16,7 @@
     constexpr std::uint16_t crashesOfCulprit = 2; ///< Proven crashes on probation in a row, in the latest of which no other attempt was on probation.
     constexpr std::uint16_t crashesOfLongRunningCulprit = 3; ///< The same for a long-running task, which has to be restarted however it ends.
     constexpr std::uint16_t maxCrashes = 5; ///< Limit for tasks that crash their workers later than on probation: the most that callers allow.
+    constexpr Duration recentPeriod { 10'000 }; ///< Covers the time from a crash under a task to the next one: its worker is back, and another one is free for the task.
     constexpr Duration calmRunTime { 30'000 }; ///< An attempt that has run for this long ends the count of crashes of a long-running task.
 
     /** @return Whether an attempt may have been running on its worker when that crashed. */
@@ -76,9 +77,36 @@
         return ref.task().m_crashes >= maxCrashes && !planOf(*ref.m_run).m_isLongRunning;
     }
 
-    void logCrash(const Worker& worker, std::string_view proof, std::size_t onProbation, TimePoint now)
+    /** When a worker has crashed, as far as that is known. */
+    struct CrashTime {
+        TimePoint m_answeredAt; ///< Latest answer of the process that has crashed, as far as it is told from that of the next one.
+        TimePoint m_failedAt; ///< First call that failed; the time of the proof if none did.
+        std::string_view m_syncEnd; ///< How the open sync ended, for logs.
+    };
+
+    CrashTime crashTimeOf(const Worker& worker, TimePoint now)
+    {
+        const WorkerOutage& outage = worker.m_outage;
+        if (outage.m_failedAt == TimePoint {})
+            return { .m_answeredAt = worker.m_answeredAt, .m_failedAt = now, .m_syncEnd = "no call has failed" };
+        return { .m_answeredAt = outage.m_answeredAt, .m_failedAt = outage.m_failedAt, .m_syncEnd = outage.m_brokeAt == TimePoint {} ? "timed out" : "broke" };
+    }
+
+    std::size_t countUnexplained(const Scheduler& scheduler)
+    {
+        return static_cast<std::size_t>(std::count_if(scheduler.m_recentCrashes.begin(), scheduler.m_recentCrashes.end(), [](const WorkerCrash& crash) { return crash.m_isUnexplained; }));
+    }
+
+    /** Adds a crash to the recent ones and forgets the earlier ones. */
+    void noteCrash(Scheduler& scheduler, const WorkerCrash& crash)
+    {
+        std::erase_if(scheduler.m_recentCrashes, [&](const WorkerCrash& other) { return crash.m_provenAt - other.m_provenAt > recentPeriod; });
+        scheduler.m_recentCrashes.push_back(crash);
+    }
+
+    void logCrash(const Scheduler& scheduler, const Worker& worker, const CrashTime& time, std::string_view proof, std::size_t onProbation, TimePoint now)
     {
-        logEvent(LogLevel::Warning, "worker-crashed", { { "worker", worker.m_announcement.m_id }, { "proof", proof }, { "tasks", worker.m_tasks.size() }, { "on_probation", onProbation }, { "is_draining", worker.m_announcement.m_isDraining }, { "answered_ms_ago", (now - worker.m_answeredAt).m_ms } });
+        logEvent(LogLevel::Warning, "worker-crashed", { { "worker", worker.m_announcement.m_id }, { "proof", proof }, { "tasks", worker.m_tasks.size() }, { "on_probation", onProbation }, { "is_draining", worker.m_announcement.m_isDraining }, { "has_reported", worker.m_clock.m_ms != 0 }, { "answered_ms_ago", (now - time.m_answeredAt).m_ms }, { "failed_ms_ago", (now - time.m_failedAt).m_ms }, { "sync_end", time.m_syncEnd }, { "recent_crashes", scheduler.m_recentCrashes.size() }, { "recent_unexplained", countUnexplained(scheduler) } });
     }
 
     void logSuspect(const Worker& worker, const TaskRef& ref, bool wasAlone)
@@ -87,18 +115,27 @@
         logEvent(LogLevel::Warning, "task-suspected", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "worker", worker.m_announcement.m_id }, { "crashes", task.m_crashes }, { "on_probation_in_a_row", task.m_suspicions }, { "proven", task.m_provenSuspicions }, { "was_known_to_run", task.m_isKnownToRun }, { "was_alone", wasAlone } });
     }
 
+    /** Logs on what evidence a task is given up. */
+    void logCulprit(const Scheduler& scheduler, const TaskRef& ref, const CrashTime& time, TimePoint now)
+    {
+        const Task& task = ref.task();
+        const bool isKnown = task.m_knownToRunAt != TimePoint {}; // Otherwise only the record of an earlier term tells.
+        const TimePoint knownAt = isKnown ? task.m_knownToRunAt : time.m_failedAt;
+        logEvent(LogLevel::Warning, "task-given-up", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "crashes", task.m_crashes }, { "cause", "workers crashed under it" }, { "on_probation_in_a_row", task.m_suspicions }, { "proven", task.m_provenSuspicions }, { "is_known_in_this_term", isKnown }, { "known_to_run_to_failure_ms", (time.m_failedAt - knownAt).m_ms }, { "known_to_run_to_proof_ms", (now - knownAt).m_ms }, { "confirmed_to_failure_ms", (time.m_failedAt - task.m_confirmedAt).m_ms }, { "sync_end", time.m_syncEnd }, { "recent_crashes", scheduler.m_recentCrashes.size() }, { "recent_unexplained", countUnexplained(scheduler) } });
+    }
+
     /**
      * Counts a crash for all attempts that may have been running on the worker. A worker that leaves as announced has not crashed.
      * @return The tasks to give up.
      */
-    std::vector<TaskRef> recordCrash(Scheduler& scheduler, WorkerIndex index, std::string_view proof, TimePoint now)
+    std::vector<TaskRef> recordCrash(Scheduler& scheduler, WorkerIndex index, const CrashTime& time, std::string_view proof, TimePoint now)
     {
         Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
         std::vector<TaskRef> affected = worker.m_tasks;
         std::erase_if(affected, [](const TaskRef& ref) { return !mayHaveRun(ref.task()); });
         const std::vector<TaskRef> suspects = selectSuspects(affected);
         if (!worker.m_tasks.empty())
-            logCrash(worker, proof, suspects.size(), now);
+            logCrash(scheduler, worker, time, proof, suspects.size(), now);
         std::vector<TaskRef> culprits;
         if (worker.m_announcement.m_isDraining)
             return culprits;
@@ -111,18 +148,20 @@
             if ((isSuspected && wasAlone && isProvenCulprit(ref)) || isOverLimit(ref))
                 culprits.push_back(ref);
         }
+        if (worker.m_state != WorkerState::Gone)
+            noteCrash(scheduler, { .m_at = time.m_failedAt, .m_provenAt = now, .m_isUnexplained = suspects.empty() });
         return culprits;
     }
 
     /** Fails the jobs of tasks that cause crashes. */
-    void giveUp(Scheduler& scheduler, const std::vector<TaskRef>& culprits, TimePoint now)
+    void giveUp(Scheduler& scheduler, const std::vector<TaskRef>& culprits, const CrashTime& time, TimePoint now)
     {
         for (const TaskRef& ref : culprits) {
             Task& task = ref.task();
             Job& job = *ref.m_run->m_job;
             if (isFinal(job.m_stage) || task.m_resolution != TaskResolution::Open)
                 continue;
-            logEvent(LogLevel::Warning, "task-given-up", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "crashes", task.m_crashes }, { "cause", "workers crashed under it" } });
+            logCulprit(scheduler, ref, time, now);
             task.m_resolution = TaskResolution::Failed;
             endJob(scheduler, job, JobStage::Failed, now);
         }
@@ -138,26 +177,42 @@
 void loseTasksToCrash(Scheduler& scheduler, WorkerIndex index, TimePoint now)
 {
     constexpr std::string_view proof = "another worker answers at its address";
-    const std::vector<TaskRef> culprits = recordCrash(scheduler, index, proof, now);
+    const CrashTime time = crashTimeOf(scheduler.m_workers[static_cast<std::size_t>(index)], now);
+    const std::vector<TaskRef> culprits = recordCrash(scheduler, index, time, proof, now);
     markTasksLost(scheduler, index, proof, now);
-    giveUp(scheduler, culprits, now);
+    giveUp(scheduler, culprits, time, now);
 }
 
 void noteRestart(Scheduler& scheduler, WorkerIndex index, TimePoint now)
 {
-    const std::vector<TaskRef> culprits = recordCrash(scheduler, index, "its process has started again", now);
+    const CrashTime time = crashTimeOf(scheduler.m_workers[static_cast<std::size_t>(index)], now);
+    const std::vector<TaskRef> culprits = recordCrash(scheduler, index, time, "its process has started again", now);
     // A repeated start would run an attempt in the new process that may have crashed the old one, beside other tasks.
     const std::vector<TaskRef> tasks = scheduler.m_workers[static_cast<std::size_t>(index)].m_tasks;
     for (const TaskRef& ref : tasks) {
         if (isSuspect(ref.task()) && ref.task().m_phase == RunPhase::Starting)
             stopTask(scheduler, ref, now);
     }
-    giveUp(scheduler, culprits, now);
+    giveUp(scheduler, culprits, time, now);
+}
+
+void noteFailedCall(Worker& worker, TimePoint now)
+{
+    WorkerOutage& outage = worker.m_outage;
+    if (outage.m_failedAt == TimePoint {} || outage.m_isOver)
+        outage = { .m_answeredAt = worker.m_answeredAt, .m_failedAt = now, .m_brokeAt = {} };
+}
+
+void noteFailedSync(Worker& worker, TimePoint now)
+{
+    if (worker.m_outage.m_brokeAt == TimePoint {} && now < worker.m_syncTimeoutAt)
+        worker.m_outage.m_brokeAt = now;
 }
 
-void noteKnownToRun(Scheduler& scheduler, const TaskRef& ref)
+void noteKnownToRun(Scheduler& scheduler, const TaskRef& ref, TimePoint now)
 {
     Task& task = ref.task();
+    task.m_knownToRunAt = now;
     if (std::exchange(task.m_isKnownToRun, true) || !isSuspect(task))
         return;
     markDirty(scheduler, *ref.m_run->m_job); // If this leader ends with the worker, its successor still knows that the crash was one under the task.
--- a/src/process/scheduler/crash_record.h
+++ b/src/process/scheduler/crash_record.h
@@ -32,7 +32,13 @@
 void noteRestart(Scheduler& scheduler, WorkerIndex index, TimePoint now);
 
 /** Notes that a worker has confirmed or listed a task's current attempt. */
-void noteKnownToRun(Scheduler& scheduler, const TaskRef& ref);
+void noteKnownToRun(Scheduler& scheduler, const TaskRef& ref, TimePoint now);
+
+/** Notes that a call to a worker has failed, before it is counted. */
+void noteFailedCall(Worker& worker, TimePoint now);
+
+/** Notes that the open sync of a worker has ended without an answer, after that was counted. */
+void noteFailedSync(Worker& worker, TimePoint now);
 
 /** Notes that a worker has listed a task's current attempt as running; ends its probation in due course. */
 void noteListed(Scheduler& scheduler, const TaskRef& ref, TimePoint now);
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -81,6 +81,7 @@
     std::uint64_t m_batch = 0; ///< Record batch that must be durable before the start is sent.
     TimePoint m_placedAt; ///< Time at which the current attempt was placed.
     TimePoint m_confirmedAt; ///< Time at which the worker confirmed the start, or accepted the stop.
+    TimePoint m_knownToRunAt; ///< Time of the latest answer that confirmed or listed the current attempt; zero for none in this term.
     TimePoint m_nextCallAt; ///< Earliest time of the next start or stop call.
     TimePoint m_stopRequestedAt; ///< When the current attempt was to be stopped; only in the phase Stopping.
     TimePoint m_waitingSince; ///< Time since which the task has been waiting for a worker.
@@ -245,6 +246,21 @@
     TimePoint m_readAt; ///< Monotonic time at which the report arrived.
 };
 
+/** Time during which a worker has answered no call; the latest one. */
+struct WorkerOutage {
+    TimePoint m_answeredAt; ///< Time of the latest answer before it.
+    TimePoint m_failedAt; ///< Time at which the first call failed; zero when none has since the latest report.
+    TimePoint m_brokeAt; ///< Time at which the open sync ended before its timeout, as its connection broke; zero when it did not.
+    bool m_isOver = false; ///< A call has been answered since, perhaps by the worker's next process.
+};
+
+/** A worker that was found to have crashed. */
+struct WorkerCrash {
+    TimePoint m_at; ///< When it crashed, as far as that is known.
+    TimePoint m_provenAt; ///< When the crash was proven.
+    bool m_isUnexplained = false; ///< No attempt that was on probation there can have caused it.
+};
+
 /** A worker as the leader knows it. */
 struct Worker {
     WorkerAnnouncement m_announcement; ///< Latest announcement of the worker.
@@ -270,9 +286,11 @@
     TimePoint m_earlierLeasesEndAt = farFuture; ///< Time by which all leases granted in earlier terms have run out.
     bool m_isSyncPending = false; ///< A sync has not been answered yet.
     TimePoint m_syncSentAt; ///< When the latest sync was sent.
+    TimePoint m_syncTimeoutAt; ///< When the latest sync ends if it is not answered.
     TimePoint m_reportedSyncSentAt; ///< When the sync was sent whose report was used last.
     TimePoint m_nextSyncAt; ///< Earliest time of the next sync.
     TimePoint m_answeredAt; ///< Time of the latest answer.
+    WorkerOutage m_outage; ///< Its latest time without answers, until its next report.
     std::uint64_t m_highestSeenEnd = 0; ///< Number of the latest end that has been processed; 0 for none.
     std::uint64_t m_ackedEndNumber = 0; ///< Ends up to this number are durable and can be acknowledged.
     bool m_hasOtherProcess = false; ///< Its process may have started again since its latest report; its clock and leases are unknown until the next one.
@@ -364,6 +382,7 @@
     std::vector<StepRun*> m_waitingSteps; ///< Steps that may have tasks without an attempt.
     std::vector<TaskRef> m_startingOrStopping; ///< Tasks in the phases Starting and Stopping.
     std::vector<TaskRef> m_recording; ///< Tasks in the phase Recording.
+    std::deque<WorkerCrash> m_recentCrashes; ///< Crashes of workers that were proven lately, the earliest first; not recorded, so a new leader begins without any.
     std::vector<Job*> m_dirtyJobs; ///< Jobs with changes that are not in a record batch yet.
     std::vector<Job*> m_scheduledJobs; ///< Jobs with future occurrences.
     std::deque<std::pair<TimePoint, std::string>> m_endedJobs; ///< Ids of ended jobs, by time of their end.
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -44,6 +44,7 @@
         task.m_isStopAcknowledged = false;
         task.m_hasPassedProbation = false;
         task.m_isKnownToRun = false;
+        task.m_knownToRunAt = {};
         task.m_isIsolated = false;
         task.m_missedSyncs = 0;
         task.m_tries = 0;
@@ -166,7 +167,7 @@
         task.m_confirmedAt = now;
         task.m_progressAt = now;
         task.m_hasStarted = true;
-        noteKnownToRun(scheduler, ref);
+        noteKnownToRun(scheduler, ref, now);
         Job& job = *ref.m_run->m_job;
         if (job.m_stage == JobStage::Pending) {
             job.m_stage = JobStage::Active;
@@ -308,7 +309,7 @@
             task.m_otherProcessUntil = {};
             if (task.m_phase == RunPhase::Starting)
                 confirmStart(scheduler, ref, now);
-            noteKnownToRun(scheduler, ref);
+            noteKnownToRun(scheduler, ref, now);
             noteListed(scheduler, ref, now);
             if (!running.m_checkpoint.empty())
                 task.m_checkpoint = running.m_checkpoint;
@@ -462,6 +463,8 @@
     }
     if (status != OrderStatus::Done) {
         countAnswer(scheduler, index, false, now);
+        if (status == OrderStatus::NoAnswer && !isLate)
+            noteFailedSync(worker, now);
         return;
     }
     worker.m_reportedSyncSentAt = sentAt;
@@ -477,6 +480,7 @@
         forgetEndNumbers(scheduler, index);
         worker.m_leaseUntilMs = 0;
     }
+    worker.m_outage = {};
     worker.m_hasOtherProcess = worker.m_hasOtherProcess && isLate;
     worker.m_isProcessConfirmed = worker.m_isProcessConfirmed || !isLate; // The process that made a late report may have ended since.
     worker.m_processStartMs = report.m_processStartMs;
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -121,8 +121,10 @@
                 scheduler.m_lossyUntil = now + lossyPeriod;
             worker.m_unansweredCalls = 0;
             worker.m_answeredAt = now;
+            worker.m_outage.m_isOver = true;
             return;
         }
+        noteFailedCall(worker, now);
         ++worker.m_unansweredCalls;
         worker.m_isProcessConfirmed = false;
         if (!worker.m_isSyncPending)
@@ -346,7 +348,9 @@
             worker.m_isSyncPending = true;
             worker.m_syncSentAt = now;
             ++scheduler.m_counters.m_syncs;
-            effects.m_syncs.push_back({ targetOf(scheduler, worker), order, order.m_wait + (isLossy ? lossyTimeout(scheduler, lossySyncTimeoutMargin, syncTimeoutMargin) : syncTimeoutMargin) });
+            const Duration timeout = order.m_wait + (isLossy ? lossyTimeout(scheduler, lossySyncTimeoutMargin, syncTimeoutMargin) : syncTimeoutMargin);
+            worker.m_syncTimeoutAt = now + timeout;
+            effects.m_syncs.push_back({ targetOf(scheduler, worker), order, timeout });
         }
 
         /** @return Time at which the next sync of a worker is due; idle workers are polled rarely, just to track their clocks and detect failures. */
