Hold a crash against a task only on evidence

Cause: another process at a worker's address was taken for a crash under each attempt that was there. It proves that the former process is gone, but neither when it ended nor under what. An attempt counted as on probation when nothing had been heard of it for seconds; a crash of a share of the workers, or of a rack, counted against each task that happened to be alone and young; the limit of five crashes counted each crash under a long task, whatever caused it.

The age at the crash decides whether an attempt was on probation. The limit of five crashes counts those held against the task. Of a worker that a new leader has never heard, the record of an isolated, confirmed attempt stands, if no others may have crashed before the term began.

--- a/src/process/scheduler/crash_record.h
+++ b/src/process/scheduler/crash_record.h
@@ -7,10 +7,18 @@
 
 /*
  * A task may crash each worker that starts it, which takes the worker's other tasks along. A task that makes its worker crash
- * does so soon after its start, so an attempt is on probation until its worker has listed it for probationPeriod. Tasks that are
- * on probation when their worker crashes are suspects: each is started again where no other attempt is on probation
- * (suspect_placement.h), so that the next crash tells which of them it was. A crash proves something against a task only if
- * the worker had confirmed its start: an order that was sent to a worker that had crashed already has caused nothing.
+ * does so soon after its start, so an attempt is on probation for probationPeriod. Tasks that are on probation when their worker
+ * crashes are suspects: each is started again where no other attempt is on probation (suspect_placement.h), so that the next crash
+ * tells which of them it was.
+ *
+ * Another process at a worker's address proves that the former one is gone, but neither when it ended nor under which attempts. A
+ * crash is held against a task only if
+ * - the worker has confirmed or listed the attempt shortly before, and it has been neither stopped nor reported as ended since;
+ * - the time of the crash is known, as the connection of the open sync broke. A call that times out tells no time: the worker
+ *   may have been cut off, and may have ended the attempt before it crashed;
+ * - not several workers crashed at that moment on which the task can't be the cause;
+ * - the worker had not left: its announcement was removed no sooner than one of a silent worker expires.
+ * Of an attempt that an earlier leader has isolated and recorded as running, the record stands for the first two.
  */
 
 constexpr Duration probationPeriod { 300 }; ///< A worker that lists an attempt for this long does not crash because of its start.
@@ -37,8 +45,8 @@
 /** Notes that a call to a worker has failed, before it is counted. */
 void noteFailedCall(Worker& worker, TimePoint now);
 
-/** Notes that the open sync of a worker has ended without an answer, after that was counted. */
-void noteFailedSync(Worker& worker, TimePoint now);
+/** Notes that the latest sync of a worker has failed, after the call was counted. */
+void noteFailedSync(Worker& worker, OrderStatus status, TimePoint now);
 
 /** Notes that a worker has listed a task's current attempt as running; ends its probation in due course. */
 void noteListed(Scheduler& scheduler, const TaskRef& ref, TimePoint now);
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -66,9 +66,10 @@
     bool m_hasStarted = false; ///< A worker has confirmed the start of at least one attempt.
     bool m_isStopAcknowledged = false; ///< The worker has accepted the stop.
     std::uint16_t m_failures = 0; ///< Number of failed attempts.
-    std::uint16_t m_crashes = 0; ///< Number of workers that crashed while an attempt may have been running there.
+    std::uint16_t m_crashes = 0; ///< Number of workers that crashed while an attempt is known to have been running there, without a common cause of several crashes.
     std::uint16_t m_suspicions = 0; ///< Number of those crashes, since an attempt last passed its probation, that fell into the probation; see crash_record.h.
-    std::uint16_t m_provenSuspicions = 0; ///< Number of those in which the attempt is known to have been running.
+    std::uint16_t m_provenSuspicions = 0; ///< Number of those that are also counted in m_crashes, or proven by the record of an earlier term.
+    bool m_hasStartBroken = false; ///< A start call of the current attempt ended before its timeout, as its connection broke.
     bool m_isKnownToRun = false; ///< The worker has confirmed or listed the current attempt; only then a crash of the worker is known to be one under the task.
     bool m_isIsolated = false; ///< The current attempt began its probation when no other attempt on its worker was on probation, and none has been placed there since.
     bool m_hasPassedProbation = false; ///< The worker has listed the current attempt for longer than a task needs to crash it.
@@ -256,9 +257,12 @@
 
 /** A worker that was found to have crashed. */
 struct WorkerCrash {
-    TimePoint m_at; ///< When it crashed, as far as that is known.
+    TimePoint m_at; ///< When its connections broke; zero when the time of the crash is not known.
     TimePoint m_provenAt; ///< When the crash was proven.
     bool m_isUnexplained = false; ///< No attempt that was on probation there can have caused it.
+    bool m_hadIsolatedSuspect = false; ///< A suspect ran there without other attempts on probation.
+    std::vector<const Job*> m_jobs; ///< Jobs of the attempts that were on probation; only compared, as the jobs may be gone.
+    TaskRef m_soleSuspect; ///< The only attempt that was on probation; only compared. Empty for none or several.
 };
 
 /** A worker as the leader knows it. */
@@ -286,10 +290,12 @@
     TimePoint m_earlierLeasesEndAt = farFuture; ///< Time by which all leases granted in earlier terms have run out.
     bool m_isSyncPending = false; ///< A sync has not been answered yet.
     TimePoint m_syncSentAt; ///< When the latest sync was sent.
+    TimePoint m_removedAt; ///< When its announcement was last removed; zero for never.
     TimePoint m_syncTimeoutAt; ///< When the latest sync ends if it is not answered.
     TimePoint m_reportedSyncSentAt; ///< When the sync was sent whose report was used last.
     TimePoint m_nextSyncAt; ///< Earliest time of the next sync.
     TimePoint m_answeredAt; ///< Time of the latest answer.
+    bool m_isCrashNoted = false; ///< Its crash is among the recent ones; until its next report.
     WorkerOutage m_outage; ///< Its latest time without answers, until its next report.
     std::uint64_t m_highestSeenEnd = 0; ///< Number of the latest end that has been processed; 0 for none.
     std::uint64_t m_ackedEndNumber = 0; ///< Ends up to this number are durable and can be acknowledged.
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -42,7 +42,7 @@
             return static_cast<int>(TaskMark::NeverPlaced);
         const Worker* const worker = isPlaced ? &scheduler.m_workers[static_cast<std::size_t>(task.m_worker)] : nullptr;
         Json row = Json::array({ static_cast<int>(task.m_resolution), task.m_attempt, task.m_failures, task.m_hasStarted, worker ? worker->m_announcement.m_id : std::string(), task.m_checkpoint });
-        if (!worker && task.m_crashes == 0)
+        if (!worker && task.m_crashes == 0 && task.m_suspicions == 0)
             return row;
         row.push_back(task.m_crashes);
         row.push_back(task.m_suspicions);
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -45,6 +45,7 @@
         task.m_hasPassedProbation = false;
         task.m_isKnownToRun = false;
         task.m_knownToRunAt = {};
+        task.m_hasStartBroken = false;
         task.m_isIsolated = false;
         task.m_missedSyncs = 0;
         task.m_tries = 0;
@@ -463,8 +464,8 @@
     }
     if (status != OrderStatus::Done) {
         countAnswer(scheduler, index, false, now);
-        if (status == OrderStatus::NoAnswer && !isLate)
-            noteFailedSync(worker, now);
+        if (!isLate)
+            noteFailedSync(worker, status, now);
         return;
     }
     worker.m_reportedSyncSentAt = sentAt;
@@ -481,6 +482,7 @@
         worker.m_leaseUntilMs = 0;
     }
     worker.m_outage = {};
+    worker.m_isCrashNoted = false;
     worker.m_hasOtherProcess = worker.m_hasOtherProcess && isLate;
     worker.m_isProcessConfirmed = worker.m_isProcessConfirmed || !isLate; // The process that made a late report may have ended since.
     worker.m_processStartMs = report.m_processStartMs;
@@ -533,6 +535,7 @@
         return;
     case OrderStatus::NoAnswer:
     case OrderStatus::Unreported:
+        task.m_hasStartBroken = task.m_hasStartBroken || (status == OrderStatus::NoAnswer && now < task.m_otherProcessUntil);
         task.m_mayHaveArrived = true;
         task.m_otherProcessUntil = now;
         return;
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -471,7 +471,7 @@
     scheduler.m_needsPlacing = true;
 }
 
-void removeWorker(Scheduler& scheduler, const std::string& id, TimePoint)
+void removeWorker(Scheduler& scheduler, const std::string& id, TimePoint now)
 {
     const auto found = scheduler.m_workerById.find(id);
     if (found == scheduler.m_workerById.end())
@@ -479,6 +479,8 @@
     Worker& worker = scheduler.m_workers[static_cast<std::size_t>(found->second)];
     if (worker.m_isAnnounced)
         logEvent(LogLevel::Info, "worker-announcement-removed", { { "worker", id }, { "tasks", worker.m_tasks.size() } });
+    if (worker.m_isAnnounced)
+        worker.m_removedAt = now;
     worker.m_isAnnounced = false;
 }
 
