Count a crash once for an attempt

Cause: an attempt that is still to be stopped after its worker has restarted counted again when the new process crashed, in the same term or, from the record, in a later one.

Change: the attempt and its row in the progress record say that a crash has been counted for it.

Result: a_crash_is_counted_once_for_an_attempt fails before and passes.

--- a/src/process/scheduler/crash_record.cpp
+++ b/src/process/scheduler/crash_record.cpp
@@ -176,6 +176,7 @@
     void countCrash(Scheduler& scheduler, Worker& worker, const TaskRef& ref, bool isSuspected, bool isProven)
     {
         Task& task = ref.task();
+        task.m_isCrashCounted = true;
         task.m_crashes += isProven ? 1 : 0;
         if (isSuspected) {
             worker.m_suspects += isSuspect(task) ? 0 : 1;
@@ -233,11 +234,11 @@
         logEvent(LogLevel::Warning, "task-given-up", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "crashes", task.m_crashes }, { "cause", "workers crashed under it" }, { "on_probation_in_a_row", task.m_suspicions }, { "proven", task.m_provenSuspicions }, { "is_known_in_this_term", isKnown }, { "known_to_run_to_failure_ms", (time.m_failedAt - knownAt).m_ms }, { "known_to_run_to_proof_ms", (now - knownAt).m_ms }, { "confirmed_to_failure_ms", (time.m_failedAt - task.m_confirmedAt).m_ms }, { "sync_end", time.m_syncEnd }, { "recent_crashes", scheduler.m_recentCrashes.size() }, { "recent_unexplained", countUnexplained(scheduler, now) } });
     }
 
-    /** @return The attempts on a worker that may have been running when it crashed. */
+    /** @return The attempts on a worker that may have been running when it crashed, without those that another crash was counted for. */
     std::vector<TaskRef> selectAffected(const Worker& worker)
     {
         std::vector<TaskRef> affected = worker.m_tasks;
-        std::erase_if(affected, [](const TaskRef& ref) { return !mayHaveRun(ref.task()); });
+        std::erase_if(affected, [](const TaskRef& ref) { return !mayHaveRun(ref.task()) || ref.task().m_isCrashCounted; });
         return affected;
     }
 
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -69,6 +69,7 @@
     std::uint16_t m_crashes = 0; ///< Number of workers that crashed while an attempt is known to have been running there, without a common cause of several crashes.
     std::uint16_t m_suspicions = 0; ///< Number of those crashes, since an attempt last passed its probation, that fell into the probation; see crash_record.h.
     std::uint16_t m_provenSuspicions = 0; ///< Number of those that are also counted in m_crashes, or proven by the record of an earlier term.
+    bool m_isCrashCounted = false; ///< A crash of the worker has been counted for the current attempt, which isn't counted again.
     bool m_hasStartBroken = false; ///< A start call of the current attempt ended before its timeout, as its connection broke.
     bool m_isKnownToRun = false; ///< The worker has confirmed or listed the current attempt; only then a crash of the worker is known to be one under the task.
     bool m_isIsolated = false; ///< The current attempt began its probation when no other attempt on its worker was on probation, and none has been placed there since.
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -25,6 +25,7 @@
     constexpr std::size_t addressElement = 8; ///< Position of the worker's address and process start, and of the isolation; without meaning for a task that is not placed.
     constexpr std::size_t isolationElement = addressElement + 2;
     constexpr std::size_t provenElement = isolationElement + 1; ///< Position of the count of proven suspicions and of whether the attempt is known to run.
+    constexpr std::size_t countedElement = provenElement + 2; ///< Position of whether a crash has been counted for the attempt.
 
     /** Short form, a single number, of a task that was never placed or that is resolved and has no current attempt. */
     enum class TaskMark : std::uint8_t {
@@ -51,6 +52,7 @@
         row.push_back(task.m_isIsolated);
         row.push_back(task.m_provenSuspicions);
         row.push_back(task.m_isKnownToRun);
+        row.push_back(task.m_isCrashCounted);
         return row;
     }
 
@@ -111,6 +113,7 @@
             return;
         task.m_provenSuspicions = row.at(provenElement);
         task.m_isKnownToRun = row.at(provenElement + 1);
+        task.m_isCrashCounted = row.size() > countedElement && row.at(countedElement).get<bool>();
     }
 
     void restoreTask(Scheduler& scheduler, const TaskRef& ref, const Json& row, TimePoint now)
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -45,6 +45,7 @@
         task.m_hasPassedProbation = false;
         task.m_isKnownToRun = false;
         task.m_knownToRunAt = {};
+        task.m_isCrashCounted = false;
         task.m_hasStartBroken = false;
         task.m_isIsolated = false;
         task.m_missedSyncs = 0;
--- a/tests/sound_job_crash_test.cpp
+++ b/tests/sound_job_crash_test.cpp
@@ -454,3 +454,28 @@
 {
     playSeeds({ .m_allowedEarlyCrashes = 2, .m_intervalMs = 500, .m_strike = [](CrashWorld& world) { endShare(world, 0.04, Ending::Crash); } });
 }
+
+// An attempt that is being stopped after its worker has restarted counted again when the new process crashed.
+BOOST_AUTO_TEST_CASE(a_crash_is_counted_once_for_an_attempt)
+{
+    test::AnswerFixture fixture;
+    fixture.adopt("w1");
+    fixture.submit(test::firstJob, test::makeStep());
+    fixture.run({ 50 });
+    const StartOrder order = fixture.m_starts.front().m_order;
+    SchedulerEffects effects;
+    onStartAnswer(fixture.m_scheduler, "w1", order.m_task, order.m_attempt, { .m_status = OrderStatus::NoAnswer }, fixture.m_now, effects);
+    fixture.run({ 50 });
+    fixture.answerStarts();
+    fixture.answerSync("w1", {}, OrderStatus::NoAnswer);
+    fixture.run({ 50 });
+    const Task& task = detail::findTask(fixture.m_scheduler, test::taskOf(test::firstJob)).task();
+    BOOST_REQUIRE(task.m_attempt == 1U);
+    fixture.answerSync("w1", { .m_processStartMs = test::secondProcess });
+    BOOST_REQUIRE((task.m_phase == RunPhase::Stopping));
+    const auto suspicions = task.m_suspicions;
+    BOOST_TEST(suspicions == 1U);
+    fixture.run({ 50 });
+    fixture.answerSync("w1", {}, OrderStatus::WrongInstance);
+    BOOST_TEST(task.m_suspicions == suspicions);
+}
