Don't take a worker that has moved for one that has crashed

Cause: an answer of another worker at the former address, to a call sent before the change of address was known, counted as a crash.

Change: for as long as such a call may be open after the change, an answer of another worker is no proof; the worker is called again.

--- a/src/process/scheduler/crash_record.cpp
+++ b/src/process/scheduler/crash_record.cpp
@@ -297,6 +297,12 @@
 
 } // namespace
 
+bool hasMovedLately(const Scheduler& scheduler, const Worker& worker, TimePoint now)
+{
+    constexpr Duration timeoutMargin { 1'000 }; ///< No call takes longer than a sync is held open and this.
+    return worker.m_movedAt != TimePoint {} && now - worker.m_movedAt < scheduler.m_options.m_syncWait + timeoutMargin;
+}
+
 bool isOnProbation(const Task& task)
 {
     return !task.m_hasPassedProbation && !(task.m_phase == RunPhase::Stopping && task.m_isStopAcknowledged);
--- a/src/process/scheduler/crash_record.h
+++ b/src/process/scheduler/crash_record.h
@@ -26,6 +26,11 @@
 /** @return Whether the task was on probation at the latest crash of a worker that ran it and has not passed probation since. */
 constexpr bool isSuspect(const Task& task) { return task.m_suspicions > 0; }
 
+constexpr Duration oldAddressRetryDelay { 150 }; ///< Time until a worker whose address has changed is called again.
+
+/** @return Whether a worker's announcement has named another address so lately that a call to the former address may still be open. */
+bool hasMovedLately(const Scheduler& scheduler, const Worker& worker, TimePoint now);
+
 /** @return Whether an attempt may be running on its worker without having passed probation, or is going to be started there. */
 bool isOnProbation(const Task& task);
 
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -291,6 +291,7 @@
     TimePoint m_earlierLeasesEndAt = farFuture; ///< Time by which all leases granted in earlier terms have run out.
     bool m_isSyncPending = false; ///< A sync has not been answered yet.
     TimePoint m_syncSentAt; ///< When the latest sync was sent.
+    TimePoint m_movedAt; ///< When its announcement last named another address; zero for never.
     TimePoint m_removedAt; ///< When its announcement was last removed; zero for never.
     TimePoint m_syncTimeoutAt; ///< When the latest sync ends if it is not answered.
     TimePoint m_reportedSyncSentAt; ///< When the sync was sent whose report was used last.
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -452,6 +452,10 @@
         effects.m_isFenced = true;
         return;
     }
+    if (status == OrderStatus::WrongInstance && hasMovedLately(scheduler, worker, now)) {
+        worker.m_nextSyncAt = now + oldAddressRetryDelay;
+        return;
+    }
     if (status == OrderStatus::WrongInstance) {
         loseTasksToCrash(scheduler, index, now);
         worker.m_state = WorkerState::Gone;
@@ -558,6 +562,8 @@
         return handleRefusedStart(scheduler, ref, "unhealthy", now);
     }
     case OrderStatus::WrongInstance:
+        if (hasMovedLately(scheduler, scheduler.m_workers[static_cast<std::size_t>(task.m_worker)], now))
+            return;
         return loseTasksToCrash(scheduler, task.m_worker, now);
     case OrderStatus::Invalid:
         logEvent(LogLevel::Error, "start-invalid", { { "task", format(name) }, { "worker", worker } });
@@ -578,7 +584,8 @@
     task.m_isCallPending = false;
     constexpr Duration retryDelay { 100 };
     task.m_nextCallAt = now + retryDelay;
-    if (status == OrderStatus::WrongInstance)
+    const bool isMove = hasMovedLately(scheduler, scheduler.m_workers[static_cast<std::size_t>(task.m_worker)], now);
+    if (status == OrderStatus::WrongInstance && !isMove)
         return loseTasksToCrash(scheduler, task.m_worker, now);
     if (status != OrderStatus::Done)
         return;
--- a/tests/sound_job_crash_test.cpp
+++ b/tests/sound_job_crash_test.cpp
@@ -455,6 +455,25 @@
     playSeeds({ .m_allowedEarlyCrashes = 2, .m_intervalMs = 500, .m_strike = [](CrashWorld& world) { endShare(world, 0.04, Ending::Crash); } });
 }
 
+// A worker whose address has changed was taken for crashed, as another one answers at its former address.
+BOOST_AUTO_TEST_CASE(a_worker_that_has_moved_has_not_crashed)
+{
+    test::AnswerFixture fixture;
+    fixture.adopt("w1");
+    fixture.submit(test::firstJob, test::makeStep());
+    fixture.run({ 50 });
+    fixture.answerStarts();
+    fixture.run({ 50 });
+    const Task& task = detail::findTask(fixture.m_scheduler, test::taskOf(test::firstJob)).task();
+    BOOST_REQUIRE((task.m_phase == RunPhase::Running));
+    WorkerAnnouncement moved = fixture.worker("w1").m_announcement;
+    moved.m_address.m_port = 10;
+    updateWorker(fixture.m_scheduler, moved, fixture.m_now);
+    fixture.answerSync("w1", {}, OrderStatus::WrongInstance);
+    BOOST_TEST((task.m_phase == RunPhase::Running));
+    BOOST_TEST(task.m_crashes == 0U);
+}
+
 // An attempt that is being stopped after its worker has restarted counted again when the new process crashed.
 BOOST_AUTO_TEST_CASE(a_crash_is_counted_once_for_an_attempt)
 {
