Don't fail a job on an unknown limit of failures

Cause: queueOf() gives a limit of one failure for a queue that the configuration does not name. A leader that takes over after a queue was removed, or with an incomplete configuration, failed its jobs after the first failure of a task.

Change: the progress record keeps the limit that was last known. Without one, the job is not failed; the task is started again until the limit is known.

--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -178,6 +178,7 @@
 struct Job {
     JobPlan m_plan; ///< The job as its caller submitted it.
     JobStage m_stage = JobStage::Pending;
+    std::uint32_t m_recordedFailureLimit = 0; ///< Limit of failures of its queue that an earlier leader recorded; 0 for none. Used when the configuration does not name the queue any more.
     std::uint64_t m_stageBatch = 0; ///< Record batch that makes a final stage durable.
     bool m_isDirty = false; ///< The job has changes that are not in a record batch yet.
     std::string m_planRecord; ///< Encoded plan that still has to be recorded; empty when it is recorded already or stored elsewhere.
--- a/src/process/scheduler/scheduler_jobs.cpp
+++ b/src/process/scheduler/scheduler_jobs.cpp
@@ -18,6 +18,12 @@
         return found == scheduler.m_queues.end() ? unknownQueue : found->second;
     }
 
+    std::uint32_t failureLimitOf(const Scheduler& scheduler, const Job& job)
+    {
+        const auto found = scheduler.m_queues.find(job.m_plan.m_queue);
+        return found == scheduler.m_queues.end() ? job.m_recordedFailureLimit : found->second.m_failureLimit;
+    }
+
     const StepPlan& planOf(const StepRun& run)
     {
         return run.m_job->m_plan.m_steps[run.m_step];
@@ -177,9 +183,10 @@
             failures = run.m_gangFailures;
         }
         markDirty(scheduler, job);
-        const std::uint32_t limit = queueOf(scheduler, job).m_failureLimit;
+        const std::uint32_t limit = failureLimitOf(scheduler, job);
         logEvent(LogLevel::Info, "task-failed", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "failures", failures }, { "limit", limit } });
-        if (planOf(run).m_isLongRunning || failures < limit)
+        const bool isLimitKnown = limit > 0; // The job is not failed on a guess, so the task is started again until the limit is known.
+        if (planOf(run).m_isLongRunning || !isLimitKnown || failures < limit)
             return;
         task.m_resolution = TaskResolution::Failed;
         endJob(scheduler, job, JobStage::Failed, now);
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -21,6 +21,7 @@
     /** Format version of a progress record, its first element; incremented whenever the format changes. */
     constexpr int recordFormat = 1;
 
+    constexpr std::size_t failureLimitElement = 4; ///< Position of the queue's limit of failures in a progress record; earlier releases did not write it.
     constexpr std::size_t crashesElement = 6; ///< Position of the counts of crashes in a task's row; earlier releases wrote shorter rows.
     constexpr std::size_t addressElement = 8; ///< Position of the worker's address and process start, and of the isolation; without meaning for a task that is not placed.
     constexpr std::size_t isolationElement = addressElement + 2;
@@ -74,7 +75,7 @@
                 tasks.push_back(encodeTask(scheduler, task));
             runs.push_back(Json::array({ run->m_occurrence, run->m_step, run->m_gangFailures, run->m_lastFailedAttempt, std::move(tasks) }));
         }
-        const std::vector<std::uint8_t> bytes = Json::to_cbor(Json::array({ recordFormat, static_cast<int>(job.m_stage), isShort ? 0 : job.m_nextOccurrence, std::move(runs) }));
+        const std::vector<std::uint8_t> bytes = Json::to_cbor(Json::array({ recordFormat, static_cast<int>(job.m_stage), isShort ? 0 : job.m_nextOccurrence, std::move(runs), detail::failureLimitOf(scheduler, job) }));
         return { bytes.begin(), bytes.end() };
     }
 
@@ -215,6 +216,8 @@
         const std::uint32_t nextOccurrence = std::min(decoded.at(2).get<std::uint32_t>(), std::max(job.m_plan.m_occurrenceCount, 1U));
         for (std::uint32_t i = job.m_nextOccurrence; i < nextOccurrence; ++i)
             detail::openOccurrence(scheduler, job, i, now);
+        if (decoded.size() > failureLimitElement)
+            job.m_recordedFailureLimit = decoded.at(failureLimitElement);
         for (const Json& row : decoded.at(3))
             restoreRun(scheduler, job, row, now);
         const auto recordedStage = decodeEnum(decoded.at(1), JobStage::Cancelled);
