--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -69,9 +69,11 @@
     bool m_hasStarted = false; ///< A worker has confirmed the start of at least one attempt.
     bool m_isStopAcknowledged = false; ///< The worker has accepted the stop.
     std::uint16_t m_failures = 0; ///< Number of failed attempts.
-    std::uint16_t m_crashes = 0; ///< Number of workers that crashed while an attempt may have been running there.
+    std::uint16_t m_crashes = 0; ///< Number of workers that crashed while an attempt is known to have been running there, without a common cause of several crashes.
     std::uint16_t m_suspicions = 0; ///< Number of those crashes, since an attempt last passed its probation, that fell into the probation; see crash_record.h.
-    std::uint16_t m_provenSuspicions = 0; ///< Number of those in which the attempt is known to have been running.
+    std::uint16_t m_provenSuspicions = 0; ///< Number of those that are also counted in m_crashes, or proven by the record of an earlier term.
+    bool m_isCrashCounted = false; ///< A crash of the worker has been counted for the current attempt, which isn't counted again.
+    bool m_hasStartBroken = false; ///< A start call of the current attempt ended before its timeout, as its connection broke.
     bool m_isKnownToRun = false; ///< The worker has confirmed or listed the current attempt; only then a crash of the worker is known to be one under the task.
     bool m_isIsolated = false; ///< The current attempt began its probation when no other attempt on its worker was on probation, and none has been placed there since.
     bool m_hasPassedProbation = false; ///< The worker has listed the current attempt for longer than a task needs to crash it.
@@ -84,6 +86,7 @@
     std::uint64_t m_batch = 0; ///< Record batch that must be durable before the start is sent.
     TimePoint m_placedAt; ///< Time at which the current attempt was placed.
     TimePoint m_confirmedAt; ///< Time at which the worker confirmed the start, or accepted the stop.
+    TimePoint m_knownToRunAt; ///< Time of the latest answer that confirmed or listed the current attempt; zero for none in this term.
     TimePoint m_nextCallAt; ///< Earliest time of the next start or stop call.
     TimePoint m_stopRequestedAt; ///< When the current attempt was to be stopped; only in the phase Stopping.
     TimePoint m_waitingSince; ///< Time since which the task has been waiting for a worker.
@@ -178,6 +181,7 @@
 struct Job {
     JobPlan m_plan; ///< The job as its caller submitted it.
     JobStage m_stage = JobStage::Pending;
+    std::uint32_t m_recordedFailureLimit = 0; ///< Limit of failures of its queue that an earlier leader recorded; 0 for none. Used when the configuration does not name the queue any more.
     std::uint64_t m_stageBatch = 0; ///< Record batch that makes a final stage durable.
     bool m_isDirty = false; ///< The job has changes that are not in a record batch yet.
     std::string m_planRecord; ///< Encoded plan that still has to be recorded; empty when it is recorded already or stored elsewhere.
@@ -257,6 +261,24 @@
     TimePoint m_readAt; ///< Monotonic time at which the report arrived.
 };
 
+/** Time during which a worker has answered no call; the latest one. */
+struct WorkerOutage {
+    TimePoint m_answeredAt; ///< Time of the latest answer before it.
+    TimePoint m_failedAt; ///< Time at which the first call failed; zero when none has since the latest report.
+    TimePoint m_brokeAt; ///< Time at which the open sync ended before its timeout, as its connection broke; zero when it did not.
+    bool m_isOver = false; ///< A call has been answered since, perhaps by the worker's next process.
+};
+
+/** A worker that was found to have crashed. */
+struct WorkerCrash {
+    TimePoint m_at; ///< When its connections broke; zero when the time of the crash is not known.
+    TimePoint m_provenAt; ///< When the crash was proven.
+    bool m_isUnexplained = false; ///< No attempt that was on probation there can have caused it.
+    bool m_hadIsolatedSuspect = false; ///< A suspect ran there without other attempts on probation.
+    std::vector<const Job*> m_jobs; ///< Jobs of the attempts that were on probation; only compared, as the jobs may be gone.
+    TaskRef m_soleSuspect; ///< The only attempt that was on probation; only compared. Empty for none or several.
+};
+
 /** A worker as the leader knows it. */
 struct Worker {
     WorkerAnnouncement m_announcement; ///< Latest announcement of the worker.
@@ -284,9 +306,14 @@
     TimePoint m_earlierLeasesEndAt = farFuture; ///< Time by which all leases granted in earlier terms have run out.
     bool m_isSyncPending = false; ///< A sync has not been answered yet.
     TimePoint m_syncSentAt; ///< When the latest sync was sent.
+    TimePoint m_movedAt; ///< When its announcement last named another address; zero for never.
+    TimePoint m_removedAt; ///< When its announcement was last removed; zero for never.
+    TimePoint m_syncTimeoutAt; ///< When the latest sync ends if it is not answered.
     TimePoint m_reportedSyncSentAt; ///< When the sync was sent whose report was used last.
     TimePoint m_nextSyncAt; ///< Earliest time of the next sync.
     TimePoint m_answeredAt; ///< Time of the latest answer.
+    bool m_isCrashNoted = false; ///< Its crash is among the recent ones; until its next report.
+    WorkerOutage m_outage; ///< Its latest time without answers, until its next report.
     std::uint64_t m_highestSeenEnd = 0; ///< Number of the latest end that has been processed; 0 for none.
     std::uint64_t m_ackedEndNumber = 0; ///< Ends up to this number are durable and can be acknowledged.
     bool m_hasOtherProcess = false; ///< Its process may have started again since its latest report; its clock and leases are unknown until the next one.
@@ -378,6 +405,7 @@
     std::vector<StepRun*> m_waitingSteps; ///< Steps that may have tasks without an attempt.
     std::vector<TaskRef> m_startingOrStopping; ///< Tasks in the phases Starting and Stopping.
     std::vector<TaskRef> m_recording; ///< Tasks in the phase Recording.
+    std::deque<WorkerCrash> m_recentCrashes; ///< Crashes of workers that were proven lately, the earliest first; not recorded, so a new leader begins without any.
     std::vector<Job*> m_dirtyJobs; ///< Jobs with changes that are not in a record batch yet.
     std::vector<Job*> m_scheduledJobs; ///< Jobs with future occurrences.
     std::deque<std::pair<TimePoint, std::string>> m_endedJobs; ///< Ids of ended jobs, by time of their end.
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -21,10 +21,12 @@
     /** Format version of a progress record, its first element; incremented whenever the format changes. */
     constexpr int recordFormat = 1;
 
+    constexpr std::size_t failureLimitElement = 4; ///< Position of the queue's limit of failures in a progress record; earlier releases did not write it.
     constexpr std::size_t crashesElement = 6; ///< Position of the counts of crashes in a task's row; earlier releases wrote shorter rows.
     constexpr std::size_t addressElement = 8; ///< Position of the worker's address and process start, and of the isolation; without meaning for a task that is not placed.
     constexpr std::size_t isolationElement = addressElement + 2;
     constexpr std::size_t provenElement = isolationElement + 1; ///< Position of the count of proven suspicions and of whether the attempt is known to run.
+    constexpr std::size_t countedElement = provenElement + 2; ///< Position of whether a crash has been counted for the attempt.
 
     /** Short form, a single number, of a task that was never placed or that is resolved and has no current attempt. */
     enum class TaskMark : std::uint8_t {
@@ -42,7 +44,7 @@
             return static_cast<int>(TaskMark::NeverPlaced);
         const Worker* const worker = isPlaced ? &scheduler.m_workers[static_cast<std::size_t>(task.m_worker)] : nullptr;
         Json row = Json::array({ static_cast<int>(task.m_resolution), task.m_attempt, task.m_failures, task.m_hasStarted, worker ? worker->m_announcement.m_id : std::string(), task.m_checkpoint });
-        if (!worker && task.m_crashes == 0)
+        if (!worker && task.m_crashes == 0 && task.m_suspicions == 0)
             return row;
         row.push_back(task.m_crashes);
         row.push_back(task.m_suspicions);
@@ -51,6 +53,7 @@
         row.push_back(task.m_isIsolated);
         row.push_back(task.m_provenSuspicions);
         row.push_back(task.m_isKnownToRun);
+        row.push_back(task.m_isCrashCounted);
         return row;
     }
 
@@ -72,7 +75,7 @@
                 tasks.push_back(encodeTask(scheduler, task));
             runs.push_back(Json::array({ run->m_occurrence, run->m_step, run->m_gangFailures, run->m_lastFailedAttempt, std::move(tasks) }));
         }
-        const std::vector<std::uint8_t> bytes = Json::to_cbor(Json::array({ recordFormat, static_cast<int>(job.m_stage), isShort ? 0 : job.m_nextOccurrence, std::move(runs) }));
+        const std::vector<std::uint8_t> bytes = Json::to_cbor(Json::array({ recordFormat, static_cast<int>(job.m_stage), isShort ? 0 : job.m_nextOccurrence, std::move(runs), detail::failureLimitOf(scheduler, job) }));
         return { bytes.begin(), bytes.end() };
     }
 
@@ -111,6 +114,7 @@
             return;
         task.m_provenSuspicions = row.at(provenElement);
         task.m_isKnownToRun = row.at(provenElement + 1);
+        task.m_isCrashCounted = row.size() > countedElement && row.at(countedElement).get<bool>();
     }
 
     void restoreTask(Scheduler& scheduler, const TaskRef& ref, const Json& row, TimePoint now)
@@ -212,6 +216,8 @@
         const std::uint32_t nextOccurrence = std::min(decoded.at(2).get<std::uint32_t>(), std::max(job.m_plan.m_occurrenceCount, 1U));
         for (std::uint32_t i = job.m_nextOccurrence; i < nextOccurrence; ++i)
             detail::openOccurrence(scheduler, job, i, now);
+        if (decoded.size() > failureLimitElement)
+            job.m_recordedFailureLimit = decoded.at(failureLimitElement);
         for (const Json& row : decoded.at(3))
             restoreRun(scheduler, job, row, now);
         const auto recordedStage = decodeEnum(decoded.at(1), JobStage::Cancelled);
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -48,6 +48,9 @@
         task.m_isStopAcknowledged = false;
         task.m_hasPassedProbation = false;
         task.m_isKnownToRun = false;
+        task.m_knownToRunAt = {};
+        task.m_isCrashCounted = false;
+        task.m_hasStartBroken = false;
         task.m_isIsolated = false;
         task.m_missedSyncs = 0;
         task.m_tries = 0;
@@ -170,7 +173,7 @@
         task.m_confirmedAt = now;
         task.m_progressAt = now;
         task.m_hasStarted = true;
-        noteKnownToRun(scheduler, ref);
+        noteKnownToRun(scheduler, ref, now);
         Job& job = *ref.m_run->m_job;
         if (job.m_stage == JobStage::Pending) {
             job.m_stage = JobStage::Active;
@@ -314,7 +317,7 @@
             task.m_otherProcessUntil = {};
             if (task.m_phase == RunPhase::Starting)
                 confirmStart(scheduler, ref, now);
-            noteKnownToRun(scheduler, ref);
+            noteKnownToRun(scheduler, ref, now);
             noteListed(scheduler, ref, now);
             if (!running.m_checkpoint.empty())
                 task.m_checkpoint = running.m_checkpoint;
@@ -467,6 +470,10 @@
         effects.m_isFenced = true;
         return;
     }
+    if (status == OrderStatus::WrongInstance && hasMovedLately(scheduler, worker, now)) {
+        worker.m_nextSyncAt = now + oldAddressRetryDelay;
+        return;
+    }
     if (status == OrderStatus::WrongInstance) {
         loseTasksToCrash(scheduler, index, now);
         worker.m_state = WorkerState::Gone;
@@ -480,6 +487,8 @@
     }
     if (status != OrderStatus::Done) {
         countAnswer(scheduler, index, false, now);
+        if (!isLate)
+            noteFailedSync(worker, status, now);
         return;
     }
     worker.m_reportedSyncSentAt = sentAt;
@@ -495,6 +504,8 @@
         forgetEndNumbers(scheduler, index);
         worker.m_leaseUntilMs = 0;
     }
+    worker.m_outage = {};
+    worker.m_isCrashNoted = false;
     worker.m_hasOtherProcess = worker.m_hasOtherProcess && isLate;
     worker.m_isProcessConfirmed = worker.m_isProcessConfirmed || !isLate; // The process that made a late report may have ended since.
     worker.m_processStartMs = report.m_processStartMs;
@@ -547,6 +558,7 @@
         return;
     case OrderStatus::NoAnswer:
     case OrderStatus::Unreported:
+        task.m_hasStartBroken = task.m_hasStartBroken || (status == OrderStatus::NoAnswer && now < task.m_otherProcessUntil);
         task.m_mayHaveArrived = true;
         task.m_otherProcessUntil = now;
         return;
@@ -568,6 +580,8 @@
         return handleRefusedStart(scheduler, ref, "unhealthy", now);
     }
     case OrderStatus::WrongInstance:
+        if (hasMovedLately(scheduler, scheduler.m_workers[static_cast<std::size_t>(task.m_worker)], now))
+            return;
         return loseTasksToCrash(scheduler, task.m_worker, now);
     case OrderStatus::Invalid:
         logEvent(LogLevel::Error, "start-invalid", { { "task", format(name) }, { "worker", worker } });
@@ -591,7 +605,8 @@
     task.m_isCallPending = false;
     constexpr Duration retryDelay { 100 };
     task.m_nextCallAt = now + retryDelay;
-    if (status == OrderStatus::WrongInstance)
+    const bool isMove = hasMovedLately(scheduler, scheduler.m_workers[static_cast<std::size_t>(task.m_worker)], now);
+    if (status == OrderStatus::WrongInstance && !isMove)
         return loseTasksToCrash(scheduler, task.m_worker, now);
     if (status != OrderStatus::Done)
         return;
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -122,8 +122,10 @@
                 scheduler.m_lossyUntil = now + lossyPeriod;
             worker.m_unansweredCalls = 0;
             worker.m_answeredAt = now;
+            worker.m_outage.m_isOver = true;
             return;
         }
+        noteFailedCall(worker, now);
         ++worker.m_unansweredCalls;
         worker.m_isProcessConfirmed = false;
         if (!worker.m_isSyncPending)
@@ -325,7 +327,9 @@
             worker.m_isSyncPending = true;
             worker.m_syncSentAt = now;
             ++scheduler.m_counters.m_syncs;
-            effects.m_syncs.push_back({ targetOf(scheduler, worker), order, order.m_wait + (isLossy ? lossyTimeout(scheduler, lossySyncTimeoutMargin, syncTimeoutMargin) : syncTimeoutMargin) });
+            const Duration timeout = order.m_wait + (isLossy ? lossyTimeout(scheduler, lossySyncTimeoutMargin, syncTimeoutMargin) : syncTimeoutMargin);
+            worker.m_syncTimeoutAt = now + timeout;
+            effects.m_syncs.push_back({ targetOf(scheduler, worker), order, timeout });
         }
 
         /** @return Time at which the next sync of a worker is due; idle workers are polled rarely, just to track their clocks and detect failures. */
@@ -429,6 +433,8 @@
     if (hasRestarted && announcement.m_processStartMs != worker.m_announcement.m_processStartMs)
         detail::requestReport(worker, now);
     const bool hasMoved = worker.m_announcement.m_address != announcement.m_address;
+    if (hasMoved && worker.m_announcement.m_address.m_port != 0)
+        worker.m_movedAt = now;
     if (isNew || hasRestarted || hasMoved || !worker.m_isAnnounced) {
         worker.m_nextSyncAt = now;
         worker.m_isProcessConfirmed = false;
@@ -450,7 +456,7 @@
     scheduler.m_needsPlacing = true;
 }
 
-void removeWorker(Scheduler& scheduler, const std::string& id, TimePoint)
+void removeWorker(Scheduler& scheduler, const std::string& id, TimePoint now)
 {
     const auto found = scheduler.m_workerById.find(id);
     if (found == scheduler.m_workerById.end())
@@ -458,6 +464,8 @@
     Worker& worker = scheduler.m_workers[static_cast<std::size_t>(found->second)];
     if (worker.m_isAnnounced)
         logEvent(LogLevel::Info, "worker-announcement-removed", { { "worker", id }, { "tasks", worker.m_tasks.size() } });
+    if (worker.m_isAnnounced)
+        worker.m_removedAt = now;
     worker.m_isAnnounced = false;
 }
 
