Tests: connections to workers and their faults

Change: a daemon keeps connections to each worker in two pools (ConnectionFaults; a setting each, one pool if the one for syncs is 0), a worker accepts a limited number, a loss of power leaves them open at the worker for good, a kill or the end of a leadership closes them. Faults: losses of power of leaders and of any daemon in series, workers that answer syncs only, that reset some or all new connections, connections that go silent for good. A connection that goes silent stays open at the worker. New check, also during the load: a job that could run has nothing running for 9 s (the longest lease of an unanswered start and the platform's 3 s) while neither a daemon nor the store is disrupted; and the existing one from finish_s on. Rooms of workers that can't take orders don't count.

--- a/tests/cell_simulation.cpp
+++ b/tests/cell_simulation.cpp
@@ -96,6 +96,8 @@
     if (!node.m_cell)
         return;
     m_result.m_terms += node.m_cell->m_counters.m_terms;
+    dropConnections(node, false, true);
+    std::erase_if(m_waitingCalls, [&](const auto& entry) { return std::get<0>(entry.first) == &node; });
     *node.m_isAlive = false;
     node.m_cell.reset();
     node.m_deferredDeliveries.clear();
@@ -110,6 +112,7 @@
     for (FakeLeaseWorker& worker : m_workers)
         worker.tick(m_now);
     tickGangs();
+    closeConnectionsOfFormerLeaders();
     for (SimulatedNode& node : m_nodes) {
         if (!node.m_cell) {
             if (m_now >= node.m_downUntil)
@@ -146,6 +149,7 @@
     scheduleStoreOutage();
     scheduleTakeOver();
     scheduleSilence();
+    scheduleConnectionFaults();
     for (int i = 0; i < m_options.m_faults; ++i)
         schedule(loadStart - m_now + randomBetween(0, m_options.m_loadDuration.m_ms), [this] { injectFault(); });
     for (int i = 0; i < m_options.m_capacityChanges; ++i)
@@ -167,8 +171,7 @@
             for (std::size_t i = 0; i < m_jobs.size(); ++i)
                 queryJob(i);
         }
-        if (m_options.m_finishTime.m_ms > 0)
-            checkStandstill();
+        checkStandstill();
         checkPartitions();
         checkSilence();
         observeLeaders();
--- a/tests/cell_simulation.h
+++ b/tests/cell_simulation.h
@@ -127,6 +127,24 @@
     LeaderEnd m_end = LeaderEnd::Killed; ///< How it ends.
 };
 
+/** Connections of the daemons to the workers, and faults of them. Times count from the start of the load. */
+struct ConnectionFaults {
+    int m_workerCap = 0; ///< Connections that a worker accepts from all daemons together; further ones are reset at once. 0 for calls that need no connection.
+    int m_orderPool = 6; ///< Connections of a daemon to a worker for all calls but syncs, as in WorkerClient.
+    int m_syncPool = 2; ///< The same for syncs; 0 if they use the other pool.
+    int m_powerLossCount = 0; ///< Number of daemons that lose power, one after another; their connections stay open at the workers.
+    bool m_hitsLeader = true; ///< Whether the leader loses power; otherwise a random daemon does.
+    bool m_isKill = false; ///< Whether the process is killed instead, which closes its connections.
+    Duration m_start { 4'000 }; ///< Time of the first fault.
+    Duration m_interval { 3'000 }; ///< Time between two faults.
+    Duration m_downTime { 1'500 }; ///< When a daemon that lost power starts again.
+    double m_sickShare = 0; ///< From the first fault on, this share of the workers, 0 to 1, is sick; the seed decides which.
+    bool m_doSickTakeOrders = false; ///< Whether a sick worker answers other calls than syncs.
+    double m_closedShare = 0; ///< Share of the new connections, 0 to 1, that a sick worker resets.
+    int m_silenceCount = 0; ///< Number of times at which open connections go silent for good.
+    double m_silentShare = 0; ///< Share of them, 0 to 1.
+};
+
 /** Size, load and faults of a simulation. */
 struct CellSimulationOptions {
     std::uint64_t m_seed = 1; ///< Seed of all random choices.
@@ -151,6 +169,8 @@
     StoreOutage m_storeOutage; ///< An outage of the store for all daemons.
     SilentPartitions m_silentPartitions; ///< Partitions of the store that don't answer.
     TakeOver m_takeOver; ///< Measurement of the time that a new leader takes.
+    ConnectionFaults m_connectionFaults; ///< Connections to workers.
+    Duration m_startTime; ///< A job that could run has a running task again after this time, whenever no daemon and not the store is disrupted; 0 leaves that unchecked.
     double m_longRunShare = 0; ///< Share of the attempts, 0 to 1, with the run time below; gangs excepted.
     Duration m_longRunTime { 18'000 }; ///< Run time of these attempts.
     Duration m_finishTime { 0 }; ///< This long after the load no job may stand still although it could run; 0 leaves that unchecked.
@@ -183,6 +203,8 @@
     int m_silentAccepted = 0; ///< Those of them that were accepted.
     int m_silentEnds = 0; ///< Tasks that ended as done while partitions were silent and the cell had settled.
     std::int64_t m_longestSilentGapMs = 0; ///< Longest time without such an end.
+    int m_resetConnections = 0; ///< New connections that workers reset because they had accepted as many as they may.
+    int m_mostHalfOpen = 0; ///< Most connections of daemons without power that were open at a worker at once.
     std::optional<std::int64_t> m_newLeaderMs; ///< Time from the end of the leader until another term leads, in ms.
     std::vector<std::int64_t> m_reachedRestartMs; ///< Time from the end of the leader until tasks of a worker that restarted at that time ran again, in ms; the new leader reaches it.
     std::vector<std::int64_t> m_unreachedRestartMs; ///< The same for tasks of workers that nobody reaches from that time on.
--- a/tests/cell_simulation_base.h
+++ b/tests/cell_simulation_base.h
@@ -42,11 +42,33 @@
     std::int64_t m_heldOrdersUntil = 0; ///< Until then orders leave the daemon seconds after they were issued.
     std::int64_t m_storeUnreachableUntil = 0; ///< Until then the network between daemon and store is down.
     std::int64_t m_cutUntil = 0; ///< Until then the daemon is on the cut side of a ZoneCut.
+    bool m_wasLeading = false; ///< Whether it led at the last tick.
     std::int64_t m_storeCutUntil = 0; ///< Until then a ZoneCut leaves its calls to the store unanswered.
     std::uint64_t m_startCount = 0; ///< Processes started so far; makes instance numbers unique.
     std::deque<std::function<void()>> m_deferredDeliveries; ///< Messages and answers that arrived during a suspension; delivered at its end.
 };
 
+/** A connection of a daemon to a worker. */
+struct WorkerConnection {
+    SimulatedNode* m_owner = nullptr; ///< Null if only the worker still has it open.
+    bool m_isForSyncs = false; ///< Pool of the daemon that it belongs to.
+    bool m_isBusy = true; ///< Whether it carries a call or is being opened.
+    bool m_isAtWorker = false; ///< Whether the worker's present process has it open.
+    bool m_isSilent = false; ///< Whether nothing passes any more.
+};
+
+/** An order or a sync on its way to a worker. */
+struct WorkerCall {
+    SimulatedNode* m_node = nullptr; ///< The daemon that sends it.
+    std::shared_ptr<bool> m_alive; ///< See SimulatedNode::m_isAlive.
+    FakeLeaseWorker* m_worker = nullptr; ///< Its target.
+    std::int64_t m_timeoutAt = 0; ///< When the daemon gives it up, in simulated ms.
+    bool m_isSync = false; ///< Whether it is a sync.
+    std::int64_t m_wait = 0; ///< How long the worker holds a sync back, in ms.
+    std::function<OrderStatus(FakeLeaseWorker&)> m_perform; ///< Carries it out.
+    std::function<void(OrderStatus)> m_onAnswer; ///< Called in the daemon's process.
+};
+
 /** A job as its client sees it. Times are simulated milliseconds. */
 struct ClientJob {
     std::string m_id;
@@ -56,6 +78,7 @@
     std::int64_t m_firstSentAt = 0; ///< When a submission was first sent; 0 before.
     std::int64_t m_completeAt = 0; ///< When a daemon first reported the job as complete; 0 before.
     std::int64_t m_stillSince = 0; ///< Since when it stands still although it could run; 0 if it doesn't.
+    std::int64_t m_calmStillSince = 0; ///< The same while neither a daemon nor the store was disrupted.
     bool m_isStillReported = false; ///< A violation was reported for that.
     int m_tries = 0; ///< Submissions tried, at most CellSimulationOptions::m_maxTries.
     bool m_isAccepted = false; ///< A submission was acknowledged.
@@ -90,6 +113,38 @@
     /** Ends a daemon's process, if there is one; tick() starts the next one after downFor simulated ms. */
     void stopNode(SimulatedNode& node, std::int64_t downFor);
     cell::CellPorts makePorts(SimulatedNode& node);
+    /** Sends a call to a worker, over a connection if the options say so. */
+    void callWorker(const WorkerCall& call);
+    /** Delivers a call after its wait. */
+    void deliverAfterWait(const WorkerCall& call);
+    /** Delivers a call that has left the daemon, subject to the faults in force. */
+    void deliverOrder(const WorkerCall& call);
+    /** Takes an idle connection, opens a new one or waits for one. */
+    void callOverConnection(const WorkerCall& call);
+    void openConnection(const WorkerCall& call);
+    void runOnConnection(const std::shared_ptr<WorkerConnection>& connection, const WorkerCall& call);
+    /** Ends a call after a delay in simulated ms, and closes its connection. */
+    void failOnConnection(const std::shared_ptr<WorkerConnection>& connection, const WorkerCall& call, OrderStatus status, std::int64_t delay);
+    /** Ends the use of a connection by a call; the next call that waits for one takes its place. */
+    void releaseConnection(const std::shared_ptr<WorkerConnection>& connection, const WorkerCall& call, bool isKept);
+    bool usesSyncPool(const WorkerCall& call) const { return call.m_isSync && m_options.m_connectionFaults.m_syncPool > 0; }
+    /** @return Whether a worker can't accept a further connection. */
+    bool isFull(const FakeLeaseWorker& worker) const;
+    /** @return Whether a worker that is up and can be reached carries out orders. */
+    bool canTakeOrders(const FakeLeaseWorker& worker) const { return worker.m_takesOrders && worker.m_closedShare == 0 && !isFull(worker); }
+    /** Closes the connections of a daemon, or leaves them open at the workers for good. @param isIdleOnly Whether busy ones stay. */
+    void dropConnections(const SimulatedNode& node, bool isIdleOnly, bool isClosed);
+    /** Ends the connections of a worker whose process has ended. @param isDark Whether the daemons can't know. */
+    void dropConnectionsOf(const FakeLeaseWorker& worker, bool isDark);
+    /** Ends a daemon's process without closing its connections; tick() starts the next one after downFor simulated ms. */
+    void losePower(SimulatedNode& node, std::int64_t downFor);
+    /** Schedules the faults of connections in the options. */
+    void scheduleConnectionFaults();
+    /** Ends a daemon as the options say; waits for a leader if it is to hit the leader and there is none. */
+    void endDaemon();
+    void makeWorkersSick();
+    void silenceConnections();
+    void closeConnectionsOfFormerLeaders();
     std::int64_t randomRunTime(const TaskName& task);
     /** Calls the approval service on behalf of a daemon. */
     void requestApprovals(SimulatedNode& node, const TaskName& step, const std::vector<std::string>& workers, Duration timeout, const std::function<void(std::optional<std::vector<Approval>>)>& onAnswer);
@@ -208,6 +263,10 @@
     std::optional<std::pair<std::uint32_t, std::uint32_t>> openStepOf(const ClientJob& job) const;
     /** Reports jobs that stand still although they could run (LOST). */
     void checkStandstill();
+    /** @return Whether it is owed and could run: a step has its turn, and there is room for it twice over. */
+    bool couldRun(const ClientJob& job) const;
+    /** @return Whether less than half of the capacity is in use. */
+    bool isHalfFree() const;
     /** Checks the work that waits in the partitions of a sound store (QUEUE). */
     void checkPartitions();
     /** Prints the attempts of the last second by partition. */
@@ -259,6 +318,8 @@
     std::set<TaskName> m_reachedTasks; ///< Tasks that ran then on workers that restarted.
     std::set<TaskName> m_unreachedTasks; ///< Tasks that ran then on workers that nobody reaches.
     bool m_isLateOrder = false; ///< The order that a worker is carrying out was held up for seconds.
+    std::map<std::string, std::vector<std::shared_ptr<WorkerConnection>>> m_connections; ///< Connections of each worker by its id.
+    std::map<std::tuple<const SimulatedNode*, const FakeLeaseWorker*, bool>, std::deque<WorkerCall>> m_waitingCalls; ///< Calls that wait for a connection, by daemon, worker and whether the pool is that of the syncs.
     std::deque<SimulatedNode> m_nodes;
     std::deque<FakeLeaseWorker> m_workers;
     std::vector<ClientJob> m_jobs;
--- a/tests/cell_simulation_checks.cpp
+++ b/tests/cell_simulation_checks.cpp
@@ -73,7 +73,7 @@
     const Resources& size = job.m_plan.m_steps.at(step).m_size;
     std::int64_t room = 0;
     for (const FakeLeaseWorker& worker : m_workers) {
-        const bool isUsable = !worker.m_isDown && !worker.m_isUnreachable;
+        const bool isUsable = !worker.m_isDown && !worker.m_isUnreachable && canTakeOrders(worker);
         if (!isUsable || !FakeApprovals::isApproved({ .m_job = job.m_id, .m_occurrence = 0, .m_step = step, .m_index = 0 }, worker.m_id, job.m_queue->m_approvedShare))
             continue;
         Resources free = simulatedCapacity(m_options.m_needsApprovals);
@@ -99,11 +99,8 @@
     return std::nullopt;
 }
 
-void CellSimulation::checkStandstill()
+bool CellSimulation::isHalfFree() const
 {
-    constexpr std::int64_t standstill = 3'000;
-    if (m_now < m_loadEnd)
-        return;
     Resources used;
     Resources capacity;
     for (const FakeLeaseWorker& worker : m_workers) {
@@ -112,22 +109,46 @@
         used = used + usedBy(worker);
         capacity = capacity + simulatedCapacity(m_options.m_needsApprovals);
     }
-    const bool isHalfFree = used.m_cpuMilli * 2 < capacity.m_cpuMilli && used.m_gpus * 2 <= capacity.m_gpus;
+    return used.m_cpuMilli * 2 < capacity.m_cpuMilli && used.m_gpus * 2 <= capacity.m_gpus;
+}
+
+bool CellSimulation::couldRun(const ClientJob& job) const
+{
+    if (!job.m_isAccepted || job.m_isCancelRequested || job.m_isGivenUp || job.m_isComplete)
+        return false;
+    const auto open = openStepOf(job);
+    const std::int64_t needed = open && job.m_queue->m_isGang ? open->second : 1;
+    return open && countRoom(job, open->first, true) >= 2 * needed;
+}
+
+void CellSimulation::checkStandstill()
+{
+    constexpr std::int64_t standstill = 3'000;
+    const std::int64_t finishMs = m_options.m_finishTime.m_ms;
+    const std::int64_t startMs = m_options.m_startTime.m_ms;
+    const bool isFinishing = finishMs > 0 && m_now >= m_loadEnd;
+    const bool isCalm = startMs > 0 && m_now >= m_disruptedUntil + contactTime.m_ms;
+    if (!isFinishing && startMs == 0)
+        return;
     std::set<std::string> running;
     for (const auto& [task, worker] : m_workerByRunningTask)
         running.insert(task.m_job);
+    const bool isRoomy = isHalfFree();
+    const auto follow = [this](std::int64_t& since, bool isStill) {
+        if (!isStill)
+            since = 0;
+        else if (since == 0)
+            since = m_now;
+        return isStill ? m_now - since : 0;
+    };
     for (ClientJob& job : m_jobs) {
-        const bool isOwed = job.m_isAccepted && !job.m_isCancelRequested && !job.m_isGivenUp && !job.m_isComplete && !running.contains(job.m_id);
-        const auto open = isOwed && isHalfFree ? openStepOf(job) : std::nullopt;
-        const std::int64_t needed = open && job.m_queue->m_isGang ? open->second : 1;
-        if (!open || countRoom(job, open->first, true) < 2 * needed) {
-            job.m_stillSince = 0;
-            continue;
-        }
-        if (job.m_stillSince == 0)
-            job.m_stillSince = m_now;
-        if (m_now - job.m_stillSince >= standstill && m_now >= m_loadEnd + m_options.m_finishTime.m_ms && !std::exchange(job.m_isStillReported, true))
-            reportViolation("LOST: job " + job.m_id + " of queue " + job.m_queue->m_name + " could run and has stood still since " + std::to_string(job.m_stillSince) + " ms, submitted at " + std::to_string(job.m_firstSentAt) + " ms");
+        const bool isStill = isRoomy && !running.contains(job.m_id) && couldRun(job);
+        const std::int64_t finishing = follow(job.m_stillSince, isStill && isFinishing);
+        const std::int64_t calm = follow(job.m_calmStillSince, isStill && isCalm);
+        const bool isLate = finishing >= standstill && m_now >= m_loadEnd + finishMs;
+        const bool isStartLate = startMs > 0 && calm >= startMs;
+        if ((isLate || isStartLate) && !std::exchange(job.m_isStillReported, true))
+            reportViolation("LOST: job " + job.m_id + " of queue " + job.m_queue->m_name + " could run and has stood still since " + std::to_string(isLate ? job.m_stillSince : job.m_calmStillSince) + " ms, submitted at " + std::to_string(job.m_firstSentAt) + " ms");
     }
 }
 
--- a/tests/cell_simulation_faults.cpp
+++ b/tests/cell_simulation_faults.cpp
@@ -35,6 +35,7 @@
     for (const auto& [task, run] : worker.m_running)
         m_agesAtCrash[task].push_back(worker.clockAt(m_now) - run.m_startedAtMs);
     worker.crash();
+    dropConnectionsOf(worker, worker.m_isDark);
 }
 
 void CellSimulation::scheduleOutages()
@@ -47,7 +48,7 @@
     if (loss.m_at.m_ms > 0) {
         schedule(untilLoss, [this, &loss] {
             for (SimulatedNode& node : m_nodes)
-                stopNode(node, loss.m_downTime.m_ms);
+                losePower(node, loss.m_downTime.m_ms);
             m_disruptedUntil = std::max(m_disruptedUntil, m_now + loss.m_downTime.m_ms);
         });
     }
--- a/tests/cell_simulation_network.cpp
+++ b/tests/cell_simulation_network.cpp
@@ -140,65 +140,35 @@
                 onReply(std::nullopt);
         });
     };
-    const auto sendOrder = [this, &node](const OrderTarget& to, Duration timeout, const std::function<void(OrderStatus)>& onAnswer, const std::function<OrderStatus(FakeLeaseWorker&)>& perform, const std::shared_ptr<bool>& alive) {
-        FakeLeaseWorker* const worker = findWorker(to.m_worker);
-        if (worker->m_isDown)
-            return deliverLater(node, alive, 2, [onAnswer] { onAnswer(OrderStatus::NotSent); });
-        if (m_now < node.m_heldOrdersUntil) {
-            // The order leaves late, on a connection to whichever process of the worker then runs.
-            schedule(randomBetween(50, 6'000), [this, &node, worker, perform] {
-                if (!worker->m_isDown && !worker->m_isUnreachable && !isCutOff(node, *worker))
-                    perform(*worker);
-            });
-            return deliverLater(node, alive, timeout.m_ms, [onAnswer] { onAnswer(OrderStatus::NoAnswer); });
-        }
-        const bool isLate = randomBool(m_options.m_lateOrderShare);
-        if (worker->m_isUnreachable || isCutOff(node, *worker) || isLate) {
-            if (isLate) {
-                // An order in flight is lost with the connection when the worker's process ends.
-                schedule(randomBetween(2'000, 12'000), [this, &node, worker, perform, processStartMs = worker->m_processStartMs] {
-                    m_isLateOrder = true;
-                    if (!worker->m_isDown && !worker->m_isUnreachable && !isCutOff(node, *worker) && worker->m_processStartMs == processStartMs)
-                        perform(*worker);
-                    m_isLateOrder = false;
-                });
-            }
-            return deliverLater(node, alive, timeout.m_ms, [onAnswer] { onAnswer(OrderStatus::NoAnswer); });
-        }
-        schedule(1, [this, &node, worker, perform, onAnswer, alive] {
-            const OrderStatus status = worker->m_isDown ? OrderStatus::NotSent : perform(*worker);
-            deliverLater(node, alive, 1, [onAnswer, status] { onAnswer(status); });
-        });
+    const auto makeCall = [this, &node](const OrderTarget& to, Duration timeout, std::function<OrderStatus(FakeLeaseWorker&)> perform, std::function<void(OrderStatus)> onAnswer) {
+        return WorkerCall { .m_node = &node, .m_alive = node.m_isAlive, .m_worker = findWorker(to.m_worker), .m_timeoutAt = m_now + timeout.m_ms, .m_perform = std::move(perform), .m_onAnswer = std::move(onAnswer) };
     };
-    ports.m_start = [this, &node, sendOrder](const AddressedOrder<StartOrder>& start, Duration timeout, const std::function<void(const StartAnswer&)>& onAnswer) {
+    ports.m_start = [this, makeCall](const AddressedOrder<StartOrder>& start, Duration timeout, const std::function<void(const StartAnswer&)>& onAnswer) {
         auto clock = std::make_shared<std::int64_t>(0);
         const auto perform = [this, start, clock](FakeLeaseWorker& worker) {
             *clock = worker.clockAt(m_now);
             return worker.start(start.m_order, start.m_to.m_token, randomRunTime(start.m_order.m_task), m_now);
         };
-        sendOrder(
-            start.m_to, timeout, [onAnswer, clock](OrderStatus status) { onAnswer({ .m_status = status, .m_clockMs = *clock }); }, perform, node.m_isAlive);
+        callWorker(makeCall(start.m_to, timeout, perform, [onAnswer, clock](OrderStatus status) { onAnswer({ .m_status = status, .m_clockMs = *clock }); }));
     };
-    ports.m_stop = [&node, sendOrder](const AddressedOrder<StopOrder>& stop, Duration timeout, const std::function<void(OrderStatus)>& onAnswer) {
-        sendOrder(
-            stop.m_to, timeout, onAnswer, [stop](FakeLeaseWorker& worker) { return worker.stop(stop.m_order, stop.m_to.m_token); }, node.m_isAlive);
+    ports.m_stop = [this, makeCall](const AddressedOrder<StopOrder>& stop, Duration timeout, const std::function<void(OrderStatus)>& onAnswer) {
+        callWorker(makeCall(
+            stop.m_to, timeout, [stop](FakeLeaseWorker& worker) { return worker.stop(stop.m_order, stop.m_to.m_token); }, onAnswer));
     };
     ports.m_pace = [](const AddressedOrder<PaceOrder>&, Duration, const std::function<void(OrderStatus)>&) {};
-    ports.m_sync = [this, &node, sendOrder](const AddressedOrder<SyncOrder>& sync, Duration timeout, const std::function<void(OrderStatus, const SyncReport&)>& onAnswer) {
+    ports.m_sync = [this, makeCall](const AddressedOrder<SyncOrder>& sync, Duration timeout, const std::function<void(OrderStatus, const SyncReport&)>& onAnswer) {
         auto report = std::make_shared<SyncReport>();
         const auto perform = [this, sync, report](FakeLeaseWorker& worker) {
             const auto result = worker.sync(sync.m_order, sync.m_to.m_token, m_now);
             *report = result.value_or(SyncReport {});
             return result ? OrderStatus::Done : OrderStatus::Fenced;
         };
+        WorkerCall call = makeCall(sync.m_to, timeout, perform, [onAnswer, report](OrderStatus status) { onAnswer(status, *report); });
+        call.m_isSync = true;
         // Instead of holding its answer back until an attempt ends, the worker gets the order after a tenth of the maximum wait,
         // or after a random part of it, so that answers arrive at any time of a long round.
-        const std::int64_t wait = (m_options.m_extraFaults & BusyFault) ? randomBetween(0, sync.m_order.m_wait.m_ms) : sync.m_order.m_wait.m_ms / 10;
-        schedule(wait, [sendOrder, sync, timeout, onAnswer, report, perform, alive = node.m_isAlive] {
-            if (*alive)
-                sendOrder(
-                    sync.m_to, timeout, [onAnswer, report](OrderStatus status) { onAnswer(status, *report); }, perform, alive);
-        });
+        call.m_wait = (m_options.m_extraFaults & BusyFault) ? randomBetween(0, sync.m_order.m_wait.m_ms) : sync.m_order.m_wait.m_ms / 10;
+        callWorker(call);
     };
     ports.m_requestApprovals = [this, &node](const TaskName& step, const std::vector<std::string>& workers, Duration timeout, const std::function<void(std::optional<std::vector<Approval>>)>& onAnswer) { requestApprovals(node, step, workers, timeout, onAnswer); };
     return ports;
--- a/tests/fakes/fake_lease_worker.h
+++ b/tests/fakes/fake_lease_worker.h
@@ -36,6 +36,9 @@
     std::uint64_t m_lastEndBeforeExpiry = 0; ///< Number of the latest end before the last tick with an expired lease; ends up to it count as not acknowledged, so m_onAck is not called for them.
     bool m_isUnreachable = false; ///< Network partition: attempts keep running, but orders are not delivered.
     bool m_isDown = false; ///< The process is not running.
+    bool m_isDark = false; ///< While the process is down, calls get neither an answer nor a reset.
+    bool m_takesOrders = true; ///< Whether it answers other calls than syncs; otherwise their connections are reset, and they are not carried out.
+    double m_closedShare = 0; ///< Share of the new connections, 0 to 1, that it resets.
     std::function<bool(const FakeLeaseWorker&, const StartOrder&)> m_isTicketValid; ///< Whether the ticket of a start is valid; unset if none is needed.
     std::function<void(const FakeLeaseWorker&, const TaskName&, std::uint32_t)> m_onStart; ///< Called before an attempt starts.
     std::function<void(const FakeLeaseWorker&, const TaskName&, std::uint32_t, AttemptEnd)> m_onEnd; ///< Called after an attempt has ended.
