Tests: crashes of workers in series

In the simulations few workers crashed at once, always visibly, and each new process kept its id.

Change: a share of the workers crashes again and again (WorkerCrashSeries): visibly or in the dark (calls get neither an answer nor a reset), behind a cut, and with a new id at the same address (answered as another worker) or under the old one. No simulated task crashes its workers, so a job that is shown as failed there is LOST; two crashes soon after a start, which the rack waves of the other tests allow, don't excuse it here. Further: no task runs twice, and all complete once workers stay up.

--- a/tests/cell_simulation.cpp
+++ b/tests/cell_simulation.cpp
@@ -62,7 +62,7 @@
 
 FakeLeaseWorker* CellSimulation::findWorker(const std::string& id)
 {
-    const auto found = std::find_if(m_workers.begin(), m_workers.end(), [&](const FakeLeaseWorker& worker) { return worker.m_id == id; });
+    const auto found = std::find_if(m_workers.begin(), m_workers.end(), [&](const FakeLeaseWorker& worker) { return FakeLeaseWorker::machineOf(worker.m_id) == FakeLeaseWorker::machineOf(id); });
     return found == m_workers.end() ? nullptr : &*found;
 }
 
@@ -150,6 +150,7 @@
     scheduleTakeOver();
     scheduleSilence();
     scheduleConnectionFaults();
+    scheduleCrashSeries();
     for (int i = 0; i < m_options.m_faults; ++i)
         schedule(loadStart - m_now + randomBetween(0, m_options.m_loadDuration.m_ms), [this] { injectFault(); });
     for (int i = 0; i < m_options.m_capacityChanges; ++i)
--- a/tests/cell_simulation.h
+++ b/tests/cell_simulation.h
@@ -145,6 +145,18 @@
     double m_silentShare = 0; ///< Share of them, 0 to 1.
 };
 
+/** Crashes of a share of the workers, again and again; no task is their cause. Times count from the start of the load. */
+struct WorkerCrashSeries {
+    int m_count = 0; ///< Number of times.
+    double m_share = 0.3; ///< Share of the workers that crash each time, 0 to 1; the seed decides which.
+    Duration m_start { 4'000 }; ///< Time of the first crashes.
+    Duration m_interval { 1'000 }; ///< Time between two.
+    Duration m_downTime { 300 }; ///< When the workers start again.
+    double m_darkShare = 0; ///< Share of those that crash, 0 to 1, that leave calls unanswered while they are down.
+    Duration m_cutLength; ///< The workers are cut off for this long, and crash and start again meanwhile; 0 for no cut.
+    bool m_isRenamed = true; ///< Whether a new process has another id at the same address; the announcement of the old one stays for some seconds.
+};
+
 /** Size, load and faults of a simulation. */
 struct CellSimulationOptions {
     std::uint64_t m_seed = 1; ///< Seed of all random choices.
@@ -170,6 +182,7 @@
     SilentPartitions m_silentPartitions; ///< Partitions of the store that don't answer.
     TakeOver m_takeOver; ///< Measurement of the time that a new leader takes.
     ConnectionFaults m_connectionFaults; ///< Connections to workers.
+    WorkerCrashSeries m_crashSeries; ///< Crashes of workers in series. No job may be given up for them.
     Duration m_startTime; ///< A job that could run has a running task again after this time, whenever no daemon and not the store is disrupted; 0 leaves that unchecked.
     double m_longRunShare = 0; ///< Share of the attempts, 0 to 1, with the run time below; gangs excepted.
     Duration m_longRunTime { 18'000 }; ///< Run time of these attempts.
@@ -205,6 +218,8 @@
     std::int64_t m_longestSilentGapMs = 0; ///< Longest time without such an end.
     int m_resetConnections = 0; ///< New connections that workers reset because they had accepted as many as they may.
     int m_mostHalfOpen = 0; ///< Most connections of daemons without power that were open at a worker at once.
+    int m_crashes = 0; ///< Crashes of workers in a series.
+    int m_crashedAttempts = 0; ///< Attempts that ran on workers that crashed.
     std::optional<std::int64_t> m_newLeaderMs; ///< Time from the end of the leader until another term leads, in ms.
     std::vector<std::int64_t> m_reachedRestartMs; ///< Time from the end of the leader until tasks of a worker that restarted at that time ran again, in ms; the new leader reaches it.
     std::vector<std::int64_t> m_unreachedRestartMs; ///< The same for tasks of workers that nobody reaches from that time on.
--- a/tests/cell_simulation_base.h
+++ b/tests/cell_simulation_base.h
@@ -195,6 +195,14 @@
     void scheduleOutages();
     /** Ends a worker's process; its ends that are not acknowledged are lost. */
     void crashWorker(FakeLeaseWorker& worker);
+    /** Schedules the series of crashes in the options. */
+    void scheduleCrashSeries();
+    /** Crashes a share of the workers, or cuts them off first. */
+    void crashShare();
+    /** Crashes a worker that starts again after downTime. */
+    void crashInSeries(FakeLeaseWorker& worker);
+    /** Starts a new process of a worker, which is announced, after a delay in simulated ms, under its old or another id. */
+    void restartInSeries(FakeLeaseWorker& worker, std::int64_t announceDelay);
     /** Begins, breaks or gives up the gangs on the workers; the members work only while all of them run. */
     void tickGangs();
     void killLeaders(int times);
@@ -318,7 +326,7 @@
     std::set<TaskName> m_reachedTasks; ///< Tasks that ran then on workers that restarted.
     std::set<TaskName> m_unreachedTasks; ///< Tasks that ran then on workers that nobody reaches.
     bool m_isLateOrder = false; ///< The order that a worker is carrying out was held up for seconds.
-    std::map<std::string, std::vector<std::shared_ptr<WorkerConnection>>> m_connections; ///< Connections of each worker by its id.
+    std::map<std::string, std::vector<std::shared_ptr<WorkerConnection>>> m_connections; ///< Connections of each worker by the part of its id that stays the same.
     std::map<std::tuple<const SimulatedNode*, const FakeLeaseWorker*, bool>, std::deque<WorkerCall>> m_waitingCalls; ///< Calls that wait for a connection, by daemon, worker and whether the pool is that of the syncs.
     std::deque<SimulatedNode> m_nodes;
     std::deque<FakeLeaseWorker> m_workers;
--- a/tests/cell_simulation_connections.cpp
+++ b/tests/cell_simulation_connections.cpp
@@ -70,7 +70,7 @@
 
 bool CellSimulation::isFull(const FakeLeaseWorker& worker) const
 {
-    const auto found = m_connections.find(worker.m_id);
+    const auto found = m_connections.find(FakeLeaseWorker::machineOf(worker.m_id));
     const int cap = m_options.m_connectionFaults.m_workerCap;
     return cap > 0 && found != m_connections.end() && std::count_if(found->second.begin(), found->second.end(), [](const auto& connection) { return connection->m_isAtWorker; }) >= cap;
 }
@@ -80,7 +80,7 @@
     const ConnectionFaults& faults = m_options.m_connectionFaults;
     const bool isForSyncs = usesSyncPool(call);
     int openCount = 0;
-    for (const auto& connection : m_connections[call.m_worker->m_id]) {
+    for (const auto& connection : m_connections[FakeLeaseWorker::machineOf(call.m_worker->m_id)]) {
         if (connection->m_owner != call.m_node || connection->m_isForSyncs != isForSyncs)
             continue;
         if (!connection->m_isBusy)
@@ -97,7 +97,7 @@
     const FakeLeaseWorker& worker = *call.m_worker;
     const auto connection = std::make_shared<WorkerConnection>(WorkerConnection { .m_owner = call.m_node, .m_isForSyncs = usesSyncPool(call) });
     const bool isWorkerFull = isFull(worker);
-    m_connections[worker.m_id].push_back(connection);
+    m_connections[FakeLeaseWorker::machineOf(worker.m_id)].push_back(connection);
     const bool isDark = worker.m_isDown && worker.m_isDark;
     if (isDark || worker.m_isUnreachable || isCutOff(*call.m_node, worker))
         return failOnConnection(connection, call, OrderStatus::NotSent, std::min(connectTimeout, call.m_timeoutAt - m_now));
@@ -151,7 +151,7 @@
     if (!isKept && connection->m_isSilent && connection->m_isAtWorker)
         connection->m_owner = nullptr;
     else if (!isKept)
-        std::erase(m_connections[call.m_worker->m_id], connection);
+        std::erase(m_connections[FakeLeaseWorker::machineOf(call.m_worker->m_id)], connection);
     std::deque<WorkerCall>& waiting = m_waitingCalls[{ call.m_node, call.m_worker, usesSyncPool(call) }];
     while (!waiting.empty() && waiting.front().m_timeoutAt <= m_now) {
         const WorkerCall expired = waiting.front();
@@ -183,7 +183,7 @@
 
 void CellSimulation::dropConnectionsOf(const FakeLeaseWorker& worker, bool isDark)
 {
-    auto& connections = m_connections[worker.m_id];
+    auto& connections = m_connections[FakeLeaseWorker::machineOf(worker.m_id)];
     for (const auto& connection : connections)
         connection->m_isAtWorker = false;
     std::erase_if(connections, [&](const auto& connection) { return !connection->m_owner || (!isDark && !connection->m_isBusy); });
--- a/tests/cell_simulation_network.cpp
+++ b/tests/cell_simulation_network.cpp
@@ -141,7 +141,8 @@
         });
     };
     const auto makeCall = [this, &node](const OrderTarget& to, Duration timeout, std::function<OrderStatus(FakeLeaseWorker&)> perform, std::function<void(OrderStatus)> onAnswer) {
-        return WorkerCall { .m_node = &node, .m_alive = node.m_isAlive, .m_worker = findWorker(to.m_worker), .m_timeoutAt = m_now + timeout.m_ms, .m_perform = std::move(perform), .m_onAnswer = std::move(onAnswer) };
+        const auto performIfMeant = [id = to.m_worker, perform = std::move(perform)](FakeLeaseWorker& worker) { return worker.m_id == id ? perform(worker) : OrderStatus::WrongInstance; };
+        return WorkerCall { .m_node = &node, .m_alive = node.m_isAlive, .m_worker = findWorker(to.m_worker), .m_timeoutAt = m_now + timeout.m_ms, .m_perform = performIfMeant, .m_onAnswer = std::move(onAnswer) };
     };
     ports.m_start = [this, makeCall](const AddressedOrder<StartOrder>& start, Duration timeout, const std::function<void(const StartAnswer&)>& onAnswer) {
         auto clock = std::make_shared<std::int64_t>(0);
--- a/tests/cell_worlds.h
+++ b/tests/cell_worlds.h
@@ -50,6 +50,8 @@
         total.m_longestSilentGapMs = std::max(total.m_longestSilentGapMs, result.m_longestSilentGapMs);
         total.m_resetConnections += result.m_resetConnections;
         total.m_mostHalfOpen = std::max(total.m_mostHalfOpen, result.m_mostHalfOpen);
+        total.m_crashes += result.m_crashes;
+        total.m_crashedAttempts += result.m_crashedAttempts;
         total.m_lapsedAttempts += result.m_lapsedAttempts;
         broken += result.m_violations.empty() ? 0 : 1;
         for (const std::string& violation : result.m_violations)
@@ -68,6 +70,8 @@
         std::cout << ", " << total.m_silentAccepted << " of " << total.m_silentCount << " submissions accepted and " << total.m_silentEnds << " tasks ended while partitions were silent, at most " << total.m_longestSilentGapMs << " ms without an end, " << broken << " simulations broken";
     if (options.m_connectionFaults.m_workerCap > 0)
         std::cout << ", " << total.m_resetConnections << " connections reset by full workers, at most " << total.m_mostHalfOpen << " half-open ones at a worker, " << broken << " simulations broken";
+    if (options.m_crashSeries.m_count > 0)
+        std::cout << ", " << total.m_crashes << " crashes of workers under " << total.m_crashedAttempts << " attempts, " << broken << " simulations broken";
     std::cout << "\n";
 }
 
--- a/tests/fakes/fake_lease_worker.h
+++ b/tests/fakes/fake_lease_worker.h
@@ -19,7 +19,8 @@
         std::int64_t m_startedAtMs = 0; ///< Start on the worker's clock.
     };
 
-    std::string m_id; ///< Stays the same across restarts.
+    std::string m_id; ///< Stays the same across restarts, unless the new process is renamed.
+    int m_renamings = 0; ///< How often it was renamed.
     std::int64_t m_processStartMs = 1; ///< Simulated time at which the process started; the leader recognises a restart by a changed value.
     std::int64_t m_clockOriginMs = 0; ///< Simulated time at which the worker's clock was 0.
     std::int64_t m_longestLeaseMs = 6'000; ///< Upper bound of the remaining lease, in ms; longer ones are shortened to it.
@@ -157,6 +158,12 @@
         m_clockOriginMs = now;
         m_isDown = false;
     }
+
+    /** @return What stays the same when a process takes another id: the part before the dot. */
+    static std::string machineOf(const std::string& id) { return id.substr(0, id.find('.')); }
+
+    /** Gives the process another id than the one before it at the same address. */
+    void rename() { m_id = machineOf(m_id) + "." + std::to_string(++m_renamings); }
 };
 
 } // namespace bulrushloft::test
