Soak: limited connections to workers, and faults in series

Shares of the workers crash in series (--worker_crashes), visibly or in the dark. Defaults: as before.

--- a/tests/fault_proxy_test.cpp
+++ b/tests/fault_proxy_test.cpp
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <csignal>
+#include <future>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -90,6 +91,23 @@
 
     ~ProxyFixture() { m_loop.stop(); }
 
+    /** @return How a call of a new client ends, which opens a connection of its own; nothing if it is answered. */
+    std::optional<CallEnd> endOfNewConnection()
+    {
+        constexpr Duration timeout { 300 };
+        HttpClient client(m_loop, { .m_connectionsPerAddress = 1, .m_connectTimeout = { 1'000 } });
+        const HttpResult result = sendAndWait(client, { .m_address = m_listen, .m_request = { .m_method = "GET", .m_target = "/", .m_headers = {}, .m_body = nullptr }, .m_timeout = timeout });
+        return result ? std::nullopt : std::optional(result.error().m_end);
+    }
+
+    /** Keeps the connections that this process has opened to the proxy. @return Their number. */
+    std::size_t keepOwnConnections()
+    {
+        std::promise<std::size_t> kept;
+        m_proxy.keepConnections([](const ConnectionEnds& ends) { return findConnectionOwner(ends, { getpid() }).has_value(); }, [&](std::size_t count) { kept.set_value(count); });
+        return kept.get_future().get();
+    }
+
     bool isAnswered()
     {
         constexpr Duration timeout { 300 };
@@ -141,3 +159,23 @@
     m_proxy.setCut([](const ConnectionEnds& ends) { return findConnectionOwner(ends, { 1 }) ? PathLoss { .m_areRequestsLost = true, .m_areAnswersLost = true } : PathLoss {}; });
     BOOST_TEST(isAnswered());
 }
+
+BOOST_FIXTURE_TEST_CASE(connections_over_the_limit_are_reset_while_open_ones_work, ProxyFixture)
+{
+    m_proxy.setConnectionLimit(1);
+    BOOST_TEST(isAnswered());
+    BOOST_TEST((endOfNewConnection() == CallEnd::Reset));
+    BOOST_TEST(m_proxy.countOverLimit() == 1U);
+    BOOST_TEST(isAnswered());
+}
+
+// A machine that loses power closes nothing, so that the called one counts its connections for good.
+BOOST_FIXTURE_TEST_CASE(kept_connections_count_towards_the_limit_after_their_caller_has_closed_them, ProxyFixture)
+{
+    m_proxy.setConnectionLimit(1);
+    BOOST_TEST(isAnswered());
+    BOOST_TEST(keepOwnConnections() == 1U);
+    BOOST_TEST(!isAnswered()); // The client gives the call up and closes its connection.
+    BOOST_TEST((endOfNewConnection() == CallEnd::Reset));
+    BOOST_TEST(m_requests == 1);
+}
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -4,6 +4,7 @@
 #include "core/event_loop_impl.h"
 
 #include <array>
+#include <atomic>
 #include <set>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -45,6 +46,8 @@
     PathCut m_cut; ///< Cut in force; empty if there is none.
     std::uint64_t m_cutNumber = 0; ///< Counts the changes of m_cut.
     std::set<std::shared_ptr<Pair>> m_pairs; ///< Open connections.
+    std::size_t m_limit = 0; ///< Most open connections; 0 for no limit.
+    std::atomic<std::uint64_t> m_overLimit { 0 }; ///< Connections that were reset because of it.
 };
 
 namespace {
@@ -91,6 +94,14 @@
             m_proxy->m_pairs.erase(shared_from_this());
         }
 
+        /** Leaves the connection to the target open for good if the caller is the one meant. @return Whether it is. */
+        bool keepIf(const std::function<bool(const ConnectionEnds&)>& isCaller)
+        {
+            const bool isNewlyKept = !m_isKept && isCaller(endsOf(m_caller));
+            m_isKept = m_isKept || isNewlyKept;
+            return isNewlyKept;
+        }
+
         /** @return Whether bytes were dropped by a cut. */
         bool hasLostBytes() const { return m_hasLostBytes; }
 
@@ -110,17 +121,28 @@
 
         bool isDropped(bool isAnswer)
         {
+            if (m_isKept)
+                return true;
             const PathLoss loss = lossToCut();
             if (isAnswer ? loss.m_areAnswersLost : loss.m_areRequestsLost)
                 return m_hasLostBytes = true;
             return m_proxy->m_mode == ProxyMode::Silence || (isAnswer && m_proxy->m_mode == ProxyMode::SilenceAnswers);
         }
 
+        /** Closes both connections, or only that of the caller if the other one is kept. */
+        void endCaller()
+        {
+            if (!m_isKept)
+                return reset();
+            boost::system::error_code ignored;
+            m_caller.close(ignored);
+        }
+
         void read(Tcp::socket& from, Tcp::socket& to, Buffer& buffer, bool isAnswer)
         {
             from.async_read_some(asio::buffer(buffer), [self = shared_from_this(), &from, &to, &buffer, isAnswer](const boost::system::error_code& error, std::size_t count) {
                 if (error)
-                    return self->reset();
+                    return isAnswer ? self->reset() : self->endCaller();
                 if (self->isDropped(isAnswer))
                     return self->read(from, to, buffer, isAnswer);
                 if (self->m_proxy->m_mode != ProxyMode::Delay)
@@ -134,7 +156,7 @@
         void write(Tcp::socket& from, Tcp::socket& to, Buffer& buffer, std::size_t count, bool isAnswer)
         {
             asio::async_write(to, asio::buffer(buffer.data(), count), [self = shared_from_this(), &from, &to, &buffer, isAnswer](const boost::system::error_code& error, std::size_t) {
-                if (error)
+                if (error && !(isAnswer && self->m_isKept))
                     return self->reset();
                 self->read(from, to, buffer, isAnswer);
             });
@@ -148,6 +170,7 @@
         PathLoss m_loss; ///< What the cut numbered m_cutNumber takes.
         std::uint64_t m_cutNumber = 0;
         bool m_hasLostBytes = false;
+        bool m_isKept = false; ///< Whether the caller's machine has lost power.
     };
 
 } // namespace
@@ -157,8 +180,13 @@
     m_acceptor.async_accept(m_context, [self = shared_from_this()](const boost::system::error_code& error, Tcp::socket socket) {
         if (error == asio::error::operation_aborted)
             return;
-        if (!error && self->m_mode != ProxyMode::Refuse) {
-            boost::system::error_code ignored;
+        boost::system::error_code ignored;
+        const bool isOverLimit = self->m_limit > 0 && self->m_pairs.size() >= self->m_limit;
+        if (!error && self->m_mode != ProxyMode::Refuse && isOverLimit) {
+            ++self->m_overLimit;
+            socket.set_option(asio::socket_base::linger(true, 0), ignored);
+            socket.close(ignored);
+        } else if (!error && self->m_mode != ProxyMode::Refuse) {
             socket.set_option(Tcp::no_delay(true), ignored);
             const auto pair = std::make_shared<Pair>(std::move(socket), self);
             self->m_pairs.insert(pair);
@@ -223,6 +251,26 @@
     });
 }
 
+void FaultProxy::setConnectionLimit(std::size_t limit)
+{
+    asio::post(m_impl->m_context, [impl = m_impl, limit] { impl->m_limit = limit; });
+}
+
+void FaultProxy::keepConnections(std::function<bool(const ConnectionEnds&)> isCaller, std::function<void(std::size_t)> onKept)
+{
+    asio::post(m_impl->m_context, [impl = m_impl, isCaller = std::move(isCaller), onKept = std::move(onKept)] {
+        std::size_t kept = 0;
+        for (const auto& pair : impl->m_pairs)
+            kept += pair->keepIf(isCaller) ? 1 : 0;
+        onKept(kept);
+    });
+}
+
+std::uint64_t FaultProxy::countOverLimit() const
+{
+    return m_impl->m_overLimit;
+}
+
 void FaultProxy::resetConnections()
 {
     asio::post(m_impl->m_context, [impl = m_impl] { impl->resetAll(); });
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -49,6 +49,20 @@
     /** Puts a cut in force, beside the mode; an empty function ends it, and resets the connections that have lost bytes to it. */
     void setCut(PathCut cut);
 
+    /** Sets how many connections may be open at a time; further ones are reset at once. 0 for no limit. */
+    void setConnectionLimit(std::size_t limit);
+
+    /**
+     * Plays the loss of power of a caller's machine: nothing passes on its connections any more, and they stay open towards the target for good, also
+     * once the caller's process has ended.
+     * @param isCaller Whether a connection is the caller's; called on the thread of the proxy's event loop.
+     * @param onKept Called there with the number of these connections; the process may be ended from then on.
+     */
+    void keepConnections(std::function<bool(const ConnectionEnds& ends)> isCaller, std::function<void(std::size_t)> onKept);
+
+    /** @return Connections that were reset because of the limit. */
+    std::uint64_t countOverLimit() const;
+
     /** Resets all open connections once. */
     void resetConnections();
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -58,6 +58,16 @@
 DEFINE_int32(silence_length_ms, 10'000, "length of that, in ms");
 DEFINE_string(silent_partitions, "", "partitions that fall silent, each as TOPIC/NUMBER, separated by commas");
 DEFINE_double(silent_share, 0, "share of all partitions, 0 to 1, that fall silent too; the seed decides which");
+DEFINE_int32(worker_connections, 0, "connections that a worker accepts from all daemons together, further ones are reset; 0 for no limit");
+DEFINE_int32(leader_ends, 0, "how often the leader ends; it starts again 1.5 s later");
+DEFINE_int32(leader_ends_ms, 2'000, "when it first ends, in ms of the load");
+DEFINE_int32(leader_ends_interval_ms, 3'000, "time between two ends, in ms");
+DEFINE_bool(leader_ends_by_power, false, "whether the leader loses power, so that its connections to the workers stay open for good, or else is killed; needs worker_connections");
+DEFINE_int32(worker_crashes, 0, "how often a share of the workers crashes");
+DEFINE_int32(worker_crashes_ms, 2'000, "when they first crash, in ms of the load");
+DEFINE_int32(worker_crashes_interval_ms, 1'000, "time between two such crashes, in ms");
+DEFINE_double(worker_crash_share, 0.3, "share of the workers that crash each time, 0 to 1; the seed decides which");
+DEFINE_double(worker_crash_dark_share, 0, "share of those, 0 to 1, that leave calls unanswered while they are down; needs worker_connections");
 DEFINE_int32(relay_from_workers, 1'000, "number of workers from which on orders go through peers");
 
 namespace bulrushloft::soak {
@@ -142,7 +152,7 @@
             : m_seed(seed)
             , m_directory(std::move(directory))
             , m_store(m_platformLoop, seed)
-            , m_workers(m_platformLoop, m_store, { .m_pool = "pool", .m_count = FLAGS_workers, .m_network = workersNetwork + FLAGS_network, .m_cpuMilli = FLAGS_task_slots * 1'000, .m_taskCpuMilli = 1'000, .m_needsTickets = FLAGS_approvals }, makeObserver(), seed + 1)
+            , m_workers(m_platformLoop, m_proxyLoop, m_store, { .m_pool = "pool", .m_count = FLAGS_workers, .m_network = workersNetwork + FLAGS_network, .m_cpuMilli = FLAGS_task_slots * 1'000, .m_taskCpuMilli = 1'000, .m_needsTickets = FLAGS_approvals, .m_connectionLimit = static_cast<std::size_t>(FLAGS_worker_connections) }, makeObserver(), seed + 1)
             , m_approvals(m_platformLoop, m_workers)
         {
         }
@@ -254,6 +264,11 @@
     void Soak::printResult()
     {
         printAppends();
+        std::uint64_t overLimit = 0;
+        for (const FaultProxy* const proxy : m_workers.proxies())
+            overLimit += proxy->countOverLimit();
+        if (FLAGS_worker_connections > 0)
+            std::cout << "  connections reset by full workers: " << overLimit << "\n";
         const SoakCounts counts = m_history.counts();
         std::cout << "seed " << m_seed << ": submitted " << counts.m_submitted << ", accepted " << counts.m_accepted << ", refused " << counts.m_refused << ", unknown " << counts.m_unknown << ", cancelled " << counts.m_cancelled
                   << ", complete " << counts.m_complete << ", starts " << counts.m_starts << ", lapsed " << counts.m_lapsed << ", stopped " << counts.m_stopped << ", queries " << counts.m_queries << "; logs in " << m_directory << "\n";
@@ -284,7 +299,11 @@
             faults.scheduleStoreDown({ .m_at = { FLAGS_store_down_ms }, .m_length = { FLAGS_store_down_length_ms }, .m_isSilent = FLAGS_store_down_silent, .m_hasKill = FLAGS_store_down_kill });
         if (FLAGS_silence_ms > 0)
             faults.scheduleSilentPartitions({ .m_at = { FLAGS_silence_ms }, .m_length = { FLAGS_silence_length_ms }, .m_partitions = *parsePartitions(FLAGS_silent_partitions), .m_share = FLAGS_silent_share });
-        const bool hasScheduledFaults = FLAGS_power_loss_ms > 0 || FLAGS_slow_lossy_ms > 0 || FLAGS_zone_cut_ms > 0 || FLAGS_store_down_ms > 0 || FLAGS_silence_ms > 0;
+        if (FLAGS_leader_ends > 0)
+            faults.scheduleLeaderEnds({ .m_at = { FLAGS_leader_ends_ms }, .m_count = FLAGS_leader_ends, .m_interval = { FLAGS_leader_ends_interval_ms }, .m_isPowerLoss = FLAGS_leader_ends_by_power });
+        if (FLAGS_worker_crashes > 0)
+            faults.scheduleWorkerCrashes({ .m_at = { FLAGS_worker_crashes_ms }, .m_count = FLAGS_worker_crashes, .m_interval = { FLAGS_worker_crashes_interval_ms }, .m_share = FLAGS_worker_crash_share, .m_darkShare = FLAGS_worker_crash_dark_share });
+        const bool hasScheduledFaults = FLAGS_leader_ends > 0 || FLAGS_worker_crashes > 0 || FLAGS_power_loss_ms > 0 || FLAGS_slow_lossy_ms > 0 || FLAGS_zone_cut_ms > 0 || FLAGS_store_down_ms > 0 || FLAGS_silence_ms > 0;
         if (FLAGS_faults || hasScheduledFaults)
             faults.run(length, FLAGS_faults);
         else
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -78,6 +78,24 @@
     double m_share = 0; ///< Share of all partitions, 0 to 1, that are silent too; drawn at random.
 };
 
+/** The daemon that leads ends, again and again, and starts again 1.5 s later. */
+struct LeaderEnds {
+    Duration m_at; ///< When the first one ends, from now.
+    int m_count = 1; ///< Number of ends.
+    Duration m_interval { 3'000 }; ///< Time between two.
+    bool m_isPowerLoss = false; ///< Whether its connections to the workers stay open for good instead of being closed.
+};
+
+/** A share of the workers crashes, again and again. */
+struct WorkerCrashes {
+    Duration m_at; ///< When the first ones crash, from now.
+    int m_count = 1; ///< Number of times.
+    Duration m_interval { 1'000 }; ///< Time between two.
+    Duration m_downTime { 300 }; ///< When the workers start again.
+    double m_share = 0.3; ///< Share of the workers, 0 to 1; drawn at random.
+    double m_darkShare = 0; ///< Share of those, 0 to 1, that leave calls unanswered while they are down.
+};
+
 /** Submissions that must be accepted, as the store is sound and no other fault is in force. */
 struct ServedWindow {
     TimePoint m_from;
@@ -108,6 +126,12 @@
     /** Schedules silent partitions. */
     void scheduleSilentPartitions(const SilentPartitions& fault);
 
+    /** Schedules ends of leaders in series. */
+    void scheduleLeaderEnds(const LeaderEnds& fault);
+
+    /** Schedules crashes of workers in series. */
+    void scheduleWorkerCrashes(const WorkerCrashes& fault);
+
     /**
      * Injects faults for a time, then ends all of them; returns when all daemons run.
      * After a slow and lossy store there are no further faults until the recovery has been observed, if need be beyond that time.
@@ -161,6 +185,11 @@
     void beginSlowLossyStore(const SlowLossyStore& fault);
     void endSlowLossyStore();
     void killFollower();
+    /** Ends the daemon that leads, or the next one that does if it is down. */
+    void endLeader(bool isPowerLoss);
+    /** Stops a daemon and leaves its connections to the workers open for good. */
+    void losePower(SoakDaemon& daemon) const;
+    void crashWorkers(const WorkerCrashes& fault);
     void beginSilence(const SilentPartitions& fault);
     void endSilence();
     void beginZoneCut(const ZoneCut& fault);
--- a/tests/soak/stand_in_workers.cpp
+++ b/tests/soak/stand_in_workers.cpp
@@ -17,6 +17,7 @@
     constexpr std::int64_t minLateMs = 1'000;
     constexpr std::int64_t maxLateMs = 5'000;
     constexpr std::uint16_t workerPort = 7'600;
+    constexpr std::uint16_t workerPortBehindProxy = 7'601;
     constexpr int hostsPerSubnet = 200;
 
     HttpResponse jsonResponse(unsigned status, const Json& body)
@@ -97,13 +98,15 @@
     Address m_address;
     std::string m_rack;
     HttpServer m_server;
+    std::unique_ptr<FaultProxy> m_proxy; ///< Null if the connections are not limited.
     std::vector<Hold> m_holds;
     TimePoint m_silentUntil;
     bool m_isOnCutSide = false; ///< Whether it is reached by the cut daemons only; unused while there is no cut.
 };
 
-StandInWorkers::StandInWorkers(EventLoop& loop, StandInStore& store, const WorkerFleet& fleet, WorkerObserver observer, std::uint64_t seed)
+StandInWorkers::StandInWorkers(EventLoop& loop, EventLoop& proxyLoop, StandInStore& store, const WorkerFleet& fleet, WorkerObserver observer, std::uint64_t seed)
     : m_loop(loop)
+    , m_proxyLoop(proxyLoop)
     , m_store(store)
     , m_fleet(fleet)
     , m_observer(std::move(observer))
@@ -135,7 +138,15 @@
 Expected<void> StandInWorkers::listen()
 {
     for (const auto& member : m_members) {
-        auto listening = member->m_server.listen({ .m_address = member->m_address }, [this, each = member.get()](const HttpRequest& request, const HttpResponder& respond) { handle(*each, request, respond); });
+        Address address = member->m_address;
+        if (m_fleet.m_connectionLimit > 0) {
+            address.m_port = workerPortBehindProxy;
+            member->m_proxy = std::make_unique<FaultProxy>(m_proxyLoop, member->m_address, address);
+            member->m_proxy->setConnectionLimit(m_fleet.m_connectionLimit);
+            if (auto proxied = member->m_proxy->listen(); !proxied)
+                return proxied;
+        }
+        auto listening = member->m_server.listen({ .m_address = address }, [this, each = member.get()](const HttpRequest& request, const HttpResponder& respond) { handle(*each, request, respond); });
         if (!listening)
             return listening;
         announce(*member);
@@ -151,14 +162,28 @@
     m_store.write("keyed.servers", member.m_worker.m_id, entry.dump());
 }
 
-void StandInWorkers::crash(int index, Duration downFor)
+std::vector<FaultProxy*> StandInWorkers::proxies() const
+{
+    std::vector<FaultProxy*> proxies;
+    for (const auto& member : m_members) {
+        if (member->m_proxy)
+            proxies.push_back(member->m_proxy.get());
+    }
+    return proxies;
+}
+
+void StandInWorkers::crash(int index, Duration downFor, bool isDark)
 {
     Member& member = *m_members[static_cast<std::size_t>(index)];
     if (member.m_worker.m_isDown)
         return;
     member.m_worker.crash();
     member.m_holds.clear();
+    if (member.m_proxy)
+        member.m_proxy->setMode(isDark ? ProxyMode::Silence : ProxyMode::Refuse);
     m_loop.runAfter(downFor, [this, &member] {
+        if (member.m_proxy)
+            member.m_proxy->setMode(ProxyMode::Pass);
         member.m_worker.restart(steadyNow().m_ms);
         member.m_worker.m_processStartMs = wallNow().m_ms;
         announce(member);
--- a/tests/soak/stand_in_workers.h
+++ b/tests/soak/stand_in_workers.h
@@ -4,6 +4,7 @@
 #include "connection/http_server.h"
 #include "fake_approvals.h"
 #include "fake_lease_worker.h"
+#include "fault_proxy.h"
 #include "stand_in_store.h"
 
 #include <memory>
@@ -26,20 +27,25 @@
     std::int64_t m_cpuMilli = 8'000; ///< Capacity of each worker in thousandths of a core.
     std::int64_t m_taskCpuMilli = 1'000; ///< CPU use of each task, for the check of the capacity.
     bool m_needsTickets = false; ///< Whether starts need a ticket of the approval service.
+    std::size_t m_connectionLimit = 0; ///< Connections that each worker accepts, by way of a proxy; 0 for no limit and no proxies.
     double m_lateOrderShare = 0; ///< Share of orders, 0 to 1, that are not answered and carried out seconds later.
 };
 
 /** The workers. All functions run on the thread of their event loop. */
 class StandInWorkers {
 public:
-    StandInWorkers(EventLoop& loop, StandInStore& store, const WorkerFleet& fleet, WorkerObserver observer, std::uint64_t seed);
+    /** @param loop Loop of the workers. @param proxyLoop Loop of the proxies before them. */
+    StandInWorkers(EventLoop& loop, EventLoop& proxyLoop, StandInStore& store, const WorkerFleet& fleet, WorkerObserver observer, std::uint64_t seed);
     ~StandInWorkers();
 
     /** Starts serving and announces all workers. @return An error when an address can't be bound. */
     Expected<void> listen();
 
-    /** Ends a worker's process; it starts again after a time, without anything that it held. */
-    void crash(int index, Duration downFor);
+    /** Ends a worker's process; it starts again after a time, without anything that it held. Behind a proxy its connections are reset, unless it ends in the dark. */
+    void crash(int index, Duration downFor, bool isDark = false);
+
+    /** @return The proxies before the workers; none if their connections are not limited. Set from listen() on; may be called from any thread. */
+    std::vector<FaultProxy*> proxies() const;
 
     /** A worker stops answering for a time; what it runs goes on. */
     void silence(int index, Duration length);
@@ -67,6 +73,7 @@
     void tick();
 
     EventLoop& m_loop;
+    EventLoop& m_proxyLoop;
     StandInStore& m_store;
     WorkerFleet m_fleet;
     WorkerObserver m_observer;
