Tests: random faults of a cell whose calls to workers need connections

Cause: the random faults of cell_soak_test never met a limit on connections, calls that wait for one, or connections that go silent.

Change: the same faults with 64 connections a worker, two losses of power and two times at which 0.3 of the connections go silent.

--- a/tests/cell_worker_connections_test.cpp
+++ b/tests/cell_worker_connections_test.cpp
@@ -92,3 +92,12 @@
 {
     run({ .m_workerCap = ampleCap, .m_silenceCount = 4, .m_silentShare = 0.5 }, longestLease + standstill);
 }
+
+BOOST_AUTO_TEST_CASE(guarantees_hold_under_random_faults)
+{
+    CellSimulationOptions options;
+    options.m_connectionFaults = { .m_workerCap = intFromEnvironment("CELL_CAP", ampleCap), .m_orderPool = intFromEnvironment("CELL_ORDER_POOL", 6), .m_syncPool = intFromEnvironment("CELL_SYNC_POOL", 2), .m_powerLossCount = 2, .m_hitsLeader = false, .m_interval = { 6'000 }, .m_silenceCount = 2, .m_silentShare = 0.3 };
+    options.m_faults = intFromEnvironment("CELL_FAULTS", options.m_faults);
+    options.m_stopsAtViolation = !std::getenv("CELL_GO_ON");
+    runSimulations(fromEnvironment("CELL_SEED", defaultSeed), fromEnvironment("CELL_WORLDS", defaultSimulationCount), options);
+}
