Tests: workers that answer syncs only and carry orders out late

Change: a sick worker resets the connections of orders and carries half of them out 0.5 to 12 s later.

--- a/tests/cell_simulation.h
+++ b/tests/cell_simulation.h
@@ -141,6 +141,7 @@
     double m_sickShare = 0; ///< From the first fault on, this share of the workers, 0 to 1, is sick; the seed decides which.
     bool m_doSickTakeOrders = false; ///< Whether a sick worker answers other calls than syncs.
     double m_closedShare = 0; ///< Share of the new connections, 0 to 1, that a sick worker resets.
+    double m_lateShare = 0; ///< Share of the orders, 0 to 1, that a sick worker does not answer and carries out 0.5 to 12 s later.
     int m_silenceCount = 0; ///< Number of times at which open connections go silent for good.
     double m_silentShare = 0; ///< Share of them, 0 to 1.
 };
--- a/tests/cell_simulation_base.h
+++ b/tests/cell_simulation_base.h
@@ -123,6 +123,8 @@
     void callOverConnection(const WorkerCall& call);
     void openConnection(const WorkerCall& call);
     void runOnConnection(const std::shared_ptr<WorkerConnection>& connection, const WorkerCall& call);
+    /** Carries out a share of the orders that a sick worker does not answer, seconds later, unless its process has ended. */
+    void performLate(const WorkerCall& call);
     /** Ends a call after a delay in simulated ms, and closes its connection. */
     void failOnConnection(const std::shared_ptr<WorkerConnection>& connection, const WorkerCall& call, OrderStatus status, std::int64_t delay);
     /** Ends the use of a connection by a call; the next call that waits for one takes its place. */
--- a/tests/cell_simulation_connections.cpp
+++ b/tests/cell_simulation_connections.cpp
@@ -119,7 +119,10 @@
     if (connection->m_isSilent || isDark)
         return failOnConnection(connection, call, OrderStatus::NoAnswer, call.m_timeoutAt - m_now);
     const bool isReached = !worker.m_isUnreachable && !isCutOff(*call.m_node, worker);
-    if (isReached && (!connection->m_isAtWorker || (!call.m_isSync && !worker.m_takesOrders)))
+    const bool isOrderReset = isReached && connection->m_isAtWorker && !call.m_isSync && !worker.m_takesOrders;
+    if (isOrderReset)
+        performLate(call);
+    if (isOrderReset || (isReached && !connection->m_isAtWorker))
         return failOnConnection(connection, call, OrderStatus::NoAnswer, randomBetween(shortestReset, longestReset));
     WorkerCall carried = call;
     carried.m_onAnswer = [this, connection, call](OrderStatus status) {
@@ -134,6 +137,19 @@
     deliverOrder(carried);
 }
 
+void CellSimulation::performLate(const WorkerCall& call)
+{
+    const double share = m_options.m_connectionFaults.m_lateShare;
+    if (share == 0 || !randomBool(share))
+        return;
+    schedule(randomBetween(500, 12'000), [this, call, processStartMs = call.m_worker->m_processStartMs] {
+        m_isLateOrder = true;
+        if (!call.m_worker->m_isDown && call.m_worker->m_processStartMs == processStartMs)
+            call.m_perform(*call.m_worker);
+        m_isLateOrder = false;
+    });
+}
+
 void CellSimulation::failOnConnection(const std::shared_ptr<WorkerConnection>& connection, const WorkerCall& call, OrderStatus status, std::int64_t delay)
 {
     deliverLater(*call.m_node, call.m_alive, delay, [this, connection, call, status] {
--- a/tests/cell_worker_connections_test.cpp
+++ b/tests/cell_worker_connections_test.cpp
@@ -73,6 +73,12 @@
     run({ .m_workerCap = ampleCap, .m_sickShare = 0.2 }, longestLease + standstill);
 }
 
+// A start that is withdrawn from such a worker may still arrive there; no task may run twice for it.
+BOOST_AUTO_TEST_CASE(tasks_run_once_when_workers_answer_syncs_only_and_carry_orders_out_late)
+{
+    run({ .m_workerCap = ampleCap, .m_sickShare = 0.2, .m_lateShare = 0.5 }, longestLease + standstill);
+}
+
 BOOST_AUTO_TEST_CASE(jobs_run_elsewhere_when_workers_close_new_connections)
 {
     run({ .m_workerCap = ampleCap, .m_powerLossCount = 1, .m_sickShare = 0.2, .m_doSickTakeOrders = true, .m_closedShare = 1 }, longestLease + standstill);
