--- a/tests/cell_simulation.cpp
+++ b/tests/cell_simulation.cpp
@@ -62,7 +62,7 @@
 
 FakeLeaseWorker* CellSimulation::findWorker(const std::string& id)
 {
-    const auto found = std::find_if(m_workers.begin(), m_workers.end(), [&](const FakeLeaseWorker& worker) { return worker.m_id == id; });
+    const auto found = std::find_if(m_workers.begin(), m_workers.end(), [&](const FakeLeaseWorker& worker) { return FakeLeaseWorker::machineOf(worker.m_id) == FakeLeaseWorker::machineOf(id); });
     return found == m_workers.end() ? nullptr : &*found;
 }
 
@@ -96,6 +96,8 @@
     if (!node.m_cell)
         return;
     m_result.m_terms += node.m_cell->m_counters.m_terms;
+    dropConnections(node, false, true);
+    std::erase_if(m_waitingCalls, [&](const auto& entry) { return std::get<0>(entry.first) == &node; });
     *node.m_isAlive = false;
     node.m_cell.reset();
     node.m_deferredDeliveries.clear();
@@ -110,6 +112,7 @@
     for (FakeLeaseWorker& worker : m_workers)
         worker.tick(m_now);
     tickGangs();
+    closeConnectionsOfFormerLeaders();
     for (SimulatedNode& node : m_nodes) {
         if (!node.m_cell) {
             if (m_now >= node.m_downUntil)
@@ -146,6 +149,8 @@
     scheduleStoreOutage();
     scheduleTakeOver();
     scheduleSilence();
+    scheduleConnectionFaults();
+    scheduleCrashSeries();
     for (int i = 0; i < m_options.m_faults; ++i)
         schedule(loadStart - m_now + randomBetween(0, m_options.m_loadDuration.m_ms), [this] { injectFault(); });
     for (int i = 0; i < m_options.m_capacityChanges; ++i)
@@ -167,8 +172,7 @@
             for (std::size_t i = 0; i < m_jobs.size(); ++i)
                 queryJob(i);
         }
-        if (m_options.m_finishTime.m_ms > 0)
-            checkStandstill();
+        checkStandstill();
         checkPartitions();
         checkSilence();
         observeLeaders();
--- a/tests/fakes/fake_lease_worker.h
+++ b/tests/fakes/fake_lease_worker.h
@@ -19,7 +19,8 @@
         std::int64_t m_startedAtMs = 0; ///< Start on the worker's clock.
     };
 
-    std::string m_id; ///< Stays the same across restarts.
+    std::string m_id; ///< Stays the same across restarts, unless the new process is renamed.
+    int m_renamings = 0; ///< How often it was renamed.
     std::int64_t m_processStartMs = 1; ///< Simulated time at which the process started; the leader recognises a restart by a changed value.
     std::int64_t m_clockOriginMs = 0; ///< Simulated time at which the worker's clock was 0.
     std::int64_t m_longestLeaseMs = 6'000; ///< Upper bound of the remaining lease, in ms; longer ones are shortened to it.
@@ -36,6 +37,9 @@
     std::uint64_t m_lastEndBeforeExpiry = 0; ///< Number of the latest end before the last tick with an expired lease; ends up to it count as not acknowledged, so m_onAck is not called for them.
     bool m_isUnreachable = false; ///< Network partition: attempts keep running, but orders are not delivered.
     bool m_isDown = false; ///< The process is not running.
+    bool m_isDark = false; ///< While the process is down, calls get neither an answer nor a reset.
+    bool m_takesOrders = true; ///< Whether it answers other calls than syncs; otherwise their connections are reset, and they are not carried out.
+    double m_closedShare = 0; ///< Share of the new connections, 0 to 1, that it resets.
     std::function<bool(const FakeLeaseWorker&, const StartOrder&)> m_isTicketValid; ///< Whether the ticket of a start is valid; unset if none is needed.
     std::function<void(const FakeLeaseWorker&, const TaskName&, std::uint32_t)> m_onStart; ///< Called before an attempt starts.
     std::function<void(const FakeLeaseWorker&, const TaskName&, std::uint32_t, AttemptEnd)> m_onEnd; ///< Called after an attempt has ended.
@@ -154,6 +158,12 @@
         m_clockOriginMs = now;
         m_isDown = false;
     }
+
+    /** @return What stays the same when a process takes another id: the part before the dot. */
+    static std::string machineOf(const std::string& id) { return id.substr(0, id.find('.')); }
+
+    /** Gives the process another id than the one before it at the same address. */
+    void rename() { m_id = machineOf(m_id) + "." + std::to_string(++m_renamings); }
 };
 
 } // namespace bulrushloft::test
