Short validity of starts while orders fail, one probe at a time

Change: a start that is sent while orders fail may be carried out for 1.5 s only, so that it is settled soon; a worker with an unsettled attempt takes no further probe.

--- a/src/process/scheduler/order_health.cpp
+++ b/src/process/scheduler/order_health.cpp
@@ -18,6 +18,7 @@
     constexpr Duration tryInterval { 250 }; ///< Time between orders while they fail; each may open a connection.
     constexpr Duration minHoldOut { 1'000 };
     constexpr Duration maxHoldOut { 10'000 };
+    constexpr Duration probeValidity { 1'500 }; ///< For how long a start may be carried out that is sent while orders fail.
     constexpr Duration maxStopWait { 10'000 }; ///< Two leases; then the worker's other attempts are given up with the one that can't be stopped.
 
     /** @return Whether a placed task's start has certainly never been sent. */
@@ -92,7 +93,8 @@
 
 bool isHeldOutForOrders(const Worker& worker, TimePoint now)
 {
-    return areOrdersFailing(worker, now) && now < worker.m_orders.m_nextProbeAt;
+    const auto isUnsettled = [](const TaskRef& ref) { return isUnconfirmed(ref.task()) || ref.task().m_phase == RunPhase::Stopping; };
+    return areOrdersFailing(worker, now) && (now < worker.m_orders.m_nextProbeAt || std::any_of(worker.m_tasks.begin(), worker.m_tasks.end(), isUnsettled));
 }
 
 bool takeOrderTurn(Worker& worker, TimePoint now)
@@ -137,6 +139,14 @@
     });
 }
 
+std::int64_t startDeadline(const Scheduler& scheduler, const Worker& worker, TimePoint now)
+{
+    const std::int64_t deadline = leaseDeadline(scheduler, worker, now);
+    if (!areOrdersFailing(worker, now))
+        return deadline;
+    return std::min(deadline, worker.m_promptClock.m_ms + (now - worker.m_promptClock.m_readAt + probeValidity).m_ms);
+}
+
 void noteStartDeadline(Task& task, const Worker& worker, std::int64_t deadlineMs)
 {
     task.m_isStartedAnew = task.m_isStartedAnew || (task.m_startLeaseUntilMs != 0 && task.m_startProcessMs != worker.m_processStartMs);
--- a/src/process/scheduler/order_health.h
+++ b/src/process/scheduler/order_health.h
@@ -29,6 +29,12 @@
 /** @return Whether leases are not renewed, as a stop has not been delivered for so long that the attempt has to end with its lease. */
 bool isRenewalWithheld(const Worker& worker, TimePoint now);
 
+/**
+ * @return The lease deadline that a start carries, in milliseconds on the worker's clock; 0 when its clock is unknown. While orders
+ * fail it is near, so that a start without an answer is soon too late to be carried out; syncs renew the lease all the same.
+ */
+std::int64_t startDeadline(const Scheduler& scheduler, const Worker& worker, TimePoint now);
+
 /** Notes that a start call of a task's current attempt is sent, with the lease deadline that it carries. */
 void noteStartDeadline(Task& task, const Worker& worker, std::int64_t deadlineMs);
 
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -364,7 +364,7 @@
         {
             Task& task = ref.task();
             Worker& worker = scheduler.m_workers[static_cast<std::size_t>(task.m_worker)];
-            const std::int64_t deadline = leaseDeadline(scheduler, worker, now);
+            const std::int64_t deadline = startDeadline(scheduler, worker, now);
             worker.m_leaseUntilMs = std::max(worker.m_leaseUntilMs, deadline);
             noteStartDeadline(task, worker, deadline);
             task.m_isCallPending = true;
--- a/tests/cell_simulation.h
+++ b/tests/cell_simulation.h
@@ -130,7 +130,7 @@
 /** Connections of the daemons to the workers, and faults of them. Times count from the start of the load. */
 struct ConnectionFaults {
     int m_workerCap = 0; ///< Connections that a worker accepts from all daemons together; further ones are reset at once. 0 for calls that need no connection.
-    int m_orderPool = 6; ///< Connections of a daemon to a worker for all calls but syncs, as in WorkerClient.
+    int m_orderPool = 6; ///< Connections of a daemon to a worker for all calls but syncs. More than WorkerClient opens, so that workers fill up soon and the two kinds of calls fare differently.
     int m_syncPool = 2; ///< The same for syncs; 0 if they use the other pool.
     int m_powerLossCount = 0; ///< Number of daemons that lose power, one after another; their connections stay open at the workers.
     bool m_hitsLeader = true; ///< Whether the leader loses power; otherwise a random daemon does.
