Run new jobs while the submissions' partition is silent

After a loss of power with the partition of submissions silent, callers had their jobs accepted and nothing ran until it was back (RECOVER): the new leader held each job, as a cancellation that it could not read might be its own.

Cause: acknowledged cancellations that VMs store themselves were in a single partition. Now a VM writes a copy to a second one and acknowledges the cancellation when both are stored, so a leader that has read either knows them all. While the first leaves a new leader waiting for 1.5 s it reads and follows the copies, and then releases the jobs that it holds. Copies are deleted before the submissions of expired jobs. A cancellation that no leader takes is answered as unknown while either is silent.

The new cases of partial_loading_test hold.

Changed tests: a_late_copy_of_a_submission_does_not_run_while_its_ cancellation_is_unread stored a cancellation without a copy and called it acknowledged, which a VM does no more; it stores both. The fixture of cell_loading_test counts reads of the partition of submissions only, as its check is about them and reads of the copies lay between.

--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -16,12 +16,14 @@
 #include "process/scheduler/scheduler_base.h"
 #include "version/cluster_type.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -37,6 +39,10 @@
     std::string m_config = "keyed.config"; ///< Copies of the newest configuration, in several partitions; see config_copy.h.
 };
 
+inline constexpr std::uint32_t submissionPartition = 0; ///< Partition of CellTopics::m_jobs with submissions and cancellations.
+inline constexpr std::uint32_t cancellationPartition = 1; ///< Partition of the same topic with a copy of each cancellation, for a new leader that can't read the first one.
+inline constexpr std::size_t jobsPartitionCount = 2; ///< Partitions of that topic that VMs write to.
+
 /** A decoded record of the operator's topic; std::monostate when the cell can't use it. */
 using OperatorRecord = std::variant<std::monostate, ClusterSettings, MaintenanceWave>;
 
@@ -165,6 +171,7 @@
 
 /** A submission or cancellation that is being written to the topic of jobs. */
 struct PendingWrite {
+    std::uint32_t m_partition = submissionPartition; ///< The partition of the topic of jobs.
     std::vector<KeyedRecord> m_records; ///< Records to write.
     TimePoint m_deadline; ///< When the client must have its answer.
     bool m_mayBeStored = false; ///< Whether an attempt went unanswered, so that the records may be stored already.
@@ -198,9 +205,10 @@
 
 /**
  * Group commit of submissions and cancellations that the leader has not accepted. Each append holds all writes that are due, those
- * that were sent before and are unconfirmed included, so that the number of appends doesn't depend on that of the writes.
+ * that were sent before and are unconfirmed included, so that the number of appends doesn't depend on that of the writes. Each partition has a writer of its own.
  */
 struct DirectWriter {
+    std::uint32_t m_partition = submissionPartition; ///< The partition that it writes to.
     std::vector<std::shared_ptr<PendingWrite>> m_queue; ///< Writes without an outcome that this daemon appends, the oldest first.
     std::uint32_t m_appendsInFlight = 0; ///< Number of unanswered appends.
     TimePoint m_lastSentAt; ///< When the latest append was sent.
@@ -214,6 +222,8 @@
  */
 struct JobDeletions {
     std::vector<std::string> m_jobs; ///< Ids of the jobs of the current append.
+    std::vector<KeyedRecord> m_copies; ///< Records that delete the copies of their cancellations; these go first, as nobody would look for copies of an unknown job.
+    std::unordered_set<std::string> m_cancelled; ///< Ids of the jobs whose cancellation VMs have stored, so that there may be a copy.
     bool m_isInFlight = false; ///< Whether the append is unanswered.
     std::uint32_t m_failuresInRow = 0; ///< Attempts without success since the latest one that succeeded.
     TimePoint m_nextAt; ///< Earliest time of the next attempt.
@@ -294,6 +304,7 @@
     TopicTail m_operatorTail; ///< Reader of the operator's topic.
     TopicTail m_leaderTail; ///< Reader of leadership claims.
     TopicTail m_jobsTail; ///< Reader of submissions; active on the leader only.
+    TopicTail m_cancellationsTail; ///< Reader of the copies of cancellations; active on a leader that can't read submissions.
     TopicTail m_workersTail; ///< Reader of worker announcements; active on the leader only.
     TimePoint m_storeLastContactAt; ///< When the store last answered a call.
     Duration m_appendLatency; ///< Time from an attempt to its own answer, for the latest append of another kind than the leader's records; zero for none.
@@ -344,7 +355,7 @@
     bool m_isTerminating = false; ///< Whether SIGTERM was received.
     TimePoint m_nextHandOverAt; ///< Earliest time at which the next candidates are asked to take over.
     std::vector<std::string> m_askedSuccessors; ///< Names of the peers that were asked last.
-    DirectWriter m_directWriter; ///< Writer to the topic of jobs.
+    std::array<DirectWriter, jobsPartitionCount> m_directWriters { { { .m_partition = submissionPartition }, { .m_partition = cancellationPartition } } }; ///< Writers to the topic of jobs, by partition.
     std::vector<DeferredCall> m_deferredCalls; ///< Callbacks scheduled for later, such as retries.
     OrderRelay m_relay;
     RetrySchedule m_retrySchedule; ///< When refused clients are told to call again.
--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -257,6 +257,15 @@
                                         } });
     }
 
+    /** Stores the copy of a stored cancellation. The caller is told of success only after both, so that a leader that reads either knows all acknowledged cancellations. */
+    void storeCancellationCopy(CellNode& node, const std::string& job, TimePoint deadline, std::function<void(StoreStatus)> onComplete)
+    {
+        PendingWrite copy { .m_partition = cancellationPartition, .m_records = { { .m_key = cancellationKey(job), .m_value = "cancelled" } }, .m_deadline = deadline };
+        copy.m_mayBeStored = true; // The cancellation itself is, so its outcome can't be a refusal any more.
+        copy.m_onComplete = std::move(onComplete);
+        writeToJobsTopic(node, std::move(copy));
+    }
+
     /** Has the leader record a cancellation; without a leader it is stored in the topic of jobs. */
     void cancel(CellNode& node, const CallContext& context, const ClientResponder& respond)
     {
@@ -268,11 +277,12 @@
             if (outcome == WriteOutcome::NoSuchJob)
                 return respond({ .m_status = ClientStatus::NoSuchJob });
             write.m_mayBeStored = outcome == WriteOutcome::Unknown;
-            write.m_onComplete = [&node, job = write.m_records.front().m_key.substr(1), onComplete = std::move(write.m_onComplete)](StoreStatus status) {
+            write.m_onComplete = [&node, job = write.m_records.front().m_key.substr(1), deadline = write.m_deadline, onComplete = std::move(write.m_onComplete)](StoreStatus status) {
                 constexpr Duration announcementPeriod { 10'000 }; // A leader is known again by then, and leads.
-                if (status == StoreStatus::Done)
-                    announceCancellation(node, job, node.m_now + announcementPeriod);
-                onComplete(status);
+                if (status != StoreStatus::Done)
+                    return onComplete(status);
+                announceCancellation(node, job, node.m_now + announcementPeriod);
+                storeCancellationCopy(node, job, deadline, onComplete);
             };
             writeToJobsTopic(node, std::move(write));
         });
@@ -280,10 +290,10 @@
 
     void relayAppend(CellNode& node, const PeerAppend& message, const std::function<void(PeerReply)>& respond)
     {
-        const bool isAllowed = message.m_append.m_partition.m_topic == node.m_options.m_topics.m_jobs;
-        if (!isAllowed || !node.m_isStoreReached)
-            return respond(PeerAppendAnswer { .m_answer = { .m_status = StoreStatus::NotDone, .m_reason = "not relayed: this VM can't reach the store, or the topic is not open to relaying" }, .m_latency = {} });
-        writeForPeer(node, message, [&node, respond](const StoreAppendAnswer& answer) { respond(PeerAppendAnswer { .m_answer = answer, .m_latency = jobsAppendLatency(node) }); });
+        const StorePartition& partition = message.m_append.m_partition;
+        if (!isOpenToRelaying(node, partition) || !node.m_isStoreReached)
+            return respond(PeerAppendAnswer { .m_answer = { .m_status = StoreStatus::NotDone, .m_reason = "not relayed: this VM can't reach the store, or the partition is not open to relaying" }, .m_latency = {} });
+        writeForPeer(node, message, [&node, respond, number = partition.m_partition](const StoreAppendAnswer& answer) { respond(PeerAppendAnswer { .m_answer = answer, .m_latency = jobsAppendLatency(node, number) }); });
     }
 
     void onTakeOverRequest(CellNode& node, const PeerTakeOver& message, const std::function<void(PeerReply)>& respond)
@@ -390,6 +400,8 @@
     node->m_operatorTail = makeTail(topics.m_operator, node->m_options.m_longPollWait, {});
     node->m_leaderTail = makeTail(topics.m_leader, node->m_options.m_longPollWait, {});
     node->m_jobsTail = makeTail(topics.m_jobs, node->m_options.m_longPollWait, {});
+    node->m_cancellationsTail = makeTail(topics.m_jobs, node->m_options.m_longPollWait, {});
+    node->m_cancellationsTail.m_partition.m_partition = cancellationPartition;
     node->m_workersTail = makeTail(topics.m_workers, {}, node->m_options.m_workerPollInterval);
     resetTail(node->m_operatorTail, true);
     resetTail(node->m_leaderTail, true);
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -261,14 +261,17 @@
 /** Appends records to the topic of jobs from this daemon, with the next group commit and with retries until the deadline. */
 void enqueueDirectWrite(CellNode& node, std::shared_ptr<PendingWrite> write);
 
-/** Appends the queued submissions and cancellations that are due as one group commit; ends those whose deadline is over or that can't be stored. */
-void stepDirectWriter(CellNode& node);
+/** Appends the queued submissions and cancellations that are due as one group commit for each partition; ends those whose deadline is over or that can't be stored. */
+void stepDirectWriters(CellNode& node);
 
-/** @return Estimated time to the answer of the next append to the topic of jobs. */
-Duration jobsAppendLatency(const CellNode& node);
+/** @return Estimated time to the answer of the next append to a partition of the topic of jobs. */
+Duration jobsAppendLatency(const CellNode& node, std::uint32_t partition);
 
-/** @return Whether appends to the topic of jobs take so long that the daemons should not each send their own. */
-bool isJobsPartitionSlow(const CellNode& node);
+/** @return Whether appends to a partition of the topic of jobs take so long that the daemons should not each send their own. */
+bool isJobsPartitionSlow(const CellNode& node, std::uint32_t partition);
+
+/** @return Whether a peer may have records written to a partition by this daemon: those that VMs write themselves. */
+bool isOpenToRelaying(const CellNode& node, const StorePartition& partition);
 
 /** Appends records for a peer with this daemon's next group commit. @param onAnswer Called once, before the message's timeout is over. */
 void writeForPeer(CellNode& node, const PeerAppend& message, const std::function<void(StoreAppendAnswer)>& onAnswer);
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -141,6 +141,7 @@
         node.m_scheduler->m_options.m_token = node.m_term;
         node.m_scheduler->m_wallOffset = node.m_wallOffset;
         node.m_scheduler->m_areSubmissionsUnread = true;
+        node.m_scheduler->m_areCancellationsUnread = true;
         scheduler::setCluster(*node.m_scheduler, *node.m_cluster);
         node.m_writer = makePipeline(writerName, node.m_term);
         beginLoading(node);
@@ -317,6 +318,7 @@
     node.m_isAwaitingConfirmation = false;
     node.m_pendingRemovals.clear();
     resetTail(node.m_jobsTail, false);
+    resetTail(node.m_cancellationsTail, false);
     resetTail(node.m_workersTail, false);
     resetObservations(node.m_leaderMonitor, node.m_now);
 }
@@ -360,7 +362,7 @@
     detail::stepWriter(node);
     detail::stepJournalMove(node);
     detail::stepRelay(node);
-    detail::stepDirectWriter(node);
+    detail::stepDirectWriters(node);
     detail::answerHeldQueries(node);
     reportTraffic(node.m_storeTraffic, node.m_now);
     reportSilence(node.m_storeTraffic, node.m_now);
--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -55,6 +55,7 @@
             noteAppendConfirmed(node.m_termLease.m_evidence, sequence);
         }
         resetTail(node.m_jobsTail, true); // Not earlier: until now a former leader may accept submissions that a listing has passed.
+        resetTail(node.m_cancellationsTail, node.m_cancellationsTail.m_isFollowed);
     }
 
     void fenceEarlierTerms(CellNode& node, JournalLoad& journal)
@@ -349,12 +350,36 @@
             finishLoading(node);
     }
 
-    /** Takes it up that a leader has read the submissions to their end. */
+    /** Has the copies of cancellations read as long as the partition of submissions leaves a leader waiting. */
+    void followCancellationCopies(CellNode& node)
+    {
+        constexpr Duration patience { 1'500 }; // Less than minPatience, so that they are known when the leader begins to lead.
+        const bool isNeeded = node.m_scheduler->m_areSubmissionsUnread && node.m_jobsTail.m_isFollowed && !node.m_jobsTail.m_isCaughtUp;
+        const bool isLate = node.m_now - node.m_termLease.m_fencedAt >= patience;
+        if (!isNeeded && node.m_cancellationsTail.m_isFollowed)
+            resetTail(node.m_cancellationsTail, false);
+        else if (isNeeded && isLate && !node.m_cancellationsTail.m_isFollowed)
+            resetTail(node.m_cancellationsTail, true);
+    }
+
+    /** Takes it up that a leader which can't read the submissions has read the copies of all cancellations. */
+    void finishCancellationCopies(CellNode& node)
+    {
+        scheduler::Scheduler& scheduler = *node.m_scheduler;
+        if (!scheduler.m_areCancellationsUnread || !node.m_cancellationsTail.m_isCaughtUp)
+            return;
+        logEvent(LogLevel::Info, "cancellations-read", { { "token", node.m_term }, { "loaded_ms_ago", (node.m_now - node.m_loadedAt).m_ms }, { "jobs", scheduler.m_jobs.size() }, { "cancelled_early", scheduler.m_cancelledEarly.size() } });
+        scheduler::finishCancellations(scheduler, node.m_now);
+    }
+
+    /** Takes it up that a leader has read the submissions to their end, or at least all cancellations. */
     void stepSubmissions(CellNode& node)
     {
         scheduler::Scheduler& scheduler = *node.m_scheduler;
-        if (!scheduler.m_areSubmissionsUnread || scheduler.m_isProgressUnread || !node.m_jobsTail.m_isCaughtUp)
+        if (!scheduler.m_areSubmissionsUnread || scheduler.m_isProgressUnread)
             return;
+        if (!node.m_jobsTail.m_isCaughtUp)
+            return finishCancellationCopies(node);
         if (node.m_now > node.m_loadedAt)
             logEvent(LogLevel::Info, "submissions-read", { { "token", node.m_term }, { "loaded_ms_ago", (node.m_now - node.m_loadedAt).m_ms }, { "jobs", scheduler.m_jobs.size() }, { "unmatched_progress", scheduler.m_unmatchedProgress.size() }, { "unmatched_ends", scheduler.m_unmatchedEnds.size() } });
         scheduler::finishSubmissions(scheduler, node.m_now);
@@ -390,6 +415,8 @@
         stepWithoutSilent(node);
     if (node.m_role == Role::Leading)
         stepSubmissions(node);
+    if (node.m_scheduler)
+        followCancellationCopies(node);
 }
 
 } // namespace bulrushloft::cell::detail
--- a/src/process/cell/cell_metrics.cpp
+++ b/src/process/cell/cell_metrics.cpp
@@ -126,6 +126,7 @@
         builder.add("jobs", static_cast<double>(scheduler.m_jobs.size()));
         builder.add("workers", static_cast<double>(scheduler.m_workers.size()));
         builder.add("submissions-unread", scheduler.m_areSubmissionsUnread ? 1 : 0);
+        builder.add("cancellations-unread", scheduler.m_areCancellationsUnread ? 1 : 0);
         builder.add("progress-unmatched", static_cast<double>(scheduler.m_unmatchedProgress.size()));
         builder.add("ends-unmatched", static_cast<double>(scheduler.m_unmatchedEnds.size()));
         builder.add("steps-waiting", static_cast<double>(scheduler.m_waitingSteps.size()));
--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -30,8 +30,10 @@
         const bool isCancellation = record.m_key.starts_with(cancelPrefix);
         const std::string id = isCancellation ? record.m_key.substr(1) : record.m_key;
         scheduler::noteStored(*node.m_scheduler, id, record.m_offset + 1);
-        if (isCancellation)
+        if (isCancellation) {
+            node.m_jobDeletions.m_cancelled.insert(id);
             return scheduler::cancelJob(*node.m_scheduler, id, node.m_now);
+        }
         auto plan = decodePlan(record.m_value);
         if (!plan) {
             logEvent(LogLevel::Error, "job-record-unreadable", { { "key", record.m_key }, { "error", describe(plan.error()) } });
@@ -40,6 +42,12 @@
         scheduler::acceptJob(*node.m_scheduler, std::move(*plan), node.m_now);
     }
 
+    void applyCancellationCopy(CellNode& node, const KeyedRecord& record)
+    {
+        if (node.m_scheduler && !record.m_value.empty() && record.m_key.starts_with(cancelPrefix))
+            scheduler::cancelJob(*node.m_scheduler, record.m_key.substr(1), node.m_now);
+    }
+
     void withdrawWorker(CellNode& node, const std::string& id)
     {
         scheduler::removeWorker(*node.m_scheduler, id, node.m_now);
@@ -92,6 +100,8 @@
             applyLeaderRecord(node, record);
         else if (&tail == &node.m_jobsTail)
             applyJobRecord(node, record);
+        else if (&tail == &node.m_cancellationsTail)
+            applyCancellationCopy(node, record);
         else
             applyWorkerRecord(node, record);
     }
@@ -201,7 +211,7 @@
         if ((isDone && took < slowThreshold) || node.m_now < tail.m_nextReportAt)
             return;
         tail.m_nextReportAt = node.m_now + reportInterval;
-        logEvent(LogLevel::Info, "read-slow", { { "topic", tail.m_partition.m_topic }, { "took_ms", took.m_ms }, { "is_answered", isDone }, { "is_listing", tail.m_isListing }, { "in_flight", tail.m_call.m_inFlight }, { "failed_reads", tail.m_failedReads }, { "next_offset", tail.m_nextOffset }, { "up_to_date_ms_ago", (node.m_lastBootTime - tail.m_upToDateAt).m_ms } });
+        logEvent(LogLevel::Info, "read-slow", { { "topic", tail.m_partition.m_topic }, { "part", tail.m_partition.m_partition }, { "took_ms", took.m_ms }, { "is_answered", isDone }, { "is_listing", tail.m_isListing }, { "in_flight", tail.m_call.m_inFlight }, { "failed_reads", tail.m_failedReads }, { "next_offset", tail.m_nextOffset }, { "up_to_date_ms_ago", (node.m_lastBootTime - tail.m_upToDateAt).m_ms } });
     }
 
     /** @return Whether a tail is that of the claims and this daemon leads, so that its answers show that it still does. */
@@ -399,7 +409,7 @@
 
 void stepTails(CellNode& node)
 {
-    for (TopicTail* tail : { &node.m_leaderTail, &node.m_operatorTail, &node.m_jobsTail, &node.m_workersTail })
+    for (TopicTail* tail : { &node.m_leaderTail, &node.m_operatorTail, &node.m_jobsTail, &node.m_cancellationsTail, &node.m_workersTail })
         stepTail(node, *tail);
     removeDueWorkers(node);
 }
--- a/src/process/cell/cell_write_route.cpp
+++ b/src/process/cell/cell_write_route.cpp
@@ -20,8 +20,8 @@
     {
         constexpr std::int64_t appends = 6;
         const Duration remaining = write.m_deadline - node.m_now;
-        const bool isLong = isJobsPartitionSlow(node) && isPeerUsable(node, peer); // Its failure is noticed; see watchRelay().
-        const Duration timeout = isLong ? std::max(relayTimeout, std::min(remaining * 2 / 3, jobsAppendLatency(node) * appends)) : relayTimeout;
+        const bool isLong = isJobsPartitionSlow(node, write.m_partition) && isPeerUsable(node, peer); // Its failure is noticed; see watchRelay().
+        const Duration timeout = isLong ? std::max(relayTimeout, std::min(remaining * 2 / 3, jobsAppendLatency(node, write.m_partition) * appends)) : relayTimeout;
         return std::min(timeout, remaining);
     }
 
@@ -46,7 +46,7 @@
         ++node.m_counters.m_relays;
         ++write->m_relays;
         const Duration timeout = relayTimeoutOf(node, *write, peer);
-        const PeerAppend message { .m_append = { .m_partition = { .m_topic = node.m_options.m_topics.m_jobs }, .m_records = write->m_records, .m_writer = {}, .m_expectedEnd = {} }, .m_timeout = timeout - relayMargin };
+        const PeerAppend message { .m_append = { .m_partition = { .m_topic = node.m_options.m_topics.m_jobs, .m_partition = write->m_partition }, .m_records = write->m_records, .m_writer = {}, .m_expectedEnd = {} }, .m_timeout = timeout - relayMargin };
         const auto onOutcome = std::make_shared<RelayCallback>([&node, write](StoreStatus status) {
             if (status == StoreStatus::Done)
                 return std::exchange(write->m_onComplete, nullptr)(status);
@@ -55,13 +55,14 @@
         });
         if (isPeerUsable(node, peer))
             watchRelay(node, peer.m_member.m_name, onOutcome);
-        node.m_ports.m_callPeer(peer.m_member.m_address, message, timeout, [&node, onOutcome, name = peer.m_member.m_name](const std::optional<PeerReply>& reply) {
+        node.m_ports.m_callPeer(peer.m_member.m_address, message, timeout, [&node, onOutcome, partition = write->m_partition, name = peer.m_member.m_name](const std::optional<PeerReply>& reply) {
             const auto* const answer = reply ? std::get_if<PeerAppendAnswer>(&*reply) : nullptr;
             if (!answer)
                 markPeerFailed(node, name);
             else if (answer->m_latency > Duration {}) {
-                node.m_directWriter.m_relayedLatency = answer->m_latency;
-                node.m_directWriter.m_relayedLatencyAt = node.m_now;
+                DirectWriter& writer = node.m_directWriters.at(partition);
+                writer.m_relayedLatency = answer->m_latency;
+                writer.m_relayedLatencyAt = node.m_now;
             }
             if (*onOutcome)
                 std::exchange(*onOutcome, nullptr)(answer ? answer->m_answer.m_status : StoreStatus::Unknown);
@@ -111,7 +112,7 @@
             return usable == relays.end() ? enqueueDirectWrite(node, write) : relayWrite(node, write, **usable);
         }
         constexpr std::uint32_t maxCommonWriters = 2;
-        const PeerState* const writer = write->m_relays < maxCommonWriters && isJobsPartitionSlow(node) ? findCommonWriter(node) : nullptr;
+        const PeerState* const writer = write->m_relays < maxCommonWriters && isJobsPartitionSlow(node, write->m_partition) ? findCommonWriter(node) : nullptr;
         writer ? relayWrite(node, write, *writer) : enqueueDirectWrite(node, write);
     }
 
@@ -134,11 +135,16 @@
     routeWrite(node, std::make_shared<PendingWrite>(std::move(write)));
 }
 
+bool isOpenToRelaying(const CellNode& node, const StorePartition& partition)
+{
+    return partition.m_topic == node.m_options.m_topics.m_jobs && partition.m_partition < jobsPartitionCount;
+}
+
 void writeForPeer(CellNode& node, const PeerAppend& message, const std::function<void(StoreAppendAnswer)>& onAnswer)
 {
     constexpr Duration maxTimeout { 10'000 };
     const Duration timeout = std::clamp(message.m_timeout, Duration {}, maxTimeout);
-    PendingWrite write { .m_records = message.m_append.m_records, .m_deadline = node.m_now + timeout, .m_isForPeer = true };
+    PendingWrite write { .m_partition = message.m_append.m_partition.m_partition, .m_records = message.m_append.m_records, .m_deadline = node.m_now + timeout, .m_isForPeer = true };
     write.m_onComplete = [onAnswer](StoreStatus status) { onAnswer({ .m_status = status, .m_reason = {} }); };
     enqueueDirectWrite(node, std::make_shared<PendingWrite>(std::move(write)));
 }
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -178,7 +178,7 @@
     std::uint64_t m_stageBatch = 0; ///< Record batch that makes a final stage durable.
     bool m_isDirty = false; ///< The job has changes that are not in a record batch yet.
     std::string m_planRecord; ///< Encoded plan that still has to be recorded; empty when it is recorded already or stored elsewhere.
-    bool m_isHeld = false; ///< None of its steps is released, as an unread record may cancel the job; see Scheduler::m_areSubmissionsUnread.
+    bool m_isHeld = false; ///< None of its steps is released, as an unread record may cancel the job; see Scheduler::m_areCancellationsUnread.
     bool m_isPlanInProgress = false; ///< The leader has recorded the plan itself; a plan that a VM stored is in the topic of jobs instead.
     bool m_isPlanShortened = false; ///< The recorded plan was replaced by a short one, as the job has ended.
     std::uint64_t m_planBatch = 0; ///< Record batch that makes the plan durable; 0 when the plan is stored elsewhere.
@@ -352,8 +352,9 @@
     std::unordered_set<std::string> m_cancelledEarly; ///< Ids of jobs whose cancellation was read before their submission.
     std::unordered_map<std::string, std::uint64_t> m_storedEnds; ///< By job id, offset after the newest submission or cancellation that was read in the topic of jobs; also of unknown jobs.
     bool m_isJobsTopicBehind = false; ///< The topic of jobs has not been read to its end lately, so that a copy of a submission may be unread. No job expires meanwhile.
-    bool m_areSubmissionsUnread = false; ///< Submissions and cancellations that VMs have stored themselves have not all been read. Jobs without recorded tasks are held, and unknown attempts and ends are kept.
-    bool m_isProgressUnread = false; ///< Records of earlier terms have not all been read, so that a job that counts as new may have run. All jobs are held, no worker is called, and attempts and ends of held jobs are kept. Implies m_areSubmissionsUnread.
+    bool m_areSubmissionsUnread = false; ///< Submissions and cancellations that VMs have stored themselves have not all been read. Unknown attempts and ends are kept.
+    bool m_areCancellationsUnread = false; ///< Neither these cancellations nor their copies have all been read. Jobs without recorded tasks are held. Implies m_areSubmissionsUnread.
+    bool m_isProgressUnread = false; ///< Records of earlier terms have not all been read, so that a job that counts as new may have run. All jobs are held, no worker is called, and attempts and ends of held jobs are kept. Implies m_areCancellationsUnread.
     std::unordered_map<std::string, std::string> m_unmatchedProgress; ///< Progress records of jobs whose submission has not been read, by job id.
     std::vector<UnmatchedEnd> m_unmatchedEnds; ///< Ends of attempts of such jobs.
     std::unordered_map<std::string, WorkerSpeed> m_restoredSpeeds; ///< Speeds learned in earlier terms, by worker id, of workers that have not been announced in this term.
--- a/src/process/scheduler/scheduler_func.h
+++ b/src/process/scheduler/scheduler_func.h
@@ -62,6 +62,9 @@
 /** Notes that the leaders of earlier terms have stopped renewing leases at an earlier time than was known when the loading ended. */
 void boundEarlierLeases(Scheduler& scheduler, TimePoint earlierLeadersStoppedAt);
 
+/** Ends the time in which cancellations are unread: releases the jobs held. Submissions may still be unread. */
+void finishCancellations(Scheduler& scheduler, TimePoint now);
+
 /** Ends the time in which submissions are unread: releases the jobs held, acknowledges the ends of jobs that don't exist and drops the progress of expired ones. */
 void finishSubmissions(Scheduler& scheduler, TimePoint now);
 
--- a/src/process/scheduler/scheduler_jobs.cpp
+++ b/src/process/scheduler/scheduler_jobs.cpp
@@ -214,7 +214,7 @@
     auto owned = std::make_unique<Job>();
     Job& job = *owned;
     job.m_plan = std::move(plan);
-    job.m_isHeld = scheduler.m_areSubmissionsUnread;
+    job.m_isHeld = scheduler.m_areCancellationsUnread;
     constexpr Duration maxAge { 3'600'000 };
     const TimePoint accepted = job.m_plan.m_submittedAt - scheduler.m_wallOffset;
     job.m_acceptedAt = std::clamp(accepted, now - maxAge, now);
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -63,7 +63,7 @@
     std::string encodeProgress(const Scheduler& scheduler, const Job& job)
     {
         Json runs = Json::array();
-        const bool isShort = isSettled(job) || job.m_isHeld; // Without tasks, a later term that can't read all submissions holds the job too.
+        const bool isShort = isSettled(job) || job.m_isHeld; // Without tasks, a later term that can't read all cancellations holds the job too.
         for (const auto& run : job.m_runs) {
             if (isShort)
                 break;
@@ -217,7 +217,7 @@
         const auto recordedStage = decodeEnum(decoded.at(1), JobStage::Cancelled);
         // A cancellation that was read before the progress record takes precedence over it.
         const bool wasEnded = isFinal(job.m_stage);
-        job.m_isHeld = scheduler.m_areSubmissionsUnread && decoded.at(3).empty();
+        job.m_isHeld = scheduler.m_areCancellationsUnread && decoded.at(3).empty();
         const JobStage stage = wasEnded ? job.m_stage : recordedStage;
         const bool isPending = stage == JobStage::Pending && !hasStarted(job);
         if (job.m_stage == JobStage::Pending && !isPending)
@@ -405,6 +405,17 @@
     }
 }
 
+void finishCancellations(Scheduler& scheduler, TimePoint now)
+{
+    scheduler.m_areCancellationsUnread = false;
+    for (const auto& [id, job] : scheduler.m_jobs) {
+        if (!std::exchange(job->m_isHeld, false) || isFinal(job->m_stage))
+            continue;
+        detail::releaseReadySteps(scheduler, *job, now);
+        detail::releaseDueOccurrences(scheduler, *job, now);
+    }
+}
+
 void finishSubmissions(Scheduler& scheduler, TimePoint now)
 {
     scheduler.m_areSubmissionsUnread = false;
@@ -417,12 +428,7 @@
     while (!scheduler.m_unmatchedEnds.empty())
         detail::handleUnmatchedEnds(scheduler, std::string(scheduler.m_unmatchedEnds.front().m_ended.m_task.m_job), now);
     detail::acknowledgeEnds(scheduler, now);
-    for (const auto& [id, job] : scheduler.m_jobs) {
-        if (!std::exchange(job->m_isHeld, false) || isFinal(job->m_stage))
-            continue;
-        detail::releaseReadySteps(scheduler, *job, now);
-        detail::releaseDueOccurrences(scheduler, *job, now);
-    }
+    finishCancellations(scheduler, now);
 }
 
 } // namespace bulrushloft::scheduler
--- a/tests/cell_loading_test.cpp
+++ b/tests/cell_loading_test.cpp
@@ -110,7 +110,7 @@
                 m_timeouts.emplace(m_now + timeout, [onAnswer] { onAnswer({}); });
         };
         ports.m_read = [this, deliverLater](const StoreRead& read, Duration timeout, const std::function<void(StoreReadAnswer)>& onAnswer) {
-            if (read.m_partition.m_topic == "keyed.jobs") {
+            if (read.m_partition == StorePartition { .m_topic = "keyed.jobs", .m_partition = submissionPartition }) {
                 m_readMargins.push_back(timeout - read.m_wait);
                 if (m_failingReads > 0 && m_failingReads-- > 0)
                     return deliverLater(onAnswer, StoreReadAnswer { .m_status = StoreStatus::Unknown });
--- a/tests/partial_loading_test.cpp
+++ b/tests/partial_loading_test.cpp
@@ -10,6 +10,42 @@
 
 namespace {
 
+const StorePartition submissions { .m_topic = jobsTopic, .m_partition = submissionPartition };
+const StorePartition cancellationCopies { .m_topic = jobsTopic, .m_partition = cancellationPartition };
+
+/** A cell in which a single partition of the topic of jobs can be silent. */
+struct SilentSubmissionsFixture : OneVmCell {
+    /** Begins a term whose leader can't read submissions, but the copies of cancellations. */
+    void restartWithoutSubmissions()
+    {
+        m_silentPartitions = { submissions };
+        startNode();
+        stepUntilLeading();
+        step(100);
+    }
+
+    /** @return The answer to a client that cancels a job while a new leader is still loading, so that the VM stores the cancellation itself; empty without one. */
+    std::optional<ClientStatus> cancelWhileLoading(const std::string& id)
+    {
+        m_jobsDelay = Duration { 500 };
+        startNode();
+        while (m_node->m_role != Role::Loading)
+            step();
+        std::optional<ClientStatus> status;
+        onClientCall(*m_node, { .m_verb = ClientVerb::Cancel, .m_host = "h", .m_path = "/q/" + id, .m_body = {}, .m_arrivedAt = m_now, .m_deadline = m_now + Duration { 1'000 } }, [&](const ClientReply& reply) { status = reply.m_status; });
+        step(100);
+        m_jobsDelay = {};
+        return status;
+    }
+
+    /** @return Whether a partition holds a record with the key. */
+    bool isStored(const StorePartition& partition, const std::string& key)
+    {
+        const StoreNewestAnswer answer = m_store.newest({ .m_partition = partition, .m_after = {} });
+        return std::any_of(answer.m_records.begin(), answer.m_records.end(), [&](const KeyedRecord& record) { return record.m_key == key; });
+    }
+};
+
 /** Two jobs run; then a term begins that can't read the submissions. */
 struct RunningJobsFixture : OneVmCell {
     RunningJobsFixture()
@@ -109,6 +145,7 @@
     m_areJobsSilent = true;
     append(jobsTopic, newJob, encodeJob(newJob));
     append(jobsTopic, std::string("!") + newJob, "cancelled");
+    m_store.append({ .m_partition = cancellationCopies, .m_records = { { .m_key = std::string("!") + newJob, .m_value = "cancelled" } }, .m_writer = {}, .m_expectedEnd = {} });
     restartWithoutJobs();
     BOOST_TEST((submit(newJob) == WriteOutcome::Recorded));
     step(300);
@@ -268,3 +305,91 @@
     step(500);
     BOOST_TEST(startsOf(newJob) == 1U);
 }
+
+// After a loss of power the partition of submissions stayed silent for 24 s, and no job that the leader accepted meanwhile ran (RECOVER).
+BOOST_FIXTURE_TEST_CASE(a_leader_that_cannot_read_submissions_runs_new_jobs, SilentSubmissionsFixture)
+{
+    restartWithoutSubmissions();
+    BOOST_TEST((submit(newJob) == WriteOutcome::Recorded));
+    step(100);
+    BOOST_TEST(startsOf(newJob) == 1U);
+    finish(newJob);
+    step(100);
+    BOOST_TEST(isAtStage(newJob, scheduler::JobStage::Complete));
+    m_silentPartitions.clear();
+    step(500);
+    BOOST_TEST(startsOf(newJob) == 1U);
+    BOOST_TEST(isAtStage(newJob, scheduler::JobStage::Complete));
+}
+
+// It must not run a job whose cancellation was acknowledged (UNASKED).
+BOOST_FIXTURE_TEST_CASE(a_leader_that_cannot_read_submissions_knows_cancellations_by_their_copies, SilentSubmissionsFixture)
+{
+    BOOST_TEST((cancelWhileLoading(newJob) == ClientStatus::Cancelled));
+    BOOST_TEST(isStored(cancellationCopies, std::string("!") + newJob));
+    restartWithoutSubmissions();
+    BOOST_TEST((submit(newJob) == WriteOutcome::Recorded));
+    step(100);
+    BOOST_TEST(startsOf(newJob) == 0U);
+    BOOST_TEST(isAtStage(newJob, scheduler::JobStage::Cancelled));
+}
+
+// A job that an earlier leader has held may have been cancelled, too.
+BOOST_FIXTURE_TEST_CASE(a_held_job_is_cancelled_by_the_copy_of_its_cancellation, SilentSubmissionsFixture)
+{
+    BOOST_TEST((cancelWhileLoading(newJob) == ClientStatus::Cancelled));
+    m_silentPartitions = { submissions, cancellationCopies };
+    startNode();
+    stepUntilLeading();
+    BOOST_TEST((submit(newJob) == WriteOutcome::Recorded));
+    BOOST_TEST((submit(knownJob) == WriteOutcome::Recorded));
+    step(100);
+    BOOST_TEST(m_startedJobs.empty());
+    restartWithoutSubmissions();
+    step(100);
+    BOOST_TEST(startsOf(newJob) == 0U);
+    BOOST_TEST(startsOf(knownJob) == 1U);
+    BOOST_TEST(isAtStage(newJob, scheduler::JobStage::Cancelled));
+}
+
+// A cancellation without a copy is unknown to a leader that can't read the other partition.
+BOOST_FIXTURE_TEST_CASE(a_cancellation_without_a_copy_is_not_acknowledged, SilentSubmissionsFixture)
+{
+    for (const StorePartition& silent : { submissions, cancellationCopies }) {
+        m_silentPartitions = { silent };
+        const auto status = cancelWhileLoading(newJob);
+        BOOST_TEST((status && *status != ClientStatus::Cancelled));
+    }
+}
+
+// The leader goes on reading the copies, as VMs that reach both partitions store further cancellations.
+BOOST_FIXTURE_TEST_CASE(a_later_copy_of_a_cancellation_applies_while_submissions_are_unread, SilentSubmissionsFixture)
+{
+    restartWithoutSubmissions();
+    BOOST_TEST((submit(newJob) == WriteOutcome::Recorded));
+    step(100);
+    BOOST_TEST(startsOf(newJob) == 1U);
+    m_store.append({ .m_partition = cancellationCopies, .m_records = { { .m_key = std::string("!") + newJob, .m_value = "cancelled" } }, .m_writer = {}, .m_expectedEnd = {} });
+    step(200);
+    BOOST_TEST(isAtStage(newJob, scheduler::JobStage::Cancelled));
+    BOOST_TEST(stopsOf(newJob) >= 1U);
+}
+
+// The copy of a cancellation that outlives its job would cancel a later job with the same id.
+BOOST_FIXTURE_TEST_CASE(copies_of_cancellations_are_deleted_with_their_jobs, SilentSubmissionsFixture)
+{
+    m_retention = Duration { 3'000 };
+    append(jobsTopic, newJob, encodeJob(newJob));
+    BOOST_TEST((cancelWhileLoading(newJob) == ClientStatus::Cancelled));
+    BOOST_TEST(isStored(cancellationCopies, std::string("!") + newJob));
+    m_silentPartitions = { cancellationCopies };
+    stepUntilLeading();
+    BOOST_TEST(isAtStage(newJob, scheduler::JobStage::Cancelled));
+    step(800);
+    BOOST_TEST(isStored(submissions, newJob)); // Deleted first, the job would be forgotten before the copy.
+    m_silentPartitions.clear();
+    step(2'000);
+    BOOST_TEST(!isStored(submissions, newJob));
+    BOOST_TEST(!isStored(submissions, std::string("!") + newJob));
+    BOOST_TEST(!isStored(cancellationCopies, std::string("!") + newJob));
+}
