--- /dev/null
+++ b/tests/hangup_at_start.cpp
@@ -0,0 +1,11 @@
+/** @file hangup_at_start.cpp A library that, loaded into a process beforehand, sends it SIGHUP before main(). */
+#include <csignal>
+
+namespace {
+
+[[gnu::constructor]] void raiseHangup()
+{
+    raise(SIGHUP);
+}
+
+} // namespace
