Store progress records that are too large in parts

A record over 250,000 bytes is split over several keys, all in one append, so that the store holds all parts of a version or none. A new leader joins them after it has read and merged its partitions. Parts that a later version does not have are deleted with it. If the whole came near the 2 MB of an append, the checkpoints are left out.

An oversized plan, and a record of over 2 MB without checkpoints, remain refused; no job that is accepted is known to reach either.

--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -9,6 +9,7 @@
 #include "process/cell/hedged_call.h"
 #include "process/cell/journal_move.h"
 #include "process/cell/leader_monitor.h"
+#include "process/cell/record_parts.h"
 #include "process/cell/retry_advice.h"
 #include "process/cell/store_traffic.h"
 #include "process/cell/term_lease.h"
@@ -340,6 +341,7 @@
     std::vector<std::uint32_t> m_journals { 0 }; ///< Partitions of the topic of progress that hold the records, as the newest record of the leader topic names them.
     std::uint64_t m_leaderRecordsEnd = 0; ///< Offset after the newest known record of the leader topic.
     std::uint32_t m_writerJournal = 0; ///< Leader: the one of them that m_writer writes to.
+    PartCounts m_recordParts; ///< Leader: records that were too large for one key.
     JournalMove m_journalMove; ///< Leader: change to another partition while that one is silent.
     std::vector<HeldQuery> m_heldQueries; ///< Held queries of unfinished jobs.
     std::vector<PendingSubmission> m_pendingSubmissions; ///< Submissions that are not part of an append yet.
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -174,8 +174,8 @@
 /** @return Whether a further batch of records may be queued. */
 bool isReadyToRecord(const CellNode& node);
 
-/** Queues records under a batch number, split into appends of a size that the store accepts. */
-void pushRecords(AppendPipeline& pipeline, const StorePartition& partition, std::vector<KeyedRecord> records, std::uint64_t batch);
+/** Queues records under a batch number, split into records and appends of a size that the store accepts. */
+void pushRecords(PartCounts& counts, AppendPipeline& pipeline, const StorePartition& partition, std::vector<KeyedRecord> records, std::uint64_t batch);
 
 /** Processes the answer to an attempt of the leader's records. @param partition The partition of the topic of progress that it was sent to. */
 void onJournalAnswer(CellNode& node, std::uint32_t partition, const AppendAttempt& attempt, const StoreAppendAnswer& answer);
--- a/src/process/cell/cell_journal_move.cpp
+++ b/src/process/cell/cell_journal_move.cpp
@@ -200,7 +200,7 @@
         node.m_journalMove.m_pointer = PointerChange { .m_partitions = partitionsWith(node, target.m_partition) };
         node.m_journalMove.m_used.push_back(target.m_partition);
         if (!records.empty())
-            pushRecords(target.m_writer, journalPartition(node, target.m_partition), std::move(records), target.m_coveredBatch);
+            pushRecords(node.m_recordParts, target.m_writer, journalPartition(node, target.m_partition), std::move(records), target.m_coveredBatch);
     }
 
     void sendSnapshot(CellNode& node, JournalTarget& target)
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -147,6 +147,7 @@
         beginLoading(node);
         node.m_writerJournal = node.m_journals.back();
         node.m_journalMove = {};
+        node.m_recordParts = {};
         beginTermLease(node, former, node.m_leaderRecordsEnd);
         node.m_workerCopies = { .m_waitingSince = node.m_now };
         node.m_jobDeletions = {};
--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -170,10 +170,10 @@
     }
 
     /** @return The records of all partitions that have been read. A later one's counts, but for what a leader has noted of a job whose earlier records it could not read. */
-    std::map<std::string, std::string> mergeRecords(const LoadState& load)
+    std::map<std::string, std::string> mergeRecords(CellNode& node)
     {
         std::map<std::string, std::string> records;
-        for (const JournalLoad& journal : load.m_journals) {
+        for (const JournalLoad& journal : node.m_load.m_journals) {
             if (!isRead(journal))
                 continue;
             for (const auto& [key, value] : journal.m_progress) {
@@ -181,6 +181,7 @@
                     records.insert_or_assign(key, value);
             }
         }
+        joinParts(node.m_recordParts, records);
         return records;
     }
 
@@ -219,7 +220,7 @@
     /** Restores the records read so far. */
     void restoreRecords(CellNode& node)
     {
-        const std::map<std::string, std::string> records = mergeRecords(node.m_load);
+        const std::map<std::string, std::string> records = mergeRecords(node);
         for (const auto& [key, value] : records) {
             if (!isPlan(key) || value.empty())
                 continue;
@@ -263,7 +264,7 @@
     /** Restores the jobs that earlier leaders have accepted without the records that are unread now as well. All else waits for these. */
     void restoreHeld(CellNode& node)
     {
-        const std::map<std::string, std::string> records = mergeRecords(node.m_load);
+        const std::map<std::string, std::string> records = mergeRecords(node);
         for (const auto& [key, value] : records) {
             const auto plan = records.find(scheduler::planKey(key));
             if (plan == records.end() || !scheduler::isHeldRecord(value))
@@ -278,7 +279,7 @@
     {
         std::vector<JobPlan> plans;
         std::map<std::string, std::string> progress;
-        for (const auto& [key, value] : mergeRecords(node.m_load)) {
+        for (const auto& [key, value] : mergeRecords(node)) {
             if (value.empty())
                 continue;
             if (!isPlan(key)) {
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -114,7 +114,7 @@
             records.push_back(std::move(*members));
         for (KeyedRecord& copy : takeWorkerCopies(node))
             records.push_back(std::move(copy));
-        pushRecords(node.m_writer, { .m_topic = node.m_options.m_topics.m_progress, .m_partition = node.m_writerJournal }, std::move(records), batch);
+        pushRecords(node.m_recordParts, node.m_writer, { .m_topic = node.m_options.m_topics.m_progress, .m_partition = node.m_writerJournal }, std::move(records), batch);
     }
 
     void onAppendCompleted(CellNode& node, const AppendAttempt& attempt, const StoreAppendAnswer& answer)
@@ -137,18 +137,20 @@
 
 } // namespace
 
-void pushRecords(AppendPipeline& pipeline, const StorePartition& partition, std::vector<KeyedRecord> records, std::uint64_t batch)
+void pushRecords(PartCounts& counts, AppendPipeline& pipeline, const StorePartition& partition, std::vector<KeyedRecord> records, std::uint64_t batch)
 {
     StoreAppend part { .m_partition = partition, .m_records = {}, .m_writer = {}, .m_expectedEnd = {} };
     std::size_t bytes = 0;
     for (KeyedRecord& record : records) {
-        if (bytes + record.m_value.size() > maxAppendBytes) {
+        const std::size_t recordBytes = record.m_value.size();
+        if (bytes > 0 && bytes + recordBytes > maxAppendBytes) {
             pushAppend(pipeline, part, 0);
             part.m_records.clear();
             bytes = 0;
         }
-        bytes += record.m_value.size();
-        part.m_records.push_back(std::move(record));
+        bytes += recordBytes;
+        for (KeyedRecord& piece : splitRecord(counts, std::move(record)))
+            part.m_records.push_back(std::move(piece));
     }
     pushAppend(pipeline, std::move(part), batch);
 }
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -33,7 +33,9 @@
         Failed,
     };
 
-    Json encodeTask(const Scheduler& scheduler, const Task& task)
+    constexpr std::size_t maxProgressBytes = 1'900'000; ///< The store takes 2 MB in one append, and the parts of a record belong together.
+
+    Json encodeTask(const Scheduler& scheduler, const Task& task, const std::string& checkpoint)
     {
         const bool isPlaced = task.m_phase != RunPhase::None;
         if (task.m_resolution != TaskResolution::Open && !isPlaced)
@@ -41,7 +43,7 @@
         if (task.m_attempt == 0)
             return static_cast<int>(TaskMark::NeverPlaced);
         const Worker* const worker = isPlaced ? &scheduler.m_workers[static_cast<std::size_t>(task.m_worker)] : nullptr;
-        Json row = Json::array({ static_cast<int>(task.m_resolution), task.m_attempt, task.m_failures, task.m_hasStarted, worker ? worker->m_announcement.m_id : std::string(), task.m_checkpoint });
+        Json row = Json::array({ static_cast<int>(task.m_resolution), task.m_attempt, task.m_failures, task.m_hasStarted, worker ? worker->m_announcement.m_id : std::string(), checkpoint });
         if (!worker && task.m_crashes == 0)
             return row;
         row.push_back(task.m_crashes);
@@ -60,7 +62,7 @@
         return isFinal(job.m_stage) && std::all_of(job.m_runs.begin(), job.m_runs.end(), [](const auto& run) { return run->m_activeAttempts == 0; });
     }
 
-    std::string encodeProgress(const Scheduler& scheduler, const Job& job)
+    std::string encodeRuns(const Scheduler& scheduler, const Job& job, bool areCheckpointsKept)
     {
         Json runs = Json::array();
         const bool isShort = isSettled(job) || job.m_isHeld; // Without tasks, a later term that can't read all cancellations holds the job too.
@@ -69,13 +71,20 @@
                 break;
             Json tasks = Json::array();
             for (const Task& task : run->m_tasks)
-                tasks.push_back(encodeTask(scheduler, task));
+                tasks.push_back(encodeTask(scheduler, task, areCheckpointsKept ? task.m_checkpoint : std::string()));
             runs.push_back(Json::array({ run->m_occurrence, run->m_step, run->m_gangFailures, run->m_lastFailedAttempt, std::move(tasks) }));
         }
         const std::vector<std::uint8_t> bytes = Json::to_cbor(Json::array({ recordFormat, static_cast<int>(job.m_stage), isShort ? 0 : job.m_nextOccurrence, std::move(runs) }));
         return { bytes.begin(), bytes.end() };
     }
 
+    /** @return A job's progress; without the checkpoints if it would be too large, so that its tasks would begin anew at worst. */
+    std::string encodeProgress(const Scheduler& scheduler, const Job& job)
+    {
+        std::string record = encodeRuns(scheduler, job, true);
+        return record.size() <= maxProgressBytes ? record : encodeRuns(scheduler, job, false);
+    }
+
     /** @return What has to be kept of the plan of an ended job, so that its id is known and its stage can be told. */
     std::string encodeShortPlan(const JobPlan& plan)
     {
