Reject a plan that the store would refuse

Submissions that VMs store themselves are appended together. A plan over record_bytes has the store refuse the whole append, so the submissions beside it were refused as well, three times each. Such a plan is answered with 400 and the remedy, by the encoded size, whatever way it would be stored.

a_plan_that_is_too_large_for_the_store_is_rejected failed before.

--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -187,21 +187,30 @@
         watchLeader(node, callback);
     }
 
-    void submit(CellNode& node, const ClientCall& call, const QueueSettings& queue, const ClientResponder& respond)
+    /** Decodes and checks a submission. @return Its plan, or an error that names the remedy. */
+    Expected<JobPlan> readSubmission(const CellNode& node, const ClientCall& call, const QueueSettings& queue)
     {
         auto plan = node.m_decoders.m_plan(call.m_body);
-        Expected<void> valid;
-        if (plan) {
-            plan->m_id = jobIdFromPath(queue, call.m_path);
-            plan->m_queue = queue.m_name;
-            plan->m_pool = queue.m_pool;
-            plan->m_submittedAt = node.m_now + node.m_wallOffset;
-            valid = validatePlan(*plan);
-        }
-        if (!plan || !valid) {
-            const Error& error = plan ? valid.error() : plan.error();
-            logEvent(LogLevel::Info, "submission-invalid", { { "path", call.m_path.substr(0, 100) }, { "error", describe(error) } });
-            return respond({ .m_status = ClientStatus::Invalid, .m_text = describe(error) });
+        if (!plan)
+            return plan;
+        plan->m_id = jobIdFromPath(queue, call.m_path);
+        plan->m_queue = queue.m_name;
+        plan->m_pool = queue.m_pool;
+        plan->m_submittedAt = node.m_now + node.m_wallOffset;
+        if (const auto valid = validatePlan(*plan); !valid)
+            return tl::unexpected(valid.error());
+        const std::size_t bytes = encodePlan(*plan).size();
+        if (bytes > maxRecordBytes) // The store would refuse it, and the submissions that are appended with it.
+            return fail(ErrorKind::TooLarge, "the job's steps take " + std::to_string(bytes) + " bytes", "split it into jobs of at most " + std::to_string(maxRecordBytes) + " bytes");
+        return plan;
+    }
+
+    void submit(CellNode& node, const ClientCall& call, const QueueSettings& queue, const ClientResponder& respond)
+    {
+        const auto plan = readSubmission(node, call, queue);
+        if (!plan) {
+            logEvent(LogLevel::Info, "submission-invalid", { { "path", call.m_path.substr(0, 100) }, { "error", describe(plan.error()) } });
+            return respond({ .m_status = ClientStatus::Invalid, .m_text = describe(plan.error()) });
         }
         PendingWrite write { .m_records = { { .m_key = plan->m_id, .m_value = encodePlan(*plan) } }, .m_deadline = call.m_deadline - replyMargin };
         write.m_onComplete = [&node, context = contextOf(call, queue), respond](StoreStatus status) { replyToWrite(node, status, ClientStatus::Accepted, context, respond); };
--- a/tests/record_parts_test.cpp
+++ b/tests/record_parts_test.cpp
@@ -140,3 +140,19 @@
     BOOST_TEST(isAtStage(newJob, scheduler::JobStage::Complete));
     BOOST_TEST(countParts() == 0U);
 }
+
+// A plan that the store refuses took the submissions with it that were appended beside it.
+BOOST_FIXTURE_TEST_CASE(a_plan_that_is_too_large_for_the_store_is_rejected, OneVmCell)
+{
+    stepUntilLeading();
+    const auto submitSteps = [this](std::size_t steps) {
+        const StepPlan plan { .m_count = 1, .m_size = { .m_cpuMilli = 1'000, .m_memoryMb = 1, .m_gpus = 0 }, .m_estimatedRunTime = { 500 } };
+        m_node->m_decoders.m_plan = [plan, steps](const std::string&) -> Expected<JobPlan> { return JobPlan { .m_steps = std::vector<StepPlan>(steps, plan) }; };
+        std::optional<ClientStatus> status;
+        onClientCall(*m_node, { .m_verb = ClientVerb::Submit, .m_host = "h", .m_path = std::string("/q/") + newJob, .m_body = {}, .m_arrivedAt = m_now, .m_deadline = m_now + Duration { 1'000 } }, [&](const ClientReply& reply) { status = reply.m_status; });
+        step(50);
+        return status;
+    };
+    BOOST_TEST((submitSteps(20'000) == ClientStatus::Invalid));
+    BOOST_TEST((submitSteps(10) == ClientStatus::Accepted));
+}
