--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -141,11 +141,13 @@
         node.m_scheduler->m_options.m_token = node.m_term;
         node.m_scheduler->m_wallOffset = node.m_wallOffset;
         node.m_scheduler->m_areSubmissionsUnread = true;
+        node.m_scheduler->m_areCancellationsUnread = true;
         scheduler::setCluster(*node.m_scheduler, *node.m_cluster);
         node.m_writer = makePipeline(writerName, node.m_term);
         beginLoading(node);
         node.m_writerJournal = node.m_journals.back();
         node.m_journalMove = {};
+        node.m_recordParts = {};
         beginTermLease(node, former, node.m_leaderRecordsEnd);
         node.m_workerCopies = { .m_waitingSince = node.m_now };
         node.m_jobDeletions = {};
@@ -336,6 +338,7 @@
     node.m_isAwaitingConfirmation = false;
     node.m_pendingRemovals.clear();
     resetTail(node.m_jobsTail, false);
+    resetTail(node.m_cancellationsTail, false);
     resetTail(node.m_workersTail, false);
     resetObservations(node.m_leaderMonitor, node.m_now);
 }
@@ -379,7 +382,7 @@
     detail::stepWriter(node);
     detail::stepJournalMove(node);
     detail::stepRelay(node);
-    detail::stepDirectWriter(node);
+    detail::stepDirectWriters(node);
     detail::answerHeldQueries(node);
     reportTraffic(node.m_storeTraffic, node.m_now);
     reportSilence(node.m_storeTraffic, node.m_now);
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -35,7 +35,9 @@
         Failed,
     };
 
-    Json encodeTask(const Scheduler& scheduler, const Task& task)
+    constexpr std::size_t maxProgressBytes = 1'900'000; ///< The store takes 2 MB in one append, and the parts of a record belong together.
+
+    Json encodeTask(const Scheduler& scheduler, const Task& task, const std::string& checkpoint)
     {
         const bool isPlaced = task.m_phase != RunPhase::None;
         if (task.m_resolution != TaskResolution::Open && !isPlaced)
@@ -43,7 +45,7 @@
         if (task.m_attempt == 0)
             return static_cast<int>(TaskMark::NeverPlaced);
         const Worker* const worker = isPlaced ? &scheduler.m_workers[static_cast<std::size_t>(task.m_worker)] : nullptr;
-        Json row = Json::array({ static_cast<int>(task.m_resolution), task.m_attempt, task.m_failures, task.m_hasStarted, worker ? worker->m_announcement.m_id : std::string(), task.m_checkpoint });
+        Json row = Json::array({ static_cast<int>(task.m_resolution), task.m_attempt, task.m_failures, task.m_hasStarted, worker ? worker->m_announcement.m_id : std::string(), checkpoint });
         if (!worker && task.m_crashes == 0 && task.m_suspicions == 0)
             return row;
         row.push_back(task.m_crashes);
@@ -63,22 +65,29 @@
         return isFinal(job.m_stage) && std::all_of(job.m_runs.begin(), job.m_runs.end(), [](const auto& run) { return run->m_activeAttempts == 0; });
     }
 
-    std::string encodeProgress(const Scheduler& scheduler, const Job& job)
+    std::string encodeRuns(const Scheduler& scheduler, const Job& job, bool areCheckpointsKept)
     {
         Json runs = Json::array();
-        const bool isShort = isSettled(job) || job.m_isHeld; // Without tasks, a later term that can't read all submissions holds the job too.
+        const bool isShort = isSettled(job) || job.m_isHeld; // Without tasks, a later term that can't read all cancellations holds the job too.
         for (const auto& run : job.m_runs) {
             if (isShort)
                 break;
             Json tasks = Json::array();
             for (const Task& task : run->m_tasks)
-                tasks.push_back(encodeTask(scheduler, task));
+                tasks.push_back(encodeTask(scheduler, task, areCheckpointsKept ? task.m_checkpoint : std::string()));
             runs.push_back(Json::array({ run->m_occurrence, run->m_step, run->m_gangFailures, run->m_lastFailedAttempt, std::move(tasks) }));
         }
         const std::vector<std::uint8_t> bytes = Json::to_cbor(Json::array({ recordFormat, static_cast<int>(job.m_stage), isShort ? 0 : job.m_nextOccurrence, std::move(runs), detail::failureLimitOf(scheduler, job) }));
         return { bytes.begin(), bytes.end() };
     }
 
+    /** @return A job's progress; without the checkpoints if it would be too large, so that its tasks would begin anew at worst. */
+    std::string encodeProgress(const Scheduler& scheduler, const Job& job)
+    {
+        std::string record = encodeRuns(scheduler, job, true);
+        return record.size() <= maxProgressBytes ? record : encodeRuns(scheduler, job, false);
+    }
+
     /** @return What has to be kept of the plan of an ended job, so that its id is known and its stage can be told. */
     std::string encodeShortPlan(const JobPlan& plan)
     {
@@ -162,10 +171,10 @@
     {
         const auto occurrence = row.at(0).get<std::uint32_t>();
         const auto step = row.at(1).get<std::uint32_t>();
-        const auto found = std::find_if(job.m_runs.begin(), job.m_runs.end(), [&](const auto& run) { return run->m_occurrence == occurrence && run->m_step == step; });
-        if (found == job.m_runs.end())
+        StepRun* const found = detail::findRun(job, occurrence, step);
+        if (!found)
             return;
-        StepRun& run = **found;
+        StepRun& run = *found;
         run.m_gangFailures = row.at(2);
         run.m_lastFailedAttempt = row.at(3);
         const Json& tasks = row.at(4);
@@ -223,7 +232,7 @@
         const auto recordedStage = decodeEnum(decoded.at(1), JobStage::Cancelled);
         // A cancellation that was read before the progress record takes precedence over it.
         const bool wasEnded = isFinal(job.m_stage);
-        job.m_isHeld = scheduler.m_areSubmissionsUnread && decoded.at(3).empty();
+        job.m_isHeld = scheduler.m_areCancellationsUnread && decoded.at(3).empty();
         const JobStage stage = wasEnded ? job.m_stage : recordedStage;
         const bool isPending = stage == JobStage::Pending && !hasStarted(job);
         if (job.m_stage == JobStage::Pending && !isPending)
@@ -411,6 +420,17 @@
     }
 }
 
+void finishCancellations(Scheduler& scheduler, TimePoint now)
+{
+    scheduler.m_areCancellationsUnread = false;
+    for (const auto& [id, job] : scheduler.m_jobs) {
+        if (!std::exchange(job->m_isHeld, false) || isFinal(job->m_stage))
+            continue;
+        detail::releaseReadySteps(scheduler, *job, now);
+        detail::releaseDueOccurrences(scheduler, *job, now);
+    }
+}
+
 void finishSubmissions(Scheduler& scheduler, TimePoint now)
 {
     scheduler.m_areSubmissionsUnread = false;
@@ -423,12 +443,7 @@
     while (!scheduler.m_unmatchedEnds.empty())
         detail::handleUnmatchedEnds(scheduler, std::string(scheduler.m_unmatchedEnds.front().m_ended.m_task.m_job), now);
     detail::acknowledgeEnds(scheduler, now);
-    for (const auto& [id, job] : scheduler.m_jobs) {
-        if (!std::exchange(job->m_isHeld, false) || isFinal(job->m_stage))
-            continue;
-        detail::releaseReadySteps(scheduler, *job, now);
-        detail::releaseDueOccurrences(scheduler, *job, now);
-    }
+    finishCancellations(scheduler, now);
 }
 
 } // namespace bulrushloft::scheduler
