Settle an attempt of an earlier leader whose stop can't be delivered

Found by review: an attempt that a new leader takes over carries no lease deadline of its starts, so that its stop, wanted at a worker that has restarted since and answers syncs only, waited for ever (60 s and more).

Change: without a deadline the age of the wanted stop counts, with the longest time for which a start may be carried out late.

--- a/src/process/scheduler/order_health.cpp
+++ b/src/process/scheduler/order_health.cpp
@@ -164,3 +164,5 @@
 }
 
 } // namespace bulrushloft::scheduler::detail
+    if (task.m_startLeaseUntilMs == 0) // An earlier leader has sent its starts.
+        return now - task.m_stopRequestedAt >= lateStartLimit;
