Take a stop that a worker refuses for one that is not delivered

A refused stop does not end the attempt either.

Change: it counts as an order without an answer. No test of its own in this tree.

--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -596,7 +596,8 @@
         effects.m_isFenced = true;
     if (const auto index = scheduler.m_workerById.find(worker); index != scheduler.m_workerById.end()) {
         Worker& addressee = scheduler.m_workers[static_cast<std::size_t>(index->second)];
-        noteOrderOutcome(addressee, status, now);
+        // A stop that is refused does not end the attempt either.
+        noteOrderOutcome(addressee, status == OrderStatus::Unhealthy ? OrderStatus::NoAnswer : status, now);
         onLateStartStopped(addressee, name, attempt, status, now);
     }
     const TaskRef ref = findCurrentAttempt(scheduler, worker, name, attempt);
