Count an order that a peer doesn't take against no worker

Found by review: a peer that refuses orders for 300 ms after a suspension, or whose outbox fails, had 20 of 40 workers count as not reached by orders, as their starts ended as not sent.

Change: such an order ends as NotForwarded, which is repeated like NotSent and says nothing of the worker. It is never on the wire.

--- a/src/connection/order_type.h
+++ b/src/connection/order_type.h
@@ -40,6 +40,7 @@
     WrongInstance, ///< A different worker answers at the address.
     Invalid, ///< The worker rejected the order as malformed.
     Unreported, ///< The peer that forwarded it has failed: like NoAnswer, but nothing speaks against the worker.
+    NotForwarded, ///< The peer that was to forward it did not take it: like NotSent, but nothing speaks against the worker. Never reported by a peer.
 };
 
 /** Starts an attempt of a task. */
--- a/src/process/cell/cell_relay.cpp
+++ b/src/process/cell/cell_relay.cpp
@@ -51,7 +51,7 @@
     /** @return Outcome of an order that was not sent to its peer; for a sync, nothing follows about the worker. */
     OrderStatus unsentStatus(const RelayedOrder& order)
     {
-        return std::holds_alternative<SyncOrder>(order.m_order) ? OrderStatus::Unreported : OrderStatus::NotSent;
+        return std::holds_alternative<SyncOrder>(order.m_order) ? OrderStatus::Unreported : OrderStatus::NotForwarded;
     }
 
     /** Ends the wait for a report. The peer or this leader may only be slow, so nothing follows about the worker, and a late report is still used. */
--- a/src/process/scheduler/order_health.cpp
+++ b/src/process/scheduler/order_health.cpp
@@ -83,7 +83,8 @@
 void noteOrderOutcome(Worker& worker, OrderStatus status, TimePoint now)
 {
     switch (status) {
-    case OrderStatus::Unreported: // The peer that forwarded it has failed.
+    case OrderStatus::Unreported: // The peer that forwarded it has failed, or did not take it.
+    case OrderStatus::NotForwarded:
     case OrderStatus::WrongInstance:
         return;
     case OrderStatus::NoAnswer:
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -390,7 +390,7 @@
         Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
         const bool wereFailing = areOrdersFailing(worker, now);
         noteOrderOutcome(worker, status, now);
-        const bool saysNothing = status == OrderStatus::NotSent || status == OrderStatus::Unreported || status == OrderStatus::WrongInstance;
+        const bool saysNothing = status == OrderStatus::NotSent || status == OrderStatus::NotForwarded || status == OrderStatus::Unreported || status == OrderStatus::WrongInstance;
         if (saysNothing || (wereFailing && status == OrderStatus::NoAnswer))
             return;
         countAnswer(scheduler, index, status != OrderStatus::NoAnswer, now);
@@ -547,7 +547,7 @@
         return;
     Task& task = ref.task();
     task.m_isCallPending = false;
-    if (status != OrderStatus::NoAnswer && status != OrderStatus::NotSent && status != OrderStatus::Unreported)
+    if (status != OrderStatus::NoAnswer && status != OrderStatus::NotSent && status != OrderStatus::NotForwarded && status != OrderStatus::Unreported)
         updateMeanAnswerTime(scheduler, now - task.m_startSentAt);
     constexpr Duration retryDelay { 30 };
     task.m_nextCallAt = now + retryDelay;
@@ -565,6 +565,7 @@
         return;
     case OrderStatus::LeaseExpired: // The next sync refreshes the known clock of the worker, so a later deadline can be sent.
     case OrderStatus::NotSent:
+    case OrderStatus::NotForwarded:
     case OrderStatus::Fenced:
         return;
     case OrderStatus::InvalidTicket:
--- a/src/table/scheduler_table.h
+++ b/src/table/scheduler_table.h
@@ -66,7 +66,7 @@
     { AttemptEnd::GangIncomplete, "alone" },
 } };
 
-constexpr std::array<EnumName<OrderStatus>, 12> orderStatusNames { {
+constexpr std::array<EnumName<OrderStatus>, 13> orderStatusNames { {
     { OrderStatus::Done, "done" },
     { OrderStatus::NoAnswer, "no-answer" },
     { OrderStatus::NotSent, "not-sent" },
@@ -79,6 +79,7 @@
     { OrderStatus::WrongInstance, "wrong-instance" },
     { OrderStatus::Invalid, "invalid" },
     { OrderStatus::Unreported, "unreported" },
+    { OrderStatus::NotForwarded, "not-forwarded" },
 } };
 
 } // namespace bulrushloft::scheduler
--- a/tests/fakes/relay_fixture.h
+++ b/tests/fakes/relay_fixture.h
@@ -36,6 +36,8 @@
     Duration m_heartbeatInterval; ///< Interval between the heartbeats of each peer.
     std::string m_silentPeer; ///< Peer that has ended: it neither answers nor reports.
     std::string m_mutePeer; ///< Peer that acknowledges messages and carries out orders, but whose reports never arrive.
+    std::string m_blindPeer; ///< Peer that reaches no worker: it reports each order as not sent.
+    std::string m_refusingPeer; ///< Peer that takes no orders.
     std::string m_slowPeer; ///< Peer that carries out orders and reports them, but acknowledges each message too late.
     bool m_doTasksEnd = false; ///< Tasks end as done as soon as they start; otherwise workers list nothing.
     Duration m_reportDelay; ///< Time from an order to its report.
@@ -95,8 +97,11 @@
             const auto peer = std::find_if(m_peers.begin(), m_peers.end(), [&](const PeerMember& each) { return each.m_address == to; });
             if (peer->m_name == m_silentPeer)
                 return deliverLater(onReply, std::optional<PeerReply>());
-            if (const auto* const orders = std::get_if<PeerOrders>(&message))
-                forward(*orders, peer->m_name == m_mutePeer);
+            const auto* const orders = std::get_if<PeerOrders>(&message);
+            if (orders && peer->m_name == m_refusingPeer)
+                return deliverLater(onReply, std::optional<PeerReply>(PeerAck { .m_isAccepted = false }));
+            if (orders)
+                forward(*orders, *peer);
             constexpr Duration callTimeout { 700 };
             if (peer->m_name == m_slowPeer && std::holds_alternative<PeerOrders>(message))
                 m_delayed.emplace(m_now + callTimeout, [onReply] { onReply(std::nullopt); });
@@ -124,13 +129,13 @@
     }
 
     /** Carries out orders; the reports are delivered unless the peer ends before, or is mute. */
-    void forward(const PeerOrders& message, bool isMute)
+    void forward(const PeerOrders& message, const PeerMember& peer)
     {
         m_unconfirmedOrders += m_node->m_isAwaitingConfirmation ? message.m_orders.size() : 0;
         PeerReports reports { .m_token = m_node->m_term, .m_reports = {} };
         for (const RelayedOrder& order : message.m_orders)
-            reports.m_reports.push_back(execute(order));
-        if (isMute)
+            reports.m_reports.push_back(peer.m_name == m_blindPeer ? OrderReport { .m_number = order.m_number, .m_status = OrderStatus::NotSent } : execute(order));
+        if (peer.m_name == m_mutePeer)
             return;
         const auto deliver = [this, reports, hadSilentPeer = !m_silentPeer.empty()] {
             if (m_silentPeer.empty() || hadSilentPeer)
