Forward no orders through a peer that reaches no workers

One whose own calls to workers all fail went on to forward: all 40 workers behind it counted as silent, though the other peer and the leader could reach them.

Change: a peer through which no worker has answered for 2 s, while it reports orders without an answer, forwards none for 10 s.

--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -265,9 +265,10 @@
     std::optional<TimePoint> m_failingSince; ///< Time of the first failure since a message has last reached the leader.
 };
 
-/** Whether the reports of a peer that forwards orders reach the leader. */
+/** Whether a peer that forwards orders reaches workers, and its reports the leader. */
 struct RelayHealth {
     std::optional<TimePoint> m_unreportedSince; ///< When an order was first given up for want of a report since the latest report.
+    std::optional<TimePoint> m_unreachedSince; ///< When it first reported an order without an answer since a worker last answered through it.
     TimePoint m_excludedUntil; ///< Until then it forwards no orders.
 };
 
--- a/src/process/cell/cell_relay.cpp
+++ b/src/process/cell/cell_relay.cpp
@@ -22,7 +22,7 @@
     constexpr Duration reportMargin { 500 }; ///< Added to an order's own timeout for the round trip to the peer.
     constexpr Duration lateReportLimit { 10'000 }; ///< A report that comes later after its order was given up is ignored.
     constexpr Duration expiryInterval { 50 };
-    constexpr Duration maxUnreportedTime { 2'000 }; ///< A peer whose orders go unreported for so long after the first forwards no more,
+    constexpr Duration maxFailingTime { 2'000 }; ///< A peer whose orders all go unreported or unanswered for so long forwards no more,
     constexpr Duration exclusionTime { 10'000 }; ///< for this time.
     constexpr std::size_t workersPerRelay = 500;
     constexpr Duration postSuspensionPause { 300 }; ///< After a suspension a peer refuses orders for this time, as those that arrived meanwhile are outdated.
@@ -39,15 +39,6 @@
             order.m_onAnswer(status, report);
     }
 
-    void noteReported(CellNode& node, std::uint64_t number)
-    {
-        const auto order = node.m_relay.m_openOrders.find(number);
-        if (order == node.m_relay.m_openOrders.end())
-            return;
-        if (const auto health = node.m_relay.m_health.find(order->second.m_relay); health != node.m_relay.m_health.end())
-            health->second.m_unreportedSince.reset();
-    }
-
     /** @return Outcome of an order that was not sent to its peer; for a sync, nothing follows about the worker. */
     OrderStatus unsentStatus(const RelayedOrder& order)
     {
@@ -134,18 +125,43 @@
             completeOrder(node, order.m_number, unsentStatus(order), {});
     }
 
+    /** Forwards no orders through a peer for a while. */
+    void excludeRelay(CellNode& node, const std::string& name, std::string_view cause, Duration failing)
+    {
+        node.m_relay.m_health[name] = { .m_unreportedSince = std::nullopt, .m_unreachedSince = std::nullopt, .m_excludedUntil = node.m_now + exclusionTime };
+        logEvent(LogLevel::Warning, "order-relay-excluded", { { "peer", name }, { "cause", cause }, { "failing_ms", failing.m_ms } });
+        failRelay(node, name);
+    }
+
+    /** Excludes a peer if something has failed for too long. @param failingSince Time since which it has failed, if it has. */
+    void excludeIfFailing(CellNode& node, const std::string& name, const std::optional<TimePoint>& failingSince, std::string_view cause)
+    {
+        const Duration failing = failingSince ? node.m_now - *failingSince : Duration {};
+        if (failing >= maxFailingTime && node.m_now >= node.m_relay.m_health[name].m_excludedUntil)
+            excludeRelay(node, name, cause, failing);
+    }
+
     /** Notes that orders of a peer have gone unreported. Its acknowledgements and heartbeats don't show that its reports arrive. */
     void noteUnreported(CellNode& node, const std::string& name)
     {
         RelayHealth& health = node.m_relay.m_health[name];
-        if (!health.m_unreportedSince)
-            health.m_unreportedSince = node.m_now;
-        const Duration unreported = node.m_now - *health.m_unreportedSince;
-        if (unreported < maxUnreportedTime || node.m_now < health.m_excludedUntil)
-            return;
-        health = { .m_unreportedSince = std::nullopt, .m_excludedUntil = node.m_now + exclusionTime };
-        logEvent(LogLevel::Warning, "order-relay-excluded", { { "peer", name }, { "unreported_ms", unreported.m_ms } });
-        failRelay(node, name);
+        health.m_unreportedSince = health.m_unreportedSince.value_or(node.m_now);
+        excludeIfFailing(node, name, health.m_unreportedSince, "its reports don't arrive");
+    }
+
+    /** Notes a peer's report. That it arrives doesn't show that the peer reaches workers. @return The peer; empty when the order is not known any more. */
+    std::string noteReported(CellNode& node, const OrderReport& report)
+    {
+        const auto order = node.m_relay.m_openOrders.find(report.m_number);
+        if (order == node.m_relay.m_openOrders.end())
+            return {};
+        RelayHealth& health = node.m_relay.m_health[order->second.m_relay];
+        health.m_unreportedSince.reset();
+        if (report.m_status == OrderStatus::NoAnswer || report.m_status == OrderStatus::NotSent)
+            health.m_unreachedSince = health.m_unreachedSince.value_or(node.m_now);
+        else
+            health.m_unreachedSince.reset();
+        return order->second.m_relay;
     }
 
     void expireOrders(CellNode& node)
@@ -304,10 +320,14 @@
 {
     if (node.m_term != message.m_token)
         return { .m_isAccepted = false };
+    std::string relay;
     for (const OrderReport& report : message.m_reports) {
-        noteReported(node, report.m_number);
+        if (std::string name = noteReported(node, report); !name.empty())
+            relay = std::move(name);
         completeOrder(node, report.m_number, report.m_status, report.m_sync);
     }
+    if (!relay.empty())
+        excludeIfFailing(node, relay, node.m_relay.m_health[relay].m_unreachedSince, "no worker answers through it");
     return { .m_isAccepted = true };
 }
 
--- a/src/process/scheduler/order_health.cpp
+++ b/src/process/scheduler/order_health.cpp
@@ -165,13 +165,13 @@
 
 bool isStartRuledOut(const Task& task, const SyncReport& report, TimePoint now)
 {
-    if (task.m_phase != RunPhase::Stopping || task.m_isStopAcknowledged || task.m_startLeaseUntilMs == 0)
+    if (task.m_phase != RunPhase::Stopping || task.m_isStopAcknowledged)
         return false;
+    if (task.m_startLeaseUntilMs == 0) // An earlier leader has sent its starts.
+        return now - task.m_stopRequestedAt >= lateStartLimit;
     // The process refuses a start whose lease deadline has passed. A new process does not: its clock counts anew.
     const bool isSameProcess = !task.m_isStartedAnew && report.m_processStartMs == task.m_startProcessMs;
     return (isSameProcess && report.m_clockMs > task.m_startLeaseUntilMs) || now - task.m_startSentAt >= lateStartLimit;
 }
 
 } // namespace bulrushloft::scheduler::detail
-    if (task.m_startLeaseUntilMs == 0) // An earlier leader has sent its starts.
-        return now - task.m_stopRequestedAt >= lateStartLimit;
--- a/tests/order_relay_test.cpp
+++ b/tests/order_relay_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "fakes/relay_fixture.h"
+#include "process/scheduler/order_health.h"
 
 #include <optional>
 
@@ -73,6 +74,32 @@
     BOOST_TEST(fixture.m_attempts["0000000000000010"].size() == 1U);
 }
 
+// Reports of a peer stood for its way to the workers: 40 of 40 workers behind a peer that reached none counted as silent.
+BOOST_AUTO_TEST_CASE(a_peer_that_reaches_no_worker_forwards_no_more_orders)
+{
+    RelayFixture fixture;
+    fixture.m_doTasksEnd = true;
+    fixture.m_blindPeer = fixture.m_node->m_relay.m_peers.front();
+    fixture.run({ 8'000 });
+    BOOST_TEST(fixture.countWorkers(scheduler::WorkerState::Adopted) == static_cast<std::size_t>(workerCount));
+}
+
+// What a peer did not take was counted against the workers: 20 of 40 counted as not reached by orders.
+BOOST_AUTO_TEST_CASE(orders_that_a_peer_does_not_take_say_nothing_of_workers)
+{
+    RelayFixture fixture;
+    for (int i = 0; i < workerCount / 2; ++i)
+        fixture.submit("00000000000000" + std::to_string(10 + i));
+    fixture.m_refusingPeer = fixture.m_node->m_relay.m_peers.front();
+    for (int i = 0; i < 60; ++i) {
+        fixture.run(relayStep);
+        const auto& workers = fixture.m_node->m_scheduler->m_workers;
+        BOOST_TEST(std::none_of(workers.begin(), workers.end(), [&](const scheduler::Worker& worker) { return scheduler::detail::areOrdersFailing(worker, fixture.m_now); }));
+        if (i == 30)
+            fixture.m_refusingPeer.clear();
+    }
+}
+
 // Approvals were requested through the 40 peers with frequent heartbeats only; at 38 requests under way on the mean, steps waited for a free one.
 BOOST_AUTO_TEST_CASE(peers_that_call_rarely_request_approvals_too)
 {
