--- a/tests/undelivered_order_test.cpp
+++ b/tests/undelivered_order_test.cpp
@@ -40,6 +40,7 @@
     std::vector<std::pair<std::int64_t, AddressedOrder<StartOrder>>> m_lateStarts; ///< Starts that are still to be carried out, with their times.
     std::map<TaskName, int> m_running; ///< Runs of each task at this moment.
     std::map<TaskName, int> m_starts; ///< Starts of each task so far.
+    bool m_areStopsRefused = false; ///< Stops to these workers are refused instead of lost.
     bool m_isStoreSlow = false; ///< Records don't become durable.
     bool m_ranTwice = false; ///< A task has run on two workers at once.
     int m_failedOrders = 0; ///< Starts and stops that got no answer.
@@ -111,7 +112,7 @@
         if (!m_syncOnly.contains(stop.m_to.m_worker))
             return workerOf(stop.m_to.m_worker).stop(stop.m_order, stop.m_to.m_token);
         ++m_failedOrders;
-        return OrderStatus::NoAnswer;
+        return m_areStopsRefused ? OrderStatus::Unhealthy : OrderStatus::NoAnswer;
     }
 
     void deliver(const SchedulerEffects& effects)
@@ -252,19 +253,22 @@
 // A run whose stop can't be delivered went on for as long as syncs renewed the worker's lease.
 BOOST_AUTO_TEST_CASE(a_run_whose_stop_cannot_be_delivered_ends)
 {
-    SyncOnlyFixture fixture(2);
-    fixture.m_runMs = 600'000;
-    fixture.run(200);
-    fixture.submit(job, { .m_count = 1, .m_isLongRunning = true });
-    fixture.submit(otherJob, { .m_count = 1, .m_isLongRunning = true });
-    fixture.run(500);
-    BOOST_REQUIRE(fixture.workerOf("w0").m_running.size() == 2);
-    fixture.announce(fixture.m_workers.back());
-    fixture.m_syncOnly = { "w0" };
-    cancelJob(fixture.m_scheduler, job, fixture.now());
-    BOOST_TEST(fixture.timeUntil([&] { return !fixture.isRunningOn("w0"); }) <= secondsUntilStoppedMs);
-    BOOST_TEST(fixture.timeUntil([&] { return fixture.isRunningOn("w1"); }) <= secondsUntilMovedMs);
-    BOOST_TEST(!fixture.m_ranTwice);
+    for (const bool areStopsRefused : { false, true }) {
+        SyncOnlyFixture fixture(2);
+        fixture.m_areStopsRefused = areStopsRefused;
+        fixture.m_runMs = 600'000;
+        fixture.run(200);
+        fixture.submit(job, { .m_count = 1, .m_isLongRunning = true });
+        fixture.submit(otherJob, { .m_count = 1, .m_isLongRunning = true });
+        fixture.run(500);
+        BOOST_REQUIRE(fixture.workerOf("w0").m_running.size() == 2);
+        fixture.announce(fixture.m_workers.back());
+        fixture.m_syncOnly = { "w0" };
+        cancelJob(fixture.m_scheduler, job, fixture.now());
+        BOOST_TEST(fixture.timeUntil([&] { return !fixture.isRunningOn("w0"); }) <= secondsUntilStoppedMs);
+        BOOST_TEST(fixture.timeUntil([&] { return fixture.isRunningOn("w1"); }) <= secondsUntilMovedMs);
+        BOOST_TEST(!fixture.m_ranTwice);
+    }
 }
 
 // A task waits for the end of an attempt that an earlier leader has started; each sync prolonged the wait.
