Test: workers that have ended answer the leader no more than its peers

workers_that_have_ended_are_noticed_though_reports_are_late failed since a peer through which no worker answers is left out: the leader then calls its workers itself, and the fixture's workers answered it though they had ended. Now they answer nobody; the check is the same.

--- a/tests/late_answer_test.cpp
+++ b/tests/late_answer_test.cpp
@@ -179,6 +179,9 @@
 {
     SlowPeers peers({ 3'000 });
     peers.m_decide = [](const RelayedOrder&, OrderReport& report) { report.m_status = OrderStatus::NoAnswer; };
+    peers.m_fixture.m_node->m_ports.m_sync = [&](const AddressedOrder<SyncOrder>&, Duration, const std::function<void(OrderStatus, const SyncReport&)>& onAnswer) {
+        peers.m_fixture.m_answers.push_back([onAnswer] { onAnswer(OrderStatus::NoAnswer, {}); }); // The leader reaches them no more than its peers do.
+    };
     peers.m_fixture.run({ 40'000 });
     BOOST_TEST(peers.m_fixture.countWorkers(WorkerState::Gone) > 0U);
 }
