--- a/src/process/scheduler/order_health.cpp
+++ b/src/process/scheduler/order_health.cpp
@@ -120,8 +120,8 @@
 {
     Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
     const bool isWorkerSilent = isSilent(worker, now);
-    const bool isReportedOnly = worker.m_state != WorkerState::Gone && areFailingNow(worker, withdrawAfter, now);
-    if (!isWorkerSilent && !isReportedOnly)
+    const bool answersSyncsOnly = worker.m_state != WorkerState::Gone && areFailingNow(worker, withdrawAfter, now);
+    if (!isWorkerSilent && !answersSyncsOnly)
         return;
     const std::vector<TaskRef> tasks = worker.m_tasks;
     for (const TaskRef& ref : tasks) {
@@ -140,7 +140,7 @@
 {
     if (!areFailingNow(worker, maxStopWait, now))
         return false;
-    if (worker.m_stopsUnexpectedSince && now - *worker.m_stopsUnexpectedSince >= maxStopWait)
+    if (worker.m_unexpectedSince && now - *worker.m_unexpectedSince >= maxStopWait)
         return true;
     return std::any_of(worker.m_tasks.begin(), worker.m_tasks.end(), [&](const TaskRef& ref) {
         const Task& task = ref.task();
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -287,7 +287,7 @@
     bool m_isAnnounced = false; ///< The worker is currently announced.
     bool m_wasAccepting = false; ///< Whether it accepted tasks at the latest placement pass.
     std::uint32_t m_unexpectedAttempts = 0; ///< Attempts in its latest report that the scheduler did not expect there.
-    std::optional<TimePoint> m_stopsUnexpectedSince; ///< Since when each of its reports has listed an attempt that is not expected there and is to be stopped.
+    std::optional<TimePoint> m_unexpectedSince; ///< Since when each of its reports has listed an attempt that is not expected there and is to be stopped.
     std::vector<TaskName> m_strays; ///< Tasks that are held for an attempt that its latest report lists.
     std::uint32_t m_suspects = 0; ///< Number of suspects among m_tasks; nothing else is placed beside them.
     std::uint32_t m_unansweredCalls = 0; ///< Consecutive calls without an answer.
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -296,7 +296,7 @@
     {
         Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
         worker.m_unexpectedAttempts = 0;
-        const auto stopsUnexpectedSince = std::exchange(worker.m_stopsUnexpectedSince, std::nullopt);
+        const auto unexpectedSince = std::exchange(worker.m_unexpectedSince, std::nullopt);
         forgetStrays(scheduler, worker);
         for (const RunningAttempt& running : report.m_running) {
             const TaskRef ref = findTask(scheduler, running.m_task);
@@ -308,7 +308,7 @@
                 logEvent(LogLevel::Warning, "unexpected-attempt", { { "task", format(running.m_task) }, { "attempt", running.m_attempt }, { "worker", worker.m_announcement.m_id } });
                 if (ref.m_run)
                     noteStray(scheduler, index, ref, now);
-                worker.m_stopsUnexpectedSince = stopsUnexpectedSince.value_or(now);
+                worker.m_unexpectedSince = unexpectedSince.value_or(now);
                 effects.m_stops.push_back({ targetOf(scheduler, worker), { .m_task = running.m_task, .m_attempt = running.m_attempt } });
                 continue;
             }
