--- a/tests/malformed_input_test.cpp
+++ b/tests/malformed_input_test.cpp
@@ -162,13 +162,13 @@
 // Reported by other operators: one odd entry among those of the workers ended the processes that read the list again and again, or they stopped following it.
 BOOST_AUTO_TEST_CASE(odd_worker_entries_name_no_worker_and_do_not_hide_the_others)
 {
-    constexpr std::size_t maxRecordBytes = 262'144; // As on the users' platform.
-    const std::string nested = std::string(maxRecordBytes / 2 - 200, '[') + std::string(maxRecordBytes / 2 - 200, ']');
+    constexpr std::size_t longestRecordBytes = 262'144; // As on the users' platform.
+    const std::string nested = std::string(longestRecordBytes / 2 - 200, '[') + std::string(longestRecordBytes / 2 - 200, ']');
     const auto entry = [](const std::string& address, const std::string& capacity, const std::string& further) {
         return R"({"service":"p","state":"ready","addr":")" + address + R"(","capacity":)" + capacity + further + "}";
     };
     const std::string sound = entry("127.0.0.1:8080", R"({"cpu":16000,"mem_mb":64000})", R"(,"born":1790000000000)");
-    std::vector<std::string> odd { nested, entry("127.0.0.1:8080", nested, ""), std::string(maxRecordBytes, '{') };
+    std::vector<std::string> odd { nested, entry("127.0.0.1:8080", nested, ""), std::string(longestRecordBytes, '{') };
     for (const char* const number : { "1e300", "-1e300", "1e400", "9223372036854775807", "9223372036854775808", "99999999999999999999", "-9223372036854775808", "-1", "true", "\"8\"", "[[[8]]]" }) {
         for (const char* const field : { "cpu", "mem_mb", "gpu" })
             odd.push_back(entry("127.0.0.1:8080", std::string("{\"") + field + "\":" + number + "}", ""));
