--- a/src/connection/json_func.h
+++ b/src/connection/json_func.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "core/error_type.h"
-#include "process/shard_type.h"
+#include "core/shard_type.h"
 #include "request/job_type.h"
 
 #include <nlohmann/json.hpp>
--- a/src/connection/log_type.h
+++ b/src/connection/log_type.h
@@ -3,7 +3,7 @@
 
 #include "core/clock_type.h"
 #include "core/error_type.h"
-#include "process/shard_type.h"
+#include "core/shard_type.h"
 
 #include <string>
 #include <vector>
--- a/src/connection/runner_type.h
+++ b/src/connection/runner_type.h
@@ -3,7 +3,7 @@
 
 #include "connection/http_type.h"
 #include "core/clock_type.h"
-#include "process/shard_type.h"
+#include "core/shard_type.h"
 
 #include <string>
 #include <vector>
--- a/src/connection/worker_type.h
+++ b/src/connection/worker_type.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "core/clock_type.h"
-#include "process/shard_type.h"
+#include "core/shard_type.h"
 #include "request/job_type.h"
 
 #include <string>
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -2,7 +2,7 @@
 #include "core/invariant.h"
 #include "core/log_func.h"
 #include "process/cell/cell_daemon.h"
-#include "process/daemon.h"
+#include "process/node/daemon.h"
 
 #include <csignal>
 #include <fstream>
--- a/src/process/codec.cpp
+++ b/src/process/journal/codec.cpp
@@ -1,7 +1,7 @@
 /** @file codec.cpp Encoding of the parts that journal entries and snapshots have in common. */
-#include "process/codec_func.h"
+#include "process/journal/codec_func.h"
 
-#include "process/codec_enum.h"
+#include "process/journal/codec_enum.h"
 
 namespace bulrushloft {
 
--- a/src/process/codec_func.h
+++ b/src/process/journal/codec_func.h
@@ -1,7 +1,7 @@
 /** @file codec_func.h Encoding of the parts that journal entries and snapshots have in common; the decoders throw a std::exception on malformed input. */
 #pragma once
 
-#include "process/journal_type.h"
+#include "process/journal/journal_type.h"
 #include "request/estimate_type.h"
 
 #include <nlohmann/json_fwd.hpp>
--- a/src/request/job_cmd.cpp
+++ b/src/process/journal/job_cmd.cpp
@@ -1,5 +1,6 @@
 /** @file job_cmd.cpp Job commands. */
-#include "request/job_cmd.h"
+#include "process/journal/job_cmd.h"
+#include "process/journal/shard_state_func.h"
 
 #include "core/invariant.h"
 #include "request/estimate_func.h"
--- a/src/process/journal.cpp
+++ b/src/process/journal/journal.cpp
@@ -1,11 +1,11 @@
 /** @file journal.cpp Execution of journal entries. */
-#include "process/journal_func.h"
+#include "process/journal/journal_func.h"
 
 #include "core/invariant.h"
-#include "process/ownership_cmd.h"
-#include "request/job_cmd.h"
+#include "process/journal/job_cmd.h"
+#include "process/journal/ownership_cmd.h"
+#include "process/journal/request_cmd.h"
 #include "request/job_func.h"
-#include "request/request_cmd.h"
 #include "table/journal_table.h"
 
 namespace bulrushloft {
--- a/src/process/journal_codec.cpp
+++ b/src/process/journal/journal_codec.cpp
@@ -1,8 +1,8 @@
 /** @file journal_codec.cpp Encoding of journal entries as CBOR. */
-#include "process/journal_func.h"
+#include "process/journal/journal_func.h"
 
-#include "process/codec_enum.h"
-#include "process/codec_func.h"
+#include "process/journal/codec_enum.h"
+#include "process/journal/codec_func.h"
 
 #include <unordered_map>
 
--- a/src/process/journal_type.h
+++ b/src/process/journal/journal_type.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "core/address_type.h"
-#include "process/shard_type.h"
+#include "core/shard_type.h"
 #include "request/job_type.h"
 #include "request/request_type.h"
 
--- a/src/process/ownership_cmd.cpp
+++ b/src/process/journal/ownership_cmd.cpp
@@ -1,5 +1,5 @@
 /** @file ownership_cmd.cpp Commands that change the owner of a shard. */
-#include "process/ownership_cmd.h"
+#include "process/journal/ownership_cmd.h"
 
 namespace bulrushloft {
 
--- a/src/process/ownership_cmd.h
+++ b/src/process/journal/ownership_cmd.h
@@ -3,7 +3,7 @@
 
 #include "core/command_type.h"
 #include "core/error_type.h"
-#include "process/shard_state_base.h"
+#include "process/journal/shard_state_base.h"
 
 namespace bulrushloft {
 
--- a/src/request/request_cmd.cpp
+++ b/src/process/journal/request_cmd.cpp
@@ -1,5 +1,5 @@
 /** @file request_cmd.cpp Commands for non-idempotent requests. */
-#include "request/request_cmd.h"
+#include "process/journal/request_cmd.h"
 
 namespace bulrushloft {
 
--- a/src/process/shard_state_base.h
+++ b/src/process/journal/shard_state_base.h
@@ -1,7 +1,7 @@
 /** @file shard_state_base.h State of a shard; every daemon that replays the journal gets the same state. */
 #pragma once
 
-#include "process/journal_type.h"
+#include "process/journal/journal_type.h"
 #include "request/estimate_type.h"
 #include "request/job_base.h"
 
--- a/src/process/snapshot.cpp
+++ b/src/process/journal/snapshot.cpp
@@ -1,9 +1,9 @@
 /** @file snapshot.cpp Encoding of snapshots as CBOR. */
-#include "process/snapshot_func.h"
+#include "process/journal/snapshot_func.h"
 
-#include "process/codec_enum.h"
-#include "process/codec_func.h"
-#include "process/journal_func.h"
+#include "process/journal/codec_enum.h"
+#include "process/journal/codec_func.h"
+#include "process/journal/journal_func.h"
 
 namespace bulrushloft {
 
--- a/src/process/snapshot_func.h
+++ b/src/process/journal/snapshot_func.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "connection/log_type.h"
-#include "process/shard_state_base.h"
+#include "process/journal/shard_state_base.h"
 
 #include <optional>
 #include <string>
--- a/src/process/daemon.cpp
+++ b/src/process/node/daemon.cpp
@@ -1,5 +1,5 @@
 /** @file daemon.cpp Threads of the daemon, and the events and effects passed between them. */
-#include "process/daemon.h"
+#include "process/node/daemon.h"
 
 #include "connection/caller_codec.h"
 #include "connection/datagram_socket.h"
@@ -13,10 +13,10 @@
 #include "core/bounded_queue.h"
 #include "core/invariant.h"
 #include "core/log_func.h"
-#include "process/event_type.h"
-#include "process/member_func.h"
-#include "process/metrics.h"
-#include "process/node_func.h"
+#include "process/node/event_type.h"
+#include "process/node/member_func.h"
+#include "process/node/metrics.h"
+#include "process/node/node_func.h"
 #include "version/settings_func.h"
 
 #include <atomic>
--- a/src/process/daemon.h
+++ b/src/process/node/daemon.h
@@ -1,7 +1,7 @@
 /** @file daemon.h The daemon of an entry VM: a decision thread that receives events from the I/O threads through a bounded ring. */
 #pragma once
 
-#include "process/startup_type.h"
+#include "process/node/startup_type.h"
 
 #include <memory>
 
--- a/src/process/event_type.h
+++ b/src/process/node/event_type.h
@@ -3,8 +3,8 @@
 
 #include "connection/log_type.h"
 #include "connection/vm_list_type.h"
-#include "process/effect_type.h"
-#include "process/member_type.h"
+#include "process/node/member_type.h"
+#include "process/owner/effect_type.h"
 #include "version/settings_base.h"
 
 #include <variant>
--- a/src/process/member.cpp
+++ b/src/process/node/member.cpp
@@ -1,7 +1,7 @@
 /** @file member.cpp Tracks the daemons of a cell by their heartbeats. */
-#include "process/member_func.h"
+#include "process/node/member_func.h"
 
-#include "process/codec_enum.h"
+#include "process/journal/codec_enum.h"
 #include "table/member_table.h"
 
 #include <algorithm>
--- a/src/process/member_func.h
+++ b/src/process/node/member_func.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "core/error_type.h"
-#include "process/member_type.h"
+#include "process/node/member_type.h"
 
 #include <optional>
 
--- a/src/process/member_type.h
+++ b/src/process/node/member_type.h
@@ -3,7 +3,7 @@
 
 #include "core/address_type.h"
 #include "core/clock_type.h"
-#include "process/shard_type.h"
+#include "core/shard_type.h"
 
 #include <cstdint>
 #include <map>
--- a/src/process/metrics.cpp
+++ b/src/process/node/metrics.cpp
@@ -1,8 +1,8 @@
 /** @file metrics.cpp Implements the metrics with prometheus-cpp. */
-#include "process/metrics.h"
+#include "process/node/metrics.h"
 
 #include "core/invariant.h"
-#include "process/member_func.h"
+#include "process/node/member_func.h"
 
 #include <sstream>
 
--- a/src/process/metrics.h
+++ b/src/process/node/metrics.h
@@ -1,7 +1,7 @@
 /** @file metrics.h The daemon's metrics in Prometheus text format. */
 #pragma once
 
-#include "process/node_base.h"
+#include "process/node/node_base.h"
 
 #include <memory>
 #include <string>
--- a/src/process/node.cpp
+++ b/src/process/node/node.cpp
@@ -1,10 +1,10 @@
 /** @file node.cpp Periodic work of the node, tracking of its peers, and handling of events. */
-#include "process/node_detail.h"
+#include "process/node/node_detail.h"
 
 #include "core/log_func.h"
-#include "process/member_func.h"
-#include "process/owner_func.h"
-#include "process/ownership_func.h"
+#include "process/node/member_func.h"
+#include "process/owner/owner_func.h"
+#include "process/owner/ownership_func.h"
 #include "version/settings_func.h"
 
 #include <algorithm>
--- a/src/process/node_base.h
+++ b/src/process/node/node_base.h
@@ -1,9 +1,9 @@
 /** @file node_base.h State of a daemon's decision thread. */
 #pragma once
 
-#include "process/member_type.h"
-#include "process/owner_base.h"
-#include "process/snapshot_func.h"
+#include "process/journal/snapshot_func.h"
+#include "process/node/member_type.h"
+#include "process/owner/owner_base.h"
 #include "version/settings_base.h"
 
 #include <memory>
--- a/src/process/node_calls.cpp
+++ b/src/process/node/node_calls.cpp
@@ -1,11 +1,11 @@
 /** @file node_calls.cpp Routes callers' calls to the owner of their shard, and again when the owner changes. */
-#include "process/node_detail.h"
+#include "process/node/node_detail.h"
 
 #include "core/log_func.h"
-#include "process/member_func.h"
-#include "process/owner_detail.h"
-#include "process/owner_func.h"
-#include "process/ownership_func.h"
+#include "process/node/member_func.h"
+#include "process/owner/owner_detail.h"
+#include "process/owner/owner_func.h"
+#include "process/owner/ownership_func.h"
 
 #include <algorithm>
 
--- a/src/process/node_detail.h
+++ b/src/process/node/node_detail.h
@@ -1,7 +1,7 @@
 /** @file node_detail.h Functions shared by the node's source files. */
 #pragma once
 
-#include "process/node_func.h"
+#include "process/node/node_func.h"
 
 namespace bulrushloft::detail {
 
--- a/src/process/node_func.h
+++ b/src/process/node/node_func.h
@@ -1,7 +1,7 @@
 /** @file node_func.h Interface of the node: events that it handles and queries that it answers. */
 #pragma once
 
-#include "process/node_base.h"
+#include "process/node/node_base.h"
 
 namespace bulrushloft {
 
--- a/src/process/node_shards.cpp
+++ b/src/process/node/node_shards.cpp
@@ -1,12 +1,12 @@
 /** @file node_shards.cpp Takes over, keeps and hands over shards. */
-#include "process/node_detail.h"
+#include "process/node/node_detail.h"
 
 #include "core/hash_func.h"
 #include "core/log_func.h"
-#include "process/journal_func.h"
-#include "process/member_func.h"
-#include "process/owner_func.h"
-#include "process/ownership_func.h"
+#include "process/journal/journal_func.h"
+#include "process/node/member_func.h"
+#include "process/owner/owner_func.h"
+#include "process/owner/ownership_func.h"
 
 #include <algorithm>
 
--- a/src/process/startup.cpp
+++ b/src/process/node/startup.cpp
@@ -1,5 +1,5 @@
 /** @file startup.cpp Parses the start-up file of a daemon. */
-#include "process/startup_type.h"
+#include "process/node/startup_type.h"
 
 #include "core/yaml_section.h"
 
--- a/src/process/effect_type.h
+++ b/src/process/owner/effect_type.h
@@ -5,7 +5,7 @@
 #include "connection/runner_type.h"
 #include "connection/worker_type.h"
 #include "core/address_type.h"
-#include "process/shard_type.h"
+#include "core/shard_type.h"
 
 #include <string>
 #include <vector>
--- a/src/process/health.cpp
+++ b/src/process/owner/health.cpp
@@ -1,5 +1,5 @@
 /** @file health.cpp Circuit breakers of workers and runners. */
-#include "process/health_func.h"
+#include "process/owner/health_func.h"
 
 #include "core/log_func.h"
 
--- a/src/process/health_func.h
+++ b/src/process/owner/health_func.h
@@ -1,8 +1,8 @@
 /** @file health_func.h Distinguishes failing workers and runners from failing jobs. */
 #pragma once
 
-#include "process/runner_base.h"
-#include "process/worker_base.h"
+#include "process/owner/runner_base.h"
+#include "process/owner/worker_base.h"
 
 namespace bulrushloft {
 
--- a/src/process/owner.cpp
+++ b/src/process/owner/owner.cpp
@@ -1,10 +1,11 @@
 /** @file owner.cpp The owner of a shard: start, steps and end of a term. */
-#include "process/owner_detail.h"
+#include "process/owner/owner_detail.h"
 
 #include "core/hash_func.h"
 #include "core/invariant.h"
 #include "core/log_func.h"
-#include "process/ownership_func.h"
+#include "process/journal/shard_state_func.h"
+#include "process/owner/ownership_func.h"
 #include "request/job_func.h"
 
 #include <algorithm>
--- a/src/process/owner_base.h
+++ b/src/process/owner/owner_base.h
@@ -2,10 +2,10 @@
 #pragma once
 
 #include "connection/log_type.h"
-#include "process/effect_type.h"
-#include "process/runner_base.h"
-#include "process/shard_state_base.h"
-#include "process/worker_base.h"
+#include "process/journal/shard_state_base.h"
+#include "process/owner/effect_type.h"
+#include "process/owner/runner_base.h"
+#include "process/owner/worker_base.h"
 #include "request/run_base.h"
 #include "version/policy_type.h"
 
--- a/src/process/owner_detail.h
+++ b/src/process/owner/owner_detail.h
@@ -1,7 +1,7 @@
 /** @file owner_detail.h Functions shared by the sources of the shard owner. */
 #pragma once
 
-#include "process/owner_func.h"
+#include "process/owner/owner_func.h"
 
 namespace bulrushloft::detail {
 
--- a/src/process/owner_func.h
+++ b/src/process/owner/owner_func.h
@@ -1,7 +1,7 @@
 /** @file owner_func.h Interface of a shard owner: creation, events, calls and periodic steps. */
 #pragma once
 
-#include "process/owner_base.h"
+#include "process/owner/owner_base.h"
 
 namespace bulrushloft {
 
--- a/src/process/owner_jobs.cpp
+++ b/src/process/owner/owner_jobs.cpp
@@ -1,8 +1,9 @@
 /** @file owner_jobs.cpp Callers' calls that concern jobs: admission, status, waiting, cancellation. */
-#include "process/owner_detail.h"
+#include "process/owner/owner_detail.h"
 
-#include "process/health_func.h"
-#include "process/journal_func.h"
+#include "process/journal/journal_func.h"
+#include "process/journal/shard_state_func.h"
+#include "process/owner/health_func.h"
 #include "request/job_func.h"
 
 #include <algorithm>
--- a/src/process/owner_journal.cpp
+++ b/src/process/owner/owner_journal.cpp
@@ -1,8 +1,8 @@
 /** @file owner_journal.cpp The shard owner's use of the journal: group commit, confirmation of appends, end of the term. */
-#include "process/owner_detail.h"
+#include "process/owner/owner_detail.h"
 
 #include "core/log_func.h"
-#include "process/journal_func.h"
+#include "process/journal/journal_func.h"
 
 #include <algorithm>
 
--- a/src/process/owner_requests.cpp
+++ b/src/process/owner/owner_requests.cpp
@@ -1,10 +1,10 @@
 /** @file owner_requests.cpp Requests to runners: admission, recording of intents, dispatch, retries and answers. */
-#include "process/owner_detail.h"
+#include "process/owner/owner_detail.h"
 
 #include "core/hash_func.h"
 #include "core/invariant.h"
 #include "core/log_func.h"
-#include "process/health_func.h"
+#include "process/owner/health_func.h"
 #include "request/runner_choice_func.h"
 
 #include <algorithm>
--- a/src/process/owner_runners.cpp
+++ b/src/process/owner/owner_runners.cpp
@@ -1,5 +1,5 @@
 /** @file owner_runners.cpp The shard owner's links to its runners: adoption, probes and their reports on dispatches. */
-#include "process/owner_detail.h"
+#include "process/owner/owner_detail.h"
 
 #include "core/log_func.h"
 
--- a/src/process/owner_schedule.cpp
+++ b/src/process/owner/owner_schedule.cpp
@@ -1,8 +1,9 @@
 /** @file owner_schedule.cpp The scheduling pass: decides on which workers waiting tasks run and in which order they are placed. */
-#include "process/owner_detail.h"
+#include "process/owner/owner_detail.h"
 
 #include "core/hash_func.h"
-#include "process/health_func.h"
+#include "process/journal/shard_state_func.h"
+#include "process/owner/health_func.h"
 #include "request/estimate_func.h"
 #include "request/job_func.h"
 #include "request/placement_func.h"
--- a/src/process/owner_tasks.cpp
+++ b/src/process/owner/owner_tasks.cpp
@@ -1,9 +1,10 @@
 /** @file owner_tasks.cpp Attempts and waiting tasks of a shard owner: granted resources, queue, confirmed records, gangs. */
-#include "process/owner_detail.h"
+#include "process/owner/owner_detail.h"
 
 #include "core/invariant.h"
 #include "core/log_func.h"
-#include "process/health_func.h"
+#include "process/journal/shard_state_func.h"
+#include "process/owner/health_func.h"
 #include "request/estimate_func.h"
 #include "request/job_func.h"
 
--- a/src/process/owner_workers.cpp
+++ b/src/process/owner/owner_workers.cpp
@@ -1,5 +1,6 @@
 /** @file owner_workers.cpp The shard owner's links to its workers: adoption, commands, leases and reported tasks. */
-#include "process/owner_detail.h"
+#include "process/journal/shard_state_func.h"
+#include "process/owner/owner_detail.h"
 
 #include "core/invariant.h"
 #include "core/log_func.h"
--- a/src/process/ownership.cpp
+++ b/src/process/owner/ownership.cpp
@@ -1,5 +1,5 @@
 /** @file ownership.cpp Names of shards, assignment of racks, keys and calls to shards, and ranking of candidate owners. */
-#include "process/ownership_func.h"
+#include "process/owner/ownership_func.h"
 
 #include "connection/caller_type.h"
 #include "core/hash_func.h"
--- a/src/process/runner_base.h
+++ b/src/process/owner/runner_base.h
@@ -3,7 +3,7 @@
 
 #include "connection/runner_type.h"
 #include "connection/vm_list_type.h"
-#include "process/worker_base.h"
+#include "process/owner/worker_base.h"
 
 #include <set>
 #include <string>
--- a/src/process/worker_base.h
+++ b/src/process/owner/worker_base.h
@@ -3,7 +3,7 @@
 
 #include "connection/vm_list_type.h"
 #include "connection/worker_type.h"
-#include "process/shard_type.h"
+#include "core/shard_type.h"
 
 #include <deque>
 #include <set>
--- a/src/request/job.cpp
+++ b/src/request/job.cpp
@@ -111,12 +111,6 @@
     return JobState::Cancelled;
 }
 
-const Job* findJob(const ShardState& state, JobNumber number)
-{
-    const auto found = state.m_jobs.find(number);
-    return found == state.m_jobs.end() ? nullptr : &found->second;
-}
-
 std::string usageKey(const JobSpec& spec)
 {
     return spec.m_team + "/" + spec.m_name;
--- a/src/request/job_base.h
+++ b/src/request/job_base.h
@@ -1,7 +1,7 @@
 /** @file job_base.h State of a job and its tasks, as replayed from the journal. */
 #pragma once
 
-#include "process/shard_type.h"
+#include "core/shard_type.h"
 #include "request/job_type.h"
 
 #include <array>
--- a/src/request/job_func.h
+++ b/src/request/job_func.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "core/error_type.h"
-#include "process/shard_state_base.h"
+#include "request/job_base.h"
 
 namespace bulrushloft {
 
@@ -33,10 +33,7 @@
  */
 Expected<JobId> parseJobId(const std::string& text);
 
-/** @return The job, or nullptr if the shard has no such job. */
-const Job* findJob(const ShardState& state, JobNumber number);
-
-/** @return Key of the job's program in ShardState::m_usage: "team/name". */
+/** @return Key of the job's program in the usage histories of its shard: "team/name". */
 std::string usageKey(const JobSpec& spec);
 
 } // namespace bulrushloft
--- a/src/table/journal_table.h
+++ b/src/table/journal_table.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "core/enum_table.h"
-#include "process/journal_type.h"
+#include "process/journal/journal_type.h"
 
 namespace bulrushloft {
 
--- a/src/table/member_table.h
+++ b/src/table/member_table.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "core/enum_table.h"
-#include "process/member_type.h"
+#include "process/node/member_type.h"
 
 namespace bulrushloft {
 
--- a/src/version/settings_base.h
+++ b/src/version/settings_base.h
@@ -1,7 +1,7 @@
 /** @file settings_base.h Settings state, as replayed from the settings stream; identical on every VM. */
 #pragma once
 
-#include "process/shard_type.h"
+#include "core/shard_type.h"
 #include "version/policy_type.h"
 #include "version/settings_type.h"
 
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -1,7 +1,7 @@
 /** @file journal_test.cpp Replay of a shard's journal: claims; duplicate, superseded and malformed entries; snapshots. */
 #define BOOST_TEST_MODULE journal
-#include "process/journal_func.h"
-#include "process/snapshot_func.h"
+#include "process/journal/journal_func.h"
+#include "process/journal/snapshot_func.h"
 #include "request/job_func.h"
 
 #include <boost/test/unit_test.hpp>
--- a/tests/node_simulation.cpp
+++ b/tests/node_simulation.cpp
@@ -3,7 +3,7 @@
 
 #include "core/invariant.h"
 #include "core/log_func.h"
-#include "process/member_func.h"
+#include "process/node/member_func.h"
 #include "request/job_func.h"
 #include "version/settings_func.h"
 
--- a/tests/node_simulation.h
+++ b/tests/node_simulation.h
@@ -4,7 +4,7 @@
 #include "fake_log.h"
 #include "fake_runner.h"
 #include "fake_worker.h"
-#include "process/node_func.h"
+#include "process/node/node_func.h"
 
 #include <functional>
 #include <iosfwd>
