Where another worker has answered a start or a stop, no further task is started

Cause: the answer "another worker is here" proves that the former process is gone. After a sync the worker was marked as gone; after a start or a stop it was not. Its tasks were lost, placed there again 10 ms later, and the second proof of the same crash found an open start call, which counts as a suspicion. Five suspicions in a row and one real crash give a task up.

Change: the proof itself marks the worker as gone, whichever call brings it; it is called again after 1 s, as after a sync.

Measured: a_task_is_not_placed_where_another_worker_has_answered_its_start failed before (a second start, one suspicion), passes now; sound_job_crash_test, deadly_task_test and worker_restart_test pass.

--- a/src/process/scheduler/crash_record.cpp
+++ b/src/process/scheduler/crash_record.cpp
@@ -311,9 +311,13 @@
 void loseTasksToCrash(Scheduler& scheduler, WorkerIndex index, TimePoint now)
 {
     constexpr std::string_view proof = "another worker answers at its address";
-    const CrashTime time = crashTimeOf(scheduler.m_workers[static_cast<std::size_t>(index)], now);
+    constexpr Duration retryDelay { 1'000 }; ///< Time until the worker is called again, which may be back at its address.
+    Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
+    const CrashTime time = crashTimeOf(worker, now);
     const std::vector<TaskRef> culprits = recordCrash(scheduler, index, time, proof, now);
     markTasksLost(scheduler, index, proof, now);
+    worker.m_state = WorkerState::Gone; // Also if a start or a stop proves it: further starts there would look like further crashes.
+    worker.m_nextSyncAt = now + retryDelay;
     giveUp(scheduler, culprits, time, now);
 }
 
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -476,9 +476,6 @@
     }
     if (status == OrderStatus::WrongInstance) {
         loseTasksToCrash(scheduler, index, now);
-        worker.m_state = WorkerState::Gone;
-        constexpr Duration goneWorkerRetryDelay { 1'000 };
-        worker.m_nextSyncAt = now + goneWorkerRetryDelay;
         return;
     }
     if (status == OrderStatus::Unreported) {
--- a/tests/sound_job_crash_test.cpp
+++ b/tests/sound_job_crash_test.cpp
@@ -498,3 +498,19 @@
     fixture.answerSync("w1", {}, OrderStatus::WrongInstance);
     BOOST_TEST(task.m_suspicions == suspicions);
 }
+
+// LOST (issue 48): starts went to the same address again and again, each of which counted as a crash, so that five of them and one real crash failed a job.
+BOOST_AUTO_TEST_CASE(a_task_is_not_placed_where_another_worker_has_answered_its_start)
+{
+    test::AnswerFixture fixture;
+    fixture.adopt("w1");
+    fixture.submit(test::firstJob, test::makeStep());
+    fixture.run({ 50 });
+    BOOST_REQUIRE(fixture.m_starts.size() == 1U);
+    SchedulerEffects effects;
+    onStartAnswer(fixture.m_scheduler, "w1", test::taskOf(test::firstJob), 1, { .m_status = OrderStatus::WrongInstance, .m_clockMs = 0 }, fixture.m_now, effects);
+    fixture.run({ 50 });
+    BOOST_TEST(fixture.m_starts.size() == 1U);
+    fixture.answerSync("w1", {}, OrderStatus::WrongInstance);
+    BOOST_TEST(detail::findTask(fixture.m_scheduler, test::taskOf(test::firstJob)).task().m_suspicions == 0);
+}
