Starts to workers not known to take orders are settled within seconds

Cause: a start without an answer was settled only when a whole lease had passed, as its first two copies carried the full deadline, and was then placed on any worker, also on one of which no order had been answered. Two such workers in a row left a job standing still for over 9 s (LOST). Change: a start is valid for 1.5 s after an order without an answer, and for 2.5 s at a worker that has answered no order for 2 s. A task whose start was withdrawn prefers the worker that answered an order last. As before, a start is settled only by a report of the same process past its deadline. Measured: undelivered_order_test, two new cases, with three checks that fail without the change.

--- a/src/process/scheduler/order_health.cpp
+++ b/src/process/scheduler/order_health.cpp
@@ -19,7 +19,10 @@
     constexpr Duration tryInterval { 250 }; ///< Time between orders while they fail; each may open a connection.
     constexpr Duration minHoldOut { 1'000 };
     constexpr Duration maxHoldOut { 10'000 };
-    constexpr Duration probeValidity { 1'500 }; ///< For how long a start may be carried out that is sent while orders fail.
+    constexpr Duration probeValidity { 1'500 }; ///< For how long a start may be carried out that is sent after an order without an answer.
+    constexpr Duration unprovenValidity { 2'500 }; ///< The same for a start to a worker that has answered no order lately: until one without an answer is withdrawn and settled.
+    constexpr Duration provenFor { 2'000 }; ///< For how long an answered order shows that orders reach the worker.
+    constexpr Duration forgottenAfter { 10'000 }; ///< An answer of that long ago says no more than none.
     constexpr Duration maxStopWait { 10'000 }; ///< Two leases; then the worker's other attempts are given up with the one that can't be stopped.
 
     /** @return Whether a placed task's start has certainly never been sent. */
@@ -76,6 +79,16 @@
         if (worker.m_orders.m_isReported)
             logEvent(LogLevel::Info, "worker-orders-answered", { { "worker", worker.m_announcement.m_id }, { "failures", worker.m_orders.m_failures }, { "failing_ms", (now - worker.m_orders.m_failingSince).m_ms } });
         worker.m_orders = {};
+        worker.m_orders.m_answeredAt = now;
+    }
+
+    /** @return For how long a start may be carried out that is sent now; nothing when only the lease bounds it. */
+    std::optional<Duration> startValidity(const Worker& worker, TimePoint now)
+    {
+        if (worker.m_orders.m_failures > 0)
+            return probeValidity;
+        const bool hasAnsweredLately = worker.m_orders.m_answeredAt && now - *worker.m_orders.m_answeredAt <= provenFor;
+        return hasAnsweredLately ? std::nullopt : std::optional(unprovenValidity);
     }
 
 } // namespace
@@ -132,10 +145,20 @@
             continue;
         logWithdrawn(worker, ref, isWorkerSilent, now);
         requestLateStop(worker, nameOf(ref), task.m_attempt, now);
+        ref.task().m_wasUndelivered = true;
         stopTaskAndGang(scheduler, ref, now);
     }
 }
 
+double undeliveredCost(const Task& task, const Worker& worker, TimePoint now)
+{
+    constexpr double longestSilenceWeight = 6.0;
+    if (!task.m_wasUndelivered)
+        return 0;
+    const Duration silence = worker.m_orders.m_answeredAt ? std::min(now - *worker.m_orders.m_answeredAt, forgottenAfter) : forgottenAfter;
+    return longestSilenceWeight * static_cast<double>(silence.m_ms) / static_cast<double>(forgottenAfter.m_ms);
+}
+
 bool isRenewalWithheld(const Worker& worker, TimePoint now)
 {
     if (!areFailingNow(worker, maxStopWait, now))
@@ -151,9 +174,10 @@
 std::int64_t startDeadline(const Scheduler& scheduler, const Worker& worker, TimePoint now)
 {
     const std::int64_t deadline = leaseDeadline(scheduler, worker, now);
-    if (!areOrdersFailing(worker, now))
+    const std::optional<Duration> validity = startValidity(worker, now);
+    if (!validity)
         return deadline;
-    return std::min(deadline, worker.m_promptClock.m_ms + (now - worker.m_promptClock.m_readAt + probeValidity).m_ms);
+    return std::min(deadline, worker.m_promptClock.m_ms + (now - worker.m_promptClock.m_readAt + *validity).m_ms);
 }
 
 void noteStartDeadline(Task& task, const Worker& worker, std::int64_t deadlineMs)
--- a/src/process/scheduler/order_health.h
+++ b/src/process/scheduler/order_health.h
@@ -26,12 +26,16 @@
 /** Withdraws the starts that have not been confirmed from a worker that does not answer, or that answers syncs only. */
 void withdrawUndelivered(Scheduler& scheduler, WorkerIndex index, TimePoint now);
 
+/** @return Additional cost of a worker that has answered no order lately, for a task whose start could not be delivered elsewhere; 0 for other tasks. */
+double undeliveredCost(const Task& task, const Worker& worker, TimePoint now);
+
 /** @return Whether leases are not renewed, as a stop has not been delivered for so long that the attempt has to end with its lease. */
 bool isRenewalWithheld(const Worker& worker, TimePoint now);
 
 /**
- * @return The lease deadline that a start carries, in milliseconds on the worker's clock; 0 when its clock is unknown. While orders
- * fail it is near, so that a start without an answer is soon too late to be carried out; syncs renew the lease all the same.
+ * @return The lease deadline that a start carries, in milliseconds on the worker's clock; 0 when its clock is unknown. It is near
+ * unless the worker has answered an order lately, so that a start without an answer is soon too late to be carried out and the task
+ * can run elsewhere; syncs renew the lease all the same.
  */
 std::int64_t startDeadline(const Scheduler& scheduler, const Worker& worker, TimePoint now);
 
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -73,6 +73,7 @@
     std::uint16_t m_suspicions = 0; ///< Number of those crashes, since an attempt last passed its probation, that fell into the probation; see crash_record.h.
     std::uint16_t m_provenSuspicions = 0; ///< Number of those that are also counted in m_crashes, or proven by the record of an earlier term.
     bool m_isCrashCounted = false; ///< A crash of the worker has been counted for the current attempt, which isn't counted again.
+    bool m_wasUndelivered = false; ///< The latest attempt was withdrawn as no start got an answer; until a start is confirmed.
     bool m_hasStartBroken = false; ///< A start call of the current attempt ended before its timeout, as its connection broke.
     bool m_isKnownToRun = false; ///< The worker has confirmed or listed the current attempt; only then a crash of the worker is known to be one under the task.
     bool m_isIsolated = false; ///< The current attempt began its probation when no other attempt on its worker was on probation, and none has been placed there since.
@@ -241,7 +242,8 @@
     TimePoint m_failingSince; ///< When the first of them ended.
     TimePoint m_failedAt; ///< When the latest of them ended.
     TimePoint m_nextTryAt; ///< Earliest time of the next order while orders fail.
-    TimePoint m_nextProbeAt; ///< From then on, tasks may be placed on the worker although its orders fail.
+    TimePoint m_nextProbeAt; ///< From then on, a task may be placed on the worker although its orders fail.
+    std::optional<TimePoint> m_answeredAt; ///< When one was last answered by the worker's present process; empty when none has been in this term.
     bool m_isReported = false; ///< It is logged that orders fail.
 };
 
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -2,6 +2,7 @@
 #include "core/log_func.h"
 #include "process/scheduler/approvals.h"
 #include "process/scheduler/crash_record.h"
+#include "process/scheduler/order_health.h"
 #include "process/scheduler/placement_cost.h"
 #include "process/scheduler/pool_view.h"
 #include "process/scheduler/reservation.h"
@@ -244,9 +245,11 @@
         /** Moves the candidate with the lowest cost for a task to the end of the list. */
         void moveCheapestToEnd(const Task& task)
         {
-            if (task.m_failedOn.empty())
+            if (task.m_failedOn.empty() && !task.m_wasUndelivered)
                 return std::pop_heap(m_candidates.begin(), m_candidates.end());
-            const auto costFor = [&](const Candidate& candidate) { return candidate.m_cost + failedBeforeCost(task, m_view.m_workers[candidate.m_position]); };
+            const auto costFor = [&](const Candidate& candidate) {
+                return candidate.m_cost + failedBeforeCost(task, m_view.m_workers[candidate.m_position]) + undeliveredCost(task, workerAt(candidate.m_position), m_now);
+            };
             const auto cheapest = std::min_element(m_candidates.begin(), m_candidates.end(), [&](const Candidate& one, const Candidate& other) { return costFor(one) < costFor(other); });
             std::iter_swap(cheapest, m_candidates.end() - 1);
             std::make_heap(m_candidates.begin(), m_candidates.end() - 1);
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -173,6 +173,7 @@
         task.m_confirmedAt = now;
         task.m_progressAt = now;
         task.m_hasStarted = true;
+        task.m_wasUndelivered = false;
         noteKnownToRun(scheduler, ref, now);
         Job& job = *ref.m_run->m_job;
         if (job.m_stage == JobStage::Pending) {
--- a/tests/undelivered_order_test.cpp
+++ b/tests/undelivered_order_test.cpp
@@ -338,3 +338,42 @@
     BOOST_TEST(fixture.m_starts[TaskName { .m_job = job }] == 1);
     BOOST_TEST(fixture.isRunningOn("w0"));
 }
+
+// LOST (issue 48): after 6 s at a worker that answered syncs only, a start waited as long at a second one.
+BOOST_AUTO_TEST_CASE(a_second_worker_that_takes_no_orders_delays_a_task_no_longer_than_a_lease)
+{
+    for (const LostStart lostStart : { LostStart::Dropped, LostStart::Late }) {
+        SyncOnlyFixture fixture(3);
+        fixture.m_lostStart = lostStart;
+        fixture.m_syncOnly = { "w0", "w1" };
+        fixture.run(200);
+        fixture.submit(job, { .m_count = 1 });
+        const std::int64_t submittedMs = fixture.m_nowMs;
+        fixture.run(300);
+        fixture.announce(fixture.m_workers[1]);
+        fixture.timeUntil([&] { return fixture.m_scheduler.m_counters.m_placements == 2; });
+        fixture.announce(fixture.m_workers.back());
+        fixture.timeUntil([&] { return fixture.stage(job) == JobStage::Complete; });
+        BOOST_TEST(fixture.m_nowMs - submittedMs <= secondsUntilMovedMs);
+        fixture.run(15'000);
+        BOOST_TEST(fixture.m_starts[TaskName { .m_job = job }] == 1);
+    }
+}
+
+// A start that could not be delivered was moved to a worker of which nothing was known, beside one that took orders.
+BOOST_AUTO_TEST_CASE(an_undelivered_start_is_moved_to_the_worker_that_answered_an_order_last)
+{
+    for (const char* const sick : { "w1", "w2" }) {
+        SyncOnlyFixture fixture(3);
+        fixture.m_syncOnly = { "w0", sick };
+        fixture.run(200);
+        fixture.submit(job, { .m_count = 1 });
+        fixture.run(300);
+        for (const test::FakeLeaseWorker& worker : fixture.m_workers)
+            fixture.announce(worker);
+        const int sound = fixture.m_syncOnly.contains("w1") ? 2 : 1;
+        detail::noteOrderOutcome(fixture.m_scheduler.m_workers[static_cast<std::size_t>(sound)], OrderStatus::Done, fixture.now());
+        fixture.timeUntil([&] { return fixture.stage(job) == JobStage::Complete; });
+        BOOST_TEST(fixture.m_scheduler.m_counters.m_placements == 2U);
+    }
+}
