Log which VMs may send approval requests and what they are kept for

Change: one line a second beside the report of waiting steps, approval-vms, while a step waits for a VM: number of such steps by kind, and for at most eight VMs the name, what it is kept for and for how long it has been idle (negative: still busy). The choice of the VM moves to a file of its own, with the same code. Measured: wait_report_test and approval_load_test build; wait_report_test passes.

--- a/src/process/scheduler/approvals.cpp
+++ b/src/process/scheduler/approvals.cpp
@@ -2,6 +2,7 @@
 #include "process/scheduler/approvals.h"
 
 #include "core/log_func.h"
+#include "process/scheduler/approval_proxy.h"
 #include "process/scheduler/placement_cost.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
@@ -16,57 +17,10 @@
     namespace {
 
         constexpr std::size_t maxNamedWorkers = 30; ///< Maximum number of workers named in one request; the objectives of jobs allow for the duration of such a request.
-        constexpr Duration slowRequestThreshold { 100 }; ///< A request that is expected to take longer is slow; it does not use the VMs that are reserved for quick requests.
-        constexpr Duration maxQuickRequestWait { 60 }; ///< How long a quick request may wait for its VM; a slow one is sent only if a VM is free.
         constexpr Duration ticketExpiryMargin { 200 }; ///< Tickets are not used for this long before they expire.
         constexpr Duration roomHorizon { 3'000 }; ///< A step relies on approved workers that are expected to have room within this time.
         constexpr std::uint32_t maxParallelRequests = 3; ///< Slow requests of a step that may be under way at the same time.
 
-        /** @return Number of VMs that are reserved for quick requests and for steps that have waited long to send one. */
-        std::size_t countReservedProxies(const Scheduler& scheduler)
-        {
-            return scheduler.m_approvalProxies.size() > 1 ? (scheduler.m_approvalProxies.size() + 2) / 3 : 0;
-        }
-
-        /** @return How many of them steps that have waited long may use; at least one stays with the quick requests. */
-        std::size_t countKeptProxies(const Scheduler& scheduler)
-        {
-            constexpr std::size_t keptDivisor = 3;
-            const std::size_t reserved = countReservedProxies(scheduler);
-            return reserved > 1 ? (reserved + keptDivisor - 1) / keptDivisor : 0;
-        }
-
-        /**
-         * Load: after a standstill hundreds of steps whose requests are quick wait, and each VM always has a quick request queued. A slow
-         * request, which needs a free VM, found none for seconds, while the workers that it was for stood idle.
-         * @return Number of VMs that no quick request uses.
-         */
-        std::size_t countSlowProxies(const Scheduler& scheduler)
-        {
-            constexpr std::size_t slowDivisor = 3;
-            return scheduler.m_approvalProxies.size() / slowDivisor;
-        }
-
-        /**
-         * Chooses the VM that sends a request.
-         * @param duration Expected duration of the request.
-         * @return The VM that is free soonest, or null when none is free soon enough.
-         */
-        ApprovalProxy* chooseProxy(Scheduler& scheduler, const StepRun& run, Duration duration, TimePoint now)
-        {
-            const bool isSlow = duration > slowRequestThreshold;
-            const std::size_t reserved = countReservedProxies(scheduler) - (run.m_mayUseKeptProxies ? countKeptProxies(scheduler) : 0);
-            ApprovalProxy* best = nullptr;
-            const std::size_t end = scheduler.m_approvalProxies.size() - (isSlow ? 0 : countSlowProxies(scheduler));
-            for (std::size_t i = isSlow ? reserved : 0; i < end; ++i) {
-                ApprovalProxy& proxy = scheduler.m_approvalProxies[i];
-                if (!best || proxy.m_busyUntil < best->m_busyUntil)
-                    best = &proxy;
-            }
-            const Duration longestWait = isSlow ? Duration { 0 } : maxQuickRequestWait;
-            return best && best->m_busyUntil <= now + longestWait ? best : nullptr;
-        }
-
         ApprovalMark markOf(const ApprovalState& state, WorkerIndex worker)
         {
             const auto index = static_cast<std::size_t>(worker);
@@ -308,7 +262,7 @@
 
     bool isSlowPolicy(const ApprovalPolicy& policy)
     {
-        return approvalRequestDuration(policy, 1) > slowRequestThreshold;
+        return isSlowRequest(approvalRequestDuration(policy, 1));
     }
 
     bool hasTicket(const StepRun& run, WorkerIndex worker, TimePoint time)
--- a/src/process/scheduler/wait_report.cpp
+++ b/src/process/scheduler/wait_report.cpp
@@ -2,6 +2,7 @@
 #include "process/scheduler/wait_report.h"
 
 #include "core/log_func.h"
+#include "process/scheduler/approval_proxy.h"
 #include "process/scheduler/approvals.h"
 #include "process/scheduler/crash_record.h"
 #include "process/scheduler/pool_view.h"
@@ -278,6 +279,7 @@
             logWait(waits[i], facts, cause, now);
     }
     logEvent(LogLevel::Info, "steps-waiting", { { "steps", summary.m_steps }, { "oldest_ms", summary.m_oldest.m_ms }, { "causes", formatCauses(summary) }, { "unexamined", summary.m_unexamined }, { "waiting_steps", scheduler.m_waitingSteps.size() }, { "recording", scheduler.m_recording.size() }, { "starting_or_stopping", scheduler.m_startingOrStopping.size() } });
+    reportProxies(scheduler, now);
 }
 
 AdoptionState findAdoptionState(const Scheduler& scheduler)
