Use VMs kept for approval requests that don't come, and share the others by turns

With 3, 4 and 7 VMs kept ones idle in the same way, for quick and for slow requests. With one or two VMs a stream of quick requests, which queue for up to 60 ms, left none free for a slow one for ever. Change: a VM that is kept for one kind of request is used by the other kind once it has been idle for as long as the request takes. A VM that late steps share with quick requests serves both by turns, each for as long as a slow request takes; a turn that a full pass offers in vain ends. The only VM kept for quick requests is shared so, and so is a single VM. Of two VMs one takes no quick requests while slow ones use it. Measured: kept_vm_test (1, 2, 3, 4 and 7 VMs) on the code before: a VM idle for 13.7 s beside waiting steps with 2, 3, 4 and 7 VMs, 7.7 to 8.6 s in the mirror with 3, 4 and 7; 4 of 4 slow steps still wait after 14 s of quick ones with 1 and 2 VMs; none now.

--- a/src/process/scheduler/approval_proxy.cpp
+++ b/src/process/scheduler/approval_proxy.cpp
@@ -12,12 +12,83 @@
     constexpr Duration slowRequestThreshold { 100 }; ///< A request that is expected to take longer is slow.
     constexpr Duration maxQuickRequestWait { 60 }; ///< How long a quick request may wait for its VM; a slow one is sent only if a VM is free.
 
-    /** @return How many of the reserved VMs steps that have waited long may use; at least one stays with the quick requests. */
-    std::size_t countKeptProxies(const Scheduler& scheduler)
+    /** Positions of VMs in the list, from the first one up to the end. */
+    struct ProxyRange {
+        std::size_t m_first = 0;
+        std::size_t m_end = 0;
+    };
+
+    /** @return The VMs reserved for quick requests whose time these share with steps that have waited long; with one VM, that one and all slow requests. */
+    ProxyRange sharedProxies(const Scheduler& scheduler)
     {
-        constexpr std::size_t keptDivisor = 3;
+        constexpr std::size_t sharedDivisor = 3;
         const std::size_t reserved = countReservedProxies(scheduler);
-        return reserved > 1 ? (reserved + keptDivisor - 1) / keptDivisor : 0;
+        if (reserved == 0)
+            return { .m_first = 0, .m_end = scheduler.m_approvalProxies.size() };
+        return { .m_first = reserved - (reserved + sharedDivisor - 1) / sharedDivisor, .m_end = reserved };
+    }
+
+    /** @return The VMs that a step may use for a request whether requests of the other kind come or not. */
+    ProxyRange ownProxies(const Scheduler& scheduler, const StepRun& run, bool isSlow)
+    {
+        const std::size_t count = scheduler.m_approvalProxies.size();
+        if (!isSlow)
+            return { .m_first = 0, .m_end = count - countSlowProxies(scheduler) };
+        return { .m_first = run.m_mayUseKeptProxies ? sharedProxies(scheduler).m_first : countReservedProxies(scheduler), .m_end = count };
+    }
+
+    /** @return Whether other requests have had a shared VM for at least as long as its last slow request took. */
+    bool isSlowTurn(const ApprovalProxy& proxy, TimePoint now)
+    {
+        return now >= proxy.m_slowUntil + proxy.m_slowLength;
+    }
+
+    /** @return Whether a quick request leaves a shared VM to a slow one that waits for it. The turn ends if a full pass finds no step that takes it. */
+    bool isLeftToSlow(const Scheduler& scheduler, ApprovalProxy& proxy, TimePoint now)
+    {
+        if (!proxy.m_isSlowWaiting || !isSlowTurn(proxy, now))
+            return false;
+        const TimePoint freeSince = std::max(proxy.m_busyUntil, proxy.m_slowUntil + proxy.m_slowLength);
+        const bool wasOffered = freeSince <= scheduler.m_fullPassAt && scheduler.m_fullPassAt < now;
+        if (!wasOffered)
+            return true;
+        proxy.m_isSlowWaiting = false;
+        proxy.m_slowUntil = now;
+        return false;
+    }
+
+    /** @return Whether the step may use one of its own VMs now, apart from when that is free. */
+    bool mayUse(Scheduler& scheduler, std::size_t index, bool isSlow, TimePoint now)
+    {
+        const ProxyRange shared = sharedProxies(scheduler);
+        if (index < shared.m_first || index >= shared.m_end)
+            return true;
+        ApprovalProxy& proxy = scheduler.m_approvalProxies[index];
+        if (!isSlow)
+            return !isLeftToSlow(scheduler, proxy, now);
+        const bool isOnlyOneForQuick = scheduler.m_approvalProxies.size() > 1 && shared.m_first == 0;
+        return !isOnlyOneForQuick || isSlowTurn(proxy, now);
+    }
+
+    /** Notes on the shared VMs that a slow request waits for them. */
+    void noteSlowWait(Scheduler& scheduler)
+    {
+        const ProxyRange shared = sharedProxies(scheduler);
+        for (std::size_t i = shared.m_first; i < shared.m_end; ++i)
+            scheduler.m_approvalProxies[i].m_isSlowWaiting = true;
+    }
+
+    /** @return The VM kept for the other kind of request that has been idle longest, if that is as long as the request takes: nobody comes for whom it is kept. */
+    ApprovalProxy* findUnwantedProxy(Scheduler& scheduler, const ProxyRange& own, Duration duration, TimePoint now)
+    {
+        ApprovalProxy* best = nullptr;
+        for (std::size_t i = 0; i < scheduler.m_approvalProxies.size(); ++i) {
+            ApprovalProxy& proxy = scheduler.m_approvalProxies[i];
+            const bool isOwn = i >= own.m_first && i < own.m_end;
+            if (!isOwn && proxy.m_busyUntil + duration <= now && (!best || proxy.m_busyUntil < best->m_busyUntil))
+                best = &proxy;
+        }
+        return best;
     }
 
     /** @return Name of a VM, what it is kept for (quick or slow requests, or any), and for how many milliseconds it has been idle (negative: is still busy). */
@@ -46,27 +117,40 @@
 
 /*
  * Load: after a standstill hundreds of steps whose requests are quick wait, and each VM always has a quick request queued. A slow
- * request, which needs a free VM, found none for seconds, while the workers that it was for stood idle.
+ * request, which needs a free VM, found none for seconds, while the workers that it was for stood idle. Of two VMs one is kept, too.
  */
 std::size_t countSlowProxies(const Scheduler& scheduler)
 {
-    constexpr std::size_t slowDivisor = 3;
-    return scheduler.m_approvalProxies.size() / slowDivisor;
+    return (scheduler.m_approvalProxies.size() + 1) / 3;
 }
 
 ApprovalProxy* chooseProxy(Scheduler& scheduler, const StepRun& run, Duration duration, TimePoint now)
 {
     const bool isSlow = isSlowRequest(duration);
-    const std::size_t reserved = countReservedProxies(scheduler) - (run.m_mayUseKeptProxies ? countKeptProxies(scheduler) : 0);
+    const ProxyRange own = ownProxies(scheduler, run, isSlow);
     ApprovalProxy* best = nullptr;
-    const std::size_t end = scheduler.m_approvalProxies.size() - (isSlow ? 0 : countSlowProxies(scheduler));
-    for (std::size_t i = isSlow ? reserved : 0; i < end; ++i) {
+    for (std::size_t i = own.m_first; i < own.m_end; ++i) {
         ApprovalProxy& proxy = scheduler.m_approvalProxies[i];
-        if (!best || proxy.m_busyUntil < best->m_busyUntil)
+        if ((!best || proxy.m_busyUntil < best->m_busyUntil) && mayUse(scheduler, i, isSlow, now))
             best = &proxy;
     }
     const Duration longestWait = isSlow ? Duration { 0 } : maxQuickRequestWait;
-    return best && best->m_busyUntil <= now + longestWait ? best : nullptr;
+    if (best && best->m_busyUntil <= now + longestWait)
+        return best;
+    ApprovalProxy* const unwanted = findUnwantedProxy(scheduler, own, duration, now);
+    if (!unwanted && isSlow && own.m_first == sharedProxies(scheduler).m_first)
+        noteSlowWait(scheduler);
+    return unwanted;
+}
+
+void occupyProxy(ApprovalProxy& proxy, Duration duration, TimePoint now)
+{
+    proxy.m_busyUntil = std::max(proxy.m_busyUntil, now) + duration;
+    if (!isSlowRequest(duration))
+        return;
+    proxy.m_slowUntil = proxy.m_busyUntil;
+    proxy.m_slowLength = duration;
+    proxy.m_isSlowWaiting = false;
 }
 
 void reportProxies(const Scheduler& scheduler, TimePoint now)
--- a/src/process/scheduler/approval_proxy.h
+++ b/src/process/scheduler/approval_proxy.h
@@ -15,12 +15,17 @@
 std::size_t countSlowProxies(const Scheduler& scheduler);
 
 /**
- * Chooses the VM that sends a request.
+ * Chooses the VM that sends a request. A VM that is kept for the other kind of request is used when it has been idle for as long as the
+ * request takes. The VMs that late steps share with quick requests serve both in turn, each for as long as one slow request takes; a slow
+ * request that finds no VM is noted there.
  * @param duration Expected duration of the request.
  * @return The VM that is free soonest, or null when none is free soon enough.
  */
 ApprovalProxy* chooseProxy(Scheduler& scheduler, const StepRun& run, Duration duration, TimePoint now);
 
+/** Counts a request against the time of the VM that sends it. @param duration Expected duration of the request. */
+void occupyProxy(ApprovalProxy& proxy, Duration duration, TimePoint now);
+
 /** Logs which VMs may send requests, what each is kept for and how long it is idle or busy, and how many steps wait for one: one line of bounded length. */
 void reportProxies(const Scheduler& scheduler, TimePoint now);
 
--- a/src/process/scheduler/approvals.cpp
+++ b/src/process/scheduler/approvals.cpp
@@ -201,7 +201,7 @@
             ApprovalProxy* const proxy = count == 0 ? nullptr : chooseProxy(scheduler, run, duration, now);
             if (!proxy)
                 return false;
-            proxy->m_busyUntil = std::max(proxy->m_busyUntil, now) + duration;
+            occupyProxy(*proxy, duration, now);
             run.m_approvalRequestedAt = now;
             ApprovalState& state = run.m_approval;
             ++state.m_pendingRequests;
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -330,6 +330,9 @@
 struct ApprovalProxy {
     std::string m_member; ///< Name of the VM.
     TimePoint m_busyUntil; ///< Expected time of the answer to its last queued request.
+    TimePoint m_slowUntil {}; ///< Expected end of its last slow request, or of a turn that no slow request took.
+    Duration m_slowLength {}; ///< Expected duration of its last slow request.
+    bool m_isSlowWaiting = false; ///< A slow request waits for this VM, which it shares with quick ones.
 };
 
 /** A request to approve a step on a list of workers. */
