A worker whose orders fail is probed with one task

Cause: a placement pass computes once which workers accept tasks, so that it placed as many tasks as fit on a worker that was to be probed, and all of them waited for orders that fail. Change: such a worker has room for one task in a pass, for all steps together. Measured: undelivered_order_test, a_worker_whose_orders_fail_is_probed_with_one_task, fails without the change (4 tasks instead of 1). The tests of scheduler, placement, restarts, approvals, the relay and cell_soak_test pass.

--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -145,10 +145,14 @@
             return existing >= limit ? 0 : limit - existing;
         }
 
+        /** @return Whether a worker gets a single task, which shows whether orders reach it again. */
+        bool isProbed(std::uint32_t position) const { return areOrdersFailing(m_scheduler.m_workers[static_cast<std::size_t>(m_view.m_workers[position])], m_now); }
+
         /** @return Number of further tasks of the step that fit on a worker now. */
         std::uint32_t roomAt(std::uint32_t position) const
         {
-            return static_cast<std::uint32_t>(countFitting(m_size, m_view.m_free[position], remainingLimitAt(position)));
+            const std::int64_t limit = remainingLimitAt(position);
+            return static_cast<std::uint32_t>(countFitting(m_size, m_view.m_free[position], isProbed(position) ? std::min<std::int64_t>(limit, 1) : limit));
         }
 
         /** @return Positions of the suitable workers that have room for a task. */
@@ -260,7 +264,7 @@
             moveCheapestToEnd(m_run.m_tasks[index]);
             const std::uint32_t position = m_candidates.back().m_position;
             placeTask(m_scheduler, { &m_run, index }, m_view.m_workers[position], m_now);
-            m_view.m_free[position] = m_view.m_free[position] - m_size;
+            m_view.m_free[position] = isProbed(position) ? Resources {} : m_view.m_free[position] - m_size;
             --m_toPlace;
             if (roomAt(position) == 0)
                 return m_candidates.pop_back();
--- a/tests/undelivered_order_test.cpp
+++ b/tests/undelivered_order_test.cpp
@@ -339,6 +339,25 @@
     BOOST_TEST(fixture.isRunningOn("w0"));
 }
 
+// A probe was as many tasks as a placement pass had for the worker, and all of them waited for the orders that fail.
+BOOST_AUTO_TEST_CASE(a_worker_whose_orders_fail_is_probed_with_one_task)
+{
+    SyncOnlyFixture fixture(1);
+    fixture.m_syncOnly = { "w0" };
+    fixture.run(200);
+    fixture.submit(job, { .m_count = 4 });
+    fixture.submit(otherJob, { .m_count = 1 });
+    const scheduler::Worker& worker = fixture.m_scheduler.m_workers.front();
+    fixture.timeUntil([&] { return worker.m_orders.m_failures > 0; });
+    fixture.timeUntil([&] { return worker.m_tasks.empty(); });
+    std::size_t most = 0;
+    fixture.timeUntil([&] {
+        most = std::max(most, worker.m_tasks.size());
+        return false;
+    });
+    BOOST_TEST(most == 1U);
+}
+
 // LOST (issue 48): after 6 s at a worker that answered syncs only, a start waited as long at a second one.
 BOOST_AUTO_TEST_CASE(a_second_worker_that_takes_no_orders_delays_a_task_no_longer_than_a_lease)
 {
