Claims: a VM that hasn't listed them asks twice a second throughout

Cause: after a loss of all power with the partition of the claims silent, a VM lists them before it may claim. The listing had at most six attempts in flight, 0.5 s apart, each with a timeout of 4 s, so that none was sent for 1.5 s of each 4 s. A partition that came back then was asked late.

Change: the listing of the claims may have as many attempts in flight as fit into its timeout.

--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -15,6 +15,7 @@
     constexpr Duration readMargin { 700 }; ///< Added to a read's long-poll wait for the answer to arrive; doubled with each read that fails.
     constexpr Duration maxReadMargin { 4'000 }; ///< Enough for a large answer on a slow link or VM. Configurations get it at once; hedging covers a silent store.
     constexpr Duration listingTimeout { 4'000 }; ///< A page of many records may take long when the store is slow.
+    constexpr Duration claimsHedgeDelay { 500 }; ///< Small records; without them nobody can lead.
     constexpr Duration retryDelay { 200 };
     constexpr Duration storeSilenceLimit { 1'200 }; ///< A store without an answer for longer is considered lost.
 
@@ -250,17 +251,23 @@
     Duration tailHedgeDelay(const CellNode& node, const TopicTail& tail)
     {
         constexpr Duration evidenceHedgeDelay { 300 };
-        constexpr Duration claimsHedgeDelay { 500 }; // Small records; without them nobody can lead.
         const Duration delay = storeHedgeDelay(node, tail.m_call.m_lastAttemptAt);
         if (&tail != &node.m_leaderTail)
             return delay;
         return std::min(delay, isEvidenceTail(node, tail) ? evidenceHedgeDelay : claimsHedgeDelay);
     }
 
+    /** @return Attempts of a tail's call that may be in flight. Those of the claims are sent until the first of them has timed out, as nobody leads until one is answered. */
+    std::uint32_t maxInFlightOf(const CellNode& node, const TopicTail& tail)
+    {
+        constexpr auto claimListings = static_cast<std::uint32_t>(listingTimeout.m_ms / claimsHedgeDelay.m_ms);
+        return &tail == &node.m_leaderTail ? std::max(defaultMaxInFlight, claimListings) : defaultMaxInFlight;
+    }
+
     void stepTail(CellNode& node, TopicTail& tail)
     {
         const Duration wait = waitOf(node, tail);
-        if (!tail.m_isFollowed || !isAttemptDue(tail.m_call, wait + tailHedgeDelay(node, tail), node.m_now))
+        if (!tail.m_isFollowed || !isAttemptDue(tail.m_call, wait + tailHedgeDelay(node, tail), node.m_now, maxInFlightOf(node, tail)))
             return;
         ++node.m_counters.m_reads;
         // Updates the store's reachability and tells whether the answer belongs to the current call.
