Claims: an unanswered claim goes on while a leader is missing

Cause: a claim was sent again for 1 s only, and the VM then waited until its last attempt had timed out, for up to 1 s more, before it claimed anew. A partition of the claims that came back in that time got no claim of this VM.

Change: an old claim is sent twice a second (less often on a slow store, as a new one) while a leader is still missing, the condition on the end of the topic being the same. Weak VMs that wait for stronger ones claim anew as before, so that they wait again.

--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -97,13 +97,24 @@
         return std::max(leaderWriteHedgeDelay(node, node.m_sentClaim.m_call, node.m_leaderTail.m_partition), answerTime * vms / 2);
     }
 
-    /** Sends an unanswered claim again beside its other attempts, until the topic has a further record or the claim is too old. */
+    /** @return Whether an unanswered claim goes on, because a leader is still missing. VMs that wait for stronger ones claim anew instead, which has them wait again. */
+    bool isClaimStillDue(const CellNode& node)
+    {
+        return !claimCause(node).empty() && claimDelayOf(node.m_options.m_self, otherCandidates(node)) == Duration {};
+    }
+
+    /** Sends an unanswered claim again beside its other attempts until the topic has a further record: less often once it is old, and then only while a leader is still missing. */
     void hedgeClaim(CellNode& node)
     {
+        constexpr Duration oldClaimInterval { 500 }; // Shorter than claimTimeout, so that an attempt is always under way when the partition answers again.
         const SentClaim& claim = node.m_sentClaim;
         if (node.m_leaderTail.m_nextOffset != claim.m_append.m_expectedEnd)
             return endClaim(node, node.m_now);
-        if (node.m_now - claim.m_firstSentAt < claimTimeout && isAttemptDue(claim.m_call, claimHedgeDelay(node), node.m_now))
+        const bool isNew = node.m_now - claim.m_firstSentAt < claimTimeout;
+        if (!isNew && !isClaimStillDue(node))
+            return;
+        const Duration delay = isNew ? claimHedgeDelay(node) : std::max(claimHedgeDelay(node), oldClaimInterval);
+        if (isAttemptDue(claim.m_call, delay, node.m_now))
             sendClaim(node);
     }
 
--- a/tests/silent_claims_test.cpp
+++ b/tests/silent_claims_test.cpp
@@ -55,3 +55,17 @@
         BOOST_TEST(waitedMs <= resumptionMs, "silence of " << silenceMs << " ms: " << waitedMs << " ms");
     }
 }
+
+BOOST_AUTO_TEST_CASE(a_vm_whose_claim_is_unanswered_leads_soon_after_the_claims_are_back)
+{
+    for (int silenceMs = firstSilenceMs; silenceMs < lastSilenceMs; silenceMs += silenceIncrementMs) {
+        RestartedCell cell;
+        cell.restart();
+        cell.m_node->m_sentClaim.m_call.m_notBefore = cell.m_now + Duration { 200 };
+        cell.step(10);
+        BOOST_REQUIRE(cell.m_node->m_leaderTail.m_isListingComplete);
+        cell.m_silent = { claimsPartition };
+        const int waitedMs = cell.endSilence(silenceMs);
+        BOOST_TEST(waitedMs <= resumptionMs, "silence of " << silenceMs << " ms: " << waitedMs << " ms");
+    }
+}
