Let steps pass over workers that are long gone

Cause: workers that crash come back under new ids, so the leader's table of workers only grows during a term. Each step, each placement and each crash walked over all of it, and the idle poll and the number of relays were spread over workers long gone. Change: steps look at a list of the active workers. A worker is retired when it is not announced, holds no attempt, stray, late start or end, has no call open, and its lease has run out or it has answered its latest call; one that crashed without proof stays for the 10 s in which other crashes are compared with it. An index stays valid, and whatever is heard of a retired worker makes it active first. isConsistent() checks the list. The metric bulrush_scheduler has "active-workers".

--- a/src/process/cell/cell_metrics.cpp
+++ b/src/process/cell/cell_metrics.cpp
@@ -125,6 +125,7 @@
         MetricFamilyBuilder builder("bulrush_scheduler", "Counts of the present term", MetricType::Gauge);
         builder.add("jobs", static_cast<double>(scheduler.m_jobs.size()));
         builder.add("workers", static_cast<double>(scheduler.m_workers.size()));
+        builder.add("active-workers", static_cast<double>(scheduler.m_activeWorkers.size()));
         builder.add("submissions-unread", scheduler.m_areSubmissionsUnread ? 1 : 0);
         builder.add("cancellations-unread", scheduler.m_areCancellationsUnread ? 1 : 0);
         builder.add("progress-unmatched", static_cast<double>(scheduler.m_unmatchedProgress.size()));
--- a/src/process/cell/cell_relay.cpp
+++ b/src/process/cell/cell_relay.cpp
@@ -204,7 +204,7 @@
             return relay.m_peers;
         relay.m_nextSelectionAt = node.m_now + interval;
         const std::vector<std::string> previous = std::exchange(relay.m_peers, {});
-        const std::size_t workers = node.m_scheduler ? node.m_scheduler->m_workers.size() : 0;
+        const std::size_t workers = node.m_scheduler ? node.m_scheduler->m_activeWorkers.size() : 0;
         if (workers < node.m_options.m_relayMinWorkers)
             return relay.m_peers;
         std::vector<PeerMember> candidates;
--- a/src/process/scheduler/crash_record.cpp
+++ b/src/process/scheduler/crash_record.cpp
@@ -83,7 +83,8 @@
     std::size_t countUnheard(const Scheduler& scheduler, const Worker& except)
     {
         const auto isIsolated = [](const TaskRef& ref) { return ref.task().m_isIsolated; };
-        return static_cast<std::size_t>(std::count_if(scheduler.m_workers.begin(), scheduler.m_workers.end(), [&](const Worker& worker) {
+        return static_cast<std::size_t>(std::count_if(scheduler.m_activeWorkers.begin(), scheduler.m_activeWorkers.end(), [&](WorkerIndex index) {
+            const Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
             const bool isUnheard = worker.m_state == WorkerState::New && (worker.m_isAnnounced || !worker.m_tasks.empty());
             return isUnheard && &worker != &except && std::none_of(worker.m_tasks.begin(), worker.m_tasks.end(), isIsolated);
         }));
@@ -139,10 +140,10 @@
     std::vector<WorkerCrash> likelyCrashes(const Scheduler& scheduler, WorkerIndex except, TimePoint now)
     {
         std::vector<WorkerCrash> crashes(scheduler.m_recentCrashes.begin(), scheduler.m_recentCrashes.end());
-        for (std::size_t i = 0; i < scheduler.m_workers.size(); ++i) {
-            const Worker& worker = scheduler.m_workers[i];
+        for (const WorkerIndex index : scheduler.m_activeWorkers) {
+            const Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
             const CrashTime time = crashTimeOf(worker, now);
-            if (static_cast<WorkerIndex>(i) != except && time.isKnown() && !worker.m_outage.m_isOver && !worker.m_isCrashNoted)
+            if (index != except && time.isKnown() && !worker.m_outage.m_isOver && !worker.m_isCrashNoted)
                 crashes.push_back(describeCrash(selectSuspects(worker.m_tasks, time), time, now));
         }
         return crashes;
--- a/src/process/scheduler/pool_view.cpp
+++ b/src/process/scheduler/pool_view.cpp
@@ -31,15 +31,15 @@
     PoolViews views;
     PoolView* view = nullptr;
     const std::string* pool = nullptr; // Workers of a pool mostly stand next to each other, which saves most of the lookups.
-    for (std::size_t i = 0; i < scheduler.m_workers.size(); ++i) {
-        Worker& worker = scheduler.m_workers[i];
+    for (const WorkerIndex index : scheduler.m_activeWorkers) {
+        Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
         const bool isAccepting = acceptsTasks(worker, now);
         if (isAccepting && (!pool || *pool != worker.m_announcement.m_pool)) {
             pool = &worker.m_announcement.m_pool;
             view = &views[*pool];
         }
         if (isAccepting)
-            addWorker(*view, static_cast<WorkerIndex>(i), worker, hasChanged[i]);
+            addWorker(*view, index, worker, hasChanged[static_cast<std::size_t>(index)]);
         worker.m_wasAccepting = isAccepting;
     }
     return views;
--- a/src/process/scheduler/scheduler.cpp
+++ b/src/process/scheduler/scheduler.cpp
@@ -1,5 +1,6 @@
 /** @file scheduler.cpp The scheduler's periodic step, expiry of ended jobs and consistency checks. */
 #include "core/log_func.h"
+#include "process/scheduler/active_workers.h"
 #include "process/scheduler/crash_record.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
@@ -107,6 +108,8 @@
 
 bool isConsistent(const Scheduler& scheduler)
 {
+    if (!areActiveWorkersConsistent(scheduler))
+        return false;
     for (const Worker& worker : scheduler.m_workers) {
         Resources sum;
         std::uint32_t suspects = 0;
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -285,6 +285,7 @@
     WorkerAnnouncement m_announcement; ///< Latest announcement of the worker.
     WorkerState m_state = WorkerState::New; ///< Whether the leader can rely on the worker.
     bool m_isAnnounced = false; ///< The worker is currently announced.
+    bool m_isActive = false; ///< It is in Scheduler::m_activeWorkers.
     bool m_wasAccepting = false; ///< Whether it accepted tasks at the latest placement pass.
     std::uint32_t m_unexpectedAttempts = 0; ///< Attempts in its latest report that the scheduler did not expect there.
     std::optional<TimePoint> m_unexpectedSince; ///< Since when each of its reports has listed an attempt that is not expected there and is to be stopped.
@@ -403,6 +404,7 @@
     TimePoint m_learnedRecordedAt; ///< When learned run times were last recorded.
     std::uint32_t m_learnedSamples = 0; ///< Number of samples in that record.
     std::deque<Worker> m_workers; ///< All workers seen during this term; WorkerIndex refers to this list.
+    std::vector<WorkerIndex> m_activeWorkers; ///< The workers that steps look at, in ascending order; see active_workers.h.
     std::unordered_map<std::string, WorkerIndex> m_workerById; ///< Index of each worker, by id.
     std::vector<StepRun*> m_waitingSteps; ///< Steps that may have tasks without an attempt.
     std::vector<TaskRef> m_startingOrStopping; ///< Tasks in the phases Starting and Stopping.
--- a/src/process/scheduler/scheduler_pacing.cpp
+++ b/src/process/scheduler/scheduler_pacing.cpp
@@ -44,7 +44,8 @@
     if (now < scheduler.m_nextPacingAt)
         return;
     scheduler.m_nextPacingAt = now + pacingInterval;
-    for (const Worker& worker : scheduler.m_workers) {
+    for (const WorkerIndex index : scheduler.m_activeWorkers) {
+        const Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
         if (worker.m_state != WorkerState::Adopted)
             continue;
         const double tailRatio = worstTailRatio(worker);
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -480,8 +480,10 @@
     /** Ends all reservations except those of workers that are held for a suspect. */
     void clearReservations(Scheduler& scheduler, TimePoint now)
     {
-        for (Worker& worker : scheduler.m_workers)
+        for (const WorkerIndex index : scheduler.m_activeWorkers) {
+            Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
             worker.m_lastReservedFor = isHeldForSuspect(worker, now) ? nullptr : std::exchange(worker.m_reservedFor, nullptr);
+        }
         for (StepRun* run : scheduler.m_waitingSteps)
             run->m_hasReservations = false;
     }
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -2,6 +2,7 @@
 #include "connection/enum_codec.h"
 #include "core/cbor.h"
 #include "core/log_func.h"
+#include "process/scheduler/active_workers.h"
 #include "process/scheduler/crash_record.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
@@ -101,6 +102,7 @@
             scheduler.m_workers.emplace_back();
             scheduler.m_workers.back().m_announcement.m_id = id;
         }
+        detail::activateWorker(scheduler, found->second);
         return found->second;
     }
 
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -1,6 +1,7 @@
 /** @file scheduler_tasks.cpp Life cycle of attempts: placement, recording, start, stop, end and loss. */
 #include "core/invariant.h"
 #include "core/log_func.h"
+#include "process/scheduler/active_workers.h"
 #include "process/scheduler/crash_record.h"
 #include "process/scheduler/late_start.h"
 #include "process/scheduler/order_health.h"
@@ -460,6 +461,7 @@
     if (found == scheduler.m_workerById.end())
         return;
     const WorkerIndex index = found->second;
+    activateWorker(scheduler, index);
     Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
     const bool isLate = sentAt < worker.m_syncSentAt;
     if (!isLate)
@@ -537,8 +539,10 @@
     const OrderStatus status = answer.m_status;
     const TaskRef ref = findCurrentAttempt(scheduler, worker, name, attempt);
     const auto index = scheduler.m_workerById.find(worker);
-    if (index != scheduler.m_workerById.end())
+    if (index != scheduler.m_workerById.end()) {
+        activateWorker(scheduler, index->second);
         countOrder(scheduler, index->second, status, now);
+    }
     if (index != scheduler.m_workerById.end() && (status == OrderStatus::NoAnswer || status == OrderStatus::Unreported))
         noteUnansweredStart(scheduler.m_workers[static_cast<std::size_t>(index->second)], name, attempt, now);
     if (status == OrderStatus::Fenced)
@@ -596,6 +600,7 @@
     if (status == OrderStatus::Fenced)
         effects.m_isFenced = true;
     if (const auto index = scheduler.m_workerById.find(worker); index != scheduler.m_workerById.end()) {
+        activateWorker(scheduler, index->second);
         Worker& addressee = scheduler.m_workers[static_cast<std::size_t>(index->second)];
         // A stop that is refused does not end the attempt either.
         noteOrderOutcome(addressee, status == OrderStatus::Unhealthy ? OrderStatus::NoAnswer : status, now);
@@ -619,7 +624,8 @@
 
 void detail::acknowledgeEnds(Scheduler& scheduler, TimePoint now)
 {
-    for (Worker& worker : scheduler.m_workers) {
+    for (const WorkerIndex index : scheduler.m_activeWorkers) {
+        Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
         while (!worker.m_pendingEnds.empty() && worker.m_pendingEnds.front().m_batch <= scheduler.m_confirmedBatch) {
             worker.m_ackedEndNumber = worker.m_pendingEnds.front().m_number;
             worker.m_pendingEnds.pop_front();
--- a/src/process/scheduler/scheduler_watch.cpp
+++ b/src/process/scheduler/scheduler_watch.cpp
@@ -1,5 +1,6 @@
 /** @file scheduler_watch.cpp Detection of stalled tasks and of gangs whose members do not all start. */
 #include "core/log_func.h"
+#include "process/scheduler/active_workers.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "request/plan_func.h"
 
@@ -70,8 +71,9 @@
     if (now < scheduler.m_nextWatchAt)
         return;
     scheduler.m_nextWatchAt = now + watchInterval;
-    for (Worker& worker : scheduler.m_workers)
-        watchWorker(scheduler, worker, now);
+    retireWorkers(scheduler, now);
+    for (const WorkerIndex index : scheduler.m_activeWorkers)
+        watchWorker(scheduler, scheduler.m_workers[static_cast<std::size_t>(index)], now);
     watchGangs(scheduler, now);
 }
 
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -1,5 +1,6 @@
 /** @file scheduler_workers.cpp Workers: announcements, leases, health, and the calls to them. */
 #include "core/log_func.h"
+#include "process/scheduler/active_workers.h"
 #include "process/scheduler/crash_record.h"
 #include "process/scheduler/late_start.h"
 #include "process/scheduler/order_health.h"
@@ -337,7 +338,7 @@
         {
             if (!isIdle(worker))
                 return worker.m_nextSyncAt;
-            const auto count = static_cast<std::int64_t>(scheduler.m_workers.size());
+            const auto count = static_cast<std::int64_t>(scheduler.m_activeWorkers.size());
             const Duration interval { std::max(scheduler.m_options.m_idleSyncInterval.m_ms, count * 1'000 / maxIdleSyncsPerSecond) };
             return std::max(worker.m_nextSyncAt, worker.m_answeredAt + interval);
         }
@@ -403,7 +404,7 @@
 
     void stepCalls(Scheduler& scheduler, TimePoint now, SchedulerEffects& effects)
     {
-        for (WorkerIndex i = 0; i < static_cast<WorkerIndex>(scheduler.m_workers.size()); ++i) {
+        for (const WorkerIndex i : scheduler.m_activeWorkers) {
             Worker& worker = scheduler.m_workers[static_cast<std::size_t>(i)];
             stepLeases(scheduler, i, now);
             if (worker.m_announcement.m_isDraining && worker.m_state == WorkerState::Adopted)
@@ -424,6 +425,7 @@
     const auto [found, isNew] = scheduler.m_workerById.try_emplace(announcement.m_id, static_cast<WorkerIndex>(scheduler.m_workers.size()));
     if (isNew)
         scheduler.m_workers.emplace_back();
+    detail::activateWorker(scheduler, found->second);
     Worker& worker = scheduler.m_workers[static_cast<std::size_t>(found->second)];
     if (announcement.m_isDraining && !worker.m_announcement.m_isDraining) {
         worker.m_drainingSince = now;
--- a/src/process/scheduler/wait_report.cpp
+++ b/src/process/scheduler/wait_report.cpp
@@ -92,8 +92,8 @@
             for (const TaskRef& ref : *refs)
                 noteAttempt(waits, scheduler, ref);
         }
-        for (const Worker& worker : scheduler.m_workers)
-            noteUnreachable(waits, worker);
+        for (const WorkerIndex index : scheduler.m_activeWorkers)
+            noteUnreachable(waits, scheduler.m_workers[static_cast<std::size_t>(index)]);
         std::vector<LongestWait> found;
         for (const auto& [run, wait] : waits) {
             if (now - wait.m_since > longWait)
@@ -153,10 +153,10 @@
         };
         if (facts.m_phase != RunPhase::None)
             return facts;
-        for (WorkerIndex i = 0; i < static_cast<WorkerIndex>(scheduler.m_workers.size()); ++i) {
-            const Worker& worker = scheduler.m_workers[static_cast<std::size_t>(i)];
+        for (const WorkerIndex index : scheduler.m_activeWorkers) {
+            const Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
             if (worker.m_isAnnounced && worker.m_announcement.m_pool == run.m_job->m_plan.m_pool && isSuitable(run, worker))
-                addWorker(facts, scheduler, run, i, now);
+                addWorker(facts, scheduler, run, index, now);
         }
         return facts;
     }
@@ -283,7 +283,8 @@
 AdoptionState findAdoptionState(const Scheduler& scheduler)
 {
     AdoptionState state;
-    for (const Worker& worker : scheduler.m_workers) {
+    for (const WorkerIndex index : scheduler.m_activeWorkers) {
+        const Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
         const bool isNew = worker.m_state == WorkerState::New && (worker.m_isAnnounced || !worker.m_tasks.empty());
         const bool isSilent = worker.m_state == WorkerState::Silent;
         if (!isNew && !isSilent)
