Hold no crash against an attempt that the worker's next process may have started

Cause: a start that the new process of a restarted worker had confirmed was taken for one that ran in the process that had crashed, so that a proven crash was counted against an attempt that ran on. Change: a crash is held against an attempt only if a process that has reported started it. The suspicion stays, so that tasks that do crash workers stay bounded. Measured: a_crash_is_not_held_against_an_attempt_that_the_next_process_has_started failed before with 1 crash and 1 proven suspicion; sound_job_crash_test and deadly_task_test (unchanged) pass.

--- a/src/process/scheduler/crash_record.cpp
+++ b/src/process/scheduler/crash_record.cpp
@@ -97,7 +97,8 @@
             return task.m_isKnownToRun && task.m_isIsolated && countUnexplained(scheduler, now) == 0 && countUnheard(scheduler, worker) < commonCauseCrashes;
         const bool isKnownAtAll = task.m_isKnownToRun && task.m_knownToRunAt != TimePoint {} && time.isKnown();
         const bool wasStopped = task.m_phase == RunPhase::Stopping && task.m_stopRequestedAt < time.m_brokeAt;
-        return isKnownAtAll && !wasStopped && time.m_brokeAt - task.m_knownToRunAt <= scheduler.m_options.m_syncWait + probationPeriod;
+        const bool mayRunInNextProcess = task.m_otherProcessUntil != TimePoint {};
+        return isKnownAtAll && !wasStopped && !mayRunInNextProcess && time.m_brokeAt - task.m_knownToRunAt <= scheduler.m_options.m_syncWait + probationPeriod;
     }
 
     /** @return Whether an attempt may have been on probation when its worker crashed. */
--- a/src/process/scheduler/crash_record.h
+++ b/src/process/scheduler/crash_record.h
@@ -14,6 +14,7 @@
  * Another process at a worker's address proves that the former one is gone, but neither when it ended nor under which attempts. A
  * crash is held against a task only if
  * - the worker has confirmed or listed the attempt shortly before, and it has been neither stopped nor reported as ended since;
+ * - the process that has crashed confirmed it, and not one that may have started since;
  * - the time of the crash is known, as the connection of the open sync broke. A call that times out tells no time: the worker
  *   may have been cut off, and may have ended the attempt before it crashed;
  * - not several workers crashed at that moment on which the task can't be the cause;
--- a/tests/sound_job_crash_test.cpp
+++ b/tests/sound_job_crash_test.cpp
@@ -514,3 +514,24 @@
     fixture.answerSync("w1", {}, OrderStatus::WrongInstance);
     BOOST_TEST(detail::findTask(fixture.m_scheduler, test::taskOf(test::firstJob)).task().m_suspicions == 0);
 }
+
+// LOST (issue 48): a crash was held against an attempt that the worker's next process had started, and that ran on there.
+BOOST_AUTO_TEST_CASE(a_crash_is_not_held_against_an_attempt_that_the_next_process_has_started)
+{
+    constexpr std::int64_t clockOfNextProcessMs = 40;
+    test::AnswerFixture fixture;
+    fixture.adopt("w1");
+    fixture.submit(test::firstJob, test::makeStep());
+    fixture.run({ 50 });
+    BOOST_REQUIRE(fixture.m_starts.size() == 1U);
+    fixture.answerSync("w1", {}, OrderStatus::NoAnswer); // The connection of the open sync breaks.
+    const TaskName name = test::taskOf(test::firstJob);
+    SchedulerEffects effects;
+    onStartAnswer(fixture.m_scheduler, "w1", name, 1, { .m_status = OrderStatus::Done, .m_clockMs = clockOfNextProcessMs }, fixture.m_now, effects);
+    fixture.run({ 50 });
+    fixture.answerSync("w1", { .m_clockMs = clockOfNextProcessMs + 50, .m_processStartMs = test::secondProcess, .m_running = { { .m_task = name, .m_attempt = 1 } } });
+    const Task& task = detail::findTask(fixture.m_scheduler, name).task();
+    BOOST_TEST((task.m_phase == RunPhase::Running));
+    BOOST_TEST(task.m_crashes == 0U);
+    BOOST_TEST(task.m_provenSuspicions == 0U);
+}
