A kept VM is offered to those it is kept for before others use it

Cause: a quick request used a VM kept for slow ones once it had been idle for 28 ms. With thousands of waiting steps a full pass comes each 50 ms and 1 ms for every ten of them, so at each pass the quick steps, ranked first, took all kept VMs again, and slow steps found none free. Change: the VM is used by others only after a full pass has left it idle. Until then it stays for those it is kept for, who are all examined in that pass.

--- a/src/process/scheduler/approval_proxy.cpp
+++ b/src/process/scheduler/approval_proxy.cpp
@@ -78,14 +78,18 @@
             scheduler.m_approvalProxies[i].m_isSlowWaiting = true;
     }
 
-    /** @return The VM kept for the other kind of request that has been idle longest, if that is as long as the request takes: nobody comes for whom it is kept. */
+    /**
+     * @return The VM kept for the other kind of request that has been idle longest, if that is as long as the request takes, and a full
+     * pass over the waiting steps has left it idle: nobody comes for whom it is kept.
+     */
     ApprovalProxy* findUnwantedProxy(Scheduler& scheduler, const ProxyRange& own, Duration duration, TimePoint now)
     {
         ApprovalProxy* best = nullptr;
         for (std::size_t i = 0; i < scheduler.m_approvalProxies.size(); ++i) {
             ApprovalProxy& proxy = scheduler.m_approvalProxies[i];
             const bool isOwn = i >= own.m_first && i < own.m_end;
-            if (!isOwn && proxy.m_busyUntil + duration <= now && (!best || proxy.m_busyUntil < best->m_busyUntil))
+            const bool wasOffered = proxy.m_busyUntil <= scheduler.m_fullPassAt && scheduler.m_fullPassAt < now;
+            if (!isOwn && wasOffered && proxy.m_busyUntil + duration <= now && (!best || proxy.m_busyUntil < best->m_busyUntil))
                 best = &proxy;
         }
         return best;
--- a/tests/kept_vm_test.cpp
+++ b/tests/kept_vm_test.cpp
@@ -153,3 +153,17 @@
         BOOST_TEST(longest.m_ms <= longestQuickWait.m_ms, vms << " VMs, a quick request waited for " << longest.m_ms);
     }
 }
+
+// Steps that were ranked first took the VMs kept for slow requests at each pass, as soon as full passes were further apart than quick requests are long.
+BOOST_AUTO_TEST_CASE(slow_requests_find_the_vms_kept_for_them_beside_thousands_of_quick_ones)
+{
+    constexpr int vms = 28;
+    KeptVms world(vms);
+    world.submitQuick(300 * vms);
+    for (int i = 0; i < startLimit.m_ms / 100; ++i) {
+        world.submitQuick(4 * vms);
+        world.submitSlow(i >= 10 && i % 10 == 0 ? 1 : 0);
+        world.run({ 100 });
+    }
+    BOOST_TEST(world.longestWaitOf(world.m_slow).m_ms <= longestIdle.m_ms);
+}
