Failing: steps wait although one VM only doesn't reach the approval service

A peer that answers 'no answer' isn't marked as failed (cell_scheduling.cpp), and the scheduler notes nothing of the VM (onApprovals).

--- a/tests/fakes/approval_load.h
+++ b/tests/fakes/approval_load.h
@@ -61,6 +61,7 @@
     std::map<std::string, double> m_approvedShareByQueue; ///< Share of approved workers of the queues where it differs.
     std::uint64_t m_requests = 0;
     bool m_areRequestsAnswered = true; ///< Whether approval requests are answered; they fail otherwise.
+    std::string m_failingVm; ///< VM that doesn't reach the approval service, so that its requests time out; empty for none.
     int m_ticketsToRefuse = 0; ///< Number of starts whose ticket is refused although it has not lapsed.
     std::size_t m_latestNamed = 0; ///< Number of workers named in the latest request.
     std::size_t m_mostNamed = 0; ///< Largest number of workers named in a request.
@@ -148,6 +149,11 @@
         ++m_requests;
         m_latestNamed = request.m_workers.size();
         m_mostNamed = std::max(m_mostNamed, request.m_workers.size());
+        if (request.m_member == m_failingVm) {
+            constexpr Duration approvalTimeout { 2'500 };
+            m_events.emplace(m_now + approvalTimeout, [this, request] { onApprovals(m_scheduler, request, std::nullopt, m_now); });
+            return;
+        }
         const auto& policy = policyOf(request.m_step.m_job);
         const Duration duration { static_cast<std::int64_t>(policy->m_baseCallTimeMs + policy->m_callTimePerWorkerMs * static_cast<double>(request.m_workers.size())) };
         m_events.emplace(m_now + duration, [this, request, policy] {
