Trial: a VM whose approval requests fail counts as busy while others' are answered

Change: the scheduler notes the outcome of each request by the VM that sent it. A failure while another VM had an answer within 3 s counts the VM as busy for 1 s, doubled up to 8 s with each further one; an answer ends that. While the service answers nobody, no VM is held out.

--- a/src/process/scheduler/approval_proxy.cpp
+++ b/src/process/scheduler/approval_proxy.cpp
@@ -157,6 +157,27 @@
     proxy.m_isSlowWaiting = false;
 }
 
+void noteProxyOutcome(Scheduler& scheduler, const std::string& member, bool isAnswered, TimePoint now)
+{
+    constexpr Duration recentAnswer { 3'000 }; ///< Longer than a request takes until it fails.
+    constexpr Duration firstHoldOut { 1'000 };
+    constexpr std::uint32_t maxDoublings = 3;
+    auto& proxies = scheduler.m_approvalProxies;
+    const auto proxy = std::find_if(proxies.begin(), proxies.end(), [&](const ApprovalProxy& each) { return each.m_member == member; });
+    if (proxy == proxies.end())
+        return;
+    if (isAnswered) {
+        proxy->m_answeredAt = now;
+        proxy->m_failures = 0;
+        return;
+    }
+    const bool areOthersAnswered = std::any_of(proxies.begin(), proxies.end(), [&](const ApprovalProxy& each) { return &each != &*proxy && each.m_answeredAt.m_ms > 0 && now - each.m_answeredAt <= recentAnswer; });
+    if (!areOthersAnswered)
+        return;
+    proxy->m_busyUntil = std::max(proxy->m_busyUntil, now + firstHoldOut * (std::int64_t { 1 } << std::min(proxy->m_failures, maxDoublings)));
+    ++proxy->m_failures;
+}
+
 void reportProxies(const Scheduler& scheduler, TimePoint now)
 {
     constexpr std::size_t maxNamed = 8;
--- a/src/process/scheduler/approval_proxy.h
+++ b/src/process/scheduler/approval_proxy.h
@@ -26,6 +26,9 @@
 /** Counts a request against the time of the VM that sends it. @param duration Expected duration of the request. */
 void occupyProxy(ApprovalProxy& proxy, Duration duration, TimePoint now);
 
+/** Notes whether a VM's request was answered. One that fails while others' are answered counts as busy for a while, longer with each failure. */
+void noteProxyOutcome(Scheduler& scheduler, const std::string& member, bool isAnswered, TimePoint now);
+
 /** Logs which VMs may send requests, what each is kept for and how long it is idle or busy, and how many steps wait for one: one line of bounded length. */
 void reportProxies(const Scheduler& scheduler, TimePoint now);
 
--- a/src/process/scheduler/approvals.cpp
+++ b/src/process/scheduler/approvals.cpp
@@ -326,6 +326,7 @@
         if (const auto found = scheduler.m_workerById.find(id); found != scheduler.m_workerById.end())
             --scheduler.m_workers[static_cast<std::size_t>(found->second)].m_pendingNames;
     }
+    detail::noteProxyOutcome(scheduler, request.m_member, approvals.has_value(), now);
     const TaskRef ref = detail::findTask(scheduler, request.m_step);
     if (!ref.m_run)
         return;
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -334,6 +334,8 @@
     TimePoint m_busyUntil; ///< Expected time of the answer to its last queued request.
     TimePoint m_slowUntil {}; ///< Expected end of its last slow request, or of a turn that no slow request took.
     Duration m_slowLength {}; ///< Expected duration of its last slow request.
+    TimePoint m_answeredAt {}; ///< When one of its requests was last answered.
+    std::uint32_t m_failures = 0; ///< Its requests that have failed since, while those of other VMs were answered.
     bool m_isSlowWaiting = false; ///< A slow request waits for this VM, which it shares with quick ones.
 };
 
