--- a/src/process/scheduler/approval_proxy.cpp
+++ b/src/process/scheduler/approval_proxy.cpp
@@ -78,14 +78,18 @@
             scheduler.m_approvalProxies[i].m_isSlowWaiting = true;
     }
 
-    /** @return The VM kept for the other kind of request that has been idle longest, if that is as long as the request takes: nobody comes for whom it is kept. */
+    /**
+     * @return The VM kept for the other kind of request that has been idle longest, if that is as long as the request takes, and a full
+     * pass over the waiting steps has left it idle: nobody comes for whom it is kept.
+     */
     ApprovalProxy* findUnwantedProxy(Scheduler& scheduler, const ProxyRange& own, Duration duration, TimePoint now)
     {
         ApprovalProxy* best = nullptr;
         for (std::size_t i = 0; i < scheduler.m_approvalProxies.size(); ++i) {
             ApprovalProxy& proxy = scheduler.m_approvalProxies[i];
             const bool isOwn = i >= own.m_first && i < own.m_end;
-            if (!isOwn && proxy.m_busyUntil + duration <= now && (!best || proxy.m_busyUntil < best->m_busyUntil))
+            const bool wasOffered = proxy.m_busyUntil <= scheduler.m_fullPassAt && scheduler.m_fullPassAt < now;
+            if (!isOwn && wasOffered && proxy.m_busyUntil + duration <= now && (!best || proxy.m_busyUntil < best->m_busyUntil))
                 best = &proxy;
         }
         return best;
@@ -153,6 +157,27 @@
     proxy.m_isSlowWaiting = false;
 }
 
+void noteProxyOutcome(Scheduler& scheduler, const std::string& member, bool isAnswered, TimePoint now)
+{
+    constexpr Duration recentAnswer { 3'000 }; ///< Longer than a request takes until it fails.
+    constexpr Duration firstHoldOut { 1'000 };
+    constexpr std::uint32_t maxDoublings = 3;
+    auto& proxies = scheduler.m_approvalProxies;
+    const auto proxy = std::find_if(proxies.begin(), proxies.end(), [&](const ApprovalProxy& each) { return each.m_member == member; });
+    if (proxy == proxies.end())
+        return;
+    if (isAnswered) {
+        proxy->m_answeredAt = now;
+        proxy->m_failures = 0;
+        return;
+    }
+    const bool areOthersAnswered = std::any_of(proxies.begin(), proxies.end(), [&](const ApprovalProxy& each) { return &each != &*proxy && each.m_answeredAt.m_ms > 0 && now - each.m_answeredAt <= recentAnswer; });
+    if (!areOthersAnswered)
+        return;
+    proxy->m_busyUntil = std::max(proxy->m_busyUntil, now + firstHoldOut * (std::int64_t { 1 } << std::min(proxy->m_failures, maxDoublings)));
+    ++proxy->m_failures;
+}
+
 void reportProxies(const Scheduler& scheduler, TimePoint now)
 {
     constexpr std::size_t maxNamed = 8;
