--- a/review/standins-2/cell2.py
+++ b/review/standins-2/cell2.py
@@ -109,6 +109,75 @@
                 pass
 
 
+def owns_connection(pid, port):
+    """@return Whether the process holds the socket with this local port, as the kernel's table of connections says."""
+    inode = None
+    with open("/proc/net/tcp", encoding="ascii") as table:
+        for line in table:
+            fields = line.split()
+            if len(fields) > 9 and fields[1].endswith(f":{port:04X}") and fields[9] != "0":
+                inode = fields[9]
+    if inode is None:
+        return False
+    try:
+        names = os.listdir(f"/proc/{pid}/fd")
+    except OSError:
+        return False
+    for name in names:
+        try:
+            if os.readlink(f"/proc/{pid}/fd/{name}") == f"socket:[{inode}]":
+                return True
+        except OSError:
+            continue
+    return False
+
+
+class Proxy:
+    """Forwards connections to a port. While `is_cut(port of the caller)` holds, nothing passes in either direction, without a reset."""
+
+    def __init__(self, target, is_cut):
+        self.target, self.is_cut = target, is_cut
+        self.port = free_port()
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind((HOST, self.port))
+        self.listener.listen(256)
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            near, (_, caller) = self.listener.accept()
+            threading.Thread(target=self.serve, args=(near, caller), daemon=True).start()
+
+    def serve(self, near, caller):
+        while self.is_cut(caller):
+            time.sleep(0.02)
+        try:
+            far = socket.create_connection((HOST, self.target), timeout=5)
+            far.settimeout(None)
+        except OSError:
+            near.close()
+            return
+        for one in (near, far):
+            one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        threading.Thread(target=self.copy, args=(near, far, caller), daemon=True).start()
+        self.copy(far, near, caller)
+
+    def copy(self, source, sink, caller):
+        try:
+            while data := source.recv(65536):
+                while self.is_cut(caller):
+                    time.sleep(0.02)
+                sink.sendall(data)
+        except OSError:
+            pass
+        for one in (source, sink):
+            try:
+                one.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
 class Partition:
     def __init__(self):
         self.records = []  # Contents without the length.
@@ -130,13 +199,12 @@
 
 
 class Store:
-    """The platform's store. `before(method, path, query)` may delay a call, or return an answer in its place."""
+    """The platform's store."""
 
     def __init__(self, record):
         self.record = record
         self.partitions = {}
         self.changed = threading.Condition()
-        self.before = None
         self.port = free_port()
         self.server = HttpServer(self.port, self.handle)
 
@@ -164,10 +232,6 @@
     def handle(self, method, target, headers, body):
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query))
-        if self.before:
-            answer = self.before(method, url.path, query)
-            if answer is not None:
-                return answer if answer else None
         topic, part = query.get("topic", ""), int(query.get("part", "0"))
         if url.path == "/bulrushloft/log-append":
             return self.append(topic, part, query, body)
@@ -410,10 +474,10 @@
         self.record.note(f"client gets {result[0]} {json.dumps(result[1])[:200]} for {method} {path}")
         return result
 
-    def submit(self, ports, path, body, tries=10):
+    def submit(self, ports, path, body, tries=10, deadline_ms=3000):
         """Hands a job in as the pages say: the same id again, at the next node, until it is accepted. @return Whether it was."""
         for i in range(tries):
-            status, _ = self.call(ports[i % len(ports)], "POST", path, body)
+            status, _ = self.call(ports[i % len(ports)], "POST", path, body, deadline_ms)
             if status == 200:
                 return True
             time.sleep(0.5)
@@ -427,14 +491,27 @@
         self.name, self.zone = f"edge-{zone}-{number}", zone
         self.clients, self.readiness, self.peers = free_port(), free_port(), free_port()
         self.cell = cell
-        self.store_port = cell.store.port
+        self.store_port, self.advertised = cell.store.port, self.peers
+        self.callers = {}
         self.process = None
+        if cell.has_proxies:
+            self.store_port = Proxy(cell.store.port, lambda caller: cell.cut_node is self).port
+            self.advertised = Proxy(self.peers, self.is_cut).port
+
+    def is_cut(self, caller):
+        """@return Whether a connection of another node to this one is cut: one of the two is cut off."""
+        cut = self.cell.cut_node
+        if cut is None or cut is self:
+            return cut is self
+        if caller not in self.callers:
+            self.callers[caller] = next((node for node in self.cell.nodes if node.process and owns_connection(node.process.pid, caller)), None)
+        return self.callers[caller] is cut
 
     def config(self):
         template = open(os.path.join(ROOT, "deploy", "cell.yaml"), encoding="utf-8").read()
         fields = {"node_name": self.name, "zone": self.zone, "limits.cpu_share": "0.25", "limits.link_mbps": "1000.0", "limits.max_fds": "4100",
                   "listen.front": f"{HOST}:{self.clients}", "listen.readiness": f"{HOST}:{self.readiness}", "listen.control": f"{HOST}:{self.peers}",
-                  "platform.addr": f"{HOST}:{self.store_port}", "seeds": ",".join(f"{HOST}:{node.peers}" for node in self.cell.nodes[:3]),
+                  "platform.addr": f"{HOST}:{self.store_port}", "seeds": ",".join(f"{HOST}:{node.advertised}" for node in self.cell.nodes[:3]),
                   "bounds.hold_max_ms": "6000", "bounds.gang_timeout_ms": "3000", "bounds.remote_factor": "2"}
         lines = []
         for line in template.splitlines():
@@ -443,6 +520,8 @@
             for name, value in fields.items():
                 line = line.replace("{{" + name + "}}", value)
             lines.append(line)
+            if line.strip().startswith("peers:") and self.advertised != self.peers:
+                lines.append(f'  advertised_peers: "{HOST}:{self.advertised}"')
         return "\n".join(lines) + "\n"
 
     def start(self):
@@ -478,8 +557,9 @@
 class Cell:
     """The store, and the daemons of a small deployment."""
 
-    def __init__(self, record, routes, services, nodes=3):
+    def __init__(self, record, routes, services, nodes=3, has_proxies=False):
         self.record = record
+        self.has_proxies, self.cut_node = has_proxies, None
         self.temporary = tempfile.TemporaryDirectory()
         self.directory = self.temporary.name
         self.store = Store(record)
