--- a/review/standins-2/cell2.py
+++ b/review/standins-2/cell2.py
@@ -600,6 +600,7 @@
     def stop(self):
         for node in self.nodes:
             node.kill()
+        self.temporary.cleanup()
 
 
 def route(name, prefix, service, host="jobs.example", attempts=4, priority=1):
