The log line of a new leader says whether earlier leaders ask its VM, and up to which term they have stopped

Cause: the line `earlier-terms` showed a wait of 30 s and `is_former_alone=0`, but not which of the conditions behind them failed: the VM not being on the list of members, or the list being of a term before the former one.

--- a/src/process/cell/cell_term.cpp
+++ b/src/process/cell/cell_term.cpp
@@ -151,7 +151,7 @@
     lease.m_earlierStoppedAt = lease.m_fencedAt + wait;
     if (lease.m_formerStoppedAt && isFormerLeaderAlone(node))
         lease.m_earlierStoppedAt = std::min(lease.m_earlierStoppedAt, *lease.m_formerStoppedAt);
-    logEvent(LogLevel::Info, "earlier-terms", { { "token", node.m_term }, { "former_token", lease.m_former.m_token }, { "former_leader", lease.m_former.m_member.m_name }, { "is_list_stored", lease.m_loadedList.has_value() }, { "listed", lease.m_loadedList ? lease.m_loadedList->m_members.size() : 0 }, { "bound_ms", wait.m_ms }, { "is_former_alone", isFormerLeaderAlone(node) }, { "has_former_stopped", lease.m_formerStoppedAt.has_value() }, { "stop_in_ms", (lease.m_earlierStoppedAt - node.m_now).m_ms } });
+    logEvent(LogLevel::Info, "earlier-terms", { { "token", node.m_term }, { "former_token", lease.m_former.m_token }, { "former_leader", lease.m_former.m_member.m_name }, { "is_list_stored", lease.m_loadedList.has_value() }, { "listed", lease.m_loadedList ? lease.m_loadedList->m_members.size() : 0 }, { "is_self_listed", lease.m_loadedList && isListed(*lease.m_loadedList, memberIdOf(node.m_options.m_self)) }, { "settled_term", lease.m_loadedList ? lease.m_loadedList->m_settledTerm : 0 }, { "bound_ms", wait.m_ms }, { "is_former_alone", isFormerLeaderAlone(node) }, { "has_former_stopped", lease.m_formerStoppedAt.has_value() }, { "stop_in_ms", (lease.m_earlierStoppedAt - node.m_now).m_ms } });
     return lease.m_earlierStoppedAt;
 }
 
--- a/src/process/cell/term_lease.cpp
+++ b/src/process/cell/term_lease.cpp
@@ -64,6 +64,11 @@
     }
 }
 
+bool isListed(const MemberList& list, const std::string& id)
+{
+    return std::binary_search(list.m_members.begin(), list.m_members.end(), id);
+}
+
 void noteStoreAnswer(TermEvidence& evidence, TimePoint askedAt)
 {
     evidence.m_storeAskedAt = std::max(evidence.m_storeAskedAt, askedAt);
@@ -109,7 +114,7 @@
 
 Duration earlierRenewalBound(const std::optional<MemberList>& list, const PeerMember& self, const TermLeaseOptions& options)
 {
-    const bool wasAsked = !list || std::binary_search(list->m_members.begin(), list->m_members.end(), memberIdOf(self));
+    const bool wasAsked = !list || isListed(*list, memberIdOf(self));
     const Duration limit = wasAsked ? options.m_renewalLimit : options.m_outageLimit;
     return { static_cast<std::int64_t>(std::ceil(static_cast<double>(limit.m_ms) / (1.0 - options.m_clockDrift))) };
 }
--- a/src/process/cell/term_lease.h
+++ b/src/process/cell/term_lease.h
@@ -49,6 +49,9 @@
 /** @return The list, or an error of kind InvalidInput. */
 Expected<MemberList> decodeMemberList(const std::string& record);
 
+/** @param id A memberIdOf(). @return Whether leaders that go by the list ask that VM. */
+bool isListed(const MemberList& list, const std::string& id);
+
 /**
  * What shows a leader that no later term has begun. All times are those of questions, never of their answers, and are read
  * from the clock that goes on during a suspension.
