A leader that earlier ones don't ask no longer waits 30 s where a listed VM knows its term

Cause: an earlier leader without the store goes on while all VMs on the stored list answer that they know no later term. A VM that has just joined is not on the list, as it gets new names only once earlier leaders have stopped, so it allowed for the longest that they may go on, 30 s, although every listed VM had told them of its term within milliseconds. Change: heartbeats say which terms the sender's process knows to have begun, and for how long (begun_terms.h). A listed VM that has known of a term for 3 s / 0.98 has given earlier leaders no evidence since, so they have stopped. It holds for one process only, counts from the fence, and allows for the drift of both clocks. Daemons of earlier releases send no such field, and the long wait stays.

--- a/src/connection/peer_codec.cpp
+++ b/src/connection/peer_codec.cpp
@@ -30,9 +30,28 @@
         return value;
     }
 
+    Json begunTermsToJson(const std::vector<BegunTermAge>& terms)
+    {
+        Json rows = Json::array();
+        for (const BegunTermAge& term : terms)
+            rows.push_back(Json::array({ term.m_token, term.m_knownFor.m_ms }));
+        return rows;
+    }
+
+    /** @return The terms in an element of a row; none if it is missing, as in messages of daemons of earlier releases. */
+    std::vector<BegunTermAge> begunTermsFromJson(const Json& row, std::size_t index)
+    {
+        std::vector<BegunTermAge> terms;
+        if (row.size() <= index)
+            return terms;
+        for (const Json& term : row.at(index))
+            terms.push_back({ .m_token = term.at(0), .m_knownFor = { term.at(1).get<std::int64_t>() } });
+        return terms;
+    }
+
     Json encode(const PeerHeartbeat& message)
     {
-        return Json::array({ memberToJson(message.m_from), message.m_leader.m_token, memberToJson(message.m_leader.m_member), message.m_configVersion, message.m_membersVersion, message.m_isStoreReached });
+        return Json::array({ memberToJson(message.m_from), message.m_leader.m_token, memberToJson(message.m_leader.m_member), message.m_configVersion, message.m_membersVersion, message.m_isStoreReached, begunTermsToJson(message.m_begunTerms) });
     }
 
     Json encode(const PeerJobQuery& message) { return Json::array({ message.m_job }); }
@@ -73,7 +92,7 @@
         for (const PeerMember& member : reply.m_members)
             members.push_back(memberToJson(member));
         return Json::array({ memberToJson(reply.m_from), reply.m_leader.m_token, memberToJson(reply.m_leader.m_member), reply.m_isLeading, reply.m_isLeaving, reply.m_isStoreReached,
-            reply.m_configVersion, reply.m_membersVersion, std::move(members), reply.m_leaderAnswerAge ? Json(reply.m_leaderAnswerAge->m_ms) : Json() });
+            reply.m_configVersion, reply.m_membersVersion, std::move(members), reply.m_leaderAnswerAge ? Json(reply.m_leaderAnswerAge->m_ms) : Json(), begunTermsToJson(reply.m_begunTerms) });
     }
 
     Json encode(const PeerQueryAnswer& reply) { return Json::array({ static_cast<int>(reply.m_status), reply.m_stage, reply.m_count }); }
@@ -100,7 +119,7 @@
     {
         switch (type) {
         case 0:
-            return PeerHeartbeat { .m_from = memberFromJson(row.at(0)), .m_leader = { .m_token = row.at(1), .m_member = memberFromJson(row.at(2)) }, .m_configVersion = row.at(3), .m_membersVersion = row.at(4), .m_isStoreReached = row.at(5) };
+            return PeerHeartbeat { .m_from = memberFromJson(row.at(0)), .m_leader = { .m_token = row.at(1), .m_member = memberFromJson(row.at(2)) }, .m_configVersion = row.at(3), .m_membersVersion = row.at(4), .m_isStoreReached = row.at(5), .m_begunTerms = begunTermsFromJson(row, 6) };
         case 1:
             return PeerJobQuery { .m_job = row.at(0) };
         case 2:
@@ -143,7 +162,7 @@
     {
         switch (type) {
         case 0: {
-            PeerHeartbeatAnswer reply { .m_from = memberFromJson(row.at(0)), .m_leader = { .m_token = row.at(1), .m_member = memberFromJson(row.at(2)) }, .m_isLeading = row.at(3), .m_isLeaving = row.at(4), .m_isStoreReached = row.at(5), .m_configVersion = row.at(6), .m_membersVersion = row.at(7), .m_members = {} };
+            PeerHeartbeatAnswer reply { .m_from = memberFromJson(row.at(0)), .m_leader = { .m_token = row.at(1), .m_member = memberFromJson(row.at(2)) }, .m_isLeading = row.at(3), .m_isLeaving = row.at(4), .m_isStoreReached = row.at(5), .m_configVersion = row.at(6), .m_membersVersion = row.at(7), .m_members = {}, .m_begunTerms = begunTermsFromJson(row, 10) };
             for (const Json& member : row.at(8))
                 reply.m_members.push_back(memberFromJson(member));
             if (!row.at(9).is_null())
--- a/src/connection/peer_type.h
+++ b/src/connection/peer_type.h
@@ -25,6 +25,12 @@
     PeerMember m_member; ///< The leader.
 };
 
+/** A term that has begun: its leader has fenced the earlier ones. */
+struct BegunTermAge {
+    std::uint64_t m_token = 0; ///< Fencing token of the term.
+    Duration m_knownFor; ///< For how long the sender's process has known that.
+};
+
 /** Heartbeat that each daemon sends periodically to the leader, and that a new leader sends to all peers. */
 struct PeerHeartbeat {
     PeerMember m_from; ///< Sender.
@@ -32,6 +38,7 @@
     std::uint64_t m_configVersion = 0; ///< Version of the sender's configuration.
     std::uint64_t m_membersVersion = 0; ///< Version of the sender's member list.
     bool m_isStoreReached = false; ///< Whether the store answers the sender.
+    std::vector<BegunTermAge> m_begunTerms; ///< The latest terms that the sender knows to have begun.
 };
 
 /** Answer to a heartbeat. */
@@ -45,6 +52,7 @@
     std::uint64_t m_membersVersion = 0; ///< Version of that daemon's member list.
     std::vector<PeerMember> m_members; ///< Member list if the heartbeat came with a different version, otherwise empty.
     std::optional<Duration> m_leaderAnswerAge; ///< How long ago the leader last answered that daemon; empty when it has not answered since its claim, or is that daemon.
+    std::vector<BegunTermAge> m_begunTerms; ///< The latest terms that the daemon knows to have begun.
 };
 
 /** Asks the leader for the stage of a job. */
--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -4,6 +4,7 @@
 #include "connection/client_type.h"
 #include "connection/peer_type.h"
 #include "process/cell/append_pipeline.h"
+#include "process/cell/begun_terms.h"
 #include "process/cell/config_copy.h"
 #include "process/cell/config_fetch.h"
 #include "process/cell/hedged_call.h"
@@ -325,6 +326,7 @@
     Role m_role = Role::Follower;
     LeaderClaim m_leader; ///< Newest known leadership claim.
     LeaderMonitor m_leaderMonitor; ///< Liveness of the leader.
+    BegunTerms m_begunTerms; ///< Terms known to have begun. Each is at most that of m_leader.
     bool m_isSuccessorWanted = false; ///< Whether the leader is shutting down or has restarted, so that a successor is needed.
     bool m_isHeartbeatPending = false; ///< Whether a heartbeat is unanswered.
     std::uint64_t m_heartbeatNumber = 0; ///< Number of the latest heartbeat; a new claim does not wait for the answer to an earlier one.
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -123,6 +123,9 @@
 /** Notes which term a daemon knows: a former leader that knows this one has stopped renewing leases. */
 void noteFormerLeader(CellNode& node, const PeerMember& from, std::uint64_t knownToken);
 
+/** Notes which terms a daemon knows to have begun, and for a leader what that says about leaders of earlier terms. */
+void noteBegunTerms(CellNode& node, const PeerMember& from, const std::vector<BegunTermAge>& terms);
+
 /** Makes a leader stop that has no recent evidence that it still leads. */
 void checkTermLease(CellNode& node);
 
--- a/src/process/cell/cell_loading.cpp
+++ b/src/process/cell/cell_loading.cpp
@@ -49,6 +49,9 @@
         journal.m_isFenced = true;
         journal.m_answeredAt = node.m_now;
         node.m_termLease.m_fencedAt = node.m_now; // That of the last partition counts.
+        const std::vector<JournalLoad>& journals = node.m_load.m_journals;
+        if (std::all_of(journals.begin(), journals.end(), [](const JournalLoad& each) { return each.m_isFenced; }))
+            noteBegunTerm(node.m_begunTerms, node.m_term, node.m_now);
         node.m_appendLatency = took;
         if (journal.m_partition == node.m_writerJournal && node.m_role == Role::Loading) {
             node.m_writer.m_lastLatency = took;
--- a/src/process/cell/cell_peers.cpp
+++ b/src/process/cell/cell_peers.cpp
@@ -54,6 +54,7 @@
         if (answer.m_leader.m_token > 0)
             applyClaim(node, answer.m_leader.m_token, answer.m_leader.m_member);
         noteFormerLeader(node, answer.m_from, answer.m_leader.m_token);
+        noteBegunTerms(node, answer.m_from, answer.m_begunTerms);
         const bool isFromLeader = answer.m_from.m_name == node.m_leader.m_member.m_name;
         if (!isFromLeader && answer.m_leaderAnswerAge && answer.m_leader.m_token == node.m_leader.m_token)
             onLeaderSeenByPeer(node.m_leaderMonitor, node.m_now - *answer.m_leaderAnswerAge);
@@ -70,7 +71,7 @@
 
     PeerHeartbeat makeHeartbeat(const CellNode& node)
     {
-        return { .m_from = node.m_options.m_self, .m_leader = node.m_leader, .m_configVersion = configVersionOf(node), .m_membersVersion = node.m_membersVersion, .m_isStoreReached = node.m_isStoreReached };
+        return { .m_from = node.m_options.m_self, .m_leader = node.m_leader, .m_configVersion = configVersionOf(node), .m_membersVersion = node.m_membersVersion, .m_isStoreReached = node.m_isStoreReached, .m_begunTerms = agesOf(node.m_begunTerms, node.m_now) };
     }
 
     void sendHeartbeat(CellNode& node, const Address& to, const std::string& name)
@@ -277,7 +278,8 @@
     if (heartbeat.m_leader.m_token > 0)
         applyClaim(node, heartbeat.m_leader.m_token, heartbeat.m_leader.m_member);
     noteFormerLeader(node, heartbeat.m_from, heartbeat.m_leader.m_token);
-    PeerHeartbeatAnswer answer { .m_from = node.m_options.m_self, .m_leader = node.m_leader, .m_isLeading = (node.m_role == Role::Leading || node.m_role == Role::Loading) && !node.m_isAwaitingConfirmation, .m_isLeaving = node.m_isTerminating, .m_isStoreReached = node.m_isStoreReached, .m_configVersion = configVersionOf(node), .m_membersVersion = node.m_membersVersion, .m_members = {}, .m_leaderAnswerAge = leaderAnswerAge(node) };
+    noteBegunTerms(node, heartbeat.m_from, heartbeat.m_begunTerms);
+    PeerHeartbeatAnswer answer { .m_from = node.m_options.m_self, .m_leader = node.m_leader, .m_isLeading = (node.m_role == Role::Leading || node.m_role == Role::Loading) && !node.m_isAwaitingConfirmation, .m_isLeaving = node.m_isTerminating, .m_isStoreReached = node.m_isStoreReached, .m_configVersion = configVersionOf(node), .m_membersVersion = node.m_membersVersion, .m_members = {}, .m_leaderAnswerAge = leaderAnswerAge(node), .m_begunTerms = agesOf(node.m_begunTerms, node.m_now) };
     if (answer.m_isLeading && heartbeat.m_membersVersion != node.m_membersVersion)
         answer.m_members = node.m_advertisedMembers;
     return answer;
--- a/src/process/cell/cell_term.cpp
+++ b/src/process/cell/cell_term.cpp
@@ -106,6 +106,23 @@
             lease.m_dueList = std::move(list);
     }
 
+    /** Takes it up that earlier leaders have stopped sooner than was known. @param from The daemon that shows it. */
+    void bringStopForward(CellNode& node, TimePoint stoppedAt, std::string_view event, const PeerMember& from)
+    {
+        TermLease& lease = node.m_termLease;
+        if (stoppedAt >= lease.m_earlierStoppedAt)
+            return;
+        logEvent(LogLevel::Info, event, { { "token", node.m_term }, { "from", from.m_name }, { "earlier_by_ms", (lease.m_earlierStoppedAt - stoppedAt).m_ms }, { "stopped_ms_ago", (node.m_now - stoppedAt).m_ms } });
+        lease.m_earlierStoppedAt = stoppedAt;
+        scheduler::boundEarlierLeases(*node.m_scheduler, stoppedAt);
+    }
+
+    /** @return Whether this leader has read the records of earlier terms but these may still go on. */
+    bool isWaitingForEarlierTerms(const CellNode& node)
+    {
+        return node.m_role == Role::Leading && node.m_termLease.m_earlierStoppedAt != farFuture && !areEarlierTermsSettled(node);
+    }
+
 } // namespace
 
 std::int64_t renewalAgeMs(const CellNode& node)
@@ -162,11 +179,22 @@
     if (!hasTerm || lease.m_formerStoppedAt || memberIdOf(from) != memberIdOf(lease.m_former.m_member) || knownToken < node.m_term)
         return;
     lease.m_formerStoppedAt = node.m_now;
-    if (node.m_role != Role::Leading || !isFormerLeaderAlone(node) || areEarlierTermsSettled(node))
+    if (isWaitingForEarlierTerms(node) && isFormerLeaderAlone(node))
+        bringStopForward(node, node.m_now, "former-leader-stopped", from);
+}
+
+void noteBegunTerms(CellNode& node, const PeerMember& from, const std::vector<BegunTermAge>& terms)
+{
+    for (const BegunTermAge& term : terms) {
+        if (term.m_token <= node.m_leader.m_token)
+            noteBegunTerm(node.m_begunTerms, term.m_token, node.m_now);
+    }
+    const auto& list = node.m_termLease.m_loadedList;
+    if (!isWaitingForEarlierTerms(node) || (list && !isListed(*list, memberIdOf(from))))
         return;
-    logEvent(LogLevel::Info, "former-leader-stopped", { { "token", node.m_term }, { "former_leader", from.m_name }, { "earlier_by_ms", (lease.m_earlierStoppedAt - node.m_now).m_ms } });
-    lease.m_earlierStoppedAt = node.m_now;
-    scheduler::boundEarlierLeases(*node.m_scheduler, node.m_now);
+    const auto knownFor = knownForOf(terms, node.m_term);
+    if (const auto stoppedAt = knownFor ? earlierStopShownBy(*knownFor, node.m_now, node.m_options.m_termLease) : std::nullopt)
+        bringStopForward(node, *stoppedAt, "earlier-terms-stopped", from);
 }
 
 void checkTermLease(CellNode& node)
--- a/src/process/cell/term_lease.cpp
+++ b/src/process/cell/term_lease.cpp
@@ -27,6 +27,18 @@
         return earliest;
     }
 
+    /** @return The time on this VM's clock that surely covers a time on another one's, which may run slow against it. */
+    Duration stretched(Duration time, const TermLeaseOptions& options)
+    {
+        return { static_cast<std::int64_t>(std::ceil(static_cast<double>(time.m_ms) / (1.0 - options.m_clockDrift))) };
+    }
+
+    /** @return The time on this VM's clock that has surely passed in a time on another one's, which may run fast against it. */
+    Duration shortened(Duration time, const TermLeaseOptions& options)
+    {
+        return { static_cast<std::int64_t>(static_cast<double>(time.m_ms) * (1.0 - options.m_clockDrift)) };
+    }
+
 } // namespace
 
 std::string memberIdOf(const PeerMember& member)
@@ -112,11 +124,16 @@
     return now - evidence.m_storeAskedAt > options.m_renewalLimit / 2;
 }
 
+std::optional<TimePoint> earlierStopShownBy(Duration knownFor, TimePoint now, const TermLeaseOptions& options)
+{
+    const Duration surplus = shortened(knownFor, options) - stretched(options.m_renewalLimit, options);
+    return surplus.m_ms >= 0 ? std::optional(now - surplus) : std::nullopt;
+}
+
 Duration earlierRenewalBound(const std::optional<MemberList>& list, const PeerMember& self, const TermLeaseOptions& options)
 {
     const bool wasAsked = !list || isListed(*list, memberIdOf(self));
-    const Duration limit = wasAsked ? options.m_renewalLimit : options.m_outageLimit;
-    return { static_cast<std::int64_t>(std::ceil(static_cast<double>(limit.m_ms) / (1.0 - options.m_clockDrift))) };
+    return stretched(wasAsked ? options.m_renewalLimit : options.m_outageLimit, options);
 }
 
 } // namespace bulrushloft::cell
--- a/src/process/cell/term_lease.h
+++ b/src/process/cell/term_lease.h
@@ -6,7 +6,8 @@
  *
  * That no later term had begun is known from the store, or from each member of the list that the store holds: a member that
  * answers a question, or whose VM refuses the connection, has not begun a later term before it was asked. A leader that is not on
- * the list was not asked by earlier leaders; it waits for m_outageLimit instead, as they go on for no longer than that without the store.
+ * the list was not asked by earlier leaders; they go on for up to m_outageLimit without the store. It need not wait for that where a
+ * member that they ask has known of the new term for m_renewalLimit in one process: since then that member has given them no evidence.
  */
 #pragma once
 
@@ -84,6 +85,12 @@
 /** @return Whether the store has shown nothing for so long that the members have to be asked. */
 bool isStoreEvidenceOld(const TermEvidence& evidence, const TermLeaseOptions& options, TimePoint now);
 
+/**
+ * @param knownFor For how long one process of a listed member has known of a term that has begun. @param now When that was heard.
+ * @return When leaders of terms before that one had stopped renewing leases; nothing if the time is too short to tell.
+ */
+std::optional<TimePoint> earlierStopShownBy(Duration knownFor, TimePoint now, const TermLeaseOptions& options);
+
 /**
  * @param list The list that the store held when earlier terms were fenced; nothing if it held none, so that no leader has gone on without the store.
  * @param self The new leader's VM.
--- a/tests/cell_simulation.cpp
+++ b/tests/cell_simulation.cpp
@@ -3,6 +3,8 @@
 
 #include "process/scheduler/scheduler_func.h"
 
+#include <limits>
+
 namespace bulrushloft::test {
 
 CellSimulation::CellSimulation(const CellSimulationOptions& options)
@@ -18,6 +20,11 @@
         m_nodes.back().m_name = "n" + std::to_string(i);
         startNode(m_nodes.back());
     }
+    if (options.m_joiningVm.m_at.m_ms == 0)
+        return;
+    m_nodes.emplace_back();
+    m_nodes.back().m_name = "n" + std::to_string(options.m_nodes);
+    m_nodes.back().m_downUntil = std::numeric_limits<std::int64_t>::max(); // Until scheduleJoiningVm() starts it.
 }
 
 void CellSimulation::makeWorker(int index)
@@ -73,6 +80,14 @@
     options.m_self = { .m_name = node.m_name, .m_address = { "127.0.0.1", index }, .m_instance = static_cast<std::uint64_t>(index) * 1'000 + ++node.m_startCount * 17, .m_strength = 25 };
     if (m_options.m_seed % 2 == 0)
         options.m_relayMinWorkers = 1; // With an even seed, peers relay the orders.
+    if (m_options.m_joiningVm.m_at.m_ms > 0 && !isJoiningVm(node))
+        options.m_claimDelayPerRank = { 600 }; // Longer than a heartbeat, so that the VM that joins claims first.
+    if (isJoiningVm(node)) {
+        constexpr std::uint64_t laterInstance = 100'000'000; // Instances count microseconds.
+        constexpr int strengthOfJoiningVm = 40; // Preferred, but not by so much that a leader hands over to it.
+        options.m_self.m_instance += laterInstance;
+        options.m_self.m_strength = strengthOfJoiningVm;
+    }
     options.m_seeds = { { "127.0.0.1", 0 }, { "127.0.0.1", 1 } };
     options.m_topics = { .m_operator = "op", .m_workers = "workers" };
     cell::CellDecoders decoders;
@@ -148,6 +163,7 @@
     scheduleZoneCuts();
     scheduleStoreOutage();
     scheduleTakeOver();
+    scheduleJoiningVm();
     scheduleSilence();
     scheduleConnectionFaults();
     scheduleCrashSeries();
--- a/tests/cell_simulation.h
+++ b/tests/cell_simulation.h
@@ -79,6 +79,8 @@
     Duration m_restartDownTime { 1'300 }; ///< How long they are down.
     bool m_restartsLeader = false; ///< Whether the leader's process is killed and starts again within the cut from its peers; the store is cut off once it leads again.
     int m_suspensions = 0; ///< Short suspensions of the cut leader during a cut.
+    bool m_isFromJoiningVmOnly = false; ///< Whether messages pass between all daemons but the cut side and the VM of JoiningVm.
+    Duration m_othersDownTime; ///< The daemons of the other side are killed as the cut begins and start again after this time; 0 for never.
 };
 
 /** An outage of the store for all daemons, which still reach each other and the workers. No attempt that runs when it begins may lapse. Times count from the start of the load. */
@@ -125,6 +127,13 @@
 struct TakeOver {
     Duration m_at; ///< When the leader ends; 0 for no measurement.
     LeaderEnd m_end = LeaderEnd::Killed; ///< How it ends.
+    Duration m_downTime { 300 }; ///< How long a restarted leader is down.
+};
+
+/** A VM that joins the cell, whose process is the youngest and strongest, so that it leads next. Times count from the start of the load. */
+struct JoiningVm {
+    Duration m_at; ///< When its process starts; 0 for no such VM.
+    Duration m_leaderEndsBefore; ///< This long before, the VM that leads is taken away for good; 0 for never.
 };
 
 /** Connections of the daemons to the workers, and faults of them. Times count from the start of the load. */
@@ -182,6 +191,7 @@
     StoreOutage m_storeOutage; ///< An outage of the store for all daemons.
     SilentPartitions m_silentPartitions; ///< Partitions of the store that don't answer.
     TakeOver m_takeOver; ///< Measurement of the time that a new leader takes.
+    JoiningVm m_joiningVm; ///< A further daemon that starts during the load.
     ConnectionFaults m_connectionFaults; ///< Connections to workers.
     WorkerCrashSeries m_crashSeries; ///< Crashes of workers in series. No job may be given up for them.
     Duration m_startTime; ///< A job that could run has a running task again after this time, whenever no daemon and not the store is disrupted; 0 leaves that unchecked.
@@ -221,6 +231,7 @@
     int m_mostHalfOpen = 0; ///< Most connections of daemons without power that were open at a worker at once.
     int m_crashes = 0; ///< Crashes of workers in a series.
     int m_crashedAttempts = 0; ///< Attempts that ran on workers that crashed.
+    bool m_hasJoinedVmLed = false; ///< Whether the daemon of JoiningVm has led while it was not on the list of members, after the end of a leader as in TakeOver if there is one.
     std::optional<std::int64_t> m_newLeaderMs; ///< Time from the end of the leader until another term leads, in ms.
     std::vector<std::int64_t> m_reachedRestartMs; ///< Time from the end of the leader until tasks of a worker that restarted at that time ran again, in ms; the new leader reaches it.
     std::vector<std::int64_t> m_unreachedRestartMs; ///< The same for tasks of workers that nobody reaches from that time on.
--- a/tests/cell_simulation_base.h
+++ b/tests/cell_simulation_base.h
@@ -210,11 +210,17 @@
     void killLeaders(int times);
     /** Makes about half of the workers unreachable for some seconds. */
     void muteWorkers();
+    /** @return A daemon that takes itself for the leader; null if there is none. */
     SimulatedNode* findLeader();
+    /** @return The one of the latest term; null if there is none. */
+    SimulatedNode* findLatestLeader();
     /** Schedules the cuts, the outage of the store and the measurement in the options. */
     void scheduleZoneCuts();
     void scheduleStoreOutage();
     void scheduleTakeOver();
+    /** Schedules the start of the daemon that joins in the options, and the end of the one that it replaces. */
+    void scheduleJoiningVm();
+    bool isJoiningVm(const SimulatedNode& node) const { return static_cast<int>(m_nodes.size()) > m_options.m_nodes && &node == &m_nodes.back(); }
     /** Cuts the leader and its companions off until the end of the cut; waits for a leader if there is none. */
     void beginZoneCut(std::int64_t until);
     /** Cuts a side off from the store, if the options say so, once its leader leads or at the latest at a given time. */
@@ -229,6 +235,8 @@
     bool isCutOff(const SimulatedNode& node, const FakeLeaseWorker& worker) const;
     /** Counts the cuts in which two daemons lead and give orders at once, and takes the time until another term leads. */
     void observeLeaders();
+    /** Notes whether the daemon that joins leads although no earlier leader has asked it. */
+    void observeJoiningVm();
     void beginStoreOutage();
     /** Kills a daemon that does not lead; it starts again after downTime. */
     void killFollower(Duration downTime);
--- a/tests/cell_simulation_faults.cpp
+++ b/tests/cell_simulation_faults.cpp
@@ -9,6 +9,17 @@
     return leader == m_nodes.end() ? nullptr : &*leader;
 }
 
+SimulatedNode* CellSimulation::findLatestLeader()
+{
+    SimulatedNode* latest = nullptr;
+    for (SimulatedNode& node : m_nodes) {
+        const bool isLeading = node.m_cell && node.m_cell->m_role == cell::Role::Leading;
+        if (isLeading && (!latest || node.m_cell->m_term > latest->m_cell->m_term))
+            latest = &node;
+    }
+    return latest;
+}
+
 void CellSimulation::restartWorkers(int count, int times)
 {
     for (FakeLeaseWorker& worker : m_workers) {
--- a/tests/cell_simulation_outages.cpp
+++ b/tests/cell_simulation_outages.cpp
@@ -6,7 +6,6 @@
 namespace {
 
     constexpr std::int64_t leaderPollInterval = 50; // How often a scheduled fault looks for a leader, in ms.
-    constexpr std::int64_t restartTime = 300; // A leader that is restarted is down for this long, in ms.
     constexpr std::int64_t awayTime = 60'000; // A killed process stays away for this long, in ms.
     constexpr std::int64_t terminationTime = 2'000; // A process that received SIGTERM ends after this time, in ms.
     constexpr int measuredShare = 4; // A quarter of the workers restarts, another one is not reached.
@@ -58,9 +57,23 @@
         schedule(m_loadStart - m_now + m_options.m_takeOver.m_at.m_ms, [this] { endLeader(); });
 }
 
+void CellSimulation::scheduleJoiningVm()
+{
+    const JoiningVm& joining = m_options.m_joiningVm;
+    if (joining.m_at.m_ms == 0)
+        return;
+    if (joining.m_leaderEndsBefore.m_ms > 0) {
+        schedule(m_loadStart - m_now + (joining.m_at - joining.m_leaderEndsBefore).m_ms, [this] {
+            if (SimulatedNode* const leader = findLeader())
+                stopNode(*leader, awayTime);
+        });
+    }
+    schedule(m_loadStart - m_now + joining.m_at.m_ms, [this] { startNode(m_nodes.back()); });
+}
+
 void CellSimulation::endLeader()
 {
-    SimulatedNode* const leader = findLeader();
+    SimulatedNode* const leader = findLatestLeader();
     if (!leader)
         return schedule(leaderPollInterval, [this] { endLeader(); });
     m_leaderEndedAt = m_now;
@@ -83,7 +96,7 @@
     case LeaderEnd::Killed:
         return stopNode(*leader, awayTime);
     case LeaderEnd::Restarted:
-        return stopNode(*leader, restartTime);
+        return stopNode(*leader, m_options.m_takeOver.m_downTime.m_ms);
     case LeaderEnd::Terminated:
         cell::beginTermination(*leader->m_cell);
         schedule(terminationTime, [this, leader] { stopNode(*leader, awayTime); });
--- a/tests/cell_simulation_zones.cpp
+++ b/tests/cell_simulation_zones.cpp
@@ -13,12 +13,21 @@
     constexpr std::int64_t shortestSuspension = 200;
     constexpr std::int64_t longestSuspension = 590; // From 600 ms on a daemon takes it for a suspension.
 
+    /** @return Whether a leader was on the list of members when its term began. */
+    bool isListed(const cell::CellNode& leader)
+    {
+        const auto& list = leader.m_termLease.m_loadedList;
+        return list && std::binary_search(list->m_members.begin(), list->m_members.end(), cell::memberIdOf(leader.m_options.m_self));
+    }
+
 } // namespace
 
 bool CellSimulation::isCutBetween(const SimulatedNode& from, const SimulatedNode& to) const
 {
     if (isCut(from) == isCut(to))
         return false;
+    if (m_options.m_zoneCut.m_isFromJoiningVmOnly && !isJoiningVm(from) && !isJoiningVm(to))
+        return false;
     const CutDirection direction = m_options.m_zoneCut.m_direction;
     const bool isFromCutSide = isCut(from);
     return direction == CutDirection::Both || isFromCutSide == (direction == CutDirection::ToOthers);
@@ -74,6 +83,10 @@
             m_cutWorkers.insert(worker.m_id);
     }
     m_disruptedUntil = std::max(m_disruptedUntil, until);
+    for (SimulatedNode& node : m_nodes) {
+        if (cut.m_othersDownTime.m_ms > 0 && !isCut(node))
+            stopNode(node, cut.m_othersDownTime.m_ms);
+    }
     if (cut.m_restartsLeader)
         stopNode(*leader, leaderRestartTime);
     cutFromStore(*leader, m_now + maxLeadTime);
@@ -100,11 +113,22 @@
         node.m_suspendedUntil = m_now + randomBetween(shortestSuspension, longestSuspension);
 }
 
+void CellSimulation::observeJoiningVm()
+{
+    const bool isAwaited = m_options.m_joiningVm.m_at.m_ms > 0 && (m_options.m_takeOver.m_at.m_ms == 0 || m_leaderEndedAt);
+    if (!isAwaited)
+        return;
+    const cell::CellNode* const joined = m_nodes.back().m_cell.get();
+    if (joined && joined->m_role == cell::Role::Leading && joined->m_term > m_endedTerm && !isListed(*joined))
+        m_result.m_hasJoinedVmLed = true;
+}
+
 void CellSimulation::observeLeaders()
 {
     const bool isSuccessorLeading = std::any_of(m_nodes.begin(), m_nodes.end(), [this](const SimulatedNode& node) { return node.m_cell && node.m_cell->m_role == cell::Role::Leading && node.m_cell->m_term > m_endedTerm; });
     if (m_leaderEndedAt && !m_result.m_newLeaderMs && isSuccessorLeading)
         m_result.m_newLeaderMs = m_now - *m_leaderEndedAt;
+    observeJoiningVm();
     if (m_hasDoubleTerm || m_now >= m_workersCutUntil)
         return;
     const auto leaders = std::count_if(m_nodes.begin(), m_nodes.end(), [](const SimulatedNode& node) { return node.m_cell && node.m_cell->m_role == cell::Role::Leading && !node.m_cell->m_isAwaitingConfirmation; });
--- a/tests/term_lease_test.cpp
+++ b/tests/term_lease_test.cpp
@@ -242,3 +242,69 @@
 {
     checkStopIsNoProof([](TermLease& lease) { lease.m_loadedList.reset(); });
 }
+
+/** A leader that is not on the list, so that earlier leaders may go on for long without its knowledge. Two others are listed. */
+struct NewLeaderNotListed : NewLeader {
+    NewLeaderNotListed()
+    {
+        lease().m_loadedList->m_members = { memberIdOf(makeMember("former", 2)), memberIdOf(makeMember("listed", 3)) };
+        lease().m_storedList = *lease().m_loadedList;
+        noteBegunTerm(m_node->m_begunTerms, formerTerm, m_fencedAt - 500_ms);
+        noteBegunTerm(m_node->m_begunTerms, ownTerm, m_fencedAt);
+        detail::boundEarlierTerms(*m_node);
+    }
+
+    /** A member tells, a time after the fence, for how long it has known of a term. */
+    void hear(const PeerMember& from, Duration afterFence, std::uint64_t token, Duration knownFor) const
+    {
+        m_node->m_now = m_fencedAt + afterFence;
+        detail::noteBegunTerms(*m_node, from, { { .m_token = token, .m_knownFor = knownFor } });
+    }
+
+    /** @return How long after the fence earlier leaders may go on. */
+    Duration bound() const { return lease().m_earlierStoppedAt - m_fencedAt; }
+};
+
+// Such a leader waited for 30 s although all others had told earlier leaders of its term; LOST on the day of review/9.
+BOOST_AUTO_TEST_CASE(a_listed_member_that_has_known_the_term_for_the_limit_ends_the_wait)
+{
+    const NewLeaderNotListed leader;
+    checkWait(leader.bound(), options.m_outageLimit);
+    leader.hear(makeMember("listed", 3), 3'300_ms, ownTerm, 3'250_ms);
+    BOOST_TEST(leader.bound().m_ms <= 3'300);
+    BOOST_TEST((leader.bound() >= 50_ms + options.m_renewalLimit));
+    leader.goTo(leader.m_node->m_now);
+    BOOST_REQUIRE(leader.lease().m_dueList.has_value()); // So that the next leader finds this VM on the list.
+    BOOST_TEST(isListed(*leader.lease().m_dueList, memberIdOf(makeMember("self", 1))));
+}
+
+BOOST_AUTO_TEST_CASE(what_a_member_has_known_for_too_short_or_is_not_asked_about_ends_no_wait)
+{
+    const NewLeaderNotListed leader;
+    leader.hear(makeMember("listed", 3), 3'300_ms, ownTerm, 3'100_ms); // Less than 3 s / 0.98 on a clock that runs fast.
+    leader.hear(makeMember("joined", 4), 4'000_ms, ownTerm, 4'000_ms); // Earlier leaders don't ask it.
+    leader.hear(makeMember("listed", 9), 4'000_ms, ownTerm, 4'000_ms); // Another VM that has taken over the name.
+    leader.hear(makeMember("listed", 3), 4'000_ms, formerTerm, 4'000_ms); // The former leader may go on.
+    checkWait(leader.bound(), options.m_outageLimit);
+}
+
+// The records of a silent partition are unread, and with them perhaps the list.
+BOOST_AUTO_TEST_CASE(nothing_ends_the_wait_before_the_list_is_read)
+{
+    const NewLeader leader;
+    leader.lease().m_loadedList.reset();
+    BOOST_REQUIRE((leader.lease().m_earlierStoppedAt == farFuture));
+    leader.m_node->m_now = leader.m_fencedAt + 5'000_ms;
+    detail::noteBegunTerms(*leader.m_node, makeMember("former", 2), { { .m_token = ownTerm, .m_knownFor = 5'000_ms } });
+    BOOST_TEST((leader.lease().m_earlierStoppedAt == farFuture));
+}
+
+// A claim that has not fenced earlier leaders says nothing about them: the store still carries out their appends.
+BOOST_AUTO_TEST_CASE(a_term_that_is_only_claimed_has_not_begun)
+{
+    const NewLeader leader;
+    detail::applyClaim(*leader.m_node, ownTerm + 3, makeMember("next", 5));
+    const PeerHeartbeatAnswer answer = detail::answerHeartbeat(*leader.m_node, { .m_from = makeMember("next", 5), .m_leader = { .m_token = ownTerm + 3, .m_member = makeMember("next", 5) } });
+    BOOST_TEST(answer.m_leader.m_token == ownTerm + 3);
+    BOOST_TEST(!knownForOf(answer.m_begunTerms, ownTerm + 3).has_value());
+}
