What a leader knows of terms before its own outlives a second change of leader

Cause: `isFormerLeaderAlone()` asked the stored list whether all terms before the former one had stopped, and a leader writes that only once they have. A leader that is replaced within 3 s takes what it knows with it, and the next one counts from its own fence, or for 30 s if it isn't listed. Change: when leaders of terms before the former one have stopped is kept apart (`m_beforeFormerStoppedAt`). It is known from the list as before, from this process having known of the former term for the limit (3 s if it is listed, else 30 s), or from a listed VM that has. The end of the wait is the later of that and the former leader's stop, so it counts from the terms that it waits for. `former_alone_in_ms` in `earlier-terms` takes the place of `is_former_alone`.

--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -151,6 +151,7 @@
     TimePoint m_fencedAt; ///< When the store confirmed the fence of earlier terms.
     std::optional<MemberList> m_loadedList; ///< The list of members that the store held then.
     std::optional<TimePoint> m_formerStoppedAt; ///< When the former leader was seen to know this term or a later one, so that it renews no more leases.
+    std::optional<TimePoint> m_beforeFormerStoppedAt; ///< By then the leaders of all terms before the former one have stopped, so that only the former leader may renew leases. Empty while that is not known.
     TimePoint m_earlierStoppedAt = farFuture; ///< By then the leaders of all earlier terms have stopped renewing leases.
     std::map<std::string, TimePoint> m_heardAt; ///< By memberIdOf(): when members that are listed, or are to be, were last heard of.
     MemberList m_storedList; ///< The list that the store is known to hold.
--- a/src/process/cell/cell_term.cpp
+++ b/src/process/cell/cell_term.cpp
@@ -21,12 +21,32 @@
         return node.m_now >= node.m_termLease.m_earlierStoppedAt;
     }
 
-    /** @return Whether only one earlier leader may still renew leases, the one just before this one. */
-    bool isFormerLeaderAlone(const CellNode& node)
+    /** @return Whether the term before this one is that of the known former leader. */
+    bool isDirectSuccessor(const CellNode& node)
+    {
+        return node.m_termLease.m_formerRecordsEnd + 1 == node.m_term;
+    }
+
+    /** @return By when leaders of terms before the former one have stopped, as the store and this daemon's own knowledge of the former term show; nothing if they don't. */
+    std::optional<TimePoint> stopBeforeFormer(const CellNode& node)
     {
         const TermLease& lease = node.m_termLease;
-        const bool isDirectPredecessor = lease.m_formerRecordsEnd + 1 == node.m_term;
-        return isDirectPredecessor && lease.m_loadedList && lease.m_loadedList->m_settledTerm == lease.m_former.m_token;
+        if (!isDirectSuccessor(node))
+            return std::nullopt;
+        if (lease.m_loadedList && lease.m_loadedList->m_settledTerm == lease.m_former.m_token)
+            return TimePoint {};
+        const auto knownFor = knownForOf(agesOf(node.m_begunTerms, node.m_now), lease.m_former.m_token);
+        if (!knownFor)
+            return std::nullopt;
+        return node.m_now - *knownFor + earlierRenewalBound(lease.m_loadedList, node.m_options.m_self, node.m_options.m_termLease);
+    }
+
+    /** @return By when all earlier leaders have stopped because the former one is seen to have; nothing if others may go on, or the former one may. */
+    std::optional<TimePoint> stopByFormer(const TermLease& lease)
+    {
+        if (!lease.m_formerStoppedAt || !lease.m_beforeFormerStoppedAt)
+            return std::nullopt;
+        return std::max(*lease.m_formerStoppedAt, *lease.m_beforeFormerStoppedAt);
     }
 
     /** Asks all listed members whether they know a later term, while the store shows nothing. */
@@ -117,6 +137,13 @@
         scheduler::boundEarlierLeases(*node.m_scheduler, stoppedAt);
     }
 
+    /** @return When leaders of terms before the given one had stopped, as a listed member shows that has known of terms for some time; nothing if it doesn't. */
+    std::optional<TimePoint> stopShownBy(const CellNode& node, const std::vector<BegunTermAge>& terms, std::uint64_t token)
+    {
+        const auto knownFor = knownForOf(terms, token);
+        return knownFor ? earlierStopShownBy(*knownFor, node.m_now, node.m_options.m_termLease) : std::nullopt;
+    }
+
     /** @return Whether this leader has read the records of earlier terms but these may still go on. */
     bool isWaitingForEarlierTerms(const CellNode& node)
     {
@@ -166,9 +193,10 @@
     constexpr std::uint64_t firstTerm = 1;
     const Duration wait = node.m_term == firstTerm ? Duration {} : earlierRenewalBound(lease.m_loadedList, node.m_options.m_self, node.m_options.m_termLease);
     lease.m_earlierStoppedAt = lease.m_fencedAt + wait;
-    if (lease.m_formerStoppedAt && isFormerLeaderAlone(node))
-        lease.m_earlierStoppedAt = std::min(lease.m_earlierStoppedAt, *lease.m_formerStoppedAt);
-    logEvent(LogLevel::Info, "earlier-terms", { { "token", node.m_term }, { "former_token", lease.m_former.m_token }, { "former_leader", lease.m_former.m_member.m_name }, { "is_list_stored", lease.m_loadedList.has_value() }, { "listed", lease.m_loadedList ? lease.m_loadedList->m_members.size() : 0 }, { "is_self_listed", lease.m_loadedList && isListed(*lease.m_loadedList, memberIdOf(node.m_options.m_self)) }, { "settled_term", lease.m_loadedList ? lease.m_loadedList->m_settledTerm : 0 }, { "bound_ms", wait.m_ms }, { "is_former_alone", isFormerLeaderAlone(node) }, { "has_former_stopped", lease.m_formerStoppedAt.has_value() }, { "stop_in_ms", (lease.m_earlierStoppedAt - node.m_now).m_ms } });
+    lease.m_beforeFormerStoppedAt = stopBeforeFormer(node);
+    if (const auto stoppedAt = stopByFormer(lease))
+        lease.m_earlierStoppedAt = std::min(lease.m_earlierStoppedAt, *stoppedAt);
+    logEvent(LogLevel::Info, "earlier-terms", { { "token", node.m_term }, { "former_token", lease.m_former.m_token }, { "former_leader", lease.m_former.m_member.m_name }, { "is_list_stored", lease.m_loadedList.has_value() }, { "listed", lease.m_loadedList ? lease.m_loadedList->m_members.size() : 0 }, { "is_self_listed", lease.m_loadedList && isListed(*lease.m_loadedList, memberIdOf(node.m_options.m_self)) }, { "settled_term", lease.m_loadedList ? lease.m_loadedList->m_settledTerm : 0 }, { "bound_ms", wait.m_ms }, { "former_alone_in_ms", lease.m_beforeFormerStoppedAt ? std::max((*lease.m_beforeFormerStoppedAt - node.m_now).m_ms, std::int64_t {}) : -1 }, { "has_former_stopped", lease.m_formerStoppedAt.has_value() }, { "stop_in_ms", (lease.m_earlierStoppedAt - node.m_now).m_ms } });
     return lease.m_earlierStoppedAt;
 }
 
@@ -179,8 +207,9 @@
     if (!hasTerm || lease.m_formerStoppedAt || memberIdOf(from) != memberIdOf(lease.m_former.m_member) || knownToken < node.m_term)
         return;
     lease.m_formerStoppedAt = node.m_now;
-    if (isWaitingForEarlierTerms(node) && isFormerLeaderAlone(node))
-        bringStopForward(node, node.m_now, "former-leader-stopped", from);
+    const auto stoppedAt = stopByFormer(lease);
+    if (stoppedAt && isWaitingForEarlierTerms(node))
+        bringStopForward(node, *stoppedAt, "former-leader-stopped", from);
 }
 
 void noteBegunTerms(CellNode& node, const PeerMember& from, const std::vector<BegunTermAge>& terms)
@@ -189,12 +218,18 @@
         if (term.m_token <= node.m_leader.m_token)
             noteBegunTerm(node.m_begunTerms, term.m_token, node.m_now);
     }
-    const auto& list = node.m_termLease.m_loadedList;
-    if (!isWaitingForEarlierTerms(node) || (list && !isListed(*list, memberIdOf(from))))
+    TermLease& lease = node.m_termLease;
+    const bool wasAsked = !lease.m_loadedList || isListed(*lease.m_loadedList, memberIdOf(from));
+    if (!wasAsked || !isWaitingForEarlierTerms(node))
         return;
-    const auto knownFor = knownForOf(terms, node.m_term);
-    if (const auto stoppedAt = knownFor ? earlierStopShownBy(*knownFor, node.m_now, node.m_options.m_termLease) : std::nullopt)
+    if (const auto stoppedAt = stopShownBy(node, terms, node.m_term))
         bringStopForward(node, *stoppedAt, "earlier-terms-stopped", from);
+    const auto beforeFormer = isDirectSuccessor(node) ? stopShownBy(node, terms, lease.m_former.m_token) : std::nullopt;
+    if (!beforeFormer)
+        return;
+    lease.m_beforeFormerStoppedAt = std::min(lease.m_beforeFormerStoppedAt.value_or(farFuture), *beforeFormer);
+    if (const auto stoppedAt = stopByFormer(lease))
+        bringStopForward(node, *stoppedAt, "former-leader-stopped", from);
 }
 
 void checkTermLease(CellNode& node)
--- a/tests/cell_new_vm_test.cpp
+++ b/tests/cell_new_vm_test.cpp
@@ -95,6 +95,13 @@
 
 } // namespace
 
+// A VM that had just joined was handed the lead and waited 30 s: LOST 14 to 24 on the day of review/9.
+BOOST_AUTO_TEST_CASE(tasks_of_lost_workers_start_again_after_a_hand_over_to_a_vm_that_has_just_joined)
+{
+    constexpr Duration endOfProcess { 2'000 }; // After the SIGTERM.
+    runTwoChanges({ .m_at = joinsAt + secondChangeAfter, .m_end = LeaderEnd::Terminated }, endOfProcess);
+}
+
 // Nobody hands over: the second leader loses power, and the VM that has just joined claims by itself.
 BOOST_AUTO_TEST_CASE(tasks_of_lost_workers_start_again_after_a_vm_that_has_just_joined_claims_the_lead)
 {
--- a/tests/term_lease_test.cpp
+++ b/tests/term_lease_test.cpp
@@ -288,6 +288,40 @@
     checkWait(leader.bound(), options.m_outageLimit);
 }
 
+// The leader of the term before could vouch for nothing, as a second change within seconds had made its knowledge void.
+BOOST_AUTO_TEST_CASE(what_had_stopped_before_the_former_term_is_known_after_a_second_change)
+{
+    const NewLeaderNotListed leader;
+    leader.lease().m_loadedList->m_settledTerm = formerTerm - 1;
+    leader.lease().m_beforeFormerStoppedAt.reset();
+    leader.answerOfFormer(ownTerm);
+    checkWait(leader.bound(), options.m_outageLimit);
+    leader.hear(makeMember("listed", 3), 1'000_ms, formerTerm, 3'200_ms);
+    BOOST_TEST(leader.bound().m_ms <= 1'000);
+}
+
+// A listed VM needs nobody to tell it when the former term began: it has been asked itself since then.
+BOOST_AUTO_TEST_CASE(a_listed_leader_counts_from_the_beginning_of_the_former_term)
+{
+    const NewLeader leader;
+    leader.lease().m_loadedList->m_settledTerm = formerTerm - 1;
+    noteBegunTerm(leader.m_node->m_begunTerms, formerTerm, leader.m_fencedAt - 2'000_ms);
+    noteBegunTerm(leader.m_node->m_begunTerms, ownTerm, leader.m_fencedAt);
+    leader.answerOfFormer(ownTerm);
+    checkWait(leader.boundAfterFence() + 2'000_ms, options.m_renewalLimit);
+}
+
+// The wait was begun anew with each leader of the kind: a leader that waits writes no list.
+BOOST_AUTO_TEST_CASE(a_long_wait_is_not_begun_anew_with_a_second_change)
+{
+    const NewLeader leader;
+    leader.lease().m_loadedList = MemberList { .m_settledTerm = formerTerm - 1, .m_members = { "gone@127.0.0.1:9" } };
+    noteBegunTerm(leader.m_node->m_begunTerms, formerTerm, leader.m_fencedAt - 20'000_ms);
+    noteBegunTerm(leader.m_node->m_begunTerms, ownTerm, leader.m_fencedAt);
+    leader.answerOfFormer(ownTerm);
+    checkWait(leader.boundAfterFence() + 20'000_ms, options.m_outageLimit);
+}
+
 // The records of a silent partition are unread, and with them perhaps the list.
 BOOST_AUTO_TEST_CASE(nothing_ends_the_wait_before_the_list_is_read)
 {
