--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -96,6 +96,8 @@
     int m_pace = 100; ///< Ordered speed in percent of full speed.
     TimePoint m_progressAt; ///< Time at which the latest change in progress was reported.
     std::int64_t m_progressClockMs = 0; ///< Worker's clock in the report that first showed the present progress; 0 when none has shown any.
+    std::int64_t m_longestPercentMs = 0; ///< Longest time that the current attempt has taken for a percent of its work, on the worker's clock.
+    std::uint16_t m_stalls = 0; ///< Number of attempts that were stopped in this term as they reported no progress.
     std::string m_checkpoint; ///< Newest checkpoint; empty for none.
     std::string m_checkpointAtStart; ///< Checkpoint from which the current attempt resumes; empty for none.
     std::string m_ticket; ///< Approval ticket that the latest start call carried; empty for none.
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -59,6 +59,7 @@
         task.m_pace = 100;
         task.m_progressAt = now;
         task.m_progressClockMs = 0;
+        task.m_longestPercentMs = 0;
         worker.m_granted = worker.m_granted + grantOf(*ref.m_run);
         worker.m_tasks.push_back(ref);
         worker.m_suspects += isSuspect(task) ? 1 : 0;
@@ -166,6 +167,19 @@
 
     using namespace detail;
 
+    /** Notes the progress that a worker reports for the current attempt of a task. @param clockMs The worker's clock in the report. */
+    void noteProgress(Task& task, int percent, std::int64_t clockMs, TimePoint now)
+    {
+        if (percent == task.m_percent && task.m_progressClockMs != 0)
+            return;
+        const int gained = percent - task.m_percent;
+        if (task.m_progressClockMs != 0 && gained > 0)
+            task.m_longestPercentMs = std::max(task.m_longestPercentMs, (clockMs - task.m_progressClockMs) / gained);
+        task.m_progressAt = now;
+        task.m_progressClockMs = clockMs;
+        task.m_percent = percent;
+    }
+
     void confirmStart(Scheduler& scheduler, const TaskRef& ref, TimePoint now)
     {
         Task& task = ref.task();
@@ -323,11 +337,7 @@
             noteListed(scheduler, ref, now);
             if (!running.m_checkpoint.empty())
                 task.m_checkpoint = running.m_checkpoint;
-            if (running.m_percent != task.m_percent || task.m_progressClockMs == 0) {
-                task.m_progressAt = now;
-                task.m_progressClockMs = report.m_clockMs;
-            }
-            task.m_percent = running.m_percent;
+            noteProgress(task, running.m_percent, report.m_clockMs, now);
             task.m_loadMetric = running.m_loadMetric;
         }
     }
