A leader denies a job that is to be cancelled only on proof from after the call

Cause: "no such job" rested on submissions read up to 2.5 s before, and on no evidence about later terms at all. Cancellations that are stored already are answered at once.

--- a/src/connection/peer_codec.cpp
+++ b/src/connection/peer_codec.cpp
@@ -58,7 +58,7 @@
     Json encode(const PeerPendingJobsQuery& message) { return Json::array({ message.m_queue }); }
     Json encode(const PeerTakeOver& message) { return Json::array({ message.m_token }); }
     Json encode(const PeerSubmit& message) { return Json::array({ encodeBytes(message.m_plan) }); }
-    Json encode(const PeerCancel& message) { return Json::array({ message.m_job }); }
+    Json encode(const PeerCancel& message) { return Json::array({ message.m_job, message.m_isStored, message.m_patience.m_ms }); }
 
     Json encode(const PeerAppend& message)
     {
@@ -137,8 +137,15 @@
             return PeerTakeOver { .m_token = row.at(0) };
         case 6:
             return PeerSubmit { .m_plan = decodeBytes(row.at(0)) };
-        case 7:
-            return PeerCancel { .m_job = row.at(0) };
+        case 7: {
+            PeerCancel message { .m_job = row.at(0) };
+            constexpr std::size_t completeRow = 3; // Daemons of earlier releases send the job only.
+            if (row.size() < completeRow)
+                return message;
+            message.m_isStored = row.at(1);
+            message.m_patience = { row.at(2).get<std::int64_t>() };
+            return message;
+        }
         case 8: {
             PeerOrders message { .m_from = memberFromJson(row.at(0)), .m_orders = {} };
             for (const Json& order : row.at(1))
--- a/src/connection/peer_type.h
+++ b/src/connection/peer_type.h
@@ -89,6 +89,8 @@
 /** Asks the leader to cancel a job. */
 struct PeerCancel {
     std::string m_job; ///< Id of the job.
+    bool m_isStored = false; ///< Whether the cancellation is in the store already, so that the job is cancelled whoever knows it.
+    Duration m_patience { 1'000 }; ///< Within this time the receiver has to answer, so that the caller can still do without it.
 };
 
 /** Outcome of a submission or a cancellation. */
--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -240,6 +240,15 @@
     std::function<void(const PeerQueryAnswer&)> m_onAnswer; ///< Called once.
 };
 
+/** A cancellation of a job that the leader does not know, held until it is shown that nobody has accepted the job. */
+struct HeldCancellation {
+    std::string m_job; ///< Job id.
+    bool m_isStored = false; ///< Whether the store holds the cancellation, so that nothing needs to be shown.
+    TimePoint m_askedAt; ///< When the call arrived, on the clock of TermEvidence.
+    TimePoint m_until; ///< Without proof by then the caller is to store the cancellation.
+    std::function<void(WriteOutcome)> m_onComplete; ///< Called once.
+};
+
 /** Called with the outcome of an order, and after Unreported once more if a report still comes; the report is filled as OrderReport::m_sync. */
 using OrderCallback = std::function<void(OrderStatus, const SyncReport&)>;
 
@@ -355,6 +364,7 @@
     PartCounts m_recordParts; ///< Leader: records that were too large for one key.
     JournalMove m_journalMove; ///< Leader: change to another partition while that one is silent.
     std::vector<HeldQuery> m_heldQueries; ///< Held queries of unfinished jobs.
+    std::vector<HeldCancellation> m_heldCancellations; ///< Cancellations of unknown jobs that wait for proof.
     std::vector<PendingSubmission> m_pendingSubmissions; ///< Submissions that are not part of an append yet.
     std::vector<RecordWaiter> m_recordWaiters; ///< Callers that wait until a batch is durable.
     LoadState m_load;
--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -28,16 +28,6 @@
         return path.substr(queue.m_pathPrefix.size());
     }
 
-    PeerQueryAnswer lookUpJob(const CellNode& node, const std::string& job)
-    {
-        if (!isActiveLeader(node))
-            return { .m_status = QueryStatus::NotLeading };
-        if (const auto stage = scheduler::findStage(*node.m_scheduler, job))
-            return { .m_status = QueryStatus::Known, .m_stage = static_cast<std::uint8_t>(*stage) };
-        const bool isFresh = !node.m_scheduler->m_areSubmissionsUnread && node.m_lastBootTime - node.m_jobsTail.m_upToDateAt <= node.m_options.m_maxJobsStaleness;
-        return { .m_status = isFresh ? QueryStatus::NoSuchJob : QueryStatus::NotLeading };
-    }
-
     PeerQueryAnswer countPendingJobs(const CellNode& node, const std::string& queue)
     {
         if (!isActiveLeader(node) || node.m_scheduler->m_areSubmissionsUnread)
@@ -124,27 +114,6 @@
         respond(reply);
     }
 
-    /** @return Whether this daemon leads and can record a change soon; otherwise callers write to the topic of jobs at once. */
-    bool canRecord(const CellNode& node)
-    {
-        constexpr Duration stuckAppendAge { 500 };
-        const auto since = oldestUnconfirmedSince(node.m_writer);
-        const bool isStuck = since && node.m_now - *since > stuckAppendAge && !node.m_isStoreReached;
-        return isActiveLeader(node) && !isStuck && !isJournalStuck(node);
-    }
-
-    void recordCancellation(CellNode& node, const PeerCancel& message, const std::function<void(WriteOutcome)>& onComplete)
-    {
-        if (!canRecord(node))
-            return onComplete(WriteOutcome::NotAccepted);
-        const PeerQueryAnswer jobState = lookUpJob(node, message.m_job);
-        if (jobState.m_status != QueryStatus::Known)
-            return onComplete(jobState.m_status == QueryStatus::NoSuchJob ? WriteOutcome::NoSuchJob : WriteOutcome::NotAccepted);
-        scheduler::cancelJob(*node.m_scheduler, message.m_job, node.m_now);
-        node.m_recordWaiters.push_back({ .m_batch = node.m_scheduler->m_jobs.at(message.m_job)->m_stageBatch, .m_onComplete = onComplete });
-        notifyRecordWaiters(node);
-    }
-
     /** @return Whether the leader of the given term answers heartbeats and is not about to leave. */
     bool isLeaderStable(const CellNode& node, std::uint64_t token)
     {
@@ -259,7 +228,7 @@
             return;
         node.m_deferredCalls.push_back({ node.m_now + interval, [&node, job, until] {
                                             constexpr Duration timeout { 700 };
-                                            writeThroughLeader(node, PeerCancel { .m_job = job }, node.m_now + timeout, recordCancellation, [&node, job, until](WriteOutcome outcome) {
+                                            writeThroughLeader(node, PeerCancel { .m_job = job, .m_isStored = true }, node.m_now + timeout, recordCancellation, [&node, job, until](WriteOutcome outcome) {
                                                 if (outcome != WriteOutcome::Recorded && outcome != WriteOutcome::NoSuchJob)
                                                     announceCancellation(node, job, until);
                                             });
@@ -280,7 +249,8 @@
     {
         PendingWrite write { .m_records = { { .m_key = cancellationKey(context.m_job), .m_value = "cancelled" } }, .m_deadline = context.m_deadline - replyMargin };
         write.m_onComplete = [&node, context, respond](StoreStatus status) { replyToWrite(node, status, ClientStatus::Cancelled, context, respond); };
-        writeThroughLeader(node, PeerCancel { .m_job = context.m_job }, write.m_deadline, recordCancellation, [&node, write, respond](WriteOutcome outcome) mutable {
+        const Duration patience = (write.m_deadline - node.m_now) / 2; // The other half is for an own write.
+        writeThroughLeader(node, PeerCancel { .m_job = context.m_job, .m_patience = patience }, write.m_deadline, recordCancellation, [&node, write, respond](WriteOutcome outcome) mutable {
             if (outcome == WriteOutcome::Recorded)
                 return write.m_onComplete(StoreStatus::Done);
             if (outcome == WriteOutcome::NoSuchJob)
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -246,6 +246,18 @@
 /** Answers held queries whose job has ended or whose hold time is over; all of them when this daemon is not the active leader. */
 void answerHeldQueries(CellNode& node);
 
+/** @return What this daemon knows of a job; "no such job" only if it leads and has read the submissions lately. */
+PeerQueryAnswer lookUpJob(const CellNode& node, const std::string& job);
+
+/** @return Whether this daemon leads and can record a change soon; otherwise callers write to the topic of jobs at once. */
+bool canRecord(const CellNode& node);
+
+/** Records a cancellation at the leader. @param onComplete Called once with the outcome; for a job that is not known only when it is shown that nobody has accepted it. */
+void recordCancellation(CellNode& node, const PeerCancel& message, const std::function<void(WriteOutcome)>& onComplete);
+
+/** Takes up cancellations of unknown jobs that wait for proof. */
+void stepCancellations(CellNode& node);
+
 /** Notifies callers whose batch is durable. */
 void notifyRecordWaiters(CellNode& node);
 
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -395,6 +395,7 @@
     detail::stepRelay(node);
     detail::stepDirectWriters(node);
     detail::answerHeldQueries(node);
+    detail::stepCancellations(node);
     reportTraffic(node.m_storeTraffic, node.m_now);
     reportSilence(node.m_storeTraffic, node.m_now);
 }
