A lost read of the configuration is repeated within 2 s while the store answers otherwise

Cause: such a read was repeated 2.5 s after its wait of 1 s as long as other partitions answered, so that a read lost as the silence began, and the one after it, could cost 3.5 s each, on all VMs in step. Change: it is repeated 1 s after its wait, or eight read times if that is longer, at most 2.5 s as before.

--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -247,11 +247,25 @@
         return isOld ? Duration {} : std::min(tail.m_wait, options.m_renewalLimit / readsPerLimit);
     }
 
+    /**
+     * Only the operator's partition may be silent, and a read that is lost as it falls silent must not keep a VM from a version that is written once it answers
+     * again: with its wait, a read is repeated well within the 3 s after which VMs must know it. A slow store or link gets fewer repeats.
+     * @return How long the latest read of the operator's topic may stay unanswered, beyond its wait, while the store answers other calls.
+     */
+    Duration configHedgeDelay(const CellNode& node)
+    {
+        constexpr Duration minDelay { 1'000 }; // A configuration of 256 KB takes a link of 2 Mbit/s as long.
+        constexpr std::int64_t latencyMultiple = 8;
+        return std::max(minDelay, node.m_readLatency * latencyMultiple);
+    }
+
     /** @return How long a tail's latest read may stay unanswered, beyond its wait, before it is sent again in parallel. */
     Duration tailHedgeDelay(const CellNode& node, const TopicTail& tail)
     {
         constexpr Duration evidenceHedgeDelay { 300 };
         const Duration delay = storeHedgeDelay(node, tail.m_call.m_lastAttemptAt);
+        if (&tail == &node.m_operatorTail)
+            return std::min(delay, configHedgeDelay(node));
         if (&tail != &node.m_leaderTail)
             return delay;
         return std::min(delay, isEvidenceTail(node, tail) ? evidenceHedgeDelay : claimsHedgeDelay);
--- a/tests/silent_configuration_test.cpp
+++ b/tests/silent_configuration_test.cpp
@@ -174,3 +174,28 @@
     for (const StorePartition& copy : copyPartitions())
         BOOST_TEST(cell.recordsIn(copy) == 2U);
 }
+
+// A read that was lost as a silence began was repeated 3.5 s later, still in the silence, and then again after as long: CONFIG 3 to 7 times on the day of review/10.
+BOOST_AUTO_TEST_CASE(a_configuration_that_is_written_after_a_silence_is_in_force_once_the_store_counts_as_stable)
+{
+    constexpr Duration longestSilence { 6'000 };
+    constexpr Duration shortestSilence { 500 };
+    constexpr Duration lengthStep { 100 };
+    constexpr Duration writtenAfter { 500 }; // The silence.
+    constexpr Duration contactTime { 3'000 }; // The platform's contact_ms: from this long after a disruption the VM is in touch.
+    CopiedConfigCell cell(1);
+    std::uint64_t version = 1;
+    for (Duration length = shortestSilence; length <= longestSilence; length = length + lengthStep) {
+        cell.m_silent = { operatorPartition };
+        cell.step(static_cast<int>(length.m_ms) / 10);
+        cell.m_silent.clear();
+        const TimePoint silenceEndedAt = cell.m_now;
+        cell.step(static_cast<int>(writtenAfter.m_ms) / 10);
+        cell.writeConfig(++version);
+        while (cell.version() != version && cell.m_now - silenceEndedAt <= contactTime * 2)
+            cell.step();
+        const Duration took = cell.m_now - silenceEndedAt;
+        BOOST_TEST(took.m_ms <= contactTime.m_ms, "after a silence of " << length.m_ms << " ms a new version is in force " << took.m_ms << " ms after its end");
+        cell.step(2 * stepsPerSecond);
+    }
+}
