Predictions of a job are made once for the job, not for each of its waiting steps

Cause: the urgency of each waiting step went over all steps of its job for the remaining work and the critical path, R x R predictions each 250 ms. Change: JobForecast holds both for the job for 250 ms; a run time is predicted once for each step of the plan.

--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -180,6 +180,14 @@
     return stage != JobStage::Pending && stage != JobStage::Active;
 }
 
+/** What is predicted of a job as a whole. */
+struct JobForecast {
+    TimePoint m_at; ///< When it was made; zero for never.
+    Duration m_criticalPath; ///< Run time of the longest chain of steps.
+    std::vector<Duration> m_remainingTimes; ///< By step of the plan: run time of the longest chain of steps that begins with it.
+    double m_remainingWork = 0; ///< Core-seconds that the job still needs; a GPU counts as eight cores.
+};
+
 /** An accepted job and its steps. */
 struct Job {
     JobPlan m_plan; ///< The job as its caller submitted it.
@@ -197,6 +205,7 @@
     TimePoint m_acceptedAt; ///< Monotonic time of acceptance.
     TimePoint m_endedAt; ///< Monotonic time of the end.
     Duration m_criticalPath; ///< Predicted run time of the critical path at acceptance.
+    JobForecast m_forecast; ///< What the urgency of its waiting steps was last computed from.
     std::vector<std::unique_ptr<StepRun>> m_runs; ///< Steps of all occurrences that are due, by occurrence and step.
 };
 
--- a/src/process/scheduler/scheduler_detail.h
+++ b/src/process/scheduler/scheduler_detail.h
@@ -152,8 +152,8 @@
 /** @return Predicted run time of a task of the step: the caller's estimate combined with the queue's run time model. */
 Duration predictRunTime(const Scheduler& scheduler, const Job& job, std::uint32_t step);
 
-/** @return Predicted run time of the longest chain of steps that begins with this step. */
-Duration predictCriticalPathFrom(const Scheduler& scheduler, const Job& job, std::uint32_t step);
+/** @return For each step of the job's plan, the predicted run time of the longest chain of steps that begins with it. */
+std::vector<Duration> predictCriticalPaths(const Scheduler& scheduler, const Job& job);
 
 /** @return Predicted run time of the job's critical path. */
 Duration predictCriticalPath(const Scheduler& scheduler, const Job& job);
--- a/src/process/scheduler/scheduler_learning.cpp
+++ b/src/process/scheduler/scheduler_learning.cpp
@@ -76,26 +76,16 @@
     return { static_cast<std::int64_t>(std::exp(expected)) };
 }
 
-namespace {
-
-    /** @return For each step, the predicted run time of the longest chain of steps that begins with it. */
-    std::vector<Duration> predictCriticalPaths(const Scheduler& scheduler, const Job& job)
-    {
-        const auto& steps = job.m_plan.m_steps;
-        std::vector<Duration> longest(steps.size());
-        for (std::size_t i = steps.size(); i-- > 0;) {
-            longest[i] = longest[i] + predictRunTime(scheduler, job, static_cast<std::uint32_t>(i));
-            for (const std::uint32_t predecessor : steps[i].m_predecessors)
-                longest[predecessor] = std::max(longest[predecessor], longest[i]);
-        }
-        return longest;
-    }
-
-} // namespace
-
-Duration predictCriticalPathFrom(const Scheduler& scheduler, const Job& job, std::uint32_t step)
+std::vector<Duration> predictCriticalPaths(const Scheduler& scheduler, const Job& job)
 {
-    return predictCriticalPaths(scheduler, job)[step];
+    const auto& steps = job.m_plan.m_steps;
+    std::vector<Duration> longest(steps.size());
+    for (std::size_t i = steps.size(); i-- > 0;) {
+        longest[i] = longest[i] + predictRunTime(scheduler, job, static_cast<std::uint32_t>(i));
+        for (const std::uint32_t predecessor : steps[i].m_predecessors)
+            longest[predecessor] = std::max(longest[predecessor], longest[i]);
+    }
+    return longest;
 }
 
 Duration predictCriticalPath(const Scheduler& scheduler, const Job& job)
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -33,35 +33,54 @@
         return plan.m_firstStart + plan.m_period * run.m_occurrence - scheduler.m_wallOffset;
     }
 
+    constexpr Duration predictionInterval { 250 }; ///< Predictions change slowly, and thousands of steps may wait.
+
     /** @return Core-seconds that a job still needs; a GPU counts as eight cores. */
     double remainingWork(const Scheduler& scheduler, const Job& job)
     {
         constexpr double coresPerGpu = 8;
+        std::vector<double> openTasks(job.m_plan.m_steps.size());
+        for (const auto& run : job.m_runs)
+            openTasks[run->m_step] += static_cast<double>(run->m_tasks.size() - run->m_doneCount);
         double work = 0;
-        for (const auto& run : job.m_runs) {
-            const Resources& size = planOf(*run).m_size;
+        for (std::uint32_t step = 0; step < openTasks.size(); ++step) {
+            const Resources& size = job.m_plan.m_steps[step].m_size;
             const double cores = static_cast<double>(size.m_cpuMilli) / 1'000 + coresPerGpu * static_cast<double>(size.m_gpus);
-            const double open = static_cast<double>(run->m_tasks.size() - run->m_doneCount);
-            work += open * cores * static_cast<double>(predictRunTime(scheduler, job, run->m_step).m_ms) / 1'000;
+            work += openTasks[step] * cores * static_cast<double>(predictRunTime(scheduler, job, step).m_ms) / 1'000;
         }
         return work;
     }
 
-    UrgencyInput urgencyInputOf(const Scheduler& scheduler, const StepRun& run)
+    /**
+     * Load: schedules with 20,000 due occurrences, or jobs of 12,000 independent steps, all of which wait. What is predicted of the whole job takes a walk
+     * over all of them, so it is done once for the job and not for each waiting step.
+     * @return The predictions, at most as old as predictionInterval.
+     */
+    const JobForecast& forecastOf(const Scheduler& scheduler, Job& job, TimePoint now)
+    {
+        JobForecast& forecast = job.m_forecast;
+        if (forecast.m_at.m_ms != 0 && now - forecast.m_at < predictionInterval)
+            return forecast;
+        forecast.m_at = now;
+        forecast.m_remainingTimes = predictCriticalPaths(scheduler, job);
+        forecast.m_criticalPath = *std::max_element(forecast.m_remainingTimes.begin(), forecast.m_remainingTimes.end());
+        forecast.m_remainingWork = remainingWork(scheduler, job);
+        return forecast;
+    }
+
+    UrgencyInput urgencyInputOf(const Scheduler& scheduler, const StepRun& run, TimePoint now)
     {
-        const Job& job = *run.m_job;
-        const QueueSettings& queue = queueOf(scheduler, job);
-        const Duration criticalPath = predictCriticalPath(scheduler, job);
-        const auto objectiveMs = static_cast<std::int64_t>(queue.m_slackFactor * static_cast<double>(criticalPath.m_ms)) + queue.m_latencyTarget.m_ms;
-        return { .m_isLongRunning = planOf(run).m_isLongRunning, .m_dueAt = dueTimeOf(scheduler, run), .m_objective = { objectiveMs }, .m_remaining = predictCriticalPathFrom(scheduler, job, run.m_step), .m_remainingWork = remainingWork(scheduler, job) };
+        const QueueSettings& queue = queueOf(scheduler, *run.m_job);
+        const JobForecast& forecast = forecastOf(scheduler, *run.m_job, now);
+        const auto objectiveMs = static_cast<std::int64_t>(queue.m_slackFactor * static_cast<double>(forecast.m_criticalPath.m_ms)) + queue.m_latencyTarget.m_ms;
+        return { .m_isLongRunning = planOf(run).m_isLongRunning, .m_dueAt = dueTimeOf(scheduler, run), .m_objective = { objectiveMs }, .m_remaining = forecast.m_remainingTimes[run.m_step], .m_remainingWork = forecast.m_remainingWork };
     }
 
-    /** @return The step's urgency, from predictions that are updated at intervals: they change slowly, and thousands of steps may wait. */
+    /** @return The step's urgency, from predictions that are updated at intervals. */
     Urgency stepUrgency(const Scheduler& scheduler, StepRun& run, TimePoint now)
     {
-        constexpr Duration predictionInterval { 250 };
         if (run.m_urgencyInputAt.m_ms == 0 || now - run.m_urgencyInputAt >= predictionInterval) {
-            run.m_urgencyInput = urgencyInputOf(scheduler, run);
+            run.m_urgencyInput = urgencyInputOf(scheduler, run, now);
             run.m_urgencyInputAt = now;
         }
         return urgencyOf(run.m_urgencyInput, now);
