--- a/tests/cell_simulation_zones.cpp
+++ b/tests/cell_simulation_zones.cpp
@@ -14,10 +14,10 @@
     constexpr std::int64_t longestSuspension = 590; // From 600 ms on a daemon takes it for a suspension.
 
     /** @return Whether a leader was on the list of members when its term began. */
-    bool isListed(const cell::CellNode& leader)
+    bool wasListed(const cell::CellNode& leader)
     {
         const auto& list = leader.m_termLease.m_loadedList;
-        return list && std::binary_search(list->m_members.begin(), list->m_members.end(), cell::memberIdOf(leader.m_options.m_self));
+        return list && cell::isListed(*list, cell::memberIdOf(leader.m_options.m_self));
     }
 
 } // namespace
@@ -119,7 +119,7 @@
     if (!isAwaited)
         return;
     const cell::CellNode* const joined = m_nodes.back().m_cell.get();
-    if (joined && joined->m_role == cell::Role::Leading && joined->m_term > m_endedTerm && !isListed(*joined))
+    if (joined && joined->m_role == cell::Role::Leading && joined->m_term > m_endedTerm && !wasListed(*joined))
         m_result.m_hasJoinedVmLed = true;
 }
 
