--- a/src/connection/client_type.h
+++ b/src/connection/client_type.h
@@ -24,6 +24,7 @@
     std::string m_host; ///< Host header without the port.
     std::string m_path; ///< Path without a query.
     std::string m_body; ///< Request body, not decoded.
+    std::string m_key; ///< Key of the customer, a secret; empty if the call carries none.
     TimePoint m_arrivedAt; ///< Monotonic time of arrival.
     TimePoint m_deadline; ///< Monotonic time until which the client waits for the reply.
 };
@@ -38,6 +39,8 @@
     NoSuchJob, ///< No job with this id has been accepted.
     Invalid, ///< The call is invalid; the text says what to change.
     NotDone, ///< The call had no effect; the client should retry later.
+    UnknownKey, ///< The call carries no key of a customer; it had no effect.
+    OverLimit, ///< The call had no effect, as the customer is over its share or its cap; the client should retry later.
     Unknown, ///< The call may have taken effect; the client should retry with the same id.
 };
 
--- a/src/connection/peer_codec.cpp
+++ b/src/connection/peer_codec.cpp
@@ -91,8 +91,11 @@
         Json members = Json::array();
         for (const PeerMember& member : reply.m_members)
             members.push_back(memberToJson(member));
-        return Json::array({ memberToJson(reply.m_from), reply.m_leader.m_token, memberToJson(reply.m_leader.m_member), reply.m_isLeading, reply.m_isLeaving, reply.m_isStoreReached,
+        Json row = Json::array({ memberToJson(reply.m_from), reply.m_leader.m_token, memberToJson(reply.m_leader.m_member), reply.m_isLeading, reply.m_isLeaving, reply.m_isStoreReached,
             reply.m_configVersion, reply.m_membersVersion, std::move(members), reply.m_leaderAnswerAge ? Json(reply.m_leaderAnswerAge->m_ms) : Json(), begunTermsToJson(reply.m_begunTerms) });
+        if (reply.m_configAge)
+            row.push_back(reply.m_configAge->m_ms);
+        return row;
     }
 
     Json encode(const PeerQueryAnswer& reply) { return Json::array({ static_cast<int>(reply.m_status), reply.m_stage, reply.m_count }); }
@@ -113,7 +116,14 @@
     Json encode(const PeerConfigRequest& message) { return Json::array({ message.m_newerThan }); }
     Json encode(const PeerConfigAnswer& reply) { return Json::array({ encodeBytes(reply.m_text) }); }
     Json encode(const PeerAck& reply) { return Json::array({ reply.m_isAccepted }); }
-    Json encode(const PeerWriteAnswer& reply) { return Json::array({ static_cast<int>(reply.m_outcome) }); }
+
+    Json encode(const PeerWriteAnswer& reply)
+    {
+        Json row = Json::array({ static_cast<int>(reply.m_outcome) });
+        if (reply.m_retryAfter.m_ms > 0)
+            row.push_back(reply.m_retryAfter.m_ms);
+        return row;
+    }
 
     PeerMessage decodeMessage(std::size_t type, const Json& row)
     {
@@ -174,6 +184,9 @@
                 reply.m_members.push_back(memberFromJson(member));
             if (!row.at(9).is_null())
                 reply.m_leaderAnswerAge = Duration { row.at(9).get<std::int64_t>() };
+            constexpr std::size_t configAgeIndex = 11;
+            if (row.size() > configAgeIndex)
+                reply.m_configAge = Duration { row.at(configAgeIndex).get<std::int64_t>() };
             return reply;
         }
         case 1:
@@ -189,7 +202,7 @@
         case 4:
             return PeerAck { .m_isAccepted = row.at(0) };
         case 5:
-            return PeerWriteAnswer { .m_outcome = decodeEnum(row.at(0), WriteOutcome::StoreUnavailable) };
+            return PeerWriteAnswer { .m_outcome = decodeEnum(row.at(0), WriteOutcome::OverLimit), .m_retryAfter = { row.size() > 1 ? row.at(1).get<std::int64_t>() : 0 } };
         case 6:
             return PeerConfigAnswer { .m_text = decodeBytes(row.at(0)) };
         default:
--- a/src/connection/peer_type.h
+++ b/src/connection/peer_type.h
@@ -53,6 +53,7 @@
     std::vector<PeerMember> m_members; ///< Member list if the heartbeat came with a different version, otherwise empty.
     std::optional<Duration> m_leaderAnswerAge; ///< How long ago the leader last answered that daemon; empty when it has not answered since its claim, or is that daemon.
     std::vector<BegunTermAge> m_begunTerms; ///< The latest terms that the daemon knows to have begun.
+    std::optional<Duration> m_configAge; ///< How long ago m_configVersion was known to be the newest; empty when that is not known, or keys don't expire.
 };
 
 /** Asks the leader for the stage of a job. */
@@ -100,11 +101,14 @@
     Unknown, ///< The leader's term ended before the change was confirmed; it may still become durable.
     NoSuchJob, ///< There is no job with this id to cancel.
     StoreUnavailable, ///< The store does not answer the leader; the request had no effect.
+    Rejected, ///< The job can't be started in time; the request had no effect.
+    OverLimit, ///< The customer is over its share or its cap; the request had no effect.
 };
 
 /** Answer to a submission or a cancellation. */
 struct PeerWriteAnswer {
     WriteOutcome m_outcome = WriteOutcome::NotAccepted; ///< Outcome.
+    Duration m_retryAfter; ///< Delay before a retry; only for Rejected and OverLimit.
 };
 
 /** Asks a peer to append records on behalf of a daemon that gets no answers from the store. */
--- a/src/platform/job_codec.cpp
+++ b/src/platform/job_codec.cpp
@@ -100,6 +100,7 @@
         .m_host = hostWithoutPort(findHeader(request.m_headers, "Host")),
         .m_path = request.m_target.substr(0, request.m_target.find('?')),
         .m_body = std::string(viewOf(request.m_body)),
+        .m_key = std::string(findHeader(request.m_headers, "Api-Key")),
         .m_arrivedAt = now,
         .m_deadline = now + defaultClientTimeout };
     const std::string_view timeoutText = findHeader(request.m_headers, "Deadline-Ms");
@@ -129,10 +130,15 @@
         return makeJsonResponse(400, { { "error", reply.m_text } });
     case ClientStatus::Unknown:
         return makeJsonResponse(504, { { "error", "the request may or may not have been carried out; retry with the same id" } });
+    case ClientStatus::UnknownKey:
+        return makeJsonResponse(401, { { "error", "the request has no key of a customer; send a valid key in the header Api-Key" } });
+    case ClientStatus::OverLimit:
+        response = makeJsonResponse(429, { { "error", "the request was not carried out, as the customer is over its share or limit; retry after the time in Retry-After" } });
+        break;
     case ClientStatus::NotDone:
+        response = makeJsonResponse(503, { { "error", "the request was not carried out; retry after the time in Retry-After" } });
         break;
     }
-    response = makeJsonResponse(503, { { "error", "the request was not carried out; retry after the time in Retry-After" } });
     const std::int64_t seconds = std::max<std::int64_t>(1, (reply.m_retryAfter.m_ms + 999) / 1'000);
     response.m_headers.push_back({ "Retry-After", std::to_string(seconds) });
     return response;
--- a/src/platform/operator_codec.cpp
+++ b/src/platform/operator_codec.cpp
@@ -29,9 +29,36 @@
                 .m_callTimePerWorkerMs = readDouble(*advice, "interval_ms"),
                 .m_validity = { readInt(*advice, "valid_ms") } };
         }
+        queue.m_isAnonymous = readBool(row, "anonymous");
         return queue;
     }
 
+    CustomerSettings decodeCustomer(const Json& row)
+    {
+        CustomerSettings customer { .m_name = readString(row, "name"), .m_keys = {}, .m_weight = readDouble(row, "weight"), .m_cap = {} };
+        if (const auto keys = row.find("api_keys"); keys != row.end() && keys->is_array()) {
+            for (const Json& key : *keys) {
+                if (key.is_string())
+                    customer.m_keys.push_back(key.get<std::string>());
+            }
+        }
+        if (const auto cap = row.find("cap"); cap != row.end() && cap->is_object())
+            customer.m_cap = { .m_cpuMilli = readInt(*cap, "cpu"), .m_memoryMb = readInt(*cap, "mem_mb"), .m_gpus = readInt(*cap, "gpu") };
+        return customer;
+    }
+
+    void decodeCustomers(const Json& root, ClusterSettings& cluster)
+    {
+        const auto rows = root.find("tenants");
+        if (rows == root.end() || !rows->is_array())
+            return;
+        cluster.m_requiresKeys = true;
+        for (const Json& row : *rows) {
+            if (row.is_object())
+                cluster.m_customers.push_back(decodeCustomer(row));
+        }
+    }
+
     cell::OperatorRecord decodeCluster(const Json& root)
     {
         const auto routes = root.find("routes");
@@ -44,6 +71,7 @@
             cluster.m_queues.push_back(decodeQueue(row));
         for (const Json& row : *services)
             cluster.m_pools.push_back({ .m_name = readString(row, "name"), .m_hasAdmissionControl = readBool(row, "admission_control"), .m_isStandby = readBool(row, "standby") });
+        decodeCustomers(root, cluster);
         return cluster;
     }
 
--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -85,6 +85,8 @@
     Duration m_queryHoldTime { 60 }; ///< How long a query of an unfinished job is held, so that an end that is just being reported is included.
     std::size_t m_relayMinWorkers = 1'000; ///< From this number of workers on, peers forward the leader's orders.
     std::uint32_t m_journalPartitions = 16; ///< Partitions of the topic of progress among which the leader may choose; the store has at least as many.
+    std::optional<Duration> m_keyRevocation; ///< Within this time after the operator has removed a key no call with it is carried out, on any VM; empty when there is no such limit.
+    bool m_rejectsHopeless = false; ///< Whether submissions that can't be started in time are refused also where the configuration names no customers.
     Duration m_maxJobsStaleness { 2'500 }; ///< "No such job" is answered only if the submissions were read completely within this time.
 };
 
--- a/src/process/cell/cell_daemon.cpp
+++ b/src/process/cell/cell_daemon.cpp
@@ -160,7 +160,9 @@
         .m_seeds = m_settings.m_seeds,
         .m_topics = platform::PlatformAdapter::makeTopics(),
         .m_scheduler = m_settings.m_scheduler,
-        .m_relayMinWorkers = m_settings.m_relayMinWorkers };
+        .m_relayMinWorkers = m_settings.m_relayMinWorkers,
+        .m_keyRevocation = m_settings.m_keyRevocation,
+        .m_rejectsHopeless = m_settings.m_rejectsHopeless };
 }
 
 /** @param first An item taken from the queue. @return Number of items, without urgent ones. */
--- a/src/process/cell/cell_startup.cpp
+++ b/src/process/cell/cell_startup.cpp
@@ -22,6 +22,31 @@
         times.rejectUnknownKeys();
     }
 
+    void readKeys(Section keys, CellStartup& settings)
+    {
+        if (keys.has("revocation_ms"))
+            settings.m_keyRevocation = Duration { keys.integer("revocation_ms", 0, 500, dayMs, "ms") };
+        keys.rejectUnknownKeys();
+    }
+
+    void readCustomers(Section customers, CellStartup& settings)
+    {
+        settings.m_scheduler.m_capOverrun = customers.number("cap_overrun", settings.m_scheduler.m_capOverrun, 0, 1, "times the cap");
+        customers.rejectUnknownKeys();
+    }
+
+    void readAdmission(Section admission, CellStartup& settings)
+    {
+        settings.m_rejectsHopeless = admission.boolean("rejects_hopeless", settings.m_rejectsHopeless);
+        admission.rejectUnknownKeys();
+    }
+
+    void readPlacement(Section placement, CellStartup& settings)
+    {
+        settings.m_scheduler.m_waitsForBetterPlace = placement.boolean("waits_for_better_place", settings.m_scheduler.m_waitsForBetterPlace);
+        placement.rejectUnknownKeys();
+    }
+
     void readListen(Section listen, CellStartup& settings)
     {
         settings.m_clients = listen.address("clients");
@@ -55,6 +80,10 @@
         settings.m_seeds = file.addresses("seeds");
         readLogSettings(file.section("log"), settings.m_logLevel, settings.m_logFormat);
         readTimes(file.section("times"), settings);
+        readKeys(file.section("keys"), settings);
+        readCustomers(file.section("customers"), settings);
+        readAdmission(file.section("admission"), settings);
+        readPlacement(file.section("placement"), settings);
         settings.m_relayMinWorkers = static_cast<std::size_t>(file.integer("relay_from_workers", static_cast<std::int64_t>(settings.m_relayMinWorkers), 1, 1'000'000, "workers"));
         settings.m_ringCapacity = static_cast<std::size_t>(file.integer("ring_items", static_cast<std::int64_t>(settings.m_ringCapacity), 16, 1'000'000, "items"));
         settings.m_abortsOnInvariant = file.boolean("abort_on_invariant", settings.m_abortsOnInvariant);
--- a/src/request/plan_codec.cpp
+++ b/src/request/plan_codec.cpp
@@ -13,6 +13,8 @@
     /** Format version, the first element of an encoded plan; increased with every change of the format. */
     constexpr int planFormatVersion = 1;
 
+    constexpr std::size_t customerIndex = 10; ///< Position of the customer in an encoded plan, which ends before it if there is none.
+
     /** Bit flags of an encoded step. */
     enum StepFlag : unsigned {
         GangFlag = 1,
@@ -59,7 +61,9 @@
     Json steps = Json::array();
     for (const StepPlan& step : plan.m_steps)
         steps.push_back(stepToJson(step));
-    const Json root = Json::array({ planFormatVersion, plan.m_id, plan.m_queue, plan.m_pool, plan.m_payload, std::move(steps), plan.m_firstStart.m_ms, plan.m_period.m_ms, plan.m_occurrenceCount, plan.m_submittedAt.m_ms });
+    Json root = Json::array({ planFormatVersion, plan.m_id, plan.m_queue, plan.m_pool, plan.m_payload, std::move(steps), plan.m_firstStart.m_ms, plan.m_period.m_ms, plan.m_occurrenceCount, plan.m_submittedAt.m_ms });
+    if (!plan.m_customer.empty())
+        root.push_back(plan.m_customer);
     const std::vector<std::uint8_t> bytes = Json::to_cbor(root);
     return { bytes.begin(), bytes.end() };
 }
@@ -78,7 +82,8 @@
             .m_firstStart = { root.at(6).get<std::int64_t>() },
             .m_period = { root.at(7).get<std::int64_t>() },
             .m_occurrenceCount = root.at(8),
-            .m_submittedAt = { root.at(9).get<std::int64_t>() } };
+            .m_submittedAt = { root.at(9).get<std::int64_t>() },
+            .m_customer = root.size() > customerIndex ? root.at(customerIndex).get<std::string>() : std::string() };
         for (const Json& row : root.at(5))
             plan.m_steps.push_back(stepFromJson(row));
         if (auto valid = validateStructure(plan); !valid)
--- a/src/request/plan_type.h
+++ b/src/request/plan_type.h
@@ -42,6 +42,7 @@
     Duration m_period; ///< Time between occurrences.
     std::uint32_t m_occurrenceCount = 0; ///< Number of occurrences of a periodic job; 0 for a job that runs once, immediately.
     TimePoint m_submittedAt; ///< Wall-clock time of acceptance.
+    std::string m_customer; ///< Name of the customer that submitted the job; empty for none.
 };
 
 /** Identifies one task. */
--- a/src/version/cluster_type.h
+++ b/src/version/cluster_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/clock_type.h"
+#include "version/customer_type.h"
 
 #include <cstdint>
 #include <map>
@@ -31,6 +32,7 @@
     Duration m_latencyTarget; ///< Fixed part of the latency objective.
     Duration m_timeout { 3'000 }; ///< Maximum time for answering one call of a client.
     std::optional<ApprovalPolicy> m_approval; ///< Set if tasks need a ticket to start.
+    bool m_isAnonymous = false; ///< Whether calls need no key of a customer.
 };
 
 /** A pool of workers. */
@@ -45,6 +47,8 @@
     std::uint64_t m_version = 0; ///< Version number; increases with every change.
     std::vector<QueueSettings> m_queues; ///< All queues.
     std::vector<PoolSettings> m_pools; ///< All pools.
+    std::vector<CustomerSettings> m_customers; ///< All customers.
+    bool m_requiresKeys = false; ///< Whether calls on queues that are not anonymous need a key of a customer.
 };
 
 using SharedCluster = std::shared_ptr<const ClusterSettings>;
