Customers: keys of calls, and refusal of removed keys while the configuration may be outdated

Cause: a call of any client was carried out, and a VM without the store or a suspended one would have accepted a removed key for any time. Change: the check of keys where a call arrives, with a hash index built once for a version; the customer of the key is stored in the plan. Malformed entries of customers are left out with a log line. A VM accepts keys only while reads of the operator's topic, or answers of members to heartbeats, show that its version is current (config_freshness.h); without store and leader it asks other members in turn. A configuration that can't be decoded ends the evidence. Refusals are counted and logged by customer and cause. Without keys in the start-up file the age is neither checked nor sent.

--- a/src/platform/operator_codec.cpp
+++ b/src/platform/operator_codec.cpp
@@ -3,6 +3,7 @@
 
 #include "core/log_func.h"
 #include "platform/json_read.h"
+#include "version/customer.h"
 
 #include <algorithm>
 
@@ -12,6 +13,8 @@
 
 namespace {
 
+    constexpr std::string_view configKey = "config"; ///< Key of the configuration in the operator's topic.
+
     QueueSettings decodeQueue(const Json& row)
     {
         QueueSettings queue { .m_name = readString(row, "name"),
@@ -37,35 +40,46 @@
     {
         CustomerSettings customer { .m_name = readString(row, "name"), .m_keys = {}, .m_weight = readDouble(row, "weight"), .m_cap = {} };
         if (const auto keys = row.find("api_keys"); keys != row.end() && keys->is_array()) {
-            for (const Json& key : *keys) {
-                if (key.is_string())
-                    customer.m_keys.push_back(key.get<std::string>());
-            }
+            for (const Json& key : *keys)
+                customer.m_keys.push_back(key.is_string() ? key.get<std::string>() : std::string()); // An empty key is reported and removed.
         }
         if (const auto cap = row.find("cap"); cap != row.end() && cap->is_object())
             customer.m_cap = { .m_cpuMilli = readInt(*cap, "cpu"), .m_memoryMb = readInt(*cap, "mem_mb"), .m_gpus = readInt(*cap, "gpu") };
         return customer;
     }
 
+    /** Logs faults of customers' entries, a bounded number for each version. Keys appear in none of the lines. */
+    void reportCustomerFaults(const std::vector<CustomerFault>& faults, std::uint64_t version)
+    {
+        constexpr std::size_t maxLines = 20;
+        constexpr std::size_t maxNameLength = 64;
+        for (std::size_t i = 0; i < std::min(faults.size(), maxLines); ++i)
+            logEvent(LogLevel::Warning, "customer-malformed", { { "version", version }, { "customer", faults[i].m_customer.substr(0, maxNameLength) }, { "reason", faults[i].m_reason } });
+        if (faults.size() > maxLines)
+            logEvent(LogLevel::Warning, "customers-malformed", { { "version", version }, { "not_listed", faults.size() - maxLines } });
+    }
+
+    /** An entry that is not an object counts as one without a name. */
     void decodeCustomers(const Json& root, ClusterSettings& cluster)
     {
         const auto rows = root.find("tenants");
         if (rows == root.end() || !rows->is_array())
             return;
         cluster.m_requiresKeys = true;
-        for (const Json& row : *rows) {
-            if (row.is_object())
-                cluster.m_customers.push_back(decodeCustomer(row));
-        }
+        for (const Json& row : *rows)
+            cluster.m_customers.push_back(row.is_object() ? decodeCustomer(row) : CustomerSettings {});
+        reportCustomerFaults(removeMalformedCustomers(cluster.m_customers), cluster.m_version);
     }
 
     cell::OperatorRecord decodeCluster(const Json& root)
     {
         const auto routes = root.find("routes");
         const auto services = root.find("services");
-        const bool isComplete = readInt(root, "version") > 0 && routes != root.end() && routes->is_array() && services != root.end() && services->is_array();
+        const auto customers = root.find("tenants");
+        const bool areCustomersReadable = customers == root.end() || customers->is_null() || customers->is_array(); // Otherwise keys could be accepted, or not needed, against what is meant.
+        const bool isComplete = readInt(root, "version") > 0 && routes != root.end() && routes->is_array() && services != root.end() && services->is_array() && areCustomersReadable;
         if (!isComplete)
-            return {};
+            return cell::UnreadableCluster {};
         ClusterSettings cluster { .m_version = static_cast<std::uint64_t>(readInt(root, "version")), .m_queues = {}, .m_pools = {} };
         for (const Json& row : *routes)
             cluster.m_queues.push_back(decodeQueue(row));
@@ -114,9 +128,9 @@
     const Json root = parseJson(value);
     if (!root.is_object()) {
         logEvent(LogLevel::Warning, "operator-record-malformed", { { "key", key.substr(0, 40) }, { "bytes", value.size() } });
-        return {};
+        return key == configKey ? cell::OperatorRecord(cell::UnreadableCluster {}) : cell::OperatorRecord {};
     }
-    if (key == "config")
+    if (key == configKey)
         return decodeCluster(root);
     return key.starts_with("wave/") ? decodeWave(root) : cell::OperatorRecord {};
 }
--- a/src/platform/operator_codec.h
+++ b/src/platform/operator_codec.h
@@ -10,7 +10,7 @@
  * Decodes a record of the operator.
  * @param key Key of the record in the operator topic.
  * @param value JSON text of the record.
- * @return The configuration or maintenance wave, or std::monostate if the key is not used here or the record is malformed.
+ * @return The configuration or maintenance wave; cell::UnreadableCluster for a malformed configuration; std::monostate if the key is not used here or a wave is malformed.
  */
 cell::OperatorRecord decodeOperatorRecord(const std::string& key, const std::string& value);
 
--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -5,8 +5,10 @@
 #include "connection/peer_type.h"
 #include "process/cell/append_pipeline.h"
 #include "process/cell/begun_terms.h"
+#include "process/cell/call_refusals.h"
 #include "process/cell/config_copy.h"
 #include "process/cell/config_fetch.h"
+#include "process/cell/config_freshness.h"
 #include "process/cell/hedged_call.h"
 #include "process/cell/journal_move.h"
 #include "process/cell/leader_monitor.h"
@@ -17,6 +19,7 @@
 #include "process/cell/worker_copy.h"
 #include "process/scheduler/scheduler_base.h"
 #include "version/cluster_type.h"
+#include "version/customer.h"
 
 #include <array>
 #include <functional>
@@ -45,8 +48,11 @@
 inline constexpr std::uint32_t cancellationPartition = 1; ///< Partition of the same topic with a copy of each cancellation, for a new leader that can't read the first one.
 inline constexpr std::size_t jobsPartitionCount = 2; ///< Partitions of that topic that VMs write to.
 
-/** A decoded record of the operator's topic; std::monostate when the cell can't use it. */
-using OperatorRecord = std::variant<std::monostate, ClusterSettings, MaintenanceWave>;
+/** A record of the configuration that can't be decoded; the one in force is no longer known to be current. */
+struct UnreadableCluster { };
+
+/** A decoded record of the operator's topic; std::monostate when it is none of the configuration and the cell can't use it. */
+using OperatorRecord = std::variant<std::monostate, ClusterSettings, MaintenanceWave, UnreadableCluster>;
 
 /** Decoders for records in the platform's formats; supplied by the platform layer. */
 struct CellDecoders {
@@ -319,7 +325,9 @@
     Duration m_wallOffset; ///< Wall-clock time minus monotonic time.
 
     SharedCluster m_cluster; ///< Current configuration; null until the first one is known.
+    CustomerIndex m_customers; ///< Customers of m_cluster by key.
     std::string m_clusterText; ///< Key and text of the configuration as the operator wrote it; sent to peers.
+    ConfigFreshness m_configFreshness; ///< Whether m_cluster is known to be current.
     ConfigFetch m_configFetch; ///< Fetching of newer configurations from peers.
     ConfigCopies m_configCopies; ///< Copies of the configuration in the store.
 
@@ -385,6 +393,7 @@
     OrderRelay m_relay;
     RetrySchedule m_retrySchedule; ///< When refused clients are told to call again.
     CellCounters m_counters;
+    CallRefusals m_callRefusals; ///< Refused calls by customer and cause.
     StoreTraffic m_storeTraffic; ///< Calls to the store, by partition.
 };
 
--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -157,7 +157,7 @@
     }
 
     /** Decodes and checks a submission. @return Its plan, or an error that names the remedy. */
-    Expected<JobPlan> readSubmission(const CellNode& node, const ClientCall& call, const QueueSettings& queue)
+    Expected<JobPlan> readSubmission(const CellNode& node, const ClientCall& call, const QueueSettings& queue, const std::string& customer)
     {
         auto plan = node.m_decoders.m_plan(call.m_body);
         if (!plan)
@@ -165,6 +165,7 @@
         plan->m_id = jobIdFromPath(queue, call.m_path);
         plan->m_queue = queue.m_name;
         plan->m_pool = queue.m_pool;
+        plan->m_customer = customer;
         plan->m_submittedAt = node.m_now + node.m_wallOffset;
         if (const auto valid = validatePlan(*plan); !valid)
             return tl::unexpected(valid.error());
@@ -174,9 +175,10 @@
         return plan;
     }
 
-    void submit(CellNode& node, const ClientCall& call, const QueueSettings& queue, const ClientResponder& respond)
+    /** @param customer Name of the customer that submits the job; empty for none. */
+    void submit(CellNode& node, const ClientCall& call, const QueueSettings& queue, const std::string& customer, const ClientResponder& respond)
     {
-        const auto plan = readSubmission(node, call, queue);
+        const auto plan = readSubmission(node, call, queue, customer);
         if (!plan) {
             logEvent(LogLevel::Info, "submission-invalid", { { "path", call.m_path.substr(0, 100) }, { "error", describe(plan.error()) } });
             return respond({ .m_status = ClientStatus::Invalid, .m_text = describe(plan.error()) });
@@ -305,14 +307,21 @@
 
 void onClientCall(CellNode& node, const ClientCall& call, const ClientResponder& respond)
 {
-    if (!node.m_cluster)
+    if (!node.m_cluster) {
+        noteRefusedCall(node.m_callRefusals, { .m_customer = {}, .m_cause = "no-configuration", .m_queue = {} }, node.m_now);
         return respond(makeRefusal(node, { .m_job = {}, .m_arrivedAt = call.m_arrivedAt, .m_deadline = call.m_deadline }));
+    }
     const QueueSettings* const queue = findQueue(*node.m_cluster, call.m_host, call.m_path);
     if (!queue)
         return respond({ .m_status = ClientStatus::NoSuchQueue });
-    if (call.m_verb == ClientVerb::Submit)
-        return submit(node, call, *queue, respond);
+    const KeyCheck key = checkKey(node, call, *queue);
     const CallContext context = contextOf(call, *queue);
+    if (key.m_verdict == KeyCheck::Verdict::NotCurrent)
+        return respond(makeRefusal(node, context));
+    if (key.m_verdict == KeyCheck::Verdict::UnknownKey)
+        return respond({ .m_status = ClientStatus::UnknownKey });
+    if (call.m_verb == ClientVerb::Submit)
+        return submit(node, call, *queue, key.m_customer, respond);
     if (call.m_verb == ClientVerb::Query)
         return context.m_job.empty() ? count(node, context, *queue, respond) : query(node, context, respond);
     if (call.m_verb == ClientVerb::Cancel && !context.m_job.empty())
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -43,12 +43,47 @@
  */
 Duration leaderWriteHedgeDelay(const CellNode& node, const HedgedCall& call, const StorePartition& partition);
 
+/** What a record of the operator's topic is to this daemon. */
+enum class ConfigRecord : std::uint8_t {
+    InForce, ///< The configuration that is in force now.
+    Older, ///< One that is not newer, and not the one in force.
+    Unreadable, ///< A configuration that can't be decoded.
+    Other, ///< No configuration.
+};
+
 /**
  * Applies a configuration if it is newer than the current one.
  * @param text Key and value of the operator's record, separated by a newline.
  * @param source "store", "copy" or the name of the peer; used in the log.
  */
-void applyClusterText(CellNode& node, const std::string& text, std::string_view source);
+ConfigRecord applyClusterText(CellNode& node, const std::string& text, std::string_view source);
+
+/** Outcome of the check of a call's key. */
+struct KeyCheck {
+    enum class Verdict : std::uint8_t {
+        Passed, ///< The call may be carried out.
+        UnknownKey, ///< The queue needs a key, and the call has none or one that belongs to no customer.
+        NotCurrent, ///< The queue needs a key, and a key that is valid here may have been removed, or an unknown one added.
+    };
+
+    Verdict m_verdict = Verdict::Passed;
+    std::string m_customer; ///< Name of the customer whose key the call carries; empty if there is none, or the key may have been removed.
+};
+
+/**
+ * Checks the key of a call when it is handled, and counts a refusal. A call that passes was sent before now, so it counts as made before any removal
+ * of its key that this daemon has to know.
+ */
+KeyCheck checkKey(CellNode& node, const ClientCall& call, const QueueSettings& queue);
+
+/** Notes what a heartbeat's answer says about the version in force. @param askedAt When the heartbeat was sent, on the boot-time clock. */
+void noteConfigAnswer(CellNode& node, const PeerHeartbeatAnswer& answer, TimePoint askedAt);
+
+/** @return How long ago the version in force was known to be the newest; empty when that is not known, or keys don't expire. */
+std::optional<Duration> reportedConfigAge(const CellNode& node);
+
+/** Asks members in turn for evidence that the configuration is current while neither the store nor the leader gives any. The leader does so, too. */
+void stepConfigQuestions(CellNode& node);
 
 /**
  * Leader: writes copies of a configuration that is newer than they are. A daemon that has no configuration and gets no answer from the
--- a/src/process/cell/cell_metrics.cpp
+++ b/src/process/cell/cell_metrics.cpp
@@ -70,6 +70,8 @@
         builder.add("token", static_cast<double>(node.m_leader.m_token));
         builder.add("config-version", node.m_cluster ? static_cast<double>(node.m_cluster->m_version) : 0);
         builder.add("store-reached", node.m_isStoreReached ? 1 : 0);
+        if (const auto age = detail::reportedConfigAge(node))
+            builder.add("config-known-current-ms-ago", static_cast<double>(age->m_ms));
         builder.add("peers", static_cast<double>(node.m_peers.size()));
         const bool isLeading = node.m_role == Role::Leading;
         const TermEvidence& evidence = node.m_termLease.m_evidence;
@@ -161,11 +163,34 @@
         return builder.family();
     }
 
+    void addRefusals(MetricFamily& family, const std::string& customer, const CountByCause& counts)
+    {
+        for (const auto& [cause, count] : counts) {
+            ClientMetric metric;
+            metric.label.push_back({ "customer", customer });
+            metric.label.push_back({ "cause", std::string(cause) });
+            metric.counter.value = static_cast<double>(count);
+            family.metric.push_back(std::move(metric));
+        }
+    }
+
+    /** Refused calls of a bounded number of customers, and of the others together. */
+    MetricFamily collectRefusals(const CallRefusals& refusals)
+    {
+        MetricFamily family { .name = "bulrush_calls_refused_total", .help = "Refused calls, by customer and cause; customer - for calls without a valid key, (others) for further customers", .type = MetricType::Counter, .metric = {} };
+        for (const auto& [customer, counts] : refusals.m_byCustomer)
+            addRefusals(family, customer, counts);
+        addRefusals(family, "(others)", refusals.m_ofOthers);
+        return family;
+    }
+
 } // namespace
 
 std::string renderMetrics(const CellNode& node, const FailedCalls& failedCalls)
 {
     std::vector<MetricFamily> families { collectCounters(node), collectFailedCalls(failedCalls), collectGauges(node), collectAppends(node.m_storeTraffic), collectOpenCalls(node.m_storeTraffic), collectSilence(node.m_storeTraffic, node.m_now) };
+    if (!node.m_callRefusals.m_byCustomer.empty())
+        families.push_back(collectRefusals(node.m_callRefusals));
     if (node.m_scheduler) {
         families.push_back(collectSchedulerGauges(*node.m_scheduler));
         families.push_back(collectWaitGauges(node.m_scheduler->m_waitSummary));
--- a/src/process/cell/cell_peers.cpp
+++ b/src/process/cell/cell_peers.cpp
@@ -47,9 +47,11 @@
         }
     }
 
-    void onHeartbeatAnswer(CellNode& node, const PeerHeartbeatAnswer& answer)
+    /** @param askedAt When the heartbeat was sent, on the boot-time clock. */
+    void onHeartbeatAnswer(CellNode& node, const PeerHeartbeatAnswer& answer, TimePoint askedAt)
     {
         recordPeerContact(node, answer.m_from, answer.m_isStoreReached, true);
+        noteConfigAnswer(node, answer, askedAt);
         noteConfigVersion(node.m_configFetch, answer.m_from, answer.m_configVersion, configVersionOf(node), node.m_now);
         if (answer.m_leader.m_token > 0)
             applyClaim(node, answer.m_leader.m_token, answer.m_leader.m_member);
@@ -78,7 +80,7 @@
     {
         node.m_isHeartbeatPending = true;
         node.m_nextHeartbeatAt = node.m_now + node.m_heartbeatTiming.m_interval;
-        node.m_ports.m_callPeer(to, makeHeartbeat(node), heartbeatTimeout, [&node, name, number = ++node.m_heartbeatNumber, sentAt = node.m_now](const std::optional<PeerReply>& reply) {
+        node.m_ports.m_callPeer(to, makeHeartbeat(node), heartbeatTimeout, [&node, name, number = ++node.m_heartbeatNumber, sentAt = node.m_now, askedAt = node.m_lastBootTime](const std::optional<PeerReply>& reply) {
             constexpr Duration immediateRefusalLimit { 150 };
             if (number == node.m_heartbeatNumber)
                 node.m_isHeartbeatPending = false;
@@ -86,7 +88,7 @@
                 node.m_leaderMonitor.m_refusals = reply || node.m_now - sentAt > immediateRefusalLimit ? 0 : node.m_leaderMonitor.m_refusals + 1;
             const auto* const answer = reply ? std::get_if<PeerHeartbeatAnswer>(&*reply) : nullptr;
             if (answer)
-                return onHeartbeatAnswer(node, *answer);
+                return onHeartbeatAnswer(node, *answer, askedAt);
             markPeerFailed(node, name);
         });
     }
@@ -236,11 +238,11 @@
 
 void callMember(CellNode& node, const Address& address, const std::function<void(const PeerHeartbeatAnswer&)>& onAnswer)
 {
-    node.m_ports.m_callPeer(address, makeHeartbeat(node), heartbeatTimeout, [&node, onAnswer](const std::optional<PeerReply>& reply) {
+    node.m_ports.m_callPeer(address, makeHeartbeat(node), heartbeatTimeout, [&node, onAnswer, askedAt = node.m_lastBootTime](const std::optional<PeerReply>& reply) {
         const auto* const answer = reply ? std::get_if<PeerHeartbeatAnswer>(&*reply) : nullptr;
         if (!answer)
             return;
-        onHeartbeatAnswer(node, *answer);
+        onHeartbeatAnswer(node, *answer, askedAt);
         onAnswer(*answer);
     });
 }
@@ -279,7 +281,7 @@
         applyClaim(node, heartbeat.m_leader.m_token, heartbeat.m_leader.m_member);
     noteFormerLeader(node, heartbeat.m_from, heartbeat.m_leader.m_token);
     noteBegunTerms(node, heartbeat.m_from, heartbeat.m_begunTerms);
-    PeerHeartbeatAnswer answer { .m_from = node.m_options.m_self, .m_leader = node.m_leader, .m_isLeading = (node.m_role == Role::Leading || node.m_role == Role::Loading) && !node.m_isAwaitingConfirmation, .m_isLeaving = node.m_isTerminating, .m_isStoreReached = node.m_isStoreReached, .m_configVersion = configVersionOf(node), .m_membersVersion = node.m_membersVersion, .m_members = {}, .m_leaderAnswerAge = leaderAnswerAge(node), .m_begunTerms = agesOf(node.m_begunTerms, node.m_now) };
+    PeerHeartbeatAnswer answer { .m_from = node.m_options.m_self, .m_leader = node.m_leader, .m_isLeading = (node.m_role == Role::Leading || node.m_role == Role::Loading) && !node.m_isAwaitingConfirmation, .m_isLeaving = node.m_isTerminating, .m_isStoreReached = node.m_isStoreReached, .m_configVersion = configVersionOf(node), .m_membersVersion = node.m_membersVersion, .m_members = {}, .m_leaderAnswerAge = leaderAnswerAge(node), .m_begunTerms = agesOf(node.m_begunTerms, node.m_now), .m_configAge = reportedConfigAge(node) };
     if (answer.m_isLeading && heartbeat.m_membersVersion != node.m_membersVersion)
         answer.m_members = node.m_advertisedMembers;
     return answer;
@@ -309,6 +311,7 @@
 {
     stepHeartbeat(node);
     stepProbe(node);
+    stepConfigQuestions(node);
     stepConfigFetch(node);
     if (isReceivingConfig(node))
         onOwnLinkBusy(node.m_leaderMonitor, node.m_now);
--- a/src/process/cell/cell_tails.cpp
+++ b/src/process/cell/cell_tails.cpp
@@ -21,7 +21,13 @@
 
     void applyOperatorRecord(CellNode& node, const KeyedRecord& record)
     {
-        applyClusterText(node, record.m_key + '\n' + record.m_value, "store");
+        const ConfigRecord applied = applyClusterText(node, record.m_key + '\n' + record.m_value, "store");
+        if (applied == ConfigRecord::InForce)
+            onConfigReadable(node.m_configFreshness);
+        if (applied != ConfigRecord::Unreadable)
+            return;
+        logEvent(LogLevel::Warning, "config-unreadable", { { "offset", record.m_offset }, { "version_in_force", configVersionOf(node) }, { "bytes", record.m_value.size() } });
+        onConfigUnreadable(node.m_configFreshness, configVersionOf(node));
     }
 
     void applyJobRecord(CellNode& node, const KeyedRecord& record)
@@ -190,6 +196,8 @@
         tail.m_isCaughtUp = tail.m_isCaughtUp || isCaughtUp;
         if (isCaughtUp)
             tail.m_upToDateAt = askedAt;
+        if (isCaughtUp && &tail == &node.m_operatorTail)
+            noteConfigRead(node.m_configFreshness, askedAt);
         endCall(tail.m_call, isCaughtUp ? node.m_now + tail.m_pollDelay : node.m_now);
     }
 
@@ -239,6 +247,9 @@
             return {};
         if (&tail == &node.m_jobsTail)
             return jobsWaitOf(node);
+        constexpr std::int64_t configReadsPerLimit = 4; // Evidence counts from the request, so that a lost answer and its repeat must pass within the limit.
+        if (&tail == &node.m_operatorTail && node.m_options.m_keyRevocation)
+            return std::min(tail.m_wait, acceptanceTime(*node.m_options.m_keyRevocation) / configReadsPerLimit);
         if (!isEvidenceTail(node, tail))
             return tail.m_wait;
         constexpr std::int64_t readsPerLimit = 6; // Evidence counts from the request, so two waits, and a lost answer, must pass within the limit.
@@ -412,20 +423,27 @@
     logEvent(LogLevel::Info, "workers-announced", { { "workers", node.m_scheduler->m_workers.size() }, { "token", node.m_term } });
 }
 
-void applyClusterText(CellNode& node, const std::string& text, std::string_view source)
+ConfigRecord applyClusterText(CellNode& node, const std::string& text, std::string_view source)
 {
     const std::size_t separator = text.find('\n');
-    if (separator == std::string::npos || text == node.m_clusterText)
-        return;
+    if (separator == std::string::npos)
+        return ConfigRecord::Other;
+    if (text == node.m_clusterText)
+        return ConfigRecord::InForce;
     const OperatorRecord record = node.m_decoders.m_operator(text.substr(0, separator), text.substr(separator + 1));
     const auto* const cluster = std::get_if<ClusterSettings>(&record);
-    if (!cluster || (node.m_cluster && cluster->m_version <= node.m_cluster->m_version))
-        return;
+    if (!cluster)
+        return std::holds_alternative<UnreadableCluster>(record) ? ConfigRecord::Unreadable : ConfigRecord::Other;
+    if (node.m_cluster && cluster->m_version <= node.m_cluster->m_version)
+        return ConfigRecord::Older;
     logEvent(LogLevel::Info, "config-in-force", { { "version", cluster->m_version }, { "previous_version", node.m_cluster ? node.m_cluster->m_version : 0 }, { "source", source }, { "queues", cluster->m_queues.size() } });
     node.m_cluster = std::make_shared<const ClusterSettings>(*cluster);
+    node.m_customers = makeCustomerIndex(node.m_cluster);
     node.m_clusterText = text;
     if (node.m_scheduler)
         scheduler::setCluster(*node.m_scheduler, *node.m_cluster);
+    onConfigInForce(node.m_configFreshness, node.m_cluster->m_version);
+    return ConfigRecord::InForce;
 }
 
 void stepTails(CellNode& node)
