Simulated cells with customers whose keys are replaced now and then

Cause: no simulation showed whether a removed key is refused in time on daemons that lose power, the store, each other or time. Change: cell_keys_test: calls with valid and removed keys to all daemons, in worlds of their own; other simulations draw the same random numbers as before. A call that was sent later than 5 s after the removal of its key, or after a record that can't be decoded, must not pass; a calm cell must accept valid keys.

--- a/tests/cell_simulation.cpp
+++ b/tests/cell_simulation.cpp
@@ -10,9 +10,12 @@
 CellSimulation::CellSimulation(const CellSimulationOptions& options)
     : m_options(options)
     , m_random(options.m_seed)
+    , m_keyRandom(options.m_seed + 7'919)
     , m_queues(simulatedQueues(options.m_needsApprovals))
 {
-    m_store.append({ .m_partition = { .m_topic = "op" }, .m_records = { { .m_key = configKey, .m_value = "1" } }, .m_writer = {}, .m_expectedEnd = {} });
+    for (int i = 0; i < options.m_keyChanges.m_customers; ++i)
+        m_keys.push_back({ .m_customer = i, .m_text = "k" + std::to_string(i), .m_addedAt = m_now, .m_removedAt = {} });
+    m_store.append({ .m_partition = { .m_topic = "op" }, .m_records = { { .m_key = configKey, .m_value = configText() } }, .m_writer = {}, .m_expectedEnd = {} });
     for (int i = 0; i < options.m_workers; ++i)
         makeWorker(i);
     for (int i = 0; i < options.m_nodes; ++i) {
@@ -90,8 +93,10 @@
     }
     options.m_seeds = { { "127.0.0.1", 0 }, { "127.0.0.1", 1 } };
     options.m_topics = { .m_operator = "op", .m_workers = "workers" };
+    if (!m_keys.empty())
+        options.m_keyRevocation = m_options.m_keyChanges.m_limit;
     cell::CellDecoders decoders;
-    decoders.m_operator = [this](const std::string&, const std::string&) -> cell::OperatorRecord { return makeSettings(m_queues); };
+    decoders.m_operator = [this](const std::string&, const std::string& value) { return decodeConfig(value); };
     // The value of an announcement is the start of the process and the CPU capacity.
     decoders.m_worker = [this](const std::string& id, const std::string& value) -> std::optional<WorkerAnnouncement> {
         Resources capacity = simulatedCapacity(m_options.m_needsApprovals);
@@ -167,6 +172,7 @@
     scheduleSilence();
     scheduleConnectionFaults();
     scheduleCrashSeries();
+    scheduleKeyChanges();
     for (int i = 0; i < m_options.m_faults; ++i)
         schedule(loadStart - m_now + randomBetween(0, m_options.m_loadDuration.m_ms), [this] { injectFault(); });
     for (int i = 0; i < m_options.m_capacityChanges; ++i)
--- a/tests/cell_simulation.h
+++ b/tests/cell_simulation.h
@@ -167,6 +167,15 @@
     bool m_isRenamed = true; ///< Whether a new process has another id at the same address; the announcement of the old one stays for some seconds.
 };
 
+/** Customers whose keys the operator replaces now and then, and calls with valid and removed keys to all daemons. */
+struct KeyChanges {
+    int m_customers = 0; ///< Number of customers; 0 for a configuration without customers. The key of the first one stays; the clients of the jobs use it.
+    Duration m_limit { 5'000 }; ///< CellOptions::m_keyRevocation.
+    Duration m_interval { 2'500 }; ///< Mean time between two changes.
+    double m_unreadableShare = 0; ///< Share of the changes, 0 to 1, before which a record is stored that can't be decoded.
+    int m_suspensions = 0; ///< Suspensions of random daemons for up to 9 s during the load.
+};
+
 /** Size, load and faults of a simulation. */
 struct CellSimulationOptions {
     std::uint64_t m_seed = 1; ///< Seed of all random choices.
@@ -194,6 +203,7 @@
     JoiningVm m_joiningVm; ///< A further daemon that starts during the load.
     ConnectionFaults m_connectionFaults; ///< Connections to workers.
     WorkerCrashSeries m_crashSeries; ///< Crashes of workers in series. No job may be given up for them.
+    KeyChanges m_keyChanges; ///< Customers with keys. No call that was sent later than the limit with a removed key may pass.
     Duration m_startTime; ///< A job that could run has a running task again after this time, whenever no daemon and not the store is disrupted; 0 leaves that unchecked.
     double m_longRunShare = 0; ///< Share of the attempts, 0 to 1, with the run time below; gangs excepted.
     Duration m_longRunTime { 18'000 }; ///< Run time of these attempts.
@@ -231,6 +241,10 @@
     int m_mostHalfOpen = 0; ///< Most connections of daemons without power that were open at a worker at once.
     int m_crashes = 0; ///< Crashes of workers in a series.
     int m_crashedAttempts = 0; ///< Attempts that ran on workers that crashed.
+    int m_keyCalls = 0; ///< Calls with valid keys.
+    int m_keyCallsPassed = 0; ///< Those of them whose key was accepted.
+    int m_removedKeyCalls = 0; ///< Calls with removed keys that were sent later than the limit and answered.
+    int m_graceCallsPassed = 0; ///< Calls with removed keys that were sent within the limit and whose key was accepted.
     bool m_hasJoinedVmLed = false; ///< Whether the daemon of JoiningVm has led while it was not on the list of members, after the end of a leader as in TakeOver if there is one.
     std::optional<std::int64_t> m_newLeaderMs; ///< Time from the end of the leader until another term leads, in ms.
     std::vector<std::int64_t> m_reachedRestartMs; ///< Time from the end of the leader until tasks of a worker that restarted at that time ran again, in ms; the new leader reaches it.
--- a/tests/cell_simulation_base.h
+++ b/tests/cell_simulation_base.h
@@ -69,6 +69,14 @@
     std::function<void(OrderStatus)> m_onAnswer; ///< Called in the daemon's process.
 };
 
+/** A key of a customer. Times are simulated milliseconds. */
+struct SimulatedKey {
+    int m_customer = 0;
+    std::string m_text;
+    std::int64_t m_addedAt = 0; ///< When the configuration with it was stored.
+    std::optional<std::int64_t> m_removedAt; ///< When the one without it was stored.
+};
+
 /** A job as its client sees it. Times are simulated milliseconds. */
 struct ClientJob {
     std::string m_id;
@@ -105,6 +113,7 @@
      * @param description Begins with the violated guarantee: TWICE (a task ran again or in two places), LIMIT (capacity exceeded),
      * UNASKED (a task ran without a submitted job or after its cancellation), ORDER (a step started too early), LOST (an accepted
      * job did not complete or stands still), REFUSED (a refused job ran), RECOVER (too few are served after a loss of power), QUEUE (too much waits in a partition of a sound store),
+     * KEY (a removed key was accepted later than the limit, or a valid one refused although all was calm),
      * REJECTED (too few submissions are accepted although the store is sound or only some partitions are silent), LAPSED (a lease ended in an outage of the store or of partitions), STALLED (no task ends while partitions are silent). An inconsistent scheduler has no such prefix.
      */
     void reportViolation(const std::string& description) { m_result.m_violations.push_back(std::to_string(m_now) + " ms: " + description); }
@@ -256,6 +265,21 @@
     void checkSilence();
     /** Checks the share of submissions that were accepted while partitions were silent (REJECTED). */
     void checkSilentSubmissions();
+    /** Schedules the changes of keys, the calls with them and the suspensions in the options. */
+    void scheduleKeyChanges();
+    /** Replaces the key of a customer, or stores a record that can't be decoded and replaces the key later. */
+    void changeKeys();
+    void replaceKey();
+    /** Sends a call whose answer shows whether its key was accepted. */
+    void sendKeyCall();
+    /** Checks the answer to such a call. */
+    void checkKeyCall(const SimulatedNode& node, std::size_t keyIndex, std::int64_t sentAt, bool hasPassed);
+    /** @return Value of the record of the configuration: the version, and customers with keys. */
+    std::string configText() const;
+    cell::OperatorRecord decodeConfig(const std::string& text) const;
+    /** @return Key of the calls about jobs; empty without customers. */
+    std::string jobKey() const { return m_keys.empty() ? std::string() : m_keys.front().m_text; }
+    std::int64_t keyRandom(std::int64_t low, std::int64_t high) { return std::uniform_int_distribution<std::int64_t>(low, high)(m_keyRandom); }
     void endLeader();
     /** Takes the time at which an attempt is about to start, if it repeats one that the end of the leader was measured with. */
     void measureStart(const TaskName& task);
@@ -299,6 +323,11 @@
 
     CellSimulationOptions m_options;
     std::mt19937_64 m_random;
+    std::mt19937_64 m_keyRandom; ///< Of the changes of keys, so that simulations without them are as before.
+    std::vector<SimulatedKey> m_keys; ///< All keys so far; the first is never removed.
+    std::uint64_t m_configVersion = 1; ///< Version of the configuration.
+    std::optional<std::int64_t> m_unreadableSince; ///< Since when the newest record of the configuration can't be decoded.
+    std::int64_t m_latestConfigAt = 0; ///< When the configuration was last stored.
     std::int64_t m_now = 10'000; ///< Simulated time in ms.
     std::multimap<std::int64_t, std::function<void()>> m_events; ///< Scheduled work by simulated time.
     const std::vector<SimulatedQueue>& m_queues;
--- a/tests/cell_simulation_clients.cpp
+++ b/tests/cell_simulation_clients.cpp
@@ -55,7 +55,7 @@
     const auto retry = [this, index] { schedule(clientRetryDelay.m_ms, [this, index] { submit(index); }); };
     if (!node.m_cell)
         return retry();
-    const ClientCall call { .m_verb = ClientVerb::Submit, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = job.m_body, .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
+    const ClientCall call { .m_verb = ClientVerb::Submit, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = job.m_body, .m_key = jobKey(), .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
     const bool isCounted = soundTime() && m_now >= *soundTime() + callerSettlingTime.m_ms;
     m_result.m_soundSubmissions += isCounted ? 1 : 0;
     const bool isInSilence = isSettledInSilence() && m_mustAcceptInSilence && m_now + clientTimeout.m_ms <= m_silentUntil;
@@ -93,7 +93,7 @@
     SimulatedNode& node = m_nodes[static_cast<std::size_t>(randomBetween(0, m_options.m_nodes - 1))];
     if (!node.m_cell)
         return;
-    const ClientCall call { .m_verb = ClientVerb::Cancel, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = {}, .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
+    const ClientCall call { .m_verb = ClientVerb::Cancel, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = {}, .m_key = jobKey(), .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
     deliverLater(node, node.m_isAlive, 1, [this, &node, call, index] {
         onClientCall(*node.m_cell, call, [this, index](const ClientReply& reply) {
             if (reply.m_status == ClientStatus::Cancelled && m_jobs[index].m_cancelAckedAt == 0)
@@ -110,7 +110,7 @@
     SimulatedNode& node = m_nodes[static_cast<std::size_t>(randomBetween(0, m_options.m_nodes - 1))];
     if (!node.m_cell)
         return;
-    const ClientCall call { .m_verb = ClientVerb::Query, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = {}, .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
+    const ClientCall call { .m_verb = ClientVerb::Query, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = {}, .m_key = jobKey(), .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
     deliverLater(node, node.m_isAlive, 1, [this, &node, call, index] {
         onClientCall(*node.m_cell, call, [this, index](const ClientReply& reply) {
             ClientJob& queriedJob = m_jobs[index];
--- a/tests/cell_worlds.h
+++ b/tests/cell_worlds.h
@@ -53,6 +53,10 @@
         total.m_crashes += result.m_crashes;
         total.m_crashedAttempts += result.m_crashedAttempts;
         total.m_lapsedAttempts += result.m_lapsedAttempts;
+        total.m_keyCalls += result.m_keyCalls;
+        total.m_keyCallsPassed += result.m_keyCallsPassed;
+        total.m_removedKeyCalls += result.m_removedKeyCalls;
+        total.m_graceCallsPassed += result.m_graceCallsPassed;
         broken += result.m_violations.empty() ? 0 : 1;
         for (const std::string& violation : result.m_violations)
             BOOST_ERROR("CELL_SEED=" << options.m_seed << " CELL_WORLDS=1: " << violation);
@@ -72,6 +76,8 @@
         std::cout << ", " << total.m_resetConnections << " connections reset by full workers, at most " << total.m_mostHalfOpen << " half-open ones at a worker, " << broken << " simulations broken";
     if (options.m_crashSeries.m_count > 0)
         std::cout << ", " << total.m_crashes << " crashes of workers under " << total.m_crashedAttempts << " attempts, " << broken << " simulations broken";
+    if (options.m_keyChanges.m_customers > 0)
+        std::cout << ", " << total.m_keyCallsPassed << " of " << total.m_keyCalls << " calls with valid keys passed, " << total.m_graceCallsPassed << " with keys removed within the limit, " << total.m_removedKeyCalls << " calls with keys removed before, " << broken << " simulations broken";
     std::cout << "\n";
 }
 
