Scheduler: the caps of customers hold, also while the plans of their jobs are unread

Cause: nothing limits what a customer has running; a customer of the configuration has a cap. Change: a ledger of the full sizes of all attempts that may run, by customer. It also counts starts without an answer that a worker may still carry out, attempts that a worker lists unexpectedly, and attempts of jobs whose plan a new leader has not read, which the progress record now names by customer and size; records without a customer keep their bytes. Steps place and request approvals within the cap, gangs whole, a task or gang above the cap alone. Room is collected for a large step for a part of the time, so that small tasks don't starve it. A gang that could never start is refused when it is submitted.

--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -8,6 +8,7 @@
 #include "request/plan_func.h"
 #include "table/scheduler_table.h"
 #include "version/cluster_func.h"
+#include "version/customer_cap.h"
 
 #include <algorithm>
 
@@ -156,6 +157,15 @@
         watchLeader(node, callback);
     }
 
+    /** Checks whether the cap of the job's customer ever lets its steps start. */
+    Expected<void> checkCap(const CellNode& node, const JobPlan& plan)
+    {
+        const auto& customers = node.m_cluster->m_customers;
+        const auto customer = std::find_if(customers.begin(), customers.end(), [&](const CustomerSettings& each) { return each.m_name == plan.m_customer; });
+        const bool isCapped = !plan.m_customer.empty() && customer != customers.end();
+        return isCapped ? canEverRun(*customer, node.m_options.m_scheduler.m_capOverrun, plan) : Expected<void> {};
+    }
+
     /** Decodes and checks a submission. @return Its plan, or an error that names the remedy. */
     Expected<JobPlan> readSubmission(const CellNode& node, const ClientCall& call, const QueueSettings& queue)
     {
@@ -168,6 +178,8 @@
         plan->m_submittedAt = node.m_now + node.m_wallOffset;
         if (const auto valid = validatePlan(*plan); !valid)
             return tl::unexpected(valid.error());
+        if (const auto allowed = checkCap(node, *plan); !allowed)
+            return tl::unexpected(allowed.error());
         const std::size_t bytes = encodePlan(*plan).size();
         if (bytes > maxRecordBytes) // The store would refuse it, and the submissions that are appended with it.
             return fail(ErrorKind::TooLarge, "the job's steps take " + std::to_string(bytes) + " bytes", "split it into jobs of at most " + std::to_string(maxRecordBytes) + " bytes");
--- a/src/process/scheduler/late_start.cpp
+++ b/src/process/scheduler/late_start.cpp
@@ -30,12 +30,14 @@
 
 } // namespace
 
-void noteUnansweredStart(Worker& worker, const TaskName& task, std::uint32_t attempt, TimePoint now)
+void noteUnansweredStart(Scheduler& scheduler, WorkerIndex index, const TaskName& task, std::uint32_t attempt, TimePoint now)
 {
+    Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
     auto late = findLateStart(worker, task, attempt);
     if (late == worker.m_lateStarts.end())
         late = worker.m_lateStarts.insert(late, { .m_task = task, .m_attempt = attempt });
     late->m_expiresAt = now + lateStartLimit;
+    recountLingering(scheduler, index);
     const bool mayPrecedeRestart = worker.m_restartNotedAt > TimePoint {} && now - worker.m_restartNotedAt < longestStartCall;
     if (!mayPrecedeRestart || late->m_isStopDue)
         return;
@@ -43,13 +45,16 @@
     late->m_nextStopAt = now;
 }
 
-void stopLateStarts(Worker& worker, TimePoint now)
+void stopLateStarts(Scheduler& scheduler, WorkerIndex index, TimePoint now)
 {
+    Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
     worker.m_restartNotedAt = now;
     for (LateStart& late : worker.m_lateStarts) {
         late.m_isStopDue = true;
         late.m_nextStopAt = now;
+        late.m_isRefused = false;
     }
+    recountLingering(scheduler, index);
     if (!worker.m_lateStarts.empty())
         logEvent(LogLevel::Info, "late-starts-stopped", { { "worker", worker.m_announcement.m_id }, { "starts", worker.m_lateStarts.size() } });
 }
@@ -62,15 +67,29 @@
     late->m_nextStopAt = now;
 }
 
-void onLateStartStopped(Worker& worker, const TaskName& task, std::uint32_t attempt, OrderStatus status, TimePoint now)
+void onLateStartStopped(Scheduler& scheduler, WorkerIndex index, const TaskName& task, std::uint32_t attempt, OrderStatus status, TimePoint now)
 {
+    Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
     const auto late = findLateStart(worker, task, attempt);
     if (late == worker.m_lateStarts.end())
         return;
-    if (status == OrderStatus::Done || status == OrderStatus::WrongInstance) // Another worker at the address refuses the start as well.
+    const bool isRefused = status == OrderStatus::Done || status == OrderStatus::WrongInstance; // Another worker at the address refuses the start as well.
+    if (isRefused)
         late->m_isStopDue = false;
     else
         late->m_nextStopAt = now + stopRetryDelay;
+    // The attempt counts until the next report, as it may have been started just before; if it runs, that report lists it.
+    late->m_isRefused = late->m_isRefused || isRefused;
+}
+
+void noteListedEnd(Scheduler& scheduler, WorkerIndex index, const TaskName& task, std::uint32_t attempt)
+{
+    Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
+    const auto late = findLateStart(worker, task, attempt);
+    if (late != worker.m_lateStarts.end())
+        late->m_isRefused = true;
+    std::erase_if(worker.m_unexpected, [&](const auto& each) { return each.first == task && each.second == attempt; });
+    recountLingering(scheduler, index);
 }
 
 void stepLateStarts(Scheduler& scheduler, WorkerIndex index, TimePoint now, SchedulerEffects& effects)
@@ -78,7 +97,8 @@
     Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
     if (worker.m_lateStarts.empty())
         return;
-    std::erase_if(worker.m_lateStarts, [&](const LateStart& late) { return now >= late.m_expiresAt; });
+    if (std::erase_if(worker.m_lateStarts, [&](const LateStart& late) { return now >= late.m_expiresAt; }) > 0)
+        recountLingering(scheduler, index);
     for (LateStart& late : worker.m_lateStarts) {
         if (!late.m_isStopDue || now < late.m_nextStopAt || isCurrentAttempt(scheduler, index, late) || !takeOrderTurn(worker, now))
             continue;
--- a/src/process/scheduler/scheduler.cpp
+++ b/src/process/scheduler/scheduler.cpp
@@ -108,7 +108,7 @@
 
 bool isConsistent(const Scheduler& scheduler)
 {
-    if (!areActiveWorkersConsistent(scheduler))
+    if (!areActiveWorkersConsistent(scheduler) || !areCustomersConsistent(scheduler))
         return false;
     for (const Worker& worker : scheduler.m_workers) {
         Resources sum;
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -4,6 +4,7 @@
 #include "connection/order_type.h"
 #include "connection/peer_type.h"
 #include "connection/store_type.h"
+#include "process/scheduler/customer_usage.h"
 #include "process/scheduler/urgency.h"
 #include "process/scheduler/wait_type.h"
 #include "request/plan_type.h"
@@ -158,6 +159,9 @@
     TimePoint m_strayUntil; ///< The latest Task::m_strayUntil of its tasks, or a later time.
     bool m_hasReservations = false; ///< Workers are reserved for the step.
     bool m_hadSuspects = false; ///< A task of the step was on probation when its worker crashed.
+    std::uint64_t m_heldAtRelease = 0; ///< CustomerUsage::m_releases when the customer's cap left no room for the step; 0 while it is not held back.
+    TimePoint m_heldSince; ///< Time since which the cap has held the step back; zero while it does not.
+    bool m_isCapReported = false; ///< It is logged that the step can't start under a reduced cap.
     UrgencyInput m_urgencyInput; ///< What the step's urgency was last computed from.
     TimePoint m_urgencyInputAt; ///< When m_urgencyInput was last updated; zero for never.
     ApprovalState m_approval; ///< Approvals; unused when the queue requires none.
@@ -207,6 +211,8 @@
     TimePoint m_acceptedAt; ///< Monotonic time of acceptance.
     TimePoint m_endedAt; ///< Monotonic time of the end.
     Duration m_criticalPath; ///< Predicted run time of the critical path at acceptance.
+    CustomerUsage* m_customer = nullptr; ///< Its customer; null for none.
+    PoolUsage* m_poolUsage = nullptr; ///< What the customer has running in the job's pool; null for none.
     JobForecast m_forecast; ///< What the urgency of its waiting steps was last computed from.
     std::vector<std::unique_ptr<StepRun>> m_runs; ///< Steps of all occurrences that are due, by occurrence and step.
 };
@@ -241,6 +247,7 @@
     TimePoint m_expiresAt; ///< From then on, the start is too old to be carried out.
     bool m_isStopDue = false; ///< The worker has restarted since, and its new process has not answered a stop.
     TimePoint m_nextStopAt; ///< When the stop is next sent, if it is due.
+    bool m_isRefused = false; ///< The worker's present process has accepted a stop of the attempt or listed its end, and will not start it any more.
 };
 
 /** The end of an attempt of a job whose submission has not been read. It is not acknowledged until the job is known, or known not to exist. */
@@ -304,6 +311,8 @@
     bool m_wasAccepting = false; ///< Whether it accepted tasks at the latest placement pass.
     std::uint32_t m_unexpectedAttempts = 0; ///< Attempts in its latest report that the scheduler did not expect there.
     std::optional<TimePoint> m_unexpectedSince; ///< Since when each of its reports has listed an attempt that is not expected there and is to be stopped.
+    std::vector<std::pair<TaskName, std::uint32_t>> m_unexpected; ///< Those of known jobs with a customer: task and attempt.
+    std::vector<CountedAttempt> m_lingering; ///< Attempts without a current task that may run there and count for their customers.
     std::vector<TaskName> m_strays; ///< Tasks that are held for an attempt that its latest report lists.
     std::uint32_t m_suspects = 0; ///< Number of suspects among m_tasks; nothing else is placed beside them.
     std::uint32_t m_unansweredCalls = 0; ///< Consecutive calls without an answer.
@@ -418,6 +427,8 @@
     bool m_areSubmissionsUnread = false; ///< Submissions and cancellations that VMs have stored themselves have not all been read. Unknown attempts and ends are kept.
     bool m_areCancellationsUnread = false; ///< Neither these cancellations nor their copies have all been read. Jobs without recorded tasks are held. Implies m_areSubmissionsUnread.
     bool m_isProgressUnread = false; ///< Records of earlier terms have not all been read, so that a job that counts as new may have run. All jobs are held, no worker is called, and attempts and ends of held jobs are kept. Implies m_areCancellationsUnread.
+    std::unordered_map<std::string, CustomerUsage> m_customers; ///< Customers in the configuration or with accepted jobs, by name.
+    std::unordered_map<std::string, std::vector<CountedAttempt>> m_unreadAttempts; ///< Attempts of customers in m_unmatchedProgress, by job id.
     std::unordered_map<std::string, std::string> m_unmatchedProgress; ///< Progress records of jobs whose submission has not been read, by job id.
     std::vector<UnmatchedEnd> m_unmatchedEnds; ///< Ends of attempts of such jobs.
     std::unordered_map<std::string, WorkerSpeed> m_restoredSpeeds; ///< Speeds learned in earlier terms, by worker id, of workers that have not been announced in this term.
--- a/src/process/scheduler/scheduler_jobs.cpp
+++ b/src/process/scheduler/scheduler_jobs.cpp
@@ -200,6 +200,7 @@
 {
     for (const QueueSettings& queue : cluster.m_queues)
         scheduler.m_queues.insert_or_assign(queue.m_name, queue);
+    detail::setCustomers(scheduler, cluster);
     scheduler.m_needsPlacing = true;
 }
 
@@ -224,6 +225,7 @@
     Job& job = *owned;
     job.m_plan = std::move(plan);
     job.m_isHeld = scheduler.m_areCancellationsUnread;
+    detail::assignCustomer(scheduler, job);
     constexpr Duration maxAge { 3'600'000 };
     const TimePoint accepted = job.m_plan.m_submittedAt - scheduler.m_wallOffset;
     job.m_acceptedAt = std::clamp(accepted, now - maxAge, now);
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -106,7 +106,7 @@
             , m_size(grantOf(run))
             , m_policy(queueOf(scheduler, *run.m_job).m_approval)
             , m_speedWeight(speedWeightOf(queueOf(scheduler, *run.m_job), urgency))
-            , m_toPlace(countPlaceable(run, now))
+            , m_toPlace(countAllowed(scheduler, run, countPlaceable(run, now)))
         {
         }
 
@@ -114,7 +114,7 @@
         void place(SchedulerEffects& effects)
         {
             const bool isGang = planOf(m_run).m_isGang;
-            if (isGang && m_run.m_activeAttempts > 0)
+            if (m_toPlace == 0 || (isGang && m_run.m_activeAttempts > 0))
                 return;
             findCandidates();
             isolateSuspects();
@@ -200,11 +200,17 @@
         /** Requests missing approvals; without a VM that is free to send the request, the step is examined again when one is. */
         void request(SchedulerEffects& effects)
         {
+            if (!mayRequestWithinCap(m_run))
+                return;
             m_run.m_isApprovalRequestDelayed = !canRequestApprovals(m_scheduler, m_run, *m_policy, m_now);
             if (m_run.m_isApprovalRequestDelayed && m_run.m_approvalRequestedAt.m_ms == 0)
                 m_run.m_approvalRequestedAt = m_now;
-            if (!m_run.m_isApprovalRequestDelayed)
-                requestApprovals(m_scheduler, m_run, { .m_policy = *m_policy, .m_tasks = m_toPlace, .m_speedWeight = m_speedWeight }, m_view, m_now, effects);
+            if (m_run.m_isApprovalRequestDelayed)
+                return;
+            const std::uint32_t pending = m_run.m_approval.m_pendingRequests;
+            requestApprovals(m_scheduler, m_run, { .m_policy = *m_policy, .m_tasks = m_toPlace, .m_speedWeight = m_speedWeight }, m_view, m_now, effects);
+            if (CustomerUsage* const customer = m_run.m_job->m_customer; customer && pending == 0 && m_run.m_approval.m_pendingRequests > 0)
+                customer->m_requested = customer->m_requested + planOf(m_run).m_size * m_toPlace;
         }
 
         std::uint32_t totalRoom() const
@@ -297,7 +303,7 @@
         void findSuspects()
         {
             constexpr Duration maxGangWait { 2'000 };
-            for (std::uint32_t i = 0; m_run.m_hadSuspects && i < m_run.m_tasks.size(); ++i) {
+            for (std::uint32_t i = 0; m_run.m_hadSuspects && i < m_run.m_tasks.size() && m_suspects.size() < m_toPlace; ++i) {
                 const Task& task = m_run.m_tasks[i];
                 if (!isToPlace(task) || !isSuspect(task))
                     continue;
@@ -419,7 +425,7 @@
         Resources m_size; ///< Resources that one task reserves.
         const std::optional<ApprovalPolicy>& m_policy;
         double m_speedWeight;
-        std::uint32_t m_toPlace; ///< Open tasks without an attempt that are not held for an earlier one.
+        std::uint32_t m_toPlace; ///< Open tasks without an attempt that are not held for an earlier one, as many as the customer's cap allows.
         std::vector<std::uint32_t> m_suspects; ///< Tasks to place apart from others; each index into the step's tasks.
         Isolation m_isolation; ///< Workers for them.
         std::vector<Candidate> m_candidates; ///< Workers on which tasks of the step may start now.
@@ -447,7 +453,8 @@
             if (!run->m_isWaiting || !run->m_isReleased)
                 return !run->m_isWaiting;
             const auto view = views.find(run->m_job->m_plan.m_pool);
-            if (view != views.end() && countPlaceable(*run, now) > 0 && (isFullPass || isPromising(scheduler, *run, view->second, now)))
+            const std::uint32_t placeable = view != views.end() ? countPlaceable(*run, now) : 0;
+            if (placeable > 0 && !isHeldByCap(scheduler, *run, placeable, now) && (isFullPass || isPromising(scheduler, *run, view->second, now)))
                 ranked.push_back({ stepUrgency(scheduler, *run, now), run });
             return false;
         });
@@ -535,6 +542,7 @@
         clearReservations(scheduler, now);
     }
     PoolViews views = takePoolViews(scheduler, now);
+    sumRequested(scheduler);
     const std::vector<RankedStep> ranked = rankWaiting(scheduler, views, isFullPass, now);
     if (isFullPass) {
         reserveLateShare(scheduler, ranked, views, now);
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -6,6 +6,7 @@
 #include "process/scheduler/crash_record.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
+#include "process/scheduler/unread_usage.h"
 #include "request/plan_codec.h"
 
 #include <algorithm>
@@ -23,6 +24,7 @@
     constexpr int recordFormat = 1;
 
     constexpr std::size_t failureLimitElement = 4; ///< Position of the queue's limit of failures in a progress record; earlier releases did not write it.
+    constexpr std::size_t customerElement = 5; ///< Position of what the record tells of the customer; see encodeCustomer(). Without a customer the record ends before it.
     constexpr std::size_t crashesElement = 6; ///< Position of the counts of crashes in a task's row; earlier releases wrote shorter rows.
     constexpr std::size_t addressElement = 8; ///< Position of the worker's address and process start, and of the isolation; without meaning for a task that is not placed.
     constexpr std::size_t isolationElement = addressElement + 2;
@@ -78,7 +80,10 @@
                 tasks.push_back(encodeTask(scheduler, task, areCheckpointsKept ? task.m_checkpoint : std::string()));
             runs.push_back(Json::array({ run->m_occurrence, run->m_step, run->m_gangFailures, run->m_lastFailedAttempt, std::move(tasks) }));
         }
-        const std::vector<std::uint8_t> bytes = Json::to_cbor(Json::array({ recordFormat, static_cast<int>(job.m_stage), isShort ? 0 : job.m_nextOccurrence, std::move(runs), detail::failureLimitOf(scheduler, job) }));
+        Json record = Json::array({ recordFormat, static_cast<int>(job.m_stage), isShort ? 0 : job.m_nextOccurrence, std::move(runs), detail::failureLimitOf(scheduler, job) });
+        if (job.m_customer && !isShort)
+            record.push_back(detail::encodeCustomer(job));
+        const std::vector<std::uint8_t> bytes = Json::to_cbor(record);
         return { bytes.begin(), bytes.end() };
     }
 
@@ -167,6 +172,7 @@
         host.m_granted = host.m_granted + detail::grantOf(*ref.m_run);
         ++ref.m_run->m_attemptsByWorker[task.m_worker];
         ++ref.m_run->m_activeAttempts;
+        detail::countAttempt(*ref.m_run);
     }
 
     void restoreRun(Scheduler& scheduler, Job& job, const Json& row, TimePoint now)
@@ -229,6 +235,8 @@
             detail::openOccurrence(scheduler, job, i, now);
         if (decoded.size() > failureLimitElement)
             job.m_recordedFailureLimit = decoded.at(failureLimitElement);
+        if (decoded.size() > customerElement)
+            detail::restoreCap(scheduler, decoded.at(customerElement));
         for (const Json& row : decoded.at(3))
             restoreRun(scheduler, job, row, now);
         const auto recordedStage = decodeEnum(decoded.at(1), JobStage::Cancelled);
@@ -309,6 +317,19 @@
         return {};
     }
 
+    /** Keeps the record of a job that has not been read, and counts its attempts for their customer. */
+    void keepUnmatched(Scheduler& scheduler, const std::string& id, const std::string& record)
+    {
+        scheduler.m_unmatchedProgress.insert_or_assign(id, record);
+        try {
+            const Json decoded = decodeCbor(record);
+            if (decoded.at(0) == recordFormat)
+                detail::countUnread(scheduler, id, decoded);
+        } catch (const std::exception&) {
+            return; // It is reported as unusable when the job is read.
+        }
+    }
+
     Expected<void> failUnmatched(const std::string& id)
     {
         return fail(ErrorKind::UnknownName, "progress record of job " + id + " has no matching submission", "check whether another program deletes records of the topic of jobs");
@@ -353,7 +374,7 @@
         return decodeAndRestore(scheduler, *found->second, record, now);
     if (!scheduler.m_areSubmissionsUnread)
         return failUnmatched(id);
-    scheduler.m_unmatchedProgress.insert_or_assign(id, record);
+    keepUnmatched(scheduler, id, record);
     return {};
 }
 
@@ -362,6 +383,7 @@
     const auto unmatched = scheduler.m_unmatchedProgress.extract(job.m_plan.m_id);
     if (unmatched.empty())
         return;
+    releaseUnread(scheduler, job.m_plan.m_id);
     if (const auto restored = decodeAndRestore(scheduler, job, unmatched.mapped(), now); !restored)
         logUnusable(job.m_plan.m_id, restored.error());
     finishRestoringLate(scheduler, job, now);
@@ -381,7 +403,7 @@
 void restoreLate(Scheduler& scheduler, std::vector<JobPlan> plans, const std::map<std::string, std::string>& progress, TimePoint now)
 {
     for (const auto& [id, record] : progress)
-        scheduler.m_unmatchedProgress.insert_or_assign(id, record);
+        keepUnmatched(scheduler, id, record);
     for (const auto& [id, job] : scheduler.m_jobs)
         detail::restoreUnmatched(scheduler, *job, now);
     for (JobPlan& plan : plans)
@@ -437,6 +459,7 @@
 {
     scheduler.m_areSubmissionsUnread = false;
     for (const auto& [id, record] : std::exchange(scheduler.m_unmatchedProgress, {})) {
+        detail::releaseUnread(scheduler, id);
         if (isEndRecorded(record)) // An earlier term has deleted the submission of the expired job, and ended before it had dropped the progress.
             scheduler.m_droppedKeys.push_back(id);
         else
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -9,6 +9,7 @@
 #include "process/scheduler/scheduler_func.h"
 #include "process/scheduler/start_tickets.h"
 #include "process/scheduler/stray_attempt.h"
+#include "process/scheduler/unread_usage.h"
 #include "process/scheduler/wait_report.h"
 #include "request/plan_func.h"
 #include "table/scheduler_table.h"
@@ -67,6 +68,7 @@
         BULRUSH_INVARIANT(fitsInto(worker.m_granted, worker.m_announcement.m_capacity), "granted resources fit the worker's capacity");
         ++ref.m_run->m_attemptsByWorker[index];
         ++ref.m_run->m_activeAttempts;
+        countAttempt(*ref.m_run);
         scheduler.m_recording.push_back(ref);
         markDirty(scheduler, *ref.m_run->m_job);
         ++scheduler.m_counters.m_placements;
@@ -87,6 +89,7 @@
         if (--run.m_attemptsByWorker[task.m_worker] == 0)
             run.m_attemptsByWorker.erase(task.m_worker);
         --run.m_activeAttempts;
+        releaseAttempt(run);
         if (task.m_phase == RunPhase::Recording) {
             std::erase(scheduler.m_recording, ref);
         } else {
@@ -96,7 +99,7 @@
         if (task.m_phase == RunPhase::Starting || task.m_phase == RunPhase::Stopping)
             std::erase(scheduler.m_startingOrStopping, ref);
         task.m_phase = RunPhase::None;
-        task.m_worker = noWorker;
+        recountLingering(scheduler, std::exchange(task.m_worker, noWorker));
         task.m_waitingSince = now;
         markDirty(scheduler, *run.m_job);
         scheduler.m_needsPlacing = true;
@@ -291,6 +294,8 @@
         const bool isUnmatched = mayBeUnread(scheduler, ended.m_task.m_job);
         if (isUnmatched)
             scheduler.m_unmatchedEnds.push_back({ .m_worker = index, .m_ended = ended });
+        if (isUnmatched)
+            releaseUnreadEnd(scheduler, ended.m_task, ended.m_attempt);
         else
             handleEnd(scheduler, index, ended, now);
         Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
@@ -314,6 +319,7 @@
         worker.m_unexpectedAttempts = 0;
         const auto unexpectedSince = std::exchange(worker.m_unexpectedSince, std::nullopt);
         forgetStrays(scheduler, worker);
+        worker.m_unexpected.clear();
         for (const RunningAttempt& running : report.m_running) {
             const TaskRef ref = findTask(scheduler, running.m_task);
             const bool isExpected = ref.m_run && ref.task().m_worker == index && ref.task().m_attempt == running.m_attempt && ref.task().m_phase != RunPhase::None && ref.task().m_phase != RunPhase::Recording;
@@ -322,6 +328,8 @@
                 if (mayBeUnread(scheduler, running.m_task.m_job)) // It may be wanted, and takes room of unknown size.
                     continue;
                 logEvent(LogLevel::Warning, "unexpected-attempt", { { "task", format(running.m_task) }, { "attempt", running.m_attempt }, { "worker", worker.m_announcement.m_id } });
+                if (ref.m_run && ref.m_run->m_job->m_customer)
+                    worker.m_unexpected.emplace_back(running.m_task, running.m_attempt);
                 if (ref.m_run)
                     noteStray(scheduler, index, ref, now);
                 worker.m_unexpectedSince = unexpectedSince.value_or(now);
@@ -340,6 +348,7 @@
             noteProgress(task, running.m_percent, report.m_clockMs, now);
             task.m_loadMetric = running.m_loadMetric;
         }
+        recountLingering(scheduler, index);
     }
 
     bool isListed(const SyncReport& report, const TaskRef& ref)
@@ -421,6 +430,7 @@
 
 void detail::handleEnd(Scheduler& scheduler, WorkerIndex index, const EndedAttempt& ended, TimePoint now)
 {
+    noteListedEnd(scheduler, index, ended.m_task, ended.m_attempt);
     const TaskRef ref = findTask(scheduler, ended.m_task);
     if (!ref.m_run) { // Of an ended job only the stage may be known.
         if (!scheduler.m_jobs.contains(ended.m_task.m_job))
@@ -507,7 +517,7 @@
     const bool isFirstReport = hasRestarted || worker.m_state == WorkerState::New;
     if (hasRestarted) {
         noteRestart(scheduler, index, now);
-        stopLateStarts(worker, now);
+        stopLateStarts(scheduler, index, now);
         worker.m_highestSeenEnd = 0;
         worker.m_ackedEndNumber = 0;
         worker.m_pendingEnds.clear();
@@ -552,7 +562,7 @@
         countOrder(scheduler, index->second, status, now);
     }
     if (index != scheduler.m_workerById.end() && (status == OrderStatus::NoAnswer || status == OrderStatus::Unreported))
-        noteUnansweredStart(scheduler.m_workers[static_cast<std::size_t>(index->second)], name, attempt, now);
+        noteUnansweredStart(scheduler, index->second, name, attempt, now);
     if (status == OrderStatus::Fenced)
         effects.m_isFenced = true;
     if (!ref.m_run || ref.task().m_phase != RunPhase::Starting)
@@ -612,7 +622,7 @@
         Worker& addressee = scheduler.m_workers[static_cast<std::size_t>(index->second)];
         // A stop that is refused does not end the attempt either.
         noteOrderOutcome(addressee, status == OrderStatus::Unhealthy ? OrderStatus::NoAnswer : status, now);
-        onLateStartStopped(addressee, name, attempt, status, now);
+        onLateStartStopped(scheduler, index->second, name, attempt, status, now);
     }
     const TaskRef ref = findCurrentAttempt(scheduler, worker, name, attempt);
     if (!ref.m_run || ref.task().m_phase != RunPhase::Stopping)
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -285,6 +285,8 @@
             logEvent(LogLevel::Warning, "worker-gone", { { "worker", worker.m_announcement.m_id }, { "cause", "its lease has run out" }, { "tasks", worker.m_tasks.size() }, { "has_answered", worker.m_clock.m_ms != 0 }, { "unanswered", worker.m_unansweredCalls }, { "answered_ms_ago", (now - worker.m_answeredAt).m_ms }, { "lease_until", worker.m_leaseUntilMs } });
             worker.m_state = WorkerState::Gone;
             forgetStrays(scheduler, worker);
+            worker.m_unexpected.clear();
+            recountLingering(scheduler, index);
             loseExpiredTasks(scheduler, worker, now);
         }
 
