Admission: customers over their rate, and what can't be started in time, are refused by the leader

Cause: a customer that sends several times its usual load made the others late, and submissions were accepted and left waiting although no result could be of use any more. Change: each customer has a token bucket (weight jobs a second, 5 s deep) with tokens kept for refused callers. The leader estimates every 100 to 300 ms from its waiting steps when a submission could start: by resource and slack, and by the approval calls that the VMs can make. Beyond its rate a customer is refused (429) while the wait exceeds half of the slack; what would start after twice three times its objective is refused (503). Known jobs, long-running steps, later jobs, and all submissions while copies may be unread, are not refused; nor is any in the first second of a term. The outcome of a submission carries the retry delay from the leader to the caller. Only deployments with customers or rejects_hopeless are concerned. Seen failing first: the bucket tests without the limit, without kept tokens, with tokens kept for 60 s and without spread.

--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -13,6 +13,7 @@
 #include "process/cell/record_parts.h"
 #include "process/cell/retry_advice.h"
 #include "process/cell/store_traffic.h"
+#include "process/cell/submission_gate.h"
 #include "process/cell/term_lease.h"
 #include "process/cell/worker_copy.h"
 #include "process/scheduler/scheduler_base.h"
@@ -200,12 +201,15 @@
     std::function<void(WriteOutcome)> m_onComplete; ///< Called once.
 };
 
+/** Receives the outcome of a submission. */
+using SubmissionCallback = std::function<void(const PeerWriteAnswer&)>;
+
 /** A submission at the leader that is not part of an append yet. */
 struct PendingSubmission {
     JobPlan m_plan; ///< The decoded plan.
     std::string m_encodedPlan; ///< The plan in its stored encoding.
     TimePoint m_arrivedAt; ///< When the submission arrived.
-    std::function<void(WriteOutcome)> m_onComplete; ///< Called once.
+    SubmissionCallback m_onComplete; ///< Called once.
 };
 
 /**
@@ -368,6 +372,7 @@
     std::vector<HeldQuery> m_heldQueries; ///< Held queries of unfinished jobs.
     std::vector<HeldCancellation> m_heldCancellations; ///< Cancellations of unknown jobs that wait for proof.
     std::vector<PendingSubmission> m_pendingSubmissions; ///< Submissions that are not part of an append yet.
+    SubmissionGate m_gate; ///< Leader: which submissions are accepted.
     std::vector<RecordWaiter> m_recordWaiters; ///< Callers that wait until a batch is durable.
     LoadState m_load;
     TermLease m_termLease; ///< Of the current own term.
--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -120,7 +120,7 @@
         return node.m_leader.m_token == token && !isLeaderUnreachable(node.m_leaderMonitor, node.m_heartbeatTiming, node.m_now) && !node.m_isSuccessorWanted;
     }
 
-    using WriteCallback = std::function<void(WriteOutcome)>;
+    using WriteCallback = SubmissionCallback;
 
     /** Reports a change sent to the leader as Unknown once the leader is suspected, which leaves time to store the change from here. */
     void watchLeader(CellNode& node, const std::shared_ptr<WriteCallback>& onComplete)
@@ -131,7 +131,7 @@
                                                 return;
                                             if (isLeaderStable(node, token))
                                                 return watchLeader(node, onComplete);
-                                            std::exchange(*onComplete, {})(WriteOutcome::Unknown);
+                                            std::exchange(*onComplete, {})({ .m_outcome = WriteOutcome::Unknown });
                                         } });
     }
 
@@ -146,16 +146,27 @@
         if (node.m_role == Role::Leading)
             return handleLocally(node, message, onComplete);
         if (node.m_role != Role::Follower || node.m_leader.m_token == 0 || !isLeaderStable(node, node.m_leader.m_token))
-            return onComplete(WriteOutcome::NotAccepted);
+            return onComplete({ .m_outcome = WriteOutcome::NotAccepted });
         const auto callback = std::make_shared<WriteCallback>(onComplete);
         node.m_ports.m_callPeer(node.m_leader.m_member.m_address, message, deadline - node.m_now, [callback](const std::optional<PeerReply>& reply) {
             const auto* const answer = reply ? std::get_if<PeerWriteAnswer>(&*reply) : nullptr;
             if (*callback)
-                std::exchange(*callback, {})(answer ? answer->m_outcome : WriteOutcome::Unknown);
+                std::exchange(*callback, {})(answer ? *answer : PeerWriteAnswer { .m_outcome = WriteOutcome::Unknown });
         });
         watchLeader(node, callback);
     }
 
+    /** Replies to a submission that the leader has refused. While this daemon writes an earlier copy of it itself, nothing about the job is certain. */
+    void replyToRejection(CellNode& node, const PeerWriteAnswer& answer, const CallContext& context, const ClientResponder& respond)
+    {
+        if (isWritingDirectly(node, context.m_job)) {
+            ++node.m_counters.m_unknownOutcomes;
+            return respond({ .m_status = ClientStatus::Unknown });
+        }
+        ++node.m_counters.m_refusedCalls;
+        respond({ .m_status = answer.m_outcome == WriteOutcome::OverLimit ? ClientStatus::OverLimit : ClientStatus::NotDone, .m_retryAfter = answer.m_retryAfter });
+    }
+
     /** Decodes and checks a submission. @return Its plan, or an error that names the remedy. */
     Expected<JobPlan> readSubmission(const CellNode& node, const ClientCall& call, const QueueSettings& queue)
     {
@@ -186,9 +197,12 @@
         if (write.m_deadline - node.m_now < minWriteTime)
             return write.m_onComplete(StoreStatus::NotDone);
         const PeerSubmit message { .m_plan = write.m_records.front().m_value };
-        writeThroughLeader(node, message, write.m_deadline, enqueueSubmission, [&node, write](WriteOutcome outcome) mutable {
+        writeThroughLeader(node, message, write.m_deadline, enqueueSubmission, [&node, write, context = contextOf(call, queue), respond](const PeerWriteAnswer& answer) mutable {
+            const WriteOutcome outcome = answer.m_outcome;
             if (outcome == WriteOutcome::Recorded)
                 return write.m_onComplete(StoreStatus::Done);
+            if (outcome == WriteOutcome::Rejected || outcome == WriteOutcome::OverLimit)
+                return replyToRejection(node, answer, context, respond);
             if (outcome == WriteOutcome::StoreUnavailable && !hasRecentAnswer(node.m_storeLastContactAt, node.m_now))
                 return write.m_onComplete(StoreStatus::NotDone);
             write.m_mayBeStored = outcome == WriteOutcome::Unknown;
@@ -217,6 +231,12 @@
         });
     }
 
+    /** Has this daemon, which leads, record a cancellation. */
+    void cancelAtLeader(CellNode& node, const PeerCancel& message, const WriteCallback& onComplete)
+    {
+        recordCancellation(node, message, [onComplete](WriteOutcome outcome) { onComplete({ .m_outcome = outcome }); });
+    }
+
     /**
      * Tells the leader of a cancellation that this daemon has stored itself, as a leader may be slow or unable to read the topic of jobs.
      * Repeated until the leader has recorded it, or knows all jobs and not this one.
@@ -228,8 +248,8 @@
             return;
         node.m_deferredCalls.push_back({ node.m_now + interval, [&node, job, until] {
                                             constexpr Duration timeout { 700 };
-                                            writeThroughLeader(node, PeerCancel { .m_job = job, .m_isStored = true }, node.m_now + timeout, recordCancellation, [&node, job, until](WriteOutcome outcome) {
-                                                if (outcome != WriteOutcome::Recorded && outcome != WriteOutcome::NoSuchJob)
+                                            writeThroughLeader(node, PeerCancel { .m_job = job, .m_isStored = true }, node.m_now + timeout, cancelAtLeader, [&node, job, until](const PeerWriteAnswer& answer) {
+                                                if (answer.m_outcome != WriteOutcome::Recorded && answer.m_outcome != WriteOutcome::NoSuchJob)
                                                     announceCancellation(node, job, until);
                                             });
                                         } });
@@ -250,7 +270,8 @@
         PendingWrite write { .m_records = { { .m_key = cancellationKey(context.m_job), .m_value = "cancelled" } }, .m_deadline = context.m_deadline - replyMargin };
         write.m_onComplete = [&node, context, respond](StoreStatus status) { replyToWrite(node, status, ClientStatus::Cancelled, context, respond); };
         const Duration patience = (write.m_deadline - node.m_now) / 2; // The other half is for an own write.
-        writeThroughLeader(node, PeerCancel { .m_job = context.m_job, .m_patience = patience }, write.m_deadline, recordCancellation, [&node, write, respond](WriteOutcome outcome) mutable {
+        writeThroughLeader(node, PeerCancel { .m_job = context.m_job, .m_patience = patience }, write.m_deadline, cancelAtLeader, [&node, write, respond](const PeerWriteAnswer& answer) mutable {
+            const WriteOutcome outcome = answer.m_outcome;
             if (outcome == WriteOutcome::Recorded)
                 return write.m_onComplete(StoreStatus::Done);
             if (outcome == WriteOutcome::NoSuchJob)
@@ -336,11 +357,11 @@
         return respond(forwardOrders(node, *orders));
     if (const auto* const reports = std::get_if<PeerReports>(&message))
         return respond(applyReports(node, *reports));
-    const auto respondWrite = [respond](WriteOutcome outcome) { respond(PeerWriteAnswer { outcome }); };
+    const auto respondWrite = [respond](const PeerWriteAnswer& answer) { respond(answer); };
     if (const auto* const submission = std::get_if<PeerSubmit>(&message))
         return enqueueSubmission(node, *submission, respondWrite);
     if (const auto* const cancellation = std::get_if<PeerCancel>(&message))
-        return recordCancellation(node, *cancellation, respondWrite);
+        return cancelAtLeader(node, *cancellation, respondWrite);
     const auto& ask = std::get<PeerApprovalRequest>(message);
     constexpr Duration approvalTimeout { 2'400 };
     node.m_ports.m_requestApprovals(ask.m_step, ask.m_workers, approvalTimeout, [respond](const std::optional<std::vector<Approval>>& approvals) {
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -265,7 +265,19 @@
 bool isActiveLeader(const CellNode& node);
 
 /** Queues a submission for the next append if this daemon is the active leader. @param onComplete Called once with the outcome. */
-void enqueueSubmission(CellNode& node, const PeerSubmit& message, const std::function<void(WriteOutcome)>& onComplete);
+void enqueueSubmission(CellNode& node, const PeerSubmit& message, const SubmissionCallback& onComplete);
+
+/** Leader: updates the buckets of the customers and the estimate of what can still be started in time. */
+void stepGate(CellNode& node);
+
+/** Leader: decides on a submission that has just arrived. @return The refusal; empty when the submission is accepted, or may be known already. */
+std::optional<PeerWriteAnswer> refuseAtGate(CellNode& node, JobPlan& plan);
+
+/** Notes how long an approval request took, from which the approvals that can be had are estimated. */
+void noteApprovalTime(CellNode& node, const scheduler::ApprovalRequest& request, Duration took);
+
+/** @return Whether this daemon is writing the submission of a job to the topic of jobs itself, so that no refusal of it is certain. */
+bool isWritingDirectly(const CellNode& node, const std::string& job);
 
 /** Records pending submissions, or refuses them when this daemon is not the active leader or the store has been silent for too long. */
 void stepAdmission(CellNode& node);
--- a/src/process/cell/cell_metrics.cpp
+++ b/src/process/cell/cell_metrics.cpp
@@ -152,6 +152,30 @@
         return builder.family();
     }
 
+    /** Decisions on submissions since the start of the process; the label is the customer and the decision. */
+    MetricFamily collectGateCounts(const SubmissionGate& gate)
+    {
+        constexpr std::size_t maxCustomers = 50;
+        MetricFamilyBuilder builder("bulrush_admission_total", "Submissions that a leader has decided on, by customer and decision", MetricType::Counter);
+        for (const auto& [customer, counts] : largestCounts(gate, maxCustomers)) {
+            const std::string label = customer.empty() ? "none" : customer;
+            builder.add(label + "/accepted", static_cast<double>(counts[static_cast<std::size_t>(GateCause::Accepted)]));
+            builder.add(label + "/over-rate", static_cast<double>(counts[static_cast<std::size_t>(GateCause::OverRate)]));
+            builder.add(label + "/hopeless", static_cast<double>(counts[static_cast<std::size_t>(GateCause::Hopeless)]));
+        }
+        return builder.family();
+    }
+
+    /** Time until the work that waits has started; the label is the pool. A pool without waiting work is left out. */
+    MetricFamily collectGateEstimate(const ServiceEstimate& estimate, TimePoint now)
+    {
+        MetricFamilyBuilder builder("bulrush_admission_wait_ms", "Estimated time until the work that waits in a pool has started, in ms", MetricType::Gauge);
+        for (const auto& [name, pool] : estimate.m_load.m_pools)
+            builder.add(name, static_cast<double>(backlogOf(estimate.m_load, pool).m_ms));
+        builder.add("estimate-age-ms", static_cast<double>((now - estimate.m_madeAt).m_ms));
+        return builder.family();
+    }
+
     /** Calls to workers that had no complete answer; the label says how they ended. */
     MetricFamily collectFailedCalls(const FailedCalls& failedCalls)
     {
@@ -166,6 +190,10 @@
 std::string renderMetrics(const CellNode& node, const FailedCalls& failedCalls)
 {
     std::vector<MetricFamily> families { collectCounters(node), collectFailedCalls(failedCalls), collectGauges(node), collectAppends(node.m_storeTraffic), collectOpenCalls(node.m_storeTraffic), collectSilence(node.m_storeTraffic, node.m_now) };
+    if (!node.m_gate.m_counts.empty())
+        families.push_back(collectGateCounts(node.m_gate));
+    if (node.m_role == Role::Leading && node.m_gate.m_estimate)
+        families.push_back(collectGateEstimate(*node.m_gate.m_estimate, node.m_now));
     if (node.m_scheduler) {
         families.push_back(collectSchedulerGauges(*node.m_scheduler));
         families.push_back(collectWaitGauges(node.m_scheduler->m_waitSummary));
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -55,27 +55,31 @@
         });
     }
 
-    void handleApprovals(CellNode& node, std::uint64_t term, const scheduler::ApprovalRequest& request, const std::optional<std::vector<Approval>>& approvals)
+    void handleApprovals(CellNode& node, std::uint64_t term, TimePoint sentAt, const scheduler::ApprovalRequest& request, const std::optional<std::vector<Approval>>& approvals)
     {
-        if (isCurrentTerm(node, term))
-            scheduler::onApprovals(*node.m_scheduler, request, approvals, node.m_now);
+        if (!isCurrentTerm(node, term))
+            return;
+        if (approvals)
+            noteApprovalTime(node, request, node.m_now - sentAt);
+        scheduler::onApprovals(*node.m_scheduler, request, approvals, node.m_now);
     }
 
     void sendApprovalRequest(CellNode& node, const scheduler::ApprovalRequest& request)
     {
         const std::uint64_t term = node.m_term;
+        const TimePoint sentAt = node.m_now;
         if (request.m_member == node.m_options.m_self.m_name) {
-            node.m_ports.m_requestApprovals(request.m_step, request.m_workers, approvalTimeout, [&node, term, request](const std::optional<std::vector<Approval>>& approvals) { handleApprovals(node, term, request, approvals); });
+            node.m_ports.m_requestApprovals(request.m_step, request.m_workers, approvalTimeout, [&node, term, sentAt, request](const std::optional<std::vector<Approval>>& approvals) { handleApprovals(node, term, sentAt, request, approvals); });
             return;
         }
         const auto peer = node.m_peers.find(request.m_member);
         if (peer == node.m_peers.end())
-            return handleApprovals(node, term, request, std::nullopt);
-        node.m_ports.m_callPeer(peer->second.m_member.m_address, PeerApprovalRequest { .m_step = request.m_step, .m_workers = request.m_workers }, approvalTimeout, [&node, term, request](const std::optional<PeerReply>& reply) {
+            return handleApprovals(node, term, sentAt, request, std::nullopt);
+        node.m_ports.m_callPeer(peer->second.m_member.m_address, PeerApprovalRequest { .m_step = request.m_step, .m_workers = request.m_workers }, approvalTimeout, [&node, term, sentAt, request](const std::optional<PeerReply>& reply) {
             if (!reply)
                 markPeerFailed(node, request.m_member);
             const auto* const answer = reply ? std::get_if<PeerApprovalAnswer>(&*reply) : nullptr;
-            handleApprovals(node, term, request, answer && answer->m_isAnswered ? std::optional(answer->m_approvals) : std::nullopt);
+            handleApprovals(node, term, sentAt, request, answer && answer->m_isAnswered ? std::optional(answer->m_approvals) : std::nullopt);
         });
     }
 
--- /dev/null
+++ b/src/process/cell/service_estimate.cpp
@@ -0,0 +1,105 @@
+/** @file service_estimate.cpp Estimate of the start of a submission. */
+#include "process/cell/service_estimate.h"
+
+#include "process/scheduler/urgency.h"
+
+#include <algorithm>
+
+namespace bulrushloft::cell {
+
+namespace {
+
+    constexpr Duration fullWeightAge { 1'000 };
+    constexpr Duration maxAge { 3'000 };
+    constexpr std::int64_t hopelessMargin = 2; ///< An estimate that is too long by up to this factor refuses nothing that could be of use.
+    constexpr std::int64_t slackDivisor = 2; ///< Capacity counts as short from this part of the slack on, so that what arrives within its customer's rate still finds the rest.
+    constexpr Duration visibleWait { 1'000 }; ///< No submission is hopeless while no task has waited this long, whatever the estimate.
+
+    double weightAt(Duration age)
+    {
+        if (age <= fullWeightAge)
+            return 1;
+        return age >= maxAge ? 0 : static_cast<double>((maxAge - age).m_ms) / static_cast<double>((maxAge - fullWeightAge).m_ms);
+    }
+
+    BandLoad operator+(BandLoad sum, const BandLoad& band)
+    {
+        for (std::size_t i = 0; i < sum.m_size.size(); ++i) {
+            sum.m_size[i] += band.m_size[i];
+            sum.m_work[i] += band.m_work[i];
+        }
+        sum.m_quickCallMs += band.m_quickCallMs;
+        sum.m_slowCallMs += band.m_slowCallMs;
+        return sum;
+    }
+
+    /** @return Sum of the bands up to and including the given one. */
+    BandLoad sumUpTo(const PoolLoad& pool, std::size_t lastBand)
+    {
+        BandLoad sum;
+        for (std::size_t band = 0; band <= lastBand; ++band)
+            sum = sum + pool.m_bands[band];
+        return sum;
+    }
+
+    /** @return Time in ms until waiting tasks have been started on the pool, in one dimension. What fits into the free resources starts at once. */
+    double workerWait(const PoolLoad& pool, const BandLoad& waiting, std::size_t dimension)
+    {
+        const double size = waiting.m_size[dimension];
+        const double free = std::max(0.0, pool.m_free[dimension]);
+        if (size <= free || pool.m_capacity[dimension] <= 0)
+            return 0;
+        return waiting.m_work[dimension] * (1 - free / size) / pool.m_capacity[dimension];
+    }
+
+    double approvalWait(const ServiceLoad& load, const BandLoad& waiting, bool isSlow)
+    {
+        const double callMs = isSlow ? waiting.m_slowCallMs : waiting.m_quickCallMs;
+        return callMs * load.m_callSlowdown / std::max(1.0, isSlow ? load.m_slowVms : load.m_quickVms);
+    }
+
+    double waitBehind(const ServiceLoad& load, const PoolLoad& pool, const BandLoad& waiting, const SubmissionNeed& need)
+    {
+        double wait = need.m_needsApproval ? approvalWait(load, waiting, need.m_isSlowCall) : 0;
+        for (std::size_t dimension = 0; dimension < need.m_uses.size(); ++dimension)
+            wait = std::max(wait, need.m_uses[dimension] ? workerWait(pool, waiting, dimension) : 0);
+        return wait > 0 ? wait + static_cast<double>(load.m_recordTime.m_ms) : 0;
+    }
+
+} // namespace
+
+std::size_t bandOf(Duration slack)
+{
+    return static_cast<std::size_t>(std::lower_bound(bandLimits.begin(), bandLimits.end(), slack) - bandLimits.begin());
+}
+
+ServiceProspect assess(const ServiceEstimate& estimate, const SubmissionNeed& need, TimePoint now)
+{
+    const double weight = weightAt(now - estimate.m_madeAt);
+    const auto found = estimate.m_load.m_pools.find(need.m_pool);
+    if (weight <= 0 || found == estimate.m_load.m_pools.end())
+        return {};
+    const PoolLoad& pool = found->second;
+    const Duration slack = need.m_objective - need.m_criticalPath;
+    const BandLoad ahead = sumUpTo(pool, bandOf(slack));
+    const BandLoad all = sumUpTo(pool, lateBand);
+    const auto weighed = [&](double wait) { return Duration { static_cast<std::int64_t>(wait * weight) }; };
+    ServiceProspect prospect { .m_waitInTime = weighed(waitBehind(estimate.m_load, pool, ahead, need)), .m_waitLate = weighed(waitBehind(estimate.m_load, pool, all, need)) };
+    // Late work is placed after what can be in time, but is what a further submission delays.
+    const Duration waitWithLate = weighed(waitBehind(estimate.m_load, pool, ahead + pool.m_bands[lateBand], need));
+    prospect.m_isShort = waitWithLate.m_ms > 0 && waitWithLate > slack / slackDivisor;
+    const Duration latestUsefulStart = need.m_objective * scheduler::usefulLatenessFactor - need.m_criticalPath;
+    prospect.m_isHopeless = pool.m_oldestWait >= visibleWait && prospect.m_waitInTime > slack && prospect.m_waitLate > latestUsefulStart * hopelessMargin;
+    return prospect;
+}
+
+Duration backlogOf(const ServiceLoad& load, const PoolLoad& pool)
+{
+    const BandLoad all = sumUpTo(pool, lateBand);
+    const SubmissionNeed quick { .m_pool = {}, .m_uses = { true, true, true }, .m_needsApproval = true, .m_isSlowCall = false, .m_objective = {}, .m_criticalPath = {} };
+    SubmissionNeed slow = quick;
+    slow.m_isSlowCall = true;
+    return { static_cast<std::int64_t>(std::max(waitBehind(load, pool, all, quick), waitBehind(load, pool, all, slow))) };
+}
+
+} // namespace bulrushloft::cell
--- a/tests/fakes/approval_load.h
+++ b/tests/fakes/approval_load.h
@@ -61,6 +61,8 @@
     std::map<std::string, double> m_approvedShareByQueue; ///< Share of approved workers of the queues where it differs.
     std::uint64_t m_requests = 0;
     bool m_areRequestsAnswered = true; ///< Whether approval requests are answered; they fail otherwise.
+    double m_callFactor = 1; ///< Time that approval requests take, divided by the expected one.
+    std::function<void(const ApprovalRequest&, Duration)> m_onAnswered; ///< If set, is told of each answered request and how long it took.
     std::string m_failingVm; ///< VM that doesn't reach the approval service, so that its requests time out; empty for none.
     int m_ticketsToRefuse = 0; ///< Number of starts whose ticket is refused although it has not lapsed.
     std::size_t m_latestNamed = 0; ///< Number of workers named in the latest request.
@@ -155,8 +157,10 @@
             return;
         }
         const auto& policy = policyOf(request.m_step.m_job);
-        const Duration duration { static_cast<std::int64_t>(policy->m_baseCallTimeMs + policy->m_callTimePerWorkerMs * static_cast<double>(request.m_workers.size())) };
-        m_events.emplace(m_now + duration, [this, request, policy] {
+        const Duration duration { static_cast<std::int64_t>((policy->m_baseCallTimeMs + policy->m_callTimePerWorkerMs * static_cast<double>(request.m_workers.size())) * m_callFactor) };
+        m_events.emplace(m_now + duration, [this, request, policy, duration] {
+            if (m_onAnswered)
+                m_onAnswered(request, duration);
             std::vector<Approval> approvals;
             for (const std::string& worker : request.m_workers) {
                 if (isApproved(request.m_step.m_job, worker))
--- a/tests/fakes/one_vm_cell.h
+++ b/tests/fakes/one_vm_cell.h
@@ -65,6 +65,8 @@
     bool m_areAnswersDelayed = false; ///< That time passes after the read is carried out, not before.
     Duration m_suspended; ///< Time that the VM has spent in suspensions.
     Duration m_retention = longRetention; ///< How long ended jobs are kept.
+    std::vector<CustomerSettings> m_customers; ///< Customers in the configuration; read when a node starts.
+    bool m_rejectsHopeless = false; ///< As in CellOptions; read when a node starts.
     std::unique_ptr<CellNode> m_node;
     TimePoint m_now { 10'000 };
     std::uint64_t m_instance = 0;
@@ -91,8 +93,13 @@
         options.m_self = { .m_name = "n", .m_address = { "127.0.0.1", 1 }, .m_instance = ++m_instance, .m_strength = 50 };
         options.m_topics = { .m_operator = "op", .m_workers = workersTopic };
         options.m_scheduler.m_endedJobRetention = m_retention;
+        options.m_rejectsHopeless = m_rejectsHopeless;
         CellDecoders decoders;
-        decoders.m_operator = [](const std::string&, const std::string&) -> OperatorRecord { return makeCluster(); };
+        decoders.m_operator = [customers = m_customers](const std::string&, const std::string&) -> OperatorRecord {
+            ClusterSettings cluster = makeCluster();
+            cluster.m_customers = customers;
+            return cluster;
+        };
         decoders.m_worker = [](const std::string& id, const std::string&) {
             return std::optional(WorkerAnnouncement { .m_id = id, .m_pool = "pool", .m_address = { "127.0.0.1", 9 }, .m_zone = "a", .m_machine = {}, .m_capacity = { .m_cpuMilli = 1'000, .m_memoryMb = 10'000, .m_gpus = 0 }, .m_labels = { "a", "r1-1" } });
         };
