Admission: requests under way at the VMs count as backlog, and the time of a call is measured without its wait

The measured time of a call included its wait behind others of the same VM, which made busy VMs look slow. Change: requests under way count until they are answered; a call counts from the end of the former one of its VM. The simulated VMs of these tests begin a call only when the former one has ended. The margin of the refusals is 1.5 instead of 2.

--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -274,7 +274,7 @@
 std::optional<PeerWriteAnswer> refuseAtGate(CellNode& node, JobPlan& plan);
 
 /** Notes how long an approval request took, from which the approvals that can be had are estimated. */
-void noteApprovalTime(CellNode& node, const scheduler::ApprovalRequest& request, Duration took);
+void noteApprovalTime(CellNode& node, const scheduler::ApprovalRequest& request, TimePoint sentAt);
 
 /** @return Whether this daemon is writing the submission of a job to the topic of jobs itself, so that no refusal of it is certain. */
 bool isWritingDirectly(const CellNode& node, const std::string& job);
--- a/src/process/cell/cell_gate.cpp
+++ b/src/process/cell/cell_gate.cpp
@@ -70,9 +70,9 @@
     return PeerWriteAnswer { .m_outcome = decision.m_isCustomerOver ? WriteOutcome::OverLimit : WriteOutcome::Rejected, .m_retryAfter = decision.m_retryAfter };
 }
 
-void noteApprovalTime(CellNode& node, const scheduler::ApprovalRequest& request, Duration took)
+void noteApprovalTime(CellNode& node, const scheduler::ApprovalRequest& request, TimePoint sentAt)
 {
-    node.m_gate.m_callSlowdown = averageSlowdown(*node.m_scheduler, request, took, node.m_gate.m_callSlowdown);
+    node.m_gate.m_callSlowdown = averageSlowdown(*node.m_scheduler, request, node.m_gate.m_callSlowdown, sentAt, node.m_now);
 }
 
 bool isWritingDirectly(const CellNode& node, const std::string& job)
--- a/src/process/cell/cell_scheduling.cpp
+++ b/src/process/cell/cell_scheduling.cpp
@@ -60,7 +60,7 @@
         if (!isCurrentTerm(node, term))
             return;
         if (approvals)
-            noteApprovalTime(node, request, node.m_now - sentAt);
+            noteApprovalTime(node, request, sentAt);
         scheduler::onApprovals(*node.m_scheduler, request, approvals, node.m_now);
     }
 
--- a/src/process/cell/service_estimate.cpp
+++ b/src/process/cell/service_estimate.cpp
@@ -11,7 +11,7 @@
 
     constexpr Duration fullWeightAge { 1'000 };
     constexpr Duration maxAge { 3'000 };
-    constexpr std::int64_t hopelessMargin = 2; ///< An estimate that is too long by up to this factor refuses nothing that could be of use.
+    constexpr double hopelessMargin = 1.5; ///< An estimate that is too long by up to this factor refuses nothing that could be of use.
     constexpr std::int64_t slackDivisor = 2; ///< Capacity counts as short from this part of the slack on, so that what arrives within its customer's rate still finds the rest.
     constexpr Duration visibleWait { 1'000 }; ///< No submission is hopeless while no task has waited this long, whatever the estimate.
 
@@ -89,7 +89,7 @@
     const Duration waitWithLate = weighed(waitBehind(estimate.m_load, pool, ahead + pool.m_bands[lateBand], need));
     prospect.m_isShort = waitWithLate.m_ms > 0 && waitWithLate > slack / slackDivisor;
     const Duration latestUsefulStart = need.m_objective * scheduler::usefulLatenessFactor - need.m_criticalPath;
-    prospect.m_isHopeless = pool.m_oldestWait >= visibleWait && prospect.m_waitInTime > slack && prospect.m_waitLate > latestUsefulStart * hopelessMargin;
+    prospect.m_isHopeless = pool.m_oldestWait >= visibleWait && prospect.m_waitInTime > slack && static_cast<double>(prospect.m_waitLate.m_ms) > static_cast<double>(latestUsefulStart.m_ms) * hopelessMargin;
     return prospect;
 }
 
--- a/src/process/cell/service_estimate.h
+++ b/src/process/cell/service_estimate.h
@@ -75,7 +75,7 @@
 /**
  * Weighs an estimate by its age: it counts in full for 1 s, then less, and not at all from 3 s on. All errors that are known of
  * are in favour of the submission: arrivals yet to come are left out, workers that were silent for a short time count as capacity, and
- * only twice the time that the useful start allows, together with a task that has waited visibly, makes a submission hopeless.
+ * only one and a half times the time that a useful start allows, together with a task that has waited visibly, makes a submission hopeless.
  * @param now Monotonic time.
  */
 ServiceProspect assess(const ServiceEstimate& estimate, const SubmissionNeed& need, TimePoint now);
--- a/src/process/cell/service_load.cpp
+++ b/src/process/cell/service_load.cpp
@@ -46,13 +46,17 @@
             add(pool.m_free, toSums(worker.m_announcement.m_capacity - worker.m_granted, 1));
     }
 
-    /** @return Time of the request that a step without approvals needs next; 0 when it needs none. */
+    /**
+     * While calls take longer than expected, requests queue up at the VMs, so those that are under way count as well as those still to be sent.
+     * @return Time of the requests that a waiting step has sent, or needs to send next if it has neither approvals nor a request under way.
+     */
     double callTimeOf(const StepRun& run, const std::optional<ApprovalPolicy>& policy, std::uint32_t tasks)
     {
         constexpr std::size_t maxNames = 30; // As the scheduler limits requests.
-        if (!policy || !run.m_approval.m_tickets.empty() || run.m_approval.m_pendingRequests > 0)
+        const std::uint32_t requests = std::max(run.m_approval.m_pendingRequests, run.m_approval.m_tickets.empty() ? 1U : 0U);
+        if (!policy || requests == 0)
             return 0;
-        return static_cast<double>(detail::approvalRequestDuration(*policy, std::min<std::size_t>(tasks, maxNames)).m_ms);
+        return requests * static_cast<double>(detail::approvalRequestDuration(*policy, std::min<std::size_t>(tasks, maxNames)).m_ms);
     }
 
     /** @return How long a task of the step has waited, judged by the first and the last one. */
@@ -174,7 +178,7 @@
     return !plan.m_steps.empty() && !isLongRunning && plan.m_occurrenceCount == 0 && plan.m_firstStart <= wallNow;
 }
 
-double averageSlowdown(const Scheduler& scheduler, const ApprovalRequest& request, Duration took, double former)
+double averageSlowdown(const Scheduler& scheduler, const ApprovalRequest& request, double former, TimePoint sentAt, TimePoint now)
 {
     constexpr double newWeight = 0.1;
     constexpr double longest = 10;
@@ -185,7 +189,9 @@
     if (!policy)
         return former;
     const double expected = std::max(1.0, static_cast<double>(detail::approvalRequestDuration(*policy, request.m_workers.size()).m_ms));
-    return former + newWeight * (std::clamp(static_cast<double>(took.m_ms) / expected, 1.0, longest) - former);
+    const auto proxy = std::find_if(scheduler.m_approvalProxies.begin(), scheduler.m_approvalProxies.end(), [&](const ApprovalProxy& each) { return each.m_member == request.m_member; });
+    const TimePoint begunAt = proxy == scheduler.m_approvalProxies.end() ? sentAt : std::max(sentAt, proxy->m_answeredAt);
+    return former + newWeight * (std::clamp(static_cast<double>((now - begunAt).m_ms) / expected, 1.0, longest) - former);
 }
 
 } // namespace bulrushloft::cell
--- a/src/process/cell/service_load.h
+++ b/src/process/cell/service_load.h
@@ -22,7 +22,11 @@
 /** @return Whether a submission may be refused because of an estimate; long-running steps and later occurrences can wait for capacity that nobody can foresee. */
 bool isEstimable(const JobPlan& plan, TimePoint wallNow);
 
-/** @return Time that an approval request took divided by the expected time, averaged with earlier ones. @param former The average so far. */
-double averageSlowdown(const scheduler::Scheduler& scheduler, const scheduler::ApprovalRequest& request, Duration took, double former);
+/**
+ * To be called before the scheduler learns of the answer. A request that waits behind another one of its VM counts from the end of that one.
+ * @param former The average so far. @param sentAt When the request was sent.
+ * @return Time that approval requests take divided by the expected time, averaged with this one.
+ */
+double averageSlowdown(const scheduler::Scheduler& scheduler, const scheduler::ApprovalRequest& request, double former, TimePoint sentAt, TimePoint now);
 
 } // namespace bulrushloft::cell
--- a/tests/admission_load_test.cpp
+++ b/tests/admission_load_test.cpp
@@ -92,6 +92,7 @@
         replay(m_with);
         replay(m_without);
         print("with", m_with.result());
+        std::cout << "  refused as hopeless although in time without the gate: " << wronglyRefused() << "\n";
         print("without", m_without.result());
     }
 
@@ -282,3 +283,40 @@
         BOOST_TEST(result.m_refusedOverRate + result.m_refusedHopeless == 0, "seed " << seed);
     }
 }
+
+// Callers that say that their tasks take two and a half times as long as they do: by their words the pool is overloaded, in truth it is half empty.
+BOOST_AUTO_TEST_CASE(overstated_run_times_refuse_nothing)
+{
+    constexpr double usual = jobsPerSecond * 1.3;
+    GatedLoad load(poolWorkers, vms, true, makeCustomers(usual));
+    load.m_estimateError = [](const TaskName&) { return 0.4; };
+    std::vector<Source> sources = makeCustomerSources(usual);
+    runSources(load, sources, { 10'000 });
+    const GatedResult result = load.result();
+    print("overstated", result);
+    BOOST_TEST(result.m_refusedOverRate + result.m_refusedHopeless == 0);
+}
+
+// Callers that say that their tasks take half as long as they do must not make the gate blind for the backlog: run times are learned.
+BOOST_AUTO_TEST_CASE(understated_run_times_are_noticed)
+{
+    constexpr double usual = jobsPerSecond / 2.0;
+    const auto replay = [](GatedLoad& load) {
+        load.m_estimateError = [](const TaskName&) { return 1.5; };
+        std::vector<Source> sources = makeCustomerSources(usual);
+        runSources(load, sources, { 5'000 });
+        sources[0].m_rate *= 7.5;
+        runSources(load, sources, { 8'000 });
+        sources[0].m_rate /= 7.5;
+        runSources(load, sources, { 5'000 });
+        load.runGated({ 30'000 });
+    };
+    const Comparison comparison(poolWorkers, vms, makeCustomers(usual), replay);
+    const auto isOther = [](const GatedLoad::Offer& offer) { return offer.m_customer != customerName(0); };
+    const GatedResult with = comparison.m_with.result(isOther);
+    print("others with", with);
+    print("others without", comparison.m_without.result(isOther));
+    BOOST_TEST(with.m_refusedOverRate + with.m_refusedHopeless == 0);
+    BOOST_TEST(comparison.m_with.result().m_refusedOverRate > 0);
+    BOOST_TEST(with.value() >= comparison.m_without.result(isOther).value());
+}
--- a/tests/fakes/approval_load.h
+++ b/tests/fakes/approval_load.h
@@ -62,7 +62,9 @@
     std::uint64_t m_requests = 0;
     bool m_areRequestsAnswered = true; ///< Whether approval requests are answered; they fail otherwise.
     double m_callFactor = 1; ///< Time that approval requests take, divided by the expected one.
-    std::function<void(const ApprovalRequest&, Duration)> m_onAnswered; ///< If set, is told of each answered request and how long it took.
+    bool m_areCallsSerial = false; ///< Whether a VM begins a call only when its former one has ended, as VMs with one open call at a time do.
+    std::map<std::string, TimePoint> m_callEnds; ///< End of the last call of each VM, if they are serial.
+    std::function<void(const ApprovalRequest&, TimePoint)> m_onAnswered; ///< If set, is told of each answered request and when it was sent.
     std::string m_failingVm; ///< VM that doesn't reach the approval service, so that its requests time out; empty for none.
     int m_ticketsToRefuse = 0; ///< Number of starts whose ticket is refused although it has not lapsed.
     std::size_t m_latestNamed = 0; ///< Number of workers named in the latest request.
@@ -158,9 +160,11 @@
         }
         const auto& policy = policyOf(request.m_step.m_job);
         const Duration duration { static_cast<std::int64_t>((policy->m_baseCallTimeMs + policy->m_callTimePerWorkerMs * static_cast<double>(request.m_workers.size())) * m_callFactor) };
-        m_events.emplace(m_now + duration, [this, request, policy, duration] {
+        const TimePoint endsAt = (m_areCallsSerial ? std::max(m_now, m_callEnds[request.m_member]) : m_now) + duration;
+        m_callEnds[request.m_member] = endsAt;
+        m_events.emplace(endsAt, [this, request, policy, sentAt = m_now] {
             if (m_onAnswered)
-                m_onAnswered(request, duration);
+                m_onAnswered(request, sentAt);
             std::vector<Approval> approvals;
             for (const std::string& worker : request.m_workers) {
                 if (isApproved(request.m_step.m_job, worker))
--- a/tests/fakes/gated_load.h
+++ b/tests/fakes/gated_load.h
@@ -57,7 +57,8 @@
         setCluster(m_scheduler, cluster);
         cell::beginGateTerm(m_gate, 1, m_now);
         cell::applyCustomers(m_gate, std::make_shared<const ClusterSettings>(cluster), m_now);
-        m_onAnswered = [this](const ApprovalRequest& request, Duration took) { m_gate.m_callSlowdown = cell::averageSlowdown(m_scheduler, request, took, m_gate.m_callSlowdown); };
+        m_areCallsSerial = true;
+        m_onAnswered = [this](const ApprovalRequest& request, TimePoint sentAt) { m_gate.m_callSlowdown = cell::averageSlowdown(m_scheduler, request, m_gate.m_callSlowdown, sentAt, m_now); };
     }
 
     void offer(const std::string& queue, const std::string& customer, const StepPlan& step)
