--- a/tests/admission_load_test.cpp
+++ b/tests/admission_load_test.cpp
@@ -156,6 +156,38 @@
     BOOST_TEST(comparison.m_with.result().m_refusedOverRate > 0);
 }
 
+// Fragments of uneven tasks, uneven workers and tasks that take seven times as long must not hide that the pool is full.
+BOOST_AUTO_TEST_CASE(the_excess_of_one_customer_is_noticed_on_an_uneven_pool)
+{
+    constexpr double usual = 42;
+    const auto replay = [](GatedLoad& load) {
+        std::mt19937_64 random(3);
+        std::uniform_real_distribution<double> slowdown(0.8, 1.25);
+        for (auto& [id, worker] : load.m_workers)
+            worker.m_slowdown = slowdown(random);
+        load.m_estimateError = [](const TaskName& task) { return stableHash(task.m_job, task.m_index) % 100 < 3 ? 7.0 : 1.0; };
+        std::vector<Source> sources = makeCustomerSources(usual);
+        std::uniform_real_distribution<double> size(0.5, 1.5);
+        for (Source& source : sources)
+            source.m_step.m_size.m_cpuMilli = static_cast<std::int64_t>(4'000 * size(random));
+        runSources(load, sources, { 5'000 });
+        sources[0].m_rate *= 7.5;
+        runSources(load, sources, { 8'000 });
+        sources[0].m_rate /= 7.5;
+        runSources(load, sources, { 10'000 });
+        load.runGated({ 30'000 });
+    };
+    const Comparison comparison(poolWorkers, vms, makeCustomers(usual), replay);
+    const auto isOther = [](const GatedLoad::Offer& offer) { return offer.m_customer != customerName(0); };
+    const GatedResult with = comparison.m_with.result(isOther);
+    const GatedResult without = comparison.m_without.result(isOther);
+    print("others with", with);
+    print("others without", without);
+    BOOST_TEST(with.m_refusedOverRate == 0);
+    BOOST_TEST(comparison.m_with.result().m_refusedOverRate > 0);
+    BOOST_TEST(with.value() >= without.value());
+}
+
 // A third of the workers can't serve the load; the gate must not make less of what they do.
 BOOST_AUTO_TEST_CASE(a_pool_that_loses_two_thirds_of_its_workers)
 {
