--- a/src/process/cell/service_estimate.h
+++ b/src/process/cell/service_estimate.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/clock_type.h"
+#include "request/resources_type.h"
 
 #include <array>
 #include <cstddef>
@@ -34,7 +35,8 @@
 /** Load of a pool. */
 struct PoolLoad {
     ResourceSums m_capacity {}; ///< Resources of the workers that can be expected to run tasks, without those that long-running tasks hold.
-    ResourceSums m_free {}; ///< Resources that no task holds, of the workers that accept tasks now.
+    ResourceSums m_free {}; ///< Resources that no task holds, of the workers that accept tasks now and have room for the smallest task that waits.
+    Resources m_smallest { .m_cpuMilli = INT64_MAX, .m_memoryMb = INT64_MAX, .m_gpus = INT64_MAX }; ///< Smallest amounts of the tasks that wait, each by itself.
     std::array<BandLoad, bandCount> m_bands {};
     Duration m_oldestWait; ///< Longest time for which a task of these steps has waited.
 };
@@ -75,7 +77,7 @@
 /**
  * Weighs an estimate by its age: it counts in full for 1 s, then less, and not at all from 3 s on. All errors that are known of
  * are in favour of the submission: arrivals yet to come are left out, workers that were silent for a short time count as capacity, and
- * only twice the time that the useful start allows, together with a task that has waited visibly, makes a submission hopeless.
+ * only one and a half times the time that a useful start allows, together with a task that has waited visibly, makes a submission hopeless.
  * @param now Monotonic time.
  */
 ServiceProspect assess(const ServiceEstimate& estimate, const SubmissionNeed& need, TimePoint now);
--- a/src/process/cell/service_load.cpp
+++ b/src/process/cell/service_load.cpp
@@ -42,17 +42,22 @@
             if (detail::planOf(*ref.m_run).m_isLongRunning)
                 add(pool.m_capacity, toSums(detail::grantOf(*ref.m_run), -1));
         }
-        if (detail::acceptsTasks(worker, now))
-            add(pool.m_free, toSums(worker.m_announcement.m_capacity - worker.m_granted, 1));
+        const Resources free = worker.m_announcement.m_capacity - worker.m_granted;
+        if (detail::acceptsTasks(worker, now) && fitsInto(pool.m_smallest, free))
+            add(pool.m_free, toSums(free, 1));
     }
 
-    /** @return Time of the request that a step without approvals needs next; 0 when it needs none. */
+    /**
+     * While calls take longer than expected, requests queue up at the VMs, so those that are under way count as well as those still to be sent.
+     * @return Time of the requests that a waiting step has sent, or needs to send next if it has neither approvals nor a request under way.
+     */
     double callTimeOf(const StepRun& run, const std::optional<ApprovalPolicy>& policy, std::uint32_t tasks)
     {
         constexpr std::size_t maxNames = 30; // As the scheduler limits requests.
-        if (!policy || !run.m_approval.m_tickets.empty() || run.m_approval.m_pendingRequests > 0)
+        const std::uint32_t requests = std::max(run.m_approval.m_pendingRequests, run.m_approval.m_tickets.empty() ? 1U : 0U);
+        if (!policy || requests == 0)
             return 0;
-        return static_cast<double>(detail::approvalRequestDuration(*policy, std::min<std::size_t>(tasks, maxNames)).m_ms);
+        return requests * static_cast<double>(detail::approvalRequestDuration(*policy, std::min<std::size_t>(tasks, maxNames)).m_ms);
     }
 
     /** @return How long a task of the step has waited, judged by the first and the last one. */
@@ -91,12 +96,14 @@
         if (tasks == 0 || !band)
             return;
         BandLoad& load = pool.m_bands[*band];
+        const Resources size = detail::grantOf(run);
+        pool.m_smallest = { .m_cpuMilli = std::min(pool.m_smallest.m_cpuMilli, size.m_cpuMilli), .m_memoryMb = std::min(pool.m_smallest.m_memoryMb, size.m_memoryMb), .m_gpus = std::min(pool.m_smallest.m_gpus, size.m_gpus) };
         const double sizeFactor = factor * tasks;
         // A long-running task never gives its place back, so it adds no work; its size keeps the free resources from counting.
         const bool isLongRunning = detail::planOf(run).m_isLongRunning;
         const double runMs = isLongRunning ? 0 : static_cast<double>(detail::predictRunTime(scheduler, *run.m_job, run.m_step).m_ms);
-        add(load.m_size, toSums(detail::grantOf(run), sizeFactor));
-        add(load.m_work, toSums(detail::grantOf(run), sizeFactor * runMs));
+        add(load.m_size, toSums(size, sizeFactor));
+        add(load.m_work, toSums(size, sizeFactor * runMs));
         const auto& policy = detail::queueOf(scheduler, *run.m_job).m_approval;
         const double callMs = callTimeOf(run, policy, tasks) * factor;
         (policy && detail::isSlowPolicy(*policy) ? load.m_slowCallMs : load.m_quickCallMs) += callMs;
@@ -174,7 +181,7 @@
     return !plan.m_steps.empty() && !isLongRunning && plan.m_occurrenceCount == 0 && plan.m_firstStart <= wallNow;
 }
 
-double averageSlowdown(const Scheduler& scheduler, const ApprovalRequest& request, Duration took, double former)
+double averageSlowdown(const Scheduler& scheduler, const ApprovalRequest& request, double former, TimePoint sentAt, TimePoint now)
 {
     constexpr double newWeight = 0.1;
     constexpr double longest = 10;
@@ -185,7 +192,9 @@
     if (!policy)
         return former;
     const double expected = std::max(1.0, static_cast<double>(detail::approvalRequestDuration(*policy, request.m_workers.size()).m_ms));
-    return former + newWeight * (std::clamp(static_cast<double>(took.m_ms) / expected, 1.0, longest) - former);
+    const auto proxy = std::find_if(scheduler.m_approvalProxies.begin(), scheduler.m_approvalProxies.end(), [&](const ApprovalProxy& each) { return each.m_member == request.m_member; });
+    const TimePoint begunAt = proxy == scheduler.m_approvalProxies.end() ? sentAt : std::max(sentAt, proxy->m_answeredAt);
+    return former + newWeight * (std::clamp(static_cast<double>((now - begunAt).m_ms) / expected, 1.0, longest) - former);
 }
 
 } // namespace bulrushloft::cell
