Admission: the cap of a customer counts as its capacity in the estimate

Cause: jobs beyond a customer's rate were accepted while its cap was in use, and delayed those within its rate: the estimate knew pools only. Change: customers with a cap and waiting work are assessed like a pool whose capacity is the cap. A submission that the cap alone makes hopeless is refused as over the limit (429).

--- a/src/process/cell/service_estimate.cpp
+++ b/src/process/cell/service_estimate.cpp
@@ -78,23 +78,46 @@
     return static_cast<std::size_t>(std::lower_bound(bandLimits.begin(), bandLimits.end(), slack) - bandLimits.begin());
 }
 
+namespace {
+
+    /** @return What can be expected of a submission behind the work that waits for a pool, or for room under the cap of a customer. @param weight Weight of the estimate, 0 to 1. */
+    ServiceProspect assessBehind(const ServiceLoad& load, const PoolLoad& pool, const SubmissionNeed& need, double weight)
+    {
+        const Duration slack = need.m_objective - need.m_criticalPath;
+        const BandLoad ahead = sumUpTo(pool, bandOf(slack));
+        const BandLoad all = sumUpTo(pool, lateBand);
+        const auto weighed = [&](double wait) { return Duration { static_cast<std::int64_t>(wait * weight) }; };
+        ServiceProspect prospect { .m_waitInTime = weighed(waitBehind(load, pool, ahead, need)), .m_waitLate = weighed(waitBehind(load, pool, all, need)) };
+        // Late work is placed after what can be in time, but is what a further submission delays.
+        const Duration waitWithLate = weighed(waitBehind(load, pool, ahead + pool.m_bands[lateBand], need));
+        prospect.m_isShort = waitWithLate.m_ms > 0 && waitWithLate > slack / slackDivisor;
+        const Duration latestUsefulStart = need.m_objective * scheduler::usefulLatenessFactor - need.m_criticalPath;
+        prospect.m_isHopeless = pool.m_oldestWait >= visibleWait && prospect.m_waitInTime > slack && static_cast<double>(prospect.m_waitLate.m_ms) > static_cast<double>(latestUsefulStart.m_ms) * hopelessMargin;
+        return prospect;
+    }
+
+} // namespace
+
 ServiceProspect assess(const ServiceEstimate& estimate, const SubmissionNeed& need, TimePoint now)
 {
+    const ServiceLoad& load = estimate.m_load;
     const double weight = weightAt(now - estimate.m_madeAt);
-    const auto found = estimate.m_load.m_pools.find(need.m_pool);
-    if (weight <= 0 || found == estimate.m_load.m_pools.end())
+    if (weight <= 0)
         return {};
-    const PoolLoad& pool = found->second;
-    const Duration slack = need.m_objective - need.m_criticalPath;
-    const BandLoad ahead = sumUpTo(pool, bandOf(slack));
-    const BandLoad all = sumUpTo(pool, lateBand);
-    const auto weighed = [&](double wait) { return Duration { static_cast<std::int64_t>(wait * weight) }; };
-    ServiceProspect prospect { .m_waitInTime = weighed(waitBehind(estimate.m_load, pool, ahead, need)), .m_waitLate = weighed(waitBehind(estimate.m_load, pool, all, need)) };
-    // Late work is placed after what can be in time, but is what a further submission delays.
-    const Duration waitWithLate = weighed(waitBehind(estimate.m_load, pool, ahead + pool.m_bands[lateBand], need));
-    prospect.m_isShort = waitWithLate.m_ms > 0 && waitWithLate > slack / slackDivisor;
-    const Duration latestUsefulStart = need.m_objective * scheduler::usefulLatenessFactor - need.m_criticalPath;
-    prospect.m_isHopeless = pool.m_oldestWait >= visibleWait && prospect.m_waitInTime > slack && static_cast<double>(prospect.m_waitLate.m_ms) > static_cast<double>(latestUsefulStart.m_ms) * hopelessMargin;
+    ServiceProspect prospect;
+    if (const auto pool = load.m_pools.find(need.m_pool); pool != load.m_pools.end())
+        prospect = assessBehind(load, pool->second, need, weight);
+    const auto customer = need.m_customer.empty() ? load.m_customers.end() : load.m_customers.find(need.m_customer);
+    if (customer == load.m_customers.end())
+        return prospect;
+    SubmissionNeed underCap = need;
+    underCap.m_needsApproval = false; // Approvals are short for a pool, not for a customer.
+    const ServiceProspect byCap = assessBehind(load, customer->second, underCap, weight);
+    prospect.m_isHeldByCap = byCap.m_isHopeless && !prospect.m_isHopeless;
+    prospect.m_waitInTime = std::max(prospect.m_waitInTime, byCap.m_waitInTime);
+    prospect.m_waitLate = std::max(prospect.m_waitLate, byCap.m_waitLate);
+    prospect.m_isShort = prospect.m_isShort || byCap.m_isShort;
+    prospect.m_isHopeless = prospect.m_isHopeless || byCap.m_isHopeless;
     return prospect;
 }
 
--- a/src/process/cell/service_estimate.h
+++ b/src/process/cell/service_estimate.h
@@ -44,6 +44,7 @@
 /** Load of all pools that have waiting work. */
 struct ServiceLoad {
     std::map<std::string, PoolLoad, std::less<>> m_pools; ///< By name; a pool without waiting work, or without a worker, is left out.
+    std::map<std::string, PoolLoad, std::less<>> m_customers; ///< By name, customers with a cap and waiting work: the cap is their capacity, over all pools.
     double m_quickVms = 1; ///< VMs that may send quick approval requests; each sends one at a time.
     double m_slowVms = 1; ///< VMs that may send slow ones.
     double m_callSlowdown = 1; ///< Time that approval requests take, divided by the expected one.
@@ -59,6 +60,7 @@
 /** What matters of a submission for the time of its start. */
 struct SubmissionNeed {
     std::string m_pool; ///< Pool of its queue.
+    std::string m_customer; ///< Name of its customer; empty for none.
     std::array<bool, 3> m_uses {}; ///< Whether its first steps use CPU, memory and GPUs.
     bool m_needsApproval = false; ///< Whether its tasks need approvals.
     bool m_isSlowCall = false; ///< Whether requests for these are slow.
@@ -72,6 +74,7 @@
     Duration m_waitLate; ///< Estimated time until it starts if it becomes late: until all that waits has started.
     bool m_isShort = false; ///< Capacity is short: the work that is placed before it, and the late work, wait for longer than half of the submission's slack.
     bool m_isHopeless = false; ///< It can't be started before three times its objective has passed.
+    bool m_isHeldByCap = false; ///< The cap of its customer alone makes it hopeless.
 };
 
 /**
--- a/src/process/cell/service_load.cpp
+++ b/src/process/cell/service_load.cpp
@@ -119,8 +119,21 @@
         for (std::size_t i = stride <= 1 ? 0 : static_cast<std::size_t>(now.m_ms) % stride; i < count; i += stride) {
             const StepRun& run = *scheduler.m_waitingSteps[i];
             const bool isExamined = run.m_isReleased && run.m_urgencyInputAt.m_ms > 0 && !isFinal(run.m_job->m_stage);
-            if (isExamined)
-                addStep(scheduler, load.m_pools[run.m_job->m_plan.m_pool], run, static_cast<double>(stride), now);
+            if (!isExamined)
+                continue;
+            addStep(scheduler, load.m_pools[run.m_job->m_plan.m_pool], run, static_cast<double>(stride), now);
+            if (const CustomerUsage* const customer = run.m_job->m_customer; customer && !(customer->m_cap == Resources {}))
+                addStep(scheduler, load.m_customers[customer->m_name], run, static_cast<double>(stride), now);
+        }
+    }
+
+    /** Takes the caps of customers as the capacity for their work. An amount of 0 is no limit, so that nothing waits for it. */
+    void addCaps(const Scheduler& scheduler, ServiceLoad& load)
+    {
+        for (auto& [name, customerLoad] : load.m_customers) {
+            const CustomerUsage& customer = scheduler.m_customers.at(name);
+            customerLoad.m_capacity = toSums(customer.m_cap, 1);
+            customerLoad.m_free = toSums(customer.m_cap - customer.m_running, 1);
         }
     }
 
@@ -138,6 +151,7 @@
         if (pool != load.m_pools.end() && isCapacity(worker, now))
             addWorker(pool->second, worker, now);
     }
+    addCaps(scheduler, load);
     std::erase_if(load.m_pools, [](const auto& entry) { return entry.second.m_capacity == ResourceSums {}; });
     const std::size_t vms = scheduler.m_approvalProxies.size();
     load.m_quickVms = static_cast<double>(vms - std::min(vms, detail::countSlowProxies(scheduler)));
@@ -157,6 +171,7 @@
 {
     SubmissionNeed need;
     need.m_pool = plan.m_pool;
+    need.m_customer = plan.m_customer;
     for (const StepPlan& step : plan.m_steps) {
         if (!step.m_predecessors.empty())
             continue;
--- a/src/process/cell/submission_gate.cpp
+++ b/src/process/cell/submission_gate.cpp
@@ -67,7 +67,7 @@
     CustomerBucket* const bucket = findBucket(gate, request.m_customer);
     const ServiceProspect prospect = prospectOf(gate, request, now);
     const bool isInProfile = !bucket || takeToken(*bucket, request.m_job, now);
-    GateDecision decision { .m_cause = GateCause::Accepted, .m_isCustomerOver = !isInProfile, .m_retryAfter = {}, .m_wait = prospect.m_waitLate };
+    GateDecision decision { .m_cause = GateCause::Accepted, .m_isCustomerOver = !isInProfile || prospect.m_isHeldByCap, .m_retryAfter = {}, .m_wait = prospect.m_waitLate };
     if (!isInProfile && prospect.m_isShort) {
         decision.m_cause = GateCause::OverRate;
         decision.m_retryAfter = promiseToken(*bucket, request.m_job, now);
