A leader whose VM has become several times slower asks another VM to lead

It still answered heartbeats, so nobody claimed the leadership, and 300 to 600 tasks started a second where the next leader started 2,600. Change: the decision thread compares the time of its items with the usual one (processor_speed.h); a leader that has been 2.5 times slower for 0.5 s asks two peers that are as strong to take over. Result: processor_speed_test passes (5 cases).

--- a/src/process/cell/cell_base.h
+++ b/src/process/cell/cell_base.h
@@ -12,6 +12,7 @@
 #include "process/cell/hedged_call.h"
 #include "process/cell/journal_move.h"
 #include "process/cell/leader_monitor.h"
+#include "process/cell/processor_speed.h"
 #include "process/cell/record_parts.h"
 #include "process/cell/retry_advice.h"
 #include "process/cell/store_traffic.h"
@@ -93,6 +94,7 @@
     std::size_t m_relayMinWorkers = 1'000; ///< From this number of workers on, peers forward the leader's orders.
     std::uint32_t m_journalPartitions = 16; ///< Partitions of the topic of progress among which the leader may choose; the store has at least as many.
     std::optional<Duration> m_keyRevocation; ///< Within this time after the operator has removed a key no call with it is carried out, on any VM; empty when there is no such limit.
+    bool m_handsOverWhenSlow = false; ///< Whether a leader whose VM has become much slower asks another VM to lead.
     bool m_rejectsHopeless = false; ///< Whether submissions that can't be started in time are refused also where the configuration names no customers.
     Duration m_maxJobsStaleness { 2'500 }; ///< "No such job" is answered only if the submissions were read completely within this time.
 };
@@ -391,6 +393,7 @@
     std::uint64_t m_term = 0; ///< Fencing token of the current own term, 0 for none; answers for other terms are dropped.
 
     bool m_isTerminating = false; ///< Whether SIGTERM was received.
+    ProcessorSpeed m_processorSpeed; ///< Of the current own term.
     TimePoint m_nextHandOverAt; ///< Earliest time at which the next candidates are asked to take over.
     std::vector<std::string> m_askedSuccessors; ///< Names of the peers that were asked last.
     std::array<DirectWriter, jobsPartitionCount> m_directWriters { { { .m_partition = submissionPartition }, { .m_partition = cancellationPartition } } }; ///< Writers to the topic of jobs, by partition.
--- a/src/process/cell/cell_daemon.cpp
+++ b/src/process/cell/cell_daemon.cpp
@@ -162,6 +162,7 @@
         .m_scheduler = m_settings.m_scheduler,
         .m_relayMinWorkers = m_settings.m_relayMinWorkers,
         .m_keyRevocation = m_settings.m_keyRevocation,
+        .m_handsOverWhenSlow = m_settings.m_handsOverWhenSlow,
         .m_rejectsHopeless = m_settings.m_rejectsHopeless };
 }
 
@@ -180,13 +181,17 @@
         std::size_t count = 0;
         const bool hasWork = m_queues.m_items.tryPopFor(work, m_isLeading ? idleWaitWhenLeading : idleWaitOtherwise);
         const TimePoint roundStartedAt = steadyNow();
+        const std::int64_t roundStartedUs = steadyMicroseconds();
         if (hasWork)
             count = runQueuedWork(std::move(work));
         const TimePoint stepStartedAt = steadyNow();
+        const std::int64_t stepStartedUs = steadyMicroseconds();
         runItem([this, stepStartedAt] { stepCell(*m_node, stepStartedAt, bootNow()); });
         const TimePoint roundEndedAt = steadyNow();
         if (roundEndedAt - roundStartedAt > slowRoundThreshold)
             logEvent(LogLevel::Warning, "round-slow", { { "items", count }, { "items_ms", (stepStartedAt - roundStartedAt).m_ms }, { "step_ms", (roundEndedAt - stepStartedAt).m_ms }, { "is_leading", m_isLeading.load() } });
+        if (m_node->m_role == Role::Leading)
+            noteRound(m_node->m_processorSpeed, { .m_items = count, .m_itemUs = stepStartedUs - roundStartedUs, .m_stepUs = steadyMicroseconds() - stepStartedUs }, roundEndedAt);
         m_isReady = isReady(*m_node);
         const bool isLeading = m_node->m_role == Role::Leading;
         if (m_isLeading.exchange(isLeading) && !isLeading)
--- a/src/process/cell/cell_leadership.cpp
+++ b/src/process/cell/cell_leadership.cpp
@@ -147,6 +147,7 @@
         ++node.m_counters.m_terms;
         node.m_isSuccessorWanted = false;
         node.m_isAwaitingConfirmation = false;
+        node.m_processorSpeed = {};
         node.m_scheduler = std::make_unique<scheduler::Scheduler>();
         node.m_scheduler->m_options = node.m_options.m_scheduler;
         node.m_scheduler->m_options.m_token = node.m_term;
@@ -210,12 +211,23 @@
         return (isSilent || node.m_writer.m_refusals >= refusalLimit) && !isProbing(node) && !isJournalAtFault(node);
     }
 
+    /** @return Whether this daemon has led for a few seconds only. */
+    bool isSettling(const CellNode& node)
+    {
+        constexpr Duration settleTime { 3'000 };
+        return node.m_role == Role::Leading && node.m_now - node.m_leaderMonitor.m_answeredAt < settleTime;
+    }
+
+    /** @return Whether this leader's VM has become so slow that another one should lead. */
+    bool isTooSlowToLead(const CellNode& node)
+    {
+        return node.m_options.m_handsOverWhenSlow && node.m_role == Role::Leading && !isSettling(node) && isSlowed(node.m_processorSpeed, node.m_now);
+    }
+
     /** @return Whether a much stronger peer could lead; false in the first seconds of leading. */
     bool isStrongerPeerAvailable(const CellNode& node)
     {
-        constexpr Duration settleTime { 3'000 };
-        const bool isSettling = node.m_role == Role::Leading && node.m_now - node.m_leaderMonitor.m_answeredAt < settleTime;
-        if (isSettling)
+        if (isSettling(node))
             return false;
         return std::any_of(node.m_peers.begin(), node.m_peers.end(), [&](const auto& entry) {
             const PeerState& peer = entry.second;
@@ -235,13 +247,14 @@
      * Chooses the peers that are asked to take over. Two are asked at a time, as one of them may not reach the store either; the
      * store accepts only one claim. A leader that is being restarted asks a peer that has been restarted alone first, as others may be next.
      */
-    std::vector<const PeerState*> chooseSuccessors(const CellNode& node, bool isLeavingOrStalled)
+    std::vector<const PeerState*> chooseSuccessors(const CellNode& node, bool isLeavingOrStalled, bool isSlow)
     {
         constexpr std::size_t candidatesPerRound = 2;
         std::vector<const PeerState*> candidates;
         for (const auto& [name, peer] : node.m_peers) {
             const bool wasAsked = std::find(node.m_askedSuccessors.begin(), node.m_askedSuccessors.end(), name) != node.m_askedSuccessors.end();
-            const bool isSuitable = isLeavingOrStalled || isMuchStronger(peer.m_member, node.m_options.m_self);
+            const bool isAsStrong = peer.m_member.m_strength >= node.m_options.m_self.m_strength && isPeerUsable(node, peer);
+            const bool isSuitable = isLeavingOrStalled || (isSlow && isAsStrong) || isMuchStronger(peer.m_member, node.m_options.m_self);
             if (node.m_now - peer.m_lastContactAt <= node.m_options.m_suspectAfter && peer.m_isStoreReached && !wasAsked && isSuitable)
                 candidates.push_back(&peer);
         }
@@ -253,16 +266,17 @@
         return candidates;
     }
 
-    /** Asks peers to take over when this leader is terminating, cannot write to the store, or is much weaker than a peer that could lead. */
+    /** Asks peers to take over when this leader is terminating, cannot write to the store, is much slower than before, or is much weaker than a peer that could lead. */
     void stepHandOver(CellNode& node)
     {
         const bool hasTerm = node.m_role == Role::Leading || node.m_role == Role::Loading;
         const bool isLeavingOrStalled = node.m_isTerminating || isWriterStalled(node);
-        const bool isHandOverWanted = isLeavingOrStalled || isStrongerPeerAvailable(node);
+        const bool isSlow = isTooSlowToLead(node);
+        const bool isHandOverWanted = isLeavingOrStalled || isSlow || isStrongerPeerAvailable(node);
         if (!hasTerm || !isHandOverWanted || node.m_now < node.m_nextHandOverAt)
             return;
         node.m_nextHandOverAt = node.m_now + handOverInterval;
-        const std::vector<const PeerState*> candidates = chooseSuccessors(node, isLeavingOrStalled);
+        const std::vector<const PeerState*> candidates = chooseSuccessors(node, isLeavingOrStalled, isSlow);
         node.m_askedSuccessors.clear();
         const auto unconfirmedSince = oldestUnconfirmedSince(node.m_writer);
         const std::int64_t appendAgeMs = unconfirmedSince ? (node.m_now - *unconfirmedSince).m_ms : 0;
@@ -270,7 +284,7 @@
         const OtherPartitions others = otherPartitions(node.m_storeTraffic, progress, node.m_now);
         for (const PeerState* peer : candidates) {
             node.m_askedSuccessors.push_back(peer->m_member.m_name);
-            logEvent(LogLevel::Info, "hand-over-requested", { { "to", peer->m_member.m_name }, { "token", node.m_term }, { "is_terminating", node.m_isTerminating }, { "is_writer_stalled", isWriterStalled(node) }, { "refusals", node.m_writer.m_refusals }, { "oldest_append_ms", appendAgeMs }, { "progress_silent_ms", partitionSilence(node.m_storeTraffic, progress, node.m_now).m_ms }, { "others_answering", others.m_answering }, { "others_silent", others.m_silent }, { "store_last_answer_ms_ago", (node.m_now - node.m_storeLastContactAt).m_ms } });
+            logEvent(LogLevel::Info, "hand-over-requested", { { "to", peer->m_member.m_name }, { "token", node.m_term }, { "is_terminating", node.m_isTerminating }, { "is_writer_stalled", isWriterStalled(node) }, { "is_slow", isSlow }, { "refusals", node.m_writer.m_refusals }, { "oldest_append_ms", appendAgeMs }, { "progress_silent_ms", partitionSilence(node.m_storeTraffic, progress, node.m_now).m_ms }, { "others_answering", others.m_answering }, { "others_silent", others.m_silent }, { "store_last_answer_ms_ago", (node.m_now - node.m_storeLastContactAt).m_ms } });
             node.m_ports.m_callPeer(peer->m_member.m_address, PeerTakeOver { .m_token = node.m_term }, takeOverTimeout, [](const std::optional<PeerReply>&) { /* The outcome shows as a claim in the store. */ });
         }
     }
--- a/src/process/cell/cell_startup.cpp
+++ b/src/process/cell/cell_startup.cpp
@@ -41,6 +41,12 @@
         admission.rejectUnknownKeys();
     }
 
+    void readLeadership(Section leadership, CellStartup& settings)
+    {
+        settings.m_handsOverWhenSlow = leadership.boolean("hands_over_when_slow", settings.m_handsOverWhenSlow);
+        leadership.rejectUnknownKeys();
+    }
+
     void readPlacement(Section placement, CellStartup& settings)
     {
         settings.m_scheduler.m_waitsForBetterPlace = placement.boolean("waits_for_better_place", settings.m_scheduler.m_waitsForBetterPlace);
@@ -84,6 +90,7 @@
         readCustomers(file.section("customers"), settings);
         readAdmission(file.section("admission"), settings);
         readPlacement(file.section("placement"), settings);
+        readLeadership(file.section("leadership"), settings);
         settings.m_relayMinWorkers = static_cast<std::size_t>(file.integer("relay_from_workers", static_cast<std::int64_t>(settings.m_relayMinWorkers), 1, 1'000'000, "workers"));
         settings.m_ringCapacity = static_cast<std::size_t>(file.integer("ring_items", static_cast<std::int64_t>(settings.m_ringCapacity), 16, 1'000'000, "items"));
         settings.m_abortsOnInvariant = file.boolean("abort_on_invariant", settings.m_abortsOnInvariant);
--- a/src/process/cell/cell_startup.h
+++ b/src/process/cell/cell_startup.h
@@ -25,6 +25,7 @@
     LogFormat m_logFormat = LogFormat::KeyValue; ///< Format of log lines.
     scheduler::SchedulerOptions m_scheduler; ///< Options of the scheduler.
     std::optional<Duration> m_keyRevocation; ///< Time after its removal by which no VM accepts a key any more; empty when there is no such limit.
+    bool m_handsOverWhenSlow = false; ///< Whether a leader whose VM has become much slower asks another VM to lead.
     bool m_rejectsHopeless = false; ///< Whether submissions that can't be started in time are refused also where the configuration names no customers.
     Duration m_serveAfterSigterm { 2'600 }; ///< Minimum time after SIGTERM during which clients are still served, so that the load balancer can notice.
     Duration m_shutdownLimit { 4'800 }; ///< Longest time from SIGTERM to the end of the process.
