Tests of evidence for the configuration from members, and of answers that are late

Cause: without the questions to members, and with reads that count from their arrival, customer_keys_test still passed, as probes of a silent leader brought evidence, too. Change: a leader that answers but has no evidence; a leader that misses only the operator's topic; a read that is under way during a suspension. Result: each of them fails with its cause put back (no question is sent; a read counts from its arrival), and passes without.

--- a/tests/customer_keys_test.cpp
+++ b/tests/customer_keys_test.cpp
@@ -2,7 +2,9 @@
 #define BOOST_TEST_MODULE customer_keys
 #include <boost/test/unit_test.hpp>
 
+#include "connection/peer_codec.h"
 #include "fakes/keys_fixture.h"
+#include "fakes/one_vm_cell.h"
 
 using namespace bulrushloft;
 using namespace bulrushloft::cell;
@@ -61,6 +63,7 @@
     {
         m_leaderVersion = 1;
         m_leaderAge = Duration { 100 };
+        m_memberAge = m_leaderAge;
         writeConfig(1, { "k1" });
         run({ 3'000 });
         BOOST_REQUIRE(isAccepted(call("k1")));
@@ -128,11 +131,68 @@
         BOOST_TEST_REQUIRE(isCurrent());
     }
     BOOST_TEST(m_memberCalls > 0);
-    m_leaderAge = revocation; // The member's own evidence is old.
+    m_memberAge = revocation; // The member's own evidence is old.
     run(revocation);
     BOOST_TEST(!isCurrent());
 }
 
+// Guards against a VM without the store that relies on a leader which answers heartbeats, but is cut off from the store as well.
+BOOST_FIXTURE_TEST_CASE(other_members_are_asked_when_the_leader_has_no_evidence, RunningFixture)
+{
+    m_doesStoreAnswer = false;
+    m_leaderAge.reset();
+    m_doesMemberAnswer = true;
+    for (int i = 0; i < 120; ++i) {
+        run({ 100 });
+        BOOST_TEST_REQUIRE(isCurrent());
+    }
+    BOOST_TEST(m_memberCalls > 0);
+}
+
+// The same for a leader, which sends no heartbeats.
+BOOST_AUTO_TEST_CASE(a_leader_without_the_operators_topic_asks_members)
+{
+    OneVmCell cell;
+    CellNode& leader = *cell.m_node;
+    leader.m_options.m_keyRevocation = KeysFixture::revocation;
+    leader.m_decoders.m_operator = [](const std::string&, const std::string&) -> OperatorRecord {
+        ClusterSettings settings = makeCluster();
+        settings.m_requiresKeys = true;
+        return settings;
+    };
+    cell.stepUntilLeading();
+    const PeerMember member { .m_name = "member", .m_address = { "127.0.0.1", 3 }, .m_instance = 1, .m_strength = 9 };
+    leader.m_peers["member"].m_member = member;
+    leader.m_ports.m_callPeer = [&](const Address&, const PeerMessage&, Duration, const std::function<void(std::optional<PeerReply>)>& onReply) {
+        cell.deliver(onReply, std::optional<PeerReply>(PeerHeartbeatAnswer { .m_from = member, .m_leader = leader.m_leader, .m_isStoreReached = true, .m_configVersion = 1, .m_configAge = Duration { 100 } }));
+    };
+    const auto isCurrent = [&] { return isConfigCurrent(leader.m_configFreshness, KeysFixture::revocation, leader.m_lastBootTime); };
+    cell.m_silentPartitions.insert({ .m_topic = "op" });
+    for (int i = 0; i < 1'200; ++i) {
+        leader.m_peers["member"].m_lastContactAt = leader.m_now; // By heartbeats of the member, so that the leader has no other reason to call it.
+        cell.step();
+        BOOST_TEST_REQUIRE(isCurrent());
+    }
+    leader.m_ports.m_callPeer = [&](const Address&, const PeerMessage&, Duration, const std::function<void(std::optional<PeerReply>)>& onReply) { cell.deliver(onReply, std::optional<PeerReply>()); };
+    cell.step(500);
+    BOOST_TEST(!isCurrent());
+}
+
+// Guards against a read from before a suspension whose answer, on its arrival after it, counts as new.
+BOOST_FIXTURE_TEST_CASE(a_read_from_before_a_suspension_does_not_count_after_it, RunningFixture)
+{
+    m_doesLeaderAnswer = false;
+    m_storeDelay = { 500 };
+    run({ 1'200 });
+    m_suspended = { 8'000 };
+    for (const TimePoint start = m_now; m_now - start < m_storeDelay;) {
+        run(stepLength);
+        BOOST_TEST_REQUIRE(!isCurrent());
+    }
+    run({ 1'500 });
+    BOOST_TEST(isCurrent());
+}
+
 // The monotonic clock stands still in a suspension, so that evidence on it would look new afterwards.
 BOOST_FIXTURE_TEST_CASE(a_suspended_vm_refuses_until_it_has_new_evidence, RunningFixture)
 {
@@ -197,6 +257,11 @@
     onPeerMessage(*m_node, PeerHeartbeat { .m_from = m_member, .m_leader = m_node->m_leader, .m_configVersion = 1, .m_membersVersion = 0, .m_isStoreReached = true }, [&](const PeerReply& reply) { age = std::get<PeerHeartbeatAnswer>(reply).m_configAge; });
     BOOST_REQUIRE(age.has_value());
     BOOST_TEST(age->m_ms <= 100);
+    constexpr std::size_t maxBytes = 3; // An integer of up to 65,535, see docs/CAPACITY.md.
+    const PeerHeartbeatAnswer without { .m_from = m_member };
+    PeerHeartbeatAnswer with = without;
+    with.m_configAge = Duration { 4'800 };
+    BOOST_TEST(encodePeerReply(with).size() == encodePeerReply(without).size() + maxBytes);
 }
 
 // Guards against a changed answer, and refusals, in a deployment without the limit.
--- a/tests/fakes/keys_fixture.h
+++ b/tests/fakes/keys_fixture.h
@@ -28,7 +28,9 @@
     bool m_doesLeaderAnswer = true;
     bool m_doesMemberAnswer = false;
     std::optional<Duration> m_leaderAge; ///< How long ago the leader knew its configuration to be current; empty if it does not know that.
+    std::optional<Duration> m_memberAge; ///< The same of the other member.
     std::uint64_t m_leaderVersion = 0; ///< Version of the leader's configuration.
+    Duration m_storeDelay { 5 }; ///< Time that answers of the store take to arrive, after it has carried out the call.
     Duration m_answerDelay; ///< Time that answers of the leader take to arrive.
     Duration m_suspended; ///< Time that the VM has spent in suspensions.
     int m_memberCalls = 0; ///< Heartbeats that the other member got.
@@ -83,13 +85,13 @@
         CellPorts ports;
         ports.m_append = [this](const StoreAppend& append, Duration, const std::function<void(StoreAppendAnswer)>& onAnswer) {
             const bool isClaim = append.m_partition.m_topic == "keyed.leader"; // The leader stays the leader.
-            deliver({ 5 }, onAnswer, m_doesStoreAnswer && !isClaim ? m_store.append(append) : StoreAppendAnswer { .m_status = StoreStatus::NotDone });
+            deliver(m_storeDelay, onAnswer, m_doesStoreAnswer && !isClaim ? m_store.append(append) : StoreAppendAnswer { .m_status = StoreStatus::NotDone });
         };
         ports.m_read = [this](const StoreRead& read, Duration, const std::function<void(StoreReadAnswer)>& onAnswer) {
-            deliver({ 5 }, onAnswer, m_doesStoreAnswer ? m_store.read(read) : StoreReadAnswer { .m_status = StoreStatus::NotDone });
+            deliver(m_storeDelay, onAnswer, m_doesStoreAnswer ? m_store.read(read) : StoreReadAnswer { .m_status = StoreStatus::NotDone });
         };
         ports.m_readNewest = [this](const StoreNewestRead& newest, Duration, const std::function<void(StoreNewestAnswer)>& onAnswer) {
-            deliver({ 5 }, onAnswer, m_doesStoreAnswer ? m_store.newest(newest) : StoreNewestAnswer { .m_status = StoreStatus::NotDone });
+            deliver(m_storeDelay, onAnswer, m_doesStoreAnswer ? m_store.newest(newest) : StoreNewestAnswer { .m_status = StoreStatus::NotDone });
         };
         ports.m_callPeer = [this](const Address& address, const PeerMessage& message, Duration, const std::function<void(std::optional<PeerReply>)>& onReply) { deliver(m_answerDelay, onReply, answerOf(address, message)); };
         return ports;
@@ -103,7 +105,7 @@
         if (isMember ? !m_doesMemberAnswer : !m_doesLeaderAnswer)
             return std::nullopt;
         if (isHeartbeat)
-            return PeerHeartbeatAnswer { .m_from = isMember ? m_member : m_leader, .m_leader = { .m_token = 1, .m_member = m_leader }, .m_isLeading = !isMember, .m_isLeaving = false, .m_isStoreReached = true, .m_configVersion = m_leaderVersion, .m_membersVersion = 1, .m_members = { m_member }, .m_configAge = m_leaderAge };
+            return PeerHeartbeatAnswer { .m_from = isMember ? m_member : m_leader, .m_leader = { .m_token = 1, .m_member = m_leader }, .m_isLeading = !isMember, .m_isLeaving = false, .m_isStoreReached = true, .m_configVersion = m_leaderVersion, .m_membersVersion = 1, .m_members = { m_member }, .m_configAge = isMember ? m_memberAge : m_leaderAge };
         if (const auto* const submission = std::get_if<PeerSubmit>(&message)) {
             m_submitted.push_back(*decodePlan(submission->m_plan));
             return PeerWriteAnswer { .m_outcome = WriteOutcome::Recorded };
