bulrushctl config check: findings about a configuration before it is sent

Cause: a queue hidden by another one, a key that belongs to two customers or a version that is not newer showed only after it was sent. Change: the verb config check FILE [--against FILE] with the daemons' decoder; checks and differences in version/config_check.h. decodeConfig() returns what is left out of the customers, which the decoder of records logs as before. Keys are only counted. Result: config_check_test passes, and fails with each of four checks taken out; customer_test, platform_codec_test pass.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -3,6 +3,7 @@
 #include "connection/json_rpc_client.h"
 #include "connection/json_rpc_server.h"
 #include "core/event_loop.h"
+#include "ctl/config_command.h"
 #include "ctl/output.h"
 #include "request/job_func.h"
 #include "table/caller_table.h"
@@ -40,6 +41,7 @@
 DEFINE_string(until, "ended", "State that a wait command waits for: started or ended");
 DEFINE_string(operator_name, "", "Name of the operator who changes the settings");
 DEFINE_string(file, "", "YAML file with a subtree of the settings; for settings load, with the whole tree");
+DEFINE_string(against, "", "For config check, a JSON file with the version in force; its differences are printed");
 DEFINE_int64(base, -1, "Base revision of the change; -1 for the revision in force");
 DEFINE_int32(limit, 50, "Maximum number of rows, newest first; the list command applies it to each shard");
 
@@ -77,6 +79,11 @@
   settings history [PATH] [--limit N]
                             list the latest changes with their verdicts
 
+configuration of a cell
+  config check FILE [--against FILE]
+                            check a configuration before it is sent, without contacting a daemon;
+                            exit codes: 0 clean, 1 findings, 2 unreadable
+
 cell
   cell                      list the daemons and the owner of each shard
   workers [--pool P]        list the workers as known to the owners of their shards
@@ -455,6 +462,14 @@
         return printError({ ErrorKind::InvalidInput, "\"" + command + "\" is not a command", "see bulrushctl help" }, FLAGS_json);
     }
 
+    /** Runs the command that checks a configuration, which has exit codes of its own. @param arguments Arguments after "config". */
+    int runConfigCommand(const std::vector<std::string>& arguments)
+    {
+        if (arguments.size() != 2 || arguments.front() != "check")
+            return static_cast<int>(printError({ ErrorKind::InvalidInput, "\"config\" needs the action check and a file", "use bulrushctl config check FILE [--against FILE]" }, FLAGS_json));
+        return static_cast<int>(checkConfigFile({ .m_file = arguments[1], .m_against = FLAGS_against, .m_asJson = FLAGS_json }, std::cout));
+    }
+
     ExitCode runMain(int argc, char** argv)
     {
         if (argc < 2 || std::string(argv[1]) == "help") {
@@ -481,5 +496,7 @@
     gflags::SetUsageMessage(bulrushloft::usage);
     gflags::SetVersionString("0.1.0");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (argc > 1 && std::string(argv[1]) == "config")
+        return bulrushloft::runConfigCommand({ argv + 2, argv + argc });
     return static_cast<int>(bulrushloft::runMain(argc, argv));
 }
--- a/src/platform/operator_codec.cpp
+++ b/src/platform/operator_codec.cpp
@@ -60,18 +60,18 @@
     }
 
     /** An entry that is not an object counts as one without a name. */
-    void decodeCustomers(const Json& root, ClusterSettings& cluster)
+    std::vector<CustomerFault> decodeCustomers(const Json& root, ClusterSettings& cluster)
     {
         const auto rows = root.find("tenants");
         if (rows == root.end() || !rows->is_array())
-            return;
+            return {};
         cluster.m_requiresKeys = true;
         for (const Json& row : *rows)
             cluster.m_customers.push_back(row.is_object() ? decodeCustomer(row) : CustomerSettings {});
-        reportCustomerFaults(removeMalformedCustomers(cluster.m_customers), cluster.m_version);
+        return removeMalformedCustomers(cluster.m_customers);
     }
 
-    cell::OperatorRecord decodeCluster(const Json& root)
+    std::optional<DecodedConfig> decodeCluster(const Json& root)
     {
         const auto routes = root.find("routes");
         const auto services = root.find("services");
@@ -79,14 +79,16 @@
         const bool areCustomersReadable = customers == root.end() || customers->is_null() || customers->is_array(); // Otherwise keys could be accepted, or not needed, against what is meant.
         const bool isComplete = readInt(root, "version") > 0 && routes != root.end() && routes->is_array() && services != root.end() && services->is_array() && areCustomersReadable;
         if (!isComplete)
-            return cell::UnreadableCluster {};
-        ClusterSettings cluster { .m_version = static_cast<std::uint64_t>(readInt(root, "version")), .m_queues = {}, .m_pools = {} };
+            return std::nullopt;
+        DecodedConfig config;
+        ClusterSettings& cluster = config.m_cluster;
+        cluster = { .m_version = static_cast<std::uint64_t>(readInt(root, "version")), .m_queues = {}, .m_pools = {} };
         for (const Json& row : *routes)
             cluster.m_queues.push_back(decodeQueue(row));
         for (const Json& row : *services)
             cluster.m_pools.push_back({ .m_name = readString(row, "name"), .m_hasAdmissionControl = readBool(row, "admission_control"), .m_isStandby = readBool(row, "standby") });
-        decodeCustomers(root, cluster);
-        return cluster;
+        config.m_customerFaults = decodeCustomers(root, cluster);
+        return config;
     }
 
     cell::OperatorRecord decodeWave(const Json& root)
@@ -123,6 +125,12 @@
 
 } // namespace
 
+std::optional<DecodedConfig> decodeConfig(const std::string& value)
+{
+    const Json root = parseJson(value);
+    return root.is_object() ? decodeCluster(root) : std::nullopt;
+}
+
 cell::OperatorRecord decodeOperatorRecord(const std::string& key, const std::string& value)
 {
     const Json root = parseJson(value);
@@ -130,8 +138,13 @@
         logEvent(LogLevel::Warning, "operator-record-malformed", { { "key", key.substr(0, 40) }, { "bytes", value.size() } });
         return key == configKey ? cell::OperatorRecord(cell::UnreadableCluster {}) : cell::OperatorRecord {};
     }
-    if (key == configKey)
-        return decodeCluster(root);
+    if (key == configKey) {
+        auto config = decodeCluster(root);
+        if (!config)
+            return cell::UnreadableCluster {};
+        reportCustomerFaults(config->m_customerFaults, config->m_cluster.m_version);
+        return std::move(config->m_cluster);
+    }
     return key.starts_with("wave/") ? decodeWave(root) : cell::OperatorRecord {};
 }
 
--- a/src/platform/operator_codec.h
+++ b/src/platform/operator_codec.h
@@ -3,9 +3,19 @@
 
 #include "connection/order_type.h"
 #include "process/cell/cell_base.h"
+#include "version/customer.h"
 
 namespace bulrushloft::platform {
 
+/** A decoded configuration. */
+struct DecodedConfig {
+    ClusterSettings m_cluster; ///< What is usable of it.
+    std::vector<CustomerFault> m_customerFaults; ///< What was left out of its customers.
+};
+
+/** @return The configuration in the JSON text of a record; nothing if it can't be decoded. */
+std::optional<DecodedConfig> decodeConfig(const std::string& value);
+
 /**
  * Decodes a record of the operator.
  * @param key Key of the record in the operator topic.
