Refused calls: also counted without a queue, and only where there are customers

Cause: calls to unknown queues were not counted by customer, and a deployment without customers got new log lines and a metric. Change: countRefusedCall() finds the customer by the key, and does nothing without customers. The model of config_freshness_test has clocks that differ by up to 2 %.

--- a/src/process/cell/cell_clients.cpp
+++ b/src/process/cell/cell_clients.cpp
@@ -308,12 +308,14 @@
 void onClientCall(CellNode& node, const ClientCall& call, const ClientResponder& respond)
 {
     if (!node.m_cluster) {
-        noteRefusedCall(node.m_callRefusals, { .m_customer = {}, .m_cause = "no-configuration", .m_queue = {} }, node.m_now);
+        countRefusedCall(node, call, "no-configuration", {});
         return respond(makeRefusal(node, { .m_job = {}, .m_arrivedAt = call.m_arrivedAt, .m_deadline = call.m_deadline }));
     }
     const QueueSettings* const queue = findQueue(*node.m_cluster, call.m_host, call.m_path);
-    if (!queue)
+    if (!queue) {
+        countRefusedCall(node, call, "no-such-queue", {});
         return respond({ .m_status = ClientStatus::NoSuchQueue });
+    }
     const KeyCheck key = checkKey(node, call, *queue);
     const CallContext context = contextOf(call, *queue);
     if (key.m_verdict == KeyCheck::Verdict::NotCurrent)
--- a/src/process/cell/cell_detail.h
+++ b/src/process/cell/cell_detail.h
@@ -76,6 +76,12 @@
  */
 KeyCheck checkKey(CellNode& node, const ClientCall& call, const QueueSettings& queue);
 
+/**
+ * Counts and logs a refused call where the deployment has customers.
+ * @param cause Why it was refused, a literal of a few words joined by hyphens. @param queue Name of the queue; empty if it is not known.
+ */
+void countRefusedCall(CellNode& node, const ClientCall& call, std::string_view cause, const std::string& queue);
+
 /** Notes what a heartbeat's answer says about the version in force. @param askedAt When the heartbeat was sent, on the boot-time clock. */
 void noteConfigAnswer(CellNode& node, const PeerHeartbeatAnswer& answer, TimePoint askedAt);
 
--- a/src/process/cell/cell_keys.cpp
+++ b/src/process/cell/cell_keys.cpp
@@ -22,6 +22,12 @@
         return members;
     }
 
+    /** @return Whether the deployment has customers, as far as that is known. */
+    bool hasCustomers(const CellNode& node)
+    {
+        return node.m_options.m_keyRevocation || (node.m_cluster && node.m_cluster->m_requiresKeys);
+    }
+
     /** @return Whether the version in force is known to be current, or keys don't expire. */
     bool isKeyValid(const CellNode& node)
     {
@@ -31,21 +37,28 @@
 
 } // namespace
 
+void countRefusedCall(CellNode& node, const ClientCall& call, std::string_view cause, const std::string& queue)
+{
+    if (!hasCustomers(node))
+        return;
+    const CustomerSettings* const customer = findCustomer(node.m_customers, call.m_key);
+    noteRefusedCall(node.m_callRefusals, { .m_customer = customer ? customer->m_name : std::string(), .m_cause = cause, .m_queue = queue }, node.m_now);
+}
+
 KeyCheck checkKey(CellNode& node, const ClientCall& call, const QueueSettings& queue)
 {
     const bool isKeyNeeded = node.m_cluster->m_requiresKeys && !queue.m_isAnonymous;
     const CustomerSettings* const customer = findCustomer(node.m_customers, call.m_key);
-    const std::string name = customer ? customer->m_name : std::string();
     const bool isValid = isKeyValid(node);
     if (isKeyNeeded && !isValid) {
-        noteRefusedCall(node.m_callRefusals, { .m_customer = name, .m_cause = "configuration-not-current", .m_queue = queue.m_name }, node.m_now);
+        countRefusedCall(node, call, "configuration-not-current", queue.m_name);
         return { .m_verdict = KeyCheck::Verdict::NotCurrent, .m_customer = {} };
     }
     if (isKeyNeeded && !customer) {
-        noteRefusedCall(node.m_callRefusals, { .m_customer = {}, .m_cause = call.m_key.empty() ? "no-key" : "unknown-key", .m_queue = queue.m_name }, node.m_now);
+        countRefusedCall(node, call, call.m_key.empty() ? "no-key" : "unknown-key", queue.m_name);
         return { .m_verdict = KeyCheck::Verdict::UnknownKey, .m_customer = {} };
     }
-    return { .m_verdict = KeyCheck::Verdict::Passed, .m_customer = isValid ? name : std::string() };
+    return { .m_verdict = KeyCheck::Verdict::Passed, .m_customer = customer && isValid ? customer->m_name : std::string() };
 }
 
 void noteConfigAnswer(CellNode& node, const PeerHeartbeatAnswer& answer, TimePoint askedAt)
--- a/tests/config_freshness_test.cpp
+++ b/tests/config_freshness_test.cpp
@@ -126,9 +126,13 @@
     ConfigFreshness m_freshness;
     std::uint64_t m_version = 0;
     std::size_t m_readRecords = 0; ///< Records of the store that it has read.
+    double m_rate = 1; ///< Rate of its clock, 0.98 to 1.02.
+    std::int64_t m_origin = 0; ///< What its clock shows at time 0 of the model.
+
+    TimePoint clockAt(std::int64_t time) const { return { m_origin + static_cast<std::int64_t>(static_cast<double>(time) * m_rate) }; }
 };
 
-/** An event that is due at a time: the carrying out or the answer of a call. */
+/** VMs that read a store and ask each other. Times are those of the operator's clock, in ms. */
 struct Model {
     std::vector<StoredRecord> m_store;
     std::vector<ModelVm> m_vms { 4 };
@@ -162,15 +166,15 @@
         }
         const bool hasNewer = vm.m_readRecords < m_store.size() && m_store[vm.m_readRecords].m_at <= carriedOutAt;
         if (!hasNewer)
-            noteConfigRead(vm.m_freshness, { askedAt });
+            noteConfigRead(vm.m_freshness, vm.clockAt(askedAt));
     }
 
-    /** An answer of a peer that was given before now to a question sent earlier still. */
+    /** An answer of a peer that was given now to a question sent earlier still. */
     void ask(ModelVm& vm, const ModelVm& peer)
     {
-        const auto age = configAge(peer.m_freshness, { m_now });
+        const auto age = configAge(peer.m_freshness, peer.clockAt(m_now));
         if (age)
-            notePeerEvidence(vm.m_freshness, peer.m_version, vm.m_version, { m_now - draw(0, 700) }, *age);
+            notePeerEvidence(vm.m_freshness, peer.m_version, vm.m_version, vm.clockAt(m_now - draw(0, 700)), *age);
         if (draw(0, 2) == 0)
             putInForce(vm, peer.m_version);
     }
@@ -178,7 +182,7 @@
     /** @return Whether a VM accepts keys of a version although a later record, readable or not, was stored longer ago than allowed. */
     bool isViolated(const ModelVm& vm) const
     {
-        if (!isConfigCurrent(vm.m_freshness, revocation, { m_now }))
+        if (!isConfigCurrent(vm.m_freshness, revocation, vm.clockAt(m_now)))
             return false;
         bool isReached = vm.m_version == 0;
         for (const StoredRecord& record : m_store) {
@@ -192,7 +196,7 @@
 
 } // namespace
 
-// VMs read the store and ask each other at random, with late answers and records that can't be decoded; a version that was replaced longer ago than the limit must not count as current on any.
+// VMs whose clocks differ in rate read the store and ask each other at random, with late answers and records that can't be decoded; a version that was replaced longer ago than the limit must not count as current on any.
 BOOST_AUTO_TEST_CASE(no_vm_takes_a_replaced_version_for_current_beyond_the_limit)
 {
     constexpr std::uint64_t seeds = 300;
@@ -202,6 +206,10 @@
         Model model;
         model.m_random.seed(seed);
         std::uint64_t version = 0;
+        for (ModelVm& vm : model.m_vms) {
+            vm.m_rate = 0.98 + 0.0001 * static_cast<double>(model.draw(0, 400));
+            vm.m_origin = model.draw(0, 1'000'000);
+        }
         const std::int64_t readShare = model.draw(1, 30); // In some worlds hardly any VM reaches the store.
         for (int event = 0; event < events; ++event) {
             model.m_now += model.draw(0, 400);
@@ -212,7 +220,7 @@
                 model.read(vm);
             else
                 model.ask(vm, model.m_vms[static_cast<std::size_t>(model.draw(0, 3))]);
-            current += isConfigCurrent(vm.m_freshness, revocation, { model.m_now }) ? 1 : 0;
+            current += isConfigCurrent(vm.m_freshness, revocation, vm.clockAt(model.m_now)) ? 1 : 0;
             BOOST_REQUIRE_MESSAGE(!model.isViolated(vm), "seed " << seed << ", event " << event);
         }
     }
--- a/tests/customer_keys_test.cpp
+++ b/tests/customer_keys_test.cpp
@@ -5,6 +5,7 @@
 #include "connection/peer_codec.h"
 #include "fakes/keys_fixture.h"
 #include "fakes/one_vm_cell.h"
+#include "process/cell/cell_metrics.h"
 
 using namespace bulrushloft;
 using namespace bulrushloft::cell;
@@ -280,6 +281,18 @@
     BOOST_TEST(fixture.m_memberCalls == 0);
 }
 
+// Guards against new log lines and metrics in a deployment without customers.
+BOOST_AUTO_TEST_CASE(without_customers_no_refusals_are_counted)
+{
+    KeysFixture fixture(std::nullopt);
+    fixture.call("");
+    fixture.writeText(R"({"version":1,"routes":[],"services":[]})");
+    fixture.run({ 3'000 });
+    BOOST_TEST(KeysFixture::isRefused(fixture.call(""), ClientStatus::NoSuchQueue));
+    BOOST_TEST(fixture.m_node->m_callRefusals.m_byCustomer.empty());
+    BOOST_TEST(renderMetrics(*fixture.m_node, {}).find("bulrush_calls_refused_total") == std::string::npos);
+}
+
 BOOST_FIXTURE_TEST_CASE(refusals_are_counted_by_customer_and_cause, RunningFixture)
 {
     call("nobody");
@@ -291,6 +304,9 @@
     BOOST_TEST(counts.at("-").at("unknown-key") == 1U);
     BOOST_TEST(counts.at("-").at("no-key") == 2U);
     BOOST_TEST(counts.at("customer-k1").at("configuration-not-current") == 1U);
+    const std::string metrics = renderMetrics(*m_node, {});
+    BOOST_TEST(metrics.find(R"(bulrush_calls_refused_total{customer="customer-k1",cause="configuration-not-current"} 1)") != std::string::npos);
+    BOOST_TEST(metrics.find("nobody") == std::string::npos); // A key.
 }
 
 // Guards against memory and log lines that grow with the number of customers and calls.
