Model of freshness: checks until the evidence of a VM ends

Cause: the model looked at VMs only at the times of its events, so that a limit without allowance for clocks of different rates passed. Change: it checks the last time at which a VM accepts keys by its evidence, and half of its reads are carried out when they are sent. Result: config_freshness_test passes; without the allowance (5,000 instead of 4,800 ms) the model fails, too.

--- a/tests/config_freshness_test.cpp
+++ b/tests/config_freshness_test.cpp
@@ -4,6 +4,7 @@
 
 #include "process/cell/config_freshness.h"
 
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -153,7 +154,7 @@
     void read(ModelVm& vm)
     {
         const std::int64_t askedAt = m_now - draw(0, 3'000);
-        const std::int64_t carriedOutAt = draw(askedAt, m_now);
+        const std::int64_t carriedOutAt = draw(0, 1) == 0 ? askedAt : draw(askedAt, m_now);
         for (; vm.m_readRecords < m_store.size() && m_store[vm.m_readRecords].m_at <= carriedOutAt; ++vm.m_readRecords) {
             const StoredRecord& record = m_store[vm.m_readRecords];
             if (record.m_version == 0) {
@@ -179,14 +180,26 @@
             putInForce(vm, peer.m_version);
     }
 
-    /** @return Whether a VM accepts keys of a version although a later record, readable or not, was stored longer ago than allowed. */
-    bool isViolated(const ModelVm& vm) const
+    /** @return The last time at which a VM accepts keys by the evidence that it has now; empty if it accepts none now. */
+    std::optional<std::int64_t> acceptsUntil(const ModelVm& vm) const
     {
         if (!isConfigCurrent(vm.m_freshness, revocation, vm.clockAt(m_now)))
+            return std::nullopt;
+        std::int64_t until = m_now;
+        while (isConfigCurrent(vm.m_freshness, revocation, vm.clockAt(until + 1)))
+            ++until;
+        return until;
+    }
+
+    /** @return Whether a VM accepts keys of a version, now or until its evidence ends, although a later record, readable or not, was stored longer before than allowed. */
+    bool isViolated(const ModelVm& vm) const
+    {
+        const auto until = acceptsUntil(vm);
+        if (!until)
             return false;
         bool isReached = vm.m_version == 0;
         for (const StoredRecord& record : m_store) {
-            if (isReached && m_now - record.m_at > revocation.m_ms)
+            if (isReached && *until - record.m_at > revocation.m_ms)
                 return true;
             isReached = isReached || record.m_version == vm.m_version;
         }
