Scheduler: where room or approvals are short, customers below their share go first

Cause: waiting steps are ordered by urgency alone, so a customer that sends several times its load delays all others, and takes their approval calls. Change: in each urgency class and queue priority of a pool with a shortage, the steps of customers below their share come first, then those of customers that got too little lately, then the rest; work without a customer keeps its places. Approval requests count by their duration.

--- a/src/process/scheduler/approvals.cpp
+++ b/src/process/scheduler/approvals.cpp
@@ -6,6 +6,7 @@
 #include "process/scheduler/placement_cost.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
+#include "process/scheduler/share_order.h"
 #include "request/plan_func.h"
 
 #include <algorithm>
@@ -202,6 +203,7 @@
             if (!proxy)
                 return false;
             occupyProxy(*proxy, duration, now);
+            countApprovalRequest(run, duration);
             run.m_approvalRequestedAt = now;
             ApprovalState& state = run.m_approval;
             ++state.m_pendingRequests;
--- a/src/process/scheduler/customer_usage.h
+++ b/src/process/scheduler/customer_usage.h
@@ -21,9 +21,18 @@
 /** What a customer has running in one pool. */
 struct PoolUsage {
     Resources m_running; ///< Sum of the full sizes of its attempts.
-    double m_average = 0; ///< Dominant share of the pool in use, 0 to 1, averaged.
-    double m_approvals = 0; ///< Share of the time of the VMs that send approval requests, 0 to 1, averaged.
+    double m_average = 1; ///< Dominant share of the pool in use, 0 to 1, averaged.
+    double m_approvals = 0; ///< Sum of the expected durations of its approval requests in ms, which decays over shareAveraging.
     TimePoint m_averagedAt; ///< Time of the averages; zero before the first.
+    double m_share = 1; ///< Fair share of the pool, 0 to 1; the whole until it is first computed.
+    bool m_isActive = false; ///< It has waiting steps, as far as the present pass has found them.
+};
+
+/** What the shares of a pool refer to. */
+struct PoolShares {
+    Resources m_capacity; ///< Capacity of its workers that accept tasks.
+    double m_approvals = 0; ///< Sum of PoolUsage::m_approvals.
+    TimePoint m_shortUntil; ///< Until then room or approvals count as short.
 };
 
 /** A customer with accepted jobs or in the configuration. Entries are never removed, so that pointers to them stay valid. */
@@ -52,45 +61,45 @@
 
 namespace detail {
 
-/** Takes over caps and weights. A customer that has left the configuration keeps its last ones for the jobs that were accepted. */
-void setCustomers(Scheduler& scheduler, const ClusterSettings& cluster);
+    /** Takes over caps and weights. A customer that has left the configuration keeps its last ones for the jobs that were accepted. */
+    void setCustomers(Scheduler& scheduler, const ClusterSettings& cluster);
 
-/** @return The entry of a customer, which is created if there is none. */
-CustomerUsage& findOrCreateCustomer(Scheduler& scheduler, const std::string& name);
+    /** @return The entry of a customer, which is created if there is none. */
+    CustomerUsage& findOrCreateCustomer(Scheduler& scheduler, const std::string& name);
 
-/** Connects a new job with its customer, if it has one. */
-void assignCustomer(Scheduler& scheduler, Job& job);
+    /** Connects a new job with its customer, if it has one. */
+    void assignCustomer(Scheduler& scheduler, Job& job);
 
-/** Counts an attempt of a step that has been placed or restored. */
-void countAttempt(const StepRun& run);
+    /** Counts an attempt of a step that has been placed or restored. */
+    void countAttempt(const StepRun& run);
 
-/** Ends the count of the current attempt of a step's task. */
-void releaseAttempt(const StepRun& run);
+    /** Ends the count of the current attempt of a step's task. */
+    void releaseAttempt(const StepRun& run);
 
-/**
- * Counts anew the attempts that may run on a worker without being current: those that its latest report lists, and those whose start may still
- * be carried out.
- */
-void recountLingering(Scheduler& scheduler, std::int32_t worker);
+    /**
+     * Counts anew the attempts that may run on a worker without being current: those that its latest report lists, and those whose start may still
+     * be carried out.
+     */
+    void recountLingering(Scheduler& scheduler, std::int32_t worker);
 
-/** @return Number of tasks of a step that may start now within the customer's cap, at most the given limit; all or none of a gang. */
-std::uint32_t countAllowed(const Scheduler& scheduler, const StepRun& run, std::uint32_t limit);
+    /** @return Number of tasks of a step that may start now within the customer's cap, at most the given limit; all or none of a gang. */
+    std::uint32_t countAllowed(const Scheduler& scheduler, const StepRun& run, std::uint32_t limit);
 
-/**
- * Notes whether the customer's cap leaves no room for a waiting step. Such a step is examined again when an attempt of the customer has ended or
- * its cap has changed. A step that needs more room than smaller ones leave it has room collected for a while.
- * @param placeable Number of tasks that could be placed without a cap.
- */
-bool isHeldByCap(Scheduler& scheduler, StepRun& run, std::uint32_t placeable, TimePoint now);
+    /**
+     * Notes whether the customer's cap leaves no room for a waiting step. Such a step is examined again when an attempt of the customer has ended or
+     * its cap has changed. A step that needs more room than smaller ones leave it has room collected for a while.
+     * @param placeable Number of tasks that could be placed without a cap.
+     */
+    bool isHeldByCap(Scheduler& scheduler, StepRun& run, std::uint32_t placeable, TimePoint now);
 
-/** Sums up the tasks for which approvals are requested, by customer. */
-void sumRequested(Scheduler& scheduler);
+    /** Sums up the tasks for which approvals are requested, by customer. */
+    void sumRequested(Scheduler& scheduler);
 
-/** @return Whether a step may request approvals for a task, as the requests of the customer's other steps don't use up the room under its cap. */
-bool mayRequestWithinCap(const StepRun& run);
+    /** @return Whether a step may request approvals for a task, as the requests of the customer's other steps don't use up the room under its cap. */
+    bool mayRequestWithinCap(const StepRun& run);
 
-/** @return Whether all that the ledgers hold follows from the attempts. */
-bool areCustomersConsistent(const Scheduler& scheduler);
+    /** @return Whether all that the ledgers hold follows from the attempts. */
+    bool areCustomersConsistent(const Scheduler& scheduler);
 
 } // namespace detail
 
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -428,6 +428,7 @@
     bool m_areCancellationsUnread = false; ///< Neither these cancellations nor their copies have all been read. Jobs without recorded tasks are held. Implies m_areSubmissionsUnread.
     bool m_isProgressUnread = false; ///< Records of earlier terms have not all been read, so that a job that counts as new may have run. All jobs are held, no worker is called, and attempts and ends of held jobs are kept. Implies m_areCancellationsUnread.
     std::unordered_map<std::string, CustomerUsage> m_customers; ///< Customers in the configuration or with accepted jobs, by name.
+    std::map<std::string, PoolShares, std::less<>> m_pools; ///< Pools with shares of customers, by name.
     std::unordered_map<std::string, std::vector<CountedAttempt>> m_unreadAttempts; ///< Attempts of customers in m_unmatchedProgress, by job id.
     std::unordered_map<std::string, std::string> m_unmatchedProgress; ///< Progress records of jobs whose submission has not been read, by job id.
     std::vector<UnmatchedEnd> m_unmatchedEnds; ///< Ends of attempts of such jobs.
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -7,6 +7,7 @@
 #include "process/scheduler/pool_view.h"
 #include "process/scheduler/reservation.h"
 #include "process/scheduler/scheduler_detail.h"
+#include "process/scheduler/share_order.h"
 #include "process/scheduler/stray_attempt.h"
 #include "process/scheduler/suspect_placement.h"
 #include "process/scheduler/urgency.h"
@@ -18,12 +19,6 @@
 
 namespace {
 
-    /** A waiting step and its sort key. */
-    struct RankedStep {
-        Urgency m_urgency;
-        StepRun* m_run = nullptr;
-    };
-
     /** @return Monotonic time at which the job was accepted, or its occurrence became due. */
     TimePoint dueTimeOf(const Scheduler& scheduler, const StepRun& run)
     {
@@ -129,6 +124,12 @@
                 request(effects);
         }
 
+        /** @return Whether tasks are left that wait for room or for a VM that sends their approval request. */
+        bool isLeftShort() const
+        {
+            return m_toPlace > 0 && (!m_policy || m_run.m_isApprovalRequestDelayed || m_run.m_approval.m_pendingRequests == 0);
+        }
+
         /** Reserves workers for the tasks without a worker, if they are large, so that streams of small tasks don't starve them. */
         void reserve(const ReservationLimits& limits)
         {
@@ -459,6 +460,7 @@
             return false;
         });
         std::stable_sort(ranked.begin(), ranked.end(), [](const RankedStep& one, const RankedStep& other) { return one.m_urgency < other.m_urgency; });
+        orderRanked(scheduler, ranked, now);
         return ranked;
     }
 
@@ -502,6 +504,7 @@
             return policy && isStarvedOfApprovals(*step.m_run, *policy, now);
         });
         std::stable_sort(starved.begin(), starved.end(), [](const RankedStep& one, const RankedStep& other) { return one.m_run->m_approvalRequestedAt < other.m_run->m_approvalRequestedAt; });
+        orderRanked(scheduler, starved, now);
         for (const RankedStep& step : starved) {
             step.m_run->m_mayUseKeptProxies = true;
             if (canRequestApprovals(scheduler, *step.m_run, *queueOf(scheduler, *step.m_run->m_job).m_approval, now))
@@ -543,6 +546,8 @@
     }
     PoolViews views = takePoolViews(scheduler, now);
     sumRequested(scheduler);
+    if (isFullPass)
+        updateShares(scheduler, views, now);
     const std::vector<RankedStep> ranked = rankWaiting(scheduler, views, isFullPass, now);
     if (isFullPass) {
         reserveLateShare(scheduler, ranked, views, now);
@@ -553,6 +558,8 @@
         StepPlacement placement(scheduler, *step.m_run, step.m_urgency, view, now);
         step.m_run->m_isChanged = false;
         placement.place(effects);
+        if (placement.isLeftShort())
+            noteShortage(scheduler, step.m_run->m_job->m_plan.m_pool, now);
         if (isFullPass)
             placement.reserve(reservationLimitsOf(view.m_workers.size()));
     }
