--- a/tests/cell_simulation.h
+++ b/tests/cell_simulation.h
@@ -167,6 +167,16 @@
     bool m_isRenamed = true; ///< Whether a new process has another id at the same address; the announcement of the old one stays for some seconds.
 };
 
+/** Customers of the jobs, whose caps change in turn. Times count from the beginning. */
+struct CustomerCaps {
+    int m_customers = 0; ///< Number of customers, at most 9; every fifth job has none. 0 for no customers.
+    std::vector<std::int64_t> m_cpuMilli { 3'000, 6'000, 4'000 }; ///< Caps in thousandths of a core; each customer takes the next one with each change.
+    double m_overrun = 0.1; ///< See SchedulerOptions::m_capOverrun.
+    int m_changes = 0; ///< Number of changes of all caps.
+    Duration m_firstChange { 5'000 }; ///< Time of the first one.
+    Duration m_changeInterval { 4'000 }; ///< Time between two.
+};
+
 /** Size, load and faults of a simulation. */
 struct CellSimulationOptions {
     std::uint64_t m_seed = 1; ///< Seed of all random choices.
@@ -194,6 +204,7 @@
     JoiningVm m_joiningVm; ///< A further daemon that starts during the load.
     ConnectionFaults m_connectionFaults; ///< Connections to workers.
     WorkerCrashSeries m_crashSeries; ///< Crashes of workers in series. No job may be given up for them.
+    CustomerCaps m_caps; ///< Customers.
     Duration m_startTime; ///< A job that could run has a running task again after this time, whenever no daemon and not the store is disrupted; 0 leaves that unchecked.
     double m_longRunShare = 0; ///< Share of the attempts, 0 to 1, with the run time below; gangs excepted.
     Duration m_longRunTime { 18'000 }; ///< Run time of these attempts.
@@ -229,6 +240,8 @@
     std::int64_t m_longestSilentGapMs = 0; ///< Longest time without such an end.
     int m_resetConnections = 0; ///< New connections that workers reset because they had accepted as many as they may.
     int m_mostHalfOpen = 0; ///< Most connections of daemons without power that were open at a worker at once.
+    double m_highestCapUse = 0; ///< Largest part of its cap that a customer had running at a start.
+    std::uint64_t m_fullCapStarts = 0; ///< Starts that brought a customer to its cap.
     int m_crashes = 0; ///< Crashes of workers in a series.
     int m_crashedAttempts = 0; ///< Attempts that ran on workers that crashed.
     bool m_hasJoinedVmLed = false; ///< Whether the daemon of JoiningVm has led while it was not on the list of members, after the end of a leader as in TakeOver if there is one.
--- a/tests/cell_simulation_base.h
+++ b/tests/cell_simulation_base.h
@@ -102,7 +102,7 @@
     void schedule(std::int64_t delay, std::function<void()> work) { m_events.emplace(m_now + std::max<std::int64_t>(delay, 1), std::move(work)); }
     /**
      * Records a violation, which ends the simulation.
-     * @param description Begins with the violated guarantee: TWICE (a task ran again or in two places), LIMIT (capacity exceeded),
+     * @param description Begins with the violated guarantee: TWICE (a task ran again or in two places), LIMIT (capacity exceeded), CAP (a start exceeds the cap of a customer),
      * UNASKED (a task ran without a submitted job or after its cancellation), ORDER (a step started too early), LOST (an accepted
      * job did not complete or stands still), REFUSED (a refused job ran), RECOVER (too few are served after a loss of power), QUEUE (too much waits in a partition of a sound store),
      * REJECTED (too few submissions are accepted although the store is sound or only some partitions are silent), LAPSED (a lease ended in an outage of the store or of partitions), STALLED (no task ends while partitions are silent). An inconsistent scheduler has no such prefix.
@@ -257,6 +257,16 @@
     /** Checks the share of submissions that were accepted while partitions were silent (REJECTED). */
     void checkSilentSubmissions();
     void endLeader();
+    /** @return The customer of a job, by the body of its submission; empty for none. */
+    std::string customerOf(const std::string& body) const;
+    /** @return The customers in a version of the configuration. */
+    std::vector<CustomerSettings> makeCustomers(std::int64_t version) const;
+    /** Schedules the changes of caps in the options. */
+    void scheduleCapChanges();
+    /** @return The highest cap of a customer, in thousandths of a core, of the configurations that may be in force. */
+    std::int64_t highestCap(const std::string& customer) const;
+    /** Checks the cap of the customer of an attempt that is about to start (CAP). */
+    void checkCap(const TaskName& started, const std::string& attemptName);
     /** Takes the time at which an attempt is about to start, if it repeats one that the end of the leader was measured with. */
     void measureStart(const TaskName& task);
     bool isInRound(const SimulatedNode& node) const { return m_now < node.m_roundEndsAt; }
@@ -343,6 +353,7 @@
     std::vector<ClientJob> m_jobs;
     std::map<std::string, std::size_t> m_jobById;
     std::map<TaskName, std::string> m_workerByRunningTask; ///< Worker of each running task.
+    std::vector<std::int64_t> m_configChanges; ///< When the versions after the first one were stored.
     std::set<TaskName> m_acknowledgedDone; ///< Tasks whose completion the leader has acknowledged; they must not start again.
     CellSimulationResult m_result;
 };
--- a/tests/cell_simulation_checks.cpp
+++ b/tests/cell_simulation_checks.cpp
@@ -19,6 +19,7 @@
     capacity.m_cpuMilli = countedCapacity(worker);
     if (!fitsInto(usedBy(worker) + stepOf(task).m_size, capacity))
         reportViolation("LIMIT: " + attemptName + " exceeds the worker's capacity, of CPU " + std::to_string(capacity.m_cpuMilli));
+    checkCap(task, attemptName);
     m_jobs[job->second].m_hasStarted = true;
     if (task.m_step > 0) {
         // Steps have at most 9 tasks (see makePlan()), so that these indices cover every task of the previous step.
--- a/tests/cell_simulation_clients.cpp
+++ b/tests/cell_simulation_clients.cpp
@@ -16,6 +16,10 @@
         chooseBody(job);
     job.m_queue = &m_queues.at(static_cast<std::size_t>(job.m_body[2] - '0'));
     job.m_plan = makePlan(m_queues, job.m_body);
+    const int customers = m_options.m_caps.m_customers;
+    constexpr std::size_t anonymousDivisor = 5;
+    if (customers > 0 && index % anonymousDivisor != 0)
+        job.m_body += std::to_string(index / 3 % static_cast<std::size_t>(customers)); // Jobs of all numbers of steps, which depend on the index.
     m_jobs.push_back(job);
     schedule(submitDelay, [this, index] { submit(index); });
     if (randomBool(0.1))
@@ -55,7 +59,7 @@
     const auto retry = [this, index] { schedule(clientRetryDelay.m_ms, [this, index] { submit(index); }); };
     if (!node.m_cell)
         return retry();
-    const ClientCall call { .m_verb = ClientVerb::Submit, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = job.m_body, .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
+    const ClientCall call { .m_verb = ClientVerb::Submit, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = job.m_body, .m_key = customerOf(job.m_body), .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
     const bool isCounted = soundTime() && m_now >= *soundTime() + callerSettlingTime.m_ms;
     m_result.m_soundSubmissions += isCounted ? 1 : 0;
     const bool isInSilence = isSettledInSilence() && m_mustAcceptInSilence && m_now + clientTimeout.m_ms <= m_silentUntil;
