--- a/src/process/scheduler/approvals.cpp
+++ b/src/process/scheduler/approvals.cpp
@@ -7,6 +7,7 @@
 #include "process/scheduler/placement_cost.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
+#include "process/scheduler/share_order.h"
 #include "request/plan_func.h"
 
 #include <algorithm>
@@ -203,6 +204,7 @@
             if (!proxy)
                 return false;
             occupyProxy(*proxy, duration, now);
+            countApprovalRequest(run, duration);
             run.m_approvalRequestedAt = now;
             ApprovalState& state = run.m_approval;
             ++state.m_pendingRequests;
