Admission: simulations of an overloaded cell with faults, in which the leader refuses submissions

Cause: nothing checked over faults of daemons, links and store that a job all of whose submissions were refused never runs. A case of submission_gate_test: nothing is refused any more once the customers are removed.

--- a/tests/cell_simulation.cpp
+++ b/tests/cell_simulation.cpp
@@ -91,14 +91,23 @@
     options.m_seeds = { { "127.0.0.1", 0 }, { "127.0.0.1", 1 } };
     options.m_topics = { .m_operator = "op", .m_workers = "workers" };
     cell::CellDecoders decoders;
-    decoders.m_operator = [this](const std::string&, const std::string&) -> cell::OperatorRecord { return makeSettings(m_queues); };
+    decoders.m_operator = [this](const std::string&, const std::string&) -> cell::OperatorRecord {
+        ClusterSettings settings = makeSettings(m_queues);
+        if (m_options.m_customerWeight > 0)
+            settings.m_customers = { { .m_name = simulatedCustomer, .m_keys = { simulatedKey }, .m_weight = m_options.m_customerWeight, .m_cap = {} } };
+        return settings;
+    };
     // The value of an announcement is the start of the process and the CPU capacity.
     decoders.m_worker = [this](const std::string& id, const std::string& value) -> std::optional<WorkerAnnouncement> {
         Resources capacity = simulatedCapacity(m_options.m_needsApprovals);
         capacity.m_cpuMilli = std::stoll(value.substr(value.find(' ')));
         return WorkerAnnouncement { .m_id = id, .m_pool = "pool", .m_address = { "127.0.0.2", 1 }, .m_zone = "a", .m_machine = {}, .m_capacity = capacity, .m_labels = m_options.m_needsApprovals ? std::vector<std::string> { "gpu", "r1-" + std::to_string(std::stoi(id.substr(1)) % rackCount) } : std::vector<std::string> {}, .m_isDraining = false, .m_remainingDrainTime = {}, .m_processStartMs = std::stoll(value) };
     };
-    decoders.m_plan = [this](const std::string& body) -> Expected<JobPlan> { return makePlan(m_queues, body); };
+    decoders.m_plan = [this](const std::string& body) -> Expected<JobPlan> {
+        JobPlan plan = makePlan(m_queues, body);
+        plan.m_customer = m_options.m_customerWeight > 0 ? simulatedCustomer : "";
+        return plan;
+    };
     node.m_isAlive = std::make_shared<bool>(true);
     node.m_suspendedMs = 0;
     node.m_deferredDeliveries.clear();
--- a/tests/cell_simulation.h
+++ b/tests/cell_simulation.h
@@ -183,6 +183,7 @@
     LossyWrites m_lossyWrites; ///< Writes whose answers are lost.
     SlowLossyStore m_slowLossyStore; ///< A store that is slow and lossy, and checks of its partitions and callers once it is sound.
     std::vector<Duration> m_leaderKills; ///< When the leader is killed, if there is one; counts from the start of the load.
+    double m_customerWeight = 0; ///< Jobs per second that the customer of all jobs is entitled to; 0 for a configuration without customers.
     int m_maxTries = 8; ///< How often a client submits a job at most.
     bool m_printsTraffic = false; ///< Whether to print, for each second, the attempts to append to each partition and its waiting time.
     PowerLoss m_powerLoss; ///< Loss of power of all daemons.
@@ -209,6 +210,7 @@
     int m_accepted = 0; ///< Jobs whose submission was acknowledged.
     int m_complete = 0; ///< Accepted jobs that a daemon reported as complete.
     int m_cancelled = 0; ///< Jobs whose cancellation was acknowledged.
+    int m_overLimit = 0; ///< Submissions that were refused as the customer was over its share.
     int m_refused = 0; ///< Jobs that were certainly not accepted: each submission was refused or never sent.
     std::uint64_t m_terms = 0; ///< Leader terms that were started.
     std::uint64_t m_startedAttempts = 0; ///< Task attempts that workers started.
--- a/tests/cell_simulation_base.h
+++ b/tests/cell_simulation_base.h
@@ -15,6 +15,8 @@
 namespace bulrushloft::test {
 
 constexpr const char* configKey = "config";
+constexpr const char* simulatedCustomer = "customer"; ///< Submits all jobs, if the configuration has customers.
+constexpr const char* simulatedKey = "key of the customer";
 constexpr int rackCount = 3;
 constexpr Duration tickLength { 10 };
 constexpr Duration appendTime { 2 }; ///< Time that an append occupies its partition of the store.
--- a/tests/cell_simulation_clients.cpp
+++ b/tests/cell_simulation_clients.cpp
@@ -55,7 +55,7 @@
     const auto retry = [this, index] { schedule(clientRetryDelay.m_ms, [this, index] { submit(index); }); };
     if (!node.m_cell)
         return retry();
-    const ClientCall call { .m_verb = ClientVerb::Submit, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = job.m_body, .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
+    const ClientCall call { .m_verb = ClientVerb::Submit, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = job.m_body, .m_key = m_options.m_customerWeight > 0 ? simulatedKey : "", .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
     const bool isCounted = soundTime() && m_now >= *soundTime() + callerSettlingTime.m_ms;
     m_result.m_soundSubmissions += isCounted ? 1 : 0;
     const bool isInSilence = isSettledInSilence() && m_mustAcceptInSilence && m_now + clientTimeout.m_ms <= m_silentUntil;
@@ -69,7 +69,8 @@
     });
     deliverLater(node, node.m_isAlive, 1, [this, &node, call, index, isAnswered, retry, isCounted, isInSilence] {
         onClientCall(*node.m_cell, call, [this, index, isAnswered, retry, isCounted, isInSilence](const ClientReply& reply) {
-            if (reply.m_status != ClientStatus::NotDone)
+            m_result.m_overLimit += reply.m_status == ClientStatus::OverLimit ? 1 : 0;
+            if (reply.m_status != ClientStatus::NotDone && reply.m_status != ClientStatus::OverLimit)
                 m_jobs[index].m_mayBeAccepted = true;
             if (reply.m_status == ClientStatus::Accepted && !std::exchange(m_jobs[index].m_isAccepted, true))
                 m_jobs[index].m_acceptedAt = m_now;
--- a/tests/fakes/gated_sources.h
+++ b/tests/fakes/gated_sources.h
@@ -31,6 +31,7 @@
 inline std::vector<CustomerSettings> makeCustomers(double usual)
 {
     std::vector<CustomerSettings> customers;
+    customers.reserve(customerCount);
     for (int i = 0; i < customerCount; ++i)
         customers.push_back({ .m_name = customerName(i), .m_keys = {}, .m_weight = i == 0 ? usual / 4 : usual * 3 / 4 / (customerCount - 1), .m_cap = {} });
     return customers;
@@ -60,6 +61,7 @@
 inline std::vector<Source> makeCustomerSources(double usual)
 {
     std::vector<Source> sources;
+    sources.reserve(customerCount);
     int number = 0;
     for (const CustomerSettings& customer : makeCustomers(usual)) // Spread over time, as their calls are.
         sources.push_back({ .m_queue = "plain", .m_customer = customer.m_name, .m_rate = customer.m_weight, .m_step = makeStep(), .m_owed = static_cast<double>(number++) / customerCount });
--- a/tests/submission_gate_test.cpp
+++ b/tests/submission_gate_test.cpp
@@ -218,6 +218,15 @@
     BOOST_TEST(cell.m_node->m_gate.m_counts.empty());
 }
 
+// The estimate of a moment ago must not refuse anything once the operator has removed all customers.
+BOOST_AUTO_TEST_CASE(nothing_is_refused_once_the_customers_are_removed)
+{
+    FullCell cell;
+    cell.m_node->m_cluster = std::make_shared<const ClusterSettings>(makeCluster());
+    cell.pretendOverload();
+    BOOST_TEST((cell.sendFor({}, 3).m_outcome == WriteOutcome::Recorded));
+}
+
 // Refusals come as fast as calls do: a line for each would fill the log of a VM.
 BOOST_AUTO_TEST_CASE(log_lines_and_counted_customers_are_bounded)
 {
