Admission: the load with overstated run times is one that the estimate without learned run times fails

Cause: the case passed whatever the estimate said, as nothing waited and no customer was over its rate. Change: customers are over their rates, and bursts wait for a moment.

--- a/tests/admission_light_test.cpp
+++ b/tests/admission_light_test.cpp
@@ -60,15 +60,22 @@
     BOOST_TEST(result.m_refusedOverRate + result.m_refusedHopeless == 0);
 }
 
-// Callers that say that their tasks take two and a half times as long as they do: by their words the pool is overloaded, in truth it is half empty.
+// Callers that say that their tasks take two and a half times as long as they do: by their words the pool is overloaded, in truth it is not, and bursts
+// wait for a moment only. All of them are over their rates.
 BOOST_AUTO_TEST_CASE(overstated_run_times_refuse_nothing)
 {
-    constexpr double usual = jobsPerSecond * 1.3;
-    GatedLoad load(poolWorkers, vms, true, makeCustomers(usual));
+    constexpr double usual = jobsPerSecond * 1.5;
+    GatedLoad load(poolWorkers, vms, true, makeCustomers(usual / 10));
     load.m_estimateError = [](const TaskName&) { return 0.4; };
     std::vector<Source> sources = makeCustomerSources(usual);
-    runSources(load, sources, { 10'000 });
+    runSources(load, sources, { 5'000 });
+    for (int burst = 0; burst < 4; ++burst) {
+        for (int i = 0; i < jobsPerSecond * 3 / 2; ++i)
+            load.offer("plain", customerName(i % customerCount), makeStep());
+        runSources(load, sources, { 3'000 });
+    }
     const GatedResult result = load.result();
     print("overstated", result);
     BOOST_TEST(result.m_refusedOverRate + result.m_refusedHopeless == 0);
+    BOOST_TEST(result.m_inTime == result.m_offered);
 }
