--- a/tests/cell_simulation.cpp
+++ b/tests/cell_simulation.cpp
@@ -106,6 +106,13 @@
             return settings;
         };
     }
+    if (m_options.m_customerWeight > 0) {
+        decoders.m_operator = [this](const std::string&, const std::string&) -> cell::OperatorRecord {
+            ClusterSettings settings = makeSettings(m_queues);
+            settings.m_customers = { { .m_name = simulatedCustomer, .m_keys = { simulatedKey }, .m_weight = m_options.m_customerWeight, .m_cap = {} } };
+            return settings;
+        };
+    }
     // The value of an announcement is the start of the process and the CPU capacity.
     decoders.m_worker = [this](const std::string& id, const std::string& value) -> std::optional<WorkerAnnouncement> {
         Resources capacity = simulatedCapacity(m_options.m_needsApprovals);
@@ -113,9 +120,7 @@
         return WorkerAnnouncement { .m_id = id, .m_pool = "pool", .m_address = { "127.0.0.2", 1 }, .m_zone = "a", .m_machine = {}, .m_capacity = capacity, .m_labels = m_options.m_needsApprovals ? std::vector<std::string> { "gpu", "r1-" + std::to_string(std::stoi(id.substr(1)) % rackCount) } : std::vector<std::string> {}, .m_isDraining = false, .m_remainingDrainTime = {}, .m_processStartMs = std::stoll(value) };
     };
     decoders.m_plan = [this](const std::string& body) -> Expected<JobPlan> {
-        JobPlan plan = makePlan(m_queues, body);
-        plan.m_customer = customerOf(body);
-        return plan;
+        return makePlan(m_queues, body);
     };
     node.m_isAlive = std::make_shared<bool>(true);
     node.m_suspendedMs = 0;
--- a/tests/cell_simulation_base.h
+++ b/tests/cell_simulation_base.h
@@ -15,6 +15,8 @@
 namespace bulrushloft::test {
 
 constexpr const char* configKey = "config";
+constexpr const char* simulatedCustomer = "customer"; ///< Submits all jobs, if the configuration has customers.
+constexpr const char* simulatedKey = "key of the customer";
 constexpr int rackCount = 3;
 constexpr Duration tickLength { 10 };
 constexpr Duration appendTime { 2 }; ///< Time that an append occupies its partition of the store.
@@ -279,6 +281,9 @@
     cell::OperatorRecord decodeConfig(const std::string& text) const;
     /** @return Key of the calls about jobs; empty without customers. */
     std::string jobKey() const { return m_keys.empty() ? std::string() : m_keys.front().m_text; }
+
+    /** @return The key in the calls about a job; empty if the configuration has no customers. */
+    std::string keyOf(const ClientJob& job) const;
     std::int64_t keyRandom(std::int64_t low, std::int64_t high) { return std::uniform_int_distribution<std::int64_t>(low, high)(m_keyRandom); }
     void endLeader();
     /** @return The customer of a job, by the body of its submission; empty for none. */
--- a/tests/cell_simulation_clients.cpp
+++ b/tests/cell_simulation_clients.cpp
@@ -48,6 +48,13 @@
     job.m_body = "110"; // Too few workers are approved; a task of the first queue takes its place.
 }
 
+std::string CellSimulation::keyOf(const ClientJob& job) const
+{
+    if (m_options.m_customerWeight > 0)
+        return simulatedKey;
+    return m_options.m_caps.m_customers > 0 ? customerOf(job.m_body) : jobKey();
+}
+
 void CellSimulation::submit(std::size_t index)
 {
     ClientJob& job = m_jobs[index];
@@ -59,7 +66,7 @@
     const auto retry = [this, index] { schedule(clientRetryDelay.m_ms, [this, index] { submit(index); }); };
     if (!node.m_cell)
         return retry();
-    const ClientCall call { .m_verb = ClientVerb::Submit, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = job.m_body, .m_key = m_options.m_caps.m_customers > 0 ? customerOf(job.m_body) : jobKey(), .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
+    const ClientCall call { .m_verb = ClientVerb::Submit, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = job.m_body, .m_key = keyOf(job), .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
     const bool isCounted = soundTime() && m_now >= *soundTime() + callerSettlingTime.m_ms;
     m_result.m_soundSubmissions += isCounted ? 1 : 0;
     const bool isInSilence = isSettledInSilence() && m_mustAcceptInSilence && m_now + clientTimeout.m_ms <= m_silentUntil;
@@ -73,7 +80,8 @@
     });
     deliverLater(node, node.m_isAlive, 1, [this, &node, call, index, isAnswered, retry, isCounted, isInSilence] {
         onClientCall(*node.m_cell, call, [this, index, isAnswered, retry, isCounted, isInSilence](const ClientReply& reply) {
-            if (reply.m_status != ClientStatus::NotDone)
+            m_result.m_overLimit += reply.m_status == ClientStatus::OverLimit ? 1 : 0;
+            if (reply.m_status != ClientStatus::NotDone && reply.m_status != ClientStatus::OverLimit)
                 m_jobs[index].m_mayBeAccepted = true;
             if (reply.m_status == ClientStatus::Accepted && !std::exchange(m_jobs[index].m_isAccepted, true))
                 m_jobs[index].m_acceptedAt = m_now;
@@ -97,7 +105,7 @@
     SimulatedNode& node = m_nodes[static_cast<std::size_t>(randomBetween(0, m_options.m_nodes - 1))];
     if (!node.m_cell)
         return;
-    const ClientCall call { .m_verb = ClientVerb::Cancel, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = {}, .m_key = jobKey(), .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
+    const ClientCall call { .m_verb = ClientVerb::Cancel, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = {}, .m_key = keyOf(job), .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
     deliverLater(node, node.m_isAlive, 1, [this, &node, call, index] {
         onClientCall(*node.m_cell, call, [this, index](const ClientReply& reply) {
             if (reply.m_status == ClientStatus::Cancelled && m_jobs[index].m_cancelAckedAt == 0)
@@ -114,7 +122,7 @@
     SimulatedNode& node = m_nodes[static_cast<std::size_t>(randomBetween(0, m_options.m_nodes - 1))];
     if (!node.m_cell)
         return;
-    const ClientCall call { .m_verb = ClientVerb::Query, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = {}, .m_key = jobKey(), .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
+    const ClientCall call { .m_verb = ClientVerb::Query, .m_host = "h", .m_path = "/" + job.m_queue->m_name + "/" + job.m_id, .m_body = {}, .m_key = keyOf(job), .m_arrivedAt = { steadyTimeOf(node) }, .m_deadline = { steadyTimeOf(node) + clientTimeout.m_ms } };
     deliverLater(node, node.m_isAlive, 1, [this, &node, call, index] {
         onClientCall(*node.m_cell, call, [this, index](const ClientReply& reply) {
             ClientJob& queriedJob = m_jobs[index];
