Tasks wait for a better place as long as that pays

Cause: a task that found room outside the rack of its data, or a gang that found room across racks, started there at once and ran remote_factor (2 to 3) times as long, also when a place near the data came free a moment later.

Change: with waits_for_better_place, StepPlacement compares the run time that a better place saves with the time until it is expected to be free (place_wait.h) at each pass. A step that waits reserves nothing. Places that more urgent steps of the pass wait for are not counted again. Run times are learned as those near the data. Approvals are requested in the order of the expected ends. Without the switch nothing changes.

--- a/src/process/cell/cell_metrics.cpp
+++ b/src/process/cell/cell_metrics.cpp
@@ -141,6 +141,10 @@
         builder.add("failed", static_cast<double>(scheduler.m_counters.m_failed));
         builder.add("lost", static_cast<double>(scheduler.m_counters.m_lost));
         builder.add("refused", static_cast<double>(scheduler.m_counters.m_refused));
+        builder.add("place-waits-begun", static_cast<double>(scheduler.m_counters.m_placeWaits.m_begun));
+        builder.add("place-waits-ended", static_cast<double>(scheduler.m_counters.m_placeWaits.m_ended));
+        builder.add("place-waits-given-up", static_cast<double>(scheduler.m_counters.m_placeWaits.m_givenUp));
+        builder.add("place-waited-ms", static_cast<double>(scheduler.m_counters.m_placeWaits.m_waitedMs));
         return builder.family();
     }
 
--- a/src/process/scheduler/approvals.cpp
+++ b/src/process/scheduler/approvals.cpp
@@ -3,6 +3,7 @@
 
 #include "core/log_func.h"
 #include "process/scheduler/approval_proxy.h"
+#include "process/scheduler/better_place.h"
 #include "process/scheduler/placement_cost.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
@@ -122,9 +123,9 @@
             }));
         }
 
-        /** A worker that could be named in a request; those that have room sooner, and then those that suit the step better, come first. */
+        /** A worker that could be named in a request; those on which a task would end sooner, and then those that suit the step better, come first. */
         struct NameableWorker {
-            TimePoint m_readyAt; ///< When it is expected to have room; later by some time for each other request that names it.
+            TimePoint m_readyAt; ///< When it is expected to have room; later by some time for each other request that names it, and by the additional run time far from its data.
             double m_cost = 0; ///< See costOf(); higher for each other request that names it.
             WorkerIndex m_worker = noWorker;
 
@@ -156,7 +157,7 @@
                 if (readyAt >= farFuture)
                     continue;
                 unknown.m_withRoom += isFree && readyAt <= now ? 1 : 0;
-                const Duration delay = isSlowPolicy(need.m_policy) ? delayPerName * worker.m_pendingNames : Duration {};
+                const Duration delay = (isSlowPolicy(need.m_policy) ? delayPerName * worker.m_pendingNames : Duration {}) + remoteDelayOf(scheduler, run, worker);
                 unknown.m_workers.push_back({ .m_readyAt = readyAt + delay, .m_cost = costOf(scheduler, run, index, need.m_speedWeight) + costPerName * worker.m_pendingNames, .m_worker = index });
             }
             return unknown;
--- /dev/null
+++ b/src/process/scheduler/better_place.cpp
@@ -0,0 +1,205 @@
+/** @file better_place.cpp Forecast of room near data, or in one rack, for the steps of a placement pass. */
+#include "process/scheduler/better_place.h"
+
+#include "core/log_func.h"
+#include "process/scheduler/approvals.h"
+#include "process/scheduler/order_health.h"
+#include "process/scheduler/place_wait.h"
+#include "process/scheduler/scheduler_detail.h"
+
+#include <algorithm>
+
+namespace bulrushloft::scheduler::detail {
+
+namespace {
+
+    const Worker& workerAt(const Scheduler& scheduler, const PoolView& view, std::uint32_t position)
+    {
+        return scheduler.m_workers[static_cast<std::size_t>(view.m_workers[position])];
+    }
+
+    /** @return The worker's forecast, with the tasks that this pass has placed there. */
+    WorkerOutlook& outlookOf(const Scheduler& scheduler, PoolView& view, std::uint32_t position, TimePoint now)
+    {
+        view.m_outlooks.resize(view.m_workers.size());
+        WorkerOutlook& outlook = view.m_outlooks[position];
+        const Worker& worker = workerAt(scheduler, view, position);
+        if (outlook.m_attempts == worker.m_tasks.size()) // Attempts are only added during a pass.
+            return outlook;
+        outlook.m_attempts = worker.m_tasks.size();
+        outlook.m_ends = expectedEndsOf(worker, now, { .m_remoteFactor = scheduler.m_options.m_remoteFactor, .m_extendsOverdue = true });
+        return outlook;
+    }
+
+    /** @return When each of up to the given number of tasks is expected to have room on a worker besides those that others wait for there. */
+    std::vector<TimePoint> roomTimesAt(const Scheduler& scheduler, const StepRun& run, PoolView& view, std::uint32_t position, std::uint32_t limit, TimePoint now)
+    {
+        const WorkerOutlook& outlook = outlookOf(scheduler, view, position, now);
+        std::vector<ExpectedEnd> ends = outlook.m_ends;
+        Resources free = view.m_free[position];
+        for (const ExpectedEnd& claim : outlook.m_claims) {
+            ends.insert(std::upper_bound(ends.begin(), ends.end(), claim, [](const ExpectedEnd& one, const ExpectedEnd& other) { return one.m_at < other.m_at; }), claim);
+            free = free - claim.m_grant;
+        }
+        std::vector<TimePoint> times;
+        while (times.size() < limit) {
+            const TimePoint roomAt = expectedRoomAt(ends, free, grantOf(run), now);
+            if (roomAt >= farFuture)
+                break;
+            times.push_back(roomAt);
+            free = free - grantOf(run);
+        }
+        return times;
+    }
+
+    /** @return Number of further tasks of the step that its limit of tasks on one worker allows there. */
+    std::uint32_t remainingLimitAt(const StepRun& run, const PoolView& view, std::uint32_t position)
+    {
+        const std::uint32_t limit = planOf(run).m_perWorkerLimit;
+        if (limit == 0)
+            return static_cast<std::uint32_t>(run.m_tasks.size());
+        const auto found = run.m_attemptsByWorker.find(view.m_workers[position]);
+        std::uint32_t used = found == run.m_attemptsByWorker.end() ? 0 : found->second;
+        if (!view.m_outlooks.empty())
+            used += static_cast<std::uint32_t>(std::count(view.m_outlooks[position].m_claimants.begin(), view.m_outlooks[position].m_claimants.end(), &run));
+        return limit - std::min(limit, used);
+    }
+
+    /** @return From when on the step may start on a worker as far as approvals are concerned; farFuture when it may not, or that is not known. */
+    TimePoint approvedAt(const Scheduler& scheduler, const StepRun& run, const PoolView& view, std::uint32_t position, TimePoint now)
+    {
+        const auto& policy = queueOf(scheduler, *run.m_job).m_approval;
+        if (!policy || hasTicket(run, view.m_workers[position], now))
+            return now;
+        return run.m_approval.m_tickets.contains(view.m_workers[position]) ? now + approvalRequestDuration(*policy, 1) : farFuture;
+    }
+
+    /** @return When tasks of the step may have room on a worker; empty when it is not for them. */
+    std::vector<TimePoint> placesAt(const Scheduler& scheduler, const StepRun& run, PoolView& view, std::uint32_t position, std::uint32_t tasks, TimePoint now)
+    {
+        const Worker& worker = workerAt(scheduler, view, position);
+        const bool isOpen = !view.m_reservedFor[position] || view.m_reservedFor[position] == &run;
+        const TimePoint usableAt = isOpen ? approvedAt(scheduler, run, view, position, now) : farFuture;
+        if (usableAt >= farFuture || !isSuitable(run, worker) || areOrdersFailing(worker, now))
+            return {};
+        std::vector<TimePoint> times = roomTimesAt(scheduler, run, view, position, std::min(tasks, remainingLimitAt(run, view, position)), now);
+        for (TimePoint& time : times)
+            time = std::max(time, usableAt);
+        return times;
+    }
+
+} // namespace
+
+double placeFactorOf(const Scheduler& scheduler, const StepRun& run, const Worker& worker)
+{
+    const std::string& rack = planOf(run).m_dataRack;
+    return rack.empty() || rack == worker.m_rack ? 1 : scheduler.m_options.m_remoteFactor;
+}
+
+Duration remoteDelayOf(const Scheduler& scheduler, const StepRun& run, const Worker& worker)
+{
+    const double factor = scheduler.m_options.m_waitsForBetterPlace ? placeFactorOf(scheduler, run, worker) : 1;
+    return factor <= 1 ? Duration {} : Duration { static_cast<std::int64_t>(static_cast<double>(predictRunTime(scheduler, *run.m_job, run.m_step).m_ms) * (factor - 1)) };
+}
+
+std::optional<BetterPlace> findBetterPlace(Scheduler& scheduler, const StepRun& run, const Task& task, PoolView& view, double factorNow, TimePoint now)
+{
+    const auto runTimeMs = static_cast<double>(predictRunTime(scheduler, *run.m_job, run.m_step).m_ms);
+    std::optional<BetterPlace> best;
+    double bestEndMs = 0;
+    for (std::uint32_t i = 0; i < view.m_workers.size(); ++i) {
+        const double factor = placeFactorOf(scheduler, run, workerAt(scheduler, view, i));
+        if (factor >= factorNow || std::find(task.m_failedOn.begin(), task.m_failedOn.end(), view.m_workers[i]) != task.m_failedOn.end())
+            continue;
+        const std::vector<TimePoint> times = placesAt(scheduler, run, view, i, 1, now);
+        const double endMs = times.empty() ? 0 : static_cast<double>((times.front() - now).m_ms) + runTimeMs * factor;
+        if (times.empty() || (best && endMs >= bestEndMs))
+            continue;
+        best = BetterPlace { .m_position = i, .m_roomAt = times.front(), .m_factor = factor };
+        bestEndMs = endMs;
+    }
+    return best;
+}
+
+std::optional<GangPlace> findGangPlace(Scheduler& scheduler, const StepRun& run, PoolView& view, TimePoint now)
+{
+    const auto members = static_cast<std::uint32_t>(run.m_tasks.size());
+    std::map<std::string, std::vector<std::pair<TimePoint, std::uint32_t>>> byRack;
+    for (std::uint32_t i = 0; i < view.m_workers.size(); ++i) {
+        for (const TimePoint time : placesAt(scheduler, run, view, i, members, now))
+            byRack[workerAt(scheduler, view, i).m_rack].emplace_back(time, i);
+    }
+    std::optional<GangPlace> best;
+    for (auto& [rack, places] : byRack) {
+        if (places.size() < members)
+            continue;
+        std::sort(places.begin(), places.end());
+        if (best && best->m_roomAt <= places[members - 1].first)
+            continue;
+        best = GangPlace { .m_roomAt = places[members - 1].first, .m_positions = {} };
+        for (std::uint32_t i = 0; i < members; ++i)
+            best->m_positions.push_back(places[i].second);
+    }
+    return best;
+}
+
+bool mayWaitForPlace(const Scheduler& scheduler, const StepRun& run, Urgency urgency)
+{
+    const StepPlan& plan = planOf(run);
+    return scheduler.m_options.m_waitsForBetterPlace && urgency.m_class == UrgencyClass::InTime && !plan.m_isLongRunning && !plan.m_isBestEffort;
+}
+
+bool waitForPlace(Scheduler& scheduler, StepRun& run, Task& task, const PlaceOffer& offer, TimePoint now)
+{
+    constexpr Duration longestIdleWait { 2'000 }; ///< A job that could run and has had nothing running for 3 s counts as lost; starting takes some of this time.
+    const bool isNew = task.m_waitsForPlaceSince == TimePoint {};
+    const bool isIdle = std::all_of(run.m_job->m_runs.begin(), run.m_job->m_runs.end(), [](const auto& each) { return each->m_activeAttempts == 0; });
+    const PlaceWaitInput input {
+        .m_since = isNew ? now : task.m_waitsForPlaceSince,
+        .m_roomAt = offer.m_roomAt,
+        .m_runTime = predictRunTime(scheduler, *run.m_job, run.m_step),
+        .m_factorNow = offer.m_factorNow,
+        .m_factorThen = offer.m_factorThen,
+        .m_latestStart = offer.m_latestStart,
+        .m_longestWait = isIdle ? longestIdleWait : farFuture - now,
+    };
+    if (!decidePlaceWait(input, now).m_isWorthwhile)
+        return false;
+    if (isNew) {
+        task.m_waitsForPlaceSince = now;
+        ++scheduler.m_counters.m_placeWaits.m_begun;
+    }
+    run.m_waitsForPlace = true;
+    return true;
+}
+
+void claimPlace(PoolView& view, std::uint32_t position, const StepRun& run, TimePoint endsAt)
+{
+    view.m_outlooks[position].m_claims.push_back({ .m_at = endsAt, .m_grant = grantOf(run) });
+    view.m_outlooks[position].m_claimants.push_back(&run);
+}
+
+void endPlaceWait(Scheduler& scheduler, Task& task, bool isBetter, TimePoint now)
+{
+    if (task.m_waitsForPlaceSince == TimePoint {})
+        return;
+    PlaceWaitCounters& counters = scheduler.m_counters.m_placeWaits;
+    ++(isBetter ? counters.m_ended : counters.m_givenUp);
+    counters.m_waitedMs += static_cast<std::uint64_t>((now - task.m_waitsForPlaceSince).m_ms);
+    task.m_waitsForPlaceSince = {};
+}
+
+void reportPlaceWaits(Scheduler& scheduler, TimePoint now)
+{
+    constexpr Duration interval { 1'000 };
+    const PlaceWaitCounters& counters = scheduler.m_counters.m_placeWaits;
+    if (counters == scheduler.m_reportedPlaceWaits || now - scheduler.m_placeWaitsReportedAt < interval)
+        return;
+    const PlaceWaitCounters& last = scheduler.m_reportedPlaceWaits;
+    const auto waiting = std::count_if(scheduler.m_waitingSteps.begin(), scheduler.m_waitingSteps.end(), [](const StepRun* run) { return run->m_waitsForPlace; });
+    logEvent(LogLevel::Info, "place-waits", { { "begun", counters.m_begun - last.m_begun }, { "ended_by_better_place", counters.m_ended - last.m_ended }, { "given_up", counters.m_givenUp - last.m_givenUp }, { "waited_ms", counters.m_waitedMs - last.m_waitedMs }, { "steps_waiting", waiting } });
+    scheduler.m_reportedPlaceWaits = counters;
+    scheduler.m_placeWaitsReportedAt = now;
+}
+
+} // namespace bulrushloft::scheduler::detail
--- a/src/process/scheduler/pool_view.h
+++ b/src/process/scheduler/pool_view.h
@@ -24,6 +24,7 @@
     std::size_t m_reservingSteps = 0; ///< Number of steps for which this pass has reserved workers.
     std::vector<std::uint32_t> m_changed; ///< Positions of the workers on which room may have appeared since the previous pass.
     std::vector<std::vector<ExpectedEnd>> m_ends; ///< Expected ends on each of m_workers, as of the beginning of the pass; filled when they are first needed.
+    std::vector<WorkerOutlook> m_outlooks; ///< By position: forecast for steps that wait for a better place; filled when first needed.
     std::vector<Resources> m_sizesWithoutRoom; ///< Task sizes for which no worker that is not reserved has room any more.
 };
 
--- a/src/process/scheduler/scheduler.cpp
+++ b/src/process/scheduler/scheduler.cpp
@@ -1,6 +1,7 @@
 /** @file scheduler.cpp The scheduler's periodic step, expiry of ended jobs and consistency checks. */
 #include "core/log_func.h"
 #include "process/scheduler/active_workers.h"
+#include "process/scheduler/better_place.h"
 #include "process/scheduler/crash_record.h"
 #include "process/scheduler/scheduler_detail.h"
 #include "process/scheduler/scheduler_func.h"
@@ -103,6 +104,7 @@
     stepWatch(scheduler, now);
     stepPacing(scheduler, now, effects);
     stepWaitReport(scheduler, now);
+    detail::reportPlaceWaits(scheduler, now);
     expireEndedJobs(scheduler, now);
 }
 
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -93,6 +93,7 @@
     TimePoint m_nextCallAt; ///< Earliest time of the next start or stop call.
     TimePoint m_stopRequestedAt; ///< When the current attempt was to be stopped; only in the phase Stopping.
     TimePoint m_waitingSince; ///< Time since which the task has been waiting for a worker.
+    TimePoint m_waitsForPlaceSince; ///< When it first left a free place unused to wait for a better one; zero when it has not since its latest attempt.
     int m_percent = -1; ///< Latest reported progress in percent; -1 when none was reported.
     int m_loadMetric = 0; ///< Latest tail latency or CPU usage; see RunningAttempt.
     int m_pace = 100; ///< Ordered speed in percent of full speed.
@@ -147,6 +148,7 @@
     std::uint32_t m_logRunTimeCount = 0; ///< Number of samples in m_logRunTimeSum.
     std::uint32_t m_gangFailures = 0; ///< Number of failed attempts of the gang as a whole.
     std::uint32_t m_lastFailedAttempt = 0; ///< Number of the latest gang attempt that is included in m_gangFailures; each attempt is counted once.
+    double m_gangFactor = 1; ///< Run time of the gang as last placed divided by the one in a single rack; 1 for other steps.
     Duration m_expectedRunTime; ///< Run time of a task on a worker of mean speed, as predicted when a task was last placed.
     TimePoint m_reservedReadyAt = farFuture; ///< When all workers that are reserved for the step are expected to have room; farFuture when they don't suffice.
     TimePoint m_reservingSince; ///< Time since which workers have been reserved for the step; 0 for never.
@@ -157,6 +159,7 @@
     bool m_isApprovalRequestDelayed = false; ///< An approval request was due and no VM was free to send it.
     TimePoint m_strayUntil; ///< The latest Task::m_strayUntil of its tasks, or a later time.
     bool m_hasReservations = false; ///< Workers are reserved for the step.
+    bool m_waitsForPlace = false; ///< The latest pass has left places unused that a task of the step could have taken, as better ones are expected to come free.
     bool m_hadSuspects = false; ///< A task of the step was on probation when its worker crashed.
     UrgencyInput m_urgencyInput; ///< What the step's urgency was last computed from.
     TimePoint m_urgencyInputAt; ///< When m_urgencyInput was last updated; zero for never.
@@ -391,6 +394,16 @@
     std::uint32_t m_samples = 0; ///< Number of samples.
 };
 
+/** Counts of the waits of tasks for better places than the free ones. Waits that are neither ended nor given up go on, or ended with their job. */
+struct PlaceWaitCounters {
+    std::uint64_t m_begun = 0; ///< Tasks that have left a free place unused.
+    std::uint64_t m_ended = 0; ///< Those that got a better place.
+    std::uint64_t m_givenUp = 0; ///< Those that got no better place.
+    std::uint64_t m_waitedMs = 0; ///< Sum of the lengths of the waits in m_ended and m_givenUp.
+
+    bool operator==(const PlaceWaitCounters&) const = default;
+};
+
 /** Counters exported as metrics. */
 struct SchedulerCounters {
     std::uint64_t m_placements = 0; ///< Attempts placed.
@@ -401,6 +414,7 @@
     std::uint64_t m_failed = 0; ///< Attempts that failed.
     std::uint64_t m_lost = 0; ///< Attempts lost with their worker.
     std::uint64_t m_refused = 0; ///< Starts refused by a worker.
+    PlaceWaitCounters m_placeWaits;
 };
 
 /** State of the scheduler for one term of the leader. */
@@ -453,6 +467,8 @@
     std::vector<WorkerIndex> m_changedWorkers; ///< Workers on which room may have appeared since the latest placement pass.
     TimePoint m_nextWaitReportAt; ///< Time of the next report on steps that wait long.
     WaitSummary m_waitSummary; ///< Result of the latest report.
+    PlaceWaitCounters m_reportedPlaceWaits; ///< Counts of waits for better places at the latest report on them.
+    TimePoint m_placeWaitsReportedAt; ///< When that was made.
     SchedulerCounters m_counters;
 };
 
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -1,6 +1,7 @@
 /** @file scheduler_place.cpp Placement passes: waiting steps in the order of their urgency, and the workers that their tasks get. */
 #include "core/log_func.h"
 #include "process/scheduler/approvals.h"
+#include "process/scheduler/better_place.h"
 #include "process/scheduler/crash_record.h"
 #include "process/scheduler/order_health.h"
 #include "process/scheduler/placement_cost.h"
@@ -105,6 +106,7 @@
             , m_now(now)
             , m_size(grantOf(run))
             , m_policy(queueOf(scheduler, *run.m_job).m_approval)
+            , m_urgency(urgency)
             , m_speedWeight(speedWeightOf(queueOf(scheduler, *run.m_job), urgency))
             , m_toPlace(countPlaceable(run, now))
         {
@@ -114,11 +116,13 @@
         void place(SchedulerEffects& effects)
         {
             const bool isGang = planOf(m_run).m_isGang;
+            m_run.m_waitsForPlace = false;
             if (isGang && m_run.m_activeAttempts > 0)
                 return;
             findCandidates();
             isolateSuspects();
-            const bool mayPlace = !isGang || (m_isolation.m_ready.size() == m_suspects.size() && totalRoom() + m_suspects.size() >= m_toPlace);
+            const bool isFitting = !isGang || (m_isolation.m_ready.size() == m_suspects.size() && totalRoom() + m_suspects.size() >= m_toPlace);
+            const bool mayPlace = isFitting && !(isGang && waitsForOneRack());
             if (mayPlace && isGang)
                 prepareGang();
             if (mayPlace) {
@@ -133,7 +137,7 @@
         void reserve(const ReservationLimits& limits)
         {
             const bool isGang = planOf(m_run).m_isGang;
-            if (m_run.m_hasReservations) // From the share of late steps.
+            if (m_run.m_hasReservations || m_run.m_waitsForPlace) // From the share of late steps, or there is room that the step leaves to others.
                 return;
             m_run.m_reservedReadyAt = farFuture;
             if (m_toPlace == 0 || (isGang && m_run.m_activeAttempts > 0) || m_view.m_reservedCount >= limits.m_workers || m_view.m_reservingSteps >= limits.m_steps || (isGang && !wouldFitIfEmpty()))
@@ -215,11 +219,10 @@
             return room;
         }
 
-        /** Gives all members the same attempt number and the checkpoint with the most progress, and prefers one rack where the step asks for it. */
+        /** Gives all members the same attempt number and the checkpoint with the most progress. */
         void prepareGang()
         {
-            if (planOf(m_run).m_isRackLocal)
-                restrictToOneRack();
+            m_run.m_gangFactor = m_factorOfGang;
             std::uint32_t attempt = 0;
             const Task* mostAdvanced = nullptr;
             for (const Task& task : m_run.m_tasks) {
@@ -234,8 +237,8 @@
             }
         }
 
-        /** Restricts the candidates to one rack if some rack has room for all tasks. */
-        void restrictToOneRack()
+        /** Restricts the candidates to one rack if some rack has room for all tasks. @return Whether one has. */
+        bool restrictToOneRack()
         {
             std::unordered_map<std::string, std::vector<Candidate>> byRack;
             for (const Candidate& candidate : m_candidates)
@@ -247,8 +250,47 @@
                 if (room < m_run.m_tasks.size())
                     continue;
                 m_candidates = std::move(candidates);
-                return;
+                return true;
             }
+            return false;
+        }
+
+        TimePoint endAfter(TimePoint start, double factor) const
+        {
+            return start + Duration { static_cast<std::int64_t>(static_cast<double>(predictRunTime(m_scheduler, *m_run.m_job, m_run.m_step).m_ms) * factor) };
+        }
+
+        /** Restricts the candidates of a gang that is slower across racks to one rack, if possible. @return Whether it waits for a rack, although it would fit into several. */
+        bool waitsForOneRack()
+        {
+            if (!planOf(m_run).m_isRackLocal)
+                return false;
+            const bool isInOneRack = restrictToOneRack();
+            m_factorOfGang = isInOneRack || !m_scheduler.m_options.m_waitsForBetterPlace ? 1 : m_scheduler.m_options.m_remoteFactor;
+            if (isInOneRack || !mayWaitForPlace(m_scheduler, m_run, m_urgency) || !m_suspects.empty())
+                return false;
+            const auto place = findGangPlace(m_scheduler, m_run, m_view, m_now);
+            if (!place)
+                return false;
+            bool isWaiting = true;
+            for (Task& task : m_run.m_tasks)
+                isWaiting = isWaiting && waitForPlace(m_scheduler, m_run, task, { .m_roomAt = place->m_roomAt, .m_factorNow = m_factorOfGang, .m_factorThen = 1, .m_latestStart = m_urgency.m_key }, m_now);
+            for (std::size_t i = 0; isWaiting && i < place->m_positions.size(); ++i)
+                claimPlace(m_view, place->m_positions[i], m_run, endAfter(place->m_roomAt, 1));
+            return isWaiting;
+        }
+
+        /** @return Whether a task leaves room on a worker unused to wait for a better place. */
+        bool waitsInsteadOf(std::uint32_t position, Task& task)
+        {
+            if (planOf(m_run).m_isGang || !mayWaitForPlace(m_scheduler, m_run, m_urgency))
+                return false;
+            const double factorNow = placeFactorOf(m_scheduler, m_run, workerAt(position));
+            const auto place = factorNow > 1 ? findBetterPlace(m_scheduler, m_run, task, m_view, factorNow, m_now) : std::nullopt;
+            if (!place || !waitForPlace(m_scheduler, m_run, task, { .m_roomAt = place->m_roomAt, .m_factorNow = factorNow, .m_factorThen = place->m_factor, .m_latestStart = m_urgency.m_key }, m_now))
+                return false;
+            claimPlace(m_view, place->m_position, m_run, endAfter(place->m_roomAt, place->m_factor));
+            return true;
         }
 
         double costAt(std::uint32_t position) const { return costOf(m_scheduler, m_run, m_view.m_workers[position], m_speedWeight); }
@@ -282,6 +324,10 @@
         {
             moveCheapestToEnd(m_run.m_tasks[index]);
             const std::uint32_t position = m_candidates.back().m_position;
+            Task& task = m_run.m_tasks[index];
+            if (waitsInsteadOf(position, task))
+                return std::push_heap(m_candidates.begin(), m_candidates.end());
+            endPlaceWait(m_scheduler, task, (planOf(m_run).m_isGang ? m_factorOfGang : placeFactorOf(m_scheduler, m_run, workerAt(position))) <= 1, m_now);
             placeTask(m_scheduler, { &m_run, index }, m_view.m_workers[position], m_now);
             m_view.m_free[position] = isProbed(position) ? Resources {} : m_view.m_free[position] - m_size;
             --m_toPlace;
@@ -418,7 +464,9 @@
         TimePoint m_now;
         Resources m_size; ///< Resources that one task reserves.
         const std::optional<ApprovalPolicy>& m_policy;
+        Urgency m_urgency;
         double m_speedWeight;
+        double m_factorOfGang = 1; ///< Run time of a gang in the places that are free now divided by the one in one rack.
         std::uint32_t m_toPlace; ///< Open tasks without an attempt that are not held for an earlier one.
         std::vector<std::uint32_t> m_suspects; ///< Tasks to place apart from others; each index into the step's tasks.
         Isolation m_isolation; ///< Workers for them.
@@ -435,7 +483,7 @@
     /** @return Whether a pass has to examine a step that an earlier pass has left waiting. */
     bool isPromising(Scheduler& scheduler, const StepRun& run, const PoolView& view, TimePoint now)
     {
-        return run.m_isChanged || hasNewRoom(view, grantOf(run), run) || isDelayedRequestDue(scheduler, run, now);
+        return run.m_isChanged || run.m_waitsForPlace || hasNewRoom(view, grantOf(run), run) || isDelayedRequestDue(scheduler, run, now);
     }
 
     /** Removes steps without tasks to place from the list of waiting ones. @return The released ones of the others that are to be examined, the most urgent first. */
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -1,6 +1,7 @@
 /** @file scheduler_workers.cpp Workers: announcements, leases, health, and the calls to them. */
 #include "core/log_func.h"
 #include "process/scheduler/active_workers.h"
+#include "process/scheduler/better_place.h"
 #include "process/scheduler/crash_record.h"
 #include "process/scheduler/late_start.h"
 #include "process/scheduler/order_health.h"
@@ -179,8 +180,10 @@
             health.m_successes += 1;
             const double runTimeMs = static_cast<double>((now - task.m_confirmedAt).m_ms);
             const bool isComparable = runTimeMs > 0 && !planOf(*ref.m_run).m_isBestEffort && task.m_attempt == 1 && task.m_checkpointAtStart.empty();
+            // Run times are learned as those near the data, which are what a better place is compared by.
+            const double factor = scheduler.m_options.m_waitsForBetterPlace ? placeFactorOf(scheduler, *ref.m_run, worker) * ref.m_run->m_gangFactor : 1;
             if (isComparable)
-                learnRunTime(scheduler, *ref.m_run, health, std::log(runTimeMs));
+                learnRunTime(scheduler, *ref.m_run, health, std::log(runTimeMs / factor));
             return;
         }
         ++scheduler.m_counters.m_failed;
--- a/src/process/scheduler/worker_forecast.h
+++ b/src/process/scheduler/worker_forecast.h
@@ -13,8 +13,22 @@
     Resources m_grant; ///< Resources that become free then.
 };
 
+/** What a forecast of ends takes into account besides the predicted run time and the worker's speed. */
+struct ForecastRules {
+    double m_remoteFactor = 1; ///< Slowdown factor of tasks that run outside the rack of their data.
+    bool m_extendsOverdue = false; ///< Attempts that run longer than predicted are expected to go on for some time, and those of unknown length for ever.
+};
+
+/** What a placement pass knows of room that comes free on a worker, for steps that wait for a better place. */
+struct WorkerOutlook {
+    std::size_t m_attempts = 0; ///< Number of attempts on the worker when m_ends was made.
+    std::vector<ExpectedEnd> m_ends; ///< Expected ends of these, the earliest first.
+    std::vector<ExpectedEnd> m_claims; ///< Expected ends of tasks that wait for room there.
+    std::vector<const StepRun*> m_claimants; ///< Step of each of m_claims.
+};
+
 /** @return The predicted ends of all attempts on a worker, the earliest first. */
-std::vector<ExpectedEnd> expectedEndsOf(const Worker& worker, TimePoint now);
+std::vector<ExpectedEnd> expectedEndsOf(const Worker& worker, TimePoint now, const ForecastRules& rules = {});
 
 /**
  * Predicts when a worker has room for a task if nothing else is placed on it.
--- a/tests/fakes/approval_load.h
+++ b/tests/fakes/approval_load.h
@@ -50,6 +50,7 @@
         std::string m_pool = "pool"; ///< Pool that it announces.
         Resources m_capacity { .m_cpuMilli = 32'000, .m_memoryMb = 131'072, .m_gpus = 8 }; ///< Capacity that it announces.
         double m_slowdown = 1; ///< Run time on it divided by that on a worker of mean speed.
+        std::string m_rack = "r1-1"; ///< Rack label that it announces.
     };
 
     Scheduler m_scheduler;
@@ -100,7 +101,7 @@
 
     void announce(const std::string& id, bool isDraining = false)
     {
-        updateWorker(m_scheduler, { .m_id = id, .m_pool = m_workers.at(id).m_pool, .m_address = { "127.0.0.1", 9 }, .m_zone = "a", .m_machine = {}, .m_capacity = m_workers.at(id).m_capacity, .m_labels = { "a", "r1-1" }, .m_isDraining = isDraining, .m_remainingDrainTime = { isDraining ? 4'500 : 0 }, .m_processStartMs = m_workers.at(id).m_process }, m_now);
+        updateWorker(m_scheduler, { .m_id = id, .m_pool = m_workers.at(id).m_pool, .m_address = { "127.0.0.1", 9 }, .m_zone = "a", .m_machine = {}, .m_capacity = m_workers.at(id).m_capacity, .m_labels = { "a", m_workers.at(id).m_rack }, .m_isDraining = isDraining, .m_remainingDrainTime = { isDraining ? 4'500 : 0 }, .m_processStartMs = m_workers.at(id).m_process }, m_now);
     }
 
     std::string nextJobId() const
@@ -166,6 +167,16 @@
         });
     }
 
+    /** @return Whether a task runs outside the rack of its data, or in a gang that is spread over racks and slower there. */
+    bool isRemote(const TaskName& task, const SimulatedWorker& worker)
+    {
+        const StepRun& run = *detail::findTask(m_scheduler, task).m_run;
+        const StepPlan& step = detail::planOf(run);
+        const bool isElsewhere = !step.m_dataRack.empty() && step.m_dataRack != worker.m_rack;
+        const bool isSpread = step.m_isRackLocal && std::any_of(run.m_attemptsByWorker.begin(), run.m_attemptsByWorker.end(), [&](const auto& entry) { return m_scheduler.m_workers[static_cast<std::size_t>(entry.first)].m_rack != worker.m_rack; });
+        return isElsewhere || isSpread;
+    }
+
     void start(const AddressedOrder<StartOrder>& order)
     {
         if (!isReachable(order.m_to.m_worker)) {
@@ -187,7 +198,8 @@
             m_ticketsToRefuse -= isOfOtherProcess ? 0 : 1;
             return answerStart(order, OrderStatus::InvalidTicket);
         }
-        const double runMs = static_cast<double>(step.m_estimatedRunTime.m_ms) * worker.m_slowdown * (m_estimateError ? m_estimateError(order.m_order.m_task) : 1);
+        const double remoteFactor = isRemote(order.m_order.m_task, worker) ? m_scheduler.m_options.m_remoteFactor : 1;
+        const double runMs = static_cast<double>(step.m_estimatedRunTime.m_ms) * worker.m_slowdown * remoteFactor * (m_estimateError ? m_estimateError(order.m_order.m_task) : 1);
         const TimePoint endsAt = step.m_isLongRunning ? farFuture : m_now + Duration { static_cast<std::int64_t>(runMs) };
         worker.m_runs.push_back({ .m_task = order.m_order.m_task, .m_attempt = order.m_order.m_attempt, .m_endsAt = endsAt, .m_startedAt = m_now });
         ++m_starts;
