Waits for a better place: the clock stops while others use the places; late tasks wait too

Cause: in a model of racks under bursts above capacity, tasks gave up their waits for places that others used meanwhile, or did not wait as they were late.

Change: a wait counts only the time for which a place that the task could use stays unused at the end of a pass.

--- a/src/process/scheduler/better_place.cpp
+++ b/src/process/scheduler/better_place.cpp
@@ -88,6 +88,36 @@
         return times;
     }
 
+    /**
+     * Chooses the bound of a wait. One that begins when no slack is left cannot use it up; what counts then is whether the result is still of use.
+     * @return Latest start that meets the objective; for a wait that begins later, the latest one whose result is of use.
+     */
+    TimePoint latestStartOf(const UrgencyInput& input, TimePoint since)
+    {
+        const TimePoint inTime = input.m_dueAt + input.m_objective - input.m_remaining;
+        return since < inTime ? inTime : input.m_dueAt + input.m_objective * usefulLatenessFactor - input.m_remaining;
+    }
+
+    /** @return Whether a pass has left enough room for the step: for a gang all of its members, for others a task. */
+    bool isRoomLeft(const Scheduler& scheduler, const StepRun& run, const PoolView& view, TimePoint now)
+    {
+        const std::int64_t needed = planOf(run).m_isGang ? static_cast<std::int64_t>(run.m_tasks.size()) : 1;
+        std::int64_t room = 0;
+        for (std::uint32_t i = 0; i < view.m_workers.size() && room < needed; ++i) {
+            const bool isUsable = hasRoom(view, i, grantOf(run), run) && approvedAt(scheduler, run, view, i, now) <= now && isSuitable(run, workerAt(scheduler, view, i));
+            room += isUsable ? countFitting(grantOf(run), view.m_free[i], std::min<std::int64_t>(needed, remainingLimitAt(run, view, i))) : 0;
+        }
+        return room >= needed;
+    }
+
+    void stopClock(Scheduler& scheduler, Task& task, TimePoint now)
+    {
+        if (task.m_waitsForPlaceSince == TimePoint {})
+            return;
+        scheduler.m_counters.m_placeWaits.m_waitedMs += static_cast<std::uint64_t>((now - task.m_waitsForPlaceSince).m_ms);
+        task.m_waitsForPlaceSince = {};
+    }
+
 } // namespace
 
 double placeFactorOf(const Scheduler& scheduler, const StepRun& run, const Worker& worker)
@@ -146,33 +176,40 @@
 bool mayWaitForPlace(const Scheduler& scheduler, const StepRun& run, Urgency urgency)
 {
     const StepPlan& plan = planOf(run);
-    return scheduler.m_options.m_waitsForBetterPlace && urgency.m_class == UrgencyClass::InTime && !plan.m_isLongRunning && !plan.m_isBestEffort;
+    return scheduler.m_options.m_waitsForBetterPlace && (urgency.m_class == UrgencyClass::InTime || urgency.m_class == UrgencyClass::Late) && !plan.m_isLongRunning && !plan.m_isBestEffort;
 }
 
 bool waitForPlace(Scheduler& scheduler, StepRun& run, Task& task, const PlaceOffer& offer, TimePoint now)
 {
     constexpr Duration longestIdleWait { 2'000 }; ///< A job that could run and has had nothing running for 3 s counts as lost; starting takes some of this time.
-    const bool isNew = task.m_waitsForPlaceSince == TimePoint {};
+    const TimePoint since = task.m_waitsForPlaceSince == TimePoint {} ? now : task.m_waitsForPlaceSince;
     const bool isIdle = std::all_of(run.m_job->m_runs.begin(), run.m_job->m_runs.end(), [](const auto& each) { return each->m_activeAttempts == 0; });
     const PlaceWaitInput input {
-        .m_since = isNew ? now : task.m_waitsForPlaceSince,
+        .m_since = since,
         .m_roomAt = offer.m_roomAt,
         .m_runTime = predictRunTime(scheduler, *run.m_job, run.m_step),
         .m_factorNow = offer.m_factorNow,
         .m_factorThen = offer.m_factorThen,
-        .m_latestStart = offer.m_latestStart,
+        .m_latestStart = latestStartOf(run.m_urgencyInput, since),
         .m_longestWait = isIdle ? longestIdleWait : farFuture - now,
     };
     if (!decidePlaceWait(input, now).m_isWorthwhile)
         return false;
-    if (isNew) {
-        task.m_waitsForPlaceSince = now;
-        ++scheduler.m_counters.m_placeWaits.m_begun;
-    }
+    scheduler.m_counters.m_placeWaits.m_begun += task.m_hasLeftPlace ? 0 : 1;
+    task.m_hasLeftPlace = true;
+    task.m_waitsForPlaceSince = since;
     run.m_waitsForPlace = true;
     return true;
 }
 
+void pausePlaceWait(Scheduler& scheduler, StepRun& run, const PoolView& view, TimePoint now)
+{
+    if (!run.m_waitsForPlace || isRoomLeft(scheduler, run, view, now))
+        return;
+    for (Task& task : run.m_tasks)
+        stopClock(scheduler, task, now);
+}
+
 void claimPlace(PoolView& view, std::uint32_t position, const StepRun& run, TimePoint endsAt)
 {
     view.m_outlooks[position].m_claims.push_back({ .m_at = endsAt, .m_grant = grantOf(run) });
@@ -181,12 +218,11 @@
 
 void endPlaceWait(Scheduler& scheduler, Task& task, bool isBetter, TimePoint now)
 {
-    if (task.m_waitsForPlaceSince == TimePoint {})
+    if (!std::exchange(task.m_hasLeftPlace, false))
         return;
     PlaceWaitCounters& counters = scheduler.m_counters.m_placeWaits;
     ++(isBetter ? counters.m_ended : counters.m_givenUp);
-    counters.m_waitedMs += static_cast<std::uint64_t>((now - task.m_waitsForPlaceSince).m_ms);
-    task.m_waitsForPlaceSince = {};
+    stopClock(scheduler, task, now);
 }
 
 void reportPlaceWaits(Scheduler& scheduler, TimePoint now)
--- a/src/process/scheduler/better_place.h
+++ b/src/process/scheduler/better_place.h
@@ -39,15 +39,21 @@
     TimePoint m_roomAt; ///< When the better place is expected to be free.
     double m_factorNow = 1; ///< Factor of the best place that is free now.
     double m_factorThen = 1; ///< Factor of the better place.
-    TimePoint m_latestStart; ///< See PlaceWaitInput.
 };
 
-/** @return Whether tasks of the step may leave free places unused at all: the job can still meet its objective, and its tasks have an end. */
+/** @return Whether tasks of the step may leave free places to others at all: their result is still of use, and they have an end. */
 bool mayWaitForPlace(const Scheduler& scheduler, const StepRun& run, Urgency urgency);
 
-/** Decides whether a task leaves a free place unused to wait for a better one, and counts the beginning of its wait. @return Whether it waits. */
+/** Decides whether a task leaves a free place to others to wait for a better one, and counts the beginning of its wait. @return Whether it waits. */
 bool waitForPlace(Scheduler& scheduler, StepRun& run, Task& task, const PlaceOffer& offer, TimePoint now);
 
+/**
+ * Stops the clock of a step's waits at the end of a pass that leaves no place for it.
+ * Load: bursts above capacity. A place that others take is not unused, and the task would wait in any case; if it were taken far from its data instead,
+ * the run would occupy it for remote_factor times as long and the backlog would grow.
+ */
+void pausePlaceWait(Scheduler& scheduler, StepRun& run, const PoolView& view, TimePoint now);
+
 /** Notes that a task of the step waits for room on a worker, so that the steps after it in this pass don't count on the same room. It is not reserved. */
 void claimPlace(PoolView& view, std::uint32_t position, const StepRun& run, TimePoint endsAt);
 
--- a/src/process/scheduler/place_wait.cpp
+++ b/src/process/scheduler/place_wait.cpp
@@ -10,7 +10,7 @@
     const double saving = static_cast<double>(input.m_runTime.m_ms) * (input.m_factorNow - input.m_factorThen);
     if (saving < static_cast<double>(minSaving.m_ms))
         return {};
-    const Duration worthwhile { static_cast<std::int64_t>(saving * waitShareOfSaving) };
+    const Duration worthwhile { static_cast<std::int64_t>(saving * input.m_shareOfSaving) };
     const TimePoint until = std::min(input.m_since + std::min(worthwhile, input.m_longestWait), input.m_latestStart);
     return { .m_isWorthwhile = now < until && input.m_roomAt <= until, .m_until = until };
 }
--- a/src/process/scheduler/place_wait.h
+++ b/src/process/scheduler/place_wait.h
@@ -5,6 +5,8 @@
 
 namespace bulrushloft::scheduler {
 
+constexpr double waitShareOfSaving = 0.75; ///< A wait may use up this fraction of the run time that the better place saves; see docs/design/place-wait.md.
+
 /** What is known of the best place that is free now, and of a better one that is expected to come free. */
 struct PlaceWaitInput {
     TimePoint m_since; ///< When the task first left a free place unused; the present time when it has not yet.
@@ -14,6 +16,7 @@
     double m_factorThen = 1; ///< Run time in the better place divided by m_runTime.
     TimePoint m_latestStart; ///< Latest start in the better place with which the job is expected to meet its objective.
     Duration m_longestWait; ///< Upper bound of the wait, whatever it saves.
+    double m_shareOfSaving = waitShareOfSaving; ///< Fraction of the saving that the wait may use up.
 };
 
 /** A decision to wait for a better place, or not. */
@@ -22,7 +25,6 @@
     TimePoint m_until; ///< When the wait ends at the latest. Unset if it saves too little in any case.
 };
 
-constexpr double waitShareOfSaving = 0.75; ///< A wait may use up this fraction of the run time that the better place saves; see docs/design/place-wait.md.
 constexpr Duration minSaving { 100 }; ///< Placement passes without another event are 50 ms apart, so shorter savings cannot be planned for.
 
 /**
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -93,7 +93,8 @@
     TimePoint m_nextCallAt; ///< Earliest time of the next start or stop call.
     TimePoint m_stopRequestedAt; ///< When the current attempt was to be stopped; only in the phase Stopping.
     TimePoint m_waitingSince; ///< Time since which the task has been waiting for a worker.
-    TimePoint m_waitsForPlaceSince; ///< When it first left a free place unused to wait for a better one; zero when it has not since its latest attempt.
+    bool m_hasLeftPlace = false; ///< Since its latest attempt, it has left a free place to others to wait for a better one.
+    TimePoint m_waitsForPlaceSince; ///< Since when a place that it has left has stayed unused; zero for none.
     int m_percent = -1; ///< Latest reported progress in percent; -1 when none was reported.
     int m_loadMetric = 0; ///< Latest tail latency or CPU usage; see RunningAttempt.
     int m_pace = 100; ///< Ordered speed in percent of full speed.
@@ -159,7 +160,7 @@
     bool m_isApprovalRequestDelayed = false; ///< An approval request was due and no VM was free to send it.
     TimePoint m_strayUntil; ///< The latest Task::m_strayUntil of its tasks, or a later time.
     bool m_hasReservations = false; ///< Workers are reserved for the step.
-    bool m_waitsForPlace = false; ///< The latest pass has left places unused that a task of the step could have taken, as better ones are expected to come free.
+    bool m_waitsForPlace = false; ///< The latest pass that examined the step has left places to others that a task of the step could have taken, as better ones are expected to come free.
     bool m_hadSuspects = false; ///< A task of the step was on probation when its worker crashed.
     UrgencyInput m_urgencyInput; ///< What the step's urgency was last computed from.
     TimePoint m_urgencyInputAt; ///< When m_urgencyInput was last updated; zero for never.
@@ -396,10 +397,10 @@
 
 /** Counts of the waits of tasks for better places than the free ones. Waits that are neither ended nor given up go on, or ended with their job. */
 struct PlaceWaitCounters {
-    std::uint64_t m_begun = 0; ///< Tasks that have left a free place unused.
+    std::uint64_t m_begun = 0; ///< Tasks that have left a free place to others.
     std::uint64_t m_ended = 0; ///< Those that got a better place.
     std::uint64_t m_givenUp = 0; ///< Those that got no better place.
-    std::uint64_t m_waitedMs = 0; ///< Sum of the lengths of the waits in m_ended and m_givenUp.
+    std::uint64_t m_waitedMs = 0; ///< Time in ms for which such places have stayed unused, summed over the tasks.
 
     bool operator==(const PlaceWaitCounters&) const = default;
 };
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -274,7 +274,7 @@
                 return false;
             bool isWaiting = true;
             for (Task& task : m_run.m_tasks)
-                isWaiting = isWaiting && waitForPlace(m_scheduler, m_run, task, { .m_roomAt = place->m_roomAt, .m_factorNow = m_factorOfGang, .m_factorThen = 1, .m_latestStart = m_urgency.m_key }, m_now);
+                isWaiting = isWaiting && waitForPlace(m_scheduler, m_run, task, { .m_roomAt = place->m_roomAt, .m_factorNow = m_factorOfGang, .m_factorThen = 1 }, m_now);
             for (std::size_t i = 0; isWaiting && i < place->m_positions.size(); ++i)
                 claimPlace(m_view, place->m_positions[i], m_run, endAfter(place->m_roomAt, 1));
             return isWaiting;
@@ -287,7 +287,7 @@
                 return false;
             const double factorNow = placeFactorOf(m_scheduler, m_run, workerAt(position));
             const auto place = factorNow > 1 ? findBetterPlace(m_scheduler, m_run, task, m_view, factorNow, m_now) : std::nullopt;
-            if (!place || !waitForPlace(m_scheduler, m_run, task, { .m_roomAt = place->m_roomAt, .m_factorNow = factorNow, .m_factorThen = place->m_factor, .m_latestStart = m_urgency.m_key }, m_now))
+            if (!place || !waitForPlace(m_scheduler, m_run, task, { .m_roomAt = place->m_roomAt, .m_factorNow = factorNow, .m_factorThen = place->m_factor }, m_now))
                 return false;
             claimPlace(m_view, place->m_position, m_run, endAfter(place->m_roomAt, place->m_factor));
             return true;
@@ -596,6 +596,8 @@
         if (isFullPass)
             placement.reserve(reservationLimitsOf(view.m_workers.size()));
     }
+    for (const RankedStep& step : ranked)
+        pausePlaceWait(scheduler, *step.m_run, viewOf(views, *step.m_run), now);
 }
 
 } // namespace bulrushloft::scheduler::detail
--- a/tests/place_wait_test.cpp
+++ b/tests/place_wait_test.cpp
@@ -321,6 +321,48 @@
     BOOST_TEST(load.counters().m_waitedMs <= 1'050U + 60U);
 }
 
+// In a burst above capacity, tasks gave up their waits for places that others used meanwhile, ran far from their data for longer, and the backlog grew.
+BOOST_AUTO_TEST_CASE(the_time_for_which_others_use_the_places_does_not_count_as_waited)
+{
+    constexpr int rounds = 4;
+    RackLoad load(1, 1);
+    QueueSettings urgent = load.m_scheduler.m_queues.at("plain");
+    urgent.m_name = "urgent";
+    urgent.m_slackFactor = 1;
+    setCluster(load.m_scheduler, { .m_version = 3, .m_queues = { load.m_scheduler.m_queues.at("plain"), urgent }, .m_pools = { { .m_name = "pool" } } });
+    load.submit("urgent", RackLoad::makeStep(1, nearRack, { 1'000 }));
+    load.submit("plain", RackLoad::makeStep(1, farRack, { 1'000 }));
+    load.run({ 20 });
+    const std::string job = load.submit("plain", RackLoad::makeStep(1, nearRack));
+    for (int i = 0; i < rounds; ++i) {
+        load.run({ 900 });
+        load.submit("urgent", RackLoad::makeStep(1, nearRack, { 1'000 }));
+        load.submit("plain", RackLoad::makeStep(1, farRack, { 1'000 }));
+        load.run({ 130 });
+        BOOST_TEST(load.rackOf(job) == "");
+    }
+    load.run({ 1'100 });
+    BOOST_TEST(load.rackOf(job) == nearRack);
+    BOOST_TEST(load.counters().m_begun == 1U);
+    BOOST_TEST(load.counters().m_ended == 1U);
+    BOOST_TEST(load.counters().m_waitedMs < 500U);
+}
+
+// Late tasks never waited, ran far from their data for longer, and made more tasks late.
+BOOST_AUTO_TEST_CASE(a_late_task_waits_while_its_result_is_of_use)
+{
+    RackLoad load(1, 1);
+    load.fillNear(1, { 13'000 });
+    load.submit("plain", RackLoad::makeStep(1, farRack, { 12'000 }));
+    load.run({ 50 });
+    const std::string job = load.submit("plain", RackLoad::makeStep(1, nearRack)); // Its objective is 9 s, so it is late after 7.4 s.
+    load.run({ 12'100 });
+    BOOST_TEST(load.rackOf(job) == "");
+    BOOST_TEST(load.counters().m_begun == 1U);
+    load.run({ 1'000 });
+    BOOST_TEST(load.rackOf(job) == nearRack);
+}
+
 // A job of which nothing runs although it could for 3 s counts as lost.
 BOOST_AUTO_TEST_CASE(a_job_with_nothing_running_waits_for_at_most_2_s)
 {
