Waits for a better place: the clock stops when the last place is taken

Cause: the clock of a wait was only stopped in passes in which the task left a place. Once all places were taken it went on, and the task gave up its wait as soon as the next place came free.

--- a/src/process/scheduler/better_place.cpp
+++ b/src/process/scheduler/better_place.cpp
@@ -198,14 +198,16 @@
     scheduler.m_counters.m_placeWaits.m_begun += task.m_hasLeftPlace ? 0 : 1;
     task.m_hasLeftPlace = true;
     task.m_waitsForPlaceSince = since;
+    run.m_isPlaceClockRunning = true;
     run.m_waitsForPlace = true;
     return true;
 }
 
 void pausePlaceWait(Scheduler& scheduler, StepRun& run, const PoolView& view, TimePoint now)
 {
-    if (!run.m_waitsForPlace || isRoomLeft(scheduler, run, view, now))
+    if (!run.m_isPlaceClockRunning || isRoomLeft(scheduler, run, view, now))
         return;
+    run.m_isPlaceClockRunning = false;
     for (Task& task : run.m_tasks)
         stopClock(scheduler, task, now);
 }
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -160,6 +160,7 @@
     bool m_isApprovalRequestDelayed = false; ///< An approval request was due and no VM was free to send it.
     TimePoint m_strayUntil; ///< The latest Task::m_strayUntil of its tasks, or a later time.
     bool m_hasReservations = false; ///< Workers are reserved for the step.
+    bool m_isPlaceClockRunning = false; ///< Task::m_waitsForPlaceSince of one of its tasks is set.
     bool m_waitsForPlace = false; ///< The latest pass that examined the step has left places to others that a task of the step could have taken, as better ones are expected to come free.
     bool m_hadSuspects = false; ///< A task of the step was on probation when its worker crashed.
     UrgencyInput m_urgencyInput; ///< What the step's urgency was last computed from.
--- a/tests/place_wait_test.cpp
+++ b/tests/place_wait_test.cpp
@@ -2,8 +2,8 @@
 #define BOOST_TEST_MODULE place_wait
 #include <boost/test/unit_test.hpp>
 
-#include "approval_load.h"
 #include "process/scheduler/place_wait.h"
+#include "rack_load.h"
 
 #include <optional>
 
@@ -13,64 +13,7 @@
 
 namespace {
 
-constexpr Duration runTime { 2'000 };
-constexpr Resources wholeWorker { .m_cpuMilli = 32'000, .m_memoryMb = 1'000, .m_gpus = 0 };
-constexpr const char* nearRack = "r1-1";
-constexpr const char* farRack = "r2-1";
-
-/** A load on two racks; each task fills a worker. Queue "plain" needs no approvals. */
-struct RackLoad : ApprovalLoad {
-    explicit RackLoad(int nearWorkers, int farWorkers, bool waits = true)
-        : ApprovalLoad(0, 3, 1.0)
-    {
-        constexpr double looseSlack = 4;
-        m_scheduler.m_options.m_waitsForBetterPlace = waits;
-        m_scheduler.m_options.m_remoteFactor = 3;
-        QueueSettings plain = makeQueue("plain", looseSlack, { 1'000 }, {});
-        plain.m_approval.reset();
-        setCluster(m_scheduler, { .m_version = 2, .m_queues = { plain, m_scheduler.m_queues.at("quick") }, .m_pools = { { .m_name = "pool" } } });
-        for (int i = 0; i < nearWorkers; ++i)
-            adopt("near" + std::to_string(i));
-        for (int i = 0; i < farWorkers; ++i) {
-            m_workers["far" + std::to_string(i)].m_rack = farRack;
-            adopt("far" + std::to_string(i));
-        }
-    }
-
-    static StepPlan makeStep(std::uint32_t width, const std::string& rack, Duration length = runTime)
-    {
-        StepPlan step { .m_count = width, .m_size = wholeWorker, .m_estimatedRunTime = length };
-        step.m_dataRack = rack;
-        return step;
-    }
-
-    /** Fills the near rack; the far one stays free. */
-    void fillNear(std::uint32_t workers, Duration length)
-    {
-        submit("plain", makeStep(workers, nearRack, length));
-        run({ 50 });
-    }
-
-    StepRun& runOf(const std::string& job) { return *m_scheduler.m_jobs.at(job)->m_runs.front(); }
-
-    /** @return Rack of the current attempt of a task; empty for none. */
-    std::string rackOf(const std::string& job, std::uint32_t index = 0)
-    {
-        const Task& task = runOf(job).m_tasks[index];
-        return task.m_worker == noWorker || task.m_phase == RunPhase::None ? "" : m_scheduler.m_workers[static_cast<std::size_t>(task.m_worker)].m_rack;
-    }
-
-    /** Runs until all jobs have ended. @return Time that took. */
-    Duration runToEnd()
-    {
-        const TimePoint from = m_now;
-        while (std::any_of(m_scheduler.m_jobs.begin(), m_scheduler.m_jobs.end(), [](const auto& entry) { return !isFinal(entry.second->m_stage); }))
-            tick();
-        return m_now - from;
-    }
-
-    const PlaceWaitCounters& counters() const { return m_scheduler.m_counters.m_placeWaits; }
-};
+constexpr Duration runTime = rackRunTime;
 
 /** A wait of which all but the time of room is fixed: 4 s are saved, of which 3 s may be waited. */
 PlaceWaitInput waitFor(Duration room)
@@ -348,6 +291,23 @@
     BOOST_TEST(load.counters().m_waitedMs < 500U);
 }
 
+// The clock went on after the last place that a task had left was taken, so that it gave up as soon as the next one came free.
+BOOST_AUTO_TEST_CASE(the_clock_stops_when_no_place_is_left)
+{
+    RackLoad load(1, 1);
+    load.fillNear(1, { 5'000 });
+    load.run({ 3'100 });
+    const std::string job = load.submit("plain", RackLoad::makeStep(1, nearRack)); // 1.9 s of 2 s are to be waited.
+    load.run({ 200 });
+    load.submit("plain", RackLoad::makeStep(1, farRack, { 700 }));
+    load.run({ 600 });
+    BOOST_TEST(load.runOf(job).m_tasks.front().m_waitsForPlaceSince.m_ms == 0);
+    BOOST_TEST(load.counters().m_waitedMs <= 300U);
+    load.m_workers.at("near0").m_runs.front().m_endsAt = load.m_now + Duration { 1'900 }; // It ends later than predicted, after 2.7 s of the wait.
+    load.run({ 2'000 });
+    BOOST_TEST(load.rackOf(job) == nearRack);
+}
+
 // Late tasks never waited, ran far from their data for longer, and made more tasks late.
 BOOST_AUTO_TEST_CASE(a_late_task_waits_while_its_result_is_of_use)
 {
