--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -263,30 +263,6 @@
             return false;
         }
 
-        /** @return Whether tasks of the step may leave free places unused at all. */
-        bool mayWaitForPlace() const
-        {
-            const StepPlan& plan = planOf(m_run);
-            return m_scheduler.m_options.m_waitsForBetterPlace && m_urgency.m_class == UrgencyClass::InTime && !plan.m_isLongRunning && !plan.m_isBestEffort;
-        }
-
-        /** @return Whether a task waits for a better place; counts the beginning of its wait. @param factorNow Factor of the best free place. */
-        bool waitsFor(Task& task, TimePoint roomAt, double factorNow, double factorThen)
-        {
-            constexpr Duration longestIdleWait { 2'000 }; ///< A job that could run and has had nothing running for 3 s counts as lost; starting takes some of this time.
-            const bool isNew = task.m_waitsForPlaceSince == TimePoint {};
-            const bool isIdle = std::all_of(m_run.m_job->m_runs.begin(), m_run.m_job->m_runs.end(), [](const auto& run) { return run->m_activeAttempts == 0; });
-            const PlaceWait wait = decidePlaceWait({ .m_since = isNew ? m_now : task.m_waitsForPlaceSince, .m_roomAt = roomAt, .m_runTime = predictRunTime(m_scheduler, *m_run.m_job, m_run.m_step), .m_factorNow = factorNow, .m_factorThen = factorThen, .m_latestStart = m_urgency.m_key, .m_longestWait = isIdle ? longestIdleWait : farFuture - m_now }, m_now);
-            if (!wait.m_isWorthwhile)
-                return false;
-            if (isNew) {
-                task.m_waitsForPlaceSince = m_now;
-                ++m_scheduler.m_counters.m_placeWaits.m_begun;
-            }
-            m_run.m_waitsForPlace = true;
-            return true;
-        }
-
         TimePoint endAfter(TimePoint start, double factor) const
         {
             return start + Duration { static_cast<std::int64_t>(static_cast<double>(predictRunTime(m_scheduler, *m_run.m_job, m_run.m_step).m_ms) * factor) };
@@ -299,14 +275,14 @@
                 return false;
             const bool isInOneRack = restrictToOneRack();
             m_factorOfGang = isInOneRack || !m_scheduler.m_options.m_waitsForBetterPlace ? 1 : m_scheduler.m_options.m_remoteFactor;
-            if (isInOneRack || !mayWaitForPlace() || !m_suspects.empty())
+            if (isInOneRack || !mayWaitForPlace(m_scheduler, m_run, m_urgency) || !m_suspects.empty())
                 return false;
             const auto place = findGangPlace(m_scheduler, m_run, m_view, m_now);
             if (!place)
                 return false;
             bool isWaiting = true;
             for (Task& task : m_run.m_tasks)
-                isWaiting = isWaiting && waitsFor(task, place->m_roomAt, m_factorOfGang, 1);
+                isWaiting = isWaiting && waitForPlace(m_scheduler, m_run, task, { .m_roomAt = place->m_roomAt, .m_factorNow = m_factorOfGang, .m_factorThen = 1 }, m_now);
             for (std::size_t i = 0; isWaiting && i < place->m_positions.size(); ++i)
                 claimPlace(m_view, place->m_positions[i], m_run, endAfter(place->m_roomAt, 1));
             return isWaiting;
@@ -315,11 +291,11 @@
         /** @return Whether a task leaves room on a worker unused to wait for a better place. */
         bool waitsInsteadOf(std::uint32_t position, Task& task)
         {
-            if (planOf(m_run).m_isGang || !mayWaitForPlace())
+            if (planOf(m_run).m_isGang || !mayWaitForPlace(m_scheduler, m_run, m_urgency))
                 return false;
             const double factorNow = placeFactorOf(m_scheduler, m_run, workerAt(position));
             const auto place = factorNow > 1 ? findBetterPlace(m_scheduler, m_run, task, m_view, factorNow, m_now) : std::nullopt;
-            if (!place || !waitsFor(task, place->m_roomAt, factorNow, place->m_factor))
+            if (!place || !waitForPlace(m_scheduler, m_run, task, { .m_roomAt = place->m_roomAt, .m_factorNow = factorNow, .m_factorThen = place->m_factor }, m_now))
                 return false;
             claimPlace(m_view, place->m_position, m_run, endAfter(place->m_roomAt, place->m_factor));
             return true;
@@ -636,6 +612,8 @@
         if (isFullPass)
             placement.reserve(reservationLimitsOf(view.m_workers.size()));
     }
+    for (const RankedStep& step : ranked)
+        pausePlaceWait(scheduler, *step.m_run, viewOf(views, *step.m_run), now);
 }
 
 } // namespace bulrushloft::scheduler::detail
--- a/tests/place_wait_test.cpp
+++ b/tests/place_wait_test.cpp
@@ -2,8 +2,8 @@
 #define BOOST_TEST_MODULE place_wait
 #include <boost/test/unit_test.hpp>
 
-#include "approval_load.h"
 #include "process/scheduler/place_wait.h"
+#include "rack_load.h"
 
 #include <optional>
 
@@ -13,64 +13,7 @@
 
 namespace {
 
-constexpr Duration runTime { 2'000 };
-constexpr Resources wholeWorker { .m_cpuMilli = 32'000, .m_memoryMb = 1'000, .m_gpus = 0 };
-constexpr const char* nearRack = "r1-1";
-constexpr const char* farRack = "r2-1";
-
-/** A load on two racks; each task fills a worker. Queue "plain" needs no approvals. */
-struct RackLoad : ApprovalLoad {
-    explicit RackLoad(int nearWorkers, int farWorkers, bool waits = true)
-        : ApprovalLoad(0, 3, 1.0)
-    {
-        constexpr double looseSlack = 4;
-        m_scheduler.m_options.m_waitsForBetterPlace = waits;
-        m_scheduler.m_options.m_remoteFactor = 3;
-        QueueSettings plain = makeQueue("plain", looseSlack, { 1'000 }, {});
-        plain.m_approval.reset();
-        setCluster(m_scheduler, { .m_version = 2, .m_queues = { plain, m_scheduler.m_queues.at("quick") }, .m_pools = { { .m_name = "pool" } } });
-        for (int i = 0; i < nearWorkers; ++i)
-            adopt("near" + std::to_string(i));
-        for (int i = 0; i < farWorkers; ++i) {
-            m_workers["far" + std::to_string(i)].m_rack = farRack;
-            adopt("far" + std::to_string(i));
-        }
-    }
-
-    static StepPlan makeStep(std::uint32_t width, const std::string& rack, Duration length = runTime)
-    {
-        StepPlan step { .m_count = width, .m_size = wholeWorker, .m_estimatedRunTime = length };
-        step.m_dataRack = rack;
-        return step;
-    }
-
-    /** Fills the near rack; the far one stays free. */
-    void fillNear(std::uint32_t workers, Duration length)
-    {
-        submit("plain", makeStep(workers, nearRack, length));
-        run({ 50 });
-    }
-
-    StepRun& runOf(const std::string& job) { return *m_scheduler.m_jobs.at(job)->m_runs.front(); }
-
-    /** @return Rack of the current attempt of a task; empty for none. */
-    std::string rackOf(const std::string& job, std::uint32_t index = 0)
-    {
-        const Task& task = runOf(job).m_tasks[index];
-        return task.m_worker == noWorker || task.m_phase == RunPhase::None ? "" : m_scheduler.m_workers[static_cast<std::size_t>(task.m_worker)].m_rack;
-    }
-
-    /** Runs until all jobs have ended. @return Time that took. */
-    Duration runToEnd()
-    {
-        const TimePoint from = m_now;
-        while (std::any_of(m_scheduler.m_jobs.begin(), m_scheduler.m_jobs.end(), [](const auto& entry) { return !isFinal(entry.second->m_stage); }))
-            tick();
-        return m_now - from;
-    }
-
-    const PlaceWaitCounters& counters() const { return m_scheduler.m_counters.m_placeWaits; }
-};
+constexpr Duration runTime = rackRunTime;
 
 /** A wait of which all but the time of room is fixed: 4 s are saved, of which 3 s may be waited. */
 PlaceWaitInput waitFor(Duration room)
@@ -121,6 +64,10 @@
     input = waitFor({ 0 });
     input.m_factorNow = input.m_factorThen;
     BOOST_TEST(!decidePlaceWait(input, { 10'000 }).m_isWorthwhile);
+    input.m_factorNow = 1.04; // Saves 80 ms.
+    BOOST_TEST(!decidePlaceWait(input, { 10'000 }).m_isWorthwhile);
+    input.m_factorNow = 1.06;
+    BOOST_TEST(decidePlaceWait(input, { 10'000 }).m_isWorthwhile);
 }
 
 // An attempt that was overdue counted as about to end, for as long as it ran.
@@ -280,25 +227,30 @@
 // Work without data waited behind a step that did not use the free places.
 BOOST_AUTO_TEST_CASE(a_waiting_step_leaves_the_free_places_to_others)
 {
-    RackLoad load(1, 1);
+    constexpr int farWorkers = 19; // Of a pool of 20, some workers may be reserved.
+    RackLoad load(1, farWorkers);
     load.fillNear(1, { 1'500 });
     const std::string job = load.submit("plain", RackLoad::makeStep(1, nearRack));
     load.run({ 300 });
     BOOST_TEST(load.rackOf(job) == "");
     const bool isAnyReserved = std::any_of(load.m_scheduler.m_workers.begin(), load.m_scheduler.m_workers.end(), [](const Worker& worker) { return worker.m_reservedFor; });
     BOOST_TEST(!isAnyReserved);
-    const std::string other = load.submit("plain", RackLoad::makeStep(1, "", { 500 }));
+    const std::string other = load.submit("plain", RackLoad::makeStep(farWorkers, "", { 500 }));
     load.run({ 50 });
-    BOOST_TEST(load.rackOf(other) == farRack);
+    BOOST_TEST(load.runOf(other).m_activeAttempts == static_cast<std::uint32_t>(farWorkers));
     load.run({ 1'400 });
     BOOST_TEST(load.rackOf(job) == nearRack);
 }
 
-// A wait ended only when some other event caused a placement pass.
+// A wait ended only when some other event caused a placement pass, or a pass over all of thousands of steps was due.
 BOOST_AUTO_TEST_CASE(a_wait_ends_in_time_without_any_other_event)
 {
     RackLoad load(1, 1);
     load.fillNear(1, { 1'000 });
+    StepPlan unplaceable = RackLoad::makeStep(1, "");
+    unplaceable.m_label = "none";
+    const std::vector<StepPlan> steps(6'000, unplaceable);
+    acceptJob(load.m_scheduler, { .m_id = "00000000000000aa", .m_queue = "plain", .m_pool = "pool", .m_payload = "p", .m_steps = steps, .m_firstStart = {}, .m_period = {}, .m_occurrenceCount = 0, .m_submittedAt = load.m_now }, load.m_now);
     const std::string job = load.submit("plain", RackLoad::makeStep(1, nearRack, { 700 })); // 1,050 ms may be waited.
     load.run({ 20 });
     BOOST_TEST(load.rackOf(job) == "");
@@ -312,6 +264,65 @@
     BOOST_TEST(load.counters().m_waitedMs <= 1'050U + 60U);
 }
 
+// In a burst above capacity, tasks gave up their waits for places that others used meanwhile, ran far from their data for longer, and the backlog grew.
+BOOST_AUTO_TEST_CASE(the_time_for_which_others_use_the_places_does_not_count_as_waited)
+{
+    constexpr int rounds = 4;
+    RackLoad load(1, 1);
+    QueueSettings urgent = load.m_scheduler.m_queues.at("plain");
+    urgent.m_name = "urgent";
+    urgent.m_slackFactor = 1;
+    setCluster(load.m_scheduler, { .m_version = 3, .m_queues = { load.m_scheduler.m_queues.at("plain"), urgent }, .m_pools = { { .m_name = "pool" } } });
+    load.submit("urgent", RackLoad::makeStep(1, nearRack, { 1'000 }));
+    load.submit("plain", RackLoad::makeStep(1, farRack, { 1'000 }));
+    load.run({ 20 });
+    const std::string job = load.submit("plain", RackLoad::makeStep(1, nearRack));
+    for (int i = 0; i < rounds; ++i) {
+        load.run({ 900 });
+        load.submit("urgent", RackLoad::makeStep(1, nearRack, { 1'000 }));
+        load.submit("plain", RackLoad::makeStep(1, farRack, { 1'000 }));
+        load.run({ 130 });
+        BOOST_TEST(load.rackOf(job) == "");
+    }
+    load.run({ 1'100 });
+    BOOST_TEST(load.rackOf(job) == nearRack);
+    BOOST_TEST(load.counters().m_begun == 1U);
+    BOOST_TEST(load.counters().m_ended == 1U);
+    BOOST_TEST(load.counters().m_waitedMs < 500U);
+}
+
+// The clock went on after the last place that a task had left was taken, so that it gave up as soon as the next one came free.
+BOOST_AUTO_TEST_CASE(the_clock_stops_when_no_place_is_left)
+{
+    RackLoad load(1, 1);
+    load.fillNear(1, { 5'000 });
+    load.run({ 3'100 });
+    const std::string job = load.submit("plain", RackLoad::makeStep(1, nearRack)); // 1.9 s of 2 s are to be waited.
+    load.run({ 200 });
+    load.submit("plain", RackLoad::makeStep(1, farRack, { 700 }));
+    load.run({ 600 });
+    BOOST_TEST(load.runOf(job).m_tasks.front().m_waitsForPlaceSince.m_ms == 0);
+    BOOST_TEST(load.counters().m_waitedMs <= 300U);
+    load.m_workers.at("near0").m_runs.front().m_endsAt = load.m_now + Duration { 1'900 }; // It ends later than predicted, after 2.7 s of the wait.
+    load.run({ 2'000 });
+    BOOST_TEST(load.rackOf(job) == nearRack);
+}
+
+// Late tasks never waited, ran far from their data for longer, and made more tasks late.
+BOOST_AUTO_TEST_CASE(a_late_task_waits_while_its_result_is_of_use)
+{
+    RackLoad load(1, 1);
+    load.fillNear(1, { 13'000 });
+    load.submit("plain", RackLoad::makeStep(1, farRack, { 12'000 }));
+    load.run({ 50 });
+    const std::string job = load.submit("plain", RackLoad::makeStep(1, nearRack)); // Its objective is 9 s, so it is late after 7.4 s.
+    load.run({ 12'100 });
+    BOOST_TEST(load.rackOf(job) == "");
+    BOOST_TEST(load.counters().m_begun == 1U);
+    load.run({ 1'000 });
+    BOOST_TEST(load.rackOf(job) == nearRack);
+}
+
 // A job of which nothing runs although it could for 3 s counts as lost.
 BOOST_AUTO_TEST_CASE(a_job_with_nothing_running_waits_for_at_most_2_s)
 {
