--- a/tests/soak/daemon_process.cpp
+++ b/tests/soak/daemon_process.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <sstream>
 #include <thread>
 
 #include <fcntl.h>
@@ -15,6 +16,20 @@
 
 namespace bulrushloft::soak {
 
+namespace {
+
+    std::string makeStartupFile(const DaemonSetup& setup)
+    {
+        std::ostringstream text;
+        text << "member: \"" << setup.m_name << "\"\nzone: \"a\"\ncpu_share: " << setup.m_cpuShare << "\nlink_mbps: 1000\ndescriptors: 8000\nlisten:\n  clients: \"" << format(setup.m_clients)
+             << "\"\n  readiness: \"" << format(setup.m_readiness) << "\"\n  peers: \"" << format(setup.m_peers) << "\"\n  advertised_peers: \"" << format(setup.m_advertisedPeers)
+             << "\"\nplatform:\n  store: \"" << format(setup.m_store) << "\"\n  approvals: \"" << format(setup.m_approvals) << "\"\nseeds: [" << setup.m_seeds
+             << "]\nlog: {level: info, format: key-value}\nrelay_from_workers: " << setup.m_relayMinWorkers << "\nabort_on_invariant: true\n";
+        return text.str();
+    }
+
+} // namespace
+
 DaemonProcess::DaemonProcess(DaemonSetup setup)
     : m_setup(std::move(setup))
 {
@@ -31,10 +46,7 @@
 void DaemonProcess::start()
 {
     const std::string file = m_setup.m_directory + "/" + m_setup.m_name + ".yaml";
-    std::ofstream(file) << "member: \"" << m_setup.m_name << "\"\nzone: \"a\"\ncpu_share: " << m_setup.m_cpuShare << "\nlink_mbps: 1000\ndescriptors: 8000\nlisten:\n  clients: \"" << format(m_setup.m_clients)
-                        << "\"\n  readiness: \"" << format(m_setup.m_readiness) << "\"\n  peers: \"" << format(m_setup.m_peers) << "\"\n  advertised_peers: \"" << format(m_setup.m_advertisedPeers)
-                        << "\"\nplatform:\n  store: \"" << format(m_setup.m_store) << "\"\n  approvals: \"" << format(m_setup.m_approvals) << "\"\nseeds: [" << m_setup.m_seeds
-                        << "]\nlog: {level: info, format: key-value}\nrelay_from_workers: " << m_setup.m_relayMinWorkers << "\nabort_on_invariant: true\n";
+    std::ofstream(file) << (m_setup.m_startupFile.empty() ? makeStartupFile(m_setup) : m_setup.m_startupFile);
     const std::string log = m_setup.m_directory + "/" + m_setup.m_name + ".log";
     const pid_t parent = getpid();
     m_pid = fork();
--- a/tests/soak/daemon_process.h
+++ b/tests/soak/daemon_process.h
@@ -15,6 +15,7 @@
     std::string m_program; ///< Path of bulrushloftd.
     std::string m_name; ///< Member name.
     std::string m_directory; ///< Directory of the start-up file and the log.
+    std::string m_startupFile; ///< Contents of the start-up file; if empty, they are made from the fields below.
     Address m_clients; ///< Where the daemon serves clients.
     Address m_readiness; ///< Where it serves readiness checks.
     Address m_peers; ///< Where it serves its peers.
