Limits of connections: what is read is bounded for each message and in sum

Cause: Beast's parser limits neither a trailer nor a chunk's line, and its buffer had no maximum, so one connection could hold any amount. Bodies of 8 MiB were held on each of 2,048 connections of each listener, whatever memory and descriptors the VM has. Heads of 8 to 16 KiB, which are allowed, were refused by Beast's default. A client that sent a byte now and then was cut off only by the idle time of two minutes. A handler that threw left its connection and the count of open requests for ever.

Change: http_limits.h is the one table; HttpReader applies it to requests and responses, without sockets. HttpSession is a connection of a server; the server counts the bytes of unfinished requests and refuses the one with the largest product of bytes and age when they exceed their share, and closes the connection that has been idle longest when connections run out. Refusals are 400, 408, 413, 414, 431 or 503, written without waiting, before the handler is called; up to 256 KiB that still come are discarded for at most 1 s so that the client can read the status. HttpClient bounds responses in the same way.

Shares of memory and descriptors follow from `memory_mb` and `descriptors` and are checked at start. Without both, the limits of bodies, of connections and of idle time are the former ones, the sums are unlimited, and a new connection beyond the number is closed as before; only heads over 20,480 bytes, trailers, chunk lines and slow heads (10 s) are limited for all.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -2,16 +2,18 @@
 #include "connection/http_client.h"
 
 #include "connection/connection_limit.h"
-#include "connection/http_read.h"
+#include "connection/http_reader.h"
 #include "core/event_loop_impl.h"
 
 #include <atomic>
 #include <future>
 #include <list>
 #include <mutex>
+#include <set>
 #include <strings.h>
 #include <unordered_map>
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -104,12 +106,16 @@
     void noteRejected(const Connection& connection);
     void publishLimit(const Address& address, const ConnectionLimit& limit);
     void retire();
+    /** Notes the memory that a response takes, and closes the connections that cost most while all together exceed the limit. */
+    void charge(Connection& connection, std::size_t bytes);
     void startSweep();
     void sweep();
 
     asio::io_context& m_context;
     HttpClientOptions m_options;
     std::unordered_map<Address, Destination> m_destinations;
+    std::set<Connection*> m_receiving; ///< Connections with a response that has begun.
+    std::size_t m_heldBytes = 0; ///< Memory of these responses.
     std::list<Connection*> m_idleOrder; ///< Idle connections to all addresses, the longest idle first.
     asio::steady_timer m_sweepTimer; ///< Next sweep of idle connections; runs while there are any.
     bool m_isSweepPlanned = false;
@@ -163,10 +169,12 @@
 
         const Address& address() const { return m_address; }
         TimePoint openedAt() const { return m_openedAt; }
+        TimePoint takenAt() const { return m_takenAt; }
 
         /** @return Whether the connection has carried an answer. */
         bool isWorking() const { return m_isWorking; }
 
+        std::size_t m_charged = 0; ///< Memory that the client has noted for the present response.
         TimePoint m_idleSince; ///< Monotonic time since which the connection has been idle.
         std::list<Connection*>::iterator m_idlePosition; ///< Position in m_idleOrder; valid only while idle.
 
@@ -196,7 +204,9 @@
         void writeRequest()
         {
             const HttpRequest& request = m_current->m_call.m_request;
-            m_parser.reset();
+            HttpMessageLimits limits = m_client->m_options.m_limits;
+            limits.m_bodyBytes = m_current->m_call.m_bodyLimitBytes;
+            m_reader.begin(limits);
             m_message = {};
             m_message.version(11);
             m_message.method_string(request.m_method);
@@ -220,34 +230,50 @@
         {
             if (error)
                 return fail(CallProgress::MaybeDelivered, endOf(error), error);
-            m_parser.emplace();
-            m_parser->body_limit(m_current->m_call.m_bodyLimitBytes);
-            http::async_read_header(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code readError, std::size_t) {
-                self->onHeader(readError);
-            });
+            readMore();
         }
 
-        void onHeader(beast::error_code error)
+        void readMore()
         {
-            if (error || takeArrivedBody(m_buffer, *m_parser, error))
-                return onRead(error);
-            http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code readError, std::size_t) {
-                self->onRead(readError);
-            });
+            m_stream.async_read_some(m_reader.prepare(), [self = shared_from_this()](beast::error_code error, std::size_t count) { self->onData(error, count); });
         }
 
-        void onRead(beast::error_code error)
+        void onData(beast::error_code error, std::size_t count)
         {
-            if (error)
+            if (error && error != asio::error::eof)
                 return fail(CallProgress::MaybeDelivered, endOf(error), error);
-            auto message = m_parser->release();
+            switch (error ? m_reader.end() : m_reader.take(count)) {
+            case HttpReadState::Complete:
+                return onResponse();
+            case HttpReadState::Refused:
+                return failReading(error);
+            case HttpReadState::NeedsMore:
+                break;
+            }
+            if (steadyNow() >= m_current->m_deadline) // Timers may have no turn while data arrive.
+                return fail(CallProgress::MaybeDelivered, CallEnd::TimedOut, beast::error::timeout);
+            m_client->charge(*this, m_reader.heldBytes());
+            readMore(); // Fails at once if the connection was closed.
+        }
+
+        void failReading(beast::error_code error)
+        {
+            if (error)
+                return fail(CallProgress::MaybeDelivered, CallEnd::Closed, error);
+            const bool isTooLarge = m_reader.refusal() != HttpRefusal::Malformed;
+            fail(CallProgress::MaybeDelivered, CallEnd::Malformed, isTooLarge ? http::error::buffer_overflow : http::error::bad_value);
+        }
+
+        void onResponse()
+        {
+            auto message = m_reader.release();
             HttpResponse response;
             response.m_status = message.result_int();
             for (const auto& field : message)
                 response.m_headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+            m_keepAlive = message.keep_alive() && !m_reader.hasBytesLeft();
             response.m_body = makeBody(std::move(message.body()));
-            m_keepAlive = message.keep_alive() && m_buffer.size() == 0;
-            releaseRoom(m_buffer);
+            m_reader.releaseRoom();
             finish(std::move(response));
         }
 
@@ -255,14 +281,14 @@
         bool isRejected(CallEnd end) const
         {
             const bool isEnded = end == CallEnd::Refused || end == CallEnd::NotConnected || end == CallEnd::Closed || end == CallEnd::Reset;
-            return isEnded && !m_isWorking && !(m_parser && m_parser->got_some());
+            return isEnded && !m_isWorking && !m_reader.hasStarted();
         }
 
         void fail(CallProgress progress, CallEnd end, beast::error_code error)
         {
             if (isRejected(end))
                 m_client->noteRejected(*this);
-            if (end == CallEnd::TimedOut && m_isWorking && !(m_parser && m_parser->got_some()))
+            if (end == CallEnd::TimedOut && m_isWorking && !m_reader.hasStarted())
                 m_client->closeIdleSince(m_address, m_takenAt);
             const std::size_t others = m_client->destinationOf(m_address).m_openCount - 1;
             finish(tl::unexpected(HttpFailure { .m_progress = progress, .m_reason = error.message(), .m_end = end, .m_isKeptConnection = m_isWorking, .m_openConnections = others, .m_took = steadyNow() - m_takenAt }));
@@ -274,6 +300,7 @@
             if (m_current->m_call.m_isLongPoll)
                 --m_client->destinationOf(m_address).m_longPolls;
             m_current.reset();
+            m_client->charge(*this, 0);
             if (result && !std::exchange(m_isWorking, true))
                 m_client->noteAccepted(*this);
             if (result && m_keepAlive && m_generation == m_client->m_generation) {
@@ -290,10 +317,9 @@
         std::shared_ptr<HttpClient::Impl> m_client;
         Address m_address;
         beast::tcp_stream m_stream;
-        beast::flat_buffer m_buffer;
+        HttpReader<false> m_reader;
         std::optional<PendingCall> m_current;
         http::request<http::span_body<const char>> m_message;
-        std::optional<http::response_parser<http::string_body>> m_parser;
         bool m_keepAlive = false;
         bool m_isWorking = false; ///< Whether the connection has carried an answer.
         TimePoint m_openedAt; ///< When its opening began.
@@ -472,6 +498,24 @@
         closeIdle(*m_idleOrder.front());
 }
 
+void HttpClient::Impl::charge(Connection& connection, std::size_t bytes)
+{
+    m_heldBytes += bytes;
+    m_heldBytes -= std::exchange(connection.m_charged, bytes);
+    if (bytes == 0)
+        m_receiving.erase(&connection);
+    else
+        m_receiving.insert(&connection);
+    const TimePoint now = steadyNow();
+    const auto costOf = [now](const Connection* receiving) { return static_cast<double>(receiving->m_charged) * static_cast<double>((now - receiving->takenAt()).m_ms + 1); };
+    while (m_options.m_unfinishedBytes > 0 && m_heldBytes > m_options.m_unfinishedBytes && !m_receiving.empty()) {
+        Connection* costliest = *std::max_element(m_receiving.begin(), m_receiving.end(), [&](const Connection* one, const Connection* other) { return costOf(one) < costOf(other); });
+        m_receiving.erase(costliest);
+        m_heldBytes -= std::exchange(costliest->m_charged, 0);
+        costliest->close(); // Its call fails when the loop is next run.
+    }
+}
+
 void HttpClient::Impl::startSweep()
 {
     if (std::exchange(m_isSweepPlanned, true))
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -1,6 +1,7 @@
 /** @file http_client.h An HTTP/1.1 client with keep-alive connections on an event loop. */
 #pragma once
 
+#include "connection/http_limits.h"
 #include "connection/http_type.h"
 #include "core/event_loop.h"
 
@@ -25,6 +26,8 @@
     Duration m_spareIdleTimeout { 10'000 }; ///< Idle time after which connections beyond m_keptConnectionsPerAddress are closed.
     bool m_sharesWithLongPolls = false; ///< Whether long polls and other calls each leave one connection to the other kind, as long as there is more than one.
     bool m_closesIdleOnTimeout = false; ///< Whether a timeout on a kept connection closes those that have been idle since before that call: all may have gone silent together.
+    HttpMessageLimits m_limits; ///< Limits of each response; the limit of the body is that of its call.
+    std::size_t m_unfinishedBytes = 0; ///< Memory of all responses that are being read; beyond it calls fail, those with the largest product of bytes and time first. 0 for no limit.
     bool m_learnsLimit = false; ///< Whether calls wait for the open connections to an address that rejects new ones.
 };
 
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -1,6 +1,7 @@
 /** @file http_server.h An HTTP/1.1 server on an event loop. */
 #pragma once
 
+#include "connection/http_limits.h"
 #include "connection/http_type.h"
 #include "core/event_loop.h"
 
@@ -9,10 +10,8 @@
 /** Address and limits of a server. */
 struct HttpServerOptions {
     Address m_address; ///< Address on which the server listens.
-    std::size_t m_bodyLimitBytes = 8 * 1024 * 1024; ///< Larger request bodies are answered with status 413.
-    Duration m_readTimeout { 30'000 }; ///< Time limit for reading a request body after its header, and for writing a response.
-    Duration m_idleTimeout { 120'000 }; ///< Time limit for receiving the header of the next request, after which the connection is closed.
-    std::size_t m_connectionLimit = 2048; ///< Maximum number of open connections; further ones are closed at once.
+    std::string m_name = "http"; ///< Name in the log.
+    HttpLimits m_limits; ///< What clients may send.
 };
 
 /** Sends the response to one request; must be called exactly once, from any thread. */
@@ -49,6 +48,9 @@
     /** @return Number of open connections. */
     std::size_t countConnections() const;
 
+    /** @return Number of refused requests and of connections closed for others, by cause. */
+    HttpRefusalCounts refusals() const;
+
 private:
     std::shared_ptr<Impl> m_impl;
 };
--- a/src/platform/platform_adapter.cpp
+++ b/src/platform/platform_adapter.cpp
@@ -21,8 +21,8 @@
 
 PlatformAdapter::PlatformAdapter(EventLoop& loop, const PlatformAddresses& addresses)
     : m_addresses(addresses)
-    , m_store(loop, addresses.m_store)
-    , m_workers(loop, addresses.m_maxIdleConnections)
+    , m_store(loop, addresses.m_store, addresses.m_storeResponseBytes)
+    , m_workers(loop, addresses.m_maxIdleConnections, addresses.m_workerResponseBytes, addresses.m_approvalResponseBytes)
 {
 }
 
--- a/src/platform/platform_adapter.h
+++ b/src/platform/platform_adapter.h
@@ -12,6 +12,9 @@
     Address m_store; ///< Address of the metadata store.
     Address m_approvals; ///< Address of the service that approves workers for tasks; port 0 if there is none.
     std::size_t m_maxIdleConnections = 1'024; ///< Maximum idle connections to all workers together.
+    std::size_t m_storeResponseBytes = 0; ///< Memory of all unfinished responses of the store; 0 for no limit, here and below.
+    std::size_t m_workerResponseBytes = 0; ///< Of workers.
+    std::size_t m_approvalResponseBytes = 0; ///< Of the approval service.
 };
 
 /** Posts a function to the decision thread, which runs all logic of the cell. */
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -143,9 +143,9 @@
     return answer;
 }
 
-StoreClient::StoreClient(EventLoop& loop, const Address& address)
+StoreClient::StoreClient(EventLoop& loop, const Address& address, std::size_t unfinishedBytes)
     : m_address(address)
-    , m_client(loop, { .m_connectionsPerAddress = 32, .m_connectTimeout = { 500 }, .m_closesIdleOnTimeout = true })
+    , m_client(loop, { .m_connectionsPerAddress = 32, .m_connectTimeout = { 500 }, .m_closesIdleOnTimeout = true, .m_unfinishedBytes = unfinishedBytes })
 {
 }
 
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -11,7 +11,8 @@
 /** Sends requests to the store. Each callback runs exactly once, on the loop's thread. */
 class StoreClient {
 public:
-    StoreClient(EventLoop& loop, const Address& address);
+    /** @param unfinishedBytes Memory of all responses that are being read; 0 for no limit. */
+    StoreClient(EventLoop& loop, const Address& address, std::size_t unfinishedBytes = 0);
 
     void append(const StoreAppend& append, Duration timeout, std::function<void(StoreAppendAnswer)> onAnswer);
     void read(const StoreRead& read, Duration timeout, std::function<void(StoreReadAnswer)> onAnswer);
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -141,9 +141,9 @@
     }
 }
 
-WorkerClient::WorkerClient(EventLoop& loop, std::size_t maxIdleConnections)
-    : m_client(loop, { .m_connectionsPerAddress = connectionsPerWorker, .m_connectTimeout = connectTimeout, .m_maxIdleConnections = maxIdleConnections, .m_keptConnectionsPerAddress = keptConnectionsPerWorker, .m_spareIdleTimeout = spareIdleTimeout, .m_sharesWithLongPolls = true, .m_learnsLimit = true })
-    , m_approvalClient(loop, { .m_connectionsPerAddress = connectionsToApprovals, .m_connectTimeout = connectTimeout })
+WorkerClient::WorkerClient(EventLoop& loop, std::size_t maxIdleConnections, std::size_t unfinishedBytes, std::size_t unfinishedApprovalBytes)
+    : m_client(loop, { .m_connectionsPerAddress = connectionsPerWorker, .m_connectTimeout = connectTimeout, .m_maxIdleConnections = maxIdleConnections, .m_keptConnectionsPerAddress = keptConnectionsPerWorker, .m_spareIdleTimeout = spareIdleTimeout, .m_sharesWithLongPolls = true, .m_unfinishedBytes = unfinishedBytes, .m_learnsLimit = true })
+    , m_approvalClient(loop, { .m_connectionsPerAddress = connectionsToApprovals, .m_connectTimeout = connectTimeout, .m_unfinishedBytes = unfinishedApprovalBytes })
 {
 }
 
--- a/src/platform/worker_client.h
+++ b/src/platform/worker_client.h
@@ -11,7 +11,11 @@
 class WorkerClient {
 public:
     /** @param maxIdleConnections Maximum idle connections to all workers together. */
-    WorkerClient(EventLoop& loop, std::size_t maxIdleConnections);
+    /**
+     * @param unfinishedBytes Memory of all responses of workers that are being read; 0 for no limit.
+     * @param unfinishedApprovalBytes The same of the approval service.
+     */
+    WorkerClient(EventLoop& loop, std::size_t maxIdleConnections, std::size_t unfinishedBytes = 0, std::size_t unfinishedApprovalBytes = 0);
 
     void start(const AddressedOrder<StartOrder>& order, Duration timeout, std::function<void(const StartAnswer&)> onAnswer);
     void stop(const AddressedOrder<StopOrder>& order, Duration timeout, std::function<void(OrderStatus)> onAnswer);
--- a/src/process/cell/cell_daemon.cpp
+++ b/src/process/cell/cell_daemon.cpp
@@ -65,13 +65,14 @@
     explicit Impl(const CellStartup& settings)
         : m_settings(settings)
         , m_queues(settings.m_ringCapacity)
-        , m_link(m_loop, { .m_store = settings.m_store, .m_approvals = settings.m_approvals, .m_maxIdleConnections = settings.m_descriptors / idleConnectionsDivisor })
+        , m_link(m_loop, { .m_store = settings.m_store, .m_approvals = settings.m_approvals, .m_maxIdleConnections = settings.m_descriptors / idleConnectionsDivisor, .m_storeResponseBytes = settings.m_limits.m_storeResponseBytes, .m_workerResponseBytes = settings.m_limits.m_workerResponseBytes, .m_approvalResponseBytes = settings.m_limits.m_approvalResponseBytes })
     {
     }
 
     Expected<void> listen();
     void post(WorkItem work);
     void postUrgent(WorkItem work);
+    HttpRefusals countRefusals() const;
     CellPorts makePorts();
     CellOptions makeOptions() const;
     void runItem(const WorkItem& work);
@@ -93,7 +94,7 @@
     HttpServer m_readinessServer { m_loop };
     HttpServer m_peerServer { m_loop };
     HttpServer m_metricsServer { m_loop };
-    HttpClient m_peerClient { m_loop, { .m_connectionsPerAddress = 16, .m_connectTimeout = { 300 }, .m_closesIdleOnTimeout = true } };
+    HttpClient m_peerClient { m_loop, { .m_connectionsPerAddress = 16, .m_connectTimeout = { 300 }, .m_closesIdleOnTimeout = true, .m_unfinishedBytes = m_settings.m_limits.m_peerResponseBytes } };
     platform::PlatformAdapter m_link;
     std::unique_ptr<CellNode> m_node; ///< Used by the decision thread only, once started.
     std::thread m_thread; ///< The decision thread.
@@ -101,16 +102,17 @@
 
 Expected<void> CellDaemon::Impl::listen()
 {
-    const auto open = [](HttpServer& server, const Address& address, HttpHandler handler) { return server.listen({ .m_address = address }, std::move(handler)); };
-    if (auto opened = open(m_readinessServer, m_settings.m_readiness, [this](const HttpRequest& request, const HttpResponder& respond) { onReadiness(request, respond); }); !opened)
+    const auto open = [](HttpServer& server, const Address& address, const char* name, const HttpLimits& limits, HttpHandler handler) { return server.listen({ .m_address = address, .m_name = name, .m_limits = limits }, std::move(handler)); };
+    const ConnectionLimits& limits = m_settings.m_limits;
+    if (auto opened = open(m_readinessServer, m_settings.m_readiness, "readiness", limits.m_readiness, [this](const HttpRequest& request, const HttpResponder& respond) { onReadiness(request, respond); }); !opened)
         return opened;
-    if (auto opened = open(m_peerServer, m_settings.m_peers, [this](const HttpRequest& request, const HttpResponder& respond) { onPeer(request, respond); }); !opened)
+    if (auto opened = open(m_peerServer, m_settings.m_peers, "peers", limits.m_peers, [this](const HttpRequest& request, const HttpResponder& respond) { onPeer(request, respond); }); !opened)
         return opened;
     if (m_settings.m_metrics.m_port != 0) {
-        if (auto opened = open(m_metricsServer, m_settings.m_metrics, [this](const HttpRequest& request, const HttpResponder& respond) { onMetrics(request, respond); }); !opened)
+        if (auto opened = open(m_metricsServer, m_settings.m_metrics, "metrics", limits.m_metrics, [this](const HttpRequest& request, const HttpResponder& respond) { onMetrics(request, respond); }); !opened)
             return opened;
     }
-    return open(m_clientServer, m_settings.m_clients, [this](const HttpRequest& request, const HttpResponder& respond) { onClient(request, respond); });
+    return open(m_clientServer, m_settings.m_clients, "clients", limits.m_clients, [this](const HttpRequest& request, const HttpResponder& respond) { onClient(request, respond); });
 }
 
 void CellDaemon::Impl::post(WorkItem work)
@@ -146,6 +148,11 @@
     });
 }
 
+HttpRefusals CellDaemon::Impl::countRefusals() const
+{
+    return { { "clients", m_clientServer.refusals() }, { "readiness", m_readinessServer.refusals() }, { "peers", m_peerServer.refusals() }, { "metrics", m_metricsServer.refusals() } };
+}
+
 CellPorts CellDaemon::Impl::makePorts()
 {
     CellPorts ports;
@@ -225,7 +232,7 @@
 
 void CellDaemon::Impl::onMetrics(const HttpRequest&, const HttpResponder& respond)
 {
-    post([this, respond] { respond(plainResponse(200, renderMetrics(*m_node, countFailedCalls(m_link.workers().failures())))); });
+    post([this, respond] { respond(plainResponse(200, renderMetrics(*m_node, countFailedCalls(m_link.workers().failures()), countRefusals()))); });
 }
 
 CellDaemon::CellDaemon(const CellStartup& settings)
--- a/src/process/cell/cell_metrics.cpp
+++ b/src/process/cell/cell_metrics.cpp
@@ -1,6 +1,7 @@
 /** @file cell_metrics.cpp Rendering of metrics with prometheus-cpp. */
 #include "process/cell/cell_metrics.h"
 
+#include "connection/http_refusal.h"
 #include "process/cell/cell_detail.h"
 #include "process/cell/partition_silence.h"
 #include "table/http_table.h"
@@ -161,11 +162,22 @@
         return builder.family();
     }
 
+    /** The kind is the listener and the cause, such as clients/body-too-large. */
+    MetricFamily collectRefusals(const HttpRefusals& refusals)
+    {
+        MetricFamilyBuilder builder("bulrush_http_refused_total", "Requests refused, and connections closed for others, since the start of the process", MetricType::Counter);
+        for (const auto& [listener, counts] : refusals) {
+            for (std::size_t cause = 0; cause < counts.size(); ++cause)
+                builder.add(listener + "/" + std::string(nameOf(static_cast<HttpRefusal>(cause))), static_cast<double>(counts[cause]));
+        }
+        return builder.family();
+    }
+
 } // namespace
 
-std::string renderMetrics(const CellNode& node, const FailedCalls& failedCalls)
+std::string renderMetrics(const CellNode& node, const FailedCalls& failedCalls, const HttpRefusals& refusals)
 {
-    std::vector<MetricFamily> families { collectCounters(node), collectFailedCalls(failedCalls), collectGauges(node), collectAppends(node.m_storeTraffic), collectOpenCalls(node.m_storeTraffic), collectSilence(node.m_storeTraffic, node.m_now) };
+    std::vector<MetricFamily> families { collectCounters(node), collectFailedCalls(failedCalls), collectRefusals(refusals), collectGauges(node), collectAppends(node.m_storeTraffic), collectOpenCalls(node.m_storeTraffic), collectSilence(node.m_storeTraffic, node.m_now) };
     if (node.m_scheduler) {
         families.push_back(collectSchedulerGauges(*node.m_scheduler));
         families.push_back(collectWaitGauges(node.m_scheduler->m_waitSummary));
--- a/src/process/cell/cell_startup.cpp
+++ b/src/process/cell/cell_startup.cpp
@@ -47,6 +47,38 @@
         placement.rejectUnknownKeys();
     }
 
+    std::size_t readSize(Section& section, const char* key, std::size_t fallback, std::int64_t low, std::int64_t high, const char* unit)
+    {
+        return static_cast<std::size_t>(section.integer(key, static_cast<std::int64_t>(fallback), low, high, unit));
+    }
+
+    /** Reads the section "limits". Its lowest values let pass what sound clients send. */
+    LimitSettings readLimits(Section limits)
+    {
+        constexpr std::int64_t mostBytes = 1'073'741'824;
+        constexpr std::int64_t soundHead = 16'384;
+        constexpr std::int64_t soundBody = 262'144;
+        LimitSettings settings;
+        HttpLimits& clients = settings.m_clients;
+        clients.m_message.m_headBytes = readSize(limits, "head_bytes", clients.m_message.m_headBytes, soundHead, 1'048'576, "bytes");
+        clients.m_message.m_fields = readSize(limits, "fields", clients.m_message.m_fields, 1, 262'144, "fields");
+        clients.m_message.m_emptyLines = readSize(limits, "empty_lines", clients.m_message.m_emptyLines, 0, 1'000, "lines");
+        clients.m_message.m_chunkLineBytes = readSize(limits, "chunk_line_bytes", clients.m_message.m_chunkLineBytes, 64, 1'048'576, "bytes");
+        clients.m_message.m_trailerBytes = readSize(limits, "trailer_bytes", clients.m_message.m_trailerBytes, 64, 1'048'576, "bytes");
+        clients.m_headTime.m_ms = limits.integer("head_time_ms", clients.m_headTime.m_ms, 3'000, dayMs, "ms");
+        clients.m_bodyTime.m_ms = limits.integer("body_time_ms", clients.m_bodyTime.m_ms, 3'000, dayMs, "ms");
+        clients.m_idleTime.m_ms = limits.integer("idle_time_ms", clients.m_idleTime.m_ms, 15'000, dayMs, "ms");
+        clients.m_connectionsPerAddress = readSize(limits, "connections_per_address", clients.m_connectionsPerAddress, 0, 1'048'576, "connections");
+        if (limits.has("body_bytes"))
+            settings.m_bodyBytes = readSize(limits, "body_bytes", 0, soundBody, mostBytes, "bytes");
+        if (limits.has("connections"))
+            settings.m_connections = readSize(limits, "connections", 0, 1, 1'048'576, "connections");
+        if (limits.has("unfinished_bytes"))
+            settings.m_unfinishedBytes = readSize(limits, "unfinished_bytes", 0, 2 * soundBody, mostBytes, "bytes");
+        limits.rejectUnknownKeys();
+        return settings;
+    }
+
     void readListen(Section listen, CellStartup& settings)
     {
         settings.m_clients = listen.address("clients");
@@ -74,6 +106,11 @@
         settings.m_zone = file.text("zone");
         settings.m_cpuShare = file.number("cpu_share", settings.m_cpuShare, 0.001, 1'024, "cores");
         settings.m_descriptors = static_cast<std::size_t>(file.integer("descriptors", static_cast<std::int64_t>(settings.m_descriptors), 256, 1'048'576, "descriptors"));
+        LimitSettings limits = readLimits(file.section("limits"));
+        limits.m_descriptors = settings.m_descriptors;
+        if (file.has("memory_mb"))
+            limits.m_memoryMb = static_cast<std::size_t>(file.integer("memory_mb", 0, 64, 16'777'216, "MB"));
+        settings.m_limits = valueOrReject("limits", deriveLimits(limits));
         settings.m_linkMbps = file.number("link_mbps", settings.m_linkMbps, 0.001, 1'000'000, "Mbit/s");
         readListen(file.section("listen"), settings);
         readPlatform(file.section("platform"), settings);
--- a/src/process/cell/cell_startup.h
+++ b/src/process/cell/cell_startup.h
@@ -3,6 +3,7 @@
 
 #include "core/log_func.h"
 #include "process/cell/cell_base.h"
+#include "process/cell/connection_limits.h"
 
 namespace bulrushloft::cell {
 
@@ -12,6 +13,7 @@
     std::string m_zone; ///< Availability zone of this VM.
     double m_cpuShare = 1; ///< Share of a core that this VM has.
     std::size_t m_descriptors = 4'096; ///< Limit of open file descriptors; half of them may be idle connections to workers.
+    ConnectionLimits m_limits; ///< What connections may take.
     double m_linkMbps = 1'000; ///< Bandwidth of the VM's link, in Mbit/s.
     Address m_clients; ///< Listening address for clients.
     Address m_readiness; ///< Listening address for readiness checks of the platform.
--- a/src/process/node/daemon.cpp
+++ b/src/process/node/daemon.cpp
@@ -199,7 +199,9 @@
         if (auto heartbeat = decodeHeartbeat(bytes))
             m_events.tryPush(HeartbeatEvent { std::move(*heartbeat) });
     };
-    const HttpServerOptions options { .m_address = m_settings.m_address, .m_bodyLimitBytes = m_settings.m_bodyLimitBytes, .m_connectionLimit = m_settings.m_connectionLimit };
+    HttpServerOptions options { .m_address = m_settings.m_address, .m_name = "front" };
+    options.m_limits.m_message.m_bodyBytes = m_settings.m_bodyLimitBytes;
+    options.m_limits.m_connections = m_settings.m_connectionLimit;
     if (auto opened = m_server.listen(options, [this](const HttpRequest& request, HttpResponder respond) { onHttp(request, std::move(respond)); }); !opened)
         return opened;
     if (auto opened = m_datagrams.open(m_settings.m_address, onDatagram); !opened)
--- a/tests/fakes/fake_platform.cpp
+++ b/tests/fakes/fake_platform.cpp
@@ -310,7 +310,7 @@
     std::unique_ptr<HttpServer> serve(EventLoop& loop, Platform& platform, const Address& address, Handle handle)
     {
         auto server = std::make_unique<HttpServer>(loop);
-        const auto opened = server->listen({ .m_address = address, .m_bodyLimitBytes = 64 * 1024 * 1024 }, [&platform, handle](const HttpRequest& request, const HttpResponder& respond) {
+        const auto opened = server->listen({ .m_address = address, .m_limits = { .m_message = { .m_bodyBytes = 64 * 1024 * 1024 } } }, [&platform, handle](const HttpRequest& request, const HttpResponder& respond) {
             const std::lock_guard lock(platform.m_mutex);
             handle(request, respond);
         });
--- a/tests/full_worker_connections_test.cpp
+++ b/tests/full_worker_connections_test.cpp
@@ -43,7 +43,7 @@
 
     void listen(std::size_t connectionLimit)
     {
-        BOOST_REQUIRE(m_server.listen({ .m_address = m_address, .m_connectionLimit = connectionLimit }, [this](const HttpRequest& request, const HttpResponder& respond) {
+        BOOST_REQUIRE(m_server.listen({ .m_address = m_address, .m_limits = { .m_connections = connectionLimit } }, [this](const HttpRequest& request, const HttpResponder& respond) {
             const Duration wait { platform::readInt(platform::parseJson(viewOf(request.m_body)), "wait_ms") };
             const auto answer = [respond] { respond({ .m_status = 200, .m_headers = {}, .m_body = makeBody(R"({"clock_ms":1,"born":1,"running":[],"finished":[]})") }); };
             m_loop.runAfter(wait, answer);
--- a/tests/soak/stand_in_store.cpp
+++ b/tests/soak/stand_in_store.cpp
@@ -116,7 +116,7 @@
 
 Expected<void> StandInStore::listen(const Address& address)
 {
-    auto listening = m_server.listen({ .m_address = address, .m_connectionLimit = connectionLimit }, [this](const HttpRequest& request, const HttpResponder& respond) { handle(request, respond); });
+    auto listening = m_server.listen({ .m_address = address, .m_limits = { .m_connections = connectionLimit } }, [this](const HttpRequest& request, const HttpResponder& respond) { handle(request, respond); });
     if (listening)
         m_loop.post([this] { poll(); });
     return listening;
--- a/tests/unread_response_test.cpp
+++ b/tests/unread_response_test.cpp
@@ -39,7 +39,7 @@
     constexpr std::size_t bytes = 64 * 1024 * 1024; // More than the sockets' buffers hold.
     EventLoop loop { "test" };
     HttpServer server { loop };
-    BOOST_REQUIRE(server.listen({ .m_address = address, .m_readTimeout = { 1'000 } }, [body = makeBody(std::string(bytes, 'x'))](const HttpRequest&, const HttpResponder& respond) {
+    BOOST_REQUIRE(server.listen({ .m_address = address, .m_limits = { .m_bodyTime = { 1'000 } } }, [body = makeBody(std::string(bytes, 'x'))](const HttpRequest&, const HttpResponder& respond) {
         respond({ .m_status = 200, .m_headers = {}, .m_body = body });
     }));
     const int calling = sendRequest(address);
