--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -51,7 +51,7 @@
 
     std::string decodeBase64(const std::string& text)
     {
-        std::string bytes(base64::decoded_size(text.size()), '\0');
+        std::string bytes(base64::decoded_size(text.size() + 3), '\0'); // That size is rounded down to whole groups of four; the last group may be incomplete.
         bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
         return bytes;
     }
@@ -143,9 +143,9 @@
     return answer;
 }
 
-StoreClient::StoreClient(EventLoop& loop, const Address& address)
+StoreClient::StoreClient(EventLoop& loop, const Address& address, std::size_t unfinishedBytes)
     : m_address(address)
-    , m_client(loop, { .m_connectionsPerAddress = 32, .m_connectTimeout = { 500 }, .m_closesIdleOnTimeout = true })
+    , m_client(loop, { .m_connectionsPerAddress = 32, .m_connectTimeout = { 500 }, .m_closesIdleOnTimeout = true, .m_unfinishedBytes = unfinishedBytes })
 {
 }
 
