--- a/tests/fakes/keys_fixture.h
+++ b/tests/fakes/keys_fixture.h
@@ -65,7 +65,7 @@
     {
         std::string customers;
         for (const std::string& key : keys)
-            customers += std::string(customers.empty() ? "" : ",") + R"({"name":"customer-)" + key + R"(","api_keys":[")" + key + R"("],"weight":1})";
+            customers.append(customers.empty() ? "" : ",").append(R"({"name":"customer-)").append(key).append(R"(","api_keys":[")").append(key).append(R"("],"weight":1})");
         return R"({"version":)" + std::to_string(version) + R"(,"routes":[{"name":"a","host":"h","path_prefix":"/a/","service":"s"},{"name":"open","host":"h","path_prefix":"/open/","service":"s","anonymous":true}],"services":[{"name":"s"}],"tenants":[)" + customers + "]}";
     }
 
@@ -124,7 +124,7 @@
     /** @return The reply to a call; empty while there is none. Only submissions are waited for. */
     std::shared_ptr<std::optional<ClientReply>> call(const std::string& key, const std::string& prefix = "/a/", ClientVerb verb = ClientVerb::Submit)
     {
-        const auto reply = std::make_shared<std::optional<ClientReply>>();
+        auto reply = std::make_shared<std::optional<ClientReply>>();
         advanceTime(*m_node, m_now, m_now + m_suspended);
         const ClientCall request { .m_verb = verb, .m_host = "h", .m_path = prefix + "a000000000000000", .m_body = {}, .m_key = key, .m_arrivedAt = m_now, .m_deadline = m_now + Duration { 3'000 } };
         onClientCall(*m_node, request, [reply](const ClientReply& answer) { *reply = answer; });
