Simulation of unread plans: jobs that VMs stored themselves run when the leader is killed

Cause: the world with a silent topic of jobs had no running attempts of unread jobs, so that it passed with their count off. Change: leaders are killed before the silence, and some tasks run for 10 s.

--- a/tests/cell_caps_test.cpp
+++ b/tests/cell_caps_test.cpp
@@ -111,6 +111,12 @@
 BOOST_AUTO_TEST_CASE(partitions_are_silent_as_the_leader_is_killed)
 {
     CellSimulationOptions options = makeCapOptions(0);
+    options.m_leaderKills = { { 2'000 }, { 4'000 }, { 6'000 } }; // VMs store submissions themselves until the next term leads.
+    options.m_longRunShare = 0.15; // Of these jobs, tasks run when the plans are unread.
+    options.m_longRunTime = { 10'000 };
+    options.m_jobs = intFromEnvironment("CELL_JOBS", 36);
+    options.m_loadDuration = { 12'000 };
+    options.m_recoveryDuration = { 90'000 };
     options.m_silentPartitions = { .m_topics = { "keyed.jobs" }, .m_length = { 9'000 }, .m_leaderKillDelay = { 200 }, .m_mustTasksEnd = false, .m_mustLeasesHold = false };
     runCaps(options);
 }
--- a/tests/customer_fixture.h
+++ b/tests/customer_fixture.h
@@ -109,7 +109,9 @@
     /** Ends up to a number of running attempts of a customer as done. */
     void end(const std::string& customer, std::size_t count)
     {
-        for (auto& [id, report] : m_reports) {
+        for (auto& entry : m_reports) {
+            const std::string& id = entry.first;
+            SyncReport& report = entry.second;
             std::uint64_t number = m_scheduler.m_workers[static_cast<std::size_t>(m_scheduler.m_workerById.at(id))].m_highestSeenEnd;
             std::erase_if(report.m_running, [&](const RunningAttempt& running) {
                 const auto job = m_scheduler.m_jobs.find(running.m_task.m_job);
--- a/tests/customer_share_test.cpp
+++ b/tests/customer_share_test.cpp
@@ -126,7 +126,8 @@
     void endTasks()
     {
         for (; !m_ends.empty() && m_ends.begin()->first <= m_fixture.m_now; m_ends.erase(m_ends.begin())) {
-            const auto& [worker, running] = m_ends.begin()->second;
+            const std::string& worker = m_ends.begin()->second.first;
+            const RunningAttempt& running = m_ends.begin()->second.second;
             SyncReport& report = m_fixture.m_reports[worker];
             std::erase_if(report.m_running, [&](const RunningAttempt& each) { return each.m_task == running.m_task; });
             report.m_ended.push_back({ .m_number = ++m_endNumbers[worker], .m_task = running.m_task, .m_attempt = running.m_attempt, .m_end = AttemptEnd::Done, .m_checkpoint = {} });
