Simulation of caps with gangs, odd sizes and approvals

Cause: the other worlds have tasks of one size and no gangs. Change: a case with approvals, large tasks and gangs under two killed leaders; a start counts as one at the cap if no other such task fits after it.

--- a/tests/cell_caps_test.cpp
+++ b/tests/cell_caps_test.cpp
@@ -121,6 +121,19 @@
     runCaps(options);
 }
 
+// Gangs start whole, and steps at the cap request no approvals.
+BOOST_AUTO_TEST_CASE(gangs_and_approvals)
+{
+    CellSimulationOptions options = makeCapOptions(3);
+    options.m_needsApprovals = true;
+    options.m_workers = intFromEnvironment("CELL_WORKERS", 24);
+    options.m_jobs = intFromEnvironment("CELL_JOBS", 140);
+    options.m_caps.m_cpuMilli = { 60'000, 90'000, 70'000 };
+    options.m_leaderKills = { { 7'010 }, { 14'020 } };
+    options.m_recoveryDuration = { 90'000 };
+    runCaps(options);
+}
+
 BOOST_AUTO_TEST_CASE(workers_crash_and_start_again)
 {
     CellSimulationOptions options = makeCapOptions(10);
--- a/tests/cell_simulation.h
+++ b/tests/cell_simulation.h
@@ -241,7 +241,7 @@
     int m_resetConnections = 0; ///< New connections that workers reset because they had accepted as many as they may.
     int m_mostHalfOpen = 0; ///< Most connections of daemons without power that were open at a worker at once.
     double m_highestCapUse = 0; ///< Largest part of its cap that a customer had running at a start.
-    std::uint64_t m_fullCapStarts = 0; ///< Starts that brought a customer to its cap.
+    std::uint64_t m_fullCapStarts = 0; ///< Starts after which the cap of a customer has no room for another such task.
     int m_crashes = 0; ///< Crashes of workers in a series.
     int m_crashedAttempts = 0; ///< Attempts that ran on workers that crashed.
     bool m_hasJoinedVmLed = false; ///< Whether the daemon of JoiningVm has led while it was not on the list of members, after the end of a leader as in TakeOver if there is one.
--- a/tests/cell_simulation_caps.cpp
+++ b/tests/cell_simulation_caps.cpp
@@ -56,7 +56,7 @@
         }
     }
     const std::int64_t cap = highestCap(customer);
-    m_result.m_fullCapStarts += running.m_cpuMilli >= cap ? 1 : 0;
+    m_result.m_fullCapStarts += running.m_cpuMilli + stepOf(started).m_size.m_cpuMilli > cap ? 1 : 0;
     m_result.m_highestCapUse = std::max(m_result.m_highestCapUse, static_cast<double>(running.m_cpuMilli) / static_cast<double>(cap));
     const auto allowed = static_cast<std::int64_t>(static_cast<double>(cap) * (1 + m_options.m_caps.m_overrun)) + stepOf(started).m_size.m_cpuMilli;
     if (running.m_cpuMilli > allowed)
