Waits for a better place: a place that is free is not waited for

Cause: a place near the data that had room now, but was costlier for other reasons (best-effort tasks beside a serving one, failures), counted as one that comes free at once. The task left both places unused until its wait was given up.

Change: if the better place is among the candidates, the cheapest one is taken, as without the switch.

--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -287,7 +287,8 @@
                 return false;
             const double factorNow = placeFactorOf(m_scheduler, m_run, workerAt(position));
             const auto place = factorNow > 1 ? findBetterPlace(m_scheduler, m_run, task, m_view, factorNow, m_now) : std::nullopt;
-            if (!place || !waitForPlace(m_scheduler, m_run, task, { .m_roomAt = place->m_roomAt, .m_factorNow = factorNow, .m_factorThen = place->m_factor }, m_now))
+            const bool isFree = place && std::any_of(m_candidates.begin(), m_candidates.end(), [&](const Candidate& candidate) { return candidate.m_position == place->m_position; });
+            if (!place || isFree || !waitForPlace(m_scheduler, m_run, task, { .m_roomAt = place->m_roomAt, .m_factorNow = factorNow, .m_factorThen = place->m_factor }, m_now))
                 return false;
             claimPlace(m_view, place->m_position, m_run, endAfter(place->m_roomAt, place->m_factor));
             return true;
--- a/tests/place_wait_test.cpp
+++ b/tests/place_wait_test.cpp
@@ -308,6 +308,22 @@
     BOOST_TEST(load.rackOf(job) == nearRack);
 }
 
+// A place near the data that was free, but worse for other reasons, was waited for as if it came free later.
+BOOST_AUTO_TEST_CASE(a_free_place_is_not_waited_for)
+{
+    RackLoad load(1, 1);
+    StepPlan background = RackLoad::makeStep(4, nearRack, { 60'000 });
+    background.m_isBestEffort = true;
+    load.submit("plain", background);
+    load.run({ 50 });
+    StepPlan serving = RackLoad::makeStep(1, nearRack);
+    serving.m_tailLatencyTarget = { 50 };
+    const std::string job = load.submit("plain", serving);
+    load.run({ 100 });
+    BOOST_TEST(load.rackOf(job) == farRack); // Four best-effort tasks cost more than the distance.
+    BOOST_TEST(load.counters().m_begun == 0U);
+}
+
 // Late tasks never waited, ran far from their data for longer, and made more tasks late.
 BOOST_AUTO_TEST_CASE(a_late_task_waits_while_its_result_is_of_use)
 {
