Waits for a better place: a pass over hundreds of waiting steps stays short

Change: the workers of a rack are kept in a heap by the time at which they have room for a size, which only becomes later during a pass. Costs are not computed for steps that wait with all their tasks.

--- a/src/process/scheduler/better_place.cpp
+++ b/src/process/scheduler/better_place.cpp
@@ -8,6 +8,7 @@
 #include "process/scheduler/scheduler_detail.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace bulrushloft::scheduler::detail {
 
@@ -27,6 +28,7 @@
         if (outlook.m_attempts == worker.m_tasks.size()) // Attempts are only added during a pass.
             return outlook;
         outlook.m_attempts = worker.m_tasks.size();
+        outlook.m_roomAt.reset();
         outlook.m_ends = expectedEndsOf(worker, now, { .m_remoteFactor = scheduler.m_options.m_remoteFactor, .m_extendsOverdue = true });
         return outlook;
     }
@@ -52,6 +54,57 @@
         return times;
     }
 
+    /**
+     * Load: hundreds of steps wait for the same rack, and each looks at all of its workers in each pass.
+     * @return When a task of the step is expected to have room on a worker, from an earlier search for the same size if nothing has changed since; farFuture for never.
+     */
+    TimePoint firstRoomAt(const Scheduler& scheduler, const StepRun& run, const Resources& size, PoolView& view, std::uint32_t position, TimePoint now)
+    {
+        WorkerOutlook& outlook = outlookOf(scheduler, view, position, now);
+        if (outlook.m_roomAt && outlook.m_searchedSize == size)
+            return *outlook.m_roomAt;
+        const std::vector<TimePoint> times = roomTimesAt(scheduler, run, view, position, 1, now);
+        outlook.m_searchedSize = size;
+        outlook.m_roomAt = times.empty() ? farFuture : times.front();
+        return *outlook.m_roomAt;
+    }
+
+    /** @return The workers in the rack of a step's data by the time at which they have room for one of its tasks. */
+    RackRoom& roomInDataRack(const Scheduler& scheduler, const StepRun& run, PoolView& view, TimePoint now)
+    {
+        const std::string& rack = planOf(run).m_dataRack;
+        const Resources size = grantOf(run);
+        const auto found = std::find_if(view.m_rackRooms.begin(), view.m_rackRooms.end(), [&](const RackRoom& room) { return room.m_size == size && room.m_rack == rack; });
+        if (found != view.m_rackRooms.end())
+            return *found;
+        RackRoom& room = view.m_rackRooms.emplace_back(RackRoom { .m_rack = rack, .m_size = size, .m_times = {} });
+        for (std::uint32_t i = 0; i < view.m_workers.size(); ++i) {
+            const TimePoint roomAt = workerAt(scheduler, view, i).m_rack == rack ? firstRoomAt(scheduler, run, size, view, i, now) : farFuture;
+            if (roomAt < farFuture)
+                room.m_times.emplace_back(roomAt, i);
+        }
+        std::make_heap(room.m_times.begin(), room.m_times.end(), std::greater<>());
+        return room;
+    }
+
+    /** Brings the top of a heap up to date. @return The earliest time in it; farFuture if it is empty. */
+    TimePoint updateEarliest(const Scheduler& scheduler, const StepRun& run, PoolView& view, RackRoom& room, TimePoint now)
+    {
+        while (!room.m_times.empty()) {
+            const auto [time, position] = room.m_times.front();
+            const TimePoint roomAt = firstRoomAt(scheduler, run, room.m_size, view, position, now);
+            if (roomAt <= time)
+                return time;
+            std::pop_heap(room.m_times.begin(), room.m_times.end(), std::greater<>());
+            room.m_times.back().first = roomAt;
+            if (roomAt < farFuture)
+                std::push_heap(room.m_times.begin(), room.m_times.end(), std::greater<>());
+            else
+                room.m_times.pop_back();
+        }
+        return farFuture;
+    }
+
     /** @return Number of further tasks of the step that its limit of tasks on one worker allows there. */
     std::uint32_t remainingLimitAt(const StepRun& run, const PoolView& view, std::uint32_t position)
     {
@@ -98,14 +151,26 @@
         return since < inTime ? inTime : input.m_dueAt + input.m_objective * usefulLatenessFactor - input.m_remaining;
     }
 
+    /** @return Number of the step's tasks that a pass has left room for on a worker. */
+    std::int64_t roomLeftAt(const Scheduler& scheduler, const StepRun& run, const PoolView& view, std::uint32_t position, TimePoint now)
+    {
+        const Resources size = grantOf(run);
+        if (!hasRoom(view, position, size, run) || approvedAt(scheduler, run, view, position, now) > now || !isSuitable(run, workerAt(scheduler, view, position)))
+            return 0;
+        return countFitting(size, view.m_free[position], remainingLimitAt(run, view, position));
+    }
+
     /** @return Whether a pass has left enough room for the step: for a gang all of its members, for others a task. */
-    bool isRoomLeft(const Scheduler& scheduler, const StepRun& run, const PoolView& view, TimePoint now)
+    bool isRoomLeft(const Scheduler& scheduler, const StepRun& run, PoolView& view, TimePoint now)
     {
         const std::int64_t needed = planOf(run).m_isGang ? static_cast<std::int64_t>(run.m_tasks.size()) : 1;
+        if (needed == 1 && view.m_lastRoomLeft < view.m_workers.size() && roomLeftAt(scheduler, run, view, view.m_lastRoomLeft, now) > 0)
+            return true;
         std::int64_t room = 0;
         for (std::uint32_t i = 0; i < view.m_workers.size() && room < needed; ++i) {
-            const bool isUsable = hasRoom(view, i, grantOf(run), run) && approvedAt(scheduler, run, view, i, now) <= now && isSuitable(run, workerAt(scheduler, view, i));
-            room += isUsable ? countFitting(grantOf(run), view.m_free[i], std::min<std::int64_t>(needed, remainingLimitAt(run, view, i))) : 0;
+            const std::int64_t here = roomLeftAt(scheduler, run, view, i, now);
+            room += here;
+            view.m_lastRoomLeft = here > 0 ? i : view.m_lastRoomLeft;
         }
         return room >= needed;
     }
@@ -132,30 +197,41 @@
     return factor <= 1 ? Duration {} : Duration { static_cast<std::int64_t>(static_cast<double>(predictRunTime(scheduler, *run.m_job, run.m_step).m_ms) * (factor - 1)) };
 }
 
-std::optional<BetterPlace> findBetterPlace(Scheduler& scheduler, const StepRun& run, const Task& task, PoolView& view, double factorNow, TimePoint now)
+std::optional<BetterPlace> findBetterPlace(Scheduler& scheduler, const StepRun& run, const Task& task, PoolView& view, TimePoint now)
 {
-    const auto runTimeMs = static_cast<double>(predictRunTime(scheduler, *run.m_job, run.m_step).m_ms);
+    const auto hasFailedAt = [&](std::uint32_t position) { return std::find(task.m_failedOn.begin(), task.m_failedOn.end(), view.m_workers[position]) != task.m_failedOn.end(); };
     std::optional<BetterPlace> best;
-    double bestEndMs = 0;
-    for (std::uint32_t i = 0; i < view.m_workers.size(); ++i) {
-        const double factor = placeFactorOf(scheduler, run, workerAt(scheduler, view, i));
-        if (factor >= factorNow || std::find(task.m_failedOn.begin(), task.m_failedOn.end(), view.m_workers[i]) != task.m_failedOn.end())
-            continue;
-        const std::vector<TimePoint> times = placesAt(scheduler, run, view, i, 1, now);
-        const double endMs = times.empty() ? 0 : static_cast<double>((times.front() - now).m_ms) + runTimeMs * factor;
-        if (times.empty() || (best && endMs >= bestEndMs))
-            continue;
-        best = BetterPlace { .m_position = i, .m_roomAt = times.front(), .m_factor = factor };
-        bestEndMs = endMs;
+    std::vector<std::pair<TimePoint, std::uint32_t>> seen;
+    RackRoom& room = roomInDataRack(scheduler, run, view, now);
+    for (TimePoint next = updateEarliest(scheduler, run, view, room, now); next < (best ? best->m_roomAt : farFuture); next = updateEarliest(scheduler, run, view, room, now)) {
+        const auto [roomAt, position] = room.m_times.front();
+        std::pop_heap(room.m_times.begin(), room.m_times.end(), std::greater<>());
+        room.m_times.pop_back();
+        seen.emplace_back(roomAt, position);
+        const std::vector<TimePoint> times = hasFailedAt(position) ? std::vector<TimePoint> {} : placesAt(scheduler, run, view, position, 1, now);
+        if (!times.empty() && (!best || times.front() < best->m_roomAt))
+            best = BetterPlace { .m_position = position, .m_roomAt = times.front() };
+    }
+    for (const auto& entry : seen) {
+        room.m_times.push_back(entry);
+        std::push_heap(room.m_times.begin(), room.m_times.end(), std::greater<>());
     }
     return best;
 }
 
-std::optional<GangPlace> findGangPlace(Scheduler& scheduler, const StepRun& run, PoolView& view, TimePoint now)
+TimePoint earliestRoomNearData(Scheduler& scheduler, const StepRun& run, PoolView& view, TimePoint now)
+{
+    return updateEarliest(scheduler, run, view, roomInDataRack(scheduler, run, view, now), now);
+}
+
+std::optional<GangPlace> findGangPlace(Scheduler& scheduler, const StepRun& run, PoolView& view, TimePoint latest, TimePoint now)
 {
     const auto members = static_cast<std::uint32_t>(run.m_tasks.size());
+    const Resources size = grantOf(run);
     std::map<std::string, std::vector<std::pair<TimePoint, std::uint32_t>>> byRack;
     for (std::uint32_t i = 0; i < view.m_workers.size(); ++i) {
+        if (firstRoomAt(scheduler, run, size, view, i, now) > latest)
+            continue;
         for (const TimePoint time : placesAt(scheduler, run, view, i, members, now))
             byRack[workerAt(scheduler, view, i).m_rack].emplace_back(time, i);
     }
@@ -203,7 +279,7 @@
     return true;
 }
 
-void pausePlaceWait(Scheduler& scheduler, StepRun& run, const PoolView& view, TimePoint now)
+void pausePlaceWait(Scheduler& scheduler, StepRun& run, PoolView& view, TimePoint now)
 {
     if (!run.m_isPlaceClockRunning || isRoomLeft(scheduler, run, view, now))
         return;
@@ -214,6 +290,7 @@
 
 void claimPlace(PoolView& view, std::uint32_t position, const StepRun& run, TimePoint endsAt)
 {
+    view.m_outlooks[position].m_roomAt.reset();
     view.m_outlooks[position].m_claims.push_back({ .m_at = endsAt, .m_grant = grantOf(run) });
     view.m_outlooks[position].m_claimants.push_back(&run);
 }
--- a/src/process/scheduler/better_place.h
+++ b/src/process/scheduler/better_place.h
@@ -25,14 +25,16 @@
 Duration remoteDelayOf(const Scheduler& scheduler, const StepRun& run, const Worker& worker);
 
 /**
- * Finds the place in which a task would end first, among those with a lower factor that are expected to come free.
- * Workers that are reserved for others, lack the step's approval or take no orders are left out, and so are places that steps before this one in the pass wait for.
- * @param factorNow Factor of the best place that is free now.
+ * Finds the place in the rack of a step's data that is expected to come free first.
+ * Workers on which the task has failed, that are reserved for others, lack the step's approval or take no orders are left out, and so are places that steps before this one in the pass wait for.
  */
-std::optional<BetterPlace> findBetterPlace(Scheduler& scheduler, const StepRun& run, const Task& task, PoolView& view, double factorNow, TimePoint now);
+std::optional<BetterPlace> findBetterPlace(Scheduler& scheduler, const StepRun& run, const Task& task, PoolView& view, TimePoint now);
 
-/** Finds the rack that is expected to have room for all members of a gang first. */
-std::optional<GangPlace> findGangPlace(Scheduler& scheduler, const StepRun& run, PoolView& view, TimePoint now);
+/** @return The earliest time at which a worker in the rack of a step's data is expected to have room for one of its tasks; farFuture for never. */
+TimePoint earliestRoomNearData(Scheduler& scheduler, const StepRun& run, PoolView& view, TimePoint now);
+
+/** Finds the rack that is expected to have room for all members of a gang first. @param latest Places that come free later are left out. */
+std::optional<GangPlace> findGangPlace(Scheduler& scheduler, const StepRun& run, PoolView& view, TimePoint latest, TimePoint now);
 
 /** What a task would wait for. */
 struct PlaceOffer {
@@ -52,7 +54,7 @@
  * Load: bursts above capacity. A place that others take is not unused, and the task would wait in any case; if it were taken far from its data instead,
  * the run would occupy it for remote_factor times as long and the backlog would grow.
  */
-void pausePlaceWait(Scheduler& scheduler, StepRun& run, const PoolView& view, TimePoint now);
+void pausePlaceWait(Scheduler& scheduler, StepRun& run, PoolView& view, TimePoint now);
 
 /** Notes that a task of the step waits for room on a worker, so that the steps after it in this pass don't count on the same room. It is not reserved. */
 void claimPlace(PoolView& view, std::uint32_t position, const StepRun& run, TimePoint endsAt);
--- a/src/process/scheduler/pool_view.h
+++ b/src/process/scheduler/pool_view.h
@@ -10,6 +10,13 @@
 
 namespace bulrushloft::scheduler::detail {
 
+/** The workers of a rack by the time at which they are expected to have room for a task of some size. */
+struct RackRoom {
+    std::string m_rack;
+    Resources m_size; ///< Size of the task.
+    std::vector<std::pair<TimePoint, std::uint32_t>> m_times; ///< Heap with the earliest time at its top, and the position of the worker. During a pass, times only become later; those below the top may be out of date.
+};
+
 /**
  * The workers of a pool that accept tasks.
  * Load: hundreds of steps wait for room on a thousand full workers. Their free resources stand side by side, so that a search
@@ -25,6 +32,8 @@
     std::vector<std::uint32_t> m_changed; ///< Positions of the workers on which room may have appeared since the previous pass.
     std::vector<std::vector<ExpectedEnd>> m_ends; ///< Expected ends on each of m_workers, as of the beginning of the pass; filled when they are first needed.
     std::vector<WorkerOutlook> m_outlooks; ///< By position: forecast for steps that wait for a better place; filled when first needed.
+    std::uint32_t m_lastRoomLeft = 0; ///< Position of a worker that had room left for a step that waits for a better place; looked at first for the next one.
+    std::vector<RackRoom> m_rackRooms; ///< For the racks and sizes that steps wait for; filled when first needed.
     std::vector<Resources> m_sizesWithoutRoom; ///< Task sizes for which no worker that is not reserved has room any more.
 };
 
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -269,7 +269,7 @@
             m_factorOfGang = isInOneRack || !m_scheduler.m_options.m_waitsForBetterPlace ? 1 : m_scheduler.m_options.m_remoteFactor;
             if (isInOneRack || !mayWaitForPlace(m_scheduler, m_run, m_urgency) || !m_suspects.empty())
                 return false;
-            const auto place = findGangPlace(m_scheduler, m_run, m_view, m_now);
+            const auto place = findGangPlace(m_scheduler, m_run, m_view, endAfter(m_now, m_factorOfGang - 1), m_now);
             if (!place)
                 return false;
             bool isWaiting = true;
@@ -286,8 +286,8 @@
             if (planOf(m_run).m_isGang || !mayWaitForPlace(m_scheduler, m_run, m_urgency))
                 return false;
             const double factorNow = placeFactorOf(m_scheduler, m_run, workerAt(position));
-            const auto place = factorNow > 1 ? findBetterPlace(m_scheduler, m_run, task, m_view, factorNow, m_now) : std::nullopt;
-            const bool isFree = place && std::any_of(m_candidates.begin(), m_candidates.end(), [&](const Candidate& candidate) { return candidate.m_position == place->m_position; });
+            const auto place = factorNow > 1 ? findBetterPlace(m_scheduler, m_run, task, m_view, m_now) : std::nullopt;
+            const bool isFree = place && place->m_roomAt <= m_now && std::any_of(m_candidates.begin(), m_candidates.end(), [&](const Candidate& candidate) { return candidate.m_position == place->m_position; });
             if (!place || isFree || !waitForPlace(m_scheduler, m_run, task, { .m_roomAt = place->m_roomAt, .m_factorNow = factorNow, .m_factorThen = place->m_factor }, m_now))
                 return false;
             claimPlace(m_view, place->m_position, m_run, endAfter(place->m_roomAt, place->m_factor));
@@ -296,15 +296,35 @@
 
         double costAt(std::uint32_t position) const { return costOf(m_scheduler, m_run, m_view.m_workers[position], m_speedWeight); }
 
-        void placeTasks()
+        void rankCandidates()
         {
             for (Candidate& candidate : m_candidates)
                 candidate.m_cost = costAt(candidate.m_position);
             std::make_heap(m_candidates.begin(), m_candidates.end());
+        }
+
+        /** @return Whether the decision to wait is the same for all candidates. Steps that wait are examined in each pass, and need no costs then. */
+        bool areAllFarFromData()
+        {
+            const bool mayWait = !planOf(m_run).m_isGang && !planOf(m_run).m_dataRack.empty() && mayWaitForPlace(m_scheduler, m_run, m_urgency) && !m_candidates.empty();
+            if (mayWait && earliestRoomNearData(m_scheduler, m_run, m_view, m_now) > m_now)
+                return true;
+            return mayWait && std::all_of(m_candidates.begin(), m_candidates.end(), [&](const Candidate& candidate) { return workerAt(candidate.m_position).m_rack != planOf(m_run).m_dataRack; });
+        }
+
+        void placeTasks()
+        {
+            bool isUnranked = areAllFarFromData();
+            if (!isUnranked)
+                rankCandidates();
             for (std::uint32_t i = 0; i < m_run.m_tasks.size() && m_toPlace > 0 && !m_candidates.empty(); ++i) {
                 const Task& task = m_run.m_tasks[i];
-                if (isToPlace(task) && std::find(m_suspects.begin(), m_suspects.end(), i) == m_suspects.end())
-                    placeOnCheapest(i);
+                const bool isPlaceable = isToPlace(task) && std::find(m_suspects.begin(), m_suspects.end(), i) == m_suspects.end();
+                if (!isPlaceable || (isUnranked && waitsInsteadOf(m_candidates.back().m_position, m_run.m_tasks[i])))
+                    continue;
+                if (std::exchange(isUnranked, false))
+                    rankCandidates();
+                placeOnCheapest(i);
             }
         }
 
--- a/src/process/scheduler/worker_forecast.h
+++ b/src/process/scheduler/worker_forecast.h
@@ -3,6 +3,7 @@
 
 #include "process/scheduler/scheduler_base.h"
 
+#include <optional>
 #include <vector>
 
 namespace bulrushloft::scheduler::detail {
@@ -25,6 +26,8 @@
     std::vector<ExpectedEnd> m_ends; ///< Expected ends of these, the earliest first.
     std::vector<ExpectedEnd> m_claims; ///< Expected ends of tasks that wait for room there.
     std::vector<const StepRun*> m_claimants; ///< Step of each of m_claims.
+    Resources m_searchedSize; ///< Size of the tasks that m_roomAt holds for.
+    std::optional<TimePoint> m_roomAt; ///< When the first task of that size is expected to have room; unset until it is searched for.
 };
 
 /** @return The predicted ends of all attempts on a worker, the earliest first. */
--- a/tests/place_wait_load_test.cpp
+++ b/tests/place_wait_load_test.cpp
@@ -5,6 +5,7 @@
 #include "rack_load.h"
 #include "wait_watch.h"
 
+#include <ctime>
 #include <iostream>
 
 using namespace bulrushloft;
@@ -143,6 +144,32 @@
     }
 }
 
+// A pass over hundreds of steps that wait for a better place, each of which is examined in each pass, took longer than the interval between two passes.
+BOOST_AUTO_TEST_CASE(a_pass_over_steps_that_wait_for_a_place_takes_less_than_half_of_the_interval)
+{
+    constexpr int rackWorkers = 350;
+    constexpr int steps = 300;
+    constexpr int passes = 100;
+    constexpr double halfIntervalUs = 2'000; ///< Passes are at least 4 ms apart.
+    RackLoad load(rackWorkers, rackWorkers);
+    load.fillNear(rackWorkers, { 1'000 });
+    for (int i = 0; i < steps; ++i)
+        load.submit("plain", RackLoad::makeStep(1, nearRack));
+    load.run({ 100 });
+    BOOST_TEST(load.counters().m_begun == static_cast<std::uint64_t>(steps));
+    timespec from {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &from);
+    for (int i = 0; i < passes; ++i) {
+        SchedulerEffects effects;
+        detail::placeWaiting(load.m_scheduler, load.m_now, effects);
+    }
+    timespec to {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &to);
+    const double us = (static_cast<double>(to.tv_sec - from.tv_sec) * 1e6 + static_cast<double>(to.tv_nsec - from.tv_nsec) / 1e3) / passes;
+    std::cout << "a pass over " << steps << " steps that wait for a place takes " << us << " us\n";
+    BOOST_TEST(us < halfIntervalUs);
+}
+
 // Waiting that makes jobs end later than starting at once.
 BOOST_AUTO_TEST_CASE(jobs_end_earlier_with_waiting_than_without)
 {
