Approvals of gangs are requested for one rack first

Cause: with waits_for_better_place, a gang that is slower across racks requested approvals for workers of all racks alike. No rack had enough approved ones, and the gang started across racks or had no better place to wait for.

Change: such a gang names first the workers of the rack that is expected to have room for all members first; equal racks are chosen by the job's id, so that gangs do not all ask for the same one.

--- a/src/process/scheduler/approvals.cpp
+++ b/src/process/scheduler/approvals.cpp
@@ -125,7 +125,7 @@
 
         /** A worker that could be named in a request; those on which a task would end sooner, and then those that suit the step better, come first. */
         struct NameableWorker {
-            TimePoint m_readyAt; ///< When it is expected to have room; later by some time for each other request that names it, and by the additional run time far from its data.
+            TimePoint m_readyAt; ///< When it is expected to have room; later by some time for each other request that names it, and by the additional run time outside of the preferred rack.
             double m_cost = 0; ///< See costOf(); higher for each other request that names it.
             WorkerIndex m_worker = noWorker;
 
@@ -144,6 +144,7 @@
             constexpr Duration delayPerName { 300 };
             constexpr double costPerName = 1.0;
             UnknownWorkers unknown;
+            const std::string preferredRack = preferredRackOf(scheduler, run, view, now);
             for (std::uint32_t i = 0; i < view.m_workers.size(); ++i) {
                 if (isRoomNeeded && !fitsInto(grantOf(run), view.m_free[i]))
                     continue;
@@ -157,7 +158,7 @@
                 if (readyAt >= farFuture)
                     continue;
                 unknown.m_withRoom += isFree && readyAt <= now ? 1 : 0;
-                const Duration delay = (isSlowPolicy(need.m_policy) ? delayPerName * worker.m_pendingNames : Duration {}) + remoteDelayOf(scheduler, run, worker);
+                const Duration delay = (isSlowPolicy(need.m_policy) ? delayPerName * worker.m_pendingNames : Duration {}) + remoteDelayOf(scheduler, run, worker, preferredRack);
                 unknown.m_workers.push_back({ .m_readyAt = readyAt + delay, .m_cost = costOf(scheduler, run, index, need.m_speedWeight) + costPerName * worker.m_pendingNames, .m_worker = index });
             }
             return unknown;
--- a/src/process/scheduler/better_place.cpp
+++ b/src/process/scheduler/better_place.cpp
@@ -1,6 +1,7 @@
 /** @file better_place.cpp Forecast of room near data, or in one rack, for the steps of a placement pass. */
 #include "process/scheduler/better_place.h"
 
+#include "core/hash_func.h"
 #include "core/log_func.h"
 #include "process/scheduler/approvals.h"
 #include "process/scheduler/order_health.h"
@@ -191,10 +192,41 @@
     return rack.empty() || rack == worker.m_rack ? 1 : scheduler.m_options.m_remoteFactor;
 }
 
-Duration remoteDelayOf(const Scheduler& scheduler, const StepRun& run, const Worker& worker)
+std::string preferredRackOf(const Scheduler& scheduler, const StepRun& run, PoolView& view, TimePoint now)
 {
-    const double factor = scheduler.m_options.m_waitsForBetterPlace ? placeFactorOf(scheduler, run, worker) : 1;
-    return factor <= 1 ? Duration {} : Duration { static_cast<std::int64_t>(static_cast<double>(predictRunTime(scheduler, *run.m_job, run.m_step).m_ms) * (factor - 1)) };
+    if (!scheduler.m_options.m_waitsForBetterPlace || !planOf(run).m_isGang || !planOf(run).m_isRackLocal)
+        return planOf(run).m_dataRack;
+    const auto members = static_cast<std::uint32_t>(run.m_tasks.size());
+    std::map<std::string, std::vector<TimePoint>> byRack;
+    for (std::uint32_t i = 0; i < view.m_workers.size(); ++i) {
+        const Worker& worker = workerAt(scheduler, view, i);
+        const auto mark = static_cast<std::size_t>(view.m_workers[i]);
+        const bool isDenied = mark < run.m_approval.m_marks.size() && run.m_approval.m_marks[mark] == ApprovalMark::Denied;
+        if (isDenied || !isSuitable(run, worker))
+            continue;
+        const std::vector<TimePoint> times = roomTimesAt(scheduler, run, view, i, std::min(members, remainingLimitAt(run, view, i)), now);
+        byRack[worker.m_rack].insert(byRack[worker.m_rack].end(), times.begin(), times.end());
+    }
+    std::pair<TimePoint, std::uint64_t> best { farFuture, 0 };
+    std::string rack;
+    for (auto& [name, times] : byRack) {
+        if (times.size() < members)
+            continue;
+        std::nth_element(times.begin(), times.begin() + members - 1, times.end());
+        const std::pair key { times[members - 1], stableHash(name, stableHash(run.m_job->m_plan.m_id)) };
+        if (key >= best)
+            continue;
+        best = key;
+        rack = name;
+    }
+    return rack;
+}
+
+Duration remoteDelayOf(const Scheduler& scheduler, const StepRun& run, const Worker& worker, const std::string& preferredRack)
+{
+    if (!scheduler.m_options.m_waitsForBetterPlace || preferredRack.empty() || preferredRack == worker.m_rack)
+        return {};
+    return { static_cast<std::int64_t>(static_cast<double>(predictRunTime(scheduler, *run.m_job, run.m_step).m_ms) * (scheduler.m_options.m_remoteFactor - 1)) };
 }
 
 std::optional<BetterPlace> findBetterPlace(Scheduler& scheduler, const StepRun& run, const Task& task, PoolView& view, TimePoint now)
--- a/src/process/scheduler/better_place.h
+++ b/src/process/scheduler/better_place.h
@@ -21,8 +21,14 @@
 /** @return Run time of the step's tasks on a worker divided by the one at mean speed near their data. */
 double placeFactorOf(const Scheduler& scheduler, const StepRun& run, const Worker& worker);
 
-/** @return Time that a task of the step would take longer on a worker than near its data; 0 if steps don't wait for better places. */
-Duration remoteDelayOf(const Scheduler& scheduler, const StepRun& run, const Worker& worker);
+/**
+ * Chooses the rack in which a step should run, for its approval requests.
+ * @return The rack of its data; for a gang that is slower across racks, the one that has room for all members first as far as approvals allow, a different one for each job among equal ones. Empty for any.
+ */
+std::string preferredRackOf(const Scheduler& scheduler, const StepRun& run, PoolView& view, TimePoint now);
+
+/** @return Time that a task of the step would take longer on a worker than in the preferred rack; 0 if steps don't wait for better places. */
+Duration remoteDelayOf(const Scheduler& scheduler, const StepRun& run, const Worker& worker, const std::string& preferredRack);
 
 /**
  * Finds the place in the rack of a step's data that is expected to come free first.
--- a/tests/place_wait_test.cpp
+++ b/tests/place_wait_test.cpp
@@ -401,6 +401,28 @@
     BOOST_TEST(load.counters().m_begun == 0U);
 }
 
+// Approvals of a gang were requested for workers of all racks alike, so that no rack had enough approved ones.
+BOOST_AUTO_TEST_CASE(approvals_of_a_gang_are_requested_for_one_rack_first)
+{
+    constexpr int racks = 4;
+    constexpr int rackWorkers = 15;
+    RackLoad load(0, 0);
+    for (int i = 0; i < racks * rackWorkers; ++i) {
+        const std::string id = "w" + std::to_string(i);
+        load.m_workers[id].m_rack = "r" + std::to_string(1 + i % racks) + "-1";
+        load.adopt(id);
+    }
+    std::set<std::string> used;
+    for (int i = 0; i < 2; ++i) {
+        const std::string job = load.submit("quick", makeRackLocalGang(10));
+        load.run({ 100 });
+        BOOST_TEST(load.runOf(job).m_activeAttempts == 10U);
+        BOOST_TEST(racksOf(load, job) == 1U);
+        used.insert(load.rackOf(job));
+    }
+    BOOST_TEST(used.size() == 2U);
+}
+
 // Approvals were requested for workers far from the data first, so that the near ones could not be used.
 BOOST_AUTO_TEST_CASE(approvals_are_requested_for_the_better_places_first)
 {
