A long wait for a better place is reported as such

Cause: a step that leaves room to others for more than 2 s was reported as room-available, which operators are to report as a fault.

Change: a cause of its own, awaits-better-place.

Result: the new case of place_wait_test fails without the change (0 reports instead of 1); 27 cases and wait_report_test pass.

--- a/src/process/scheduler/wait_report.cpp
+++ b/src/process/scheduler/wait_report.cpp
@@ -147,6 +147,7 @@
             .m_isSuspect = isSuspect(task),
             .m_isGang = planOf(run).m_isGang,
             .m_needsApproval = queueOf(scheduler, *run.m_job).m_approval.has_value(),
+            .m_waitsForPlace = run.m_waitsForPlace,
             .m_isRequestDelayed = run.m_isApprovalRequestDelayed,
             .m_unplaced = countUnplaced(run),
             .m_activeAttempts = run.m_activeAttempts,
@@ -184,7 +185,9 @@
     {
         if (facts.m_isGang && facts.m_places < facts.m_unplaced)
             return WaitCause::GangShortOfRoom;
-        return facts.m_isSuspect ? WaitCause::SuspectNotIsolated : WaitCause::RoomAvailable;
+        if (facts.m_isSuspect)
+            return WaitCause::SuspectNotIsolated;
+        return facts.m_waitsForPlace ? WaitCause::AwaitsBetterPlace : WaitCause::RoomAvailable;
     }
 
     /** @return What a step waits for that could use room if it had the approval, or a valid ticket. */
--- a/src/process/scheduler/wait_report.h
+++ b/src/process/scheduler/wait_report.h
@@ -13,6 +13,7 @@
     bool m_isSuspect = false; ///< That task may have crashed a worker.
     bool m_isGang = false; ///< The tasks only run together.
     bool m_needsApproval = false; ///< The step's queue asks for approvals.
+    bool m_waitsForPlace = false; ///< The step leaves room to others, see StepRun::m_waitsForPlace.
     bool m_isRequestDelayed = false; ///< An approval request was due and no VM was free to send it.
     std::uint32_t m_unplaced = 0; ///< Open tasks without an attempt.
     std::uint32_t m_activeAttempts = 0; ///< Tasks with an attempt.
--- a/src/process/scheduler/wait_type.h
+++ b/src/process/scheduler/wait_type.h
@@ -27,10 +27,11 @@
     HeldForSuspect, ///< Workers with room are held for tasks that may have crashed a worker.
     SuspectNotIsolated, ///< The task may have crashed a worker and waits for one on which no other attempt is on probation.
     GangShortOfRoom, ///< The workers with room can't take all members of the gang.
+    AwaitsBetterPlace, ///< The step leaves room to others, as a place where its tasks run shorter is expected to come free.
     RoomAvailable, ///< Nothing known hinders the step; the next placement pass should place it.
 };
 
-constexpr std::size_t waitCauseCount = 18;
+constexpr std::size_t waitCauseCount = 19;
 static_assert(static_cast<std::size_t>(WaitCause::RoomAvailable) + 1 == waitCauseCount);
 
 /** Counts of the steps that have waited long, updated once a second. */
--- a/src/table/scheduler_table.h
+++ b/src/table/scheduler_table.h
@@ -54,6 +54,7 @@
     { WaitCause::HeldForSuspect, "held-for-suspect" },
     { WaitCause::SuspectNotIsolated, "suspect-not-isolated" },
     { WaitCause::GangShortOfRoom, "gang-short-of-room" },
+    { WaitCause::AwaitsBetterPlace, "awaits-better-place" },
     { WaitCause::RoomAvailable, "room-available" },
 } };
 
--- a/tests/place_wait_test.cpp
+++ b/tests/place_wait_test.cpp
@@ -308,6 +308,20 @@
     BOOST_TEST(load.rackOf(job) == nearRack);
 }
 
+// A long wait for a better place was reported as room that the scheduler does not use, which operators are to report as a fault.
+BOOST_AUTO_TEST_CASE(a_long_wait_for_a_better_place_is_reported_as_such)
+{
+    const auto reportsOf = [](RackLoad& load) { return load.m_scheduler.m_waitSummary.m_byCause[static_cast<std::size_t>(WaitCause::AwaitsBetterPlace)]; };
+    RackLoad load(1, 2);
+    StepPlan step = RackLoad::makeStep(2, nearRack, { 3'000 });
+    load.submit("plain", step); // The second task waits for the place of the first one; 4.5 s may be waited while that runs.
+    load.run({ 100 });
+    BOOST_TEST(load.counters().m_begun == 1U);
+    load.run({ 2'900 });
+    BOOST_TEST(load.m_scheduler.m_waitSummary.m_steps == 1U);
+    BOOST_TEST(reportsOf(load) == 1U);
+}
+
 // A place near the data that was free, but worse for other reasons, was waited for as if it came free later.
 BOOST_AUTO_TEST_CASE(a_free_place_is_not_waited_for)
 {
