--- a/src/process/scheduler/wait_type.h
+++ b/src/process/scheduler/wait_type.h
@@ -28,10 +28,11 @@
     SuspectNotIsolated, ///< The task may have crashed a worker and waits for one on which no other attempt is on probation.
     GangShortOfRoom, ///< The workers with room can't take all members of the gang.
     CustomerAtCap, ///< The cap of the customer leaves no room for the step.
+    AwaitsBetterPlace, ///< The step leaves room to others, as a place where its tasks run shorter is expected to come free.
     RoomAvailable, ///< Nothing known hinders the step; the next placement pass should place it.
 };
 
-constexpr std::size_t waitCauseCount = 19;
+constexpr std::size_t waitCauseCount = 20;
 static_assert(static_cast<std::size_t>(WaitCause::RoomAvailable) + 1 == waitCauseCount);
 
 /** Counts of the steps that have waited long, updated once a second. */
--- a/src/table/scheduler_table.h
+++ b/src/table/scheduler_table.h
@@ -55,6 +55,7 @@
     { WaitCause::SuspectNotIsolated, "suspect-not-isolated" },
     { WaitCause::GangShortOfRoom, "gang-short-of-room" },
     { WaitCause::CustomerAtCap, "customer-at-cap" },
+    { WaitCause::AwaitsBetterPlace, "awaits-better-place" },
     { WaitCause::RoomAvailable, "room-available" },
 } };
 
--- a/tests/place_wait_test.cpp
+++ b/tests/place_wait_test.cpp
@@ -308,6 +308,36 @@
     BOOST_TEST(load.rackOf(job) == nearRack);
 }
 
+// A long wait for a better place was reported as room that the scheduler does not use, which operators are to report as a fault.
+BOOST_AUTO_TEST_CASE(a_long_wait_for_a_better_place_is_reported_as_such)
+{
+    const auto reportsOf = [](RackLoad& load) { return load.m_scheduler.m_waitSummary.m_byCause[static_cast<std::size_t>(WaitCause::AwaitsBetterPlace)]; };
+    RackLoad load(1, 2);
+    StepPlan step = RackLoad::makeStep(2, nearRack, { 3'000 });
+    load.submit("plain", step); // The second task waits for the place of the first one; 4.5 s may be waited while that runs.
+    load.run({ 100 });
+    BOOST_TEST(load.counters().m_begun == 1U);
+    load.run({ 2'900 });
+    BOOST_TEST(load.m_scheduler.m_waitSummary.m_steps == 1U);
+    BOOST_TEST(reportsOf(load) == 1U);
+}
+
+// A place near the data that was free, but worse for other reasons, was waited for as if it came free later.
+BOOST_AUTO_TEST_CASE(a_free_place_is_not_waited_for)
+{
+    RackLoad load(1, 1);
+    StepPlan background = RackLoad::makeStep(4, nearRack, { 60'000 });
+    background.m_isBestEffort = true;
+    load.submit("plain", background);
+    load.run({ 50 });
+    StepPlan serving = RackLoad::makeStep(1, nearRack);
+    serving.m_tailLatencyTarget = { 50 };
+    const std::string job = load.submit("plain", serving);
+    load.run({ 100 });
+    BOOST_TEST(load.rackOf(job) == farRack); // Four best-effort tasks cost more than the distance.
+    BOOST_TEST(load.counters().m_begun == 0U);
+}
+
 // Late tasks never waited, ran far from their data for longer, and made more tasks late.
 BOOST_AUTO_TEST_CASE(a_late_task_waits_while_its_result_is_of_use)
 {
@@ -385,6 +415,28 @@
     BOOST_TEST(load.counters().m_begun == 0U);
 }
 
+// Approvals of a gang were requested for workers of all racks alike, so that no rack had enough approved ones.
+BOOST_AUTO_TEST_CASE(approvals_of_a_gang_are_requested_for_one_rack_first)
+{
+    constexpr int racks = 4;
+    constexpr int rackWorkers = 15;
+    RackLoad load(0, 0);
+    for (int i = 0; i < racks * rackWorkers; ++i) {
+        const std::string id = "w" + std::to_string(i);
+        load.m_workers[id].m_rack = "r" + std::to_string(1 + i % racks) + "-1";
+        load.adopt(id);
+    }
+    std::set<std::string> used;
+    for (int i = 0; i < 2; ++i) {
+        const std::string job = load.submit("quick", makeRackLocalGang(10));
+        load.run({ 100 });
+        BOOST_TEST(load.runOf(job).m_activeAttempts == 10U);
+        BOOST_TEST(racksOf(load, job) == 1U);
+        used.insert(load.rackOf(job));
+    }
+    BOOST_TEST(used.size() == 2U);
+}
+
 // Approvals were requested for workers far from the data first, so that the near ones could not be used.
 BOOST_AUTO_TEST_CASE(approvals_are_requested_for_the_better_places_first)
 {
