--- a/tests/http_limits_test.cpp
+++ b/tests/http_limits_test.cpp
@@ -149,8 +149,10 @@
 {
     constexpr std::size_t limit = 4;
     listen({ .m_connections = limit, .m_closesOldest = true });
+    constexpr std::size_t count = 20;
     std::vector<std::unique_ptr<RawClient>> idle;
-    for (int i = 0; i < 20; ++i)
+    idle.reserve(count);
+    for (std::size_t i = 0; i < count; ++i)
         idle.push_back(std::make_unique<RawClient>(m_address));
     const RawClient ordinary(m_address);
     ordinary.send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
--- a/tests/soak/startup_template.h
+++ b/tests/soak/startup_template.h
@@ -11,7 +11,7 @@
  * @param text The template. Sections are not nested.
  * @param values Values by name; a name without one becomes empty.
  */
-inline std::string fillTemplate(std::string text, const std::map<std::string, std::string>& values)
+inline std::string fillTemplate(const std::string& text, const std::map<std::string, std::string>& values)
 {
     std::string filled;
     std::string section;
--- a/tests/untrusted_clients_test.cpp
+++ b/tests/untrusted_clients_test.cpp
@@ -144,7 +144,7 @@
         return false;
     }
 
-    void check()
+    void check() const
     {
         settle();
         BOOST_REQUIRE(m_daemon->isRunning());
@@ -255,3 +255,18 @@
     }
     check();
 }
+
+// An operator finds from the metrics which limit clients exceed, as few refusals have a log line.
+BOOST_FIXTURE_TEST_CASE(refusals_are_counted_in_the_metrics, DaemonFixture)
+{
+    constexpr std::size_t count = 3;
+    {
+        const RawCrowd crowd({ m_host, clientsPort }, count, endlessTrailers());
+        settle();
+    }
+    const HttpResult metrics = sendAndWait(m_client, { .m_address = { m_host, metricsPort }, .m_request = { .m_method = "GET", .m_target = "/metrics" }, .m_timeout = { 10'000 } });
+    BOOST_REQUIRE(metrics);
+    const std::string_view text = viewOf(metrics->m_body);
+    BOOST_TEST(text.find(R"(bulrush_http_refused_total{kind="clients/trailer-too-large"} 3)") != std::string_view::npos);
+    BOOST_TEST(text.find(R"(bulrush_http_refused_total{kind="peers/trailer-too-large"} 0)") != std::string_view::npos);
+}
