Requests a second with large bodies: pieces grow by four again

Pieces of 64 KiB right after the first one did not help. http_speed_test (8 connections, load of 15 to 25 from other work, server and client in one process, us of CPU for each request):

300 bytes before 15.7 to 18.3, growth by 16: 13.6 to 15.7, by 4: 12.7 to 16.4 262,144 bytes before 72 to 84, growth by 16: 163 to 171, by 4: 82 to 147

Large bodies thus cost up to twice as much as before. The cause is the allocator: it gives the memory of each body back to the system and takes it anew (8,401 and 66,321 page faults in a run before, 1.6 to 3.9 million after; with the allocator's thresholds raised to 4 MB and more, 70 to 72 us after and 71 to 79 before). The reader itself is not slower. Left as it is: freed memory that goes back is what a small VM needs.

--- a/src/connection/http_reader.h
+++ b/src/connection/http_reader.h
@@ -147,7 +147,7 @@
 private:
     static constexpr std::size_t smallestPiece = 4 * 1024;
     static constexpr std::size_t largestPiece = 64 * 1024;
-    static constexpr std::size_t pieceGrowth = 16;
+    static constexpr std::size_t pieceGrowth = 4;
 
     HttpReadState refuse(HttpRefusal refusal)
     {
