Caps: what is placed may exceed the cap by the permitted overrun

Cause: the ledger counts attempts from their placement until their end is listed, so that of tasks of half a second a tenth and more of the cap stayed unused. Change: placements and approval requests are checked against the cap extended by cap_overrun, which bounds what runs in any case. Without cap_overrun nothing changes.

--- a/src/process/scheduler/customer_usage.cpp
+++ b/src/process/scheduler/customer_usage.cpp
@@ -29,6 +29,17 @@
             pool->m_running = pool->m_running - size;
     }
 
+    /**
+     * The ledger holds attempts from their placement, before the record and the start, until their end is listed, while the cap is about what runs. Of tasks of half a
+     * second that is a tenth and more, so that a ledger held to the cap leaves part of it unused. Within the permitted overrun what runs stays below it in any case.
+     * @return What the ledger of a customer may hold; an amount of 0 means no limit.
+     */
+    Resources ledgerLimitOf(const Scheduler& scheduler, const CustomerUsage& customer)
+    {
+        const auto extended = [&](std::int64_t amount) { return static_cast<std::int64_t>(static_cast<double>(amount) * (1 + scheduler.m_options.m_capOverrun)); };
+        return { .m_cpuMilli = extended(customer.m_cap.m_cpuMilli), .m_memoryMb = extended(customer.m_cap.m_memoryMb), .m_gpus = extended(customer.m_cap.m_gpus) };
+    }
+
     /** Adds an attempt that may run on a worker, unless it is current or its job has no customer. */
     void addLingering(Scheduler& scheduler, std::int32_t index, const TaskName& name, std::uint32_t attempt, std::vector<CountedAttempt>& attempts)
     {
@@ -145,7 +156,7 @@
     if (!customer || limit == 0)
         return limit;
     const StepPlan& plan = planOf(run);
-    const auto allowed = static_cast<std::uint32_t>(countWithinCap(plan.m_size, customer->m_running, customer->m_cap, limit));
+    const auto allowed = static_cast<std::uint32_t>(countWithinCap(plan.m_size, customer->m_running, ledgerLimitOf(scheduler, *customer), limit));
     const std::uint32_t together = plan.m_isGang ? limit : 1;
     if (allowed >= together)
         return plan.m_isGang ? limit : allowed;
@@ -190,12 +201,12 @@
     }
 }
 
-bool mayRequestWithinCap(const StepRun& run)
+bool mayRequestWithinCap(const Scheduler& scheduler, const StepRun& run)
 {
     const CustomerUsage* const customer = run.m_job->m_customer;
     if (!customer || customer->m_requested == Resources {} || run.m_approval.m_pendingRequests > 0)
         return true;
-    return countWithinCap(planOf(run).m_size, customer->m_running + customer->m_requested, customer->m_cap, 1) > 0;
+    return countWithinCap(planOf(run).m_size, customer->m_running + customer->m_requested, ledgerLimitOf(scheduler, *customer), 1) > 0;
 }
 
 bool areCustomersConsistent(const Scheduler& scheduler)
--- a/src/process/scheduler/customer_usage.h
+++ b/src/process/scheduler/customer_usage.h
@@ -96,7 +96,7 @@
     void sumRequested(Scheduler& scheduler);
 
     /** @return Whether a step may request approvals for a task, as the requests of the customer's other steps don't use up the room under its cap. */
-    bool mayRequestWithinCap(const StepRun& run);
+    bool mayRequestWithinCap(const Scheduler& scheduler, const StepRun& run);
 
     /** @return Whether all that the ledgers hold follows from the attempts. */
     bool areCustomersConsistent(const Scheduler& scheduler);
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -36,7 +36,7 @@
     Duration m_endedJobRetention { 150'000 }; ///< How long the state of ended jobs is kept.
     double m_clockDrift = 0.02; ///< Fraction by which a worker's clock may run slow.
     double m_remoteFactor = 2; ///< Slowdown factor of tasks that run outside the rack of their data.
-    double m_capOverrun = 0; ///< Fraction by which a single task or gang may exceed its customer's cap while nothing else of the customer runs.
+    double m_capOverrun = 0; ///< Fraction by which what a customer has placed may exceed its cap; a part of it is not running yet, or has ended.
     bool m_waitsForBetterPlace = false; ///< Whether tasks wait for a place near their data or their gang, or on a faster worker, as long as that pays.
     std::uint64_t m_token = 0; ///< Fencing token of this leader's term.
 };
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -206,7 +206,7 @@
         /** Requests missing approvals; without a VM that is free to send the request, the step is examined again when one is. */
         void request(SchedulerEffects& effects)
         {
-            if (!mayRequestWithinCap(m_run))
+            if (!mayRequestWithinCap(m_scheduler, m_run))
                 return;
             m_run.m_isApprovalRequestDelayed = !canRequestApprovals(m_scheduler, m_run, *m_policy, m_now);
             if (m_run.m_isApprovalRequestDelayed && m_run.m_approvalRequestedAt.m_ms == 0)
--- a/tests/customer_cap_test.cpp
+++ b/tests/customer_cap_test.cpp
@@ -81,6 +81,17 @@
     BOOST_TEST(fixture.startAll() == 4U - first);
 }
 
+// A ledger held to the cap itself leaves part of the cap unused, as placed tasks count before they run. Beyond the overrun what runs could exceed it.
+BOOST_AUTO_TEST_CASE(what_is_placed_may_exceed_the_cap_by_the_overrun)
+{
+    CustomerFixture fixture({ makeCustomer("c", 10'000) });
+    fixture.m_scheduler.m_options.m_capOverrun = 0.1;
+    for (const char* worker : { "w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8" })
+        fixture.adoptWorker(worker);
+    accept(fixture, { makeCustomerStep(14, 1'000) });
+    BOOST_TEST(fixture.startAll() == 11U);
+}
+
 // Best-effort tasks reserve no CPU on their worker, but the cap limits their full size.
 BOOST_AUTO_TEST_CASE(the_cpu_of_best_effort_tasks_counts)
 {
