Reports of workers: numbers that no integer can hold make them malformed

Cause: attempts and numbers of ends were converted from JSON without a check; converting 1e300 has no defined result. Change: they are read as bounded integers. Result: platform_codec_test (three more bodies), http_reader_fuzz_test and malformed_input_test pass.

--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -9,6 +9,8 @@
 #include <array>
 #include <charconv>
 #include <climits>
+#include <limits>
+#include <stdexcept>
 
 namespace bulrushloft::platform {
 
@@ -91,11 +93,21 @@
         return static_cast<int>(std::clamp<std::int64_t>(toInt(value).value_or(0), INT_MIN, INT_MAX));
     }
 
+    /** @return A number of an attempt or an end. Converting one that is out of range, such as 1e300, has no defined result, so that makes the report malformed. */
+    template <typename Count>
+    Count toCount(const Json& value)
+    {
+        const auto number = toInt(value);
+        if (!number || *number < 0 || static_cast<std::uint64_t>(*number) > std::numeric_limits<Count>::max())
+            throw std::out_of_range("a number of the report is out of range");
+        return static_cast<Count>(*number);
+    }
+
     RunningAttempt decodeRunningAttempt(const Json& row)
     {
         RunningAttempt running;
         running.m_task = decodeTaskName(row.at(0).get<std::string>()).value_or(TaskName {});
-        running.m_attempt = row.at(1);
+        running.m_attempt = toCount<std::uint32_t>(row.at(1));
         running.m_checkpoint = row.at(2);
         running.m_percent = toSmallInt(row.at(3));
         running.m_loadMetric = row.size() > 4 ? toSmallInt(row.at(4)) : 0;
@@ -104,9 +116,9 @@
 
     EndedAttempt decodeEndedAttempt(const Json& row)
     {
-        return { .m_number = row.at(0),
+        return { .m_number = toCount<std::uint64_t>(row.at(0)),
             .m_task = decodeTaskName(row.at(1).get<std::string>()).value_or(TaskName {}),
-            .m_attempt = row.at(2),
+            .m_attempt = toCount<std::uint32_t>(row.at(2)),
             .m_end = findValue(platformAttemptEndNames, row.at(3).get<std::string>()).value_or(AttemptEnd::LeaseExpired),
             .m_checkpoint = row.at(4) };
     }
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -113,7 +113,8 @@
     BOOST_TEST(report->m_running[0].m_task.m_index == 17U);
     BOOST_TEST(report->m_running[0].m_loadMetric == 7);
     BOOST_TEST((report->m_ended[0].m_end == AttemptEnd::Done));
-    for (const char* body : { "", "{\"running\":[[1]]}", "{\"finished\":[[\"x\"]]}", "[]x" })
+    // Numbers that no integer can hold must not be converted.
+    for (const char* body : { "", "{\"running\":[[1]]}", "{\"finished\":[[\"x\"]]}", "[]x", R"({"running":[["a.0.1.17",1e300,"",41]]})", R"({"running":[["a.0.1.17",-1,"",41]]})", R"({"finished":[[1e300,"a.0.1.9",1,"done",""]]})" })
         BOOST_TEST(!decodeSyncReport(body));
     for (const char* name : { "", "a", "a.1", "a.1.2", "a.x.2.3", "a.1.2.3x" })
         BOOST_TEST(!decodeTaskName(name));
