Admission: work that a cap holds back waits for its customer only

Cause: steps that a cap has held back since their release are not ranked, so the estimate missed them, and ranked ones that are held counted as a backlog of their pool, for which others could be refused. Change: held steps count for their customer, not for their pool; the slack of those that were never ranked follows from the job's acceptance.

--- a/src/process/cell/service_load.cpp
+++ b/src/process/cell/service_load.cpp
@@ -71,10 +71,21 @@
         return wait;
     }
 
+    /** @return What the urgency of a step follows from. One that the cap of its customer has held back since its release has not been ranked yet. */
+    UrgencyInput urgencyInputOf(const Scheduler& scheduler, const StepRun& run)
+    {
+        if (run.m_urgencyInputAt.m_ms > 0)
+            return run.m_urgencyInput;
+        const Job& job = *run.m_job;
+        const QueueSettings& queue = detail::queueOf(scheduler, job);
+        const Duration objective = Duration { static_cast<std::int64_t>(queue.m_slackFactor * static_cast<double>(job.m_criticalPath.m_ms)) } + queue.m_latencyTarget;
+        return { .m_isLongRunning = detail::planOf(run).m_isLongRunning, .m_dueAt = job.m_acceptedAt, .m_objective = objective, .m_remaining = job.m_criticalPath };
+    }
+
     /** @return Band of a waiting step; nothing for overdue ones, which are placed after all others. */
-    std::optional<std::size_t> bandOfStep(const StepRun& run, TimePoint now)
+    std::optional<std::size_t> bandOfStep(const Scheduler& scheduler, const StepRun& run, TimePoint now)
     {
-        const Urgency urgency = urgencyOf(run.m_urgencyInput, now);
+        const Urgency urgency = urgencyOf(urgencyInputOf(scheduler, run), now);
         switch (urgency.m_class) {
         case UrgencyClass::LongRunning:
             return 0;
@@ -92,7 +103,7 @@
     void addStep(const Scheduler& scheduler, PoolLoad& pool, const StepRun& run, double factor, TimePoint now)
     {
         const std::uint32_t tasks = detail::countUnplaced(run);
-        const auto band = bandOfStep(run, now);
+        const auto band = bandOfStep(scheduler, run, now);
         if (tasks == 0 || !band)
             return;
         BandLoad& load = pool.m_bands[*band];
@@ -119,11 +130,15 @@
         // The first step differs from one collection to the next, so that no kind of step is left out for long.
         for (std::size_t i = stride <= 1 ? 0 : static_cast<std::size_t>(now.m_ms) % stride; i < count; i += stride) {
             const StepRun& run = *scheduler.m_waitingSteps[i];
-            const bool isExamined = run.m_isReleased && run.m_urgencyInputAt.m_ms > 0 && !isFinal(run.m_job->m_stage);
-            if (!isExamined)
+            if (!run.m_isReleased || isFinal(run.m_job->m_stage))
                 continue;
-            addStep(scheduler, load.m_pools[run.m_job->m_plan.m_pool], run, static_cast<double>(stride), now);
-            if (const CustomerUsage* const customer = run.m_job->m_customer; customer && !(customer->m_cap == Resources {}))
+            // A step that waits for room under a cap takes nothing from others in its pool meanwhile.
+            const bool isHeld = run.m_heldAtRelease != 0;
+            const bool isRanked = run.m_urgencyInputAt.m_ms > 0;
+            if (isRanked && !isHeld)
+                addStep(scheduler, load.m_pools[run.m_job->m_plan.m_pool], run, static_cast<double>(stride), now);
+            const CustomerUsage* const customer = run.m_job->m_customer;
+            if (customer && !(customer->m_cap == Resources {}) && (isRanked || isHeld))
                 addStep(scheduler, load.m_customers[customer->m_name], run, static_cast<double>(stride), now);
         }
     }
--- a/tests/capped_customer_estimate_test.cpp
+++ b/tests/capped_customer_estimate_test.cpp
@@ -2,6 +2,8 @@
 #define BOOST_TEST_MODULE capped_customer_estimate
 #include <boost/test/unit_test.hpp>
 
+#include "customer_fixture.h"
+#include "process/cell/service_load.h"
 #include "process/cell/submission_gate.h"
 
 using namespace bulrushloft;
@@ -70,3 +72,20 @@
     BOOST_TEST(!assess(estimate, makeNeed({}), now).m_isShort);
     BOOST_TEST(assess(estimate, makeNeed(customerName), now).m_isShort);
 }
+
+/** Guards against work that waits for room under a cap being missed, or taken for a backlog of its pool, which makes others be refused. */
+BOOST_AUTO_TEST_CASE(work_that_a_cap_holds_back_waits_for_its_customer_only)
+{
+    test::CustomerFixture fixture({ test::makeCustomer(customerName, 2'000) });
+    fixture.adoptWorker("w1");
+    scheduler::acceptJob(fixture.m_scheduler, test::makeCustomerPlan({ test::makeCustomerStep(2) }, "00000000000000aa", customerName), fixture.m_now);
+    BOOST_TEST(fixture.startAll() == 2U);
+    scheduler::acceptJob(fixture.m_scheduler, test::makeCustomerPlan({ test::makeCustomerStep(6) }, "00000000000000bb", customerName), fixture.m_now);
+    BOOST_TEST(fixture.startAll() == 0U);
+    const ServiceEstimate estimate { .m_madeAt = fixture.m_now, .m_load = collectLoad(fixture.m_scheduler, 1, fixture.m_now) };
+    SubmissionNeed need { .m_pool = test::customerPool, .m_customer = customerName, .m_uses = { true, true, false }, .m_objective = { 2'000 }, .m_criticalPath = { 500 } };
+    BOOST_TEST(assess(estimate, need, fixture.m_now).m_waitInTime.m_ms >= 1'000);
+    BOOST_TEST(assess(estimate, need, fixture.m_now).m_isShort);
+    need.m_customer = "other";
+    BOOST_TEST(assess(estimate, need, fixture.m_now).m_waitLate.m_ms == 0);
+}
