--- a/review/standins-3/platform3.py
+++ b/review/standins-3/platform3.py
@@ -305,8 +305,6 @@
         self.http.drop()
         self.http = None
         self.world.note("runner-down", runner=self.name, running=",".join("%s/%d" % (task, run["attempt"]) for task, run in self.runs.items()))
-        for run in self.runs.values():
-            run["over"] = True
         self.runs = {}
 
     def is_up(self):
@@ -320,20 +318,21 @@
     async def work(self):
         """Ends the runs whose time has come, and all of them when the lease runs out."""
         while True:
+            before = time.monotonic()
             await asyncio.sleep(0.01)
             now = time.monotonic()
             if self.runs and self.clock() > self.lease:
                 for task in list(self.runs):
                     self.finish(task, "lapsed")
             for task, run in list(self.runs.items()):
+                run["worked"] += (now - before) * run["pace"] / 100
                 if run["stop_at"] and now >= run["stop_at"]:
                     self.finish(task, "stopped")
-                elif now >= run["end_at"]:
+                elif run["worked"] >= run["length"]:
                     self.finish(task, run["how"])
 
     def finish(self, task, how):
         run = self.runs.pop(task)
-        run["over"] = True
         self.barred[task] = max(self.barred.get(task, 0), run["attempt"])
         self.last_end += 1
         self.ends.append([self.last_end, task, run["attempt"], how, ""])
@@ -363,7 +362,7 @@
         elif name == "hold":
             result = await self.hold(body)
         else:
-            result = (200, {"clock_ms": self.clock()})
+            result = self.pace(body)
         if self.drop_answers and self.drop_answers(name, body):
             return None
         return result
@@ -387,7 +386,7 @@
             return 409, {"clock_ms": self.clock(), "reason": refusal}
         self.take_lease(body)
         length, how = self.world.length_of(task, attempt, body["spec"])
-        self.runs[task] = {"attempt": attempt, "end_at": time.monotonic() + length, "began": time.monotonic(), "length": length, "how": how, "stop_at": None, "over": False}
+        self.runs[task] = {"attempt": attempt, "worked": 0.0, "pace": 100, "length": length, "how": how, "stop_at": None}
         self.world.on_start(self, task, attempt, body)
         return 200, {"clock_ms": self.clock()}
 
@@ -399,6 +398,13 @@
             run["stop_at"] = time.monotonic() + 0.05
         return 200, {"clock_ms": self.clock()}
 
+    def pace(self, body):
+        run = self.runs.get(body["task"])
+        if run and run["attempt"] == int(body["attempt"]):
+            run["pace"] = int(body["percent"])
+            self.world.note("pace", runner=self.name, task=body["task"], percent=run["pace"])
+        return 200, {"clock_ms": self.clock()}
+
     async def hold(self, body):
         ack = int(body.get("ack_seq", 0))
         self.ends = [end for end in self.ends if end[0] > ack]
@@ -411,8 +417,8 @@
                 pass
         running = []
         for task, run in self.runs.items():
-            percent = min(99, int(100 * (time.monotonic() - run["began"]) / max(run["length"], 0.001)))
-            running.append([task, run["attempt"], "", percent, 1])
+            percent = min(99, int(100 * run["worked"] / max(run["length"], 0.001)))
+            running.append([task, run["attempt"], "", percent, self.world.load_of(self, task)])
         return 200, {"clock_ms": self.clock(), "born": self.born, "running": running, "finished": self.ends[:500]}
 
 
@@ -527,6 +533,10 @@
         words = spec.split()
         return float(words[1]), words[2] if len(words) > 2 else "done"
 
+    def load_of(self, runner, task):
+        """The fifth entry of a row of `running`: the tail of a serving task in milliseconds, the `cpu` in use of any other."""
+        return 1
+
     def on_start(self, runner, task, attempt, body):
         self.starts.append((time.monotonic(), runner.name, task, attempt))
         self.note("start", runner=runner.name, service=runner.service, task=task, attempt=attempt, token=body.get("fencing_token"))
