Wait report: the pool that a step looks at, and the one that its queue has

Change: step-waits names the queue, the pool whose workers are counted, and the pool that the configuration names for the queue.

--- a/src/process/scheduler/wait_report.cpp
+++ b/src/process/scheduler/wait_report.cpp
@@ -164,11 +164,12 @@
         return facts;
     }
 
-    void logWait(const LongestWait& wait, const StepWaitFacts& facts, WaitCause cause, TimePoint now)
+    void logWait(const Scheduler& scheduler, const LongestWait& wait, const StepWaitFacts& facts, WaitCause cause, TimePoint now)
     {
         const StepRun& run = *wait.m_run;
         const StepPlan& plan = planOf(run);
-        logEvent(LogLevel::Info, "step-waits", { { "step", format(TaskName { .m_job = run.m_job->m_plan.m_id, .m_occurrence = run.m_occurrence, .m_step = run.m_step, .m_index = wait.m_index }) }, { "cause", findName(waitCauseNames, cause) }, { "waited_ms", (now - wait.m_since).m_ms }, { "urgency", findName(urgencyClassNames, urgencyOf(run.m_urgencyInput, now).m_class) }, { "unplaced", facts.m_unplaced }, { "attempts", facts.m_activeAttempts }, { "gang", facts.m_isGang }, { "cpu", plan.m_size.m_cpuMilli }, { "gpus", plan.m_size.m_gpus }, { "requests", facts.m_pendingRequests }, { "workers", facts.m_workers }, { "accepting", facts.m_accepting }, { "approved", facts.m_approved }, { "ticketed", facts.m_ticketed }, { "open", facts.m_open }, { "approved_open", facts.m_approvedOpen }, { "unapproved_open", facts.m_unapprovedOpen }, { "reserved", facts.m_reserved } });
+        const Job& job = *run.m_job;
+        logEvent(LogLevel::Info, "step-waits", { { "step", format(TaskName { .m_job = job.m_plan.m_id, .m_occurrence = run.m_occurrence, .m_step = run.m_step, .m_index = wait.m_index }) }, { "cause", findName(waitCauseNames, cause) }, { "waited_ms", (now - wait.m_since).m_ms }, { "urgency", findName(urgencyClassNames, urgencyOf(run.m_urgencyInput, now).m_class) }, { "queue", job.m_plan.m_queue }, { "pool", job.m_plan.m_pool }, { "configured_pool", queueOf(scheduler, job).m_pool }, { "unplaced", facts.m_unplaced }, { "attempts", facts.m_activeAttempts }, { "gang", facts.m_isGang }, { "cpu", plan.m_size.m_cpuMilli }, { "gpus", plan.m_size.m_gpus }, { "requests", facts.m_pendingRequests }, { "workers", facts.m_workers }, { "accepting", facts.m_accepting }, { "approved", facts.m_approved }, { "ticketed", facts.m_ticketed }, { "open", facts.m_open }, { "approved_open", facts.m_approvedOpen }, { "unapproved_open", facts.m_unapprovedOpen }, { "reserved", facts.m_reserved } });
     }
 
     std::string formatCauses(const WaitSummary& summary)
@@ -282,7 +283,7 @@
         const WaitCause cause = waitCauseOf(facts);
         ++summary.m_byCause[static_cast<std::size_t>(cause)];
         if (i < maxLines)
-            logWait(waits[i], facts, cause, now);
+            logWait(scheduler, waits[i], facts, cause, now);
     }
     logEvent(LogLevel::Info, "steps-waiting", { { "steps", summary.m_steps }, { "oldest_ms", summary.m_oldest.m_ms }, { "causes", formatCauses(summary) }, { "unexamined", summary.m_unexamined }, { "waiting_steps", scheduler.m_waitingSteps.size() }, { "recording", scheduler.m_recording.size() }, { "starting_or_stopping", scheduler.m_startingOrStopping.size() } });
     reportProxies(scheduler, now);
