Scheduler: one place for what is known of a queue

Cause: the settings of a job's queue were looked up by name wherever they were needed, as whole routes with host and path, and a submission's pool beside them. Change: QueuePolicy holds what of a queue's settings scheduling needs, with the version of the configuration that says so; KnownQueue is what a leader knows of a queue, and a job refers to it. Nothing behaves differently. Tests set queues by setCluster() instead of writing the map, and fixtures keep the configuration that they have put into force.

--- a/src/process/cell/service_load.cpp
+++ b/src/process/cell/service_load.cpp
@@ -72,20 +72,20 @@
     }
 
     /** @return What the urgency of a step follows from. One that the cap of its customer has held back since its release has not been ranked yet. */
-    UrgencyInput urgencyInputOf(const Scheduler& scheduler, const StepRun& run)
+    UrgencyInput urgencyInputOf(const StepRun& run)
     {
         if (run.m_urgencyInputAt.m_ms > 0)
             return run.m_urgencyInput;
         const Job& job = *run.m_job;
-        const QueueSettings& queue = detail::queueOf(scheduler, job);
+        const QueuePolicy& queue = detail::queuePolicyOf(job);
         const Duration objective = Duration { static_cast<std::int64_t>(queue.m_slackFactor * static_cast<double>(job.m_criticalPath.m_ms)) } + queue.m_latencyTarget;
         return { .m_isLongRunning = detail::planOf(run).m_isLongRunning, .m_dueAt = job.m_acceptedAt, .m_objective = objective, .m_remaining = job.m_criticalPath };
     }
 
     /** @return Band of a waiting step; nothing for overdue ones, which are placed after all others. */
-    std::optional<std::size_t> bandOfStep(const Scheduler& scheduler, const StepRun& run, TimePoint now)
+    std::optional<std::size_t> bandOfStep(const StepRun& run, TimePoint now)
     {
-        const Urgency urgency = urgencyOf(urgencyInputOf(scheduler, run), now);
+        const Urgency urgency = urgencyOf(urgencyInputOf(run), now);
         switch (urgency.m_class) {
         case UrgencyClass::LongRunning:
             return 0;
@@ -103,7 +103,7 @@
     void addStep(const Scheduler& scheduler, PoolLoad& pool, const StepRun& run, double factor, TimePoint now)
     {
         const std::uint32_t tasks = detail::countUnplaced(run);
-        const auto band = bandOfStep(scheduler, run, now);
+        const auto band = bandOfStep(run, now);
         if (tasks == 0 || !band)
             return;
         BandLoad& load = pool.m_bands[*band];
@@ -116,7 +116,7 @@
         const double holdMs = isLongRunning ? 0 : static_cast<double>(detail::predictRunTime(scheduler, *run.m_job, run.m_step).m_ms) + scheduler.m_meanRecordMs;
         add(load.m_size, toSums(size, sizeFactor));
         add(load.m_work, toSums(size, sizeFactor * holdMs));
-        const auto& policy = detail::queueOf(scheduler, *run.m_job).m_approval;
+        const auto& policy = detail::queuePolicyOf(*run.m_job).m_approval;
         const double callMs = callTimeOf(run, policy, tasks) * factor;
         (policy && detail::isSlowPolicy(*policy) ? load.m_slowCallMs : load.m_quickCallMs) += callMs;
         if (!isLongRunning)
@@ -195,9 +195,9 @@
         need.m_uses[1] |= step.m_size.m_memoryMb > 0;
         need.m_uses[2] |= step.m_size.m_gpus > 0;
     }
+    const QueuePolicy& queue = detail::queuePolicyFor(scheduler, plan);
     Job job;
     job.m_plan = std::move(plan);
-    const QueueSettings& queue = detail::queueOf(scheduler, job);
     need.m_criticalPath = detail::predictCriticalPath(scheduler, job);
     need.m_objective = Duration { static_cast<std::int64_t>(queue.m_slackFactor * static_cast<double>(need.m_criticalPath.m_ms)) } + queue.m_latencyTarget;
     need.m_needsApproval = queue.m_approval.has_value();
@@ -219,7 +219,7 @@
     const auto job = scheduler.m_jobs.find(request.m_step.m_job);
     if (job == scheduler.m_jobs.end())
         return former;
-    const auto& policy = detail::queueOf(scheduler, *job->second).m_approval;
+    const auto& policy = detail::queuePolicyOf(*job->second).m_approval;
     if (!policy)
         return former;
     const double expected = std::max(1.0, static_cast<double>(detail::approvalRequestDuration(*policy, request.m_workers.size()).m_ms));
--- a/src/process/scheduler/approval_proxy.cpp
+++ b/src/process/scheduler/approval_proxy.cpp
@@ -184,7 +184,7 @@
     std::size_t slow = 0;
     std::size_t quick = 0;
     for (const StepRun* const run : scheduler.m_waitingSteps) {
-        const auto& policy = queueOf(scheduler, *run->m_job).m_approval;
+        const auto& policy = queuePolicyOf(*run->m_job).m_approval;
         if (run->m_isApprovalRequestDelayed && policy)
             ++(isSlowPolicy(*policy) ? slow : quick);
     }
--- a/src/process/scheduler/approvals.cpp
+++ b/src/process/scheduler/approvals.cpp
@@ -341,7 +341,7 @@
     logEvent(LogLevel::Info, "approval-request-ended", { { "step", format(request.m_step) }, { "sent_by", request.m_member }, { "workers_named", request.m_workers.size() }, { "approved", approvals ? static_cast<std::int64_t>(approvals->size()) : -1 } });
     constexpr Duration retryDelay { 150 };
     state.m_nextRequestAt = approvals ? now : now + retryDelay;
-    const auto& policy = detail::queueOf(scheduler, *ref.m_run->m_job).m_approval;
+    const auto& policy = detail::queuePolicyOf(*ref.m_run->m_job).m_approval;
     const TimePoint usableUntil = now + (policy ? policy->m_validity : Duration {}) - detail::ticketExpiryMargin;
     for (const std::string& id : request.m_workers) {
         const auto found = scheduler.m_workerById.find(id);
--- a/src/process/scheduler/better_place.cpp
+++ b/src/process/scheduler/better_place.cpp
@@ -120,9 +120,9 @@
     }
 
     /** @return From when on the step may start on a worker as far as approvals are concerned; farFuture when it may not, or that is not known. */
-    TimePoint approvedAt(const Scheduler& scheduler, const StepRun& run, const PoolView& view, std::uint32_t position, TimePoint now)
+    TimePoint approvedAt(const StepRun& run, const PoolView& view, std::uint32_t position, TimePoint now)
     {
-        const auto& policy = queueOf(scheduler, *run.m_job).m_approval;
+        const auto& policy = queuePolicyOf(*run.m_job).m_approval;
         if (!policy || hasTicket(run, view.m_workers[position], now))
             return now;
         return run.m_approval.m_tickets.contains(view.m_workers[position]) ? now + approvalRequestDuration(*policy, 1) : farFuture;
@@ -133,7 +133,7 @@
     {
         const Worker& worker = workerAt(scheduler, view, position);
         const bool isOpen = !view.m_reservedFor[position] || view.m_reservedFor[position] == &run;
-        const TimePoint usableAt = isOpen ? approvedAt(scheduler, run, view, position, now) : farFuture;
+        const TimePoint usableAt = isOpen ? approvedAt(run, view, position, now) : farFuture;
         if (usableAt >= farFuture || !isSuitable(run, worker) || areOrdersFailing(worker, now))
             return {};
         std::vector<TimePoint> times = roomTimesAt(scheduler, run, view, position, std::min(tasks, remainingLimitAt(run, view, position)), now);
@@ -156,7 +156,7 @@
     std::int64_t roomLeftAt(const Scheduler& scheduler, const StepRun& run, const PoolView& view, std::uint32_t position, TimePoint now)
     {
         const Resources size = grantOf(run);
-        if (!hasRoom(view, position, size, run) || approvedAt(scheduler, run, view, position, now) > now || !isSuitable(run, workerAt(scheduler, view, position)))
+        if (!hasRoom(view, position, size, run) || approvedAt(run, view, position, now) > now || !isSuitable(run, workerAt(scheduler, view, position)))
             return 0;
         return countFitting(size, view.m_free[position], remainingLimitAt(run, view, position));
     }
--- a/src/process/scheduler/placement_cost.cpp
+++ b/src/process/scheduler/placement_cost.cpp
@@ -32,7 +32,7 @@
     return share(left.m_cpuMilli, capacity.m_cpuMilli) + share(left.m_memoryMb, capacity.m_memoryMb) + 2 * share(left.m_gpus, capacity.m_gpus);
 }
 
-double speedWeightOf(const QueueSettings& queue, Urgency urgency)
+double speedWeightOf(const QueuePolicy& queue, Urgency urgency)
 {
     constexpr double tightSlack = 2;
     constexpr double looseSlack = 3;
--- a/src/process/scheduler/placement_cost.h
+++ b/src/process/scheduler/placement_cost.h
@@ -10,7 +10,7 @@
 double freeShareOf(const Resources& left, const Resources& capacity);
 
 /** @return Weight of a worker's speed in its cost: jobs with little slack get fast workers, jobs with much slack leave them free. */
-double speedWeightOf(const QueueSettings& queue, Urgency urgency);
+double speedWeightOf(const QueuePolicy& queue, Urgency urgency);
 
 /** @return Cost of running a further task of the step on a worker that has room for it, without regard to earlier failures of the task. */
 double costOf(const Scheduler& scheduler, const StepRun& run, WorkerIndex index, double speedWeight);
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -5,6 +5,7 @@
 #include "connection/peer_type.h"
 #include "connection/store_type.h"
 #include "process/scheduler/customer_usage.h"
+#include "process/scheduler/known_queue.h"
 #include "process/scheduler/urgency.h"
 #include "process/scheduler/wait_type.h"
 #include "request/plan_type.h"
@@ -202,6 +203,7 @@
 /** An accepted job and its steps. */
 struct Job {
     JobPlan m_plan; ///< The job as its caller submitted it.
+    const KnownQueue* m_queue = nullptr; ///< Its queue.
     JobStage m_stage = JobStage::Pending;
     std::uint32_t m_recordedFailureLimit = 0; ///< Limit of failures of its queue that an earlier leader recorded; 0 for none. Used when the configuration does not name the queue any more.
     std::uint64_t m_stageBatch = 0; ///< Record batch that makes a final stage durable.
@@ -433,7 +435,7 @@
     SchedulerOptions m_options;
     Duration m_wallOffset; ///< Wall-clock time minus monotonic time.
     TimePoint m_earlierLeadersStoppedAt = farFuture; ///< By then the leaders of earlier terms have stopped renewing leases.
-    std::unordered_map<std::string, QueueSettings> m_queues; ///< Latest settings of every queue configured during this term, by name.
+    std::unordered_map<std::string, KnownQueue> m_queues; ///< Queues that were configured during this term or that accepted jobs name, by name.
     std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs; ///< All jobs, by id.
     std::unordered_map<std::string, ApprovalRate> m_approvalRates; ///< Share of approved workers, by queue.
     std::unordered_map<std::string, RunTimeModel> m_runTimes; ///< Run time models, by queue.
--- a/src/process/scheduler/scheduler_detail.h
+++ b/src/process/scheduler/scheduler_detail.h
@@ -5,12 +5,6 @@
 
 namespace bulrushloft::scheduler::detail {
 
-/** @return Settings of a job's queue; defaults when the configuration has never named the queue. */
-const QueueSettings& queueOf(const Scheduler& scheduler, const Job& job);
-
-/** @return How often a task of the job may fail before the job fails, as last known; 0 when unknown. */
-std::uint32_t failureLimitOf(const Scheduler& scheduler, const Job& job);
-
 const StepPlan& planOf(const StepRun& run);
 TaskName nameOf(const TaskRef& ref);
 
--- a/src/process/scheduler/scheduler_jobs.cpp
+++ b/src/process/scheduler/scheduler_jobs.cpp
@@ -11,19 +11,6 @@
 
 namespace detail {
 
-    const QueueSettings& queueOf(const Scheduler& scheduler, const Job& job)
-    {
-        static const QueueSettings unknownQueue;
-        const auto found = scheduler.m_queues.find(job.m_plan.m_queue);
-        return found == scheduler.m_queues.end() ? unknownQueue : found->second;
-    }
-
-    std::uint32_t failureLimitOf(const Scheduler& scheduler, const Job& job)
-    {
-        const auto found = scheduler.m_queues.find(job.m_plan.m_queue);
-        return found == scheduler.m_queues.end() ? job.m_recordedFailureLimit : found->second.m_failureLimit;
-    }
-
     const StepPlan& planOf(const StepRun& run)
     {
         return run.m_job->m_plan.m_steps[run.m_step];
@@ -185,7 +172,7 @@
             failures = run.m_gangFailures;
         }
         markDirty(scheduler, job);
-        const std::uint32_t limit = failureLimitOf(scheduler, job);
+        const std::uint32_t limit = failureLimitOf(job);
         logEvent(LogLevel::Info, "task-failed", { { "task", format(nameOf(ref)) }, { "attempt", task.m_attempt }, { "failures", failures }, { "limit", limit } });
         const bool isLimitKnown = limit > 0; // The job is not failed on a guess, so the task is started again until the limit is known.
         if (planOf(run).m_isLongRunning || !isLimitKnown || failures < limit)
@@ -198,8 +185,7 @@
 
 void setCluster(Scheduler& scheduler, const ClusterSettings& cluster)
 {
-    for (const QueueSettings& queue : cluster.m_queues)
-        scheduler.m_queues.insert_or_assign(queue.m_name, queue);
+    detail::setQueues(scheduler, cluster);
     detail::setCustomers(scheduler, cluster);
     scheduler.m_needsPlacing = true;
 }
@@ -225,6 +211,7 @@
     Job& job = *owned;
     job.m_plan = std::move(plan);
     job.m_isHeld = scheduler.m_areCancellationsUnread;
+    detail::assignQueue(scheduler, job);
     detail::assignCustomer(scheduler, job);
     constexpr Duration maxAge { 3'600'000 };
     const TimePoint accepted = job.m_plan.m_submittedAt - scheduler.m_wallOffset;
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -67,7 +67,7 @@
 
     UrgencyInput urgencyInputOf(const Scheduler& scheduler, const StepRun& run, TimePoint now)
     {
-        const QueueSettings& queue = queueOf(scheduler, *run.m_job);
+        const QueuePolicy& queue = queuePolicyOf(*run.m_job);
         const JobForecast& forecast = forecastOf(scheduler, *run.m_job, now);
         const auto objectiveMs = static_cast<std::int64_t>(queue.m_slackFactor * static_cast<double>(forecast.m_criticalPath.m_ms)) + queue.m_latencyTarget.m_ms;
         return { .m_isLongRunning = planOf(run).m_isLongRunning, .m_dueAt = dueTimeOf(scheduler, run), .m_objective = { objectiveMs }, .m_remaining = forecast.m_remainingTimes[run.m_step], .m_remainingWork = forecast.m_remainingWork };
@@ -101,9 +101,9 @@
             , m_view(view)
             , m_now(now)
             , m_size(grantOf(run))
-            , m_policy(queueOf(scheduler, *run.m_job).m_approval)
+            , m_policy(queuePolicyOf(*run.m_job).m_approval)
             , m_urgency(urgency)
-            , m_speedWeight(speedWeightOf(queueOf(scheduler, *run.m_job), urgency))
+            , m_speedWeight(speedWeightOf(queuePolicyOf(*run.m_job), urgency))
             , m_toPlace(countAllowed(scheduler, run, countPlaceable(run, now)))
         {
         }
@@ -505,7 +505,7 @@
     /** @return Whether an approval request of the step was delayed and can be sent now. */
     bool isDelayedRequestDue(Scheduler& scheduler, const StepRun& run, TimePoint now)
     {
-        const auto& policy = queueOf(scheduler, *run.m_job).m_approval;
+        const auto& policy = queuePolicyOf(*run.m_job).m_approval;
         return run.m_isApprovalRequestDelayed && policy && canRequestApprovals(scheduler, run, *policy, now);
     }
 
@@ -570,14 +570,14 @@
     {
         std::vector<RankedStep> starved;
         std::copy_if(ranked.begin(), ranked.end(), std::back_inserter(starved), [&](const RankedStep& step) {
-            const auto& policy = queueOf(scheduler, *step.m_run->m_job).m_approval;
+            const auto& policy = queuePolicyOf(*step.m_run->m_job).m_approval;
             return policy && isStarvedOfApprovals(*step.m_run, *policy, now);
         });
         std::stable_sort(starved.begin(), starved.end(), [](const RankedStep& one, const RankedStep& other) { return one.m_run->m_approvalRequestedAt < other.m_run->m_approvalRequestedAt; });
         orderRanked(scheduler, starved, now);
         for (const RankedStep& step : starved) {
             step.m_run->m_mayUseKeptProxies = true;
-            if (canRequestApprovals(scheduler, *step.m_run, *queueOf(scheduler, *step.m_run->m_job).m_approval, now))
+            if (canRequestApprovals(scheduler, *step.m_run, *queuePolicyOf(*step.m_run->m_job).m_approval, now))
                 StepPlacement(scheduler, *step.m_run, step.m_urgency, viewOf(views, *step.m_run), now).place(effects);
             step.m_run->m_mayUseKeptProxies = false;
         }
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -80,7 +80,7 @@
                 tasks.push_back(encodeTask(scheduler, task, areCheckpointsKept ? task.m_checkpoint : std::string()));
             runs.push_back(Json::array({ run->m_occurrence, run->m_step, run->m_gangFailures, run->m_lastFailedAttempt, std::move(tasks) }));
         }
-        Json record = Json::array({ recordFormat, static_cast<int>(job.m_stage), isShort ? 0 : job.m_nextOccurrence, std::move(runs), detail::failureLimitOf(scheduler, job) });
+        Json record = Json::array({ recordFormat, static_cast<int>(job.m_stage), isShort ? 0 : job.m_nextOccurrence, std::move(runs), detail::failureLimitOf(job) });
         if (job.m_customer && !isShort)
             record.push_back(detail::encodeCustomer(job));
         const std::vector<std::uint8_t> bytes = Json::to_cbor(record);
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -392,7 +392,7 @@
                     continue;
                 Worker& worker = scheduler.m_workers[static_cast<std::size_t>(task.m_worker)];
                 // Each start may extend the lease of a process that has started again, so a worker that does not answer is asked for a report first.
-                const bool isStartDue = task.m_phase == RunPhase::Starting && isWithinCapacity(worker) && worker.m_unansweredCalls < unansweredCallsUntilSilent && hasTicketsToStart(scheduler, ref, now);
+                const bool isStartDue = task.m_phase == RunPhase::Starting && isWithinCapacity(worker) && worker.m_unansweredCalls < unansweredCallsUntilSilent && hasTicketsToStart(ref, now);
                 const bool isStopDue = task.m_phase == RunPhase::Stopping && !task.m_isStopAcknowledged;
                 if ((!isStartDue && !isStopDue) || !takeOrderTurn(worker, now))
                     continue;
--- a/src/process/scheduler/share_order.cpp
+++ b/src/process/scheduler/share_order.cpp
@@ -33,7 +33,7 @@
             const bool isShort = pool != m_scheduler.m_pools.end() && m_now < pool->second.m_shortUntil;
             if (!job.m_customer || !isShort)
                 return m_steps.push_back({});
-            const QueueSettings& queue = queueOf(m_scheduler, job);
+            const QueuePolicy& queue = queuePolicyOf(job);
             ShareStep step { .m_group = m_groups.try_emplace(GroupKey { job.m_plan.m_pool, ranked.m_urgency.m_class, queue.m_priority }, m_groups.size()).first->second, .m_customer = positionOf(*job.m_poolUsage, pool->second) };
             step.m_demand = dominantShare(planOf(*ranked.m_run).m_size * countAllowed(m_scheduler, *ranked.m_run, countPlaceable(*ranked.m_run, m_now)), pool->second.m_capacity);
             if (queue.m_approval && pool->second.m_approvals > 0)
--- a/src/process/scheduler/start_tickets.cpp
+++ b/src/process/scheduler/start_tickets.cpp
@@ -17,9 +17,9 @@
     constexpr std::uint16_t maxTriesWithTicket = 4; ///< A worker that refuses so many starts of an attempt won't accept a new ticket either.
     constexpr Duration joiningMargin { 100 }; ///< Tickets that lapse this soon after a renewal are renewed with it, so that the members of a gang can start together.
 
-    const std::optional<ApprovalPolicy>& policyOf(const Scheduler& scheduler, const StepRun& run)
+    const std::optional<ApprovalPolicy>& policyOf(const StepRun& run)
     {
-        return queueOf(scheduler, *run.m_job).m_approval;
+        return queuePolicyOf(*run.m_job).m_approval;
     }
 
     const Ticket* findTicket(const TaskRef& ref)
@@ -109,7 +109,7 @@
     void stepTicketsOf(Scheduler& scheduler, const std::vector<TaskRef>& tasks, TimePoint now, SchedulerEffects& effects)
     {
         for (const TaskRef& ref : tasks) {
-            const auto& policy = policyOf(scheduler, *ref.m_run);
+            const auto& policy = policyOf(*ref.m_run);
             const bool isWorkerReachable = isStartOpen(ref.task()) && scheduler.m_workers[static_cast<std::size_t>(ref.task().m_worker)].m_state == WorkerState::Adopted;
             if (!policy || !isWorkerReachable) // No start is sent to a worker that does not answer.
                 continue;
@@ -121,9 +121,9 @@
 
 } // namespace
 
-bool hasTicketsToStart(const Scheduler& scheduler, const TaskRef& ref, TimePoint now)
+bool hasTicketsToStart(const TaskRef& ref, TimePoint now)
 {
-    if (!policyOf(scheduler, *ref.m_run))
+    if (!policyOf(*ref.m_run))
         return true;
     if (!hasTicket(*ref.m_run, ref.task().m_worker, now))
         return false;
--- a/src/process/scheduler/start_tickets.h
+++ b/src/process/scheduler/start_tickets.h
@@ -12,7 +12,7 @@
  */
 
 /** @return Whether the start of a placed task can be sent now: its ticket is usable, and so are those of the other members of a gang that has not begun to start. */
-bool hasTicketsToStart(const Scheduler& scheduler, const TaskRef& ref, TimePoint now);
+bool hasTicketsToStart(const TaskRef& ref, TimePoint now);
 
 /** @return The ticket that a start of a task sent now carries; empty when none is needed. */
 std::string ticketTextFor(const TaskRef& ref);
--- a/src/process/scheduler/wait_report.cpp
+++ b/src/process/scheduler/wait_report.cpp
@@ -146,7 +146,7 @@
             .m_isWorkerSilent = wait.m_isWorkerSilent,
             .m_isSuspect = isSuspect(task),
             .m_isGang = planOf(run).m_isGang,
-            .m_needsApproval = queueOf(scheduler, *run.m_job).m_approval.has_value(),
+            .m_needsApproval = queuePolicyOf(*run.m_job).m_approval.has_value(),
             .m_isHeldByCap = run.m_heldAtRelease != 0,
             .m_waitsForPlace = run.m_waitsForPlace,
             .m_isRequestDelayed = run.m_isApprovalRequestDelayed,
@@ -164,12 +164,12 @@
         return facts;
     }
 
-    void logWait(const Scheduler& scheduler, const LongestWait& wait, const StepWaitFacts& facts, WaitCause cause, TimePoint now)
+    void logWait(const LongestWait& wait, const StepWaitFacts& facts, WaitCause cause, TimePoint now)
     {
         const StepRun& run = *wait.m_run;
         const StepPlan& plan = planOf(run);
         const Job& job = *run.m_job;
-        logEvent(LogLevel::Info, "step-waits", { { "step", format(TaskName { .m_job = job.m_plan.m_id, .m_occurrence = run.m_occurrence, .m_step = run.m_step, .m_index = wait.m_index }) }, { "cause", findName(waitCauseNames, cause) }, { "waited_ms", (now - wait.m_since).m_ms }, { "urgency", findName(urgencyClassNames, urgencyOf(run.m_urgencyInput, now).m_class) }, { "queue", job.m_plan.m_queue }, { "pool", job.m_plan.m_pool }, { "configured_pool", queueOf(scheduler, job).m_pool }, { "unplaced", facts.m_unplaced }, { "attempts", facts.m_activeAttempts }, { "gang", facts.m_isGang }, { "cpu", plan.m_size.m_cpuMilli }, { "gpus", plan.m_size.m_gpus }, { "requests", facts.m_pendingRequests }, { "workers", facts.m_workers }, { "accepting", facts.m_accepting }, { "approved", facts.m_approved }, { "ticketed", facts.m_ticketed }, { "open", facts.m_open }, { "approved_open", facts.m_approvedOpen }, { "unapproved_open", facts.m_unapprovedOpen }, { "reserved", facts.m_reserved } });
+        logEvent(LogLevel::Info, "step-waits", { { "step", format(TaskName { .m_job = job.m_plan.m_id, .m_occurrence = run.m_occurrence, .m_step = run.m_step, .m_index = wait.m_index }) }, { "cause", findName(waitCauseNames, cause) }, { "waited_ms", (now - wait.m_since).m_ms }, { "urgency", findName(urgencyClassNames, urgencyOf(run.m_urgencyInput, now).m_class) }, { "queue", job.m_plan.m_queue }, { "pool", job.m_plan.m_pool }, { "configured_pool", queuePolicyOf(job).m_pool }, { "unplaced", facts.m_unplaced }, { "attempts", facts.m_activeAttempts }, { "gang", facts.m_isGang }, { "cpu", plan.m_size.m_cpuMilli }, { "gpus", plan.m_size.m_gpus }, { "requests", facts.m_pendingRequests }, { "workers", facts.m_workers }, { "accepting", facts.m_accepting }, { "approved", facts.m_approved }, { "ticketed", facts.m_ticketed }, { "open", facts.m_open }, { "approved_open", facts.m_approvedOpen }, { "unapproved_open", facts.m_unapprovedOpen }, { "reserved", facts.m_reserved } });
     }
 
     std::string formatCauses(const WaitSummary& summary)
@@ -251,7 +251,7 @@
             continue;
         ++result.m_starts;
         result.m_longest = std::max(result.m_longest, waited);
-        const bool needsTicket = queueOf(scheduler, *ref.m_run->m_job).m_approval.has_value();
+        const bool needsTicket = queuePolicyOf(*ref.m_run->m_job).m_approval.has_value();
         result.m_withoutTicket += needsTicket && !hasTicket(*ref.m_run, task.m_worker, now) ? 1 : 0;
     }
     return result;
@@ -283,7 +283,7 @@
         const WaitCause cause = waitCauseOf(facts);
         ++summary.m_byCause[static_cast<std::size_t>(cause)];
         if (i < maxLines)
-            logWait(scheduler, waits[i], facts, cause, now);
+            logWait(waits[i], facts, cause, now);
     }
     logEvent(LogLevel::Info, "steps-waiting", { { "steps", summary.m_steps }, { "oldest_ms", summary.m_oldest.m_ms }, { "causes", formatCauses(summary) }, { "unexamined", summary.m_unexamined }, { "waiting_steps", scheduler.m_waitingSteps.size() }, { "recording", scheduler.m_recording.size() }, { "starting_or_stopping", scheduler.m_startingOrStopping.size() } });
     reportProxies(scheduler, now);
--- a/src/version/cluster.cpp
+++ b/src/version/cluster.cpp
@@ -15,4 +15,17 @@
     return found;
 }
 
+QueuePolicy policyOf(const QueueSettings& queue, std::uint64_t version)
+{
+    return {
+        .m_version = version,
+        .m_pool = queue.m_pool,
+        .m_priority = queue.m_priority,
+        .m_failureLimit = queue.m_failureLimit,
+        .m_slackFactor = queue.m_slackFactor,
+        .m_latencyTarget = queue.m_latencyTarget,
+        .m_approval = queue.m_approval,
+    };
+}
+
 } // namespace bulrushloft
--- a/src/version/cluster_func.h
+++ b/src/version/cluster_func.h
@@ -16,4 +16,7 @@
  */
 const QueueSettings* findQueue(const ClusterSettings& cluster, std::string_view host, std::string_view path);
 
+/** @return How the jobs of a queue are scheduled. @param version Version of the configuration that the settings belong to. */
+QueuePolicy policyOf(const QueueSettings& queue, std::uint64_t version);
+
 } // namespace bulrushloft
--- a/src/version/cluster_type.h
+++ b/src/version/cluster_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/clock_type.h"
+#include "request/queue_policy_type.h"
 #include "version/customer_type.h"
 
 #include <cstdint>
@@ -13,13 +14,6 @@
 
 namespace bulrushloft {
 
-/** Latency and validity of the approvals (tickets) that an external service issues for the steps of a queue. */
-struct ApprovalPolicy {
-    double m_baseCallTimeMs = 0; ///< Expected duration of one call to the service without the time for its workers, in milliseconds.
-    double m_callTimePerWorkerMs = 0; ///< Additional expected duration for each worker named in the call, in milliseconds.
-    Duration m_validity; ///< How long a ticket remains valid.
-};
-
 /** A queue: the route by which jobs are submitted, and how they are scheduled. */
 struct QueueSettings {
     std::string m_name; ///< Name of the queue.
--- a/tests/backlog_test.cpp
+++ b/tests/backlog_test.cpp
@@ -80,7 +80,7 @@
         QueueSettings batch = makeQueue("batch", 4, { 3'000 }, batchPolicy);
         quick.m_pool = "plain";
         batch.m_pool = "plain";
-        setCluster(m_load.m_scheduler, { .m_version = 2, .m_queues = { makeQueue("gang", gangSlackFactor, gangLatencyTarget, gangPolicy), makeQueue("small", 4, { 3'000 }, smallPolicy), quick, batch }, .m_pools = { { .m_name = "pool" }, { .m_name = "plain" } } });
+        m_load.configure({ .m_version = 2, .m_queues = { makeQueue("gang", gangSlackFactor, gangLatencyTarget, gangPolicy), makeQueue("small", 4, { 3'000 }, smallPolicy), quick, batch }, .m_pools = { { .m_name = "pool" }, { .m_name = "plain" } } });
     }
 
     StepPlan drawStep()
--- a/tests/fakes/approval_load.h
+++ b/tests/fakes/approval_load.h
@@ -79,6 +79,7 @@
     std::function<double(const TaskName&)> m_estimateError; ///< Run time of a task divided by the caller's estimate; 1 when unset.
     std::deque<std::pair<std::uint64_t, TimePoint>> m_appends; ///< Batches that are not durable yet, with the time at which they will be.
     int m_nextJob = 1;
+    ClusterSettings m_cluster; ///< The configuration in force.
 
     explicit ApprovalLoad(int workers, int proxies, double approvedShare)
         : m_approvedShare(approvedShare)
@@ -88,13 +89,26 @@
         const ApprovalPolicy gangPolicy { .m_baseCallTimeMs = 490, .m_callTimePerWorkerMs = 7, .m_validity = { 2'000 } };
         const ApprovalPolicy smallPolicy { .m_baseCallTimeMs = 160, .m_callTimePerWorkerMs = 2.3, .m_validity = { 2'000 } };
         const ApprovalPolicy quickPolicy { .m_baseCallTimeMs = 25, .m_callTimePerWorkerMs = 0.35, .m_validity = { 2'000 } };
-        setCluster(m_scheduler, { .m_version = 1, .m_queues = { makeQueue("gang", gangSlackFactor, gangLatencyTarget, gangPolicy), makeQueue("small", 4, { 3'000 }, smallPolicy), makeQueue("quick", 2, { 300 }, quickPolicy) }, .m_pools = { { .m_name = "pool" } } });
+        configure({ .m_version = 1, .m_queues = { makeQueue("gang", gangSlackFactor, gangLatencyTarget, gangPolicy), makeQueue("small", 4, { 3'000 }, smallPolicy), makeQueue("quick", 2, { 300 }, quickPolicy) }, .m_pools = { { .m_name = "pool" } } });
         for (int i = 0; i < proxies; ++i)
             m_scheduler.m_approvalProxies.push_back({ .m_member = "vm-" + std::to_string(i), .m_busyUntil = {} });
         for (int i = 0; i < workers; ++i)
             adopt("w" + std::to_string(i));
     }
 
+    /** Puts a version of the configuration into force. */
+    void configure(const ClusterSettings& cluster)
+    {
+        m_cluster = cluster;
+        setCluster(m_scheduler, m_cluster);
+    }
+
+    /** @return A queue of the configuration in force. */
+    const QueueSettings& queue(const std::string& name) const
+    {
+        return *std::find_if(m_cluster.m_queues.begin(), m_cluster.m_queues.end(), [&](const QueueSettings& each) { return each.m_name == name; });
+    }
+
     void adopt(const std::string& id)
     {
         m_workers[id];
@@ -119,7 +133,7 @@
     {
         std::string text = nextJobId();
         ++m_nextJob;
-        acceptJob(m_scheduler, { .m_id = text, .m_queue = queue, .m_pool = m_scheduler.m_queues.at(queue).m_pool, .m_payload = "p", .m_steps = { step }, .m_firstStart = {}, .m_period = {}, .m_occurrenceCount = 0, .m_submittedAt = m_now }, m_now);
+        acceptJob(m_scheduler, { .m_id = text, .m_queue = queue, .m_pool = this->queue(queue).m_pool, .m_payload = "p", .m_steps = { step }, .m_firstStart = {}, .m_period = {}, .m_occurrenceCount = 0, .m_submittedAt = m_now }, m_now);
         return text;
     }
 
@@ -147,7 +161,7 @@
         return isApprovedFor(m_scheduler.m_jobs.at(job)->m_plan.m_queue, job, worker);
     }
 
-    const std::optional<ApprovalPolicy>& policyOf(const std::string& job) const { return m_scheduler.m_queues.at(m_scheduler.m_jobs.at(job)->m_plan.m_queue).m_approval; }
+    const std::optional<ApprovalPolicy>& policyOf(const std::string& job) const { return queue(m_scheduler.m_jobs.at(job)->m_plan.m_queue).m_approval; }
 
     void answer(const ApprovalRequest& request)
     {
--- a/tests/fakes/gated_load.h
+++ b/tests/fakes/gated_load.h
@@ -45,16 +45,15 @@
         : ApprovalLoad(workers, proxies, 0.3)
         , m_isGated(isGated)
     {
-        ClusterSettings cluster { .m_version = 2, .m_queues = {}, .m_pools = { { .m_name = "pool" } } };
-        for (const auto& [name, queue] : m_scheduler.m_queues)
-            cluster.m_queues.push_back(queue);
+        ClusterSettings cluster = m_cluster;
+        cluster.m_version = 2;
         QueueSettings plain = makeQueue("plain", plainSlackFactor, plainTarget, {});
         plain.m_approval.reset();
         cluster.m_queues.push_back(plain);
         plain.m_name = "other";
         cluster.m_queues.push_back(plain);
         cluster.m_customers = std::move(customers);
-        setCluster(m_scheduler, cluster);
+        configure(cluster);
         cell::beginGateTerm(m_gate, 1, m_now);
         cell::applyCustomers(m_gate, std::make_shared<const ClusterSettings>(cluster), m_now);
         m_areCallsSerial = true;
@@ -95,7 +94,7 @@
 
     Duration objectiveOf(const Offer& offer) const
     {
-        const QueueSettings& queue = m_scheduler.m_queues.at(offer.m_queue);
+        const QueueSettings& queue = this->queue(offer.m_queue);
         return Duration { static_cast<std::int64_t>(queue.m_slackFactor * static_cast<double>(offer.m_runTime.m_ms)) } + queue.m_latencyTarget;
     }
 
--- a/tests/fakes/rack_load.h
+++ b/tests/fakes/rack_load.h
@@ -20,7 +20,7 @@
         m_scheduler.m_options.m_remoteFactor = 3;
         QueueSettings plain = makeQueue("plain", looseSlack, { 1'000 }, {});
         plain.m_approval.reset();
-        setCluster(m_scheduler, { .m_version = 2, .m_queues = { plain, m_scheduler.m_queues.at("quick") }, .m_pools = { { .m_name = "pool" } } });
+        configure({ .m_version = 2, .m_queues = { plain, queue("quick") }, .m_pools = { { .m_name = "pool" } } });
         for (int i = 0; i < nearWorkers; ++i)
             adopt("near" + std::to_string(i));
         for (int i = 0; i < farWorkers; ++i) {
--- a/tests/learned_record_test.cpp
+++ b/tests/learned_record_test.cpp
@@ -28,7 +28,7 @@
 
     TermFixture()
     {
-        m_scheduler.m_queues["q"] = { .m_name = "q", .m_pool = "p" };
+        setCluster(m_scheduler, { .m_version = 1, .m_queues = { { .m_name = "q", .m_pool = "p" } }, .m_pools = { { .m_name = "p" } } });
     }
 
     void announce(const std::string& id)
--- a/tests/malformed_input_test.cpp
+++ b/tests/malformed_input_test.cpp
@@ -219,7 +219,7 @@
 BOOST_AUTO_TEST_CASE(occurrences_that_are_all_due_at_once_are_opened_in_parts)
 {
     scheduler::Scheduler scheduler;
-    scheduler.m_queues["q"] = { .m_name = "q", .m_pool = "p" };
+    scheduler::setCluster(scheduler, { .m_version = 1, .m_queues = { { .m_name = "q", .m_pool = "p" } }, .m_pools = { { .m_name = "p" } } });
     JobPlan plan = makePlan();
     plan.m_occurrenceCount = UINT32_MAX;
     plan.m_period = { 0 };
@@ -262,7 +262,7 @@
     constexpr int rounds = 3'000;
     std::mt19937_64 random(20261205);
     scheduler::Scheduler source;
-    source.m_queues["q"] = { .m_name = "q", .m_pool = "p" };
+    scheduler::setCluster(source, { .m_version = 1, .m_queues = { { .m_name = "q", .m_pool = "p" } }, .m_pools = { { .m_name = "p" } } });
     scheduler::acceptAndRecord(source, makePlan(), encodePlan(makePlan()), { 1'000 });
     const std::vector<KeyedRecord> records = scheduler::takeRecords(source);
     BOOST_REQUIRE(records.size() == 2U);
--- a/tests/place_wait_test.cpp
+++ b/tests/place_wait_test.cpp
@@ -269,10 +269,10 @@
 {
     constexpr int rounds = 4;
     RackLoad load(1, 1);
-    QueueSettings urgent = load.m_scheduler.m_queues.at("plain");
+    QueueSettings urgent = load.queue("plain");
     urgent.m_name = "urgent";
     urgent.m_slackFactor = 1;
-    setCluster(load.m_scheduler, { .m_version = 3, .m_queues = { load.m_scheduler.m_queues.at("plain"), urgent }, .m_pools = { { .m_name = "pool" } } });
+    load.configure({ .m_version = 3, .m_queues = { load.queue("plain"), urgent }, .m_pools = { { .m_name = "pool" } } });
     load.submit("urgent", RackLoad::makeStep(1, nearRack, { 1'000 }));
     load.submit("plain", RackLoad::makeStep(1, farRack, { 1'000 }));
     load.run({ 20 });
--- a/tests/repeated_job_test.cpp
+++ b/tests/repeated_job_test.cpp
@@ -21,7 +21,7 @@
 Scheduler makeScheduler()
 {
     Scheduler scheduler;
-    scheduler.m_queues["q"] = { .m_name = "q", .m_pool = "pool" };
+    setCluster(scheduler, { .m_version = 1, .m_queues = { { .m_name = "q", .m_pool = "pool" } }, .m_pools = { { .m_name = "pool" } } });
     return scheduler;
 }
 
