Accepted jobs follow their queue to another service

Cause: the pool of the submission stood in the job's plan and was used for good by placement, shares, usage, admission and reports, while all other settings of the queue followed the configuration. Change: the pool is that of the latest known version that names the queue. A move frees what is kept for the queue's steps in the former pool, stops waiting for approvals there, and has the next pass look at the steps. Attempts count for their customer in the pool of their worker. What runs goes on where it is. Why it works: all that looks for workers of a job asks poolOf(); what is placed, recorded or on its way is untouched, so nothing can run twice for a move.

--- a/src/process/cell/cell_gate.cpp
+++ b/src/process/cell/cell_gate.cpp
@@ -61,7 +61,8 @@
     if (!isGateEnabled(node) || gate.m_term != node.m_term || !areSubmissionsRead(node) || isKnown(node, plan.m_id))
         return std::nullopt;
     GateRequest request { .m_job = plan.m_id, .m_customer = plan.m_customer, .m_need = {} };
-    const bool isBehindOthers = gate.m_estimate && gate.m_estimate->m_load.m_pools.contains(plan.m_pool); // The predictions take a walk over all steps, so they are made only then.
+    const std::string& pool = scheduler::detail::poolFor(*node.m_scheduler, plan);
+    const bool isBehindOthers = gate.m_estimate && gate.m_estimate->m_load.m_pools.contains(pool); // The predictions take a walk over all steps, so they are made only then.
     if (isBehindOthers && isEstimable(plan, node.m_now + node.m_wallOffset))
         request.m_need = needOf(*node.m_scheduler, plan);
     const GateDecision decision = decide(gate, request, node.m_now);
--- a/src/process/cell/service_load.cpp
+++ b/src/process/cell/service_load.cpp
@@ -136,7 +136,7 @@
             const bool isHeld = run.m_heldAtRelease != 0;
             const bool isRanked = run.m_urgencyInputAt.m_ms > 0;
             if (isRanked && !isHeld)
-                addStep(scheduler, load.m_pools[run.m_job->m_plan.m_pool], run, static_cast<double>(stride), now);
+                addStep(scheduler, load.m_pools[detail::poolOf(*run.m_job)], run, static_cast<double>(stride), now);
             const CustomerUsage* const customer = run.m_job->m_customer;
             if (customer && !(customer->m_cap == Resources {}) && (isRanked || isHeld))
                 addStep(scheduler, load.m_customers[customer->m_name], run, static_cast<double>(stride), now);
@@ -186,7 +186,7 @@
 SubmissionNeed needOf(const Scheduler& scheduler, JobPlan& plan)
 {
     SubmissionNeed need;
-    need.m_pool = plan.m_pool;
+    need.m_pool = detail::poolFor(scheduler, plan);
     need.m_customer = plan.m_customer;
     for (const StepPlan& step : plan.m_steps) {
         if (!step.m_predecessors.empty())
--- a/src/process/scheduler/approvals.cpp
+++ b/src/process/scheduler/approvals.cpp
@@ -210,7 +210,7 @@
             ApprovalState& state = run.m_approval;
             ++state.m_pendingRequests;
             state.m_askedWorkers += static_cast<std::uint32_t>(unknown.size());
-            ApprovalRequest request { .m_member = proxy->m_member, .m_step = nameOf({ &run, 0 }), .m_workers = {} };
+            ApprovalRequest request { .m_member = proxy->m_member, .m_step = nameOf({ &run, 0 }), .m_generation = state.m_generation, .m_workers = {} };
             const auto name = [&](WorkerIndex index) {
                 Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
                 ++worker.m_pendingNames;
@@ -335,12 +335,14 @@
     if (!ref.m_run)
         return;
     ApprovalState& state = ref.m_run->m_approval;
-    state.m_pendingRequests -= state.m_pendingRequests > 0 ? 1 : 0;
+    const bool isCounted = request.m_generation == state.m_generation;
+    state.m_pendingRequests -= isCounted && state.m_pendingRequests > 0 ? 1 : 0;
     ref.m_run->m_isChanged = true;
     scheduler.m_needsPlacing = true;
     logEvent(LogLevel::Info, "approval-request-ended", { { "step", format(request.m_step) }, { "sent_by", request.m_member }, { "workers_named", request.m_workers.size() }, { "approved", approvals ? static_cast<std::int64_t>(approvals->size()) : -1 } });
     constexpr Duration retryDelay { 150 };
-    state.m_nextRequestAt = approvals ? now : now + retryDelay;
+    if (isCounted)
+        state.m_nextRequestAt = approvals ? now : now + retryDelay;
     const auto& policy = detail::queuePolicyOf(*ref.m_run->m_job).m_approval;
     const TimePoint usableUntil = now + (policy ? policy->m_validity : Duration {}) - detail::ticketExpiryMargin;
     for (const std::string& id : request.m_workers) {
@@ -351,7 +353,7 @@
         const bool isApproved = approvals && approval != approvals->end();
         detail::applyAnswer(state, found->second, approvals.has_value(), isApproved ? &*approval : nullptr, usableUntil);
     }
-    if (!approvals)
+    if (!approvals || !isCounted)
         return;
     ApprovalRate& rate = scheduler.m_approvalRates[ref.m_run->m_job->m_plan.m_queue];
     rate.m_named += static_cast<double>(request.m_workers.size());
--- a/src/process/scheduler/customer_usage.cpp
+++ b/src/process/scheduler/customer_usage.cpp
@@ -40,6 +40,13 @@
         return { .m_cpuMilli = extended(customer.m_cap.m_cpuMilli), .m_memoryMb = extended(customer.m_cap.m_memoryMb), .m_gpus = extended(customer.m_cap.m_gpus) };
     }
 
+    /** @return The usage of the pool that a worker serves, by the customer of a job; of the pool of the job while the worker has not been announced. */
+    PoolUsage* usageAt(const Worker& worker, const Job& job)
+    {
+        const std::string& pool = worker.m_announcement.m_pool;
+        return pool.empty() ? job.m_poolUsage : &job.m_customer->m_pools[pool];
+    }
+
     /** Adds an attempt that may run on a worker, unless it is current or its job has no customer. */
     void addLingering(Scheduler& scheduler, std::int32_t index, const TaskName& name, std::uint32_t attempt, std::vector<CountedAttempt>& attempts)
     {
@@ -49,7 +56,7 @@
         const bool isCurrent = ref.task().m_worker == index && ref.task().m_attempt == attempt && ref.task().m_phase != RunPhase::None;
         const bool isKnown = std::any_of(attempts.begin(), attempts.end(), [&](const CountedAttempt& each) { return each.m_attempt == attempt && each.m_task == name; });
         if (!isCurrent && !isKnown)
-            attempts.push_back({ .m_customer = ref.m_run->m_job->m_customer, .m_pool = ref.m_run->m_job->m_poolUsage, .m_task = name, .m_attempt = attempt, .m_size = planOf(*ref.m_run).m_size });
+            attempts.push_back({ .m_customer = ref.m_run->m_job->m_customer, .m_pool = usageAt(scheduler.m_workers[static_cast<std::size_t>(index)], *ref.m_run->m_job), .m_task = name, .m_attempt = attempt, .m_size = planOf(*ref.m_run).m_size });
     }
 
     /** Logs once that a gang does not fit under a cap that was reduced after its submission. */
@@ -115,19 +122,43 @@
     if (job.m_plan.m_customer.empty())
         return;
     job.m_customer = &findOrCreateCustomer(scheduler, job.m_plan.m_customer);
-    job.m_poolUsage = &job.m_customer->m_pools[job.m_plan.m_pool];
+    assignPoolUsage(job);
 }
 
-void countAttempt(const StepRun& run)
+void assignPoolUsage(Job& job)
 {
-    if (run.m_job->m_customer)
-        add(*run.m_job->m_customer, run.m_job->m_poolUsage, planOf(run).m_size);
+    if (job.m_customer)
+        job.m_poolUsage = &job.m_customer->m_pools[poolOf(job)];
 }
 
-void releaseAttempt(const StepRun& run)
+void countAttempt(Scheduler& scheduler, const TaskRef& ref)
 {
-    if (run.m_job->m_customer)
-        subtract(*run.m_job->m_customer, run.m_job->m_poolUsage, planOf(run).m_size);
+    const Job& job = *ref.m_run->m_job;
+    if (!job.m_customer)
+        return;
+    ref.task().m_countedIn = usageAt(scheduler.m_workers[static_cast<std::size_t>(ref.task().m_worker)], job);
+    add(*job.m_customer, ref.task().m_countedIn, planOf(*ref.m_run).m_size);
+}
+
+void releaseAttempt(const TaskRef& ref)
+{
+    if (ref.m_run->m_job->m_customer)
+        subtract(*ref.m_run->m_job->m_customer, std::exchange(ref.task().m_countedIn, nullptr), planOf(*ref.m_run).m_size);
+}
+
+void recountPool(Scheduler& scheduler, std::int32_t worker)
+{
+    const Worker& host = scheduler.m_workers[static_cast<std::size_t>(worker)];
+    for (const TaskRef& ref : host.m_tasks) {
+        const Job& job = *ref.m_run->m_job;
+        if (!job.m_customer)
+            continue;
+        const Resources& size = planOf(*ref.m_run).m_size;
+        PoolUsage* const former = std::exchange(ref.task().m_countedIn, usageAt(host, job));
+        former->m_running = former->m_running - size;
+        ref.task().m_countedIn->m_running = ref.task().m_countedIn->m_running + size;
+    }
+    recountLingering(scheduler, worker);
 }
 
 void recountLingering(Scheduler& scheduler, std::int32_t worker)
@@ -223,7 +254,7 @@
         for (const auto& run : job->m_runs) {
             for (const Task& task : run->m_tasks) {
                 if (job->m_customer && task.m_phase != RunPhase::None)
-                    count(job->m_customer, job->m_poolUsage, planOf(*run).m_size);
+                    count(job->m_customer, task.m_countedIn, planOf(*run).m_size);
             }
         }
     }
--- a/src/process/scheduler/customer_usage.h
+++ b/src/process/scheduler/customer_usage.h
@@ -17,6 +17,7 @@
 struct Job;
 struct Scheduler;
 struct StepRun;
+struct TaskRef;
 
 /** What a customer has running in one pool. */
 struct PoolUsage {
@@ -70,11 +71,17 @@
     /** Connects a new job with its customer, if it has one. */
     void assignCustomer(Scheduler& scheduler, Job& job);
 
-    /** Counts an attempt of a step that has been placed or restored. */
-    void countAttempt(const StepRun& run);
+    /** Has the job's customer compared with others in the pool in which the job's tasks are placed from now on. */
+    void assignPoolUsage(Job& job);
 
-    /** Ends the count of the current attempt of a step's task. */
-    void releaseAttempt(const StepRun& run);
+    /** Counts an attempt that has been placed or restored, in the pool of its worker. */
+    void countAttempt(Scheduler& scheduler, const TaskRef& ref);
+
+    /** Ends the count of the current attempt of a task. */
+    void releaseAttempt(const TaskRef& ref);
+
+    /** Counts the attempts on a worker that serves another pool than was known. */
+    void recountPool(Scheduler& scheduler, std::int32_t worker);
 
     /**
      * Counts anew the attempts that may run on a worker without being current: those that its latest report lists, and those whose start may still
--- a/src/process/scheduler/scheduler_base.h
+++ b/src/process/scheduler/scheduler_base.h
@@ -86,6 +86,7 @@
     std::uint16_t m_tries = 0; ///< Calls made in the current phase.
     std::uint32_t m_attempt = 0; ///< Number of the newest attempt; 0 before the first.
     WorkerIndex m_worker = noWorker; ///< Worker of the current attempt.
+    PoolUsage* m_countedIn = nullptr; ///< The customer's usage of a pool that counts the current attempt; null for none.
     WorkerIndex m_lastWorker = noWorker; ///< Worker of the latest attempt that has ended, was refused or was lost.
     std::uint32_t m_lastAttempt = 0; ///< Number of that attempt.
     std::uint64_t m_batch = 0; ///< Record batch that must be durable before the start is sent.
@@ -134,6 +135,7 @@
     std::unordered_map<WorkerIndex, Ticket> m_tickets; ///< Ticket of each approved worker.
     std::uint32_t m_pendingRequests = 0; ///< Requests that have not been answered yet.
     std::uint32_t m_askedWorkers = 0; ///< Number of workers whose mark is Asked.
+    std::uint32_t m_generation = 0; ///< Counts how often the step's queue was sent to another pool; requests from before are not counted any more.
     TimePoint m_nextRequestAt; ///< Earliest time of the next request.
 };
 
@@ -219,7 +221,7 @@
     TimePoint m_endedAt; ///< Monotonic time of the end.
     Duration m_criticalPath; ///< Predicted run time of the critical path at acceptance.
     CustomerUsage* m_customer = nullptr; ///< Its customer; null for none.
-    PoolUsage* m_poolUsage = nullptr; ///< What the customer has running in the job's pool; null for none.
+    PoolUsage* m_poolUsage = nullptr; ///< What the customer has running in the pool in which the job's tasks are placed; null for none.
     JobForecast m_forecast; ///< What the urgency of its waiting steps was last computed from.
     std::vector<std::unique_ptr<StepRun>> m_runs; ///< Steps of all occurrences that are due, by occurrence and step.
 };
@@ -373,6 +375,7 @@
 struct ApprovalRequest {
     std::string m_member; ///< VM that sends the request.
     TaskName m_step; ///< Job, occurrence and step; the task index is 0.
+    std::uint32_t m_generation = 0; ///< ApprovalState::m_generation when it was sent.
     std::vector<std::string> m_workers; ///< Ids of the workers for which approval is requested.
 };
 
--- a/src/process/scheduler/scheduler_place.cpp
+++ b/src/process/scheduler/scheduler_place.cpp
@@ -523,7 +523,7 @@
             run->m_isWaiting = !isFinal(run->m_job->m_stage) && countUnplaced(*run) > 0;
             if (!run->m_isWaiting || !run->m_isReleased)
                 return !run->m_isWaiting;
-            const auto view = views.find(run->m_job->m_plan.m_pool);
+            const auto view = views.find(poolOf(*run->m_job));
             const std::uint32_t placeable = view != views.end() ? countPlaceable(*run, now) : 0;
             if (placeable > 0 && !isHeldByCap(scheduler, *run, placeable, now) && (isFullPass || isPromising(scheduler, *run, view->second, now)))
                 ranked.push_back({ stepUrgency(scheduler, *run, now), run });
@@ -544,7 +544,7 @@
 
     PoolView& viewOf(PoolViews& views, const StepRun& run)
     {
-        return views.find(run.m_job->m_plan.m_pool)->second;
+        return views.find(poolOf(*run.m_job))->second;
     }
 
     /** Reserves a share of each pool for late steps before more urgent steps are placed. The share does not count against that of the others. */
@@ -629,7 +629,7 @@
         step.m_run->m_isChanged = false;
         placement.place(effects);
         if (placement.isLeftShort())
-            noteShortage(scheduler, step.m_run->m_job->m_plan.m_pool, now);
+            noteShortage(scheduler, poolOf(*step.m_run->m_job), now);
         if (isFullPass)
             placement.reserve(reservationLimitsOf(view.m_workers.size()));
     }
--- a/src/process/scheduler/scheduler_record.cpp
+++ b/src/process/scheduler/scheduler_record.cpp
@@ -172,7 +172,7 @@
         host.m_granted = host.m_granted + detail::grantOf(*ref.m_run);
         ++ref.m_run->m_attemptsByWorker[task.m_worker];
         ++ref.m_run->m_activeAttempts;
-        detail::countAttempt(*ref.m_run);
+        detail::countAttempt(scheduler, ref);
     }
 
     void restoreRun(Scheduler& scheduler, Job& job, const Json& row, TimePoint now)
--- a/src/process/scheduler/scheduler_tasks.cpp
+++ b/src/process/scheduler/scheduler_tasks.cpp
@@ -68,7 +68,7 @@
         BULRUSH_INVARIANT(fitsInto(worker.m_granted, worker.m_announcement.m_capacity), "granted resources fit the worker's capacity");
         ++ref.m_run->m_attemptsByWorker[index];
         ++ref.m_run->m_activeAttempts;
-        countAttempt(*ref.m_run);
+        countAttempt(scheduler, ref);
         scheduler.m_recording.push_back(ref);
         markDirty(scheduler, *ref.m_run->m_job);
         ++scheduler.m_counters.m_placements;
@@ -89,7 +89,7 @@
         if (--run.m_attemptsByWorker[task.m_worker] == 0)
             run.m_attemptsByWorker.erase(task.m_worker);
         --run.m_activeAttempts;
-        releaseAttempt(run);
+        releaseAttempt(ref);
         if (task.m_phase == RunPhase::Recording) {
             std::erase(scheduler.m_recording, ref);
         } else {
--- a/src/process/scheduler/scheduler_workers.cpp
+++ b/src/process/scheduler/scheduler_workers.cpp
@@ -450,7 +450,10 @@
         if (!scheduler.m_isInitialLoad)
             logEvent(LogLevel::Info, "worker-announced", { { "worker", announcement.m_id }, { "pool", announcement.m_pool }, { "address", format(announcement.m_address) }, { "has_restarted", hasRestarted } });
     }
+    const bool servesOtherPool = worker.m_announcement.m_pool != announcement.m_pool;
     worker.m_announcement = announcement;
+    if (servesOtherPool)
+        detail::recountPool(scheduler, found->second);
     scheduler.m_changedWorkers.push_back(found->second);
     worker.m_isAnnounced = true;
     if (const auto speed = scheduler.m_restoredSpeeds.extract(announcement.m_id); !speed.empty() && worker.m_health.m_samples == 0) {
--- a/src/process/scheduler/share_order.cpp
+++ b/src/process/scheduler/share_order.cpp
@@ -29,12 +29,12 @@
         void add(const RankedStep& ranked)
         {
             const Job& job = *ranked.m_run->m_job;
-            const auto pool = m_scheduler.m_pools.find(job.m_plan.m_pool);
+            const auto pool = m_scheduler.m_pools.find(poolOf(job));
             const bool isShort = pool != m_scheduler.m_pools.end() && m_now < pool->second.m_shortUntil;
             if (!job.m_customer || !isShort)
                 return m_steps.push_back({});
             const QueuePolicy& queue = queuePolicyOf(job);
-            ShareStep step { .m_group = m_groups.try_emplace(GroupKey { job.m_plan.m_pool, ranked.m_urgency.m_class, queue.m_priority }, m_groups.size()).first->second, .m_customer = positionOf(*job.m_poolUsage, pool->second) };
+            ShareStep step { .m_group = m_groups.try_emplace(GroupKey { poolOf(job), ranked.m_urgency.m_class, queue.m_priority }, m_groups.size()).first->second, .m_customer = positionOf(*job.m_poolUsage, pool->second) };
             step.m_demand = dominantShare(planOf(*ranked.m_run).m_size * countAllowed(m_scheduler, *ranked.m_run, countPlaceable(*ranked.m_run, m_now)), pool->second.m_capacity);
             if (queue.m_approval && pool->second.m_approvals > 0)
                 step.m_approvals = static_cast<double>(approvalRequestDuration(*queue.m_approval, 1).m_ms) / std::max(pool->second.m_approvals, static_cast<double>(shareAveraging.m_ms));
--- a/src/process/scheduler/wait_report.cpp
+++ b/src/process/scheduler/wait_report.cpp
@@ -158,7 +158,7 @@
             return facts;
         for (const WorkerIndex index : scheduler.m_activeWorkers) {
             const Worker& worker = scheduler.m_workers[static_cast<std::size_t>(index)];
-            if (worker.m_isAnnounced && worker.m_announcement.m_pool == run.m_job->m_plan.m_pool && isSuitable(run, worker))
+            if (worker.m_isAnnounced && worker.m_announcement.m_pool == poolOf(*run.m_job) && isSuitable(run, worker))
                 addWorker(facts, scheduler, run, index, now);
         }
         return facts;
@@ -169,7 +169,7 @@
         const StepRun& run = *wait.m_run;
         const StepPlan& plan = planOf(run);
         const Job& job = *run.m_job;
-        logEvent(LogLevel::Info, "step-waits", { { "step", format(TaskName { .m_job = job.m_plan.m_id, .m_occurrence = run.m_occurrence, .m_step = run.m_step, .m_index = wait.m_index }) }, { "cause", findName(waitCauseNames, cause) }, { "waited_ms", (now - wait.m_since).m_ms }, { "urgency", findName(urgencyClassNames, urgencyOf(run.m_urgencyInput, now).m_class) }, { "queue", job.m_plan.m_queue }, { "pool", job.m_plan.m_pool }, { "configured_pool", queuePolicyOf(job).m_pool }, { "unplaced", facts.m_unplaced }, { "attempts", facts.m_activeAttempts }, { "gang", facts.m_isGang }, { "cpu", plan.m_size.m_cpuMilli }, { "gpus", plan.m_size.m_gpus }, { "requests", facts.m_pendingRequests }, { "workers", facts.m_workers }, { "accepting", facts.m_accepting }, { "approved", facts.m_approved }, { "ticketed", facts.m_ticketed }, { "open", facts.m_open }, { "approved_open", facts.m_approvedOpen }, { "unapproved_open", facts.m_unapprovedOpen }, { "reserved", facts.m_reserved } });
+        logEvent(LogLevel::Info, "step-waits", { { "step", format(TaskName { .m_job = job.m_plan.m_id, .m_occurrence = run.m_occurrence, .m_step = run.m_step, .m_index = wait.m_index }) }, { "cause", findName(waitCauseNames, cause) }, { "waited_ms", (now - wait.m_since).m_ms }, { "urgency", findName(urgencyClassNames, urgencyOf(run.m_urgencyInput, now).m_class) }, { "queue", job.m_plan.m_queue }, { "pool", poolOf(job) }, { "config", queuePolicyOf(job).m_version }, { "unplaced", facts.m_unplaced }, { "attempts", facts.m_activeAttempts }, { "gang", facts.m_isGang }, { "cpu", plan.m_size.m_cpuMilli }, { "gpus", plan.m_size.m_gpus }, { "requests", facts.m_pendingRequests }, { "workers", facts.m_workers }, { "accepting", facts.m_accepting }, { "approved", facts.m_approved }, { "ticketed", facts.m_ticketed }, { "open", facts.m_open }, { "approved_open", facts.m_approvedOpen }, { "unapproved_open", facts.m_unapprovedOpen }, { "reserved", facts.m_reserved } });
     }
 
     std::string formatCauses(const WaitSummary& summary)
--- a/src/request/plan_type.h
+++ b/src/request/plan_type.h
@@ -35,7 +35,7 @@
 struct JobPlan {
     std::string m_id; ///< Id chosen by the caller, 16 hexadecimal digits; a repeated id refers to the same job.
     std::string m_queue; ///< Name of the queue.
-    std::string m_pool; ///< Pool of workers that the queue was assigned to at submission.
+    std::string m_pool; ///< Pool of workers that the queue was assigned to at submission; see scheduler::KnownQueue for the one that counts.
     std::string m_payload; ///< Opaque data that is passed to the workers.
     std::vector<StepPlan> m_steps; ///< Steps of the job; at least one.
     TimePoint m_firstStart; ///< Wall-clock time of the first occurrence.
--- a/src/request/queue_policy_type.h
+++ b/src/request/queue_policy_type.h
@@ -27,6 +27,8 @@
     double m_slackFactor = 1; ///< The latency objective of a job is the run time of its longest chain of dependent steps, multiplied by this, plus m_latencyTarget.
     Duration m_latencyTarget; ///< Fixed part of the latency objective.
     std::optional<ApprovalPolicy> m_approval; ///< Set if tasks need a ticket to start.
+
+    bool operator==(const QueuePolicy&) const = default;
 };
 
 } // namespace bulrushloft
