Simulation of queues that are sent to another pool while jobs last

Change: versions of a simulation's configuration send queues from one pool to another, remove them and bring them back, beside killed leaders, losses of power, cuts, outages of the store, random faults with late orders, crashes of workers, approvals and caps. Checked are TWICE, ORDER, CAP, UNASKED, LOST as before; ROUTE (a start in a pool to which no version sends the queue) and, where nothing fails, CONFIG (a start in a former pool 3 s after the change).

--- a/tests/cell_simulation.cpp
+++ b/tests/cell_simulation.cpp
@@ -13,6 +13,8 @@
     , m_keyRandom(options.m_seed + 7'919)
     , m_queues(simulatedQueues(options.m_needsApprovals))
 {
+    if (options.m_queueMoves.m_count > 0)
+        m_poolMarks.push_back({ .m_at = 0, .m_text = std::string(m_queues.size(), '0') });
     for (int i = 0; i < options.m_keyChanges.m_customers; ++i)
         m_keys.push_back({ .m_customer = i, .m_text = "k" + std::to_string(i), .m_addedAt = m_now, .m_removedAt = {} });
     m_store.append({ .m_partition = { .m_topic = "op" }, .m_records = { { .m_key = configKey, .m_value = configText() } }, .m_writer = {}, .m_expectedEnd = {} });
@@ -103,6 +105,7 @@
             ClusterSettings settings = makeSettings(m_queues);
             settings.m_version = std::stoull(value);
             settings.m_customers = makeCustomers(std::stoll(value));
+            applyPools(settings, value);
             return settings;
         };
     }
@@ -117,7 +120,7 @@
     decoders.m_worker = [this](const std::string& id, const std::string& value) -> std::optional<WorkerAnnouncement> {
         Resources capacity = simulatedCapacity(m_options.m_needsApprovals);
         capacity.m_cpuMilli = std::stoll(value.substr(value.find(' ')));
-        return WorkerAnnouncement { .m_id = id, .m_pool = "pool", .m_address = { "127.0.0.2", 1 }, .m_zone = "a", .m_machine = {}, .m_capacity = capacity, .m_labels = m_options.m_needsApprovals ? std::vector<std::string> { "gpu", "r1-" + std::to_string(std::stoi(id.substr(1)) % rackCount) } : std::vector<std::string> {}, .m_isDraining = false, .m_remainingDrainTime = {}, .m_processStartMs = std::stoll(value) };
+        return WorkerAnnouncement { .m_id = id, .m_pool = poolOfWorker(id), .m_address = { "127.0.0.2", 1 }, .m_zone = "a", .m_machine = {}, .m_capacity = capacity, .m_labels = m_options.m_needsApprovals ? std::vector<std::string> { "gpu", "r1-" + std::to_string(std::stoi(id.substr(1)) % rackCount) } : std::vector<std::string> {}, .m_isDraining = false, .m_remainingDrainTime = {}, .m_processStartMs = std::stoll(value) };
     };
     decoders.m_plan = [this](const std::string& body) -> Expected<JobPlan> {
         return makePlan(m_queues, body);
@@ -192,6 +195,7 @@
     scheduleCrashSeries();
     scheduleKeyChanges();
     scheduleCapChanges();
+    scheduleQueueMoves();
     for (int i = 0; i < m_options.m_faults; ++i)
         schedule(loadStart - m_now + randomBetween(0, m_options.m_loadDuration.m_ms), [this] { injectFault(); });
     for (int i = 0; i < m_options.m_capacityChanges; ++i)
--- a/tests/cell_simulation.h
+++ b/tests/cell_simulation.h
@@ -186,11 +186,22 @@
     Duration m_changeInterval { 4'000 }; ///< Time between two.
 };
 
+/** Versions of the configuration that send queues to another pool. Every second worker serves that one. Times count from the start of the load. */
+struct QueueMoves {
+    int m_count = 0; ///< Number of versions; each moves about half of the queues, one at least. 0: all workers serve one pool.
+    Duration m_first { 3'000 }; ///< Time of the first one.
+    Duration m_interval { 3'000 }; ///< Time between two.
+    Duration m_removal; ///< A share of the moves takes so long: meanwhile a version does not name the queues; 0 for none of them.
+    double m_removalShare = 0.4; ///< That share, 0 to 1.
+    Duration m_emptied; ///< Soon after a move the workers of a former pool crash and stay away for so long; 0 for never.
+    bool m_isCalm = false; ///< Nothing fails, so that no task may start in a former pool once the version is in force.
+};
+
 /** Size, load and faults of a simulation. */
 struct CellSimulationOptions {
     std::uint64_t m_seed = 1; ///< Seed of all random choices.
     int m_nodes = 4; ///< Number of daemons.
-    int m_workers = 6; ///< Number of workers, all in one pool.
+    int m_workers = 6; ///< Number of workers, all in one pool unless queues are moved.
     int m_jobs = 60; ///< Number of jobs that clients submit.
     int m_faults = 6; ///< Number of faults, injected at random times during the load.
     int m_capacityChanges = 0; ///< How often the capacity of a worker shrinks during the load; it grows again seconds later. During half of these, the worker can't be reached.
@@ -216,6 +227,7 @@
     WorkerCrashSeries m_crashSeries; ///< Crashes of workers in series. No job may be given up for them.
     KeyChanges m_keyChanges; ///< Customers with keys. No call that was sent later than the limit with a removed key may pass.
     CustomerCaps m_caps; ///< Customers.
+    QueueMoves m_queueMoves; ///< Queues that are sent to another pool. With CustomerCaps, whose caps then change with each version, m_changes must be 0.
     Duration m_startTime; ///< A job that could run has a running task again after this time, whenever no daemon and not the store is disrupted; 0 leaves that unchecked.
     double m_longRunShare = 0; ///< Share of the attempts, 0 to 1, with the run time below; gangs excepted.
     Duration m_longRunTime { 18'000 }; ///< Run time of these attempts.
--- a/tests/cell_simulation_base.h
+++ b/tests/cell_simulation_base.h
@@ -79,6 +79,12 @@
     std::optional<std::int64_t> m_removedAt; ///< When the one without it was stored.
 };
 
+/** Where a version of the configuration sends the queues. */
+struct PoolMarks {
+    std::int64_t m_at = 0; ///< When it was stored, in simulated ms.
+    std::string m_text; ///< For each queue the number of its pool, or a mark if the version does not name it.
+};
+
 /** A job as its client sees it. Times are simulated milliseconds. */
 struct ClientJob {
     std::string m_id;
@@ -115,6 +121,7 @@
      * @param description Begins with the violated guarantee: TWICE (a task ran again or in two places), LIMIT (capacity exceeded), CAP (a start exceeds the cap of a customer),
      * UNASKED (a task ran without a submitted job or after its cancellation), ORDER (a step started too early), LOST (an accepted
      * job did not complete or stands still), REFUSED (a refused job ran), RECOVER (too few are served after a loss of power), QUEUE (too much waits in a partition of a sound store),
+     * ROUTE (a task started in a pool to which no version sends its queue), CONFIG (or in a former one although all was calm),
      * KEY (a removed key was accepted later than the limit, or a valid one refused although all was calm),
      * REJECTED (too few submissions are accepted although the store is sound or only some partitions are silent), LAPSED (a lease ended in an outage of the store or of partitions), STALLED (no task ends while partitions are silent). An inconsistent scheduler has no such prefix.
      */
@@ -296,6 +303,21 @@
     std::int64_t highestCap(const std::string& customer) const;
     /** Checks the cap of the customer of an attempt that is about to start (CAP). */
     void checkCap(const TaskName& started, const std::string& attemptName);
+    /** @return The pool that a worker serves. */
+    std::string poolOfWorker(const std::string& id) const;
+    /** @return The pool of a queue by the latest version that has named it. */
+    std::string poolOfQueue(const SimulatedQueue& queue) const;
+    /** Sends the queues of a version to their pools, and removes those that it does not name. @param text Value of its record. */
+    void applyPools(ClusterSettings& settings, const std::string& text) const;
+    /** Stores a version of the configuration. @param marks See PoolMarks. */
+    void storePools(const std::string& marks);
+    /** Schedules the moves in the options. */
+    void scheduleQueueMoves();
+    void moveQueues();
+    /** Crashes the workers of a pool, which start again later. */
+    void emptyPool(const std::string& pool);
+    /** Checks that the pool in which an attempt is about to start is one for its queue (ROUTE, CONFIG). */
+    void checkRoute(const FakeLeaseWorker& worker, const TaskName& task, const std::string& attemptName);
     /** Takes the time at which an attempt is about to start, if it repeats one that the end of the leader was measured with. */
     void measureStart(const TaskName& task);
     bool isInRound(const SimulatedNode& node) const { return m_now < node.m_roundEndsAt; }
@@ -314,16 +336,20 @@
     std::string describeCrashes(const ClientJob& job) const;
     /** @return The resources of all attempts on a worker. */
     Resources usedBy(const FakeLeaseWorker& worker) const;
-    /** @return Number of tasks of a step that fit into the capacity, or what is free of it, of approved workers that run. */
-    std::int64_t countRoom(const ClientJob& job, std::uint32_t step, bool isFreeOnly) const;
+    /** @return Number of tasks of a step that fit into the capacity, or what is free of it, of approved workers of a pool that run. */
+    std::int64_t countRoom(const ClientJob& job, std::uint32_t step, bool isFreeOnly, const std::string& pool) const;
+    /** @return The same for the pool of the job's queue. */
+    std::int64_t countRoom(const ClientJob& job, std::uint32_t step, bool isFreeOnly) const { return countRoom(job, step, isFreeOnly, poolOfQueue(*job.m_queue)); }
+    /** @return Whether so many tasks of a step fit into each pool that its queue may be sent to. */
+    bool fitsEverywhere(const ClientJob& job, std::uint32_t step, std::int64_t tasks) const;
     /** @return The first step with tasks that have to run, and their number; nothing if all tasks are done. */
     std::optional<std::pair<std::uint32_t, std::uint32_t>> openStepOf(const ClientJob& job) const;
     /** Reports jobs that stand still although they could run (LOST). */
     void checkStandstill();
     /** @return Whether it is owed and could run: a step has its turn, and there is room for it twice over. */
     bool couldRun(const ClientJob& job) const;
-    /** @return Whether less than half of the capacity is in use. */
-    bool isHalfFree() const;
+    /** @return Whether less than half of the capacity of a pool is in use. */
+    bool isHalfFree(const std::string& pool) const;
     /** Checks the work that waits in the partitions of a sound store (QUEUE). */
     void checkPartitions();
     /** Prints the attempts of the last second by partition. */
@@ -387,6 +413,7 @@
     std::vector<ClientJob> m_jobs;
     std::map<std::string, std::size_t> m_jobById;
     std::map<TaskName, std::string> m_workerByRunningTask; ///< Worker of each running task.
+    std::vector<PoolMarks> m_poolMarks; ///< Of all versions; empty if no queue is moved.
     std::vector<std::int64_t> m_configChanges; ///< When the versions after the first one were stored.
     std::set<TaskName> m_acknowledgedDone; ///< Tasks whose completion the leader has acknowledged; they must not start again.
     CellSimulationResult m_result;
--- a/tests/cell_simulation_checks.cpp
+++ b/tests/cell_simulation_checks.cpp
@@ -20,6 +20,7 @@
     if (!fitsInto(usedBy(worker) + stepOf(task).m_size, capacity))
         reportViolation("LIMIT: " + attemptName + " exceeds the worker's capacity, of CPU " + std::to_string(capacity.m_cpuMilli));
     checkCap(task, attemptName);
+    checkRoute(worker, task, attemptName);
     m_jobs[job->second].m_hasStarted = true;
     if (task.m_step > 0) {
         // Steps have at most 9 tasks (see makePlan()), so that these indices cover every task of the previous step.
@@ -68,13 +69,13 @@
     return used;
 }
 
-std::int64_t CellSimulation::countRoom(const ClientJob& job, std::uint32_t step, bool isFreeOnly) const
+std::int64_t CellSimulation::countRoom(const ClientJob& job, std::uint32_t step, bool isFreeOnly, const std::string& pool) const
 {
     constexpr std::int64_t maxPerWorker = 64;
     const Resources& size = job.m_plan.m_steps.at(step).m_size;
     std::int64_t room = 0;
     for (const FakeLeaseWorker& worker : m_workers) {
-        const bool isUsable = !worker.m_isDown && !worker.m_isUnreachable && canTakeOrders(worker);
+        const bool isUsable = !worker.m_isDown && !worker.m_isUnreachable && canTakeOrders(worker) && poolOfWorker(worker.m_id) == pool;
         if (!isUsable || !FakeApprovals::isApproved({ .m_job = job.m_id, .m_occurrence = 0, .m_step = step, .m_index = 0 }, worker.m_id, job.m_queue->m_approvedShare))
             continue;
         Resources free = simulatedCapacity(m_options.m_needsApprovals);
@@ -88,6 +89,14 @@
     return room;
 }
 
+bool CellSimulation::fitsEverywhere(const ClientJob& job, std::uint32_t step, std::int64_t tasks) const
+{
+    std::set<std::string> pools;
+    for (const FakeLeaseWorker& worker : m_workers)
+        pools.insert(poolOfWorker(worker.m_id));
+    return std::all_of(pools.begin(), pools.end(), [&](const std::string& pool) { return countRoom(job, step, false, pool) >= tasks; });
+}
+
 std::optional<std::pair<std::uint32_t, std::uint32_t>> CellSimulation::openStepOf(const ClientJob& job) const
 {
     for (std::uint32_t step = 0; step < job.m_plan.m_steps.size(); ++step) {
@@ -100,12 +109,12 @@
     return std::nullopt;
 }
 
-bool CellSimulation::isHalfFree() const
+bool CellSimulation::isHalfFree(const std::string& pool) const
 {
     Resources used;
     Resources capacity;
     for (const FakeLeaseWorker& worker : m_workers) {
-        if (worker.m_isDown)
+        if (worker.m_isDown || poolOfWorker(worker.m_id) != pool)
             continue;
         used = used + usedBy(worker);
         capacity = capacity + simulatedCapacity(m_options.m_needsApprovals);
@@ -134,7 +143,9 @@
     std::set<std::string> running;
     for (const auto& [task, worker] : m_workerByRunningTask)
         running.insert(task.m_job);
-    const bool isRoomy = isHalfFree();
+    std::map<std::string, bool> isRoomy; // By pool.
+    for (const SimulatedQueue& queue : m_queues)
+        isRoomy.try_emplace(poolOfQueue(queue), isHalfFree(poolOfQueue(queue)));
     const auto follow = [this](std::int64_t& since, bool isStill) {
         if (!isStill)
             since = 0;
@@ -143,7 +154,7 @@
         return isStill ? m_now - since : 0;
     };
     for (ClientJob& job : m_jobs) {
-        const bool isStill = isRoomy && !running.contains(job.m_id) && couldRun(job);
+        const bool isStill = isRoomy.at(poolOfQueue(*job.m_queue)) && !running.contains(job.m_id) && couldRun(job);
         const std::int64_t finishing = follow(job.m_stillSince, isStill && isFinishing);
         const std::int64_t calm = follow(job.m_calmStillSince, isStill && isCalm);
         const bool isLate = finishing >= standstill && m_now >= m_loadEnd + finishMs;
--- a/tests/cell_simulation_clients.cpp
+++ b/tests/cell_simulation_clients.cpp
@@ -41,7 +41,7 @@
         job.m_plan = makePlan(m_queues, job.m_body);
         bool fits = true;
         for (std::uint32_t step = 0; step < steps; ++step)
-            fits = fits && countRoom(job, step, false) >= 2 * width;
+            fits = fits && fitsEverywhere(job, step, 2 * width);
         if (fits)
             return;
     }
--- a/tests/cell_simulation_keys.cpp
+++ b/tests/cell_simulation_keys.cpp
@@ -18,6 +18,8 @@
 std::string CellSimulation::configText() const
 {
     std::string text = std::to_string(m_configVersion);
+    if (!m_poolMarks.empty())
+        text += " " + m_poolMarks.back().m_text;
     for (const SimulatedKey& key : m_keys)
         text += key.m_removedAt ? std::string() : " " + std::to_string(key.m_customer) + " " + key.m_text;
     return text;
@@ -30,7 +32,8 @@
     ClusterSettings settings = makeSettings(m_queues);
     std::istringstream fields(text);
     fields >> settings.m_version;
-    for (std::string customer, key; fields >> customer >> key;)
+    applyPools(settings, text);
+    for (std::string customer, key; m_poolMarks.empty() && fields >> customer >> key;)
         settings.m_customers.push_back({ .m_name = "c" + customer, .m_keys = { key }, .m_weight = 1, .m_cap = {} });
     settings.m_requiresKeys = !settings.m_customers.empty();
     return settings;
