moved_queue_test: workers that are held for a suspect of a moved step

Cause: of what a step keeps in its former pool, no case covered a worker that is held for a suspect.

--- a/tests/moved_queue_test.cpp
+++ b/tests/moved_queue_test.cpp
@@ -300,6 +300,26 @@
     BOOST_TEST((load.workersOf(large) == Workers { "n0" }));
 }
 
+// The same for a worker that is kept empty for a suspect of the step.
+BOOST_AUTO_TEST_CASE(workers_that_are_held_for_a_suspect_are_freed)
+{
+    MovedQueueLoad load(1, 1);
+    const std::string job = load.submit("plain", makeQuarterStep(4));
+    load.runChecked(startTime);
+    StepRun& run = *load.m_scheduler.m_jobs.at(job)->m_runs.front();
+    load.end("f0", job, AttemptEnd::Failed); // The worker is empty when it is next looked at.
+    const std::string other = load.submit("asked", makeLastingStep());
+    Worker& worker = load.m_scheduler.m_workers.front();
+    worker.m_reservedFor = &run;
+    worker.m_heldForSuspectUntil = load.m_now + Duration { 3'000 };
+    load.send(newPool, formerPool);
+    BOOST_TEST(!worker.m_reservedFor);
+    BOOST_TEST(worker.m_heldForSuspectUntil.m_ms == 0);
+    load.runChecked({ 500 });
+    BOOST_TEST((load.workersOf(other) == Workers { "f0" }));
+    BOOST_TEST(load.runsIn(job, newPool));
+}
+
 // Usage is counted in the pool of the worker, so an attempt that was placed before the move is released from the pool in which it was counted.
 BOOST_AUTO_TEST_CASE(usage_of_customers_counts_where_attempts_run)
 {
